--- /dev/null
+++ b/dogwoodlever/_tenure.py
@@ -0,0 +1,204 @@
+"""Evidence that a daemon's membership, and the rights it gives, still stand."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Basis:
+    """Versions of the records that rights are based on."""
+
+    members_version: int = 0
+    configuration_version: int = 0
+
+
+@dataclass(slots=True)
+class PeerEvidence:
+    """What one peer last said of its contact with the store.
+
+    Attributes
+    ----------
+    echo_s : float
+        This daemon's own clock as the peer echoed it: the statement was made
+        at or after that time.
+    received_s : float
+        When the statement arrived here.
+    store_age_s : float
+        Age of the peer's last store answer when it made the statement.
+    fresh_run_s : float
+        For how long the peer's store contact has had no gap over the term; 0
+        while it has one.
+    basis : Basis
+        Versions of the records that the peer holds.
+    """
+
+    echo_s: float
+    received_s: float
+    store_age_s: float
+    fresh_run_s: float
+    basis: Basis
+
+
+class StoreContact:
+    """Age and continuity of this daemon's contact with the store.
+
+    Parameters
+    ----------
+    term_s : float
+        A gap longer than this ends a run of fresh contact.
+    """
+
+    __slots__ = ("_last_s", "_run_start_s", "term_s")
+
+    def __init__(self, term_s: float) -> None:
+        self.term_s = term_s
+        self._last_s = float("-inf")
+        self._run_start_s = float("-inf")
+
+    def note(self, sent_s: float) -> None:
+        """Record an answer to a read that was sent at `sent_s`."""
+        if sent_s <= self._last_s:
+            return
+        if sent_s - self._last_s > self.term_s:
+            self._run_start_s = sent_s
+        self._last_s = sent_s
+
+    def age_s(self, now_s: float) -> float:
+        """Return the seconds since the last answered read was sent."""
+        return now_s - self._last_s
+
+    def fresh_run_s(self, now_s: float) -> float:
+        """Return for how long contact has been without a gap over the term."""
+        if self.age_s(now_s) > self.term_s:
+            return 0.0
+        return now_s - self._run_start_s
+
+
+class Tenure:
+    """Decide until when this daemon may use its shares and cells.
+
+    The evidence is one of three: an own read of the store that shows the
+    daemon live, a peer's statement of such a read, or, while the store is out
+    of reach for a majority of the members, their statements to that effect.
+    The last kind only extends a tenure that has not lapsed. A member that is
+    excluded had no majority without contact for a whole term, so its tenure
+    has lapsed by then and outage evidence cannot revive it.
+
+    Parameters
+    ----------
+    term_s : float
+        How long evidence holds.
+    """
+
+    __slots__ = ("_evidence_s", "_peers", "basis", "contact", "term_s")
+
+    def __init__(self, term_s: float) -> None:
+        self.term_s = term_s
+        self.contact = StoreContact(term_s)
+        self.basis = Basis()
+        self._evidence_s = float("-inf")
+        self._peers: dict[str, PeerEvidence] = {}
+
+    def confirm_from_store(self, sent_s: float, basis: Basis, live: bool) -> None:
+        """Record a consistent read of the records, sent at `sent_s`.
+
+        Parameters
+        ----------
+        sent_s : float
+            When the read was sent, by this daemon's clock.
+        basis : Basis
+            Versions that the store holds and this daemon has loaded.
+        live : bool
+            Whether this daemon is a live member in that version.
+        """
+        self.contact.note(sent_s)
+        self.basis = basis
+        if live:
+            self._evidence_s = max(self._evidence_s, sent_s)
+
+    def hear(self, peer: str, evidence: PeerEvidence, live: bool) -> None:
+        """Record a peer's statement.
+
+        Parameters
+        ----------
+        peer : str
+            Member that made it.
+        evidence : PeerEvidence
+            The statement.
+        live : bool
+            Whether this daemon is live in the members record it holds.
+        """
+        held = self._peers.get(peer)
+        if held is not None and evidence.echo_s < held.echo_s:
+            return
+        self._peers[peer] = evidence
+        if not live or evidence.basis != self.basis:
+            return
+        relayed_s = evidence.echo_s - evidence.store_age_s
+        self._evidence_s = max(self._evidence_s, relayed_s)
+
+    def forget(self, peer: str) -> None:
+        """Drop what a peer said, for it is no longer a member."""
+        self._peers.pop(peer, None)
+
+    def extend_in_outage(self, now_s: float, others: set[str]) -> bool:
+        """Extend the tenure if a majority has no contact with the store.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time.
+        others : set of str
+            The other members of the record.
+
+        Returns
+        -------
+        bool
+            Whether the outage is established now.
+        """
+        if not self.holds(now_s) or self.contact.age_s(now_s) <= self.term_s:
+            return False
+        echoes = [now_s]
+        for peer in others:
+            said = self._peers.get(peer)
+            if said is None or said.store_age_s <= self.term_s:
+                continue
+            if said.basis != self.basis:
+                continue
+            echoes.append(said.echo_s)
+        majority = (len(others) + 1) // 2 + 1
+        if len(echoes) < majority:
+            return False
+        echoes.sort(reverse=True)
+        self._evidence_s = max(self._evidence_s, echoes[majority - 1])
+        return self.holds(now_s)
+
+    def holds(self, now_s: float) -> bool:
+        """Tell whether rights of membership may be used at `now_s`."""
+        return now_s < self._evidence_s + self.term_s
+
+    def evidence_age_s(self, now_s: float) -> float:
+        """Return the age of the newest evidence."""
+        return now_s - self._evidence_s
+
+    def majority_fresh_since(
+        self, since_s: float, now_s: float, others: set[str]
+    ) -> bool:
+        """Tell whether a majority had gapless store contact since `since_s`.
+
+        Parameters
+        ----------
+        since_s, now_s : float
+            Bounds of the period.
+        others : set of str
+            The other members that count.
+        """
+        fresh = 0
+        if self.contact.fresh_run_s(now_s) >= now_s - since_s:
+            fresh += 1
+        for peer in others:
+            said = self._peers.get(peer)
+            if said is None or now_s - said.echo_s > self.term_s:
+                continue
+            if said.received_s - said.fresh_run_s <= since_s and said.fresh_run_s > 0:
+                fresh += 1
+        return fresh >= (len(others) + 1) // 2 + 1
--- /dev/null
+++ b/dogwoodlever/_worker_view.py
@@ -0,0 +1,83 @@
+"""What a cell's owner knows of one worker."""
+
+from dataclasses import dataclass, field
+
+from dogwoodlever._chart import Chart
+from dogwoodlever._guard import WorkerGuard
+from dogwoodlever._site import Worker
+from dogwoodlever._worker_protocol import AttemptId
+
+WORKER_CHART = Chart.load("worker")
+
+
+@dataclass(slots=True)
+class WorkerView:
+    """State, room and clock of one worker.
+
+    Attributes
+    ----------
+    spec : Worker
+        Its settings.
+    state : str
+        State of the worker chart.
+    boot_id : str
+        Boot of its last report; empty before the first.
+    report_s, report_clock_s : float
+        When the last report arrived, and the worker's clock in it.
+    lease_end_s : float
+        Owner's time after which the worker has stopped everything, unless a
+        synchronisation was sent since.
+    tasks : set of str
+        Ids of the tasks placed on it.
+    known : set of AttemptId
+        Attempts that its last report held.
+    """
+
+    name: str
+    spec: Worker
+    guard: WorkerGuard
+    cores_room: float
+    memory_room_bytes: int
+    lease_end_s: float
+    state: str = WORKER_CHART.initial
+    boot_id: str = ""
+    report_s: float = float("-inf")
+    report_clock_s: float = 0.0
+    cores_placed: float = 0.0
+    memory_placed_bytes: int = 0
+    accelerators_placed: int = 0
+    leaving: bool = False
+    tasks: set[str] = field(default_factory=set)
+    known: set[AttemptId] = field(default_factory=set)
+    ended: set[AttemptId] = field(default_factory=set)
+
+    def note(self, event: str) -> None:
+        """Move along the worker chart if it has the event here."""
+        if WORKER_CHART.allows(self.state, event):
+            self.state = WORKER_CHART.next(self.state, event)
+
+    def worker_time(self, at_s: float) -> float:
+        """Return a lower bound of the worker's clock at the owner's `at_s`."""
+        return self.report_clock_s + (at_s - self.report_s)
+
+    def fits(self, cores: float, memory_bytes: int, accelerators: int) -> bool:
+        """Tell whether a task of this size fits beside those placed."""
+        return (
+            self.cores_placed + cores <= self.cores_room + 1e-9
+            and self.memory_placed_bytes + memory_bytes <= self.memory_room_bytes
+            and self.accelerators_placed + accelerators <= self.spec.accelerators
+        )
+
+    def charge(self, task_id: str, cores: float, memory: int, accelerators: int):
+        """Account for a placed task."""
+        self.tasks.add(task_id)
+        self.cores_placed += cores
+        self.memory_placed_bytes += memory
+        self.accelerators_placed += accelerators
+
+    def credit(self, task_id: str, cores: float, memory: int, accelerators: int):
+        """Account for a task that is placed here no more."""
+        self.tasks.discard(task_id)
+        self.cores_placed -= cores
+        self.memory_placed_bytes -= memory
+        self.accelerators_placed -= accelerators
--- /dev/null
+++ b/dogwoodlever/batch_errors.py
@@ -0,0 +1,15 @@
+"""Errors of the batch layer."""
+
+from dogwoodlever.errors import DogwoodleverError
+
+
+class BatchError(DogwoodleverError):
+    """Base class of the errors of the batch layer."""
+
+
+class JobRefusedError(BatchError):
+    """The job can never run as it was declared."""
+
+
+class LedgerError(BatchError):
+    """A ledger value cannot be read or a change does not fit it."""
--- /dev/null
+++ b/dogwoodlever/cli_errors.py
@@ -0,0 +1,27 @@
+"""Errors of the command line, with their exit statuses."""
+
+from dogwoodlever.errors import DogwoodleverError
+
+
+class CliError(DogwoodleverError):
+    """Base class; `exit_status` is the status that the program ends with."""
+
+    exit_status = 1
+
+
+class CommandRefusedError(CliError):
+    """The daemon refused the command; nothing was changed."""
+
+    exit_status = 1
+
+
+class UnreachableError(CliError):
+    """No daemon could be reached; nothing was sent."""
+
+    exit_status = 3
+
+
+class OutcomeUnknownError(CliError):
+    """The command was sent, and whether it took effect is not known."""
+
+    exit_status = 4
--- /dev/null
+++ b/dogwoodlever/configuration.py
@@ -0,0 +1,9 @@
+"""Configuration: revisions, and what is in force."""
+
+from dogwoodlever._configuration import (
+    ConfigurationFollower,
+    ConfigurationRecord,
+    decode_configuration,
+)
+
+__all__ = ["ConfigurationFollower", "ConfigurationRecord", "decode_configuration"]
--- /dev/null
+++ b/dogwoodlever/daemon.py
@@ -0,0 +1,130 @@
+"""The daemon program, ``dogwoodleverd``."""
+
+import signal
+import sys
+import time
+from pathlib import Path
+
+from absl import app, flags, logging
+from returns.result import Failure
+from twisted.internet import reactor
+
+from dogwoodlever._logs import log_event
+from dogwoodlever._node import Node, Outside
+from dogwoodlever.gateway import (
+    BoundedSite,
+    CallersResource,
+    Gateway,
+    OperatorsResource,
+    Reports,
+)
+from dogwoodlever.peers import TcpMesh
+from dogwoodlever.platform import (
+    BootClock,
+    EtcdStore,
+    HttpBackendClient,
+    HttpFetcher,
+    HttpVMList,
+    HttpWorkerClient,
+)
+from dogwoodlever.settings import DaemonSettings, read_daemon_settings
+
+CALLER_BODY_BYTES_MAX = 1_000_000
+OPERATOR_BODY_BYTES_MAX = 4_000_000
+STORE_TIMEOUT_S = 1.0
+WORKER_TIMEOUT_S = 2.0
+EXIT_SETTINGS = 2
+EXIT_EXCLUDED = 75
+
+_SETTINGS = flags.DEFINE_string("settings", None, "file with the daemon's settings")
+
+
+class Daemon:
+    """One daemon process: a node and its three ports.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        self.settings = settings
+        self.exit_status = 0
+        clock = BootClock(reactor)
+        incarnation = f"{time.time_ns() // 1000:x}"
+        member = f"{settings.daemon}#{incarnation}"
+        self._mesh = TcpMesh(reactor, clock, member, settings.peer_key)
+        outside = Outside(
+            EtcdStore(HttpFetcher(reactor, STORE_TIMEOUT_S), settings.store_url),
+            HttpWorkerClient(HttpFetcher(reactor, WORKER_TIMEOUT_S)),
+            HttpBackendClient(reactor),
+            HttpVMList(HttpFetcher(reactor, STORE_TIMEOUT_S), settings.vm_list_url),
+            self._mesh,
+        )
+        self.node = Node(settings, incarnation, outside, clock, time.time)
+        self.node.on_gone = self._gone
+
+    def listen(self) -> None:
+        """Open the ports of callers, operators and peers."""
+        s = self.settings
+        callers = CallersResource(self.node, Gateway(self.node))
+        operators = OperatorsResource(self.node, Reports(self.node))
+        reactor.listenTCP(
+            s.callers_port,
+            BoundedSite(callers, CALLER_BODY_BYTES_MAX),
+            interface=s.host,
+        )
+        reactor.listenTCP(
+            s.operators_port,
+            BoundedSite(operators, OPERATOR_BODY_BYTES_MAX),
+            interface=s.host,
+        )
+        reactor.listenTCP(s.peers_port, self._mesh.factory(), interface=s.host)
+
+    def run(self) -> int:
+        """Run until stopped; return the exit status."""
+        self.listen()
+        self.node.start()
+        reactor.run(installSignalHandlers=False)
+        return self.exit_status
+
+    def stop(self, *_args) -> None:
+        """Start a graceful stop, from a signal handler too."""
+        reactor.callFromThread(self.node.stop)
+
+    def _gone(self) -> None:
+        if self.node.membership.is_excluded():
+            # A supervisor starts the next incarnation.
+            self.exit_status = EXIT_EXCLUDED
+        log_event("daemon.exit", status=self.exit_status)
+        self._mesh.close()
+        reactor.callLater(0.05, reactor.stop)
+
+
+def _run(_argv: list[str]) -> int:
+    logging.set_verbosity(logging.INFO)
+    if not _SETTINGS.value:
+        print("--settings FILE is required", file=sys.stderr)
+        return EXIT_SETTINGS
+    read = read_daemon_settings(Path(_SETTINGS.value))
+    if isinstance(read, Failure):
+        print(read.failure(), file=sys.stderr)
+        return EXIT_SETTINGS
+    daemon = Daemon(read.unwrap())
+    _handle_signals(daemon)
+    return daemon.run()
+
+
+def _handle_signals(daemon: Daemon) -> None:
+    signal.signal(signal.SIGTERM, daemon.stop)
+    signal.signal(signal.SIGINT, daemon.stop)
+
+
+def main() -> None:
+    """Entry point of ``dogwoodleverd``."""
+    app.run(_run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/dogwoodlever/gateway.py
@@ -0,0 +1,17 @@
+"""Gateway: the callers' and the operators' HTTP ports."""
+
+from dogwoodlever._bounded_site import BoundedSite
+from dogwoodlever._callers_resource import CallersResource
+from dogwoodlever._gateway import CallerRequest, Ending, Gateway
+from dogwoodlever._operators_resource import OperatorsResource
+from dogwoodlever._reports import Reports
+
+__all__ = [
+    "BoundedSite",
+    "CallerRequest",
+    "CallersResource",
+    "Ending",
+    "Gateway",
+    "OperatorsResource",
+    "Reports",
+]
--- /dev/null
+++ b/dogwoodlever/platform.py
@@ -0,0 +1,55 @@
+"""The platform: interfaces, and adapters that speak its protocols."""
+
+from dogwoodlever._clock import BootClock
+from dogwoodlever._etcd_store import EtcdStore
+from dogwoodlever._http_fetch import HttpFetcher
+from dogwoodlever._http_platform import (
+    HttpBackendClient,
+    HttpVMList,
+    HttpWorkerClient,
+)
+from dogwoodlever._interfaces import (
+    BackendAnswer,
+    BackendClient,
+    BackendRequest,
+    Entry,
+    Store,
+    VMList,
+    WorkerClient,
+    WriteResult,
+)
+from dogwoodlever._worker_protocol import (
+    AttemptId,
+    EndedAttempt,
+    RunningAttempt,
+    RunOrder,
+    StopOrder,
+    SyncRequest,
+    UsageSample,
+    WorkerReport,
+)
+
+__all__ = [
+    "AttemptId",
+    "BackendAnswer",
+    "BackendClient",
+    "BackendRequest",
+    "BootClock",
+    "EndedAttempt",
+    "Entry",
+    "EtcdStore",
+    "HttpBackendClient",
+    "HttpFetcher",
+    "HttpVMList",
+    "HttpWorkerClient",
+    "RunOrder",
+    "RunningAttempt",
+    "StopOrder",
+    "Store",
+    "SyncRequest",
+    "UsageSample",
+    "VMList",
+    "WorkerClient",
+    "WorkerReport",
+    "WriteResult",
+]
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples."""
--- /dev/null
+++ b/standins/worker_machine.py
@@ -0,0 +1,177 @@
+"""A worker that runs tasks under leases, driven by the clock it is given."""
+
+from dataclasses import dataclass
+
+from dogwoodlever.platform import (
+    EndedAttempt,
+    RunningAttempt,
+    RunOrder,
+    SyncRequest,
+    WorkerReport,
+)
+
+CHECKPOINT_INTERVAL_S = 1.0
+
+
+@dataclass(slots=True)
+class Run:
+    """One attempt on the worker and its record.
+
+    Attributes
+    ----------
+    from_s, progress_s : float
+        Work done when it started and now.
+    """
+
+    order: RunOrder
+    progress_s: float
+    from_s: float
+    started_s: float | None = None
+    ended_s: float | None = None
+    outcome: str = ""
+
+
+class WorkerMachine:
+    """Cores, tasks and a lease.
+
+    Parameters
+    ----------
+    name : str
+        Name of the worker.
+    cores : float
+        Room for batch tasks.
+    speed : float, default=1.0
+        Work done in a second, so that demos need not last.
+    """
+
+    def __init__(self, name: str, cores: float, speed: float = 1.0) -> None:
+        self.name = name
+        self.cores = cores
+        self.speed = speed
+        self.boots = 1
+        self.off = False
+        self.fails_all = False
+        self.records: list[Run] = []
+        self.overloads = 0
+        self.late_starts: list[Run] = []
+        self._runs: dict[tuple[str, int], Run] = {}
+        self._ended: dict[tuple[str, int], EndedAttempt] = {}
+        self._newest = (0, 0)
+        self._now_s = 0.0
+        self._lease_until_s = 0.0
+        self._start_until_s = 0.0
+        self._throttle = 1.0
+
+    def power_off(self, now_s: float) -> None:
+        """Lose everything that runs, at once."""
+        self.advance(now_s)
+        for run in self._runs.values():
+            run.ended_s, run.outcome = now_s, "powered off"
+        self._runs.clear()
+        self._ended.clear()
+        self.off = True
+
+    def power_on(self, now_s: float) -> None:
+        """Boot anew, remembering nothing."""
+        self.off = False
+        self.boots += 1
+        self._newest = (0, 0)
+        self._now_s = now_s
+
+    def used_cores(self) -> float:
+        """Return the cores of started tasks."""
+        return sum(
+            r.order.cores for r in self._runs.values() if r.started_s is not None
+        )
+
+    def advance(self, now_s: float) -> None:
+        """Let time pass: work, finish, and stop at the lease's end."""
+        if self.off:
+            return
+        end_s = min(now_s, max(self._now_s, self._lease_until_s))
+        elapsed_s = max(0.0, end_s - self._now_s)
+        for key, run in list(self._runs.items()):
+            if run.started_s is None:
+                continue
+            run.progress_s += elapsed_s * self.speed * self._throttle
+            if run.progress_s >= run.order.run_s:
+                self._end(key, "finished", end_s, run.order.run_s)
+        if now_s >= self._lease_until_s:
+            for key in list(self._runs):
+                self._stop(key, True, min(end_s, now_s), "lease lapsed")
+        self._now_s = now_s
+
+    def _end(
+        self, key, outcome: str, at_s: float, kept_s: float, why: str = ""
+    ) -> None:
+        run = self._runs.pop(key)
+        run.ended_s = at_s
+        run.outcome = outcome
+        ran_s = 0.0 if run.started_s is None else at_s - run.started_s
+        self._ended[key] = EndedAttempt(
+            *key, outcome, kept_s, ran_s, run.order.cores, why
+        )
+
+    def _stop(self, key, checkpoint: bool, at_s: float, why: str) -> None:
+        run = self._runs[key]
+        kept_s = run.progress_s if checkpoint else run.from_s
+        self._end(key, "stopped", at_s, kept_s, why)
+
+    def sync(self, request: SyncRequest, now_s: float) -> WorkerReport:
+        """Take a synchronisation and report."""
+        self.advance(now_s)
+        newest = (request.epoch, request.sequence)
+        if newest > self._newest:
+            self._newest = newest
+            if request.boot_id == self.boot_id():
+                self._obey(request, now_s)
+        return self._report(now_s)
+
+    def boot_id(self) -> str:
+        """Return the id of the present boot."""
+        return f"{self.name}-{self.boots}"
+
+    def _obey(self, request: SyncRequest, now_s: float) -> None:
+        self._lease_until_s = max(self._lease_until_s, request.lease_until_s)
+        self._start_until_s = request.start_until_s
+        self._throttle = request.throttle
+        for attempt in request.forget:
+            self._ended.pop((attempt.task_id, attempt.attempt), None)
+        for order in request.stop:
+            key = (order.task_id, order.attempt)
+            if key in self._runs:
+                self._stop(key, order.checkpoint, now_s, "told to stop")
+            elif key not in self._ended:
+                self._ended[key] = EndedAttempt(*key, "stopped", 0.0, 0.0, 0.0)
+        for order in request.run:
+            key = (order.task_id, order.attempt)
+            if key not in self._runs and key not in self._ended:
+                self._runs[key] = Run(order, order.checkpoint_s, order.checkpoint_s)
+        self._start_waiting(now_s)
+
+    def _start_waiting(self, now_s: float) -> None:
+        if now_s >= min(self._start_until_s, self._lease_until_s):
+            return
+        for key, run in list(self._runs.items()):
+            if run.started_s is not None:
+                continue
+            if self.used_cores() + run.order.cores > self.cores + 1e-6:
+                continue
+            run.started_s = now_s
+            self.records.append(run)
+            if self.fails_all:
+                self._end(key, "failed", now_s, run.from_s, "worker fails all")
+
+    def _report(self, now_s: float) -> WorkerReport:
+        running = tuple(
+            RunningAttempt(
+                *key,
+                run.started_s is not None,
+                run.progress_s,
+                run.order.cores,
+            )
+            for key, run in self._runs.items()
+        )
+        return WorkerReport(
+            self.name, self.boot_id(), now_s, running, tuple(self._ended.values())
+        )
