Outage evidence counts peers before the own evidence lapses

Cause: a peer counted as out of contact only once its last read was older than the term, which is when the own evidence lapses too, so a total outage of the store ended every tenure. Ruled out: a longer term, which only moves both. Change: half the term without an answer is a gap, for both sides of the rule.

--- a/dogwoodlever/_cell.py
+++ b/dogwoodlever/_cell.py
@@ -407,10 +407,11 @@
         rest of the round, since its tasks are equal.
         """
         lines: dict[str, list[str]] = {}
-        for task_id in self._queued:
+        for task_id in reversed(self._queued):
             lines.setdefault(self.ledger.tasks[task_id].job_id, []).append(task_id)
         for line in lines.values():
-            line.reverse()
+            # Work that was begun goes on before new work of the same job.
+            line.sort(key=lambda task_id: self.ledger.tasks[task_id].attempt > 0)
         while lines and views:
             job_id = min(lines, key=self._job_order)
             task = self.ledger.tasks[lines[job_id].pop()]
--- a/dogwoodlever/_gateway.py
+++ b/dogwoodlever/_gateway.py
@@ -227,10 +227,8 @@
     def _outcome_of(self, request_id: str):
         """Ask the daemons for an earlier request's outcome."""
         others = sorted(self._node.membership.others())
-        daemon = request_id.rsplit("-", 2)[0]
-        named = [m for m in others if m.partition("#")[0] == daemon]
         bodies = yield self._node.questions.ask_all(
-            named, OUTCOME_TOPIC, request_id.encode()
+            others, OUTCOME_TOPIC, request_id.encode()
         )
         return bodies[0].decode() if bodies else ""
 
--- a/dogwoodlever/_membership_role.py
+++ b/dogwoodlever/_membership_role.py
@@ -84,8 +84,7 @@
             self.keeper = MembershipKeeper(
                 self.member_id, self._entry, limits.tenure_term_s, wait_s
             )
-        self.tenure.term_s = limits.tenure_term_s
-        self.tenure.contact.term_s = limits.tenure_term_s
+        self.tenure.set_term(limits.tenure_term_s)
         self.keeper.silence_s = limits.tenure_term_s
         self.keeper.exclusion_wait_s = wait_s
 
--- a/dogwoodlever/_node.py
+++ b/dogwoodlever/_node.py
@@ -118,16 +118,17 @@
     def start(self) -> None:
         """Start the periodic work."""
         limits = self.membership.limits
-        self._every(limits.poll_interval_s, self.follower.poll)
-        self._every(limits.heartbeat_interval_s, self.membership.beat)
-        self._every(MAINTAIN_INTERVAL_S, self._maintain)
-        self._every(CELL_STEP_INTERVAL_S, self._step_cells)
-        self._every(limits.worker_sync_interval_s, self._sync_workers)
-        self._every(TICK_INTERVAL_S, self._tick)
-        self._every(VM_LIST_INTERVAL_S, self._read_vm_list)
+        self.every(limits.poll_interval_s, self.follower.poll)
+        self.every(limits.heartbeat_interval_s, self.membership.beat)
+        self.every(MAINTAIN_INTERVAL_S, self._maintain)
+        self.every(CELL_STEP_INTERVAL_S, self._step_cells)
+        self.every(limits.worker_sync_interval_s, self._sync_workers)
+        self.every(TICK_INTERVAL_S, self._tick)
+        self.every(VM_LIST_INTERVAL_S, self._read_vm_list)
         log_event("daemon.started", member=self.member_id)
 
-    def _every(self, interval_s: float, action: Callable) -> None:
+    def every(self, interval_s: float, action: Callable) -> None:
+        """Call `action` at an interval until the daemon has gone."""
         loop = LoopingCall(self._guarded, action)
         loop.clock = self.clock
         self._loops.append(loop)
--- a/dogwoodlever/_reports.py
+++ b/dogwoodlever/_reports.py
@@ -7,9 +7,13 @@
 from dogwoodlever._burn import BurnLine, merge_lines
 from dogwoodlever._ledger import LedgerRecord, Task, decode_ledger
 from dogwoodlever._node import Node, cell_names
+from dogwoodlever._rendezvous import first
+from dogwoodlever._request_account import RequestAccount
 
 BURN_TOPIC = "burn"
 REQUEST_TOPIC = "request"
+COPIES_TOPIC = "copies"
+COPY_INTERVAL_S = 1.0
 
 
 class JobSummary(msgspec.Struct):
@@ -44,6 +48,8 @@
         self._node = node
         node.questions.answer(BURN_TOPIC, self._answer_burn)
         node.questions.answer(REQUEST_TOPIC, self._answer_request)
+        node.questions.answer(COPIES_TOPIC, self._keep_copies)
+        node.every(COPY_INTERVAL_S, self._send_copies)
 
     def _answer_burn(self, _body: bytes) -> bytes:
         site = self._node.configuration.in_force.site
@@ -56,6 +62,19 @@
         account = self._node.accounts.get(body.decode(errors="replace"))
         return None if account is None else msgspec.json.encode(account)
 
+    def _send_copies(self) -> None:
+        """Let one peer keep accounts, so that they outlive this daemon."""
+        others = self._node.membership.others()
+        copies = self._node.accounts.next_copies()
+        keeper = first(self._node.member_id, others)
+        if copies and keeper is not None:
+            self._node.questions.ask(keeper, COPIES_TOPIC, msgspec.json.encode(copies))
+
+    def _keep_copies(self, body: bytes) -> bytes:
+        for account in msgspec.json.decode(body, type=list[RequestAccount]):
+            self._node.accounts.open(account)
+        return b""
+
     def _peers(self) -> list[str]:
         return sorted(self._node.membership.others())
 
--- a/dogwoodlever/_request_account.py
+++ b/dogwoodlever/_request_account.py
@@ -5,6 +5,7 @@
 import msgspec
 
 ACCOUNTS_MAX = 5_000
+COPIES_PER_BATCH = 200
 
 
 class AttemptLine(msgspec.Struct):
@@ -34,10 +35,11 @@
 class RequestAccounts:
     """The newest accounts of a daemon, bounded in number."""
 
-    __slots__ = ("_accounts",)
+    __slots__ = ("_accounts", "_uncopied")
 
     def __init__(self) -> None:
         self._accounts: OrderedDict[str, RequestAccount] = OrderedDict()
+        self._uncopied: list[RequestAccount] = []
 
     def open(self, account: RequestAccount) -> None:
         """Add the account of a new request."""
@@ -71,3 +73,14 @@
         if account is not None:
             account.outcome, account.reason = outcome, reason
             account.ended_at_s = at_s
+            self._uncopied.append(account)
+
+    def next_copies(self) -> list[RequestAccount]:
+        """Return accounts ended since the last call, for a peer to keep.
+
+        Under load only part of them is copied: first those of requests that
+        were not simply answered at their first attempt.
+        """
+        ended, self._uncopied = self._uncopied, []
+        ended.sort(key=lambda a: a.outcome == "answered" and len(a.attempts) == 1)
+        return ended[:COPIES_PER_BATCH]
--- a/dogwoodlever/_tenure.py
+++ b/dogwoodlever/_tenure.py
@@ -2,6 +2,10 @@
 
 from dataclasses import dataclass
 
+# Peers must be seen to be out of contact well before the evidence of the last
+# read lapses, or an outage could never be told from an own loss of contact.
+GAP_PART_OF_TERM = 0.5
+
 
 @dataclass(slots=True, frozen=True)
 class Basis:
@@ -25,8 +29,8 @@
     store_age_s : float
         Age of the peer's last store answer when it made the statement.
     fresh_run_s : float
-        For how long the peer's store contact has had no gap over the term; 0
-        while it has one.
+        For how long the peer's store contact has had no gap; 0 while it has
+        one.
     basis : Basis
         Versions of the records that the peer holds.
     """
@@ -43,14 +47,14 @@
 
     Parameters
     ----------
-    term_s : float
-        A gap longer than this ends a run of fresh contact.
+    gap_s : float
+        A pause longer than this is a gap, which ends a run of contact.
     """
 
-    __slots__ = ("_last_s", "_run_start_s", "term_s")
+    __slots__ = ("_last_s", "_run_start_s", "gap_s")
 
-    def __init__(self, term_s: float) -> None:
-        self.term_s = term_s
+    def __init__(self, gap_s: float) -> None:
+        self.gap_s = gap_s
         self._last_s = float("-inf")
         self._run_start_s = float("-inf")
 
@@ -58,7 +62,7 @@
         """Record an answer to a read that was sent at `sent_s`."""
         if sent_s <= self._last_s:
             return
-        if sent_s - self._last_s > self.term_s:
+        if sent_s - self._last_s > self.gap_s:
             self._run_start_s = sent_s
         self._last_s = sent_s
 
@@ -67,8 +71,8 @@
         return now_s - self._last_s
 
     def fresh_run_s(self, now_s: float) -> float:
-        """Return for how long contact has been without a gap over the term."""
-        if self.age_s(now_s) > self.term_s:
+        """Return for how long contact has been without a gap."""
+        if self.age_s(now_s) > self.gap_s:
             return 0.0
         return now_s - self._run_start_s
 
@@ -79,9 +83,9 @@
     The evidence is one of three: an own read of the store that shows the
     daemon live, a peer's statement of such a read, or, while the store is out
     of reach for a majority of the members, their statements to that effect.
-    The last kind only extends a tenure that has not lapsed. A member that is
-    excluded had no majority without contact for a whole term, so its tenure
-    has lapsed by then and outage evidence cannot revive it.
+    The last kind only extends a tenure that has not lapsed. While a member is
+    being excluded, a majority has contact without a gap for more than a term,
+    so its tenure lapses, and outage evidence cannot revive it.
 
     Parameters
     ----------
@@ -92,12 +96,17 @@
     __slots__ = ("_evidence_s", "_peers", "basis", "contact", "term_s")
 
     def __init__(self, term_s: float) -> None:
-        self.term_s = term_s
-        self.contact = StoreContact(term_s)
+        self.contact = StoreContact(0.0)
+        self.set_term(term_s)
         self.basis = Basis()
         self._evidence_s = float("-inf")
         self._peers: dict[str, PeerEvidence] = {}
 
+    def set_term(self, term_s: float) -> None:
+        """Set how long evidence holds."""
+        self.term_s = term_s
+        self.contact.gap_s = term_s * GAP_PART_OF_TERM
+
     def confirm_from_store(self, sent_s: float, basis: Basis, live: bool) -> None:
         """Record a consistent read of the records, sent at `sent_s`.
 
@@ -155,12 +164,12 @@
         bool
             Whether the outage is established now.
         """
-        if not self.holds(now_s) or self.contact.age_s(now_s) <= self.term_s:
+        if not self.holds(now_s) or self.contact.age_s(now_s) <= self.contact.gap_s:
             return False
         echoes = [now_s]
         for peer in others:
             said = self._peers.get(peer)
-            if said is None or said.store_age_s <= self.term_s:
+            if said is None or said.store_age_s <= self.contact.gap_s:
                 continue
             if said.basis != self.basis:
                 continue
--- a/examples/stage.py
+++ b/examples/stage.py
@@ -19,6 +19,7 @@
 OPERATOR_KEY = "stage-operator-key"
 LIFE_S = 240.0
 READY_TIMEOUT_S = 20.0
+LIMITS = {"tenure_term_s": 2.0, "longest_request_s": 2.0, "worker_lease_s": 4.0}
 SETTINGS = Path(__file__).parent / "swan-coast" / "settings"
 
 
@@ -80,6 +81,7 @@
         for _, document in read_documents(SETTINGS):
             merged = merge(merged, document)
         merged["teams"] |= {"catalogue": {"cores": 20}, "watchers": {"cores": 4}}
+        merged["limits"] = LIMITS
         kiosk = json.loads(json.dumps(merged["services"]["dispatch"]))
         kiosk["reserved_cores"] = 1
         kiosk["servers"] = {"k01": dict(kiosk["servers"]["s01"])}
--- /dev/null
+++ b/standins/bench_site.py
@@ -0,0 +1,189 @@
+"""A site of daemons and fakes in one process, for tests and benchmarks."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+from twisted.internet.task import Clock
+
+from dogwoodlever._node import Node, Outside
+from dogwoodlever.batch import reservations
+from dogwoodlever.configuration import ConfigurationRecord
+from dogwoodlever.gateway import CallerRequest, Gateway, Reports
+from dogwoodlever.platform import BackendRequest
+from dogwoodlever.settings import DaemonSettings, Site
+from standins.backend_slots import BackendSlots
+from standins.in_process import (
+    FakeBackends,
+    FakeNetwork,
+    FakeServer,
+    FakeStore,
+    FakeTransport,
+    FakeVMList,
+    FakeWorkers,
+    ProcessClock,
+)
+from standins.key_values import KeyValues
+from standins.worker_machine import WorkerMachine
+
+STEP_S = 0.005
+WALL_START_S = 1_800_000_000.0
+
+
+class FakeDaemon:
+    """One daemon of the site, with its clock and fakes."""
+
+    def __init__(self, site: "FakeSite", settings: DaemonSettings, boot: int) -> None:
+        self.clock = ProcessClock(site.clock)
+        member = f"{settings.daemon}#{boot}"
+        self.store = FakeStore(site.values, self.clock)
+        self.transport = FakeTransport(site.network, member, self.clock)
+        self.workers = FakeWorkers(site.machines, self.clock)
+        backends = FakeBackends(site.servers, self.clock, site.clock)
+        outside = Outside(
+            self.store,
+            self.workers,
+            backends,
+            FakeVMList(site.leaving, self.clock),
+            self.transport,
+        )
+        self.node = Node(settings, str(boot), outside, self.clock, site.wall_time)
+        self.gateway = Gateway(self.node)
+        self.reports = Reports(self.node)
+        self.node.start()
+
+
+class FakeSite:
+    """Daemons over one store, one network, and the workers of a site.
+
+    Parameters
+    ----------
+    site : Site
+        Settings; each backend server and worker must have its own port.
+    daemons : int
+        How many daemons to start, spread over the data centres.
+    seed : int
+        Seed of the service times.
+    service_s : float
+        Median service time of the backend servers.
+    """
+
+    def __init__(
+        self, site: Site, daemons: int, seed: int = 1, service_s: float = 0.02
+    ) -> None:
+        self.site = site
+        self.clock = Clock()
+        self.clock.advance(1000.0)
+        self.random = random.Random(seed)
+        self.values = KeyValues()
+        self.network = FakeNetwork(self.clock)
+        self.leaving: set[str] = set()
+        self.machines = self._make_machines()
+        self.servers: dict[int, FakeServer] = {}
+        self.by_server: dict[str, FakeServer] = {}
+        self._make_servers(service_s)
+        self.daemons: dict[str, FakeDaemon] = {}
+        self._boots = 0
+        centres = sorted(site.data_centres)
+        for index in range(daemons):
+            self.start(f"d{index + 1}", centres[index % len(centres)])
+
+    def wall_time(self) -> float:
+        """Return the wall clock."""
+        return WALL_START_S + self.clock.seconds()
+
+    def _make_machines(self) -> dict[str, WorkerMachine]:
+        reserved = reservations(self.site)
+        return {
+            name: WorkerMachine(name, worker.cores - reserved.get(name, (0.0, 0))[0])
+            for name, worker in self.site.workers.items()
+        }
+
+    def _make_servers(self, service_s: float) -> None:
+        for service in self.site.services.values():
+            for name, server in service.servers.items():
+                fake = FakeServer(
+                    BackendSlots(name, server.slots, server.connections),
+                    lambda: service_s * self.random.lognormvariate(0, 0.4),
+                )
+                self.servers[server.port] = fake
+                self.by_server[name] = fake
+
+    def start(self, name: str, centre: str) -> FakeDaemon:
+        """Start a daemon, also a next incarnation of one that ended."""
+        self._boots += 1
+        settings = DaemonSettings(
+            daemon=name,
+            data_centre=centre,
+            host="127.0.0.1",
+            callers_port=1,
+            peers_port=2,
+            operators_port=3,
+            store_url="",
+            vm_list_url="",
+            peer_key="peer-key",
+            operator_key="operator-key",
+        )
+        self.daemons[name] = FakeDaemon(self, settings, self._boots)
+        return self.daemons[name]
+
+    def put_configuration(self, out: tuple[str, ...] = ()) -> None:
+        """Write the settings to the store as the next revision."""
+        held = self.values.entries.get("live/configuration")
+        revision = 1
+        if held is not None:
+            revision = msgspec.json.decode(held.value)["revision"] + 1
+        text = msgspec.json.encode(msgspec.to_builtins(self.site)).decode()
+        record = ConfigurationRecord(revision, (("site.yaml", text),), out)
+        version = held.version if held else 0
+        self.values.write("live/configuration", msgspec.json.encode(record), version)
+
+    def advance(self, duration_s: float, step_s: float = STEP_S) -> None:
+        """Let time pass, the workers' too."""
+        until_s = self.clock.seconds() + duration_s
+        while self.clock.seconds() < until_s - 1e-9:
+            self.clock.advance(min(step_s, until_s - self.clock.seconds()))
+            for machine in self.machines.values():
+                machine.advance(self.clock.seconds())
+
+    def advance_until(
+        self, condition: Callable[[], bool], timeout_s: float, step_s: float = 0.05
+    ) -> bool:
+        """Let time pass until a condition holds; return whether it came to."""
+        until_s = self.clock.seconds() + timeout_s
+        while not condition():
+            if self.clock.seconds() >= until_s:
+                return False
+            self.advance(step_s)
+        return True
+
+    def settle(self) -> None:
+        """Bring the configuration in force and the slots to their holders."""
+        self.put_configuration()
+        self.advance(4.0)
+
+    def kill(self, name: str) -> None:
+        """End a daemon at once."""
+        self.daemons[name].clock.kill()
+
+    def request(
+        self, daemon: str, service: str, operation: str, body: str, key: str = ""
+    ) -> list:
+        """Send a request; the list returned gets its `Ending` or failure."""
+        entry = self.daemons[daemon]
+        received = CallerRequest(
+            service,
+            operation,
+            "caller",
+            None,
+            key,
+            BackendRequest(b"POST", b"/", (), body.encode()),
+        )
+        endings: list = []
+        ended = entry.gateway.handle(entry.gateway.new_request_id(), received)
+        ended.addBoth(endings.append)
+        return endings
+
+    def overloads(self) -> int:
+        """Return the requests that met a server without a free slot."""
+        return sum(server.slots.overloads for server in self.servers.values())
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, named after the modules that they test."""
