Plan with learned sizes that can still be placed; quotas by home cells

Cause: a worker was told the planned cores, which hold a margin over the measured use, and reported use up to them, so the estimate grew by a fifth with each sample until no worker could hold a task. Ruled out: lost accounts of room or quota (all 0 at that time). Change: declared and planned cores are told apart, the plan is bounded by the largest worker and the quota, and a team's quota falls to a few home cells in parts that a task fits.

--- a/dogwoodlever/_cell.py
+++ b/dogwoodlever/_cell.py
@@ -16,7 +16,7 @@
 )
 from dogwoodlever._placement import BestFit, PlacementRound, Placer
 from dogwoodlever._quota import QuotaBook
-from dogwoodlever._site import Site
+from dogwoodlever._site import Site, Team
 from dogwoodlever._slowdown import SlowdownEstimator
 from dogwoodlever._task_queue import Line, TaskQueue
 from dogwoodlever._worker_protocol import (
@@ -69,8 +69,10 @@
         Terms of leases.
     now_s : float
         Present time.
-    part : float, default=1.0
-        Part of the site's quotas that falls to this cell.
+    workers : set of str, optional
+        Workers of this cell; all of the site by default.
+    teams : dict of str to Team, optional
+        Parts of quotas that fall to this cell; all of them by default.
     placer : Placer, optional
         Choice of workers.
     """
@@ -82,7 +84,8 @@
         site: Site,
         terms: CellTerms,
         now_s: float,
-        part: float = 1.0,
+        workers: set[str] | None = None,
+        teams: dict[str, Team] | None = None,
         placer: Placer | None = None,
     ) -> None:
         self.name = name
@@ -92,7 +95,6 @@
         self.estimates = ClassEstimates()
         self.faults = FaultAttribution()
         self.slowdown = SlowdownEstimator()
-        self._part = part
         self._placer = placer or BestFit()
         self._sync_count = 0
         self._commit_count = 0
@@ -103,10 +105,16 @@
         self._planned: dict[str, tuple[str, float]] = {}
         self._queue = TaskQueue()
         self._out: frozenset[str] = frozenset()
-        self.set_site(site, now_s)
+        self.set_site(site, now_s, workers, teams)
         self._adopt_ledger()
 
-    def set_site(self, site: Site, now_s: float, workers: set[str] | None = None):
+    def set_site(
+        self,
+        site: Site,
+        now_s: float,
+        workers: set[str] | None = None,
+        teams: dict[str, Team] | None = None,
+    ) -> None:
         """Take over settings; workers of the cell appear and disappear.
 
         Parameters
@@ -117,6 +125,8 @@
             Present time.
         workers : set of str, optional
             Workers of this cell; all of the site by default.
+        teams : dict of str to Team, optional
+            Parts of quotas that fall to this cell; all by default.
         """
         self.site = site
         names = set(site.workers) if workers is None else workers
@@ -136,7 +146,7 @@
             view.memory_room_bytes = spec.memory_bytes - memory
         for name in set(self.workers) - names:
             self.workers[name].leaving = True
-        self.quota = QuotaBook(site.teams, self._part)
+        self.quota = QuotaBook(site.teams if teams is None else teams)
         for task in self.ledger.tasks.values():
             if task.state in PLACED_STATES and task.task_id in self._planned:
                 self._charge_quota(task, 1)
@@ -154,9 +164,19 @@
     def _job(self, task: Task) -> Job:
         return self.ledger.jobs[task.job_id]
 
+    def _cores(self, job: Job) -> float:
+        """Return the cores to plan with, never more than could be placed.
+
+        A job was accepted by the size that it declares, so what is learned
+        of its class may make its tasks wait, but not for ever.
+        """
+        learned = self.estimates.cores(job.task_class, job.cores)
+        most = max((v.cores_room for v in self.workers.values()), default=learned)
+        return min(learned, most, self.quota.cores(job.team))
+
     def _charge(self, task: Task) -> None:
         job = self._job(task)
-        cores = self.estimates.cores(job.task_class, job.cores)
+        cores = self._cores(job)
         self._planned[task.task_id] = (task.worker, cores)
         view = self.workers.get(task.worker)
         if view is not None:
@@ -392,7 +412,7 @@
     def _place_one(self, task, places, now_s, wall_s) -> bool:
         """Assign one task; return whether its job may go on in this round."""
         job = self._job(task)
-        cores = self.estimates.cores(job.task_class, job.cores)
+        cores = self._cores(job)
         if not self.quota.allows(job.team, cores, job.accelerators):
             return False
         view = places.choose(
@@ -579,6 +599,7 @@
                     task_id,
                     task.attempt,
                     job.task_class,
+                    job.cores,
                     self._planned[task_id][1],
                     job.memory_bytes,
                     job.accelerators,
--- a/dogwoodlever/_cell_role.py
+++ b/dogwoodlever/_cell_role.py
@@ -18,7 +18,7 @@
 from dogwoodlever._logs import log_event
 from dogwoodlever._membership_role import MembershipRole
 from dogwoodlever._rendezvous import first
-from dogwoodlever._site import Site
+from dogwoodlever._site import Site, Team
 from dogwoodlever._store_follower import StoreFollower, Written
 from dogwoodlever.batch_errors import LedgerError
 from dogwoodlever.platform_errors import StoreUnavailableError, WorkerUnreachableError
@@ -68,7 +68,7 @@
         self._wall_time = wall_time
         self._site: Site | None = None
         self._names: set[str] = set()
-        self._part = 1.0
+        self._teams: dict[str, Team] = {}
         self._leaving: set[str] = set()
         self._version = 0
         self._busy = False
@@ -77,7 +77,11 @@
         self._taking: set[str] = set()
 
     def set_site(
-        self, site: Site, workers: set[str], part: float, leaving: set[str]
+        self,
+        site: Site,
+        workers: set[str],
+        teams: dict[str, Team],
+        leaving: set[str],
     ) -> None:
         """Take over the settings.
 
@@ -87,15 +91,15 @@
             Settings in force.
         workers : set of str
             Workers of this cell.
-        part : float
-            Part of the quotas that falls to it.
+        teams : dict of str to Team
+            Parts of quotas that fall to it.
         leaving : set of str
             Workers that leave or are gone.
         """
-        self._site, self._names, self._part = site, workers, part
+        self._site, self._names, self._teams = site, workers, teams
         self._leaving = leaving
         if self.cell is not None:
-            self.cell.set_site(site, self._clock.seconds(), workers)
+            self.cell.set_site(site, self._clock.seconds(), workers, teams)
             self.cell.set_leaving(leaving)
 
     def _owner(self) -> OwnerRecord | None:
@@ -170,9 +174,14 @@
             limits.worker_lease_s, limits.clock_margin_s, limits.start_freshness_s
         )
         cell = Cell(
-            self.name, ledger, self._site, terms, self._clock.seconds(), self._part
+            self.name,
+            ledger,
+            self._site,
+            terms,
+            self._clock.seconds(),
+            self._names,
+            self._teams,
         )
-        cell.set_site(self._site, self._clock.seconds(), self._names)
         cell.set_leaving(self._leaving)
         self.cell = cell
         log_event("cell.loaded", cell=self.name, tasks=len(ledger.tasks))
--- /dev/null
+++ b/dogwoodlever/_cells.py
@@ -0,0 +1,84 @@
+"""How workers, quotas and jobs fall to cells."""
+
+from math import ceil
+
+from dogwoodlever._job import Job, reservations
+from dogwoodlever._rendezvous import first, rank
+from dogwoodlever._site import Site, Team
+from dogwoodlever.batch_errors import JobRefusedError
+
+# A team's quota is split over as many cells as each get at least this much
+# of it, so that no part is too small for a task.
+QUOTA_PART_CORES = 128.0
+
+
+def cell_name(index: int) -> str:
+    """Return the name of the cell of an index."""
+    return f"cell-{index:02d}"
+
+
+def cell_names(site: Site) -> list[str]:
+    """Return the names of a site's cells."""
+    return [cell_name(index) for index in range(site.limits.cells)]
+
+
+def cell_workers(site: Site, cell: str) -> set[str]:
+    """Return the workers of a cell; each belongs to one.
+
+    A cell has workers in every data centre, so that work which leaves a data
+    centre stays in its ledger.
+    """
+    names = cell_names(site)
+    if len(names) == 1:
+        return set(site.workers) if cell == names[0] else set()
+    return {worker for worker in site.workers if first(worker, names) == cell}
+
+
+def team_cells(site: Site, name: str) -> list[str]:
+    """Return the cells that hold parts of a team's quota."""
+    names = cell_names(site)
+    count = max(1, ceil(site.teams[name].cores // QUOTA_PART_CORES))
+    return rank(name, names)[:count]
+
+
+def cell_teams(site: Site, cell: str) -> dict[str, Team]:
+    """Return the teams with a part of their quota in a cell, and the parts."""
+    teams = {}
+    for name, team in site.teams.items():
+        cells = team_cells(site, name)
+        if cell in cells:
+            accelerators, left = divmod(team.accelerators, len(cells))
+            accelerators += cells.index(cell) < left
+            teams[name] = Team(team.cores / len(cells), accelerators)
+    return teams
+
+
+def cell_for_job(job: Job, site: Site) -> str:
+    """Return the cell that ranks first among those that can hold a task.
+
+    Raises
+    ------
+    JobRefusedError
+        If the parts of the team's quota are all too small, or no cell that
+        has one also has a fitting worker.
+    """
+    reserved = reservations(site)
+    homes = team_cells(site, job.team)
+    for cell in rank(job.job, homes):
+        quota = cell_teams(site, cell)[job.team]
+        if job.cores > quota.cores or job.accelerators > quota.accelerators:
+            continue
+        for name in cell_workers(site, cell):
+            worker = site.workers[name]
+            cores, memory = reserved.get(name, (0.0, 0))
+            if (
+                job.cores <= worker.cores - cores
+                and job.memory_bytes <= worker.memory_bytes - memory
+                and job.accelerators <= worker.accelerators
+            ):
+                return cell
+    raise JobRefusedError(
+        f"none of the {len(homes)} cells with a part of the quota of team "
+        f"{job.team!r} can hold a task of {job.cores:g} cores and "
+        f"{job.accelerators} accelerators"
+    )
--- a/dogwoodlever/_node.py
+++ b/dogwoodlever/_node.py
@@ -10,6 +10,7 @@
 from dogwoodlever import _record_keys as keys
 from dogwoodlever._burn import BurnBook
 from dogwoodlever._cell_role import CellRole, OwnerRecord
+from dogwoodlever._cells import cell_names, cell_teams, cell_workers
 from dogwoodlever._chart import Chart
 from dogwoodlever._claims import ClaimBook
 from dogwoodlever._configuration_role import ConfigurationRole
@@ -28,10 +29,9 @@
 from dogwoodlever._metrics import Metrics
 from dogwoodlever._peer_mesh import PeerTransport
 from dogwoodlever._questions import Questions
-from dogwoodlever._rendezvous import first
 from dogwoodlever._request_account import RequestAccounts
 from dogwoodlever._service_role import ServiceRole
-from dogwoodlever._site import DaemonSettings, Site
+from dogwoodlever._site import DaemonSettings
 from dogwoodlever._store_follower import StoreFollower
 from dogwoodlever.platform_errors import PlatformError
 
@@ -181,8 +181,7 @@
         for name in site.services:
             if name not in self.services:
                 self.services[name] = self._service_role(name)
-        for index in range(site.limits.cells):
-            name = cell_name(index)
+        for name in cell_names(site):
             if name not in self.cells:
                 self.cells[name] = self._cell_role(name)
         self._spread_site()
@@ -219,8 +218,8 @@
             service.set_site(site, self._vms_leaving)
         for cell in self.cells.values():
             workers = cell_workers(site, cell.name)
-            part = cell_part(site, workers)
-            cell.set_site(site, workers, part, self._vms_leaving)
+            teams = cell_teams(site, cell.name)
+            cell.set_site(site, workers, teams, self._vms_leaving)
 
     @inlineCallbacks
     def _read_vm_list(self):
@@ -321,28 +320,3 @@
             if all(role.holds_nothing() for role in roles):
                 return
         log_event("daemon.hand_back_timeout", member=self.member_id)
-
-
-def cell_name(index: int) -> str:
-    """Return the name of the cell of an index."""
-    return f"cell-{index:02d}"
-
-
-def cell_names(site: Site) -> list[str]:
-    """Return the names of a site's cells."""
-    return [cell_name(index) for index in range(site.limits.cells)]
-
-
-def cell_workers(site: Site, cell: str) -> set[str]:
-    """Return the workers of a cell; each belongs to one."""
-    names = cell_names(site)
-    if len(names) == 1:
-        return set(site.workers) if cell == names[0] else set()
-    return {worker for worker in site.workers if first(worker, names) == cell}
-
-
-def cell_part(site: Site, workers: set[str]) -> float:
-    """Return the part of the site's cores that a cell's workers have."""
-    total = sum(worker.cores for worker in site.workers.values())
-    own = sum(site.workers[name].cores for name in workers)
-    return max(own / total, 1e-9) if total else 1.0
--- a/dogwoodlever/_operators_resource.py
+++ b/dogwoodlever/_operators_resource.py
@@ -11,11 +11,11 @@
 from twisted.web.server import NOT_DONE_YET
 
 from dogwoodlever import _record_keys as keys
-from dogwoodlever._job import Job, check_fits, parse_job, reservations
+from dogwoodlever._cells import cell_for_job, cell_names
+from dogwoodlever._job import check_fits, parse_job
 from dogwoodlever._ledger import encode_record
 from dogwoodlever._logs import log_event
-from dogwoodlever._node import Node, cell_names, cell_workers
-from dogwoodlever._rendezvous import rank
+from dogwoodlever._node import Node
 from dogwoodlever._reports import Reports
 from dogwoodlever.batch_errors import JobRefusedError
 from dogwoodlever.configuration_errors import (
@@ -265,22 +265,6 @@
         return Answer(202, {"leaving": self._node.member_id})
 
 
-def cell_for_job(job: Job, site) -> str:
-    """Return the cell that ranks first among those with a fitting worker."""
-    reserved = reservations(site)
-    for cell in rank(job.job, cell_names(site)):
-        for name in cell_workers(site, cell):
-            worker = site.workers[name]
-            cores, memory = reserved.get(name, (0.0, 0))
-            if (
-                job.cores <= worker.cores - cores
-                and job.memory_bytes <= worker.memory_bytes - memory
-                and job.accelerators <= worker.accelerators
-            ):
-                return cell
-    raise JobRefusedError("no cell has a worker that fits a task")
-
-
 def _rounded(age_s: float) -> float | None:
     return round(age_s, 3) if age_s < 1e8 else None
 
--- a/dogwoodlever/_quota.py
+++ b/dogwoodlever/_quota.py
@@ -19,22 +19,24 @@
     Parameters
     ----------
     teams : dict of str to Team
-        Quotas over the whole site.
-    part : float
-        Part of each quota that falls to the cell.
+        Parts of the teams' quotas that fall to the cell.
     """
 
-    __slots__ = ("_part", "_teams", "_use")
+    __slots__ = ("_teams", "_use")
 
-    def __init__(self, teams: dict[str, Team], part: float = 1.0) -> None:
+    def __init__(self, teams: dict[str, Team]) -> None:
         self._teams = teams
-        self._part = part
         self._use: dict[str, TeamUse] = {}
 
     def use(self, team: str) -> TeamUse:
         """Return the use of `team`."""
         return self._use.setdefault(team, TeamUse())
 
+    def cores(self, team: str) -> float:
+        """Return the cores of a team's quota, 0 for a team that is not known."""
+        quota = self._teams.get(team)
+        return 0.0 if quota is None else quota.cores
+
     def take(self, team: str, cores: float, accelerators: int) -> None:
         """Charge a placed task."""
         use = self.use(team)
@@ -51,9 +53,9 @@
         if quota is None:
             return False
         use = self.use(team)
-        if use.cores + cores > quota.cores * self._part + 1e-9:
+        if use.cores + cores > quota.cores + 1e-9:
             return False
-        return use.accelerators + accelerators <= quota.accelerators * self._part
+        return use.accelerators + accelerators <= quota.accelerators
 
     def dominant_share(self, team: str) -> float:
         """Return the larger of the team's parts of its quotas."""
@@ -61,7 +63,7 @@
         if quota is None:
             return float("inf")
         use = self.use(team)
-        share = use.cores / (quota.cores * self._part)
+        share = use.cores / quota.cores
         if quota.accelerators:
-            share = max(share, use.accelerators / (quota.accelerators * self._part))
+            share = max(share, use.accelerators / quota.accelerators)
         return share
--- a/dogwoodlever/_reports.py
+++ b/dogwoodlever/_reports.py
@@ -5,8 +5,9 @@
 
 from dogwoodlever import _record_keys as keys
 from dogwoodlever._burn import BurnLine, merge_lines
+from dogwoodlever._cells import cell_names
 from dogwoodlever._ledger import LedgerRecord, Task, decode_ledger
-from dogwoodlever._node import Node, cell_names
+from dogwoodlever._node import Node
 from dogwoodlever._rendezvous import first
 from dogwoodlever._request_account import RequestAccount
 
--- a/dogwoodlever/_worker_protocol.py
+++ b/dogwoodlever/_worker_protocol.py
@@ -8,12 +8,21 @@
 
 
 class RunOrder(msgspec.Struct, frozen=True):
-    """An attempt to start once, when the worker has room for it."""
+    """An attempt to start once, when the worker has room for it.
+
+    Attributes
+    ----------
+    cores : float
+        What the job declares.
+    planned_cores : float
+        What to set aside for it, by the measured use of its class.
+    """
 
     task_id: str
     attempt: int
     task_class: str
     cores: float
+    planned_cores: float
     memory_bytes: int
     accelerators: int
     run_s: float
--- a/standins/worker_machine.py
+++ b/standins/worker_machine.py
@@ -155,7 +155,7 @@
         for key, run in list(self._runs.items()):
             if run.started_s is not None:
                 continue
-            if self.used_cores() + run.order.cores > self.cores + 1e-6:
+            if self.used_cores() + run.order.planned_cores > self.cores + 1e-6:
                 continue
             run.started_s = now_s
             self.records.append(run)
