--- a/dogwoodlever/_cell.py
+++ b/dogwoodlever/_cell.py
@@ -263,6 +263,7 @@
         view.boot_id = report.boot_id
         view.report_s = now_s
         view.report_clock_s = report.clock_s
+        view.unreachable = False
         view.known = {AttemptId(a.task_id, a.attempt) for a in report.running}
         view.ended = {AttemptId(a.task_id, a.attempt) for a in report.ended}
         for attempt in report.running:
@@ -286,9 +287,20 @@
         if task is not None and attempt.started and task.state == "assigned":
             self._apply(task, "start", wall_s, "worker reports it running")
 
+    def _adopt_end(self, view, ended: EndedAttempt, wall_s) -> None:
+        """Take the end of an earlier attempt that was given up as lost."""
+        task = self.ledger.tasks.get(ended.task_id)
+        if task is None or ended.outcome != "finished" or self._job(task).standing:
+            return
+        if task.attempt <= ended.attempt or task.state in ENDED_STATES:
+            return
+        reason = f"attempt {ended.attempt} had finished on {view.name}"
+        self._apply(task, "finish", wall_s, reason)
+
     def _note_ended(self, view, ended: EndedAttempt, now_s, wall_s) -> None:
         task = self._current(view, ended.task_id, ended.attempt)
         if task is None or task.state not in PLACED_STATES:
+            self._adopt_end(view, ended, wall_s)
             return
         job = self._job(task)
         task.checkpoint_s = max(task.checkpoint_s, ended.checkpoint_s)
@@ -370,12 +382,23 @@
         for view in self.workers.values():
             if now_s - view.report_s > self.terms.worker_lease_s / 2:
                 view.note("missed")
-            if now_s < view.lease_end_s or view.state == "lost":
+            if not view.unreachable or view.state == "lost":
                 continue
             view.note("lapsed")
             view.known.clear()
             self._lose_tasks(view, wall_s, "worker's lease lapsed")
 
+    def sync_failed(self, worker: str, sent_s: float) -> None:
+        """Record that a synchronisation sent at `sent_s` brought no report.
+
+        Only a worker that was asked in vain after its lease ended is given
+        up: after a pause of this daemon all leases look lapsed, while the
+        workers still hold the ends of their tasks.
+        """
+        view = self.workers[worker]
+        if sent_s >= view.lease_end_s:
+            view.unreachable = True
+
     def _takes_no_work(self, view: WorkerView) -> bool:
         return view.leaving or view.spec.data_centre in self._out
 
--- a/dogwoodlever/_cell_role.py
+++ b/dogwoodlever/_cell_role.py
@@ -245,10 +245,11 @@
     @inlineCallbacks
     def _sync(self, name: str):
         cell = self.cell
+        sent_s = self._clock.seconds()
         request = cell.sync(
             name,
-            self._clock.seconds(),
-            self._membership.tenure.evidence_age_s(self._clock.seconds()),
+            sent_s,
+            self._membership.tenure.evidence_age_s(sent_s),
             self._membership.holds(),
         )
         if request is None:
@@ -258,6 +259,7 @@
         try:
             report = yield self._workers.sync(name, spec.host, spec.port, request)
         except WorkerUnreachableError:
+            cell.sync_failed(name, sent_s)
             return
         finally:
             self._syncing.discard(name)
--- a/dogwoodlever/_gateway.py
+++ b/dogwoodlever/_gateway.py
@@ -17,6 +17,7 @@
 
 STORE_RETRY_AFTER_S = 2.0
 OPEN_RETRY_AFTER_S = 1.0
+START_RETRY_AFTER_S = 1.0
 OUTCOME_TOPIC = "outcome"
 
 
@@ -103,6 +104,14 @@
         BadRequestError
             If the request contradicts itself.
         """
+        if self._node.configuration.in_force.site is None:
+            return Ending(
+                request_id,
+                Outcome.NOT_RUN,
+                Reason.STARTING,
+                None,
+                ceil(START_RETRY_AFTER_S),
+            )
         request = self._check(request_id, received)
         self._open_account(request)
         if received.key and not request.idempotent:
@@ -121,7 +130,7 @@
 
     def _check(self, request_id: str, received: CallerRequest) -> Request:
         site = self._node.configuration.in_force.site
-        service = None if site is None else site.services.get(received.service)
+        service = site.services.get(received.service)
         if service is None:
             raise UnknownOperationError(f"no service {received.service!r}")
         operation = service.operations.get(received.operation)
--- a/dogwoodlever/_room.py
+++ b/dogwoodlever/_room.py
@@ -224,11 +224,17 @@
     def borrow(self, lender: str, loan: Loan, asked_s: float, now_s: float) -> bool:
         """Accept a loan in answer to a want sent at `asked_s`.
 
-        A loan seen before is ignored, so that a message that arrives twice
-        adds no slot.
+        Returns
+        -------
+        bool
+            False if the loan comes too late and goes back unused. A loan that
+            arrives twice is neither accepted nor returned again: its first
+            copy may be in use.
         """
         usable_until_s = asked_s + self.loan_term_s
-        if loan.loan_id in self._loans_seen or now_s >= usable_until_s:
+        if loan.loan_id in self._loans_seen:
+            return True
+        if now_s >= usable_until_s:
             return False
         self._forget_seen(now_s)
         self._loans_seen[loan.loan_id] = usable_until_s
--- a/dogwoodlever/_worker_view.py
+++ b/dogwoodlever/_worker_view.py
@@ -29,6 +29,8 @@
     lease_end_s : float
         Owner's time after which the worker has stopped everything, unless a
         synchronisation was sent since.
+    unreachable : bool
+        Whether it was asked in vain after its lease ended.
     tasks : set of str
         Ids of the tasks placed on it.
     known : set of AttemptId
@@ -50,6 +52,7 @@
     memory_placed_bytes: int = 0
     accelerators_placed: int = 0
     leaving: bool = False
+    unreachable: bool = False
     tasks: set[str] = field(default_factory=set)
     known: set[AttemptId] = field(default_factory=set)
     ended: set[AttemptId] = field(default_factory=set)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,18 +1,23 @@
 """Test command: ``python -m tests [NAME ...]``.
 
-Runs every test, prints the faults that ``KNOWN-RED.txt`` lists, and ends
-with a line ``N passed, N failed``. A listed test that fails does not make the
-command fail; one that passes does, so that the list stays true.
+Runs every test, spread over the processors, prints the faults that
+``KNOWN-RED.txt`` lists, and ends with a line ``N passed, N failed``. A listed
+test that fails does not make the command fail; one that passes does, so that
+the list stays true.
 """
 
+import io
+import os
 import sys
 import unittest
+from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
 from absl import logging
 
 ROOT = Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+PROCESSES_MAX = 8
 
 
 def known_red() -> dict[str, str]:
@@ -26,23 +31,44 @@
     return entries
 
 
-def load(names: list[str]) -> unittest.TestSuite:
-    """Load the named tests, or all of them."""
+def find_ids(names: list[str]) -> list[str]:
+    """Return the ids of the named tests, or of all of them."""
     loader = unittest.defaultTestLoader
     if names:
-        return loader.loadTestsFromNames(names)
-    return loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+        suite = loader.loadTestsFromNames(names)
+    else:
+        suite = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+    return sorted({test.id() for test in _flatten(suite)})
+
+
+def _flatten(suite):
+    for item in suite:
+        if isinstance(item, unittest.TestSuite):
+            yield from _flatten(item)
+        else:
+            yield item
+
+
+def run_one(test_id: str) -> tuple[str, bool, int, str]:
+    """Run one test; return its id, success, skips and report."""
+    logging.set_verbosity(logging.FATAL)
+    report = io.StringIO()
+    suite = unittest.defaultTestLoader.loadTestsFromName(test_id)
+    result = unittest.TextTestRunner(report, verbosity=0).run(suite)
+    return test_id, result.wasSuccessful(), len(result.skipped), report.getvalue()
 
 
 def main() -> int:
     """Run tests; return the exit status."""
-    logging.set_verbosity(logging.ERROR)
-    result = unittest.TextTestRunner(verbosity=1).run(load(sys.argv[1:]))
-    # A failed row of a table is reported apart; it counts for its test.
-    failed = {
-        getattr(test, "test_case", test).id()
-        for test, _ in [*result.failures, *result.errors]
-    }
+    ids = find_ids(sys.argv[1:])
+    failed, skipped = set(), 0
+    with ProcessPoolExecutor(min(PROCESSES_MAX, os.cpu_count() or 1)) as pool:
+        for test_id, succeeded, skips, report in pool.map(run_one, ids):
+            skipped += skips
+            print(f"{'ok' if succeeded else 'FAIL':<5}{test_id}", flush=True)
+            if not succeeded:
+                failed.add(test_id)
+                print(report)
     listed = known_red()
     for name in sorted(set(listed) & failed):
         print(f"known red: {name}: {listed[name]}")
@@ -50,9 +76,9 @@
     mended = set(listed) - failed if len(sys.argv) == 1 else set()
     for name in sorted(mended):
         print(f"listed in KNOWN-RED.txt but passes: {name}")
-    passed = result.testsRun - len(failed)
-    print(f"{passed} passed, {len(unexpected)} failed, {len(result.skipped)} skipped")
-    return 1 if unexpected or mended or not result.testsRun else 0
+    passed = len(ids) - len(failed)
+    print(f"{passed} passed, {len(unexpected)} failed, {skipped} skipped")
+    return 1 if unexpected or mended or not ids else 0
 
 
 if __name__ == "__main__":
