Pairs of faults at a running task; a takeover keeps sizes and sees reboots

Found by the pairs, both after a change of the cell's owner. First: a worker that had booted anew before the new owner's first report kept its earlier tasks running in the ledger for ever ('kill, then VM gone': job not ended after 60 s). To a new owner any boot is now new, and what the worker does not hold is queued again. Second: the new owner charged running attempts by the declared size, as the measured ones were lost with the old owner, and overfilled a worker ('cut from all, then VM gone': 8.9 of 8 cores). The planned size and the classes' measured use are now part of the ledger. Also the stand-in worker summed declared sizes, which hid this.

--- a/dogwoodlever/_cell.py
+++ b/dogwoodlever/_cell.py
@@ -92,7 +92,7 @@
         self.ledger = ledger
         self.terms = terms
         self.workers: dict[str, WorkerView] = {}
-        self.estimates = ClassEstimates()
+        self.estimates = ClassEstimates(ledger.classes)
         self.faults = FaultAttribution()
         self.slowdown = SlowdownEstimator()
         self._placer = placer or BestFit()
@@ -176,7 +176,7 @@
 
     def _charge(self, task: Task) -> None:
         job = self._job(task)
-        cores = self._cores(job)
+        cores = task.planned_cores
         self._planned[task.task_id] = (task.worker, cores)
         view = self.workers.get(task.worker)
         if view is not None:
@@ -205,6 +205,7 @@
         task.apply(event, wall_s, reason, worker)
         self._dirty.add(task.task_id)
         if event == "assign":
+            task.planned_cores = self._cores(self._job(task))
             self._queue.remove(task, self._job(task))
             self._charge(task)
             return
@@ -258,7 +259,9 @@
         view = self.workers.get(report.worker)
         if view is None:
             return
-        rebooted = view.boot_id not in ("", report.boot_id)
+        # To a new owner any boot is new: what the worker does not hold by its
+        # first report, an earlier boot lost, or it was never told of.
+        rebooted = view.boot_id != report.boot_id
         view.note("reboot" if rebooted else "report")
         view.boot_id = report.boot_id
         view.report_s = now_s
@@ -271,7 +274,7 @@
         for ended in report.ended:
             self._note_ended(view, ended, now_s, wall_s)
         if rebooted:
-            self._lose_tasks(view, wall_s, "worker restarted")
+            self._lose_tasks(view, wall_s, "not held by the worker since it booted")
         for sample in report.usage:
             self._note_usage(view, sample, now_s, wall_s)
 
@@ -623,7 +626,7 @@
                     task.attempt,
                     job.task_class,
                     job.cores,
-                    self._planned[task_id][1],
+                    task.planned_cores,
                     job.memory_bytes,
                     job.accelerators,
                     job.run_s,
--- a/dogwoodlever/_class_estimate.py
+++ b/dogwoodlever/_class_estimate.py
@@ -18,12 +18,18 @@
 
 
 class ClassEstimates:
-    """Learn what tasks of a class use, whatever their jobs declare."""
+    """Learn what tasks of a class use, whatever their jobs declare.
+
+    Parameters
+    ----------
+    classes : dict of str to ClassUse
+        Measurements so far; the ledger keeps them over changes of owner.
+    """
 
     __slots__ = ("_classes",)
 
-    def __init__(self) -> None:
-        self._classes: dict[str, ClassUse] = {}
+    def __init__(self, classes: dict[str, ClassUse]) -> None:
+        self._classes = classes
 
     def note(self, task_class: str, cores: float, run_s: float) -> None:
         """Record the mean cores and the run time of one finished task."""
--- a/dogwoodlever/_ledger.py
+++ b/dogwoodlever/_ledger.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from dogwoodlever._chart import Chart
+from dogwoodlever._class_estimate import ClassUse
 from dogwoodlever._job import Job
 from dogwoodlever.batch_errors import LedgerError
 
@@ -42,6 +43,8 @@
         Number of the newest attempt; 0 before the first.
     worker : str
         Where the newest attempt is placed; empty while it is not.
+    planned_cores : float
+        What is set aside for the newest attempt.
     checkpoint_s : float
         Work that the newest checkpoint holds.
     failed_on : list of str
@@ -53,6 +56,7 @@
     state: str = TASK_CHART.initial
     attempt: int = 0
     worker: str = ""
+    planned_cores: float = 0.0
     checkpoint_s: float = 0.0
     failed_on: list[str] = []
     history: list[TaskEvent] = []
@@ -93,6 +97,8 @@
     ----------
     owner : str
         Member that may change the ledger and sync workers; empty if none.
+    classes : dict of str to ClassUse
+        What tasks of each class were measured to use.
     epoch : int
         Raised by each change of owner; workers refuse lower ones.
     """
@@ -101,6 +107,7 @@
     epoch: int = 0
     jobs: dict[str, Job] = {}
     tasks: dict[str, Task] = {}
+    classes: dict[str, ClassUse] = {}
     sequence: int = 0
 
     def add_job(self, job: Job, at_s: float) -> bool:
--- a/standins/worker_machine.py
+++ b/standins/worker_machine.py
@@ -79,9 +79,11 @@
         self._now_s = now_s
 
     def used_cores(self) -> float:
-        """Return the cores of started tasks."""
+        """Return the cores set aside for started tasks."""
         return sum(
-            r.order.cores for r in self._runs.values() if r.started_s is not None
+            r.order.planned_cores
+            for r in self._runs.values()
+            if r.started_s is not None
         )
 
     def advance(self, now_s: float) -> None:
