Each promise holds, and is seen to fail without its mechanism

Twelve rows: a scenario, a checker and a mechanism. The checker finds nothing with the mechanism in place and must find a fault with it patched out.

--- a/standins/in_process.py
+++ b/standins/in_process.py
@@ -107,6 +107,7 @@
         self._values = values
         self._clock = clock
         self.cut = False
+        self.lists_cut = False
 
     def _call(self, action: Callable, is_write: bool) -> Deferred:
         answered: Deferred = Deferred()
@@ -135,6 +136,10 @@
 
     def list_versions(self, prefix: str) -> Deferred:
         """Return the versions by key."""
+        if self.lists_cut:
+            answered: Deferred = Deferred()
+            self._clock.callLater(STORE_TIMEOUT_S, self._fail, answered)
+            return answered
         return self._call(lambda: self._values.list_versions(prefix), False)
 
     def read(self, key: str) -> Deferred:
--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,365 @@
+"""Each promise under failure, and with its mechanism switched off.
+
+A row runs a scenario twice. With the mechanism in place the checker finds
+nothing; with it patched out the checker must find what the mechanism is for.
+"""
+
+import unittest
+from unittest.mock import patch
+
+from twisted.internet.defer import succeed
+
+from dogwoodlever._cell import Cell
+from dogwoodlever._claims import ClaimBook
+from dogwoodlever._configuration import ConfigurationFollower
+from dogwoodlever._dispatcher import Dispatcher
+from dogwoodlever._membership_role import MembershipRole
+from dogwoodlever._node import Node
+from dogwoodlever._request import End, Outcome, Reason
+from dogwoodlever._room import Room
+from dogwoodlever._service_role import ServiceRole
+from dogwoodlever._shares import ShareKeeper
+from dogwoodlever._store_follower import StoreFollower
+from dogwoodlever.configuration import decode_configuration
+from tests import checkers
+from tests.faults import FAULTS
+from tests.steps import STEPS
+from tests.world import World
+
+FAULT = {fault.name: fault for fault in FAULTS}
+STEP = {(step.path, step.name): step for step in STEPS}
+
+
+def make_world(tasks=16, run_s=4.0):
+    world = World()
+    world.submit("job", tasks, run_s)
+    world.submit("standing", 1, 1000.0, standing=True)
+    return world
+
+
+def strike(path, name, fault_name, after_s=3.0):
+    """Return a scenario of one fault at one step."""
+
+    def scenario():
+        world = make_world()
+        step, fault = STEP[path, name], FAULT[fault_name]
+        step.reach(world)
+        actor = step.actor(world)
+        fault.inject(world, actor)
+        world.run(fault.lasts_s)
+        fault.heal(world, actor)
+        world.run(after_s)
+        return world
+
+    return scenario
+
+
+def new_daemon_under_load():
+    world = make_world()
+    for number in range(60):
+        world.call("d1", True)
+        if number == 20:
+            world.fake.start("d9", "foreshore")
+        if number == 40:
+            world.fake.start("d8", "fremantle")
+        world.run(0.05)
+    for _ in range(40):
+        for daemon in ("d1", "d2", "d3", "d4"):
+            world.call(daemon, True)
+    world.run(4.0)
+    return world
+
+
+def owner_loses_a_worker():
+    world = make_world(run_s=30.0)
+    STEP["task", "running"].reach(world)
+    world.run(1.0)
+    machines = world.fake.machines
+    busiest = max(sorted(machines), key=lambda name: machines[name].used_cores())
+    for daemon in world.fake.daemons.values():
+        daemon.workers.cut.add(busiest)
+    world.run(4.0)
+    return world
+
+
+def owner_misses_that_a_data_centre_leaves():
+    """The owner can write, but neither lists nor peers reach it."""
+    world = make_world(200, 1.0)
+    STEP["task", "running"].reach(world)
+    owner = world.owner()
+    world.fake.daemons[owner].store.lists_cut = True
+    for name in world.fake.daemons:
+        if name != owner:
+            world.fake.network.cuts.add(frozenset({owner, name}))
+    world.take_out("foreshore")
+    world.run(6.0)
+    return world
+
+
+def worker_leaves():
+    world = make_world()
+    world.run(1.0)
+    for worker in ("w01", "w02", "w03"):
+        world.list_leaving(worker)
+    world.run(8.0)
+    return world
+
+
+def revisions_arrive_out_of_order():
+    world = make_world()
+    world.run(1.0)
+    node = world.fake.daemons["d1"].node
+    for _ in range(3):
+        old = node.follower.entries["live/configuration"]
+        world.fake.put_configuration()
+        world.run(1.5)
+        node.follower.offer("live/configuration", old)
+        world.run(0.2)
+    return world
+
+
+def daemon_stops_under_load():
+    world = make_world()
+    for _ in range(6):
+        world.call("d1", True)
+        world.call("d1", False)
+    world.fake.daemons["d1"].node.stop()
+    world.run(5.0)
+    return world
+
+
+def owner_killed_before_its_commit():
+    """The ledger's write is lost and the owner dies; another takes over."""
+    world = make_world(200, 1.0)
+    STEP["task", "running"].reach(world)
+    owner = world.owner()
+    world.fake.daemons[owner].store.cut = True
+    world.run(6.0)
+    world.fake.kill(owner)
+    world.run(30.0)
+    return world
+
+
+def servers_break_off():
+    world = make_world()
+    for server in world.fake.servers.values():
+        server.faults.breaks = True
+    world.run(2.0)
+    for server in world.fake.servers.values():
+        server.faults.breaks = False
+    world.run(4.0)
+    return world
+
+
+def check_not_cut_off(history):
+    """A planned stop cuts off no request in flight."""
+    return [
+        f"{call.body}: {call.outcome or 'no end'}"
+        for call in history.calls
+        if call.outcome not in (Outcome.ANSWERED, Outcome.NOT_RUN)
+        and call.sent_s < history.now_s - 1.0
+    ]
+
+
+def _row_without_room_check(self, rows, server, slots, targets, busy):
+    return targets.get(server, 0)
+
+
+def _borrow_again(self, lender, loan, asked_s, now_s):
+    if loan.loan_id in self._loans_seen:
+        return False
+    return _BORROW(self, lender, loan, asked_s, now_s)
+
+
+_BORROW = Room.borrow
+
+
+def _end_as_not_run(self, request, reason, wait_s):
+    return End(request, Outcome.NOT_RUN, reason, "", 1.0)
+
+
+def _broken_as_idempotent(self, attempt_id, now_s):
+    attempt = self._attempts.get(attempt_id)
+    if attempt is not None:
+        attempt.request.idempotent = True
+    return _BROKEN(self, attempt_id, now_s)
+
+
+_BROKEN = Dispatcher.broken
+
+
+def _claim_nothing(self, caller, key, request_id, replaces=""):
+    return succeed(request_id)
+
+
+def _give_up_at_once(self, worker, sent_s):
+    self.workers[worker].unreachable = True
+
+
+def _no_lease_wait(self, view, now_s, evidence_age_s):
+    return view.worker_time(now_s + 3600.0)
+
+
+def _offer_any(self, version, value):
+    record = decode_configuration(value)
+    self.version, self.record = version, record
+    self.site = record.site().unwrap()
+    return True
+
+
+def _offer_any_entry(self, key, entry):
+    self.entries[key] = entry
+    for watcher in self._watchers:
+        watcher(key, entry)
+    return True
+
+
+def _set_site_without_leaving(self, site, leaving_workers):
+    _SET_SITE(self, site, set())
+
+
+_SET_SITE = ServiceRole.set_site
+
+
+def _stop_at_once(self):
+    self._move("stop")
+    for loop in self._loops:
+        loop.stop()
+    for service in self.services.values():
+        service._open.clear()
+
+
+def _answer_before(self, answer, effect, timer):
+    """Deliver the answer that came before, as a mixed-up connection would."""
+    before, _LAST[self] = _LAST.get(self, answer), answer
+    _ANSWERED(self, before, effect, timer)
+
+
+_LAST = {}
+_ANSWERED = ServiceRole._answered
+
+
+def _always_committed(self, task_id):
+    return True
+
+
+ROWS = (
+    (
+        "slots: rows of a share record only grow into free slots",
+        new_daemon_under_load,
+        checkers.check_slots,
+        [(ShareKeeper, "_row", _row_without_room_check)],
+    ),
+    (
+        "slots: a loan that arrives twice is not returned",
+        strike("request", "queued", "messages doubled"),
+        checkers.check_slots,
+        [(Room, "borrow", _borrow_again)],
+    ),
+    (
+        "one place: an attempt follows only beyond the lease",
+        owner_loses_a_worker,
+        checkers.check_one_place,
+        [(Cell, "sync_failed", _give_up_at_once), (Cell, "_lost_after_s", lambda s: 0)],
+    ),
+    (
+        "resumed once: a worker is told only what is committed",
+        owner_killed_before_its_commit,
+        checkers.check_resumed_once,
+        [(Cell, "_is_committed", _always_committed)],
+    ),
+    (
+        "out: a start needs a configuration confirmed within seconds",
+        owner_misses_that_a_data_centre_leaves,
+        checkers.check_out,
+        [
+            (Cell, "_start_until_s", _no_lease_wait),
+            (MembershipRole, "holds", lambda self: True),
+        ],
+    ),
+    (
+        "answers: an attempt's answer goes to its own request",
+        strike("request", "written", "messages late"),
+        checkers.check_answers,
+        [(ServiceRole, "_answered", _answer_before)],
+    ),
+    (
+        "not run: told only before the first byte was written",
+        strike("request", "queued", "server breaks off"),
+        checkers.check_not_run,
+        [
+            (Dispatcher, "_refuse", _end_as_not_run),
+            (
+                Dispatcher,
+                "broken",
+                lambda self, attempt_id, now_s: _break_not_run(self, attempt_id, now_s),
+            ),
+        ],
+    ),
+    (
+        "once: a non-idempotent request is not retried after its first byte",
+        servers_break_off,
+        checkers.check_once,
+        [(Dispatcher, "broken", _broken_as_idempotent)],
+    ),
+    (
+        "once: a key is claimed in the store before its request runs",
+        strike("request", "written", "messages late"),
+        checkers.check_once,
+        [(ClaimBook, "claim", _claim_nothing)],
+    ),
+    (
+        "leaving: servers on leaving VMs are not chosen",
+        worker_leaves,
+        checkers.check_leaving,
+        [(ServiceRole, "set_site", _set_site_without_leaving)],
+    ),
+    (
+        "stop: a daemon drains before it exits",
+        daemon_stops_under_load,
+        check_not_cut_off,
+        [(Node, "stop", _stop_at_once)],
+    ),
+    (
+        "configuration: an older revision never replaces a newer one",
+        revisions_arrive_out_of_order,
+        checkers.check_revisions,
+        [
+            (ConfigurationFollower, "offer", _offer_any),
+            (StoreFollower, "offer", _offer_any_entry),
+        ],
+    ),
+)
+
+
+def _break_not_run(self, attempt_id, now_s):
+    attempt = self._attempts.get(attempt_id)
+    if attempt is None or attempt.abandoned:
+        return []
+    attempt.abandoned = True
+    end = End(attempt.request, Outcome.NOT_RUN, Reason.BROKEN, "", 1.0)
+    return [end, *self.pump(now_s)]
+
+
+class PromisesTest(unittest.TestCase):
+    pass
+
+
+def _add_test(number, name, scenario, checker, patches):
+    def test_holds(self):
+        self.assertEqual(checker(scenario().record()), [])
+
+    def test_without(self):
+        for owner, method, replacement in patches:
+            patcher = patch.object(owner, method, replacement)
+            patcher.start()
+            self.addCleanup(patcher.stop)
+        self.assertTrue(checker(scenario().record()), f"{name}: not caught")
+
+    label = name.partition(":")[0].replace(" ", "_")
+    setattr(PromisesTest, f"test_{number:02d}_{label}_holds", test_holds)
+    setattr(PromisesTest, f"test_{number:02d}_{label}_fails_without", test_without)
+
+
+for _number, _row in enumerate(ROWS, 1):
+    _add_test(_number, *_row)
