--- a/tests/steps.py
+++ b/tests/steps.py
@@ -6,9 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
-
-from tests.world import CELL, World
+from tests.world import World
 
 REACH_TIMEOUT_S = 30.0
 BURST = 40
@@ -78,8 +76,7 @@
 
 def _cancel(world: World) -> None:
     _run_tasks(world)
-    key = f"live/inbox/{CELL}/cancel/test"
-    world.fake.values.write(key, msgspec.json.encode(["job"]), 0)
+    world.cancel("job")
 
 
 def _fail_everywhere(world: World) -> None:
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -38,7 +38,7 @@
         found.append(f"the job did not end: {world.ledger()}")
     elif finishes and world.archived("job") != {"finished": TASKS}:
         found.append(f"the job ended as {world.archived('job')}")
-    if not any(call.outcome == "answered" for call in world.history.calls[-4:]):
+    if not world.answers():
         found.append("requests are not answered after the fault")
     return found
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -13,6 +13,7 @@
 REQUEST_INTERVAL_S = 0.25
 REPEAT_AFTER_S = 0.4
 STEP_S = 0.01
+RECENT_S = 2.0
 LIMITS = Limits(
     tenure_term_s=3.0, longest_request_s=3.0, worker_lease_s=5.0, loan_term_s=1.0
 )
@@ -57,6 +58,11 @@
         key = f"live/inbox/{CELL}/job/{job}"
         self.fake.values.write(key, msgspec.json.encode(document), 0)
 
+    def cancel(self, job: str) -> None:
+        """Put a cancellation into the inbox, as any daemon does."""
+        key = f"live/inbox/{CELL}/cancel/{job}"
+        self.fake.values.write(key, msgspec.json.encode([job]), 0)
+
     def ledger(self):
         """Return the ledger as the store has it."""
         entry = self.fake.values.entries.get(f"cells/{CELL}")
@@ -125,6 +131,15 @@
         other = names[(self._count + 1) % len(names)]
         self._repeats.append((self.now_s + REPEAT_AFTER_S, booking, other))
 
+    def answers(self) -> bool:
+        """Tell whether requests of the last seconds were answered."""
+        since_s = self.now_s - RECENT_S
+        return any(
+            call.outcome == "answered"
+            for call in self.history.calls
+            if call.sent_s >= since_s
+        )
+
     def _healthy(self) -> list[str]:
         """Return the daemons that the balancer sends callers to."""
         return [
@@ -141,6 +156,14 @@
             if node.state == "gone" and node.membership.is_excluded():
                 self.fake.start(name, node.settings.data_centre)
 
+    def restart_stopped(self) -> None:
+        """Start every daemon again that has ended for whatever reason."""
+        for name, daemon in list(self.fake.daemons.items()):
+            if daemon.node.state in ("draining", "leaving", "gone"):
+                daemon.clock.kill()
+            if not daemon.clock.runs:
+                self.fake.start(name, daemon.node.settings.data_centre)
+
     def _send_repeats(self) -> None:
         while self._repeats and self._repeats[0][0] <= self.now_s:
             _, call, daemon = self._repeats.pop(0)
