Measure batch decisions; only a cell's owner reads its inbox

Cause: every daemon read every submitted job. Also a lost answer to a compare-and-swap is resolved by one path.

--- /dev/null
+++ b/benchmarks/batch.py
@@ -0,0 +1,315 @@
+"""Batch work: throughput and waste, decision cost, and calls to the store.
+
+The day is a seeded list of jobs whose declared sizes are off, some of which
+fail everywhere, on workers of which some fail everything. Policies see the
+same day. It has no racks and no network; lengths are scaled down.
+"""
+
+import random
+import time
+from dataclasses import dataclass
+
+import msgspec
+
+from dogwoodlever.batch import (
+    Cell,
+    CellTerms,
+    ClassEstimates,
+    FaultAttribution,
+    Job,
+    LedgerRecord,
+)
+from dogwoodlever.platform import (
+    AttemptId,
+    EndedAttempt,
+    RunningAttempt,
+    WorkerReport,
+)
+from dogwoodlever.settings import DataCentre, Limits, Site, Team, Worker
+from standins.bench_site import FakeSite
+from tests.sites import make_site
+
+WORKERS = 24
+DAY_S = 1800.0
+STEP_S = 1.0
+TEAMS = 6
+JOBS = 230
+POISON_PART = 0.05
+BAD_WORKERS = ("w03", "w11")
+TERMS = CellTerms(6.0, 0.5, 2.0)
+
+
+@dataclass(slots=True)
+class Truth:
+    """What a class really uses, whatever its jobs declare."""
+
+    cores: float
+    run_s: float
+    fails: bool
+
+
+def make_day(seed: int) -> tuple[list[tuple[float, Job]], dict[str, Truth]]:
+    """Return arrivals of jobs, and the truth by class."""
+    rng = random.Random(seed)
+    truths, arrivals = {}, []
+    for number in range(20):
+        fails = number < 20 * POISON_PART
+        truths[f"class{number}"] = Truth(
+            rng.choice((0.5, 1.0, 2.0)), rng.uniform(10.0, 120.0), fails
+        )
+    for number in range(JOBS):
+        task_class = f"class{rng.randrange(20)}"
+        truth = truths[task_class]
+        declared = truth.cores * rng.choice((1.0, 2.0, 3.0))
+        job = Job(
+            f"job{number}",
+            f"team{number % TEAMS}",
+            task_class,
+            rng.randrange(10, 60),
+            declared,
+            10**9,
+            truth.run_s * rng.choice((0.5, 1.0, 3.0)),
+            urgent=rng.random() < 0.05,
+        )
+        arrivals.append((rng.uniform(0, DAY_S * 0.7), job))
+    return sorted(arrivals, key=lambda pair: pair[0]), truths
+
+
+def make_cell(workers: int = WORKERS, teams: int = TEAMS) -> Cell:
+    """Return a cell whose workers have reported."""
+    site = Site(
+        "bench",
+        {"a": DataCentre("r")},
+        {
+            f"w{i:02d}": Worker("a", "r", "127.0.0.1", 1, cores=16.0, accelerators=2)
+            for i in range(workers)
+        },
+        {},
+        {f"team{i}": Team(workers * 16 / teams) for i in range(teams)},
+    )
+    cell = Cell("cell", LedgerRecord("me", 1), site, TERMS, 0.0)
+    for name in cell.workers:
+        cell.report(WorkerReport(name, "boot", 0.0), 0.0, 0.0)
+    return cell
+
+
+class DeclaredSizes(ClassEstimates):
+    """Baseline: believe what jobs declare."""
+
+    def note(self, task_class: str, cores: float, run_s: float) -> None:
+        """Learn nothing."""
+
+
+class BlindRetry(FaultAttribution):
+    """Baseline: try again anywhere, without telling worker from task."""
+
+    def failed(self, worker: str, job: str, now_s: float, workers: int) -> bool:
+        """Blame no worker."""
+        return False
+
+    def gives_up(self, failed_on: list[str], now_s: float) -> bool:
+        """Give nothing up."""
+        return False
+
+
+class Day:
+    """Run one policy through the day."""
+
+    def __init__(self, cell: Cell, seed: int) -> None:
+        self.cell = cell
+        self.arrivals, self.truths = make_day(seed)
+        self.finished = 0
+        self.wasted_s = 0.0
+        self.failures = 0
+        self.overfull = 0
+        self._running: dict[AttemptId, tuple[str, float]] = {}
+
+    def run(self) -> None:
+        """Run from the first arrival to the end of the day."""
+        now_s = 0.0
+        while now_s < DAY_S:
+            while self.arrivals and self.arrivals[0][0] <= now_s:
+                self.cell.submit(self.arrivals.pop(0)[1], now_s)
+            self._report_ends(now_s)
+            self.cell.decide(now_s, now_s)
+            self.cell.next_commit()
+            self.cell.committed()
+            for job_id in self.cell.ended_jobs():
+                self.cell.drop_job(job_id)
+            self._start(now_s)
+            now_s += STEP_S
+
+    def _start(self, now_s: float) -> None:
+        for name, view in self.cell.workers.items():
+            for task_id in view.tasks:
+                task = self.cell.ledger.tasks[task_id]
+                key = AttemptId(task_id, task.attempt)
+                if task.state == "assigned" and key not in self._running:
+                    self._running[key] = (name, now_s)
+            used = sum(self._truth(task_id).cores for task_id in view.tasks)
+            self.overfull += used > view.cores_room + 1e-6
+
+    def _truth(self, task_id: str) -> Truth:
+        job = self.cell.ledger.jobs[self.cell.ledger.tasks[task_id].job_id]
+        return self.truths[job.task_class]
+
+    def _report_ends(self, now_s: float) -> None:
+        ended: dict[str, list[EndedAttempt]] = {}
+        held: dict[str, list[RunningAttempt]] = {}
+        for key, (worker, started_s) in list(self._running.items()):
+            truth = self._truth(key.task_id)
+            fails = truth.fails or worker in BAD_WORKERS
+            run_s = now_s - started_s
+            if run_s < (2.0 if fails else truth.run_s):
+                held.setdefault(worker, []).append(
+                    RunningAttempt(key.task_id, key.attempt, True, run_s, truth.cores)
+                )
+                continue
+            del self._running[key]
+            outcome = "failed" if fails else "finished"
+            self.finished += not fails
+            self.failures += fails
+            self.wasted_s += run_s if fails else 0.0
+            ended.setdefault(worker, []).append(
+                EndedAttempt(key.task_id, key.attempt, outcome, 0.0, run_s, truth.cores)
+            )
+        for name in self.cell.workers:
+            report = WorkerReport(
+                name,
+                "boot",
+                now_s,
+                tuple(held.get(name, ())),
+                tuple(ended.get(name, ())),
+            )
+            self.cell.report(report, now_s, now_s)
+
+
+def measure_day(policy: str, seed: int = 5) -> Day:
+    """Run a policy through the seeded day."""
+    cell = make_cell()
+    if policy in ("first_fit_declared", "neither"):
+        cell.estimates = DeclaredSizes({})
+    if policy in ("blind_retry", "neither"):
+        cell.faults = BlindRetry()
+    day = Day(cell, seed)
+    day.run()
+    return day
+
+
+def print_day() -> None:
+    """Print tasks an hour and waste of each policy."""
+    base = None
+    for policy in ("dogwoodlever", "first_fit_declared", "blind_retry", "neither"):
+        day = measure_day(policy)
+        where = f"batch.day.{policy}"
+        print(f"{where}.finished_per_h: {day.finished * 3600 / DAY_S:.0f}")
+        print(f"{where}.failed_attempts: {day.failures}")
+        print(f"{where}.wasted_worker_s: {day.wasted_s:.0f}")
+        print(f"{where}.worker_steps_over_cores: {day.overfull}")
+        base = base or day
+        print(f"{where}.finished_part_of_ours: {day.finished / base.finished:.3f}")
+
+
+def print_decision_cost() -> None:
+    """Print the processor time of rounds at the size to come."""
+    for workers, tasks, starts_per_s in ((67, 1125, 410 / 24), (1600, 27000, 410)):
+        cell = make_cell(workers, 60)
+        for number in range(tasks // 50 + 20):
+            job = Job(f"j{number}", f"team{number % 60}", "k", 50, 0.9, 1000, 600.0)
+            cell.submit(job, 0.0)
+        started_s = time.process_time()
+        cell.decide(0.0, 0.0)
+        first_s = time.process_time() - started_s
+        placed = sum(len(view.tasks) for view in cell.workers.values())
+        cell.next_commit()
+        cell.committed()
+        where = f"batch.cost.{workers}_workers"
+        print(f"{where}.placed: {placed}")
+        print(f"{where}.placement_us: {first_s / placed * 1e6:.1f}")
+        _print_rounds(cell, where, max(1, round(starts_per_s / 4)))
+
+
+def _print_rounds(cell: Cell, where: str, ends: int) -> None:
+    """Print the cost of rounds in which some tasks end and others start."""
+    rng = random.Random(3)
+    names = [name for name, view in cell.workers.items() if view.tasks]
+    decide_s = commit_s = sync_s = 0.0
+    rounds, size = 8, 0
+    for number in range(rounds):
+        now_s = 1.0 + number * 0.25
+        for name in rng.sample(names, ends):
+            _end_one(cell, name, now_s)
+        times = [time.process_time()]
+        cell.decide(now_s, now_s)
+        times.append(time.process_time())
+        commit = cell.next_commit()
+        times.append(time.process_time())
+        cell.committed()
+        size = len(commit.value)
+        for name in rng.sample(names, max(1, len(names) // 6)):
+            cell.sync(name, now_s, 0.1, True)
+        times.append(time.process_time())
+        decide_s += times[1] - times[0]
+        commit_s += times[2] - times[1]
+        sync_s += times[3] - times[2]
+    per_second = 4 / rounds
+    print(f"{where}.starts_per_s: {ends * 4}")
+    print(f"{where}.decide_core_part: {decide_s * per_second:.4f}")
+    print(f"{where}.encode_core_part: {commit_s * per_second:.4f}")
+    print(f"{where}.sync_core_part: {sync_s * per_second:.4f}")
+    print(f"{where}.ledger_bytes: {size}")
+
+
+def _end_one(cell: Cell, name: str, now_s: float) -> None:
+    view = cell.workers[name]
+    held, ended = [], []
+    for task_id in sorted(view.tasks):
+        task = cell.ledger.tasks[task_id]
+        if ended:
+            held.append(RunningAttempt(task_id, task.attempt, True, 1.0, 0.9))
+        else:
+            ended.append(
+                EndedAttempt(task_id, task.attempt, "finished", 0.0, 600.0, 0.9)
+            )
+    report = WorkerReport(name, "boot", now_s, tuple(held), tuple(ended))
+    cell.report(report, now_s, now_s)
+
+
+def print_store_calls() -> None:
+    """Print calls to the store as the fleet grows, with as many starts a worker."""
+    for factor in (1, 4, 16):
+        limits = Limits(cells=factor)
+        site = make_site(workers=6 * factor, slots=8, limits=limits)
+        fake = FakeSite(site, 3 + 2 * (factor > 1) + 2 * (factor > 4))
+        fake.settle()
+        fake.values.calls.clear()
+        before = fake.values.bytes_written
+        rng = random.Random(2)
+        for number in range(5 * factor):
+            _put_job(fake, f"job{number}", f"cell-{rng.randrange(factor):02d}")
+        fake.advance(20.0, 0.02)
+        calls = fake.values.calls
+        where = f"batch.store.fleet_{factor}x"
+        print(f"{where}.daemons: {len(fake.daemons)}")
+        print(f"{where}.workers: {6 * factor}")
+        print(f"{where}.reads_per_s: {calls['read'] / 20:.1f}")
+        print(f"{where}.writes_per_s: {calls['write'] / 20:.1f}")
+        written = (fake.values.bytes_written - before) / 20
+        print(f"{where}.bytes_written_per_s: {written:.0f}")
+
+
+def _put_job(fake: FakeSite, job: str, cell: str) -> None:
+    document = Job(job, "alpha", "k", 12, 1.0, 10**9, 2.0)
+    key = f"live/inbox/{cell}/job/{job}"
+    fake.values.write(key, msgspec.json.encode(document), 0)
+
+
+def main() -> None:
+    """Print all figures."""
+    print_day()
+    print_decision_cost()
+    print_store_calls()
+
+
+if __name__ == "__main__":
+    main()
--- a/dogwoodlever/_cell_role.py
+++ b/dogwoodlever/_cell_role.py
@@ -23,6 +23,8 @@
 from dogwoodlever.batch_errors import LedgerError
 from dogwoodlever.platform_errors import StoreUnavailableError, WorkerUnreachableError
 
+INBOX_PER_ROUND = 50
+
 
 class OwnerRecord(msgspec.Struct, frozen=True):
     """Who owns a cell; empty after a handover."""
@@ -305,24 +307,26 @@
     def _take_inbox(self):
         """Move submitted jobs and cancellations into the ledger."""
         prefix = f"{keys.INBOX_PREFIX}{self.name}/"
-        found = {
-            key: entry
-            for key, entry in sorted(self._follower.entries.items())
+        found = [
+            key
+            for key in sorted(self._follower.inbox)
             if key.startswith(prefix) and key not in self._taking
-        }
-        taken = []
-        for key, entry in found.items():
-            yield self._take_one(key[len(prefix) :], entry)
-            taken.append(key)
+        ]
+        taken = {}
+        for key in found[:INBOX_PER_ROUND]:
+            entry = yield self._follower.read(key)
+            if entry is not None:
+                yield self._take_one(key[len(prefix) :], entry)
+                taken[key] = entry.version
         if not taken:
             return
         yield self._commit()
-        for key in taken:
-            self._delete_taken(key)
+        for key, version in taken.items():
+            self._delete_taken(key, version)
 
-    def _delete_taken(self, key: str) -> None:
+    def _delete_taken(self, key: str, version: int) -> None:
         self._taking.add(key)
-        deleted = self._follower.delete(key)
+        deleted = self._follower.delete_from_inbox(key, version)
         deleted.addBoth(lambda _: self._taking.discard(key))
 
     @inlineCallbacks
--- a/dogwoodlever/_store_follower.py
+++ b/dogwoodlever/_store_follower.py
@@ -6,11 +6,12 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
-from dogwoodlever._interfaces import Entry, Store
+from dogwoodlever._interfaces import Entry, Store, WriteResult
 from dogwoodlever._logs import log_event
 from dogwoodlever.platform_errors import StoreUnavailableError
 
 LIVE_PREFIX = "live/"
+INBOX_PREFIX = "live/inbox/"
 READ_BACK_PAUSE_S = 0.5
 
 
@@ -30,6 +31,13 @@
         The platform's store.
     clock : IReactorTime
         Runtime's clock.
+
+    Attributes
+    ----------
+    entries : dict of str to Entry
+        Records by key.
+    inbox : dict of str to int
+        Versions by key of jobs and cancellations not taken yet.
     """
 
     def __init__(self, store: Store, clock) -> None:
@@ -39,6 +47,7 @@
         self._watchers: list[Callable[[str, Entry | None], None]] = []
         self._listed: list[Callable[[float], None]] = []
         self.entries: dict[str, Entry] = {}
+        self.inbox: dict[str, int] = {}
 
     def on_entry(self, watcher: Callable[[str, Entry | None], None]) -> None:
         """Call `watcher` with each key and entry that changes; None if deleted."""
@@ -68,6 +77,9 @@
     def _poll_once(self):
         sent_s = self._clock.seconds()
         versions = yield self._store.list_versions(LIVE_PREFIX)
+        # Only the owner of a cell reads what lies in its inbox.
+        self.inbox = {k: v for k, v in versions.items() if k.startswith(INBOX_PREFIX)}
+        versions = {k: v for k, v in versions.items() if k not in self.inbox}
         for key in sorted(set(self.entries) - set(versions)):
             self._drop(key)
         consistent = True
@@ -119,17 +131,14 @@
             except StoreUnavailableError as error:
                 log_event("store.answer_lost", key=key, error=error)
                 found = yield self.read_back(key)
-                if found is not None and found.value == value:
-                    self.offer(key, found)
-                    return Written.COMMITTED
-                if (0 if found is None else found.version) == expected_version:
+                if found is None and expected_version == 0:
+                    continue
+                if found is not None and found.version == expected_version:
                     # Not written so far. The same compare-and-swap takes
                     # effect at most once, however late the first one lands.
                     continue
-                if found is not None:
-                    self.offer(key, found)
-                return Written.CONFLICT
-            if result.entry is not None:
+                result = WriteResult(found is not None and found.value == value, found)
+            if result.entry is not None and not key.startswith(INBOX_PREFIX):
                 self.offer(key, result.entry)
             return Written.COMMITTED if result.committed else Written.CONFLICT
 
@@ -155,15 +164,13 @@
         return result
 
     @inlineCallbacks
-    def delete(self, key: str):
-        """Delete a record at the version held; gives whether it was deleted."""
+    def delete_from_inbox(self, key: str, version: int):
+        """Delete a key of the inbox; gives whether it was deleted."""
         try:
-            deleted = yield self._store.delete(key, self.version(key))
+            deleted = yield self._store.delete(key, version)
         except StoreUnavailableError as error:
             log_event("store.unavailable", key=key, error=error)
             return False
-        if deleted and key in self.entries:
-            self._drop(key)
         return deleted
 
     def read(self, key: str):
