Guards by an estimate of who disturbs whom, throttling class by class

Cause: the first estimator took the first sample for the service alone, and the guard held all classes back alike. Ruled out: learning the baseline only from samples without batch work, which never come on a full worker. Change: one Kalman filter a service for baseline and classes together, widened by a surprise; the classes that disturb least keep their cores.

--- /dev/null
+++ b/benchmarks/configuration.py
@@ -0,0 +1,108 @@
+"""Configuration and membership: time to in force, calls and bytes at rest.
+
+All daemons run in one process over the fakes, on a clock that is advanced, so
+the times are those of the protocol and hold no processing or real network.
+"""
+
+import time
+
+import msgspec
+
+from dogwoodlever.batch import Job
+from dogwoodlever.settings import Limits
+from standins.bench_site import FakeSite
+from tests.sites import make_site
+
+REST_S = 10.0
+IN_FORCE_TIMEOUT_S = 20.0
+
+
+def measure_rest(daemons: int) -> None:
+    """Print what a number of daemons costs at rest and how fast a change is."""
+    fake = FakeSite(make_site(), daemons)
+    fake.put_configuration()
+    fake.advance(8.0, 0.02)
+    fake.values.calls.clear()
+    fake.network.bytes_sent = 0
+    started_s = time.process_time()
+    fake.advance(REST_S, 0.02)
+    spent_s = time.process_time() - started_s
+    where = f"configuration.daemons_{daemons}"
+    calls = fake.values.calls
+    print(f"{where}.store_reads_per_s: {calls['read'] / REST_S:.1f}")
+    print(f"{where}.store_writes_per_s: {calls['write'] / REST_S:.1f}")
+    sent = fake.network.bytes_sent / REST_S / daemons
+    print(f"{where}.bytes_sent_per_s_a_daemon: {sent:.0f}")
+    print(f"{where}.core_part_a_daemon: {spent_s / REST_S / daemons:.4f}")
+    print(f"{where}.in_force_s: {_time_to_in_force(fake):.2f}")
+
+
+def _time_to_in_force(fake: FakeSite) -> float:
+    """Change the configuration through one daemon; return when all follow it."""
+    role = next(iter(fake.daemons.values())).node.configuration
+    revision = role.in_force.record.revision + 1
+    sent_s = fake.clock.seconds()
+    role.set_data_centre("foreshore", True, "bench")
+
+    def followed() -> bool:
+        return all(
+            daemon.node.configuration.in_force.record.revision >= revision
+            for daemon in fake.daemons.values()
+        )
+
+    fake.advance_until(followed, IN_FORCE_TIMEOUT_S, 0.01)
+    return fake.clock.seconds() - sent_s
+
+
+def measure_data_centre(planned: bool) -> float:
+    """Return the work done in ten minutes around a data centre's absence.
+
+    Unplanned, its workers are powered off and on without a word.
+    """
+    fake = FakeSite(make_site(workers=9, limits=Limits()), 3)
+    fake.settle()
+    for team in ("alpha", "beta"):
+        job = Job(f"long-{team}", team, "k", 400, 2.0, 10**9, 40.0)
+        key = f"live/inbox/cell-00/job/{job.job}"
+        fake.values.write(key, msgspec.json.encode(job), 0)
+    fake.advance(120.0, 0.02)
+    gone = [n for n, w in fake.site.workers.items() if w.data_centre == "foreshore"]
+    if planned:
+        fake.put_configuration(("foreshore",))
+    else:
+        for name in gone:
+            fake.machines[name].power_off(fake.clock.seconds())
+    fake.advance(180.0, 0.02)
+    if planned:
+        fake.put_configuration(())
+    else:
+        for name in gone:
+            fake.machines[name].power_on(fake.clock.seconds())
+    fake.advance(300.0, 0.02)
+    done_s = lost_s = 0.0
+    for machine in fake.machines.values():
+        for run in machine.records:
+            worked_s = run.progress_s - run.from_s
+            if run.outcome == "powered off":
+                lost_s += worked_s
+            else:
+                done_s += worked_s
+    where = f"configuration.data_centre.{'planned' if planned else 'unplanned'}"
+    print(f"{where}.task_s_done: {done_s:.0f}")
+    print(f"{where}.task_s_lost: {lost_s:.0f}")
+    return done_s
+
+
+def main() -> None:
+    """Print all figures."""
+    for daemons in (7, 24, 50, 200):
+        measure_rest(daemons)
+    planned = measure_data_centre(True)
+    unplanned = measure_data_centre(False)
+    print(
+        f"configuration.data_centre.planned_over_unplanned: {planned / unplanned:.3f}"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/dogwoodlever/_cell.py
+++ b/dogwoodlever/_cell.py
@@ -5,7 +5,7 @@
 
 from dogwoodlever._class_estimate import ClassEstimates
 from dogwoodlever._fault_attribution import FaultAttribution
-from dogwoodlever._guard import GuardStep, WorkerGuard
+from dogwoodlever._guard import GuardStep, Sample, WorkerGuard
 from dogwoodlever._job import Job, reservations
 from dogwoodlever._ledger import (
     ENDED_STATES,
@@ -346,14 +346,14 @@
         service = self.site.services.get(sample.service)
         if service is None:
             return
-        decision = view.guard.note(
+        measured = Sample(
             sample.service,
             sample.latency_s,
+            service.latency_target_s,
             sample.load,
             sample.class_cores,
-            service.latency_target_s,
-            now_s,
         )
+        decision = view.guard.note(measured, now_s)
         if decision.step == GuardStep.EVICT:
             self._evict_class(view, decision.task_class, wall_s)
 
@@ -602,7 +602,7 @@
             self._run_orders(view),
             self._stop_orders(view),
             self._forget_orders(view),
-            view.guard.throttle,
+            view.guard.throttles,
         )
 
     def _start_until_s(self, view, now_s, evidence_age_s) -> float:
--- a/dogwoodlever/_placement.py
+++ b/dogwoodlever/_placement.py
@@ -26,7 +26,7 @@
     def cost(self, view: WorkerView, wants_accelerators: bool) -> float:
         """Return the free cores, raised for throttled and reserved workers."""
         free = view.cores_room - view.cores_placed
-        throttled = (1 - view.guard.throttle) * THROTTLE_COST * view.cores_room
+        throttled = view.guard.strain() * THROTTLE_COST * view.cores_room
         kept = 0 if wants_accelerators else view.spec.accelerators
         return free + throttled + kept * view.cores_room
 
--- a/dogwoodlever/_slowdown.py
+++ b/dogwoodlever/_slowdown.py
@@ -2,81 +2,136 @@
 
 from dataclasses import dataclass
 
-BASE_WEIGHT = 0.05
-PRIOR_SLOWDOWN = 0.02
-PRIOR_VARIANCE = 0.01
-DRIFT_VARIANCE = 1e-6
-NOISE_VARIANCE = 0.02
-CAUTION = 1.0
-
-
-@dataclass(slots=True)
+IDLE = "idle"
+LOAD = "load"
+NOISE_PART = 0.08
+PRIOR_PART = 0.02
+PRIOR_DEVIATION_PART = 0.1
+DRIFT_PART = 0.002
+SURPRISE_SIGMAS = 3.0
+SURPRISE_FACTOR = 1.5
+CAUTION_SIGMAS = 1.0
+
+
+@dataclass(slots=True, frozen=True)
 class Coefficient:
-    """Slowdown a core of batch work at full load, and its uncertainty.
+    """What a core of a class adds to a service's tail latency at load 1.
 
     Attributes
     ----------
-    mean : float
-        Relative slowdown of the service, a core of the class, at load 1.
-    variance : float
-        Variance of `mean`.
+    mean_s, deviation_s : float
+        Estimate and its standard deviation, seconds a core.
     """
 
-    mean: float = PRIOR_SLOWDOWN
-    variance: float = PRIOR_VARIANCE
+    mean_s: float
+    deviation_s: float
 
-    def cautious(self) -> float:
-        """Return the mean plus one standard deviation."""
-        return self.mean + CAUTION * self.variance**0.5
+    def cautious_s(self) -> float:
+        """Return the value to plan with, uncertainty included."""
+        return max(0.0, self.mean_s + CAUTION_SIGMAS * self.deviation_s)
 
 
-@dataclass(slots=True)
-class Baseline:
-    """Tail latency of a service alone, as a line over its load."""
+class LatencyModel:
+    """Linear model of one service's tail latency, kept by a Kalman filter.
 
-    idle_s: float = 0.0
-    load_s: float = 0.0
-    samples: int = 0
+    The latency is ``idle + load * (slope + sum(coefficient * cores))``. The
+    state is the idle latency, the slope, and a coefficient for each class
+    met. A sample that is far off raises the uncertainty of the whole state,
+    so that a shift is learned in tens of samples.
 
-    def at(self, load: float) -> float:
-        """Return the latency at `load`."""
-        return self.idle_s + self.load_s * load
+    Parameters
+    ----------
+    scale_s : float
+        First latency measured; priors are parts of it.
+    """
 
-    def note(self, load: float, latency_s: float) -> None:
-        """Fit the line to one measurement by a normalised step."""
-        self.samples += 1
-        if self.samples == 1:
-            self.idle_s = latency_s
-            return
-        weight = max(BASE_WEIGHT, 1 / self.samples)
-        error_s = latency_s - self.at(load)
-        norm = 1 + load * load
-        self.idle_s += weight * error_s / norm
-        self.load_s += weight * error_s * load / norm
+    __slots__ = ("_covariance", "_index", "_mean", "_scale_s")
+
+    def __init__(self, scale_s: float) -> None:
+        self._scale_s = scale_s
+        self._index: dict[str, int] = {}
+        self._mean: list[float] = []
+        self._covariance: list[list[float]] = []
+        self._add(IDLE, scale_s / 2, scale_s)
+        self._add(LOAD, scale_s / 4, scale_s)
+
+    def _add(self, name: str, mean_s: float, deviation_s: float) -> None:
+        self._index[name] = len(self._mean)
+        self._mean.append(mean_s)
+        for row in self._covariance:
+            row.append(0.0)
+        self._covariance.append([0.0] * len(self._mean))
+        self._covariance[-1][-1] = deviation_s**2
+
+    def _add_class(self, task_class: str) -> None:
+        if task_class not in self._index:
+            deviation_s = PRIOR_DEVIATION_PART * self._scale_s
+            self._add(task_class, PRIOR_PART * self._scale_s, deviation_s)
+
+    def _inputs(self, load: float, class_cores: dict[str, float]) -> list[float]:
+        inputs = [0.0] * len(self._mean)
+        inputs[self._index[IDLE]] = 1.0
+        inputs[self._index[LOAD]] = load
+        for task_class, cores in class_cores.items():
+            inputs[self._index[task_class]] = cores * load
+        return inputs
+
+    def note(self, latency_s: float, load: float, class_cores: dict[str, float]):
+        """Correct the state by one sample."""
+        for task_class in class_cores:
+            self._add_class(task_class)
+        inputs = self._inputs(load, class_cores)
+        spread = [_dot(row, inputs) for row in self._covariance]
+        noise = (NOISE_PART * max(latency_s, self._scale_s / 2)) ** 2
+        variance = _dot(spread, inputs) + noise
+        error_s = latency_s - _dot(self._mean, inputs)
+        if error_s**2 > SURPRISE_SIGMAS**2 * variance:
+            self._widen()
+            spread = [_dot(row, inputs) for row in self._covariance]
+            variance = _dot(spread, inputs) + noise
+        self._correct(spread, variance, error_s)
+
+    def _correct(self, spread: list[float], variance: float, error_s: float) -> None:
+        drift = (DRIFT_PART * self._scale_s) ** 2
+        for i, row in enumerate(self._covariance):
+            gain = spread[i] / variance
+            self._mean[i] += gain * error_s
+            for j in range(len(row)):
+                row[j] -= gain * spread[j]
+            row[i] = min(row[i] + drift, self._scale_s**2)
+
+    def _widen(self) -> None:
+        """Raise the uncertainty, as far as that of the prior."""
+        for i, row in enumerate(self._covariance):
+            row[i] = min(row[i] * SURPRISE_FACTOR + 1e-12, self._scale_s**2)
+
+    def alone_s(self, load: float) -> float:
+        """Return the latency without batch work."""
+        return self._mean[self._index[IDLE]] + self._mean[self._index[LOAD]] * load
+
+    def coefficient(self, task_class: str) -> Coefficient:
+        """Return the estimate for a class, the prior if it was never met."""
+        self._add_class(task_class)
+        index = self._index[task_class]
+        variance = max(0.0, self._covariance[index][index])
+        return Coefficient(self._mean[index], variance**0.5)
+
+
+def _dot(left: list[float], right: list[float]) -> float:
+    return sum(a * b for a, b in zip(left, right, strict=True))
 
 
 class SlowdownEstimator:
-    """Estimate slowdown by pair of service and task class.
+    """Estimates by pair of service and task class, from late samples.
 
-    The model is ``latency = alone(load) * (1 + load * sum(coefficient *
-    cores))``. Each late sample carries the cores that ran when it was taken,
-    so it updates the coefficients by what was there and not by what is there
-    now. The update is a Kalman step with one state a pair.
+    Each sample carries the cores that ran when it was taken, so it corrects
+    the estimates by what was there and not by what is there now.
     """
 
-    __slots__ = ("_alone", "_coefficients")
+    __slots__ = ("_models",)
 
     def __init__(self) -> None:
-        self._alone: dict[str, Baseline] = {}
-        self._coefficients: dict[tuple[str, str], Coefficient] = {}
-
-    def coefficient(self, service: str, task_class: str) -> Coefficient:
-        """Return the estimate of a pair, the prior if it never met."""
-        return self._coefficients.setdefault((service, task_class), Coefficient())
-
-    def alone_s(self, service: str, load: float) -> float:
-        """Return the estimated tail latency of a service without batch work."""
-        return self._alone.setdefault(service, Baseline()).at(load)
+        self._models: dict[str, LatencyModel] = {}
 
     def note(
         self, service: str, latency_s: float, load: float, class_cores: dict[str, float]
@@ -94,49 +149,21 @@
         class_cores : dict of str to float
             Cores by task class that ran beside it then.
         """
-        beside = {c: cores for c, cores in class_cores.items() if cores > 0.01}
-        alone = self._alone.setdefault(service, Baseline())
-        if not beside or not alone.samples:
-            alone.note(load, latency_s)
-            return
-        self._update(service, latency_s / max(alone.at(load), 1e-9) - 1, load, beside)
-
-    def _update(self, service, slowdown, load, beside) -> None:
-        inputs = {c: cores * load for c, cores in beside.items()}
-        pairs = {c: self.coefficient(service, c) for c in inputs}
-        predicted = sum(pairs[c].mean * x for c, x in inputs.items())
-        spread = NOISE_VARIANCE + sum(
-            pairs[c].variance * x * x for c, x in inputs.items()
-        )
-        error = slowdown - predicted
-        for task_class, x in inputs.items():
-            pair = pairs[task_class]
-            gain = pair.variance * x / spread
-            pair.mean = max(0.0, pair.mean + gain * error)
-            pair.variance = pair.variance * (1 - gain * x) + DRIFT_VARIANCE
-
-    def predicted_s(
-        self, service: str, load: float, class_cores: dict[str, float]
-    ) -> float:
-        """Return the latency to plan with, uncertainty included."""
-        slowdown = sum(
-            self.coefficient(service, c).cautious() * cores
-            for c, cores in class_cores.items()
-        )
-        return self.alone_s(service, load) * (1 + load * slowdown)
-
-    def cores_allowed(
-        self, service: str, load: float, class_cores: dict[str, float], limit_s: float
-    ) -> float:
-        """Return the part of `class_cores` that keeps the latency under a limit.
-
-        Returns
-        -------
-        float
-            From 0 to 1.
-        """
-        alone_s = self.alone_s(service, load)
-        with_batch_s = self.predicted_s(service, load, class_cores)
-        if with_batch_s <= limit_s or with_batch_s <= alone_s:
-            return 1.0
-        return min(1.0, max(0.0, (limit_s - alone_s) / (with_batch_s - alone_s)))
+        model = self._models.get(service)
+        if model is None:
+            model = self._models[service] = LatencyModel(max(latency_s, 1e-6))
+        model.note(latency_s, load, class_cores)
+
+    def coefficient(self, service: str, task_class: str) -> Coefficient:
+        """Return what a core of a class adds to a service's latency."""
+        model = self._models.get(service)
+        if model is None:
+            return Coefficient(0.0, 0.0)
+        return model.coefficient(task_class)
+
+    def room_s(self, service: str, load: float, limit_s: float) -> float:
+        """Return the latency that batch work may add under a limit, at load 1."""
+        model = self._models.get(service)
+        if model is None:
+            return 0.0
+        return max(0.0, limit_s - model.alone_s(load)) / max(load, 0.05)
--- a/dogwoodlever/_worker_protocol.py
+++ b/dogwoodlever/_worker_protocol.py
@@ -57,8 +57,8 @@
         Worker's time at which it stops everything unless renewed.
     start_until_s : float
         Worker's time after which it starts nothing.
-    throttle : float
-        Part of the batch cores that may be used, 0 to 1.
+    throttles : dict of str to float
+        Part of its cores that each class may use, 0 to 1; all if not named.
     """
 
     cell: str
@@ -70,7 +70,7 @@
     run: tuple[RunOrder, ...] = ()
     stop: tuple[StopOrder, ...] = ()
     forget: tuple[AttemptId, ...] = ()
-    throttle: float = 1.0
+    throttles: dict[str, float] = {}
 
 
 class RunningAttempt(msgspec.Struct, frozen=True):
--- a/standins/worker_machine.py
+++ b/standins/worker_machine.py
@@ -60,7 +60,7 @@
         self._now_s = 0.0
         self._lease_until_s = 0.0
         self._start_until_s = 0.0
-        self._throttle = 1.0
+        self._throttles: dict[str, float] = {}
 
     def power_off(self, now_s: float) -> None:
         """Lose everything that runs, at once."""
@@ -95,7 +95,8 @@
         for key, run in list(self._runs.items()):
             if run.started_s is None:
                 continue
-            run.progress_s += elapsed_s * self.speed * self._throttle
+            throttle = self._throttles.get(run.order.task_class, 1.0)
+            run.progress_s += elapsed_s * self.speed * throttle
             if run.progress_s >= run.order.run_s:
                 self._end(key, "finished", end_s, run.order.run_s)
         if now_s >= self._lease_until_s:
@@ -136,7 +137,7 @@
     def _obey(self, request: SyncRequest, now_s: float) -> None:
         self._lease_until_s = max(self._lease_until_s, request.lease_until_s)
         self._start_until_s = request.start_until_s
-        self._throttle = request.throttle
+        self._throttles = request.throttles
         for attempt in request.forget:
             self._ended.pop((attempt.task_id, attempt.attempt), None)
         for order in request.stop:
--- /dev/null
+++ b/tests/test_colocation.py
@@ -0,0 +1,86 @@
+import unittest
+
+from benchmarks.colocation import FixedCap, Guarded, NoGuard, Threshold, measure
+from dogwoodlever.colocation import GuardStep, Sample, SlowdownEstimator, WorkerGuard
+
+TARGET_S = 0.25
+
+
+def alone_and_beside(estimator, samples=200, quiet_s=0.0, loud_s=0.02):
+    """Teach an estimator what two classes add to a service's latency."""
+    for number in range(samples):
+        load = 0.2 + 0.6 * ((number * 7) % 11) / 10
+        cores = {"quiet": float(number % 3), "loud": float((number // 3) % 4)}
+        extra_s = load * (quiet_s * cores["quiet"] + loud_s * cores["loud"])
+        estimator.note("desk", 0.1 + 0.05 * load + extra_s, load, cores)
+
+
+class SlowdownEstimatorTest(unittest.TestCase):
+    def test_learns_who_disturbs(self):
+        estimator = SlowdownEstimator()
+        alone_and_beside(estimator)
+        table = (("quiet", 0.0), ("loud", 0.02))
+        for name, expected_s in table:
+            with self.subTest(name):
+                found = estimator.coefficient("desk", name)
+                self.assertAlmostEqual(found.mean_s, expected_s, delta=0.002)
+        room_s = estimator.room_s("desk", 0.5, 0.2)
+        self.assertAlmostEqual(room_s * 0.5, 0.2 - 0.125, delta=0.005)
+
+    def test_learns_a_shift_within_two_hundred_samples(self):
+        estimator = SlowdownEstimator()
+        alone_and_beside(estimator, 400)
+        alone_and_beside(estimator, 200, quiet_s=0.03, loud_s=0.0)
+        quiet = estimator.coefficient("desk", "quiet").mean_s
+        loud = estimator.coefficient("desk", "loud").mean_s
+        self.assertGreater(quiet, loud)
+
+    def test_knows_nothing_of_a_service_never_measured(self):
+        self.assertEqual(SlowdownEstimator().room_s("desk", 0.5, 1.0), 0.0)
+
+
+class WorkerGuardTest(unittest.TestCase):
+    def make(self):
+        estimator = SlowdownEstimator()
+        alone_and_beside(estimator)
+        return WorkerGuard(estimator)
+
+    def sample(self, latency_s, load, guard):
+        cores = {c: 8.0 * guard.throttle(c) for c in ("quiet", "loud")}
+        return Sample("desk", latency_s, TARGET_S, load, cores)
+
+    def test_takes_from_the_class_that_disturbs(self):
+        guard = self.make()
+        decision = guard.note(self.sample(0.29, 0.9, guard), 10.0)
+        self.assertEqual(decision.step, GuardStep.THROTTLE)
+        self.assertEqual(guard.throttle("quiet"), 1.0)
+        self.assertLess(guard.throttle("loud"), 0.6)
+
+    def test_returns_slowly(self):
+        guard = self.make()
+        guard.note(self.sample(0.29, 0.9, guard), 10.0)
+        taken = guard.throttle("loud")
+        guard.note(self.sample(0.11, 0.2, guard), 12.0)
+        self.assertLessEqual(guard.throttle("loud") - taken, 0.07)
+        for second in range(14, 80, 2):
+            guard.note(self.sample(0.11, 0.2, guard), float(second))
+        self.assertEqual(guard.throttle("loud"), 1.0)
+
+    def test_evicts_only_when_the_lowest_throttle_does_not_help(self):
+        guard = self.make()
+        steps = [
+            guard.note(self.sample(0.5, 0.9, guard), 10.0 + 2 * n).step
+            for n in range(20)
+        ]
+        self.assertIn(GuardStep.EVICT, steps)
+        self.assertGreater(steps.index(GuardStep.EVICT), 5)
+
+
+class GuardsComparedTest(unittest.TestCase):
+    def test_holds_the_service_with_more_batch_and_fewer_evictions(self):
+        ours, fixed = measure(Guarded()), measure(FixedCap())
+        threshold, nothing = measure(Threshold()), measure(NoGuard())
+        self.assertGreaterEqual(ours.workers_held(), fixed.workers_held())
+        self.assertGreaterEqual(ours.work_core_s, 1.5 * fixed.work_core_s)
+        self.assertLess(ours.evictions, threshold.evictions)
+        self.assertLess(nothing.workers_held(), ours.workers_held())
