Heartbeats, targets and writes that do not grow with the square of members

Cause: every member beat every other each 0.5 s, decoded the share record and ranked all members for all servers four times a second, and lost races were repeated at once. Change: the beat interval grows with the members up to 0.4 of the term, records and targets are kept until they change, and a lost race is followed by a random pause.

--- a/dogwoodlever/_membership_role.py
+++ b/dogwoodlever/_membership_role.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import inlineCallbacks
 
 from dogwoodlever import _record_keys as keys
+from dogwoodlever._backoff import Backoff
 from dogwoodlever._interfaces import Entry
 from dogwoodlever._ledger import encode_record
 from dogwoodlever._logs import log_event
@@ -24,6 +25,8 @@
 from dogwoodlever.platform_errors import StoreUnavailableError
 
 NEVER_S = -1e9
+MEMBERS_AT_BASE_INTERVAL = 10
+BEAT_PART_OF_TERM_MAX = 0.4
 SERVING_STATES = frozenset({MemberState.LIVE, MemberState.LEAVING})
 SHARED_WITH_PEERS = frozenset({keys.MEMBERS, keys.CONFIGURATION})
 
@@ -63,6 +66,8 @@
         self._writing = False
         self._left = False
         self._joined = False
+        self._beat_s = float("-inf")
+        self._backoff = Backoff(member_id, clock)
         self._absent_s: dict[str, float] = {}
         self._echoes: dict[str, float] = {}
         self._changed: list[Callable[[], None]] = []
@@ -172,6 +177,8 @@
         """
         if self._writing or self._left or not self.has_read_store():
             return
+        if self._backoff.holds():
+            return
         if self.is_excluded():
             return
         if self.member_id not in self.record.members:
@@ -194,7 +201,9 @@
             )
             if result.committed:
                 self._log_changes(before, change)
-                self.beat()
+                self.beat(at_once=True)
+            else:
+                self._backoff.conflict()
             return result.committed
         except StoreUnavailableError as error:
             log_event("members.write_failed", error=error)
@@ -235,10 +244,17 @@
         if written == Written.CONFLICT:
             yield self.leave()
 
-    def beat(self) -> None:
-        """Send a heartbeat to every other member."""
+    def beat(self, at_once: bool = False) -> None:
+        """Send a heartbeat to every other member, if one is due.
+
+        With many members the interval grows, so that what a daemon sends in
+        a second does not grow with the square of their number.
+        """
         now_s = self._clock.seconds()
         self.tenure.extend_in_outage(now_s, self.others())
+        if not at_once and now_s - self._beat_s < self._beat_interval_s() - 1e-3:
+            return
+        self._beat_s = now_s
         contact = self.tenure.contact
         silent = tuple(sorted(self.keeper.silent(self.record, now_s)))
         basis = self.basis()
@@ -254,6 +270,12 @@
             )
             self._peers.send(member, heartbeat)
 
+    def _beat_interval_s(self) -> float:
+        base_s = self.limits.heartbeat_interval_s
+        grown_s = base_s * len(self.others()) / MEMBERS_AT_BASE_INTERVAL
+        longest_s = self.limits.tenure_term_s * BEAT_PART_OF_TERM_MAX
+        return max(base_s, min(grown_s, longest_s))
+
     def received(self, sender: str, message: Message) -> None:
         """Take a heartbeat, or a record that a peer asks for or gives."""
         if sender == self.member_id:
--- a/dogwoodlever/_node.py
+++ b/dogwoodlever/_node.py
@@ -152,6 +152,8 @@
         log_event("daemon.state", member=self.member_id, state=self.state)
 
     def _members_changed(self) -> None:
+        for service in self.services.values():
+            service.members_changed()
         member = self.membership.is_member()
         if self.state == "starting" and member:
             self._move("joined")
@@ -185,7 +187,7 @@
             if name not in self.cells:
                 self.cells[name] = self._cell_role(name)
         self._spread_site()
-        self.membership.beat()
+        self.membership.beat(at_once=True)
 
     def _service_role(self, name: str) -> ServiceRole:
         return ServiceRole(
--- a/dogwoodlever/_service_role.py
+++ b/dogwoodlever/_service_role.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from dogwoodlever import _record_keys as keys
+from dogwoodlever._backoff import Backoff
 from dogwoodlever._dispatcher import Dispatcher, DispatcherLimits
 from dogwoodlever._interfaces import BackendClient, BackendRequest, Entry
 from dogwoodlever._ledger import encode_record
@@ -88,6 +89,10 @@
         self._leaving: set[str] = set()
         self._splitting = False
         self._closing = False
+        self._record_version = 0
+        self._record = ShareRecord()
+        self._targets: dict[str, int] | None = None
+        self._backoff = Backoff(membership.member_id, clock)
         self._keeper = ShareKeeper(membership.member_id)
         limits = membership.limits
         self.room = Room(
@@ -109,6 +114,7 @@
         """Take over the settings, and the workers that leave."""
         service = site.services.get(self.name)
         self._service = service
+        self._targets = None
         servers = {} if service is None else service.servers
         self._centres = {
             name: site.workers[server.worker].data_centre
@@ -129,7 +135,10 @@
         entry = self._follower.entries.get(keys.shares_key(self.name))
         if entry is None:
             return ShareRecord()
-        return msgspec.json.decode(entry.value, type=ShareRecord)
+        if entry.version != self._record_version:
+            self._record_version = entry.version
+            self._record = msgspec.json.decode(entry.value, type=ShareRecord)
+        return self._record
 
     def _entry_changed(self, key: str, entry: Entry | None) -> None:
         if key == keys.shares_key(self.name) and not self._splitting:
@@ -146,6 +155,15 @@
         """Return the slots by server that this daemon aims at."""
         if self._service is None or self._closing:
             return {}
+        if self._targets is None:
+            self._targets = self._find_targets()
+        return self._targets
+
+    def members_changed(self) -> None:
+        """Find the targets anew, because the members record changed."""
+        self._targets = None
+
+    def _find_targets(self) -> dict[str, int]:
         members = {
             member: entry.data_centre
             for member, entry in self._membership.record.members.items()
@@ -166,7 +184,7 @@
     def maintain_shares(self):
         """Move this daemon's rows of the share record towards its targets."""
         may_write = self._membership.is_member() and self._membership.holds()
-        if self._splitting or not may_write:
+        if self._splitting or not may_write or self._backoff.holds():
             return
         record = self.record()
         gone = self._membership.departed(record.members())
@@ -194,7 +212,9 @@
             )
         finally:
             self._splitting = False
-        if written == Written.COMMITTED:
+        if written == Written.CONFLICT:
+            self._backoff.conflict()
+        else:
             held = sum(change.held(s, member) for s in change.servers)
             log_event("shares.written", service=self.name, slots=held)
         self._take_record()
