--- a/dogwoodlever/_operators_resource.py
+++ b/dogwoodlever/_operators_resource.py
@@ -282,5 +282,7 @@
 def _write(answer: Answer, request) -> None:
     if request.finished or request._disconnected:
         return
-    request.write(_write_now(request, answer))
+    body = _write_now(request, answer)
+    request.setHeader(b"Content-Length", b"%d" % len(body))
+    request.write(body)
     request.finish()
--- /dev/null
+++ b/tests/test_callers_resource.py
@@ -0,0 +1,115 @@
+import unittest
+
+from twisted.internet.testing import StringTransport
+
+from dogwoodlever.gateway import BoundedSite, CallersResource
+from tests.world import World
+
+LIMIT_BYTES = 1000
+
+
+def post(path, body=b"x", headers=""):
+    head = f"POST {path} HTTP/1.1\r\nHost: d\r\nContent-Length: {len(body)}\r\n"
+    return (head + headers + "\r\n").encode() + body
+
+
+REFUSED = (
+    ("no operation", post("/dispatch"), 400, "path"),
+    ("no service", post("/nothing/book"), 404, "no service 'nothing'"),
+    ("unknown operation", post("/dispatch/fly"), 404, "known are book, quote"),
+    (
+        "bad timeout",
+        post("/dispatch/quote", headers="Request-Timeout: soon\r\n"),
+        400,
+        "Request-Timeout",
+    ),
+    (
+        "negative timeout",
+        post("/dispatch/quote", headers="Request-Timeout: -1\r\n"),
+        400,
+        "Request-Timeout",
+    ),
+    (
+        "endless timeout",
+        post("/dispatch/quote", headers="Request-Timeout: inf\r\n"),
+        400,
+        "Request-Timeout",
+    ),
+    (
+        "long key",
+        post("/dispatch/book", headers=f"Idempotency-Key: {'k' * 201}\r\n"),
+        400,
+        "Idempotency-Key",
+    ),
+    ("method", b"BREW /dispatch/quote HTTP/1.1\r\nHost: d\r\n\r\n", 405, "method"),
+    ("operator's command", b"GET /status HTTP/1.1\r\nHost: d\r\n\r\n", 400, "path"),
+)
+CLOSED = (
+    ("oversized", post("/dispatch/quote", b"x" * (LIMIT_BYTES + 1)), 413),
+    (
+        "oversized in chunks",
+        b"POST /dispatch/quote HTTP/1.1\r\nHost: d\r\nTransfer-Encoding: chunked"
+        b"\r\n\r\n" + b"%x\r\n%s\r\n" % (2000, b"x" * 2000),
+        413,
+    ),
+    ("no HTTP", b"\x00\x01\x02\r\n\r\n", 400),
+    ("bad length", b"POST / HTTP/1.1\r\nContent-Length: ten\r\n\r\n", 400),
+)
+
+
+class CallersResourceTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.world = World()
+
+    def send(self, data, daemon="d1", wait_s=0.6):
+        entry = self.world.fake.daemons[daemon]
+        resource = CallersResource(entry.node, entry.gateway)
+        site = BoundedSite(resource, LIMIT_BYTES)
+        protocol = site.buildProtocol(None)
+        transport = StringTransport()
+        protocol.makeConnection(transport)
+        protocol.dataReceived(data)
+        self.world.run(wait_s, load=False)
+        return transport
+
+    def test_answered_whole(self):
+        value = self.send(post("/dispatch/quote", b"q17")).value()
+        self.assertIn(b"200 OK", value)
+        self.assertIn(b"Dogwoodlever-Outcome: answered", value)
+        self.assertTrue(value.endswith(b" ran q17"))
+
+    def test_refused(self):
+        for name, data, status, part in REFUSED:
+            with self.subTest(name):
+                transport = self.send(data, wait_s=0.1)
+                value = transport.value().decode()
+                self.assertIn(f"HTTP/1.1 {status} ", value)
+                self.assertIn(part, value)
+                self.assertIn("Dogwoodlever-Outcome: not-run", value)
+                self.assertFalse(transport.disconnecting)
+
+    def test_closed(self):
+        for name, data, status in CLOSED:
+            with self.subTest(name):
+                transport = self.send(data, wait_s=0.1)
+                self.assertIn(f"HTTP/1.1 {status} ".encode(), transport.value())
+                self.assertTrue(transport.disconnecting or transport.disconnected)
+
+    def test_late_request_is_refused_with_when_to_come_back(self):
+        data = post("/dispatch/quote", headers="Request-Timeout: 0.001\r\n")
+        value = self.send(data).value()
+        self.assertIn(b"503", value)
+        self.assertIn(b"Retry-After: 1", value)
+        self.assertIn(b"Dogwoodlever-Outcome: not-run", value)
+
+    def test_repeat_through_another_entry_is_not_run(self):
+        data = post("/dispatch/book", b"b17", "Idempotency-Key: k17\r\n")
+        self.assertIn(b"200 OK", self.send(data).value())
+        value = self.send(data, daemon="d2").value()
+        self.assertIn(b"409", value)
+        self.assertIn(b"first_request", value)
+
+    def test_health(self):
+        data = b"GET /health HTTP/1.1\r\nHost: d\r\n\r\n"
+        self.assertIn(b"200 OK", self.send(data, wait_s=0.01).value())
--- /dev/null
+++ b/tests/test_peer_mesh.py
@@ -0,0 +1,75 @@
+import unittest
+
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from dogwoodlever.peers import Fetch, Hello, TcpMesh, encode
+
+KEY = "a-shared-key"
+
+
+def frame(data):
+    return len(data).to_bytes(4, "big") + data
+
+
+HELLO = frame(encode(Hello(KEY, "d2#1")))
+FETCH = frame(encode(Fetch("live/members")))
+DROPPED = (
+    ("garbage", frame(b"garbage!")),
+    ("empty frame", frame(b"")),
+    ("no hello first", FETCH),
+    ("wrong key", frame(encode(Hello("another-key", "d2#1")))),
+    ("oversized hello", (1 << 20).to_bytes(4, "big")),
+    ("length of 4 GB", b"\xff\xff\xff\xff"),
+    ("garbage after hello", HELLO + frame(b"garbage!")),
+    ("oversized after hello", HELLO + (1 << 30).to_bytes(4, "big")),
+)
+
+
+class Aborting(StringTransport):
+    aborted = False
+
+    def abortConnection(self):
+        self.aborted = True
+        super().abortConnection()
+
+
+class TcpMeshTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.mesh = TcpMesh(None, self.clock, "d1#1", KEY)
+        self.received = []
+        self.mesh.set_receiver(lambda *message: self.received.append(message))
+
+    def connect(self):
+        protocol = self.mesh.factory().buildProtocol(None)
+        transport = Aborting()
+        protocol.makeConnection(transport)
+        return protocol, transport
+
+    def test_messages_come_with_their_sender(self):
+        protocol, transport = self.connect()
+        for byte in HELLO + FETCH:
+            protocol.dataReceived(bytes([byte]))
+        self.assertEqual(self.received, [("d2#1", Fetch("live/members"))])
+        self.assertFalse(transport.aborted)
+
+    def test_dropped(self):
+        for name, data in DROPPED:
+            with self.subTest(name):
+                protocol, transport = self.connect()
+                protocol.dataReceived(data)
+                self.assertTrue(transport.aborted)
+                self.assertEqual(self.received, [])
+
+    def test_no_hello_in_time(self):
+        _, transport = self.connect()
+        self.clock.advance(4.9)
+        self.assertFalse(transport.aborted)
+        self.clock.advance(0.2)
+        self.assertTrue(transport.aborted)
+
+    def test_connections_are_bounded(self):
+        transports = [self.connect()[1] for _ in range(1001)]
+        self.assertTrue(transports[-1].aborted)
+        self.assertFalse(transports[-2].aborted)
