Reach IP numbers without encoding them as host names

Cause: a profile of a daemon under 106 requests a second showed the host of each request checked as an international name and resolved by a racing endpoint.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -81,16 +81,16 @@
 
 def main() -> None:
     """Print the figures."""
-    with tempfile.TemporaryDirectory() as folder:
-        with Stage(Path(folder), DAEMONS) as stage:
-            stage.await_true(
-                lambda: json.loads(stage.cli("status", "--json"))["state"] == "serving",
-                "d1 joined",
-            )
-            stage.cli("apply", str(stage.settings))
-            stage.await_healthy(sorted(stage.ports))
-            time.sleep(2.0)
-            _measure(stage)
+    with tempfile.TemporaryDirectory() as name, Stage(Path(name), DAEMONS) as stage:
+        stage.await_true(lambda: _serves(stage), "d1 joined")
+        stage.cli("apply", str(stage.settings))
+        stage.await_healthy(sorted(stage.ports))
+        time.sleep(2.0)
+        _measure(stage)
+
+
+def _serves(stage: Stage) -> bool:
+    return json.loads(stage.cli("status", "--json"))["state"] == "serving"
 
 
 def _measure(stage: Stage) -> None:
--- a/dogwoodlever/_http_fetch.py
+++ b/dogwoodlever/_http_fetch.py
@@ -3,6 +3,7 @@
 from io import BytesIO
 
 from twisted.internet.defer import inlineCallbacks
+from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.web.client import (
     Agent,
     FileBodyProducer,
@@ -10,11 +11,38 @@
     readBody,
 )
 from twisted.web.http_headers import Headers
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
 
 CONNECT_TIMEOUT_S = 2.0
 CONNECTIONS_PER_HOST = 4
 
 
+@implementer(IAgentEndpointFactory)
+class AddressEndpoints:
+    """Endpoints of servers that are named by IP number.
+
+    Twisted's own factory resolves and encodes the host of every request as a
+    name, which an IP number does not need.
+
+    Parameters
+    ----------
+    reactor : object
+        Twisted reactor.
+    timeout_s : float
+        Timeout of a connection attempt.
+    """
+
+    def __init__(self, reactor, timeout_s: float) -> None:
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+
+    def endpointForURI(self, uri):  # noqa: N802
+        """Return the endpoint of a URI's host and port."""
+        host = uri.host.decode("ascii")
+        return TCP4ClientEndpoint(self._reactor, host, uri.port, self._timeout_s)
+
+
 class HttpFetcher:
     """Send requests and read whole answers over kept connections.
 
@@ -34,7 +62,8 @@
         # A repeat is the caller's decision, by what the call means.
         pool.retryAutomatically = False
         self._pool = pool
-        self._agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
+        endpoints = AddressEndpoints(reactor, CONNECT_TIMEOUT_S)
+        self._agent = Agent.usingEndpointFactory(reactor, endpoints, pool)
 
     @inlineCallbacks
     def fetch(self, method: bytes, url: str, body: bytes = b""):
--- a/dogwoodlever/_http_platform.py
+++ b/dogwoodlever/_http_platform.py
@@ -14,7 +14,7 @@
 )
 from twisted.web.http_headers import Headers
 
-from dogwoodlever._http_fetch import HttpFetcher
+from dogwoodlever._http_fetch import AddressEndpoints, HttpFetcher
 from dogwoodlever._interfaces import (
     BackendAnswer,
     BackendClient,
@@ -72,8 +72,9 @@
         pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_SERVER
         # The dispatcher alone decides whether a request is sent again.
         pool.retryAutomatically = False
-        self._kept = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
-        self._single = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
+        endpoints = AddressEndpoints(reactor, CONNECT_TIMEOUT_S)
+        self._kept = Agent.usingEndpointFactory(reactor, endpoints, pool)
+        self._single = Agent.usingEndpointFactory(reactor, endpoints)
 
     @inlineCallbacks
     def send(self, host: str, port: int, request: BackendRequest, reuse: bool):
