Evictions and orders in modules of their own; urgent jobs find room at once

Now a round evicts for all that wait, counting the room that stops already free. Found by the new table of tests: the end of a lost attempt was not taken while its task was queued, since the number is raised by the next start only.

--- a/dogwoodlever/_cell.py
+++ b/dogwoodlever/_cell.py
@@ -14,22 +14,21 @@
     Task,
     encode_ledger,
 )
+from dogwoodlever._orders import Orders
 from dogwoodlever._placement import BestFit, PlacementRound, Placer
 from dogwoodlever._quota import QuotaBook
+from dogwoodlever._room_maker import RoomMaker
 from dogwoodlever._site import Site, Team
 from dogwoodlever._slowdown import SlowdownEstimator
 from dogwoodlever._task_queue import Line, TaskQueue
 from dogwoodlever._worker_protocol import (
     AttemptId,
     EndedAttempt,
-    RunOrder,
-    StopOrder,
     SyncRequest,
     WorkerReport,
 )
 from dogwoodlever._worker_view import WorkerView
 
-ORDERS_PER_SYNC_MAX = 64
 EVICTION_COST_S = 5.0
 
 
@@ -42,6 +41,14 @@
     start_freshness_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class Charge:
+    """What a placed task is charged for, and to which worker."""
+
+    worker: str
+    cores: float
+
+
 @dataclass(slots=True, frozen=True)
 class Commit:
     """A ledger value to write by compare-and-swap."""
@@ -102,8 +109,10 @@
         self._in_flight: set[str] = set()
         self._jobs_dirty = False
         self._committing = False
-        self._planned: dict[str, tuple[str, float]] = {}
+        self._charged: dict[str, Charge] = {}
         self._queue = TaskQueue()
+        self._orders = Orders(ledger, self._is_committed)
+        self._room_maker = RoomMaker(ledger, self._eviction_cost_s)
         self._out: frozenset[str] = frozenset()
         self.set_site(site, now_s, workers, teams)
         self._adopt_ledger()
@@ -148,7 +157,7 @@
             self.workers[name].leaving = True
         self.quota = QuotaBook(site.teams if teams is None else teams)
         for task in self.ledger.tasks.values():
-            if task.state in PLACED_STATES and task.task_id in self._planned:
+            if task.state in PLACED_STATES and task.task_id in self._charged:
                 self._charge_quota(task, 1)
 
     def _lost_after_s(self) -> float:
@@ -177,7 +186,7 @@
     def _charge(self, task: Task) -> None:
         job = self._job(task)
         cores = task.planned_cores
-        self._planned[task.task_id] = (task.worker, cores)
+        self._charged[task.task_id] = Charge(task.worker, cores)
         view = self.workers.get(task.worker)
         if view is not None:
             view.charge(task.task_id, cores, job.memory_bytes, job.accelerators)
@@ -185,18 +194,18 @@
 
     def _charge_quota(self, task: Task, sign: int) -> None:
         job = self._job(task)
-        _, cores = self._planned[task.task_id]
+        cores = self._charged[task.task_id].cores
         self.quota.take(job.team, sign * cores, sign * job.accelerators)
 
     def _credit(self, task: Task) -> None:
-        if task.task_id not in self._planned:
+        if task.task_id not in self._charged:
             return
         job = self._job(task)
         self._charge_quota(task, -1)
-        worker, cores = self._planned.pop(task.task_id)
-        view = self.workers.get(worker)
+        charge = self._charged.pop(task.task_id)
+        view = self.workers.get(charge.worker)
         if view is not None:
-            view.credit(task.task_id, cores, job.memory_bytes, job.accelerators)
+            view.credit(task.task_id, charge.cores, job.memory_bytes, job.accelerators)
 
     def _apply(
         self, task: Task, event: str, wall_s: float, reason: str, worker: str = ""
@@ -278,15 +287,8 @@
         for sample in report.usage:
             self._note_usage(view, sample, now_s, wall_s)
 
-    def _current(self, view: WorkerView, task_id: str, attempt: int) -> Task | None:
-        """Return the task if this is its newest attempt, placed on `view`."""
-        task = self.ledger.tasks.get(task_id)
-        if task is None or task.attempt != attempt or task.worker != view.name:
-            return None
-        return task
-
     def _note_running(self, view, attempt, wall_s) -> None:
-        task = self._current(view, attempt.task_id, attempt.attempt)
+        task = self._orders.current(view, attempt.task_id, attempt.attempt)
         if task is not None and attempt.started and task.state == "assigned":
             self._apply(task, "start", wall_s, "worker reports it running")
 
@@ -295,13 +297,13 @@
         task = self.ledger.tasks.get(ended.task_id)
         if task is None or ended.outcome != "finished" or self._job(task).standing:
             return
-        if task.attempt <= ended.attempt or task.state in ENDED_STATES:
+        if task.state in ENDED_STATES:
             return
         reason = f"attempt {ended.attempt} had finished on {view.name}"
         self._apply(task, "finish", wall_s, reason)
 
     def _note_ended(self, view, ended: EndedAttempt, now_s, wall_s) -> None:
-        task = self._current(view, ended.task_id, ended.attempt)
+        task = self._orders.current(view, ended.task_id, ended.attempt)
         if task is None or task.state not in PLACED_STATES:
             self._adopt_end(view, ended, wall_s)
             return
@@ -370,6 +372,10 @@
             task = max(candidates, key=lambda t: (self._left_s(t), t.task_id))
             self._apply(task, "evict", wall_s, "guard: service latency over target")
 
+    def _eviction_cost_s(self, task: Task) -> float:
+        """Return what a task loses when evicted: little if it ends soon anyway."""
+        return min(EVICTION_COST_S, self._left_s(task))
+
     def _left_s(self, task: Task) -> float:
         job = self._job(task)
         run_s = self.estimates.run_s(job.task_class, job.run_s)
@@ -446,7 +452,7 @@
         )
         if view is None:
             if job.urgent:
-                self._make_room(task, job, places.views(), wall_s)
+                self._make_room(job, places, wall_s)
             return False
         reason = f"best fit, team share {self.quota.dominant_share(job.team):.2f}"
         places.before_change(view)
@@ -457,65 +463,15 @@
             places.drop(view)
         return True
 
-    def _line_order(self, line: Line) -> tuple:
-        return (not line.urgent, self.quota.dominant_share(line.team))
-
-    def _make_room(self, task, job, views, wall_s) -> None:
-        """Evict the least costly other work of one worker for an urgent task."""
-        if self._room_is_coming(job, views):
-            return
-        best, best_lost_s = None, float("inf")
-        for view in views:
-            victims = self._victims(view, job)
-            if victims is None:
-                continue
-            lost_s = sum(self._left_s(v) and EVICTION_COST_S for v in victims)
-            if lost_s < best_lost_s:
-                best, best_lost_s = victims, lost_s
-        for victim in best or ():
-            reason = f"makes room for urgent {task.task_id}"
+    def _make_room(self, job: Job, places: PlacementRound, wall_s: float) -> None:
+        """Evict other work for the tasks of an urgent job that still wait."""
+        waiting = self._queue.waiting(job)
+        for victim in self._room_maker.choose(job, waiting, places.views()):
+            reason = f"makes room for urgent job {job.job}"
             self._apply(victim, "evict", wall_s, reason)
 
-    def _room_is_coming(self, job: Job, views: list[WorkerView]) -> bool:
-        """Tell whether stops under way already free enough room somewhere."""
-        for view in views:
-            cores = view.cores_room - view.cores_placed
-            for task_id in view.tasks:
-                if self.ledger.tasks[task_id].state in ("stopping", "cancelling"):
-                    cores += self._planned[task_id][1]
-            if cores >= job.cores:
-                return True
-        return False
-
-    def _victims(self, view: WorkerView, job: Job) -> list[Task] | None:
-        """Return the fewest running tasks whose end lets `job` fit, or None."""
-        running = [
-            task
-            for task_id in view.tasks
-            if (task := self.ledger.tasks[task_id]).state in ("assigned", "running")
-            and not self._job(task).urgent
-        ]
-        running.sort(key=lambda t: (-self._planned[t.task_id][1], t.task_id))
-        cores = view.cores_room - view.cores_placed
-        memory = view.memory_room_bytes - view.memory_placed_bytes
-        accelerators = view.spec.accelerators - view.accelerators_placed
-        victims: list[Task] = []
-        for task in running:
-            if self._suffices(job, cores, memory, accelerators):
-                break
-            victims.append(task)
-            other = self._job(task)
-            cores += self._planned[task.task_id][1]
-            memory += other.memory_bytes
-            accelerators += other.accelerators
-        return victims if self._suffices(job, cores, memory, accelerators) else None
-
-    def _suffices(self, job, cores, memory, accelerators) -> bool:
-        return (
-            cores + 1e-9 >= job.cores
-            and memory >= job.memory_bytes
-            and accelerators >= job.accelerators
-        )
+    def _line_order(self, line: Line) -> tuple:
+        return (not line.urgent, self.quota.dominant_share(line.team))
 
     def next_commit(self) -> Commit | None:
         """Return the value to write, or None if nothing changed or one is out."""
@@ -599,9 +555,9 @@
             view.boot_id,
             view.worker_time(now_s) + lease_s,
             start_s,
-            self._run_orders(view),
-            self._stop_orders(view),
-            self._forget_orders(view),
+            self._orders.run(view),
+            self._orders.stop(view),
+            self._orders.forget(view),
             view.guard.throttles,
         )
 
@@ -610,47 +566,3 @@
         if permit_s <= 0 or self._takes_no_work(view):
             return 0.0
         return view.worker_time(now_s + permit_s)
-
-    def _run_orders(self, view: WorkerView) -> tuple[RunOrder, ...]:
-        orders = []
-        for task_id in sorted(view.tasks):
-            task = self.ledger.tasks[task_id]
-            if task.state != "assigned" or not self._is_committed(task_id):
-                continue
-            if AttemptId(task_id, task.attempt) in view.known:
-                continue
-            job = self._job(task)
-            orders.append(
-                RunOrder(
-                    task_id,
-                    task.attempt,
-                    job.task_class,
-                    job.cores,
-                    task.planned_cores,
-                    job.memory_bytes,
-                    job.accelerators,
-                    job.run_s,
-                    task.checkpoint_s,
-                )
-            )
-        return tuple(orders[:ORDERS_PER_SYNC_MAX])
-
-    def _stop_orders(self, view: WorkerView) -> tuple[StopOrder, ...]:
-        orders = []
-        for task_id in sorted(view.tasks):
-            task = self.ledger.tasks[task_id]
-            if task.state in ("stopping", "cancelling") and self._is_committed(task_id):
-                keep = task.state == "stopping"
-                orders.append(StopOrder(task_id, task.attempt, keep))
-        for attempt in view.known:
-            if self._current(view, attempt.task_id, attempt.attempt) is None:
-                orders.append(StopOrder(attempt.task_id, attempt.attempt, False))
-        return tuple(orders)
-
-    def _forget_orders(self, view: WorkerView) -> tuple[AttemptId, ...]:
-        return tuple(a for a in view.ended if self._end_is_recorded(view, a))
-
-    def _end_is_recorded(self, view: WorkerView, attempt: AttemptId) -> bool:
-        task = self._current(view, attempt.task_id, attempt.attempt)
-        recorded = task is None or task.state not in PLACED_STATES
-        return recorded and self._is_committed(attempt.task_id)
--- a/dogwoodlever/_task_queue.py
+++ b/dogwoodlever/_task_queue.py
@@ -50,7 +50,7 @@
     def remove(self, task: Task, job: Job) -> None:
         """Remove a task if it is queued here."""
         line = Line(job.urgent, job.team)
-        for lines in (self._lines, self._passed):
+        for lines in self._both():
             queue = lines.get(line, {}).get(job.job)
             if queue is None:
                 continue
@@ -65,6 +65,15 @@
             del lines[line]
         return queue
 
+    def waiting(self, job: Job) -> int:
+        """Return how many tasks of a job wait."""
+        line = Line(job.urgent, job.team)
+        queues = [lines.get(line, {}).get(job.job) for lines in self._both()]
+        return sum(len(q.begun) + len(q.fresh) for q in queues if q is not None)
+
+    def _both(self) -> tuple[dict, dict]:
+        return self._lines, self._passed
+
     def pass_over(self, job: Job) -> None:
         """Leave a job out for the rest of the round: its tasks are equal."""
         line = Line(job.urgent, job.team)
--- /dev/null
+++ b/tests/test_cell.py
@@ -0,0 +1,279 @@
+import unittest
+
+from dogwoodlever.batch import Cell, CellTerms, Job, LedgerRecord, decode_ledger
+from dogwoodlever.platform import (
+    AttemptId,
+    EndedAttempt,
+    RunningAttempt,
+    WorkerReport,
+)
+from dogwoodlever.settings import DataCentre, Site, Team, Worker
+
+TERMS = CellTerms(6.0, 0.5, 2.0)
+
+
+def make_site(workers=4, out=()):
+    centres = {name: DataCentre("r", name in out) for name in "ab"}
+    return Site(
+        "test",
+        centres,
+        {
+            f"w{i}": Worker("ab"[i % 2], "r", "127.0.0.1", 1, cores=8.0, accelerators=i)
+            for i in range(workers)
+        },
+        {},
+        {"alpha": Team(32.0, 3), "beta": Team(32.0, 3)},
+    )
+
+
+def job(name="j", tasks=4, cores=2.0, **more):
+    return Job(name, more.pop("team", "alpha"), "c", tasks, cores, 1000, 60.0, **more)
+
+
+class CellTest(unittest.TestCase):
+    def setUp(self):
+        self.now_s = 0.0
+        self.cell = Cell("c", LedgerRecord("me", 1), make_site(), TERMS, 0.0)
+        self.report_all()
+
+    def report_all(self, boot="b", **ended):
+        for name in self.cell.workers:
+            self.report(name, boot, ended.get(name, ()))
+
+    def report(self, name, boot="b", ended=(), running=True):
+        view = self.cell.workers[name]
+        gone = {(e.task_id, e.attempt) for e in ended}
+        held = [
+            RunningAttempt(i, self.task(i).attempt, True, 1.0, 2.0)
+            for i in sorted(view.tasks)
+            if (i, self.task(i).attempt) not in gone and running
+        ]
+        report = WorkerReport(name, boot, self.now_s, tuple(held), tuple(ended))
+        self.cell.report(report, self.now_s, self.now_s)
+
+    def task(self, task_id):
+        return self.cell.ledger.tasks[task_id]
+
+    def step(self, commit=True):
+        self.cell.decide(self.now_s, self.now_s)
+        if commit and self.cell.next_commit() is not None:
+            self.cell.committed()
+
+    def end(self, task_id, outcome, checkpoint_s=0.0):
+        task = self.task(task_id)
+        ended = EndedAttempt(task_id, task.attempt, outcome, checkpoint_s, 5.0, 2.0)
+        self.report(task.worker, ended=(ended,))
+
+    def sync(self, name, age_s=0.1, may=True):
+        return self.cell.sync(name, self.now_s, age_s, may)
+
+    def states(self):
+        return sorted({t.state for t in self.cell.ledger.tasks.values()})
+
+    def test_worker_is_told_only_what_is_committed(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        self.step(commit=False)
+        worker = self.task("j/0").worker
+        self.assertEqual(self.sync(worker).run, ())
+        self.cell.next_commit()
+        self.assertEqual(self.sync(worker).run, ())
+        self.cell.committed()
+        self.assertEqual(len(self.sync(worker).run), 1)
+
+    def test_commit_not_written_is_offered_again(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        self.step(commit=False)
+        self.cell.next_commit()
+        self.cell.not_committed()
+        again = self.cell.next_commit()
+        self.assertEqual(decode_ledger(again.value).tasks["j/0"].state, "assigned")
+
+    def test_nothing_starts_without_fresh_configuration(self):
+        table = (("fresh", 0.5, True), ("as old as allowed", 2.0, False))
+        for name, age_s, starts in table:
+            with self.subTest(name):
+                self.assertEqual(self.sync("w0", age_s).start_until_s > 0, starts)
+
+    def test_no_tenure_no_renewal(self):
+        self.assertIsNone(self.sync("w0", may=False))
+
+    def test_times_are_of_the_workers_clock(self):
+        self.now_s = 3.0
+        report = WorkerReport("w0", "b", 500.0)
+        self.cell.report(report, self.now_s, 0.0)
+        self.now_s = 4.0
+        self.assertEqual(self.sync("w0").lease_until_s, 501.0 + 6.0)
+
+    def test_fits_in_cores_memory_and_quota(self):
+        self.cell.submit(job(tasks=40), 0.0)
+        self.step()
+        for view in self.cell.workers.values():
+            self.assertLessEqual(view.cores_placed, view.cores_room)
+        self.assertEqual(self.cell.quota.use("alpha").cores, 32.0)
+
+    def test_accelerators_are_kept_for_those_that_want_them(self):
+        self.cell.submit(job("plain", 4), 0.0)
+        self.step()
+        self.assertEqual({self.task(f"plain/{i}").worker for i in range(4)}, {"w0"})
+        self.cell.submit(job("fast", 1, accelerators=3), 0.0)
+        self.step()
+        self.assertEqual(self.task("fast/0").worker, "w3")
+
+    def test_teams_share_what_there_is(self):
+        self.cell.submit(job("a", 16), 0.0)
+        self.cell.submit(job("b", 16, team="beta"), 0.0)
+        self.step()
+        placed = {team: self.cell.quota.use(team).cores for team in ("alpha", "beta")}
+        self.assertEqual(placed, {"alpha": 16.0, "beta": 16.0})
+
+    def test_urgent_tasks_all_find_room_in_one_round_of_evictions(self):
+        self.cell.submit(job("a", 16, team="beta"), 0.0)
+        self.step()
+        self.report_all()
+        self.cell.submit(job("u", 6, urgent=True), 0.0)
+        self.step()
+        stopping = [t for t in self.cell.ledger.tasks.values() if t.state == "stopping"]
+        self.assertEqual(len(stopping), 6)
+        self.step()
+        stopping = [t for t in self.cell.ledger.tasks.values() if t.state == "stopping"]
+        self.assertEqual(len(stopping), 6)
+        for task in stopping:
+            self.end(task.task_id, "stopped", 1.0)
+        self.step()
+        placed = [self.task(f"u/{i}").state for i in range(6)]
+        self.assertEqual(placed, ["assigned"] * 6)
+
+    def test_evicted_task_resumes_from_its_checkpoint_once(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        self.step()
+        first = self.task("j/0").worker
+        self.report(first)
+        self.cell.set_leaving({first})
+        self.step()
+        stop = self.sync(first).stop
+        self.assertEqual([(s.task_id, s.checkpoint) for s in stop], [("j/0", True)])
+        self.end("j/0", "stopped", 17.0)
+        self.step()
+        task = self.task("j/0")
+        self.assertEqual((task.state, task.attempt), ("assigned", 2))
+        self.assertNotEqual(task.worker, first)
+        self.assertEqual(self.sync(task.worker).run[0].checkpoint_s, 17.0)
+
+    def test_data_centre_out_evicts_and_is_not_used(self):
+        self.cell.submit(job(tasks=16), 0.0)
+        self.step()
+        self.report_all()
+        self.cell.set_site(make_site(out="a"), 0.0)
+        self.step()
+        for name in ("w0", "w2"):
+            self.assertEqual(len(self.sync(name).stop), 4)
+            self.assertEqual(self.sync(name).start_until_s, 0.0)
+
+    def test_lost_only_after_the_lease_and_asked_in_vain(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        self.step()
+        worker = self.task("j/0").worker
+        self.sync(worker)
+        table = (
+            (5.0, False, "assigned", 1),
+            (6.6, False, "assigned", 1),
+            (6.6, True, "assigned", 2),
+        )
+        for at_s, asked, state, attempt in table:
+            with self.subTest(f"{at_s} {asked}"):
+                self.now_s = at_s
+                for name in self.cell.workers:
+                    if name != worker:
+                        self.report(name)
+                if asked:
+                    self.cell.sync_failed(worker, at_s)
+                self.step()
+                task = self.task("j/0")
+                self.assertEqual((task.state, task.attempt), (state, attempt))
+
+    def test_silent_worker_is_asked_without_renewal(self):
+        self.now_s = 4.0
+        self.cell.decide(self.now_s, 0.0)
+        request = self.sync("w0")
+        self.assertEqual((request.lease_until_s, request.run), (0.0, ()))
+
+    def test_reboot_loses_what_the_worker_held(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        self.step()
+        worker = self.task("j/0").worker
+        self.report(worker)
+        self.report(worker, boot="b2", running=False)
+        self.assertEqual(self.task("j/0").state, "queued")
+
+    def test_late_end_of_a_lost_attempt_is_taken(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        self.step()
+        worker = self.task("j/0").worker
+        self.report(worker)
+        self.report(worker, boot="b2", running=False)
+        ended = EndedAttempt("j/0", 1, "finished", 60.0, 60.0, 2.0)
+        self.report(worker, boot="b2", ended=(ended,))
+        self.assertEqual(self.task("j/0").state, "finished")
+
+    def test_ends_are_forgotten_only_when_recorded(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        self.step()
+        worker = self.task("j/0").worker
+        self.end("j/0", "finished")
+        self.assertEqual(self.sync(worker).forget, ())
+        self.step()
+        self.assertEqual(self.sync(worker).forget, (AttemptId("j/0", 1),))
+
+    def test_standing_task_is_started_again(self):
+        self.cell.submit(job(tasks=1, standing=True), 0.0)
+        self.step()
+        self.end("j/0", "finished")
+        self.step()
+        self.assertEqual(
+            (self.task("j/0").state, self.task("j/0").attempt), ("assigned", 2)
+        )
+
+    def test_cancel_wave_is_one_commit(self):
+        for number in range(5):
+            self.cell.submit(job(f"j{number}", 4), 0.0)
+        self.step()
+        self.assertEqual(self.cell.cancel([f"j{n}" for n in range(5)], 0.0), 20)
+        commit = self.cell.next_commit()
+        tasks = decode_ledger(commit.value).tasks.values()
+        self.assertLessEqual({t.state for t in tasks}, {"cancelling", "cancelled"})
+
+    def test_task_that_fails_everywhere_is_given_up(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        for _ in range(3):
+            self.step()
+            self.end("j/0", "failed")
+        self.assertEqual(self.task("j/0").state, "failed")
+        self.assertEqual(len(self.task("j/0").failed_on), 3)
+
+    def test_worker_that_fails_everything_is_quarantined(self):
+        jobs = ("a", "b", "c")
+        for name in jobs:
+            self.cell.submit(job(name, 1), 0.0)
+        self.step()
+        for name in jobs:
+            self.assertEqual(self.task(f"{name}/0").worker, "w0")
+            self.end(f"{name}/0", "failed")
+        self.step()
+        self.assertNotIn("w0", {self.task(f"{name}/0").worker for name in jobs})
+        self.assertEqual(self.cell.faults.limit("w0", 1.0), 0)
+        self.assertEqual(self.cell.faults.limit("w0", 31.0), 1)
+
+    def test_repeated_job_is_not_added(self):
+        self.assertTrue(self.cell.submit(job(), 0.0))
+        self.assertFalse(self.cell.submit(job(), 0.0))
+
+    def test_learned_size_replaces_the_declared_but_can_still_be_placed(self):
+        table = (("used less", 0.5, 0.6), ("used more", 30.0, 8.0))
+        for name, used, planned in table:
+            with self.subTest(name):
+                self.setUp()
+                for _ in range(60):
+                    self.cell.estimates.note("c", used, 5.0)
+                self.cell.submit(job(tasks=1), 0.0)
+                self.step()
+                self.assertAlmostEqual(self.task("j/0").planned_cores, planned, 1)
