Stops and commands end while the store is down; cut connections are redialled

Found by a test of a stop in an outage: Twisted's own TimeoutError is not the built-in one, so that neither the bound of a stop nor that of an operator's command was ever taken; the daemon stayed 'leaving', the command got 500. Also: a request whose caller left while it was queued ends as not run, so that its key is free; a silent member's connection is dropped and dialled anew, since TCP's retries after a cut of minutes wait as long again; a backend server's headers replace the defaults.

--- a/dogwoodlever/_callers_resource.py
+++ b/dogwoodlever/_callers_resource.py
@@ -6,7 +6,7 @@
 from twisted.web.server import NOT_DONE_YET
 
 from dogwoodlever._gateway import CallerRequest, Ending, Gateway, ending_document
-from dogwoodlever._interfaces import BackendRequest
+from dogwoodlever._interfaces import BackendAnswer, BackendRequest
 from dogwoodlever._logs import log_event
 from dogwoodlever._node import Node
 from dogwoodlever._request import Outcome, Reason
@@ -130,8 +130,7 @@
         answer = ending.answer
         if answer is not None:
             request.setResponseCode(answer.status)
-            for name, value in answer.headers:
-                request.responseHeaders.addRawHeader(name, value)
+            _copy_headers(answer, request)
             body = answer.body
         else:
             request.setResponseCode(_status(ending))
@@ -157,6 +156,15 @@
         request.finish()
 
 
+def _copy_headers(answer: BackendAnswer, request) -> None:
+    """Put the backend server's headers in place of the defaults."""
+    values: dict[bytes, list[bytes]] = {}
+    for name, value in answer.headers:
+        values.setdefault(name.lower(), []).append(value)
+    for name, found in values.items():
+        request.responseHeaders.setRawHeaders(name, found)
+
+
 def _status(ending: Ending) -> int:
     """Return the HTTP status of an ending without a backend's answer."""
     if ending.reason == Reason.REPEATED_KEY:
--- a/dogwoodlever/_dispatcher.py
+++ b/dogwoodlever/_dispatcher.py
@@ -313,8 +313,14 @@
         return self._enqueue(request, True)
 
     def caller_left(self, request_id: str, now_s: float) -> list[Effect]:
-        """Drop a request whose caller closed its connection."""
-        self.queue.remove(request_id)
+        """Drop a request whose caller closed its connection.
+
+        An End without a caller is returned for one that was still queued.
+        """
+        queued = self.queue.remove(request_id)
+        if queued is not None:
+            end = self._refuse(queued, Reason.CALLER_LEFT, RETRY_AFTER_MIN_S)
+            return [end, *self.pump(now_s)]
         for attempt in self._attempts.values():
             if attempt.request.request_id == request_id:
                 attempt.abandoned = True
--- a/dogwoodlever/_gateway.py
+++ b/dogwoodlever/_gateway.py
@@ -246,9 +246,6 @@
         role = self._node.services.get(service)
         if role is not None:
             role.caller_left(request_id)
-        self._node.accounts.ended(
-            request_id, Outcome.UNKNOWN, "caller left", self._node.wall_time()
-        )
 
 
 def ending_document(ending: Ending) -> bytes:
--- a/dogwoodlever/_membership_role.py
+++ b/dogwoodlever/_membership_role.py
@@ -284,6 +284,8 @@
         self._beat_s = now_s
         contact = self.tenure.contact
         silent = tuple(sorted(self.keeper.silent(self.record, now_s)))
+        for member in silent:
+            self._peers.reset(member)
         basis = self.basis()
         for member in self.others():
             heartbeat = Heartbeat(
--- a/dogwoodlever/_node.py
+++ b/dogwoodlever/_node.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import msgspec
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import LoopingCall, deferLater
 
@@ -303,9 +304,21 @@
             yield deferLater(self.clock, DRAIN_STEP_S)
         yield self._hand_back()
         self._move("drained")
-        yield self.membership.leave()
+        yield self._leave()
         self._finish()
 
+    @inlineCallbacks
+    def _leave(self):
+        """Leave the members record, unless the store does not answer.
+
+        The others exclude this member then as they do a dead one.
+        """
+        timeout_s = self.membership.limits.longest_request_s
+        try:
+            yield self.membership.leave().addTimeout(timeout_s, self.clock)
+        except DeferredTimeoutError:
+            log_event("daemon.leave_timeout", member=self.member_id)
+
     @inlineCallbacks
     def _hand_back(self):
         """Give back shares and cells, as far as the store answers in time."""
--- a/dogwoodlever/_operators_resource.py
+++ b/dogwoodlever/_operators_resource.py
@@ -6,6 +6,7 @@
 import msgspec
 from msgspec import Meta
 from returns.result import Failure
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.defer import inlineCallbacks
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
@@ -174,7 +175,7 @@
         """Wait for the store only so long; the write may still take effect."""
         try:
             result = yield deferred.addTimeout(STORE_TIMEOUT_S, self._node.clock)
-        except TimeoutError as error:
+        except DeferredTimeoutError as error:
             raise StoreUnavailableError("no answer in time") from error
         return result
 
--- a/dogwoodlever/_peer_mesh.py
+++ b/dogwoodlever/_peer_mesh.py
@@ -34,6 +34,10 @@
     def send(self, member: str, message: Message) -> None:
         """Send a message, or drop it if the member cannot be reached."""
 
+    def reset(self, member: str) -> None:
+        """Connect anew to a member that is not heard; optional."""
+        return
+
     @abstractmethod
     def set_receiver(self, receiver: Receiver) -> None:
         """Set what takes (sender's member id, message)."""
@@ -243,6 +247,15 @@
         self.bytes_sent += len(data) + 4
         dial.send(data)
 
+    def reset(self, member: str) -> None:
+        """Drop the connection to a member, so that the next message dials.
+
+        After a cut, TCP's own retries would wait for longer and longer.
+        """
+        dial = self._dials.get(member)
+        if dial is not None and dial.connection is not None:
+            dial.connection.transport.abortConnection()
+
     def close(self) -> None:
         """Close all connections."""
         for dial in self._dials.values():
--- a/dogwoodlever/_request.py
+++ b/dogwoodlever/_request.py
@@ -25,6 +25,7 @@
     DEADLINE = "deadline passed"
     BROKEN = "connection broke before the whole answer"
     DRAINING = "daemon is stopping"
+    CALLER_LEFT = "caller closed its connection"
     STARTING = "daemon has no configuration yet"
     STORE_UNAVAILABLE = "store unavailable for the idempotency key"
     REPEATED_KEY = "idempotency key was used before"
--- a/dogwoodlever/_service_role.py
+++ b/dogwoodlever/_service_role.py
@@ -16,7 +16,17 @@
 from dogwoodlever._membership_role import MembershipRole
 from dogwoodlever._messages import LendSlots, Message, ReturnSlots, WantSlots
 from dogwoodlever._peer_mesh import PeerTransport
-from dogwoodlever._request import Effect, End, GiveBack, Lend, Request, Send, Want
+from dogwoodlever._request import (
+    Effect,
+    End,
+    GiveBack,
+    Lend,
+    Outcome,
+    Reason,
+    Request,
+    Send,
+    Want,
+)
 from dogwoodlever._request_account import RequestAccounts
 from dogwoodlever._room import Room
 from dogwoodlever._shares import ShareKeeper, ShareRecord, target_split
@@ -238,9 +248,12 @@
         return opened.ended
 
     def caller_left(self, request_id: str) -> None:
-        """Drop a request whose caller has gone."""
-        self._open.pop(request_id, None)
+        """Drop a request whose caller has gone; it may run on if it was sent."""
         self._run(self.dispatcher.caller_left(request_id, self._now()))
+        opened = self._open.pop(request_id, None)
+        if opened is not None:
+            end = End(opened.request, Outcome.UNKNOWN, Reason.CALLER_LEFT)
+            opened.ended.callback((end, None))
 
     def open_count(self) -> int:
         """Return the requests whose callers wait."""
--- a/tests/test_operators_resource.py
+++ b/tests/test_operators_resource.py
@@ -104,6 +104,16 @@
         self.assertIn("unknown", content)
         self.world = kept
 
+    def test_answer_lost_in_an_outage_says_that_the_outcome_is_unknown(self):
+        world = World()
+        self.world, kept = world, self.world
+        world.fake.values.faults.answers_to_lose = 1
+        world.fake.clock.callLater(0.5, setattr, world.fake.values.faults, "down", True)
+        status, content = self.send("POST", "/jobs", JOB | {"job": "j3"}, wait_s=8.0)
+        self.assertEqual(status, 503)
+        self.assertIn("unknown", content)
+        self.world = kept
+
     def test_reports(self):
         for path in ("/status", "/configuration", "/data-centres", "/jobs", "/burn"):
             with self.subTest(path):
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -129,6 +129,17 @@
     return world
 
 
+def daemon_stops_in_an_outage():
+    world = make_world()
+    world.fake.values.faults.down = True
+    world.run(5.0)
+    world.fake.daemons["d1"].node.stop()
+    world.run(20.0)
+    world.fake.values.faults.down = False
+    world.run(20.0)
+    return world
+
+
 def owner_killed_before_its_commit():
     """The ledger's write is lost and the owner dies; another takes over."""
     world = make_world(200, 1.0)
@@ -374,6 +385,20 @@
     pass
 
 
+class StopTest(unittest.TestCase):
+    def test_a_stop_in_an_outage_ends_and_its_room_is_taken_over(self):
+        world = daemon_stops_in_an_outage()
+        self.assertEqual(world.fake.daemons["d1"].node.state, "gone")
+        slots = sum(server.slots for server in world.history.servers)
+        held = sum(
+            daemon.node.services["dispatch"].room.held_total()
+            for name, daemon in world.fake.daemons.items()
+            if name != "d1"
+        )
+        self.assertEqual(held, slots)
+        self.assertEqual(checkers.find_faults(world.record()), [])
+
+
 def _add_test(number, name, scenario, checker, patches):
     def test_holds(self):
         self.assertEqual(checker(scenario().record()), [])
