--- /dev/null
+++ b/tests/test_rendezvous.py
@@ -0,0 +1,31 @@
+import unittest
+from collections import Counter
+
+from dogwoodlever.peers import first, rank
+
+CANDIDATES = [f"d{i}#{i:x}" for i in range(7)]
+KEYS = [f"s{i:04d}" for i in range(7000)]
+
+
+class RendezvousTest(unittest.TestCase):
+    def test_first_leads_the_rank(self):
+        for key in KEYS[:50]:
+            self.assertEqual(rank(key, CANDIDATES)[0], first(key, CANDIDATES))
+        self.assertIsNone(first("key", ()))
+
+    def test_spreads_evenly(self):
+        counts = Counter(first(key, CANDIDATES) for key in KEYS)
+        for candidate in CANDIDATES:
+            self.assertAlmostEqual(counts[candidate], 1000, delta=120)
+
+    def test_pairs_of_leaders_are_spread(self):
+        counts = Counter(tuple(rank(key, CANDIDATES)[:2]) for key in KEYS)
+        self.assertEqual(len(counts), 42)
+        self.assertLess(max(counts.values()), 2 * min(counts.values()))
+
+    def test_a_lost_candidate_moves_only_its_own_keys(self):
+        left = CANDIDATES[:-1]
+        for key in KEYS:
+            before = first(key, CANDIDATES)
+            if before != CANDIDATES[-1]:
+                self.assertEqual(first(key, left), before)
