--- a/benchmarks/batch.py
+++ b/benchmarks/batch.py
@@ -36,6 +36,9 @@
 JOBS = 230
 POISON_PART = 0.05
 BAD_WORKERS = ("w03", "w11")
+TASKS_A_WORKER = 17
+SYNC_ROUNDS = 2000
+HTTP_HEADER_BYTES = 400
 TERMS = CellTerms(6.0, 0.5, 2.0)
 
 
@@ -275,6 +278,32 @@
     cell.report(report, now_s, now_s)
 
 
+def print_sync_cost() -> None:
+    """Print the bytes and the time of synchronising a worker of 17 tasks."""
+    cell = make_cell(1, 1)
+    cell.submit(Job("job", "team0", "k", TASKS_A_WORKER, 0.9, 1000, 600.0), 0.0)
+    cell.decide(0.0, 0.0)
+    cell.next_commit()
+    cell.committed()
+    (name,) = cell.workers
+    held = tuple(
+        RunningAttempt(task_id, 1, True, 123.456, 0.875)
+        for task_id in sorted(cell.workers[name].tasks)
+    )
+    report = msgspec.json.encode(WorkerReport(name, "boot", 12345.678, held))
+    started_s = time.process_time()
+    for number in range(SYNC_ROUNDS):
+        found = msgspec.json.decode(report, type=WorkerReport)
+        cell.report(found, number * 1.5, 0.0)
+        request = msgspec.json.encode(cell.sync(name, number * 1.5, 0.1, True))
+    spent_s = time.process_time() - started_s
+    size = len(report) + len(request) + HTTP_HEADER_BYTES
+    rest_interval_s = Limits().worker_rest_interval_s
+    print(f"batch.sync.bytes: {size}")
+    print(f"batch.sync.bytes_per_s_a_worker_at_rest: {size / rest_interval_s:.0f}")
+    print(f"batch.sync.decision_us: {spent_s / SYNC_ROUNDS * 1e6:.0f}")
+
+
 def print_store_calls() -> None:
     """Print calls to the store as the fleet grows, with as many starts a worker."""
     for factor in (1, 4, 16):
@@ -308,6 +337,7 @@
     """Print all figures."""
     print_day()
     print_decision_cost()
+    print_sync_cost()
     print_store_calls()
 
 
