Wait for a worker whose VM is still listed; three more faults in the matrix

Ruled out: a longer lease, which delays every recovery. Change: the platform's list tells dead from cut off; a worker that it lists is waited for 60 s more.

Also found: a worker removed from the settings was a candidate again as soon as the list of leaving VMs was read.

One check changed: the world took a data centre out by writing to the store itself, and counted from that write. With 'store answers too late' the write was there for 8 s while nobody, no operator either, had an answer (trace: no daemon had an answered call between the write and the healing), so starts went on. The world now asks a daemon and counts from its acceptance, as an operator would.

--- a/benchmarks/batch.py
+++ b/benchmarks/batch.py
@@ -39,7 +39,7 @@
 TASKS_A_WORKER = 17
 SYNC_ROUNDS = 2000
 HTTP_HEADER_BYTES = 400
-TERMS = CellTerms(6.0, 0.5, 2.0)
+TERMS = CellTerms(6.0, 0.5, 2.0, 60.0)
 
 
 @dataclass(slots=True)
--- a/dogwoodlever/_cell.py
+++ b/dogwoodlever/_cell.py
@@ -6,6 +6,7 @@
 from dogwoodlever._class_estimate import ClassEstimates
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._guard import GuardStep, Sample, WorkerGuard
+from dogwoodlever._interfaces import VMStates
 from dogwoodlever._job import Job, reservations
 from dogwoodlever._ledger import (
     ENDED_STATES,
@@ -39,6 +40,7 @@
     worker_lease_s: float
     clock_margin_s: float
     start_freshness_s: float
+    unreachable_wait_s: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -151,10 +153,11 @@
                 view = WorkerView(name, spec, guard, 0, 0, lease_end_s)
                 self.workers[name] = view
             view.spec = spec
+            view.removed = False
             view.cores_room = spec.cores - cores
             view.memory_room_bytes = spec.memory_bytes - memory
         for name in set(self.workers) - names:
-            self.workers[name].leaving = True
+            self.workers[name].removed = True
         self.quota = QuotaBook(site.teams if teams is None else teams)
         for task in self.ledger.tasks.values():
             if task.state in PLACED_STATES and task.task_id in self._charged:
@@ -258,10 +261,11 @@
         self.ledger.drop_job(job_id)
         self._jobs_dirty = True
 
-    def set_leaving(self, names: set[str]) -> None:
-        """Set the workers that the platform or operators take away."""
+    def set_vms(self, vms: VMStates) -> None:
+        """Take over the platform's list of VMs."""
         for name, view in self.workers.items():
-            view.leaving = name in names
+            view.leaving = name in vms.leaving
+            view.gone = vms.is_gone(name)
 
     def report(self, report: WorkerReport, now_s: float, wall_s: float) -> None:
         """Record a worker's report."""
@@ -391,12 +395,22 @@
         for view in self.workers.values():
             if now_s - view.report_s > self.terms.worker_lease_s / 2:
                 view.note("missed")
-            if not view.unreachable or view.state == "lost":
+            if view.state == "lost" or not self._is_lost(view, now_s):
                 continue
             view.note("lapsed")
             view.known.clear()
             self._lose_tasks(view, wall_s, "worker's lease lapsed")
 
+    def _is_lost(self, view: WorkerView, now_s: float) -> bool:
+        """Tell whether a worker's attempts may be followed by others.
+
+        A worker that the platform still lists may only be cut off, and hold
+        ends that it cannot report; it is waited for longer.
+        """
+        if not view.unreachable:
+            return False
+        return view.gone or now_s >= view.lease_end_s + self.terms.unreachable_wait_s
+
     def sync_failed(self, worker: str, sent_s: float) -> None:
         """Record that a synchronisation sent at `sent_s` brought no report.
 
@@ -409,7 +423,8 @@
             view.unreachable = True
 
     def _takes_no_work(self, view: WorkerView) -> bool:
-        return view.leaving or view.spec.data_centre in self._out
+        unusable = view.leaving or view.gone or view.removed
+        return unusable or view.spec.data_centre in self._out
 
     def _evict_from_leaving(self, wall_s: float) -> None:
         for view in self.workers.values():
--- a/dogwoodlever/_cell_role.py
+++ b/dogwoodlever/_cell_role.py
@@ -7,7 +7,7 @@
 
 from dogwoodlever import _record_keys as keys
 from dogwoodlever._cell import Cell, CellTerms
-from dogwoodlever._interfaces import Entry, WorkerClient
+from dogwoodlever._interfaces import Entry, VMStates, WorkerClient
 from dogwoodlever._job import Job
 from dogwoodlever._ledger import (
     LedgerRecord,
@@ -71,7 +71,7 @@
         self._site: Site | None = None
         self._names: set[str] = set()
         self._teams: dict[str, Team] = {}
-        self._leaving: set[str] = set()
+        self._vms = VMStates()
         self._version = 0
         self._busy = False
         self._closing = False
@@ -83,7 +83,7 @@
         site: Site,
         workers: set[str],
         teams: dict[str, Team],
-        leaving: set[str],
+        vms: VMStates,
     ) -> None:
         """Take over the settings.
 
@@ -95,14 +95,14 @@
             Workers of this cell.
         teams : dict of str to Team
             Parts of quotas that fall to it.
-        leaving : set of str
-            Workers that leave or are gone.
+        vms : VMStates
+            What the platform lists.
         """
         self._site, self._names, self._teams = site, workers, teams
-        self._leaving = leaving
+        self._vms = vms
         if self.cell is not None:
             self.cell.set_site(site, self._clock.seconds(), workers, teams)
-            self.cell.set_leaving(leaving)
+            self.cell.set_vms(vms)
 
     def _owner(self) -> OwnerRecord | None:
         entry = self._follower.entries.get(keys.owner_key(self.name))
@@ -173,7 +173,10 @@
         self._version = result.entry.version
         limits = self._membership.limits
         terms = CellTerms(
-            limits.worker_lease_s, limits.clock_margin_s, limits.start_freshness_s
+            limits.worker_lease_s,
+            limits.clock_margin_s,
+            limits.start_freshness_s,
+            limits.unreachable_wait_s,
         )
         cell = Cell(
             self.name,
@@ -184,7 +187,7 @@
             self._names,
             self._teams,
         )
-        cell.set_leaving(self._leaving)
+        cell.set_vms(self._vms)
         self.cell = cell
         log_event("cell.loaded", cell=self.name, tasks=len(ledger.tasks))
 
--- a/dogwoodlever/_http_platform.py
+++ b/dogwoodlever/_http_platform.py
@@ -20,6 +20,7 @@
     BackendClient,
     BackendRequest,
     VMList,
+    VMStates,
     WorkerClient,
 )
 from dogwoodlever._worker_protocol import SyncRequest, WorkerReport
@@ -109,8 +110,8 @@
         self._url = url
 
     @inlineCallbacks
-    def leaving(self):
-        """Return the VMs that are not live."""
+    def read(self):
+        """Return the VMs that are listed, and those that leave."""
         try:
             status, content = yield self._fetcher.fetch(b"GET", self._url)
             if status != 200:
@@ -118,4 +119,5 @@
             rows = msgspec.json.decode(content, type=list[dict[str, str]])
         except Exception as error:
             raise PlatformError(f"VM list: {error!r}") from error
-        return {row["name"] for row in rows if row.get("state") != "live"}
+        leaving = {row["name"] for row in rows if row.get("state") != "live"}
+        return VMStates(frozenset(row["name"] for row in rows), frozenset(leaving))
--- a/dogwoodlever/_interfaces.py
+++ b/dogwoodlever/_interfaces.py
@@ -113,9 +113,29 @@
         """
 
 
+@dataclass(slots=True, frozen=True)
+class VMStates:
+    """What the platform lists; it lags behind what is.
+
+    Attributes
+    ----------
+    listed : frozenset of str
+        VMs that are live or leaving.
+    leaving : frozenset of str
+        Those that are leaving.
+    """
+
+    listed: frozenset[str] = frozenset()
+    leaving: frozenset[str] = frozenset()
+
+    def is_gone(self, name: str) -> bool:
+        """Tell whether the platform has dropped a VM from its list."""
+        return bool(self.listed) and name not in self.listed
+
+
 class VMList(ABC):
     """The platform's lagging list of VMs."""
 
     @abstractmethod
-    def leaving(self) -> Deferred:
-        """Return the names of workers that leave or are gone, as a set."""
+    def read(self) -> Deferred:
+        """Return the `VMStates`; fails with `PlatformError`."""
--- a/dogwoodlever/_node.py
+++ b/dogwoodlever/_node.py
@@ -15,7 +15,13 @@
 from dogwoodlever._chart import Chart
 from dogwoodlever._claims import ClaimBook
 from dogwoodlever._configuration_role import ConfigurationRole
-from dogwoodlever._interfaces import BackendClient, Store, VMList, WorkerClient
+from dogwoodlever._interfaces import (
+    BackendClient,
+    Store,
+    VMList,
+    VMStates,
+    WorkerClient,
+)
 from dogwoodlever._logs import log_event
 from dogwoodlever._members import Member
 from dogwoodlever._membership_role import MAINTAIN_INTERVAL_S, MembershipRole
@@ -97,7 +103,7 @@
         self.questions = Questions(outside.peers, clock)
         self.services: dict[str, ServiceRole] = {}
         self.cells: dict[str, CellRole] = {}
-        self._vms_leaving: set[str] = set()
+        self._vms = VMStates()
         self._loops: list[LoopingCall] = []
         self.on_gone: Callable[[], None] | None = None
         self.configuration.on_change(self._site_changed)
@@ -217,22 +223,27 @@
         if site is None:
             return
         for service in self.services.values():
-            service.set_site(site, self._vms_leaving)
+            service.set_site(site, self._vms)
         for cell in self.cells.values():
             workers = cell_workers(site, cell.name)
             teams = cell_teams(site, cell.name)
-            cell.set_site(site, workers, teams, self._vms_leaving)
+            cell.set_site(site, workers, teams, self._vms)
 
     @inlineCallbacks
     def _read_vm_list(self):
         try:
-            leaving = yield self.outside.vm_list.leaving()
+            vms = yield self.outside.vm_list.read()
         except PlatformError as error:
             log_event("vm_list.unavailable", error=error)
             return
-        if leaving != self._vms_leaving:
-            log_event("vm_list.changed", leaving=",".join(sorted(leaving)))
-            self._vms_leaving = leaving
+        if vms != self._vms:
+            gone = sorted(self._vms.listed - vms.listed)
+            log_event(
+                "vm_list.changed",
+                leaving=",".join(sorted(vms.leaving)),
+                gone=",".join(gone),
+            )
+            self._vms = vms
             self._spread_site()
 
     @inlineCallbacks
--- a/dogwoodlever/_service_role.py
+++ b/dogwoodlever/_service_role.py
@@ -9,7 +9,7 @@
 from dogwoodlever import _record_keys as keys
 from dogwoodlever._backoff import Backoff
 from dogwoodlever._dispatcher import Dispatcher, DispatcherLimits
-from dogwoodlever._interfaces import BackendClient, BackendRequest, Entry
+from dogwoodlever._interfaces import BackendClient, BackendRequest, Entry, VMStates
 from dogwoodlever._ledger import encode_record
 from dogwoodlever._logs import log_event
 from dogwoodlever._members import MemberState
@@ -120,8 +120,8 @@
         )
         follower.on_entry(self._entry_changed)
 
-    def set_site(self, site: Site, leaving_workers: set[str]) -> None:
-        """Take over the settings, and the workers that leave."""
+    def set_site(self, site: Site, vms: VMStates) -> None:
+        """Take over the settings and the list of VMs."""
         service = site.services.get(self.name)
         self._service = service
         self._targets = None
@@ -133,7 +133,7 @@
         self._leaving = {
             name
             for name, server in servers.items()
-            if server.worker in leaving_workers
+            if server.worker in vms.leaving
             or site.data_centres[self._centres[name]].out
         }
         slots = {name: server.slots for name, server in servers.items()}
--- a/dogwoodlever/_site.py
+++ b/dogwoodlever/_site.py
@@ -35,6 +35,7 @@
     worker_sync_interval_s: Positive = 0.5
     worker_rest_interval_s: Positive = 1.5
     worker_lease_s: Positive = 6.0
+    unreachable_wait_s: Positive = 60.0
     start_freshness_s: Positive = 2.0
     homes_per_server: PositiveCount = 3
     queue_max: PositiveCount = 2000
--- a/dogwoodlever/_worker_view.py
+++ b/dogwoodlever/_worker_view.py
@@ -29,6 +29,10 @@
     lease_end_s : float
         Owner's time after which the worker has stopped everything, unless a
         synchronisation was sent since.
+    leaving, gone : bool
+        What the platform lists of its VM.
+    removed : bool
+        Whether it is no longer part of the cell.
     unreachable : bool
         Whether it was asked in vain after its lease ended.
     tasks : set of str
@@ -52,6 +56,8 @@
     memory_placed_bytes: int = 0
     accelerators_placed: int = 0
     leaving: bool = False
+    gone: bool = False
+    removed: bool = False
     unreachable: bool = False
     tasks: set[str] = field(default_factory=set)
     known: set[AttemptId] = field(default_factory=set)
--- a/dogwoodlever/platform.py
+++ b/dogwoodlever/platform.py
@@ -15,6 +15,7 @@
     Entry,
     Store,
     VMList,
+    VMStates,
     WorkerClient,
     WriteResult,
 )
@@ -49,6 +50,7 @@
     "SyncRequest",
     "UsageSample",
     "VMList",
+    "VMStates",
     "WorkerClient",
     "WorkerReport",
     "WriteResult",
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -163,6 +163,7 @@
         task = stage.await_true(self._watcher_place, "watcher runs")
         worker = stage.site["workers"][task["worker"]]
         stage.post(worker["port"], "admin", {"off": True})
+        stage.post(stage.vm_port, "admin", {task["worker"]: "gone"})
         self._say(f"power off {task['worker']}, which runs the watcher")
 
         def moved() -> bool:
--- a/standins/bench_site.py
+++ b/standins/bench_site.py
@@ -49,7 +49,7 @@
             self.store,
             self.workers,
             backends,
-            FakeVMList(site.leaving, self.clock),
+            FakeVMList(site.machines, site.leaving, self.clock),
             self.transport,
         )
         self.node = Node(settings, str(boot), outside, self.clock, site.wall_time)
--- a/standins/http_servers.py
+++ b/standins/http_servers.py
@@ -161,5 +161,6 @@
             changes = json.loads(request.content.read())
             reactor.callLater(self._lag_s, self._states.update, changes)
             return b"{}"
-        rows = [{"name": n, "state": s} for n, s in sorted(self._states.items())]
+        listed = [(n, s) for n, s in sorted(self._states.items()) if s != "gone"]
+        rows = [{"name": name, "state": state} for name, state in listed]
         return json.dumps(rows).encode()
--- a/standins/in_process.py
+++ b/standins/in_process.py
@@ -15,6 +15,7 @@
     Store,
     SyncRequest,
     VMList,
+    VMStates,
     WorkerClient,
     WriteResult,
 )
@@ -33,6 +34,7 @@
 PEER_DELAY_S = 0.0014
 WORKER_DELAY_S = 0.001
 WORKER_TIMEOUT_S = 2.0
+VM_LIST_LAG_S = 3.0
 
 
 @implementer(IReactorTime)
@@ -342,14 +344,27 @@
 
 
 class FakeVMList(VMList):
-    """VM list of one process over shared states."""
+    """VM list of one process; it shows a dead VM for a while."""
 
-    def __init__(self, leaving: set[str], clock: ProcessClock) -> None:
+    def __init__(
+        self,
+        machines: dict[str, WorkerMachine],
+        leaving: set[str],
+        clock: ProcessClock,
+    ) -> None:
+        self._machines = machines
         self._leaving = leaving
         self._clock = clock
 
-    def leaving(self) -> Deferred:
-        """Return the workers that leave."""
+    def read(self) -> Deferred:
+        """Return what is listed."""
+        now_s = self._clock.seconds()
+        listed = frozenset(
+            name
+            for name, machine in self._machines.items()
+            if not (machine.off and now_s - machine.off_s > VM_LIST_LAG_S)
+        )
         answered: Deferred = Deferred()
-        self._clock.callLater(0.001, answered.callback, set(self._leaving))
+        states = VMStates(listed, frozenset(self._leaving))
+        self._clock.callLater(0.001, answered.callback, states)
         return answered
--- a/standins/worker_machine.py
+++ b/standins/worker_machine.py
@@ -50,6 +50,7 @@
         self.speed = speed
         self.boots = 1
         self.off = False
+        self.off_s = 0.0
         self.fails_all = False
         self.records: list[Run] = []
         self.overloads = 0
@@ -70,6 +71,7 @@
         self._runs.clear()
         self._ended.clear()
         self.off = True
+        self.off_s = now_s
 
     def power_on(self, now_s: float) -> None:
         """Boot anew, remembering nothing."""
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -117,6 +117,17 @@
         machine.fails_all = False
 
 
+def _cut_worker(world: World, daemon: str) -> None:
+    worker = _busiest_worker(world)
+    for each in world.fake.daemons.values():
+        each.workers.cut.add(worker)
+
+
+def _join_workers(world: World, daemon: str) -> None:
+    for each in world.fake.daemons.values():
+        each.workers.cut.clear()
+
+
 def _set_server(**faults) -> Callable:
     def act(world: World, daemon: str) -> None:
         server = world.fake.by_server["s01"]
@@ -153,15 +164,28 @@
     Fault("cut from all", _isolate, _rejoin, 14.0),
     Fault("store down", _set_store(down=True), _set_store(down=False), 12.0),
     Fault("store slow", _set_store(delay_s=0.6), _set_store(delay_s=0.0)),
+    Fault(
+        "store answers too late",
+        _set_store(delay_s=1.5),
+        _set_store(delay_s=0.0),
+        8.0,
+    ),
     Fault("answers lost", _set_store(answers_to_lose=3), _nothing),
     Fault(
         "messages late",
         _set_network(extra_delay_s=0.7),
         _set_network(extra_delay_s=0.0),
     ),
+    Fault(
+        "messages later than the term",
+        _set_network(extra_delay_s=4.0),
+        _set_network(extra_delay_s=0.0),
+        8.0,
+    ),
     Fault("messages doubled", _set_network(twice=True), _set_network(twice=False)),
     Fault("operators racing", _race, _bring_in),
     Fault("VM gone", _power_off, _power_on, 8.0),
+    Fault("worker cut off", _cut_worker, _join_workers, 3.0),
     Fault("worker fails all", _fail_all, _fail_none),
     Fault("server refuses", _set_server(refuses=True), _set_server(refuses=False)),
     Fault("server breaks off", _set_server(breaks=True), _set_server(breaks=False)),
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -5,11 +5,12 @@
     AttemptId,
     EndedAttempt,
     RunningAttempt,
+    VMStates,
     WorkerReport,
 )
 from dogwoodlever.settings import DataCentre, Site, Team, Worker
 
-TERMS = CellTerms(6.0, 0.5, 2.0)
+TERMS = CellTerms(6.0, 0.5, 2.0, 60.0)
 
 
 def make_site(workers=4, out=()):
@@ -148,7 +149,8 @@
         self.step()
         first = self.task("j/0").worker
         self.report(first)
-        self.cell.set_leaving({first})
+        listed = frozenset(self.cell.workers)
+        self.cell.set_vms(VMStates(listed, frozenset({first})))
         self.step()
         stop = self.sync(first).stop
         self.assertEqual([(s.task_id, s.checkpoint) for s in stop], [("j/0", True)])
@@ -174,22 +176,47 @@
         self.step()
         worker = self.task("j/0").worker
         self.sync(worker)
+        others = frozenset(self.cell.workers) - {worker}
         table = (
-            (5.0, False, "assigned", 1),
-            (6.6, False, "assigned", 1),
-            (6.6, True, "assigned", 2),
+            (5.0, False, True, 1),
+            (6.6, False, True, 1),
+            (6.6, True, False, 1),
+            (66.4, True, False, 1),
+            (66.6, True, False, 2),
         )
-        for at_s, asked, state, attempt in table:
-            with self.subTest(f"{at_s} {asked}"):
+        for at_s, asked, gone, attempt in table:
+            with self.subTest(f"at {at_s} s, asked {asked}, gone {gone}"):
                 self.now_s = at_s
-                for name in self.cell.workers:
-                    if name != worker:
-                        self.report(name)
+                self.cell.set_vms(VMStates(others if gone else others | {worker}))
+                for name in others:
+                    self.report(name)
                 if asked:
                     self.cell.sync_failed(worker, at_s)
                 self.step()
-                task = self.task("j/0")
-                self.assertEqual((task.state, task.attempt), (state, attempt))
+                self.assertEqual(self.task("j/0").attempt, attempt)
+
+    def test_lost_soon_when_the_platform_no_longer_lists_it(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        self.step()
+        worker = self.task("j/0").worker
+        self.sync(worker)
+        self.now_s = 6.6
+        others = frozenset(self.cell.workers) - {worker}
+        for name in others:
+            self.report(name)
+        self.cell.set_vms(VMStates(others))
+        self.cell.sync_failed(worker, 6.6)
+        self.step()
+        self.assertEqual(self.task("j/0").attempt, 2)
+
+    def test_removed_worker_is_emptied_whatever_is_listed(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        self.step()
+        worker = self.task("j/0").worker
+        self.cell.set_site(make_site(), 0.0, set(self.cell.workers) - {worker})
+        self.cell.set_vms(VMStates(frozenset(self.cell.workers)))
+        self.step()
+        self.assertEqual(self.task("j/0").state, "stopping")
 
     def test_silent_worker_is_asked_without_renewal(self):
         self.now_s = 4.0
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -22,6 +22,7 @@
 from dogwoodlever._shares import ShareKeeper
 from dogwoodlever._store_follower import StoreFollower
 from dogwoodlever.configuration import decode_configuration
+from dogwoodlever.platform import VMStates
 from tests import checkers
 from tests.faults import FAULTS
 from tests.steps import STEPS
@@ -223,7 +224,7 @@
 
 
 def _give_up_at_once(self, worker, sent_s):
-    self.workers[worker].unreachable = True
+    self.workers[worker].unreachable = self.workers[worker].gone = True
 
 
 def _no_lease_wait(self, view, now_s, evidence_age_s):
@@ -244,8 +245,8 @@
     return True
 
 
-def _set_site_without_leaving(self, site, leaving_workers):
-    _SET_SITE(self, site, set())
+def _set_site_without_leaving(self, site, vms):
+    _SET_SITE(self, site, VMStates(vms.listed))
 
 
 _SET_SITE = ServiceRole.set_site
--- a/tests/world.py
+++ b/tests/world.py
@@ -86,15 +86,28 @@
         return states
 
     def take_out(self, centre: str) -> None:
-        """Take a data centre out of service."""
-        self.fake.put_configuration((centre,))
-        self.history.outages.append(Outage(centre, self.now_s, 1e18))
+        """Take a data centre out of service, through a daemon.
+
+        It is out from when the daemon has said that the change is accepted.
+        """
+        self._set_centre(centre, True).addCallbacks(
+            lambda _: self.history.outages.append(Outage(centre, self.now_s, 1e18)),
+            lambda _: None,
+        )
+
+    def _set_centre(self, centre: str, out: bool):
+        names = self._healthy() or [
+            name for name in self._names if self.fake.daemons[name].clock.runs
+        ]
+        role = self.fake.daemons[names[0]].node.configuration
+        return role.set_data_centre(centre, out, "test")
 
     def bring_in(self) -> None:
         """Bring all data centres back."""
-        self.fake.put_configuration(())
         for outage in self.history.outages:
             outage.until_s = min(outage.until_s, self.now_s)
+        for centre in self.site.data_centres:
+            self._set_centre(centre, False).addErrback(lambda _: None)
 
     def list_leaving(self, worker: str) -> None:
         """Let the platform list a worker's VM as leaving."""
