Command line: one place for a command's connection, exit status 2 for wrong use

Before: three parameters repeated in thirteen commands, and status 1 both for a refusal and for wrong use; the table of tests/test_cli.py names each status.

--- a/dogwoodlever/_cli_app.py
+++ b/dogwoodlever/_cli_app.py
@@ -6,12 +6,13 @@
 import time
 import urllib.error
 import urllib.request
+from dataclasses import dataclass
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import Annotated, Any
 
 import yaml
-from cyclopts import App, Parameter
+from cyclopts import App, CycloptsError, Parameter
 from returns.result import Failure
 
 from dogwoodlever import _burn_report
@@ -30,6 +31,7 @@
 IN_FORCE_WAIT_S = 5.0
 IN_FORCE_PAUSE_S = 0.2
 REQUEST_TIMEOUT_S = 30.0
+EXIT_USAGE = 2
 
 app = App(
     name="dogwoodlever",
@@ -40,23 +42,34 @@
 app.command(data_centre)
 app.command(report)
 
-Daemon = Annotated[
-    str,
-    Parameter(
-        name="--daemon",
-        env_var="DOGWOODLEVER_DAEMON",
-        help="host:port of operators' ports, separated by commas.",
-    ),
-]
-Key = Annotated[
-    str,
-    Parameter(name="--key", env_var="DOGWOODLEVER_KEY", help="Operators' shared key."),
-]
-AsJson = Annotated[bool, Parameter(name="--json", help="Print JSON.", negative="")]
 
+@Parameter(name="*")
+@dataclass(frozen=True, slots=True)
+class Connection:
+    """Where a command goes, and how its answer is printed.
+
+    Attributes
+    ----------
+    daemon : str
+        host:port of operators' ports, separated by commas.
+    key : str
+        Operators' shared key.
+    as_json : bool
+        Print JSON.
+    """
+
+    daemon: Annotated[
+        str, Parameter(name="--daemon", env_var="DOGWOODLEVER_DAEMON")
+    ] = "127.0.0.1:7002"
+    key: Annotated[str, Parameter(name="--key", env_var="DOGWOODLEVER_KEY")] = ""
+    as_json: Annotated[bool, Parameter(name="--json", negative="")] = False
+
+    def client(self) -> OperatorClient:
+        """Return a client of the daemons named."""
+        return OperatorClient([a.strip() for a in self.daemon.split(",")], self.key)
 
-def _client(daemon: str, key: str) -> OperatorClient:
-    return OperatorClient([a.strip() for a in daemon.split(",")], key)
+
+LOCAL = Connection()
 
 
 def _print_json(document: Any) -> None:
@@ -64,7 +77,11 @@
 
 
 @app.command
-def check(folder: Path, *, as_json: AsJson = False) -> None:
+def check(
+    folder: Path,
+    *,
+    as_json: Annotated[bool, Parameter(name="--json", negative="")] = False,
+) -> None:
     """Merge and check the settings of FOLDER without sending them."""
     result = read_site(folder)
     if isinstance(result, Failure):
@@ -86,9 +103,7 @@
     folder: Path,
     *,
     expect: int | None = None,
-    daemon: Daemon = "127.0.0.1:7002",
-    key: Key = "",
-    as_json: AsJson = False,
+    to: Connection = LOCAL,
 ) -> None:
     """Make the settings of FOLDER the configuration.
 
@@ -105,7 +120,7 @@
     documents = [
         (name, json.dumps(document)) for name, document in read_documents(folder)
     ]
-    client = _client(daemon, key)
+    client = to.client()
     if expect is None:
         expect = client.get("configuration")["revision"]
     order = {
@@ -114,7 +129,7 @@
         "by": getpass.getuser(),
     }
     answer = client.post("configuration", order)
-    _await_in_force(client, answer["revision"], as_json)
+    _await_in_force(client, answer["revision"], to.as_json)
 
 
 def _await_in_force(client: OperatorClient, revision: int, as_json: bool) -> None:
@@ -146,12 +161,10 @@
 
 
 @app.command
-def show(
-    *, daemon: Daemon = "127.0.0.1:7002", key: Key = "", as_json: AsJson = False
-) -> None:
+def show(*, to: Connection = LOCAL) -> None:
     """Show the merged settings in force, and which daemons confirmed them."""
-    shown = _client(daemon, key).get("configuration")
-    if as_json:
+    shown = to.client().get("configuration")
+    if to.as_json:
         _print_json(shown)
         return
     print(f"# revision {shown['revision']} by {shown['changed_by'] or '-'}")
@@ -162,43 +175,29 @@
 
 
 @data_centre.command
-def out(
-    name: str,
-    *,
-    daemon: Daemon = "127.0.0.1:7002",
-    key: Key = "",
-    as_json: AsJson = False,
-) -> None:
+def out(name: str, *, to: Connection = LOCAL) -> None:
     """Take data centre NAME out of service."""
-    _set_centre(name, True, daemon, key, as_json)
+    _set_centre(name, True, to)
 
 
 @data_centre.command(name="in")
-def bring_in(
-    name: str,
-    *,
-    daemon: Daemon = "127.0.0.1:7002",
-    key: Key = "",
-    as_json: AsJson = False,
-) -> None:
+def bring_in(name: str, *, to: Connection = LOCAL) -> None:
     """Bring data centre NAME back into service."""
-    _set_centre(name, False, daemon, key, as_json)
+    _set_centre(name, False, to)
 
 
-def _set_centre(name: str, is_out: bool, daemon: str, key: str, as_json: bool) -> None:
-    client = _client(daemon, key)
+def _set_centre(name: str, is_out: bool, to: Connection) -> None:
+    client = to.client()
     order = {"out": is_out, "by": getpass.getuser()}
     answer = client.post(f"data-centres/{name}", order)
-    _await_in_force(client, answer["revision"], as_json)
+    _await_in_force(client, answer["revision"], to.as_json)
 
 
 @data_centre.command(name="list")
-def list_centres(
-    *, daemon: Daemon = "127.0.0.1:7002", key: Key = "", as_json: AsJson = False
-) -> None:
+def list_centres(*, to: Connection = LOCAL) -> None:
     """List the data centres and whether they are in service."""
-    centres = _client(daemon, key).get("data-centres")
-    if as_json:
+    centres = to.client().get("data-centres")
+    if to.as_json:
         _print_json(centres)
         return
     for name, centre in centres.items():
@@ -206,18 +205,12 @@
 
 
 @app.command
-def submit(
-    files: list[Path],
-    *,
-    daemon: Daemon = "127.0.0.1:7002",
-    key: Key = "",
-    as_json: AsJson = False,
-) -> None:
+def submit(files: list[Path], *, to: Connection = LOCAL) -> None:
     """Submit the jobs in FILES; a job known already is not run again."""
-    client = _client(daemon, key)
+    client = to.client()
     jobs = [_read_job(file) for file in files]
     answers = [client.post("jobs", job) for job in jobs]
-    if as_json:
+    if to.as_json:
         _print_json(answers)
         return
     for answer in answers:
@@ -233,13 +226,7 @@
 
 
 @app.command(name="import")
-def import_jobs(
-    file: Path,
-    *,
-    daemon: Daemon = "127.0.0.1:7002",
-    key: Key = "",
-    as_json: AsJson = False,
-) -> None:
+def import_jobs(file: Path, *, to: Connection = LOCAL) -> None:
     """Import the jobs listed under ``jobs`` in FILE from an older ledger.
 
     Importing again is safe: jobs that are known by their ids are passed over.
@@ -254,43 +241,31 @@
             faults.append(str(parsed.failure()))
     if faults:
         raise CommandRefusedError("\n".join(faults))
-    client = _client(daemon, key)
+    client = to.client()
     answers = [client.post("jobs", row) for row in rows]
     accepted = sum(answer["accepted"] for answer in answers)
-    if as_json:
+    if to.as_json:
         _print_json(answers)
         return
     print(f"{accepted} accepted, {len(answers) - accepted} known already")
 
 
 @app.command
-def cancel(
-    jobs: list[str],
-    *,
-    daemon: Daemon = "127.0.0.1:7002",
-    key: Key = "",
-    as_json: AsJson = False,
-) -> None:
+def cancel(jobs: list[str], *, to: Connection = LOCAL) -> None:
     """Cancel JOBS."""
-    answer = _client(daemon, key).post("cancel", {"jobs": jobs})
-    if as_json:
+    answer = to.client().post("cancel", {"jobs": jobs})
+    if to.as_json:
         _print_json(answer)
         return
     print(f"cancelling: {', '.join(answer['cancelling'])}")
 
 
 @app.command(name="jobs")
-def list_jobs(
-    job: str = "",
-    *,
-    daemon: Daemon = "127.0.0.1:7002",
-    key: Key = "",
-    as_json: AsJson = False,
-) -> None:
+def list_jobs(job: str = "", *, to: Connection = LOCAL) -> None:
     """List jobs that have not been archived, or show JOB."""
     path = f"jobs/{job}" if job else "jobs"
-    rows = _client(daemon, key).get(path)
-    if as_json:
+    rows = to.client().get(path)
+    if to.as_json:
         _print_json(rows)
         return
     for row in rows:
@@ -348,16 +323,10 @@
 
 
 @app.command
-def why(
-    item: str,
-    *,
-    daemon: Daemon = "127.0.0.1:7002",
-    key: Key = "",
-    as_json: AsJson = False,
-) -> None:
+def why(item: str, *, to: Connection = LOCAL) -> None:
     """Tell where and when a request or task ran, attempt by attempt, and why."""
-    found = _client(daemon, key).get(f"why/{item}")
-    if as_json:
+    found = to.client().get(f"why/{item}")
+    if to.as_json:
         _print_json(found)
         return
     print(_why_task(found) if "task" in found else _why_request(found))
@@ -398,9 +367,7 @@
 @report.command
 def burn(
     *,
-    daemon: Daemon = "127.0.0.1:7002",
-    key: Key = "",
-    as_json: AsJson = False,
+    to: Connection = LOCAL,
     page: Path | None = None,
 ) -> None:
     """Report service-level burn by service and data centre over windows.
@@ -410,23 +377,21 @@
     page : Path, optional
         Also write the report as an HTML page to this file.
     """
-    rows = _client(daemon, key).get("burn")
+    rows = to.client().get("burn")
     if page is not None:
         made_at = datetime.now(UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
         page.write_text(_burn_report.as_page(rows, made_at))
-    if as_json:
+    if to.as_json:
         _print_json(rows)
         return
     print(_burn_report.as_text(rows))
 
 
 @app.command
-def status(
-    *, daemon: Daemon = "127.0.0.1:7002", key: Key = "", as_json: AsJson = False
-) -> None:
+def status(*, to: Connection = LOCAL) -> None:
     """Show one daemon's state, its peers, shares and cells."""
-    found = _client(daemon, key).get("status")
-    if as_json:
+    found = to.client().get("status")
+    if to.as_json:
         _print_json(found)
         return
     print(
@@ -443,16 +408,18 @@
 
 
 @app.command
-def leave(*, daemon: Daemon = "127.0.0.1:7002", key: Key = "") -> None:
+def leave(*, to: Connection = LOCAL) -> None:
     """Stop the daemon that answers, gracefully."""
-    answer = _client(daemon, key).post("leave", {})
+    answer = to.client().post("leave", {})
     print(f"leaving: {answer['leaving']}")
 
 
 def run() -> int:
     """Run the command line; return the exit status."""
     try:
-        app()
+        app(exit_on_error=False, result_action="return_none")
+    except CycloptsError:
+        return EXIT_USAGE
     except CliError as error:
         print(f"dogwoodlever: {error}", file=sys.stderr)
         return error.exit_status
