Changed terms are safe while daemons disagree about them

Cause, by reading: others waited for a silent member by their own settings, a borrower kept a loan for its own term, and a new owner of a cell waited for its own lease. With an operator's change of those limits on its way, a daemon that had not seen it held its rights for longer than the others waited. Ruled out: terms only from the daemons' files, which differ while daemons are replaced one by one. Change: each member records the wait that its terms need, longer ones before they are used and shorter ones after the longer have run out; a loan carries the lender's term; the ledger keeps the longest lease ever granted.

--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -204,7 +204,8 @@
                             self.events.now_s,
                         )
             elif isinstance(effect, Lend):
-                self._post(effect.borrower, "lent", name, effect.loans, effect.asked_s)
+                loans, asked_s = effect.loans, effect.asked_s
+                self._post(effect.borrower, "lent", name, loans, asked_s, 1.0)
             elif isinstance(effect, GiveBack):
                 self._post(effect.lender, "given_back", effect.loan_ids)
 
--- a/dogwoodlever/_cell.py
+++ b/dogwoodlever/_cell.py
@@ -164,7 +164,9 @@
                 self._charge_quota(task, 1)
 
     def _lost_after_s(self) -> float:
-        return self.terms.worker_lease_s + self.terms.clock_margin_s
+        # An earlier owner may have granted longer leases than this one does.
+        lease_s = max(self.terms.worker_lease_s, self.ledger.lease_s)
+        return lease_s + self.terms.clock_margin_s
 
     def _adopt_ledger(self) -> None:
         for task in self.ledger.tasks.values():
--- a/dogwoodlever/_cell_role.py
+++ b/dogwoodlever/_cell_role.py
@@ -166,6 +166,8 @@
         ledger = LedgerRecord() if entry is None else decode_ledger(entry.value)
         ledger.owner, ledger.epoch = owner.owner, owner.epoch
         ledger.sequence += 1
+        lease_s = self._membership.limits.worker_lease_s
+        ledger.lease_s = max(ledger.lease_s, lease_s)
         version = 0 if entry is None else entry.version
         result = yield self._follower.swap_once(key, encode_ledger(ledger), version)
         if not result.committed:
--- a/dogwoodlever/_codec.py
+++ b/dogwoodlever/_codec.py
@@ -61,6 +61,7 @@
     body = frame.init("lend")
     body.service = message.service
     body.askedMicros = _micros(message.asked_s)
+    body.termMicros = _micros(message.term_s)
     loans = body.init("loans", len(message.loans))
     for row, loan in zip(loans, message.loans, strict=True):
         row.loanId = loan.loan_id
@@ -138,7 +139,9 @@
 
 def _read_lend(body) -> LendSlots:
     loans = tuple(Loan(row.loanId, row.server) for row in body.loans)
-    return LendSlots(body.service, body.askedMicros / MICROS, loans)
+    return LendSlots(
+        body.service, body.askedMicros / MICROS, loans, body.termMicros / MICROS
+    )
 
 
 def _read_give_back(body) -> ReturnSlots:
--- a/dogwoodlever/_dispatcher.py
+++ b/dogwoodlever/_dispatcher.py
@@ -356,13 +356,18 @@
         return self.pump(now_s)
 
     def lent(
-        self, lender: str, loans: tuple[Loan, ...], asked_s: float, now_s: float
+        self,
+        lender: str,
+        loans: tuple[Loan, ...],
+        asked_s: float,
+        term_s: float,
+        now_s: float,
     ) -> list[Effect]:
-        """Record loans that a peer made."""
+        """Record loans that a peer made for its term."""
         refused = [
             loan.loan_id
             for loan in loans
-            if not self.room.borrow(lender, loan, asked_s, now_s)
+            if not self.room.borrow(lender, loan, asked_s, term_s, now_s)
         ]
         effects: list[Effect] = []
         if refused:
--- a/dogwoodlever/_ledger.py
+++ b/dogwoodlever/_ledger.py
@@ -97,6 +97,8 @@
     ----------
     owner : str
         Member that may change the ledger and sync workers; empty if none.
+    lease_s : float
+        Longest lease that any owner has granted to workers.
     classes : dict of str to ClassUse
         What tasks of each class were measured to use.
     epoch : int
@@ -107,6 +109,7 @@
     epoch: int = 0
     jobs: dict[str, Job] = {}
     tasks: dict[str, Task] = {}
+    lease_s: float = 0.0
     classes: dict[str, ClassUse] = {}
     sequence: int = 0
 
--- a/dogwoodlever/_members.py
+++ b/dogwoodlever/_members.py
@@ -22,6 +22,8 @@
 
     Attributes
     ----------
+    wait_s : float
+        From a suspicion of this member to its exclusion, by its own terms.
     superseded : bool
         A later incarnation of the same daemon has joined, so that this one's
         process has ended.
@@ -33,6 +35,7 @@
     peers_port: int
     operators_port: int
     callers_port: int
+    wait_s: float = 0.0
     state: MemberState = MemberState.LIVE
     superseded: bool = False
 
@@ -89,27 +92,20 @@
         Its entry.
     silence_s : float
         A member unheard for this long is silent.
-    exclusion_wait_s : float
-        From a suspicion to exclusion: the tenure's term, the longest request
-        and the clock margin.
     """
 
     __slots__ = (
         "_silence",
         "_suspected_s",
         "entry",
-        "exclusion_wait_s",
         "member_id",
         "silence_s",
     )
 
-    def __init__(
-        self, member_id: str, entry: Member, silence_s: float, exclusion_wait_s: float
-    ) -> None:
+    def __init__(self, member_id: str, entry: Member, silence_s: float) -> None:
         self.member_id = member_id
         self.entry = entry
         self.silence_s = silence_s
-        self.exclusion_wait_s = exclusion_wait_s
         self._silence = Silence()
         self._suspected_s: dict[str, float] = {}
 
@@ -165,6 +161,9 @@
         own = record.members.get(self.member_id)
         if own is not None and own.state == MemberState.SUSPECT:
             return record.replace(self.member_id, **{self.member_id: self.entry})
+        if own is not None and own.wait_s != self.entry.wait_s:
+            changed = msgspec.structs.replace(own, wait_s=self.entry.wait_s)
+            return record.replace(self.member_id, **{self.member_id: changed})
         changes = self._exclusions(record, now_s, tenure)
         changes |= self._suspicions(record, now_s)
         changes |= self._removals(record, referenced)
@@ -181,7 +180,7 @@
         changes = {}
         for member in suspects - {self.member_id}:
             since_s = self._suspected_s.setdefault(member, now_s)
-            if now_s - since_s < self.exclusion_wait_s:
+            if now_s - since_s < record.members[member].wait_s:
                 continue
             others = record.voters() - {self.member_id}
             if tenure.majority_fresh_since(since_s, now_s, others):
--- a/dogwoodlever/_membership_role.py
+++ b/dogwoodlever/_membership_role.py
@@ -91,7 +91,6 @@
         self.member_id = member_id
         self.record = MembersRecord()
         self.configuration_versions: dict[str, int] = {}
-        self._entry = entry
         self._follower = follower
         self._peers = peers
         self._clock = clock
@@ -103,22 +102,44 @@
         self._absent_s: dict[str, float] = {}
         self._echoes: dict[str, float] = {}
         self._changed: list[Callable[[], None]] = []
-        self.set_limits(Limits())
+        self.limits = Limits()
+        self._wanted = self.limits
+        self._lowered_s = float("-inf")
+        entry = msgspec.structs.replace(entry, wait_s=exclusion_wait_s(self.limits))
+        self.tenure = Tenure(self.limits.tenure_term_s)
+        self.keeper = MembershipKeeper(member_id, entry, self.limits.tenure_term_s)
         follower.on_entry(self._entry_changed)
         follower.on_listing(self._listed)
 
     def set_limits(self, limits: Limits) -> None:
-        """Take over the terms of the settings."""
-        self.limits = limits
-        wait_s = exclusion_wait_s(limits)
-        if not hasattr(self, "tenure"):
-            self.tenure = Tenure(limits.tenure_term_s)
-            self.keeper = MembershipKeeper(
-                self.member_id, self._entry, limits.tenure_term_s, wait_s
-            )
-        self.tenure.set_term(limits.tenure_term_s)
-        self.keeper.silence_s = limits.tenure_term_s
-        self.keeper.exclusion_wait_s = wait_s
+        """Take over the terms of the settings.
+
+        Others wait for this member by what it recorded. So longer terms are
+        recorded before they are used, and shorter ones are used until the
+        longer ones have run out before they are recorded.
+        """
+        self._wanted = limits
+        self._adopt_limits()
+
+    def _adopt_limits(self) -> None:
+        wanted_s = exclusion_wait_s(self._wanted)
+        own = self.record.members.get(self.member_id)
+        recorded_s = wanted_s if own is None else own.wait_s
+        if wanted_s > recorded_s:
+            self._set_wait(wanted_s)
+            return
+        now_s = self._clock.seconds()
+        if self.limits is not self._wanted:
+            self.limits = self._wanted
+            self._lowered_s = now_s
+            self.tenure.set_term(self.limits.tenure_term_s)
+            self.keeper.silence_s = self.limits.tenure_term_s
+        if own is None or now_s - self._lowered_s >= recorded_s:
+            self._set_wait(wanted_s)
+
+    def _set_wait(self, wait_s: float) -> None:
+        """Set the wait to record with this member's entry."""
+        self.keeper.entry = msgspec.structs.replace(self.keeper.entry, wait_s=wait_s)
 
     def on_change(self, changed: Callable[[], None]) -> None:
         """Call `changed` whenever the members record changes."""
@@ -166,7 +187,7 @@
                     departed.add(member)
                 continue
             since_s = self._absent_s.setdefault(member, now_s)
-            if now_s - since_s >= self.keeper.exclusion_wait_s:
+            if now_s - since_s >= exclusion_wait_s(self.limits):
                 departed.add(member)
         return departed
 
@@ -206,6 +227,7 @@
             return
         if self._backoff.holds():
             return
+        self._adopt_limits()
         if self.is_excluded():
             return
         if self.member_id not in self.record.members:
--- a/dogwoodlever/_messages.py
+++ b/dogwoodlever/_messages.py
@@ -50,11 +50,12 @@
 
 @dataclass(slots=True, frozen=True)
 class LendSlots:
-    """Loans in answer to the want of `asked_s`."""
+    """Loans in answer to the want of `asked_s`, for the lender's term."""
 
     service: str
     asked_s: float
     loans: tuple[Loan, ...]
+    term_s: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/dogwoodlever/_room.py
+++ b/dogwoodlever/_room.py
@@ -221,9 +221,21 @@
             self.take_back(loan_id)
         return len(expired)
 
-    def borrow(self, lender: str, loan: Loan, asked_s: float, now_s: float) -> bool:
+    def borrow(
+        self, lender: str, loan: Loan, asked_s: float, term_s: float, now_s: float
+    ) -> bool:
         """Accept a loan in answer to a want sent at `asked_s`.
 
+        Parameters
+        ----------
+        lender : str
+            Member that lends.
+        loan : Loan
+            The slot.
+        asked_s, term_s, now_s : float
+            When it was asked for, by this daemon's clock, the lender's term,
+            and the present time.
+
         Returns
         -------
         bool
@@ -231,7 +243,7 @@
             arrives twice is neither accepted nor returned again: its first
             copy may be in use.
         """
-        usable_until_s = asked_s + self.loan_term_s
+        usable_until_s = asked_s + min(term_s, self.loan_term_s)
         if loan.loan_id in self._loans_seen:
             return True
         if now_s >= usable_until_s:
--- a/dogwoodlever/_service_role.py
+++ b/dogwoodlever/_service_role.py
@@ -30,10 +30,13 @@
 from dogwoodlever._request_account import RequestAccounts
 from dogwoodlever._room import Room
 from dogwoodlever._shares import ShareKeeper, ShareRecord, target_split
-from dogwoodlever._site import Service, Site
+from dogwoodlever._site import Limits, Service, Site
 from dogwoodlever._store_follower import StoreFollower, Written
 from dogwoodlever.platform_errors import NotWrittenError
 
+# Assumed until the first answers are measured.
+EXPECTED_SERVICE_S = 0.05
+
 
 @dataclass(slots=True)
 class OpenRequest:
@@ -108,23 +111,26 @@
         self.room = Room(
             membership.member_id, limits.loan_term_s, limits.longest_request_s
         )
-        self.dispatcher = Dispatcher(
-            self.room,
-            DispatcherLimits(
-                limits.queue_max,
-                limits.attempts_max,
-                limits.retry_budget_ratio,
-                limits.longest_request_s,
-                0.05,
-            ),
-        )
+        self.dispatcher = Dispatcher(self.room, self._limits(limits))
         follower.on_entry(self._entry_changed)
 
+    def _limits(self, limits: Limits) -> DispatcherLimits:
+        return DispatcherLimits(
+            limits.queue_max,
+            limits.attempts_max,
+            limits.retry_budget_ratio,
+            limits.longest_request_s,
+            EXPECTED_SERVICE_S,
+        )
+
     def set_site(self, site: Site, vms: VMStates) -> None:
         """Take over the settings and the list of VMs."""
         service = site.services.get(self.name)
         self._service = service
         self._targets = None
+        self.room.loan_term_s = site.limits.loan_term_s
+        self.room.longest_request_s = site.limits.longest_request_s
+        self.dispatcher.limits = self._limits(site.limits)
         servers = {} if service is None else service.servers
         self._centres = {
             name: site.workers[server.worker].data_centre
@@ -285,7 +291,7 @@
             )
         elif isinstance(message, LendSlots):
             effects = self.dispatcher.lent(
-                sender, message.loans, message.asked_s, now_s
+                sender, message.loans, message.asked_s, message.term_s, now_s
             )
         elif isinstance(message, ReturnSlots):
             effects = self.dispatcher.given_back(message.loan_ids, now_s)
@@ -304,7 +310,9 @@
             elif isinstance(effect, Lend):
                 self._peers.send(
                     effect.borrower,
-                    LendSlots(self.name, effect.asked_s, effect.loans),
+                    LendSlots(
+                        self.name, effect.asked_s, effect.loans, self.room.loan_term_s
+                    ),
                 )
             elif isinstance(effect, GiveBack):
                 self._peers.send(effect.lender, ReturnSlots(self.name, effect.loan_ids))
--- a/dogwoodlever/peers.capnp
+++ b/dogwoodlever/peers.capnp
@@ -33,6 +33,7 @@
   service @0 :Text;
   askedMicros @1 :Int64;
   loans @2 :List(Loan);
+  termMicros @3 :Int64;
 }
 
 struct GiveBack {
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -195,6 +195,12 @@
                 self.step()
                 self.assertEqual(self.task("j/0").attempt, attempt)
 
+    def test_longer_lease_of_an_earlier_owner_is_waited_for(self):
+        ledger = LedgerRecord("me", 2, lease_s=40.0)
+        cell = Cell("c", ledger, make_site(), TERMS, 0.0)
+        ends = {view.lease_end_s for view in cell.workers.values()}
+        self.assertEqual(ends, {40.5})
+
     def test_lost_soon_when_the_platform_no_longer_lists_it(self):
         self.cell.submit(job(tasks=1), 0.0)
         self.step()
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -23,7 +23,7 @@
     Hello("key", "d1#1"),
     Heartbeat(12.5, 11.25, 0.5, 100.0, 7, 8, ("d2#1",)),
     WantSlots("dispatch", 3, 0.25, 12.5),
-    LendSlots("dispatch", 12.5, (Loan("d1#1/4", "s01"), Loan("d1#1/5", "s02"))),
+    LendSlots("dispatch", 12.5, (Loan("d1#1/4", "s01"), Loan("d1#1/5", "s02")), 1.5),
     ReturnSlots("dispatch", ("d1#1/4",)),
     Fetch("live/members"),
     Value("live/members", 12, b"{}"),
--- a/tests/test_membership_role.py
+++ b/tests/test_membership_role.py
@@ -1,6 +1,8 @@
 import unittest
 
-from dogwoodlever._membership_role import room_back_term_s
+import msgspec
+
+from dogwoodlever._membership_role import exclusion_wait_s, room_back_term_s
 from standins.bench_site import FakeSite
 from tests.sites import make_site
 
@@ -65,3 +67,37 @@
         fake.advance(fake.site.limits.tenure_term_s)
         self.assertFalse(fake.daemons["d1"].node.membership.holds())
         self.assertFalse(fake.daemons["d1"].node.healthy())
+
+
+class ChangedTermsTest(unittest.TestCase):
+    def change(self, fake, **limits):
+        changed = msgspec.structs.replace(fake.site.limits, **limits)
+        fake.site = msgspec.structs.replace(fake.site, limits=changed)
+        fake.put_configuration()
+
+    def test_longer_terms_are_recorded_before_they_are_used(self):
+        fake = FakeSite(make_site(), 3)
+        fake.settle()
+        role = fake.daemons["d1"].node.membership
+        before_s = exclusion_wait_s(fake.site.limits)
+        role._writing = True
+        self.change(fake, tenure_term_s=8.0)
+        fake.advance(3.0)
+        self.assertEqual(role.tenure.term_s, 3.0)
+        self.assertEqual(role.record.members["d1#1"].wait_s, before_s)
+        role._writing = False
+        fake.advance(2.0)
+        self.assertEqual(role.tenure.term_s, 8.0)
+        self.assertEqual(role.record.members["d1#1"].wait_s, before_s + 5.0)
+
+    def test_shorter_terms_are_used_before_they_are_recorded(self):
+        fake = FakeSite(make_site(), 3)
+        fake.settle()
+        role = fake.daemons["d1"].node.membership
+        before_s = exclusion_wait_s(fake.site.limits)
+        self.change(fake, tenure_term_s=2.0)
+        fake.advance(2.0)
+        self.assertEqual(role.tenure.term_s, 2.0)
+        self.assertEqual(role.record.members["d1#1"].wait_s, before_s)
+        fake.advance(before_s)
+        self.assertEqual(role.record.members["d1#1"].wait_s, before_s - 1.0)
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -196,10 +196,10 @@
     return targets.get(server, 0)
 
 
-def _borrow_again(self, lender, loan, asked_s, now_s):
+def _borrow_again(self, lender, loan, asked_s, term_s, now_s):
     if loan.loan_id in self._loans_seen:
         return False
-    return _BORROW(self, lender, loan, asked_s, now_s)
+    return _BORROW(self, lender, loan, asked_s, term_s, now_s)
 
 
 _BORROW = Room.borrow
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -67,20 +67,26 @@
         for name, at_s, usable in table:
             with self.subTest(name):
                 room = make(0)
-                self.assertTrue(room.borrow("d2#1", LOAN, 0.0, 0.1))
+                self.assertTrue(room.borrow("d2#1", LOAN, 0.0, 1.0, 0.1))
                 self.assertEqual(room.take("s1", at_s) is not None, usable)
 
+    def test_loan_ends_with_the_shorter_term(self):
+        room = make(0)
+        room.borrow("d2#1", LOAN, 0.0, 0.5, 0.1)
+        self.assertIsNone(room.take("s1", 0.5))
+        self.assertIsNotNone(room.take("s1", 0.4))
+
     def test_late_loan_is_refused_and_doubled_loan_ignored(self):
         room = make(0)
-        self.assertFalse(room.borrow("d2#1", LOAN, 0.0, 1.0))
-        self.assertTrue(room.borrow("d2#1", LOAN, 1.0, 1.1))
-        self.assertTrue(room.borrow("d2#1", LOAN, 1.0, 1.2))
+        self.assertFalse(room.borrow("d2#1", LOAN, 0.0, 1.0, 1.0))
+        self.assertTrue(room.borrow("d2#1", LOAN, 1.0, 1.0, 1.1))
+        self.assertTrue(room.borrow("d2#1", LOAN, 1.0, 1.0, 1.2))
         self.assertIsNotNone(room.take("s1", 1.3))
         self.assertIsNone(room.take("s1", 1.3))
 
     def test_busy_loan_is_returned_only_when_its_request_has_ended(self):
         room = make(0)
-        room.borrow("d2#1", LOAN, 0.0, 0.1)
+        room.borrow("d2#1", LOAN, 0.0, 1.0, 0.1)
         slot = room.take("s1", 0.2)
         self.assertEqual(room.give_back(5.0, idle=True), {})
         room.release(slot)
