Idle connections only from the homes of a server

Cause, by reasoning: four idle connections of each of 24 daemons and 8 in use are 104 on a server that takes 64. Change: kept only to servers with own slots, for 15 s: at most 20.

--- a/dogwoodlever/_dispatcher.py
+++ b/dogwoodlever/_dispatcher.py
@@ -214,7 +214,11 @@
             (now_s + self.limits.longest_request_s, self._attempt_count),
         )
         return Send(
-            self._attempt_count, request, server, self._timeout_s(request, now_s)
+            self._attempt_count,
+            request,
+            server,
+            self._timeout_s(request, now_s),
+            request.idempotent and not slot.loan_id,
         )
 
     def _timeout_s(self, request: Request, now_s: float) -> float:
--- a/dogwoodlever/_http_platform.py
+++ b/dogwoodlever/_http_platform.py
@@ -33,6 +33,7 @@
 
 CONNECT_TIMEOUT_S = 0.5
 IDLE_CONNECTIONS_PER_SERVER = 4
+IDLE_TIMEOUT_S = 15
 HOP_HEADERS = frozenset(
     {b"connection", b"transfer-encoding", b"keep-alive", b"content-length"}
 )
@@ -71,6 +72,7 @@
     def __init__(self, reactor) -> None:
         pool = HTTPConnectionPool(reactor)
         pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_SERVER
+        pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
         # The dispatcher alone decides whether a request is sent again.
         pool.retryAutomatically = False
         endpoints = AddressEndpoints(reactor, CONNECT_TIMEOUT_S)
--- a/dogwoodlever/_request.py
+++ b/dogwoodlever/_request.py
@@ -57,12 +57,22 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Send `request` to `server` as attempt number `attempt_id`."""
+    """Send `request` to `server` as attempt number `attempt_id`.
+
+    Attributes
+    ----------
+    reuse : bool
+        Whether a kept connection may be used. Connections are kept only to
+        servers with own slots, so that the homes of a server, and not all
+        daemons, hold idle ones; and never used for a request that may not be
+        sent twice, since an idle one may be closing.
+    """
 
     attempt_id: int
     request: Request
     server: str
     timeout_s: float
+    reuse: bool
 
 
 @dataclass(slots=True, frozen=True)
--- a/dogwoodlever/_service_role.py
+++ b/dogwoodlever/_service_role.py
@@ -336,7 +336,7 @@
         self._accounts.started(request_id, effect.server, self._wall_time())
         timer = self._clock.callLater(effect.timeout_s, self._timed_out, effect)
         sent = self._backends.send(
-            server.host, server.port, opened.backend_request, effect.request.idempotent
+            server.host, server.port, opened.backend_request, effect.reuse
         )
         sent.addCallbacks(
             self._answered, self._failed, (effect, timer), None, (effect, timer)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -5,6 +5,7 @@
     DispatcherLimits,
     End,
     Lend,
+    Loan,
     Outcome,
     Reason,
     Request,
@@ -62,6 +63,19 @@
         again = of(Send, dispatcher.not_written(first.attempt_id, 0.1))
         self.assertEqual(len(again), 1)
 
+    def test_connection_is_kept_only_for_own_slots_and_idempotent_requests(self):
+        table = (("own", True, True), ("own, not idempotent", False, False))
+        for name, idempotent, reuse in table:
+            with self.subTest(name):
+                sent = of(Send, make().submit(request(1, "c", idempotent), 0.0))[0]
+                self.assertEqual(sent.reuse, reuse)
+        borrower = make(0)
+        borrower.set_servers({"s1": 8}, set())
+        borrower.submit(request(1), 0.0)
+        loans = (Loan("d2#1/1", "s1"),)
+        sent = of(Send, borrower.lent("d2#1", loans, 0.0, 1.0, 0.1))[0]
+        self.assertFalse(sent.reuse)
+
     def test_attempts_end(self):
         dispatcher = make()
         effects = dispatcher.submit(request(1), 0.0)
