Tidy: one place for keys and encoding, layers checked, a truer frozen clock

The fake of a frozen process could not cancel a call that fell due meanwhile, so that a daemon frozen during its stop never ended; the product was not at fault. A test now holds the imports to one direction and decisions free of transport.

--- a/dogwoodlever/_bounded_site.py
+++ b/dogwoodlever/_bounded_site.py
@@ -11,6 +11,11 @@
 
     _refused = False
 
+    @property
+    def is_open(self) -> bool:
+        """Whether an answer can still be written."""
+        return not (self.finished or self._disconnected)
+
     def gotLength(self, length) -> None:  # noqa: N802
         """Refuse a body that is announced too large."""
         super().gotLength(length)
--- a/dogwoodlever/_callers_resource.py
+++ b/dogwoodlever/_callers_resource.py
@@ -117,11 +117,8 @@
     def _caller_left(self, _failure, request_id: str, service: str) -> None:
         self._gateway.caller_left(request_id, service)
 
-    def _is_open(self, request) -> bool:
-        return not (request.finished or request._disconnected)
-
     def _write(self, ending: Ending, request) -> None:
-        if not self._is_open(request):
+        if not request.is_open:
             return
         request.setHeader(OUTCOME_HEADER, ending.outcome.encode())
         request.setHeader(REQUEST_HEADER, ending.request_id.encode())
@@ -141,7 +138,7 @@
         request.finish()
 
     def _write_error(self, failure, request, request_id: str) -> None:
-        if not self._is_open(request):
+        if not request.is_open:
             return
         if failure.check(UnknownOperationError):
             body = self._refuse(request, 404, str(failure.value))
--- a/dogwoodlever/_cell_role.py
+++ b/dogwoodlever/_cell_role.py
@@ -13,10 +13,10 @@
     LedgerRecord,
     decode_ledger,
     encode_ledger,
-    encode_record,
 )
 from dogwoodlever._logs import log_event
 from dogwoodlever._membership_role import MembershipRole
+from dogwoodlever._records import encode_record
 from dogwoodlever._rendezvous import first
 from dogwoodlever._site import Site, Team
 from dogwoodlever._store_follower import StoreFollower, Written
--- a/dogwoodlever/_claims.py
+++ b/dogwoodlever/_claims.py
@@ -7,8 +7,8 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from dogwoodlever._interfaces import Store
-from dogwoodlever._ledger import encode_record
 from dogwoodlever._record_keys import claims_key
+from dogwoodlever._records import encode_record
 from dogwoodlever.platform_errors import StoreUnavailableError
 
 BUCKETS = 32
--- a/dogwoodlever/_dispatcher.py
+++ b/dogwoodlever/_dispatcher.py
@@ -384,10 +384,6 @@
             self.room.take_back(loan_id)
         return self.pump(now_s)
 
-    def peer_left(self, peer: str) -> None:
-        """Forget what a peer wants."""
-        self._wants.pop(peer, None)
-
     def _neediest_peer(self, now_s: float) -> str | None:
         if self.draining or not self.own_room_usable or not self._wants:
             return None
--- a/dogwoodlever/_ledger.py
+++ b/dogwoodlever/_ledger.py
@@ -1,13 +1,13 @@
 """A cell's ledger: the record of its jobs, tasks and attempts."""
 
 import zlib
-from typing import Any
 
 import msgspec
 
 from dogwoodlever._chart import Chart
 from dogwoodlever._class_estimate import ClassUse
 from dogwoodlever._job import Job
+from dogwoodlever._records import encode_record
 from dogwoodlever.batch_errors import LedgerError
 
 TASK_CHART = Chart.load("task")
@@ -139,11 +139,6 @@
             del self.tasks[task_id]
 
 
-def encode_record(record: Any) -> bytes:
-    """Encode a stored record as JSON."""
-    return msgspec.json.encode(record)
-
-
 def encode_ledger(ledger: LedgerRecord) -> bytes:
     """Encode a ledger as compressed JSON."""
     return zlib.compress(encode_record(ledger), COMPRESSION_LEVEL)
--- a/dogwoodlever/_membership_role.py
+++ b/dogwoodlever/_membership_role.py
@@ -9,7 +9,6 @@
 from dogwoodlever import _record_keys as keys
 from dogwoodlever._backoff import BACKOFF_MAX_S, Backoff
 from dogwoodlever._interfaces import Entry
-from dogwoodlever._ledger import encode_record
 from dogwoodlever._logs import log_event
 from dogwoodlever._members import (
     Member,
@@ -19,6 +18,7 @@
 )
 from dogwoodlever._messages import Fetch, Heartbeat, Message, Value
 from dogwoodlever._peer_mesh import PeerTransport
+from dogwoodlever._records import encode_record
 from dogwoodlever._site import Limits
 from dogwoodlever._store_follower import StoreFollower, Written
 from dogwoodlever._tenure import Basis, PeerEvidence, Tenure
--- a/dogwoodlever/_operators_resource.py
+++ b/dogwoodlever/_operators_resource.py
@@ -14,9 +14,9 @@
 from dogwoodlever import _record_keys as keys
 from dogwoodlever._cells import cell_for_job, cell_names
 from dogwoodlever._job import check_fits, parse_job
-from dogwoodlever._ledger import encode_record
 from dogwoodlever._logs import log_event
 from dogwoodlever._node import Node
+from dogwoodlever._records import encode_record
 from dogwoodlever._reports import Reports
 from dogwoodlever.batch_errors import JobRefusedError
 from dogwoodlever.configuration_errors import (
@@ -281,7 +281,7 @@
 
 
 def _write(answer: Answer, request) -> None:
-    if request.finished or request._disconnected:
+    if not request.is_open:
         return
     body = _write_now(request, answer)
     request.setHeader(b"Content-Length", b"%d" % len(body))
--- a/dogwoodlever/_record_keys.py
+++ b/dogwoodlever/_record_keys.py
@@ -1,10 +1,12 @@
 """Keys of the records in the store."""
 
-MEMBERS = "live/members"
-CONFIGURATION = "live/configuration"
-OWNERS_PREFIX = "live/owners/"
-SHARES_PREFIX = "live/shares/"
-INBOX_PREFIX = "live/inbox/"
+# What every daemon follows; the versions under it are one call.
+LIVE_PREFIX = "live/"
+MEMBERS = f"{LIVE_PREFIX}members"
+CONFIGURATION = f"{LIVE_PREFIX}configuration"
+OWNERS_PREFIX = f"{LIVE_PREFIX}owners/"
+SHARES_PREFIX = f"{LIVE_PREFIX}shares/"
+INBOX_PREFIX = f"{LIVE_PREFIX}inbox/"
 LEDGER_PREFIX = "cells/"
 ARCHIVE_PREFIX = "archive/"
 CLAIMS_PREFIX = "claims/"
--- a/dogwoodlever/_service_role.py
+++ b/dogwoodlever/_service_role.py
@@ -10,12 +10,12 @@
 from dogwoodlever._backoff import Backoff
 from dogwoodlever._dispatcher import Dispatcher, DispatcherLimits
 from dogwoodlever._interfaces import BackendClient, BackendRequest, Entry, VMStates
-from dogwoodlever._ledger import encode_record
 from dogwoodlever._logs import log_event
 from dogwoodlever._members import MemberState
 from dogwoodlever._membership_role import MembershipRole
 from dogwoodlever._messages import LendSlots, Message, ReturnSlots, WantSlots
 from dogwoodlever._peer_mesh import PeerTransport
+from dogwoodlever._records import encode_record
 from dogwoodlever._request import (
     Effect,
     End,
--- a/dogwoodlever/_store_follower.py
+++ b/dogwoodlever/_store_follower.py
@@ -8,10 +8,9 @@
 
 from dogwoodlever._interfaces import Entry, Store, WriteResult
 from dogwoodlever._logs import log_event
+from dogwoodlever._record_keys import INBOX_PREFIX, LIVE_PREFIX
 from dogwoodlever.platform_errors import StoreUnavailableError
 
-LIVE_PREFIX = "live/"
-INBOX_PREFIX = "live/inbox/"
 READ_BACK_PAUSE_S = 0.5
 
 
--- a/dogwoodlever/batch.py
+++ b/dogwoodlever/batch.py
@@ -13,7 +13,6 @@
     TaskEvent,
     decode_ledger,
     encode_ledger,
-    encode_record,
 )
 from dogwoodlever._placement import BestFit, PlacementRound, Placer
 from dogwoodlever._quota import QuotaBook
@@ -41,7 +40,6 @@
     "check_fits",
     "decode_ledger",
     "encode_ledger",
-    "encode_record",
     "parse_job",
     "reservations",
 ]
--- a/standins/in_process.py
+++ b/standins/in_process.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import AlreadyCalled
 from twisted.internet.interfaces import IReactorTime
 from zope.interface import implementer
 
@@ -37,6 +38,43 @@
 VM_LIST_LAG_S = 3.0
 
 
+class ProcessCall:
+    """A delayed call of one process; it may be due while the process is frozen."""
+
+    __slots__ = ("_action", "_delayed", "_done")
+
+    def __init__(self, action: Callable[[], None]) -> None:
+        self._action = action
+        self._delayed = None
+        self._done = False
+
+    def schedule(self, clock, delay_s: float, due: Callable) -> None:
+        """Let `clock` call `due` with this call."""
+        self._delayed = clock.callLater(delay_s, due, self)
+
+    def run(self) -> None:
+        """Run the action unless it was cancelled."""
+        if not self._done:
+            self._done = True
+            self._action()
+
+    def active(self) -> bool:
+        """Tell whether the action is still to run."""
+        return not self._done
+
+    def cancel(self) -> None:
+        """Cancel the action."""
+        if self._done:
+            raise AlreadyCalled
+        self._done = True
+        if self._delayed.active():
+            self._delayed.cancel()
+
+    def getTime(self) -> float:  # noqa: N802
+        """Return when the action is due."""
+        return self._delayed.getTime()
+
+
 @implementer(IReactorTime)
 class ProcessClock:
     """Clock of one process, which can be frozen or ended.
@@ -51,7 +89,7 @@
         self._clock = clock
         self._frozen = False
         self._dead = False
-        self._held: list[Callable[[], None]] = []
+        self._held: list[ProcessCall] = []
 
     def seconds(self) -> float:
         """Return the time."""
@@ -59,19 +97,21 @@
 
     def callLater(self, delay, callable, *args, **kw):  # noqa: A002, N802
         """Call later, but not while the process is frozen."""
-        return self._clock.callLater(delay, self._call, callable, args, kw)
+        call = ProcessCall(lambda: callable(*args, **kw))
+        call.schedule(self._clock, delay, self._due)
+        return call
 
     def getDelayedCalls(self):  # noqa: N802
         """Return the delayed calls of all processes."""
         return self._clock.getDelayedCalls()
 
-    def _call(self, action, args, kw) -> None:
+    def _due(self, call: ProcessCall) -> None:
         if self._dead:
             return
         if self._frozen:
-            self._held.append(lambda: action(*args, **kw))
+            self._held.append(call)
             return
-        action(*args, **kw)
+        call.run()
 
     def freeze(self) -> None:
         """Hold everything that would run."""
@@ -81,8 +121,8 @@
         """Run what was held, in order."""
         self._frozen = False
         held, self._held = self._held, []
-        for action in held:
-            action()
+        for call in held:
+            call.run()
 
     def kill(self) -> None:
         """Run nothing any more."""
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,65 @@
+import ast
+import unittest
+from graphlib import TopologicalSorter
+from pathlib import Path
+
+PACKAGE = Path(__file__).parent.parent / "dogwoodlever"
+# Decisions know no transport: events and the time in, effects out.
+DECISIONS = (
+    "_cell",
+    "_dispatcher",
+    "_fault_attribution",
+    "_guard",
+    "_ledger",
+    "_members",
+    "_orders",
+    "_placement",
+    "_quota",
+    "_room",
+    "_room_maker",
+    "_shares",
+    "_slowdown",
+    "_task_queue",
+    "_tenure",
+)
+
+
+def imports(file):
+    found = set()
+    for node in ast.walk(ast.parse(file.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            found.add(node.module)
+            found |= {f"{node.module}.{alias.name}" for alias in node.names}
+        elif isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+    return found
+
+
+def graph():
+    files = {f"dogwoodlever.{file.stem}": file for file in PACKAGE.glob("*.py")}
+    return {name: imports(file) & set(files) for name, file in files.items()}
+
+
+class ImportsTest(unittest.TestCase):
+    def test_dependencies_point_one_way(self):
+        self.assertTrue(list(TopologicalSorter(graph()).static_order()))
+
+    def test_product_imports_no_stand_in_and_no_test(self):
+        for file in PACKAGE.glob("*.py"):
+            outside = {name.partition(".")[0] for name in imports(file)}
+            self.assertFalse(outside & {"standins", "tests", "benchmarks", "examples"})
+
+    def test_decisions_know_no_transport(self):
+        edges = graph()
+        interfaces = "dogwoodlever._interfaces"
+        for name in DECISIONS:
+            with self.subTest(name):
+                self.assertFalse(
+                    {i for i in imports(PACKAGE / f"{name}.py") if "twisted" in i}
+                )
+                near = edges[f"dogwoodlever.{name}"] - {interfaces}
+                for module in near:
+                    file = PACKAGE / f"{module.partition('.')[2]}.py"
+                    self.assertFalse(
+                        {i for i in imports(file) if i.startswith("twisted")}, module
+                    )
