--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,110 @@
+import unittest
+
+import msgspec
+from returns.result import Failure
+
+from dogwoodlever.configuration import (
+    ConfigurationFollower,
+    ConfigurationRecord,
+    encode_configuration,
+)
+from dogwoodlever.configuration_errors import ConfigurationError
+from standins.bench_site import FakeSite
+from tests.sites import make_site
+
+TEXT = msgspec.json.encode(msgspec.to_builtins(make_site())).decode()
+
+
+def record(revision, **more):
+    return ConfigurationRecord(revision, (("site.json", TEXT),), **more)
+
+
+class FollowerTest(unittest.TestCase):
+    def test_only_newer_is_taken(self):
+        follower = ConfigurationFollower()
+        table = (
+            ("first", 5, 2, True),
+            ("older version", 4, 3, False),
+            ("same", 5, 2, False),
+            ("newer version, older revision", 6, 1, False),
+            ("newer", 7, 3, True),
+        )
+        for name, version, revision, taken in table:
+            with self.subTest(name):
+                value = encode_configuration(record(revision))
+                self.assertEqual(follower.offer(version, value), taken)
+        self.assertEqual(follower.record.revision, 3)
+
+    def test_value_that_cannot_be_read_leaves_what_was_in_force(self):
+        follower = ConfigurationFollower()
+        follower.offer(1, encode_configuration(record(1)))
+        bad = ConfigurationRecord(2, (("site.yaml", "site: x"),))
+        for value in (b"garbage", encode_configuration(bad)):
+            with self.assertRaises(ConfigurationError):
+                follower.offer(2, value)
+        self.assertEqual(follower.record.revision, 1)
+
+    def test_data_centre_out_is_part_of_the_site(self):
+        site = record(1, out=("foreshore",)).site().unwrap()
+        self.assertTrue(site.data_centres["foreshore"].out)
+        self.assertFalse(site.data_centres["fremantle"].out)
+
+    def test_removing_a_data_centre_that_is_out_is_refused(self):
+        found = record(1, out=("nowhere",)).site()
+        self.assertIsInstance(found, Failure)
+        self.assertIn("nowhere", str(found.failure()))
+
+
+class RacingOperatorsTest(unittest.TestCase):
+    def setUp(self):
+        self.fake = FakeSite(make_site(), 3)
+        self.fake.settle()
+        self.ends = []
+
+    def note(self, deferred):
+        deferred.addCallbacks(self.ends.append, lambda f: self.ends.append(f.type))
+
+    def role(self, name):
+        return self.fake.daemons[name].node.configuration
+
+    def revisions(self):
+        nodes = [daemon.node for daemon in self.fake.daemons.values()]
+        return {node.configuration.in_force.record.revision for node in nodes}
+
+    def test_two_documents_never_both_win(self):
+        documents = (("site.json", TEXT),)
+        for name in ("d1", "d2"):
+            self.note(self.role(name).apply(documents, name, 1))
+        self.fake.advance(1.0)
+        self.assertEqual(len([end for end in self.ends if end == 2]), 1)
+        self.assertEqual(len(self.ends), 2)
+        self.assertEqual(self.revisions(), {2})
+
+    def test_two_data_centres_both_go(self):
+        for name, centre in (("d1", "foreshore"), ("d2", "fremantle")):
+            self.note(self.role(name).set_data_centre(centre, True, name))
+        self.fake.advance(2.0)
+        self.assertEqual(sorted(self.ends), [2, 3])
+        out = {self.role(name).in_force.record.out for name in self.fake.daemons}
+        self.assertEqual(out, {("foreshore", "fremantle")})
+
+    def test_answer_lost_after_the_write_is_accepted_once(self):
+        self.fake.values.faults.answers_to_lose = 1
+        self.note(self.role("d1").set_data_centre("foreshore", True, "me"))
+        self.fake.advance(3.0)
+        self.assertEqual((self.ends, self.revisions()), ([2], {2}))
+
+    def test_in_force_everywhere_within_two_seconds(self):
+        self.fake.daemons["d3"].store.cut = True
+        self.note(self.role("d1").set_data_centre("foreshore", True, "me"))
+        self.fake.advance(2.0)
+        self.assertEqual(self.revisions(), {2})
+
+    def test_daemon_that_starts_in_an_outage_learns_from_its_peers_afterwards(self):
+        self.fake.values.faults.down = True
+        started = self.fake.start("d4", "foreshore")
+        self.fake.advance(10.0)
+        self.assertFalse(started.node.healthy())
+        self.fake.values.faults.down = False
+        self.fake.advance(5.0)
+        self.assertTrue(started.node.healthy())
--- /dev/null
+++ b/tests/test_etcd_store.py
@@ -0,0 +1,84 @@
+import io
+import unittest
+from types import SimpleNamespace
+
+from twisted.internet.defer import fail, succeed
+
+from dogwoodlever.platform import Entry, EtcdStore
+from dogwoodlever.platform_errors import StoreUnavailableError
+from standins.http_store import StoreResource
+from standins.key_values import KeyValues
+
+
+class DirectFetcher:
+    """Hands requests to the stand-in's resource without a connection."""
+
+    def __init__(self, values):
+        self._resource = StoreResource(values)
+        self.answer = None
+
+    def fetch(self, method, url, body=b""):
+        if self.answer is not None:
+            return self.answer
+        path = url.removeprefix("http://store").encode()
+        request = SimpleNamespace(path=path, content=io.BytesIO(body))
+        return succeed((200, self._resource.render(request)))
+
+
+class EtcdStoreTest(unittest.TestCase):
+    def setUp(self):
+        self.values = KeyValues()
+        self.fetcher = DirectFetcher(self.values)
+        self.store = EtcdStore(self.fetcher, "http://store/")
+
+    def result(self, deferred):
+        found = []
+        deferred.addCallbacks(found.append, lambda failure: found.append(failure.type))
+        return found[0]
+
+    def test_compare_and_swap(self):
+        first = self.result(self.store.write("a/1", b"x", 0))
+        self.assertEqual((first.committed, first.entry), (True, Entry(b"x", 1)))
+        table = (
+            ("absent expected", 0, False, Entry(b"x", 1)),
+            ("other version", 7, False, Entry(b"x", 1)),
+            ("this version", 1, True, Entry(b"y", 2)),
+        )
+        for name, expected, committed, entry in table:
+            with self.subTest(name):
+                found = self.result(self.store.write("a/1", b"y", expected))
+                self.assertEqual((found.committed, found.entry), (committed, entry))
+
+    def test_conflict_with_an_absent_key(self):
+        found = self.result(self.store.write("a", b"x", 5))
+        self.assertEqual((found.committed, found.entry), (False, None))
+
+    def test_read(self):
+        self.assertIsNone(self.result(self.store.read("a")))
+        self.values.write("a", bytes(range(256)), 0)
+        found = self.result(self.store.read("a"))
+        self.assertEqual(found, Entry(bytes(range(256)), 1))
+
+    def test_list_is_of_the_prefix_alone(self):
+        for key in ("live/a", "live/b", "livf", "liv", "other"):
+            self.values.write(key, b"", 0)
+        found = self.result(self.store.list_versions("live/"))
+        self.assertEqual(found, {"live/a": 1, "live/b": 2})
+
+    def test_delete(self):
+        self.values.write("a", b"x", 0)
+        self.assertFalse(self.result(self.store.delete("a", 2)))
+        self.assertTrue(self.result(self.store.delete("a", 1)))
+        self.assertFalse(self.result(self.store.delete("a", 1)))
+
+    def test_no_answer(self):
+        table = (
+            ("connection", fail(ConnectionError("refused"))),
+            ("status", succeed((503, b""))),
+            ("no JSON", succeed((200, b"<html>"))),
+        )
+        for name, answer in table:
+            with self.subTest(name):
+                self.fetcher.answer = answer
+                found = self.result(self.store.read("a"))
+                self.assertIs(found, StoreUnavailableError)
