--- a/dogwoodlever/_cell.py
+++ b/dogwoodlever/_cell.py
@@ -463,6 +463,8 @@
         job = self._job(task)
         cores = self._cores(job)
         if not self.quota.allows(job.team, cores, job.accelerators):
+            if job.urgent:
+                self._make_quota(job, wall_s)
             return False
         view = places.choose(
             cores, job.memory_bytes, job.accelerators, set(task.failed_on)
@@ -487,6 +489,17 @@
             reason = f"makes room for urgent job {job.job}"
             self._apply(victim, "evict", wall_s, reason)
 
+    def _make_quota(self, job: Job, wall_s: float) -> None:
+        """Evict the team's own other work for an urgent job over its quota."""
+        free = self.quota.free(job.team)
+        waiting = self._queue.waiting(job)
+        victims = self._room_maker.choose_in_team(
+            job, waiting, free.cores, free.accelerators
+        )
+        for victim in victims:
+            reason = f"makes room in the quota for urgent job {job.job}"
+            self._apply(victim, "evict", wall_s, reason)
+
     def _line_order(self, line: Line) -> tuple:
         return (not line.urgent, self.quota.dominant_share(line.team))
 
--- a/dogwoodlever/_quota.py
+++ b/dogwoodlever/_quota.py
@@ -57,6 +57,13 @@
             return False
         return use.accelerators + accelerators <= quota.accelerators
 
+    def free(self, team: str) -> TeamUse:
+        """Return what is left of a team's quota."""
+        quota, use = self._teams.get(team), self.use(team)
+        if quota is None:
+            return TeamUse()
+        return TeamUse(quota.cores - use.cores, quota.accelerators - use.accelerators)
+
     def dominant_share(self, team: str) -> float:
         """Return the larger of the team's parts of its quotas."""
         quota = self._teams.get(team)
--- a/dogwoodlever/_room_maker.py
+++ b/dogwoodlever/_room_maker.py
@@ -75,6 +75,37 @@
             coming += 1
         return victims
 
+    def choose_in_team(
+        self, job: Job, count: int, cores: float, accelerators: int
+    ) -> list[Task]:
+        """Return tasks of the job's own team whose end frees quota for it.
+
+        Parameters
+        ----------
+        job : Job
+            An urgent job that the team's quota has no room for.
+        count : int
+            Its tasks that wait.
+        cores, accelerators : float, int
+            What is free of the quota now.
+        """
+        quota = FreeRoom(cores, job.memory_bytes * count, accelerators)
+        for task in self._ledger.tasks.values():
+            other = self._job(task)
+            if other.team != job.team:
+                continue
+            if task.state in FREEING_STATES:
+                quota.add(task.planned_cores, other)
+            elif task.state in EVICTABLE_STATES and not other.urgent:
+                quota.evictable.append(task)
+        quota.evictable.sort(key=lambda task: (self._cost_s(task), task.task_id))
+        victims: list[Task] = []
+        while quota.fits(job) < count and quota.evictable:
+            task = quota.evictable.pop(0)
+            quota.add(task.planned_cores, self._job(task))
+            victims.append(task)
+        return victims
+
     def _job(self, task: Task) -> Job:
         return self._ledger.jobs[task.job_id]
 
