No accepted job is lost, and no cancellation passes its job by

Both found by reading the owner's step, then by tests that failed. A commit that met another writer dropped the cell, but the jobs taken for it were deleted from the inbox all the same: 0 of 2 tasks ran. They are now deleted only if the cell is still held. And the inbox was taken in the order of names, cancellations first, so that one written right after its job found none: 2 tasks ran; now it is taken in the order of the writes.

--- a/dogwoodlever/_cell_role.py
+++ b/dogwoodlever/_cell_role.py
@@ -132,10 +132,10 @@
         owner = self._owner()
         wanted = self._wanted_owner() == me and not self._closing
         if owner is not None and owner.owner == me:
-            if self.cell is None:
-                yield self._load(owner)
             if not wanted and self._wanted_owner() is not None:
                 yield self._hand_over(owner)
+            elif self.cell is None:
+                yield self._load(owner)
             return
         self.cell = None
         if wanted and self._is_vacant(owner):
@@ -196,7 +196,8 @@
     @inlineCallbacks
     def _hand_over(self, owner: OwnerRecord):
         """Commit what is open, stop renewing leases, then clear the owner."""
-        yield self._commit()
+        if self.cell is not None:
+            yield self._commit()
         self.cell = None
         if self._syncing:
             return
@@ -312,9 +313,11 @@
     def _take_inbox(self):
         """Move submitted jobs and cancellations into the ledger."""
         prefix = f"{keys.INBOX_PREFIX}{self.name}/"
+        # In the order of their writes, so that a cancellation finds its job.
+        inbox = self._follower.inbox
         found = [
             key
-            for key in sorted(self._follower.inbox)
+            for key in sorted(inbox, key=inbox.get)
             if key.startswith(prefix) and key not in self._taking
         ]
         taken = {}
@@ -326,6 +329,9 @@
         if not taken:
             return
         yield self._commit()
+        if self.cell is None:
+            # Another owner has written; the inbox still holds what was taken.
+            return
         for key, version in taken.items():
             self._delete_taken(key, version)
 
--- a/tests/test_cell_role.py
+++ b/tests/test_cell_role.py
@@ -131,3 +131,27 @@
         for name in ids:
             self.assertIn(f"archive/{name}", self.fake.values.entries)
         self.assertLessEqual(self.fake.values.calls["write"], 20 + 12)
+
+    def test_job_is_not_lost_when_its_commit_meets_another_writer(self):
+        self.submit("kept", 2, 1.0)
+        key = f"cells/{CELL}"
+        for _ in range(40):
+            entry = self.fake.values.entries[key]
+            self.fake.values.write(key, entry.value, entry.version)
+            self.fake.advance(0.05)
+        self.fake.advance(10.0)
+        self.assertEqual(self.finished("kept"), 2)
+
+    def test_cancellation_right_after_the_job_is_kept(self):
+        for order in (("job", "cancel"), ("cancel", "job")):
+            with self.subTest(order):
+                self.setUp()
+                for kind in order:
+                    if kind == "job":
+                        self.submit("j", 2, 1.0)
+                    else:
+                        key = f"live/inbox/{CELL}/cancel/c"
+                        self.fake.values.write(key, b'["j"]', 0)
+                self.fake.advance(8.0)
+                expected = 0 if order[0] == "job" else 2
+                self.assertEqual(self.finished("j"), expected)
