A reloaded cell is obeyed by its workers at once

Found by reading, then by a test that failed: an owner that reloaded its cell after a conflict counted its synchronisations from 1 under the same epoch, so that workers refused them as old until the count passed the former one; leases lapsed and 8 running tasks were stopped and begun again. The epoch now rises with each load.

--- a/dogwoodlever/_cell_role.py
+++ b/dogwoodlever/_cell_role.py
@@ -27,10 +27,16 @@
 
 
 class OwnerRecord(msgspec.Struct, frozen=True):
-    """Who owns a cell; empty after a handover."""
+    """Who owns a cell; empty after a handover.
+
+    Attributes
+    ----------
+    term : int
+        Counts the changes of owner.
+    """
 
     owner: str = ""
-    epoch: int = 0
+    term: int = 0
 
 
 class CellRole:
@@ -148,14 +154,14 @@
 
     @inlineCallbacks
     def _take(self, owner: OwnerRecord | None):
-        epoch = 1 if owner is None else owner.epoch + 1
-        taken = OwnerRecord(self._membership.member_id, epoch)
+        term = 1 if owner is None else owner.term + 1
+        taken = OwnerRecord(self._membership.member_id, term)
         key = keys.owner_key(self.name)
         written = yield self._follower.swap(
             key, encode_record(taken), self._follower.version(key)
         )
         if written == Written.COMMITTED:
-            log_event("cell.taken", cell=self.name, epoch=epoch)
+            log_event("cell.taken", cell=self.name, term=term)
             yield self._load(taken)
 
     @inlineCallbacks
@@ -164,7 +170,8 @@
         key = keys.ledger_key(self.name)
         entry = yield self._follower.read(key)
         ledger = LedgerRecord() if entry is None else decode_ledger(entry.value)
-        ledger.owner, ledger.epoch = owner.owner, owner.epoch
+        # Each load counts its synchronisations anew, the same owner's too.
+        ledger.owner, ledger.epoch = owner.owner, ledger.epoch + 1
         ledger.sequence += 1
         lease_s = self._membership.limits.worker_lease_s
         ledger.lease_s = max(ledger.lease_s, lease_s)
@@ -202,7 +209,7 @@
         if self._syncing:
             return
         key = keys.owner_key(self.name)
-        cleared = OwnerRecord("", owner.epoch)
+        cleared = OwnerRecord("", owner.term)
         yield self._follower.swap(
             key, encode_record(cleared), self._follower.version(key)
         )
--- a/dogwoodlever/_ledger.py
+++ b/dogwoodlever/_ledger.py
@@ -102,7 +102,7 @@
     classes : dict of str to ClassUse
         What tasks of each class were measured to use.
     epoch : int
-        Raised by each change of owner; workers refuse lower ones.
+        Raised whenever an owner loads the ledger; workers refuse lower ones.
     """
 
     owner: str = ""
--- a/tests/test_cell_role.py
+++ b/tests/test_cell_role.py
@@ -155,3 +155,15 @@
                 self.fake.advance(8.0)
                 expected = 0 if order[0] == "job" else 2
                 self.assertEqual(self.finished("j"), expected)
+
+    def test_reloaded_cell_is_obeyed_by_its_workers_at_once(self):
+        self.submit("long", 8, 40.0)
+        self.fake.advance(20.0)
+        key = f"cells/{CELL}"
+        entry = self.fake.values.entries[key]
+        self.fake.values.write(key, entry.value, entry.version)
+        self.submit("next", 1, 1.0)
+        self.fake.advance(15.0)
+        self.assertEqual(self.finished("next"), 1)
+        self.fake.advance(10.0)
+        self.assertEqual((len(self.runs("long")), self.finished("long")), (8, 8))
