A keyed request that waits for its claim ends at its deadline

Found by a test with a slow store: nothing was answered 0.4 s into a request of 0.3 s. It now ends at the deadline as not run, and its key is free for a repeat.

--- a/dogwoodlever/_gateway.py
+++ b/dogwoodlever/_gateway.py
@@ -5,6 +5,7 @@
 from secrets import token_hex
 
 import msgspec
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.defer import inlineCallbacks
 
 from dogwoodlever._interfaces import BackendAnswer, BackendRequest
@@ -201,10 +202,8 @@
         replaces = ""
         while True:
             try:
-                holder = yield self._node.claims.claim(
-                    received.caller, received.key, request.request_id, replaces
-                )
-            except StoreUnavailableError:
+                holder = yield self._holder(request, received, replaces)
+            except (StoreUnavailableError, DeferredTimeoutError):
                 return Ending(
                     request.request_id,
                     Outcome.NOT_RUN,
@@ -220,6 +219,15 @@
             # The holder was told that it did not run, so the key is free.
             replaces = holder
 
+    def _holder(self, request: Request, received: CallerRequest, replaces: str):
+        """Claim the key; gives its holder, or fails at the deadline."""
+        clock = self._node.clock
+        claimed = self._node.claims.claim(
+            received.caller, received.key, request.request_id, replaces
+        )
+        remaining_s = max(0.0, request.deadline_s - clock.seconds())
+        return claimed.addTimeout(remaining_s, clock)
+
     def _repeated(self, request: Request, holder: str, outcome: str) -> Ending:
         ended = Outcome.ANSWERED if outcome == Outcome.ANSWERED else Outcome.UNKNOWN
         retry_after_s = ceil(OPEN_RETRY_AFTER_S) if outcome == "open" else None
--- a/tests/test_callers_resource.py
+++ b/tests/test_callers_resource.py
@@ -110,6 +110,19 @@
         self.assertIn(b"409", value)
         self.assertIn(b"first_request", value)
 
+    def test_claim_that_takes_too_long_ends_at_the_deadline(self):
+        faults = self.world.fake.values.faults
+        faults.delay_s = 0.8
+        self.addCleanup(setattr, faults, "delay_s", 0.0)
+        headers = "Idempotency-Key: slow\r\nRequest-Timeout: 0.3\r\n"
+        value = self.send(post("/dispatch/book", b"slow", headers), wait_s=0.4).value()
+        self.assertIn(b"503", value)
+        self.assertIn(b"Retry-After: 2", value)
+        faults.delay_s = 0.0
+        self.world.run(2.0, load=False)
+        again = post("/dispatch/book", b"slow", "Idempotency-Key: slow\r\n")
+        self.assertIn(b"200 OK", self.send(again, daemon="d2").value())
+
     def test_health(self):
         data = b"GET /health HTTP/1.1\r\nHost: d\r\n\r\n"
         self.assertIn(b"200 OK", self.send(data, wait_s=0.01).value())
