--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,9 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
+# The order of sets decides the order of messages; it is the same on every run.
+export PYTHONHASHSEED := 0
+
 .PHONY: demo test lint format bench soak clean
 
 $(STAMP): pyproject.toml constraints.txt
