Largest room found once a settings change, not once a placement

From reading the change again: the planned size of a task looked through all workers of the cell at each try to place one, though their room changes with the settings only. Not measured.

--- a/dogwoodlever/_cell.py
+++ b/dogwoodlever/_cell.py
@@ -56,7 +56,6 @@
     """A ledger value to write by compare-and-swap."""
 
     value: bytes
-    number: int
 
 
 class Cell:
@@ -106,7 +105,6 @@
         self.slowdown = SlowdownEstimator()
         self._placer = placer or BestFit()
         self._sync_count = 0
-        self._commit_count = 0
         self._dirty: set[str] = set()
         self._in_flight: set[str] = set()
         self._jobs_dirty = False
@@ -156,6 +154,8 @@
             view.removed = False
             view.cores_room = spec.cores - cores
             view.memory_room_bytes = spec.memory_bytes - memory
+        rooms = (view.cores_room for view in self.workers.values())
+        self._cores_room_max = max(rooms, default=float("inf"))
         for name in set(self.workers) - names:
             self.workers[name].removed = True
         self.quota = QuotaBook(site.teams if teams is None else teams)
@@ -185,8 +185,7 @@
         of its class may make its tasks wait, but not for ever.
         """
         learned = self.estimates.cores(job.task_class, job.cores)
-        most = max((v.cores_room for v in self.workers.values()), default=learned)
-        return min(learned, most, self.quota.cores(job.team))
+        return min(learned, self._cores_room_max, self.quota.cores(job.team))
 
     def _charge(self, task: Task) -> None:
         job = self._job(task)
@@ -485,9 +484,8 @@
     def _make_room(self, job: Job, places: PlacementRound, wall_s: float) -> None:
         """Evict other work for the tasks of an urgent job that still wait."""
         waiting = self._queue.waiting(job)
-        for victim in self._room_maker.choose(job, waiting, places.views()):
-            reason = f"makes room for urgent job {job.job}"
-            self._apply(victim, "evict", wall_s, reason)
+        victims = self._room_maker.choose(job, waiting, places.views())
+        self._evict(victims, wall_s, f"makes room for urgent job {job.job}")
 
     def _make_quota(self, job: Job, wall_s: float) -> None:
         """Evict the team's own other work for an urgent job over its quota."""
@@ -496,8 +494,11 @@
         victims = self._room_maker.choose_in_team(
             job, waiting, free.cores, free.accelerators
         )
+        reason = f"makes room in the quota for urgent job {job.job}"
+        self._evict(victims, wall_s, reason)
+
+    def _evict(self, victims: Iterable[Task], wall_s: float, reason: str) -> None:
         for victim in victims:
-            reason = f"makes room in the quota for urgent job {job.job}"
             self._apply(victim, "evict", wall_s, reason)
 
     def _line_order(self, line: Line) -> tuple:
@@ -510,9 +511,8 @@
         self._committing = True
         self._in_flight, self._dirty = self._dirty, set()
         self._jobs_dirty = False
-        self._commit_count += 1
         self.ledger.sequence += 1
-        return Commit(encode_ledger(self.ledger), self._commit_count)
+        return Commit(encode_ledger(self.ledger))
 
     def committed(self) -> None:
         """Record that the value last returned was written."""
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -274,6 +274,15 @@
     return True
 
 
+def _break_not_run(self, attempt_id, now_s):
+    attempt = self._attempts.get(attempt_id)
+    if attempt is None or attempt.abandoned:
+        return []
+    attempt.abandoned = True
+    end = End(attempt.request, Outcome.NOT_RUN, Reason.BROKEN, "", 1.0)
+    return [end, *self.pump(now_s)]
+
+
 ROWS = (
     (
         "slots: rows of a share record only grow into free slots",
@@ -323,7 +332,7 @@
             (
                 Dispatcher,
                 "broken",
-                lambda self, attempt_id, now_s: _break_not_run(self, attempt_id, now_s),
+                _break_not_run,
             ),
         ],
     ),
@@ -373,15 +382,6 @@
 )
 
 
-def _break_not_run(self, attempt_id, now_s):
-    attempt = self._attempts.get(attempt_id)
-    if attempt is None or attempt.abandoned:
-        return []
-    attempt.abandoned = True
-    end = End(attempt.request, Outcome.NOT_RUN, Reason.BROKEN, "", 1.0)
-    return [end, *self.pump(now_s)]
-
-
 class PromisesTest(unittest.TestCase):
     pass
 
