A former leader starts no job of its successor

Ruled out: inherited jobs; they wait for each worker on the roster. Change: a job waits until the lease, renewed by a call sent within its term, or an answer of the leader's record asked for after its arrival, shows that nobody else can have led. The test failed first: 8 starts instead of 4.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
+from dogwoodlever._fleet_follower import PrefixFollower
 from dogwoodlever._fleet_interfaces import FleetStore, Put, Record
 from dogwoodlever._fleet_records import (
     LEADER_KEY,
@@ -56,9 +57,8 @@
         other daemon led since this one did.
     deposed : callable
         Called when this daemon leads no more.
-    contact_s : callable
-        Returns when the leader's record was last read or watched with success; a
-        successor would have been seen then.
+    follower : PrefixFollower
+        Follows the leader's record; tells when a successor would have been seen.
     """
 
     def __init__(
@@ -69,7 +69,7 @@
         core_share: float,
         elected: Callable[[int, int, bool], None],
         deposed: Callable[[str], None],
-        contact_s: Callable[[], float],
+        follower: PrefixFollower,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -77,7 +77,7 @@
         self._core_share = core_share
         self._elected = elected
         self._deposed = deposed
-        self._contact_s = contact_s
+        self._follower = follower
         self._random = random.Random(record.member)
         self._lease_id = 0
         self._leader_revision = 0
@@ -94,6 +94,12 @@
         self.leads = False
         self.renewed_s = float("-inf")
 
+    @property
+    def confirmed_until_s(self) -> float:
+        """Time until which this daemon is known to have led without a successor."""
+        lease_s = self.renewed_s + LEASE_TTL_MS / 1000
+        return max(lease_s, self._follower.asked_s)
+
     def close(self) -> None:
         """Stop to renew and to stand as a candidate."""
         self._is_closed = True
@@ -254,7 +260,7 @@
     def _check_unconfirmed(self) -> None:
         if not self.leads:
             return
-        confirmed_s = max(self.renewed_s, self._contact_s())
+        confirmed_s = max(self.renewed_s, self._follower.contact_s)
         age_s = self._clock.seconds() - confirmed_s
         if age_s > UNCONFIRMED_MAX_S:
             self.depose(f"unconfirmed for {age_s:.1f} s")
--- a/dogwoodlever/_fleet_follower.py
+++ b/dogwoodlever/_fleet_follower.py
@@ -53,8 +53,9 @@
         self._revision = 0
         self._is_closed = False
         self._retry = None
-        # Time of the last answer of the store.
+        # Time of the last answer of the store, and of the call that it answered.
         self.contact_s = float("-inf")
+        self.asked_s = float("-inf")
         self.is_connected = False
 
     def open(self) -> None:
@@ -69,6 +70,7 @@
 
     @inlineCallbacks
     def _step(self):
+        asked_s = self._clock.seconds()
         try:
             if self._revision:
                 yield self._watch()
@@ -83,6 +85,7 @@
             refused = isinstance(error, StoreRefusedError)
             self._again(RETRY_REFUSED_S if refused else RETRY_S)
             return
+        self.asked_s = asked_s
         self._regained()
         self._again(0.0)
 
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -1,5 +1,6 @@
 """The leader: carries all jobs, orders workers, stores progress."""
 
+from collections import deque
 from collections.abc import Callable
 from itertools import islice
 
@@ -79,6 +80,8 @@
         Counters and histograms.
     kept_s : float
         How long the state of an ended job has to be readable.
+    confirmed_until_s : callable
+        Returns the time until which nobody else can have led.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         unstored: Callable[[dict[str, bytes]], None],
         metrics: FleetMetrics,
         kept_s: float,
+        confirmed_until_s: Callable[[], float],
     ) -> None:
         self._store = store
         self._clock = clock
@@ -141,6 +145,9 @@
         self._cancelled: set[str] = set()
         self._progress: dict[str, bytes] = {}
         self._held = held
+        self._confirmed_until_s = confirmed_until_s
+        # Jobs that may have been accepted under a successor, with their arrival.
+        self._unconfirmed: deque[tuple[float, Record]] = deque()
         self._plan_pause_s = PLAN_PAUSE_S
         self._plan_call = None
         self._tick_call = None
@@ -233,10 +240,26 @@
         if record.value is None:
             return
         if record.key.startswith(JOBS_PREFIX):
-            self._take_job(record)
+            now_s = self._clock.seconds()
+            self._unconfirmed.append((now_s, record))
+            self._take_confirmed()
+            if self._unconfirmed:
+                age_s = now_s - self._confirmed_until_s()
+                log_event("job.held", key=record.key, unconfirmed_s=age_s)
         elif record.key.startswith(CANCELS_PREFIX):
             self._take_cancel(record.key[len(CANCELS_PREFIX) :])
 
+    def _take_confirmed(self) -> None:
+        """Take the jobs that arrived while nobody else can have led.
+
+        A leader that was cut off may hear of its successor's jobs before it hears
+        of its successor, and reach workers that the successor could not fence.
+        """
+        confirmed_until_s = self._confirmed_until_s()
+        while self._unconfirmed and self._unconfirmed[0][0] <= confirmed_until_s:
+            _, record = self._unconfirmed.popleft()
+            self._take_job(record)
+
     def _take_job(self, record: Record) -> None:
         job = decode_submission(record.value)
         if job.job_id in self.board.jobs:
@@ -315,6 +338,7 @@
         if self.is_closed:
             return
         self._tick_call = self._clock.callLater(TICK_S, self._tick)
+        self._take_confirmed()
         self.board.open_due(self._unix_s() * 1000)
         self.workers.give_up_unread()
         self._move_slowed(self._clock.seconds())
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -84,6 +84,9 @@
         self.peers = FleetPeers(self.mesh, clock, answers)
         self.site = FleetSite(self._site_changed)
         self.leader: FleetLeader | None = None
+        self._leader_follower = PrefixFollower(
+            store, clock, LEADER_KEY, self._take_leader, self._leader_listed
+        )
         self.election = Election(
             store,
             clock,
@@ -91,7 +94,7 @@
             settings.core_share,
             self._elected,
             self._deposed,
-            lambda: self._leader_follower.contact_s,
+            self._leader_follower,
         )
         self.desk = FleetDesk(
             store,
@@ -109,9 +112,6 @@
             unix_s,
             lambda call, outcome: self.metrics.calls.labels(call, outcome).inc(),
         )
-        self._leader_follower = PrefixFollower(
-            store, clock, LEADER_KEY, self._take_leader, self.election.listed
-        )
         self._followers = [
             PrefixFollower(store, clock, OPERATORS_PREFIX, self.site.take),
             self._leader_follower,
@@ -161,6 +161,9 @@
             log_event("leader.known", member=leader.member, revision=record.revision)
             self.peers.set_leader(leader.member, leader.peer_key)
 
+    def _leader_listed(self) -> None:
+        self.election.listed()
+
     def _leader_member(self) -> str:
         leader = self.election.leader
         return "" if leader is None else leader.member
@@ -186,6 +189,7 @@
             self.peers.tell_unstored,
             self.metrics,
             self.settings.job_state_kept_s,
+            lambda: self.election.confirmed_until_s,
         )
         self.metrics.leads.set(1)
         self.leader.open()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -171,9 +171,13 @@
         Renewals of leases get no answer and have no effect.
     late_s : float or None
         If set, the next commit gets no answer and is carried out so much later.
+    silent_prefixes : set of str
+        Watches and lists of these prefixes get no answer, as on a connection that
+        went silent.
     """
 
     def __init__(self, records: FleetRecords, clock) -> None:
+        self.silent_prefixes: set[str] = set()
         self._records = records
         self._clock = clock
         self._ttl_ms: dict[int, int] = {}
@@ -209,6 +213,8 @@
 
     def list(self, prefix: str) -> Deferred:
         """List records."""
+        if prefix in self.silent_prefixes:
+            return self._no_answer()
         return self._call(lambda: self._records.list(prefix))
 
     def watch(self, prefix: str, revision: int, wait_ms: int) -> Deferred:
@@ -219,7 +225,7 @@
         def look() -> None:
             if answer.called:
                 return
-            if self.is_down:
+            if self.is_down or prefix in self.silent_prefixes:
                 self._clock.callLater(STORE_TIMEOUT_S, self._fail, answer)
                 return
             listing = self._records.since(prefix, revision)
@@ -252,6 +258,9 @@
             act()
         else:
             return self._call(act)
+        return self._no_answer()
+
+    def _no_answer(self) -> Deferred:
         answer: Deferred = Deferred()
         self._clock.callLater(STORE_TIMEOUT_S, self._fail, answer)
         return answer
@@ -269,9 +278,7 @@
     def renew_lease(self, lease_id: int) -> Deferred:
         """Renew a lease."""
         if self.loses_renewals:
-            answer: Deferred = Deferred()
-            self._clock.callLater(STORE_TIMEOUT_S, self._fail, answer)
-            return answer
+            return self._no_answer()
         return self._call(lambda: self._records.renew(lease_id, self._ttl_ms[lease_id]))
 
     def end_lease(self, lease_id: int) -> Deferred:
@@ -404,16 +411,23 @@
         The workers.
     clock : IReactorTime
         The daemon's clock; answers come on it.
+
+    Attributes
+    ----------
+    cut_off : set of str
+        Workers that this daemon cannot reach.
     """
 
     def __init__(self, workers: FakeWorkers, clock) -> None:
+        self.cut_off: set[str] = set()
         self._workers = workers
         self._clock = clock
 
     def _call(self, entry: WorkerEntry, fence: int, action, answered: bool = True):
         worker = self._workers.workers.get(entry.worker_id)
         answer: Deferred = Deferred()
-        if worker is None or not worker.is_reachable:
+        is_cut = entry.worker_id in self.cut_off
+        if worker is None or is_cut or not worker.is_reachable:
             self._clock.callLater(WORKER_TIMEOUT_S, self._lose, answer)
             return answer
         if worker.entry.born_ms != entry.born_ms:
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -80,7 +80,7 @@
         self.records.write("op/config", msgspec.json.encode(CONFIGURATION))
         self.workers = FakeWorkers(self.clock)
         self.members = {}
-        self.nodes, self.stores, self.clocks = [], [], []
+        self.nodes, self.stores, self.orders, self.clocks = [], [], [], []
         for number in range(workers):
             self.add_worker(worker_entry(number), run_s)
         for number in range(daemons):
@@ -93,18 +93,20 @@
     def add_daemon(self, vm):
         clock = ProcessClock(self.clock)
         store = FakeFleetStore(self.records, clock)
+        orders = FakeOrders(self.workers, clock)
         node = FleetNode(
             node_file(vm),
             str(len(self.nodes)),
             "key",
             store,
-            FakeOrders(self.workers, clock),
+            orders,
             lambda member, key: FakeMesh(self.members, clock, member),
             clock,
             self.clock.seconds,
         )
         self.nodes.append(node)
         self.stores.append(store)
+        self.orders.append(orders)
         self.clocks.append(clock)
         node.open()
 
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -244,6 +244,31 @@
         # A task that finished unreported runs again; none runs beside itself.
         self.assertEqual(lost, world.workers.twice)
 
+    def test_former_leader_starts_no_job_of_its_successor(self):
+        # Pattern: a leader is cut off with a worker of its data centre; as the cut
+        # ends it hears of new jobs before it hears of its successor.
+        world = self.world(workers=2, run_s=3.0)
+        former = world.leader()
+        store = world.stores[former]
+        store.is_down = True
+        world.nodes[former].mesh.is_down = True
+        for number, orders in enumerate(world.orders):
+            orders.cut_off = {"w1"} if number == former else {"w0"}
+        world.run_for(2.5)
+        other = (former + 1) % 3
+        world.submit(other, job(JOB, tasks=4), wait_s=0.2)
+        self.assertTrue(world.workers.starts)
+        store.is_down = False
+        store.silent_prefixes = {LEADER_KEY}
+        store.loses_renewals = True
+        world.run_for(1.5)
+        store.silent_prefixes = set()
+        store.loses_renewals = False
+        world.nodes[former].mesh.is_down = False
+        world.run_for(4.0)
+        self.assertEqual(len(world.workers.starts), 4)
+        self.assert_never_twice(world)
+
     def test_worker_gone_for_good_delays_no_later_leader(self):
         # Pattern: a worker that was lost long ago stands on the roster while
         # leaders change; a standing task has to run again within 6 s.
