Bounds of the platform are used or gone; one repeated stop

Cause: the last read found settings decoded and never used, a service policy nobody asked for, dead code, and two loops that repeat a stop. Change: the longest lease of a run, the limit of a harmed task and the shortest lease of the store now bound the constants that assumed them; the rest is removed. A stop is repeated in one place.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -52,6 +52,8 @@
         This daemon.
     core_share : float
         Processor that this daemon may use, in cores.
+    ttl_min_ms : int
+        Shortest lease of the store.
     elected : callable
         Called with (term, fence, is_continued); `is_continued` tells that no
         other daemon led since this one did.
@@ -67,6 +69,7 @@
         clock,
         record: LeaderRecord,
         core_share: float,
+        ttl_min_ms: int,
         elected: Callable[[int, int, bool], None],
         deposed: Callable[[str], None],
         follower: PrefixFollower,
@@ -75,6 +78,7 @@
         self._clock = clock
         self._record = record
         self._core_share = core_share
+        self._ttl_ms = max(LEASE_TTL_MS, ttl_min_ms)
         self._elected = elected
         self._deposed = deposed
         self._follower = follower
@@ -97,7 +101,7 @@
     @property
     def confirmed_until_s(self) -> float:
         """Time until which this daemon is known to have led without a successor."""
-        lease_s = self.renewed_s + LEASE_TTL_MS / 1000
+        lease_s = self.renewed_s + self._ttl_ms / 1000
         return max(lease_s, self._follower.asked_s)
 
     def close(self) -> None:
@@ -183,7 +187,7 @@
             if self.leader is not None:
                 return
         is_continued = self.leads and self._term_revision == self._own_term_revision
-        lease_id = yield self._store.open_lease(LEASE_TTL_MS)
+        lease_id = yield self._store.open_lease(self._ttl_ms)
         term = last.term if is_continued else last.term + 1
         strongest = self._core_share
         if last.term:
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -34,7 +34,7 @@
 from dogwoodlever._fleet_retention import Retention
 from dogwoodlever._fleet_roster import FleetRoster
 from dogwoodlever._fleet_site import FleetSite
-from dogwoodlever._fleet_types import Queue
+from dogwoodlever._fleet_types import FleetBounds, Queue
 from dogwoodlever._fleet_workers import FleetWorkers
 from dogwoodlever._logs import log_event
 from dogwoodlever.platform import WORKERS_PREFIX
@@ -78,8 +78,8 @@
         Takes progress that this leader cannot store.
     metrics : FleetMetrics
         Counters and histograms.
-    kept_s : float
-        How long the state of an ended job has to be readable.
+    bounds : FleetBounds
+        Times that the platform sets.
     confirmed_until_s : callable
         Returns the time until which nobody else can have led.
     """
@@ -97,7 +97,7 @@
         held: dict[str, bytes],
         unstored: Callable[[dict[str, bytes]], None],
         metrics: FleetMetrics,
-        kept_s: float,
+        bounds: FleetBounds,
         confirmed_until_s: Callable[[], float],
     ) -> None:
         self._store = store
@@ -122,12 +122,13 @@
             site,
             self.board,
             self._roster,
-            FleetPacer(self._interference),
+            FleetPacer(self._interference, bounds.harm_s),
             faults,
             metrics,
             self.plan_soon,
             self._runs_ended,
             fenced,
+            bounds.run_lease_max_s,
         )
         self._journal = FleetJournal(
             store,
@@ -139,7 +140,12 @@
             unstored,
         )
         self._retention = Retention(
-            store, clock, self.board, kept_s, self._own_term_revision, self._forget
+            store,
+            clock,
+            self.board,
+            bounds.job_state_kept_s,
+            self._own_term_revision,
+            self._forget,
         )
         self._followers: list[PrefixFollower] = []
         self._cancelled: set[str] = set()
--- a/dogwoodlever/_fleet_link.py
+++ b/dogwoodlever/_fleet_link.py
@@ -18,7 +18,7 @@
 
 # Longer than a change of leader or a short pause of it, so that running work
 # survives both; a worker that is lost is waited for this long.
-RUN_LEASE_S = 5.0
+RUN_LEASE_WANTED_S = 5.0
 # How long an answer to a look may wait for an end; far below the lease.
 LOOK_WAIT_MS = 1_500
 LOOK_RETRY_S = 0.25
@@ -34,6 +34,8 @@
 LAPSE_MARGIN_S = 0.25
 # After a refused lease, time for the clock of the worker to be read again.
 START_ATTEMPTS_EXPIRED = 3
+# Refusals after which a start that is under way could still begin.
+STOP_NOT_DONE = frozenset({RefusalReason.FENCED, RefusalReason.UNHEALTHY})
 
 
 class LinkListener(ABC):
@@ -83,6 +85,8 @@
         When the leases that an earlier leader gave are surely over.
     doubtful : dict of RunId to Run
         Runs whose start may still be carried out late, from an earlier life.
+    lease_s : float
+        Length of the leases that it grants.
     """
 
     def __init__(
@@ -94,12 +98,14 @@
         listener: LinkListener,
         first_lapse_s: float,
         doubtful: dict[RunId, Run],
+        lease_s: float,
     ) -> None:
         self.entry = entry
         self._orders = orders
         self._clock = clock
         self._fence = fence
         self._listener = listener
+        self._lease_s = lease_s
         self._clock_ms = 0
         self._clock_at_s = 0.0
         self._granted_ms = 0
@@ -164,7 +170,7 @@
         if self._failed_looks or self._withheld:
             return self._granted_ms
         elapsed_s = self._clock.seconds() - self._clock_at_s
-        until_ms = self._clock_ms + int((elapsed_s + RUN_LEASE_S) * 1000)
+        until_ms = self._clock_ms + int((elapsed_s + self._lease_s) * 1000)
         self._granted_ms = max(self._granted_ms, until_ms)
         return until_ms
 
@@ -219,12 +225,12 @@
             self._listener.replaced(self)
             return
         self._failed_looks = 0
+        self._heard(look.clock_ms)
         if self._withheld:
             self._clear_doubts()
         elif not self.is_reachable:
             self.is_reachable = True
             log_event("worker.regained", worker=self.entry.worker_id)
-        self._heard(look.clock_ms)
         self._listener.looked(self, look, sent_s)
         waits = self.seen > self._acknowledged
         self._look_again(ACKNOWLEDGE_WAIT_S if waits else 0.0)
@@ -317,21 +323,12 @@
             return
         self._is_clearing = True
         for run_id in list(self._withheld):
-            run = self.doubtful.get(run_id)
-            while run is not None and not self.is_closed:
-                try:
-                    yield self._orders.stop(self.entry, run_id, self._fence())
-                except OrderRefusedError as error:
-                    if error.reason is not RefusalReason.SUPERSEDED:
-                        yield self._pause(ORDER_RETRY_S)
-                        continue
-                except PlatformError:
-                    yield self._pause(ORDER_RETRY_S)
-                    continue
-                self.doubtful.pop(run_id, None)
+            if run_id in self.doubtful:
+                if not (yield self._stop_until_answered(run_id)):
+                    # The next look that is answered begins anew.
+                    break
                 log_event("run.ruled-out", worker=self.entry.worker_id, run=run_id)
-                break
-        self._withheld.clear()
+            self._withheld.discard(run_id)
         self._is_clearing = False
 
     def _settle_start(self, run: Run) -> None:
@@ -344,33 +341,36 @@
     def stop(self, run: Run):
         """Order a stop and repeat it until it is answered."""
         run.phase = RunPhase.STOPPING
+        if (yield self._stop_until_answered(run.run_id)):
+            self.settled_s[run.run_id] = self._clock.seconds()
+
+    @inlineCallbacks
+    def _stop_until_answered(self, run_id: RunId):
+        """Repeat a stop; True once no earlier order can start the run any more."""
         while self._repeats():
             fence = self._fence()
             try:
-                yield self._orders.stop(self.entry, run.run_id, fence)
+                yield self._orders.stop(self.entry, run_id, fence)
             except WorkerUnreachableError:
                 yield self._pause(ORDER_RETRY_S)
                 continue
             except OtherLifeError:
-                return
+                return False
             except OrderRefusedError as error:
                 if error.reason is RefusalReason.FENCED:
                     self._take_fenced(fence)
-                    yield self._pause(ORDER_RETRY_S)
-                    continue
-                if error.reason is RefusalReason.UNHEALTHY:
-                    # It has done nothing, so a late start could still begin.
+                if error.reason in STOP_NOT_DONE:
                     yield self._pause(ORDER_RETRY_S)
                     continue
                 log_event(
                     "stop.refused",
                     worker=self.entry.worker_id,
-                    task=run.run_id.task,
+                    task=run_id.task,
                     reason=error.reason,
                 )
-            self.doubtful.pop(run.run_id, None)
-            self.settled_s[run.run_id] = self._clock.seconds()
-            return
+            self.doubtful.pop(run_id, None)
+            return True
+        return False
 
     @inlineCallbacks
     def pace(self, run: Run, percent: int):
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -22,6 +22,7 @@
 )
 from dogwoodlever._fleet_records import LEADER_KEY, LeaderRecord
 from dogwoodlever._fleet_site import FleetSite
+from dogwoodlever._fleet_types import FleetBounds
 from dogwoodlever._logs import log_event
 from dogwoodlever.platform import OPERATORS_PREFIX, CallersSite, NodeFile
 
@@ -92,6 +93,7 @@
             clock,
             LeaderRecord(self.member, peer_key),
             settings.core_share,
+            settings.lease_ttl_min_ms,
             self._elected,
             self._deposed,
             self._leader_follower,
@@ -188,7 +190,11 @@
             self.peers.held,
             self.peers.tell_unstored,
             self.metrics,
-            self.settings.job_state_kept_s,
+            FleetBounds(
+                self.settings.run_lease_max_s,
+                self.settings.job_state_kept_s,
+                self.settings.harm_s,
+            ),
             lambda: self.election.confirmed_until_s,
         )
         self.metrics.leads.set(1)
--- a/dogwoodlever/_fleet_pacer.py
+++ b/dogwoodlever/_fleet_pacer.py
@@ -21,9 +21,11 @@
 AHEAD_S = 0.7
 # Weight of the newest excess over the expectation.
 EXCESS_WEIGHT = 0.6
-# Over its target for so long, a standing task gets all slowed at once; well
-# below the platform's limit, less the lag of reports and of paces.
-SLOW_ALL_S = 1.5
+# Over its target for so long, a standing task gets all slowed at once; a longer
+# wait only delays the effect, which lags by reports and paces.
+SLOW_ALL_MAX_S = 1.5
+# Part of the platform's limit after which that happens at the latest.
+SLOW_ALL_PART = 0.375
 # A pace below this part is not worth its memory; the task waits instead.
 PACE_MIN_PERCENT = 10
 # Paces are ordered in steps of this size.
@@ -57,12 +59,15 @@
     ----------
     interference : Interference
         Learns from each sample.
+    harm_s : float
+        How long a standing task may be over its target beside other work.
     """
 
-    __slots__ = ("_interference",)
+    __slots__ = ("_interference", "_slow_all_s")
 
-    def __init__(self, interference: Interference) -> None:
+    def __init__(self, interference: Interference, harm_s: float) -> None:
         self._interference = interference
+        self._slow_all_s = min(SLOW_ALL_MAX_S, SLOW_ALL_PART * harm_s)
 
     def decide(self, room: WorkerRoom, now_s: float) -> list[PaceOrder]:
         """Take the worker's newest figures and return the changes of pace."""
@@ -134,7 +139,7 @@
         self, room: WorkerRoom, run: Run, step: Step, fills, paces, now_s: float
     ) -> None:
         """Lower `paces` until the standing run is expected under its target."""
-        if now_s - run.over_since_s >= SLOW_ALL_S:
+        if now_s - run.over_since_s >= self._slow_all_s:
             for fill, _ in fills:
                 paces[fill.run_id] = 0.0
             return
--- a/dogwoodlever/_fleet_room.py
+++ b/dogwoodlever/_fleet_room.py
@@ -109,15 +109,6 @@
             and step.accelerators <= self.entry.accelerators - self.accelerators_used
         )
 
-    def could_fit(self, step: Step) -> bool:
-        """Tell whether a task of a step would fit an empty worker."""
-        cores_milli = 0 if step.uses_leftover else step.cores_milli
-        return (
-            cores_milli <= self.entry.cores_milli
-            and step.memory_mb <= self.entry.memory_mb
-            and step.accelerators <= self.entry.accelerators
-        )
-
     def add(self, run: Run, step: Step) -> None:
         """Count a run; a run that is counted already is not counted again."""
         if run.run_id not in self.runs:
--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -91,6 +91,25 @@
     submitted_ms: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class FleetBounds:
+    """Times that the platform sets.
+
+    Attributes
+    ----------
+    run_lease_max_s : float
+        Longest lease of a run at a worker.
+    job_state_kept_s : float
+        How long the state of an ended job has to be readable.
+    harm_s : float
+        How long a standing task may be over its target beside other work.
+    """
+
+    run_lease_max_s: float
+    job_state_kept_s: float
+    harm_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class Queue:
     """A queue of the configuration.
@@ -119,27 +138,12 @@
     advised: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class ServicePolicy:
-    """What the configuration says of a service.
-
-    Attributes
-    ----------
-    guards_capacity : bool
-        Its workers refuse what does not fit.
-    """
-
-    name: str
-    guards_capacity: bool = True
-
-
 @dataclass(slots=True, frozen=True)
 class FleetConfiguration:
     """One version of the operators' configuration."""
 
     version: int
     queues: dict[str, Queue] = field(default_factory=dict)
-    services: dict[str, ServicePolicy] = field(default_factory=dict)
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of the longest prefix of `path` at `host`."""
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -11,7 +11,7 @@
     CLOCK_SLOWNESS,
     LAPSE_MARGIN_S,
     LOOK_WAIT_MS,
-    RUN_LEASE_S,
+    RUN_LEASE_WANTED_S,
     LinkListener,
     WorkerLink,
 )
@@ -36,8 +36,6 @@
 REFUSED_PAUSE_S = 0.3
 # An unhealthy worker refuses what it is told.
 UNHEALTHY_PAUSE_S = 1.0
-# Longest lease of a run on a slow clock, and what a timer may be late.
-LEASE_OVER_S = RUN_LEASE_S * (1 + CLOCK_SLOWNESS) + LAPSE_MARGIN_S
 # A former leader that gives no answer may renew leases for so long.
 FORMER_LEADER_S = UNCONFIRMED_MAX_S + 1.0
 # Looks at a worker where standing and leftover tasks meet; latencies are figures
@@ -76,6 +74,8 @@
         Called when runs have ended.
     fenced : callable
         Takes the id of a worker that obeys a later leader.
+    run_lease_max_s : float
+        Longest lease of a run that workers give.
 
     Attributes
     ----------
@@ -100,6 +100,7 @@
         changed: Callable[[], None],
         ended: Callable[[], None],
         fenced: Callable[[str], None],
+        run_lease_max_s: float,
     ) -> None:
         self._orders = orders
         self._clock = clock
@@ -113,11 +114,14 @@
         self._changed = changed
         self._ended = ended
         self._fenced = fenced
+        self._lease_s = min(RUN_LEASE_WANTED_S, run_lease_max_s)
+        # Longest lease on a slow clock, and what a timer may be late.
+        self._lease_over_s = self._lease_s * (1 + CLOCK_SLOWNESS) + LAPSE_MARGIN_S
         self.rooms: dict[str, WorkerRoom] = {}
         self._links: dict[str, WorkerLink] = {}
         self.unread: set[str] = set()
         # When leases that a former leader gave are over at any worker.
-        self._former_over_s = clock.seconds() + FORMER_LEADER_S + LEASE_OVER_S
+        self._former_over_s = clock.seconds() + FORMER_LEADER_S + self._lease_over_s
 
     def close(self) -> None:
         """Stop all links."""
@@ -126,7 +130,7 @@
 
     def former_stopped(self) -> None:
         """Learn that no former leader renews leases any more."""
-        over_s = self._clock.seconds() + LEASE_OVER_S
+        over_s = self._clock.seconds() + self._lease_over_s
         self._former_over_s = min(self._former_over_s, over_s)
         for link in self._links.values():
             link.limit_first_lapse(self._former_over_s)
@@ -249,6 +253,7 @@
             self,
             self._former_over_s,
             doubtful,
+            self._lease_s,
         )
         self._links[worker_id] = link
         self._roster.add(worker_id, f"{entry.host}:{entry.port}")
--- a/dogwoodlever/fleet_daemon.py
+++ b/dogwoodlever/fleet_daemon.py
@@ -19,6 +19,7 @@
 from dogwoodlever._logs import log_event
 from dogwoodlever._peer_mesh import TcpMesh
 from dogwoodlever.platform import (
+    NODE_FILE_VARIABLE,
     HttpFleetStore,
     HttpWorkerOrders,
     NodeFile,
@@ -26,7 +27,6 @@
     read_node_file,
 )
 
-NODE_FILE_VARIABLE = "DOGWOODLEVER_NODE_FILE"
 EXIT_SETTINGS = 2
 # As `deploy/system.toml` tells the platform.
 METRICS_PORT = 9464
--- a/dogwoodlever/platform/__init__.py
+++ b/dogwoodlever/platform/__init__.py
@@ -9,13 +9,18 @@
     OPERATORS_PREFIX,
     WORKERS_PREFIX,
 )
-from dogwoodlever.platform._node_file import NodeFile, read_node_file
+from dogwoodlever.platform._node_file import (
+    NODE_FILE_VARIABLE,
+    NodeFile,
+    read_node_file,
+)
 from dogwoodlever.platform._readiness_site import ReadinessSite
 from dogwoodlever.platform._wire_site import decode_configuration, decode_worker
 
 __all__ = [
     "CONFIGURATION_KEY",
     "EVACUATION_PREFIX",
+    "NODE_FILE_VARIABLE",
     "OPERATORS_PREFIX",
     "WORKERS_PREFIX",
     "CallersSite",
--- a/dogwoodlever/platform/_node_file.py
+++ b/dogwoodlever/platform/_node_file.py
@@ -19,18 +19,10 @@
 class _Bounds(msgspec.Struct, frozen=True):
     # Longest lease of a run at a worker.
     hold_max_ms: int = 10_000
-    # Longest time that a worker takes to stop a run.
-    stop_timeout_ms: int = 400
-    # How long a member of a gang waits for the others.
-    gang_timeout_ms: int = 3_000
     # Time a process has between SIGTERM and SIGKILL.
     grace_s: float = 6
     # How long the state of an ended job has to be readable.
     status_s: float = 120
-    # Factor by which far data slows a task.
-    remote_factor: float = 2
-    # Time a changed pace takes to act.
-    pace_ms: int = 100
     # How long a standing task may be over its target beside other work.
     harm_ms: int = 4_000
 
@@ -57,8 +49,6 @@
     platform: _Store
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
-    # Address of the service that tells which workers may run a step.
-    advice: str = ""
 
 
 class NodeFile(msgspec.Struct, frozen=True):
@@ -74,12 +64,18 @@
         Where this process takes messages of its peers.
     store : str
         Host and port of the platform's store.
-    advice : str
-        Host and port of the advice service; empty if there is none.
     core_share : float
         Processor that the process may use, in usual cores.
-    run_lease_max_s, stop_timeout_s, gang_timeout_s, grace_s : float
-        Bounds of the platform, in seconds.
+    lease_ttl_min_ms : int
+        Shortest lease of the store.
+    run_lease_max_s : float
+        Longest lease of a run at a worker.
+    grace_s : float
+        Time between SIGTERM and SIGKILL.
+    job_state_kept_s : float
+        How long the state of an ended job has to be readable.
+    harm_s : float
+        How long a standing task may be over its target beside other work.
     """
 
     vm: str
@@ -89,16 +85,11 @@
     peer_host: str
     peer_port: int
     store: str
-    advice: str
     core_share: float
     lease_ttl_min_ms: int
     run_lease_max_s: float
-    stop_timeout_s: float
-    gang_timeout_s: float
     grace_s: float
     job_state_kept_s: float
-    remote_factor: float
-    pace_delay_s: float
     harm_s: float
 
 
@@ -129,15 +120,10 @@
         peer_host=document.ip,
         peer_port=document.port_range[0],
         store=document.platform.address,
-        advice=document.advice,
         core_share=document.limits.cpu_share * document.limits.cores,
         lease_ttl_min_ms=document.platform.ttl_min_ms,
         run_lease_max_s=bounds.hold_max_ms / 1000,
-        stop_timeout_s=bounds.stop_timeout_ms / 1000,
-        gang_timeout_s=bounds.gang_timeout_ms / 1000,
         grace_s=bounds.grace_s,
         job_state_kept_s=bounds.status_s,
-        remote_factor=bounds.remote_factor,
-        pace_delay_s=bounds.pace_ms / 1000,
         harm_s=bounds.harm_ms / 1000,
     )
--- a/dogwoodlever/platform/_wire_site.py
+++ b/dogwoodlever/platform/_wire_site.py
@@ -2,12 +2,7 @@
 
 import msgspec
 
-from dogwoodlever._fleet_types import (
-    FleetConfiguration,
-    Queue,
-    ServicePolicy,
-    WorkerEntry,
-)
+from dogwoodlever._fleet_types import FleetConfiguration, Queue, WorkerEntry
 from dogwoodlever.platform_errors import PlatformError
 
 READY = "ready"
@@ -29,15 +24,9 @@
     advice: dict[str, float] | None = None
 
 
-class _Service(msgspec.Struct, frozen=True):
-    name: str
-    enforces_capacity: bool = True
-
-
 class _Configuration(msgspec.Struct, frozen=True):
     version: int
     routes: list[_Route]
-    services: list[_Service]
 
 
 class _Capacity(msgspec.Struct, frozen=True):
@@ -88,11 +77,9 @@
         )
         for route in document.routes
     }
-    services = {
-        service.name: ServicePolicy(service.name, service.enforces_capacity)
-        for service in document.services
-    }
-    return FleetConfiguration(document.version, queues, services)
+    # Whether a service's workers refuse what does not fit makes no difference: none
+    # is ever given more than it has room for.
+    return FleetConfiguration(document.version, queues)
 
 
 def decode_worker(worker_id: str, value: bytes) -> WorkerEntry:
--- a/tests/test_fleet_pacer.py
+++ b/tests/test_fleet_pacer.py
@@ -6,7 +6,7 @@
 from dogwoodlever._fleet_job import RunPhase
 from dogwoodlever._fleet_pacer import (
     MOVE_AFTER_S,
-    SLOW_ALL_S,
+    SLOW_ALL_MAX_S,
     FleetPacer,
     stalled_runs,
 )
@@ -19,7 +19,7 @@
     def __init__(self, fills=2, cores=2.0):
         self.fixture = Fixture(workers=1)
         self.room = self.fixture.rooms[0]
-        self.pacer = FleetPacer(self.fixture.interference)
+        self.pacer = FleetPacer(self.fixture.interference, 4.0)
         self.standing = self.fixture.place(self.room, serving("s"))
         self.standing.percent = 100
         self.fills = []
@@ -50,7 +50,7 @@
         scene = Scene()
         for number in range(20):
             paces = scene.look(200, NOW_S + 0.5 * number)
-            if number * 0.5 >= SLOW_ALL_S:
+            if number * 0.5 >= SLOW_ALL_MAX_S:
                 break
         self.assertEqual(paces, [0, 0])
 
