A fault soak of the daemons on the platform

Cause: the new program had no soak of its own; only the former request path had. Change: the stand-in of the platform is served over HTTP, each server behind a proxy that delays, resets, cuts one way or silences; the soak starts real daemons, strikes processes, links, store, workers and operators from a seed, and checks promises from what workers and callers see.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # The order of sets decides the order of messages; it is the same on every run.
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test lint format bench soak clean
+.PHONY: demo test lint format bench soak soak-cells clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -31,8 +31,15 @@
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks
 
+# Fresh seeds each time; `make soak SEEDS="1 2 3"` plays given ones.
+SEEDS ?= $(shell for n in 1 2 3 4 5 6; do od -An -N3 -tu4 /dev/urandom; done)
+SOAK_JOBS ?= 3
 soak: $(STAMP)
-	$(BIN)/python -m tests.soak
+	echo $(SEEDS) | tr ' ' '\n' | \
+		xargs -P $(SOAK_JOBS) -I{} $(BIN)/python -m tests.fleet_soak --seed {}
+
+soak-cells: $(STAMP)
+	$(BIN)/python -m tests.soak_cells
 
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -60,6 +60,7 @@
         self.records: dict[str, Record] = {}
         self.history: list[Record] = []
         self._leases: dict[int, float] = {}
+        self._ttl_s: dict[int, float] = {}
         self._held: dict[str, int] = {}
         self._waiting: list[Callable[[], None]] = []
 
@@ -74,15 +75,16 @@
     def open_lease(self, ttl_ms: int) -> int:
         """Open a lease and return its id."""
         self.revision += 1
+        self._ttl_s[self.revision] = ttl_ms / 1000
         self._leases[self.revision] = self.clock.seconds() + ttl_ms / 1000
         return self.revision
 
-    def renew(self, lease_id: int, ttl_ms: int) -> None:
+    def renew(self, lease_id: int) -> None:
         """Renew a lease; fails with `LeaseEndedError`."""
         self.expire()
         if lease_id not in self._leases:
             raise LeaseEndedError(f"lease {lease_id}")
-        self._leases[lease_id] = self.clock.seconds() + ttl_ms / 1000
+        self._leases[lease_id] = self.clock.seconds() + self._ttl_s[lease_id]
 
     def end_lease(self, lease_id: int) -> None:
         """End a lease and remove its records."""
@@ -180,7 +182,6 @@
         self.silent_prefixes: set[str] = set()
         self._records = records
         self._clock = clock
-        self._ttl_ms: dict[int, int] = {}
         self.is_down = False
         self.answers_to_lose = 0
         self.loses_renewals = False
@@ -267,19 +268,13 @@
 
     def open_lease(self, ttl_ms: int) -> Deferred:
         """Open a lease."""
-
-        def act() -> int:
-            lease_id = self._records.open_lease(ttl_ms)
-            self._ttl_ms[lease_id] = ttl_ms
-            return lease_id
-
-        return self._call(act)
+        return self._call(lambda: self._records.open_lease(ttl_ms))
 
     def renew_lease(self, lease_id: int) -> Deferred:
         """Renew a lease."""
         if self.loses_renewals:
             return self._no_answer()
-        return self._call(lambda: self._records.renew(lease_id, self._ttl_ms[lease_id]))
+        return self._call(lambda: self._records.renew(lease_id))
 
     def end_lease(self, lease_id: int) -> Deferred:
         """End a lease."""
@@ -294,6 +289,7 @@
     payload: str
     checkpoint: str
     began_s: float
+    lasts_s: float = 0.0
     percent: int = 0
 
 
@@ -319,10 +315,19 @@
     highest: dict = field(default_factory=dict)
     is_reachable: bool = True
     fails: bool = False
+    clock_rate: float = 1.0
 
     def clock_ms(self, now_s: float) -> int:
         """Return the worker's steady clock."""
-        return int((now_s - self.born_s) * 1000) + 1
+        return int((now_s - self.born_s) * 1000 * self.clock_rate) + 1
+
+    def run_length_s(self, _run: RunId, _payload: str) -> float:
+        """Return how long a run takes, 0 if it lasts."""
+        return self.run_s
+
+    def outcome(self, _run: FakeRun) -> str:
+        """Return how a run that took its time ends."""
+        return "failed" if self.fails else "done"
 
 
 class FakeWorkers:
@@ -365,8 +370,8 @@
                 for run in list(worker.running.values()):
                     self.end(worker, run, "lapsed")
             for run in list(worker.running.values()):
-                if worker.run_s and now_s - run.began_s >= worker.run_s:
-                    self.end(worker, run, "failed" if worker.fails else "done")
+                if run.lasts_s and now_s - run.began_s >= run.lasts_s:
+                    self.end(worker, run, worker.outcome(run))
 
     def end(self, worker: FakeWorker, run: FakeRun, how: str) -> None:
         """End a run and list its end."""
@@ -377,6 +382,11 @@
         if how == "done":
             self.done.add(run.run.task)
 
+    def acknowledge(self, worker: FakeWorker, number: int) -> None:
+        """Forget the ends up to a number."""
+        worker.ended = [end for end in worker.ended if end.number > number]
+        worker.forgotten = max(worker.forgotten, number)
+
     def renew(self, worker: FakeWorker, until_ms: int) -> None:
         """Renew a worker's lease."""
         limit_ms = worker.clock_ms(self.clock.seconds()) + LEASE_MAX_MS
@@ -397,7 +407,11 @@
             self.twice.append(order.run)
         worker.highest[order.run.task] = order.run.number
         worker.running[order.run] = FakeRun(
-            order.run, order.payload, order.checkpoint, self.clock.seconds()
+            order.run,
+            order.payload,
+            order.checkpoint,
+            self.clock.seconds(),
+            worker.run_length_s(order.run, order.payload),
         )
         self.starts.append((order.run, worker.entry.worker_id))
 
@@ -510,8 +524,7 @@
 
         def act(found: FakeWorker) -> WorkerLook:
             self._workers.renew(found, until_ms)
-            found.ended = [end for end in found.ended if end.number > acknowledged]
-            found.forgotten = max(found.forgotten, acknowledged)
+            self._workers.acknowledge(found, acknowledged)
             now_s = self._clock.seconds()
             running = tuple(
                 RunningRun(run.run, run.checkpoint, run.percent, 0)
--- /dev/null
+++ b/standins/fleet_http.py
@@ -0,0 +1,338 @@
+"""The in-process platform of `standins.fleet` over HTTP, for real daemons.
+
+One store site and one site for each worker, as the platform's pages say, as far
+as the fleet scheduler uses them, with faults that the caller sets.
+"""
+
+import json
+from base64 import b64decode, b64encode
+from collections.abc import Callable
+
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from dogwoodlever._fleet_interfaces import Put, RefusalReason
+from dogwoodlever._fleet_types import RunId, StartOrder
+from dogwoodlever.platform._http_workers import decode_task, encode_task
+from dogwoodlever.platform_errors import LeaseEndedError, OrderRefusedError
+from standins.fleet import FakeRun, FakeWorker, FakeWorkers, FleetRecords
+
+# How often a call that waits for a change looks for it.
+POLL_S = 0.02
+PAGE_ITEMS = 200
+
+_REASONS = {
+    RefusalReason.FENCED: "fence",
+    RefusalReason.SUPERSEDED: "old",
+    RefusalReason.EXPIRED: "late",
+    RefusalReason.NO_ROOM: "room",
+}
+
+
+class JsonSite(Resource):
+    """Resource whose methods take and return JSON documents."""
+
+    isLeaf = True
+
+    def render(self, request):
+        """Serve one call; `serve` may answer later with `answer`."""
+        body = request.content.read()
+        document = json.loads(body) if body else {}
+        self.serve(request, request.path.decode(), document)
+        return NOT_DONE_YET
+
+    def serve(self, request, path: str, document: dict) -> None:
+        """Serve one call."""
+        raise NotImplementedError
+
+    @staticmethod
+    def answer(request, status: int, document: dict | None = None) -> None:
+        """Write an answer, unless the caller has left."""
+        if request._disconnected or request.finished:
+            return
+        request.setResponseCode(status)
+        request.setHeader("content-type", "application/json")
+        request.write(json.dumps(document or {}).encode())
+        request.finish()
+
+
+def _argument(request, name: str, default: str = "") -> str:
+    return request.args.get(name.encode(), [default.encode()])[0].decode()
+
+
+def _item(record) -> dict:
+    if record.value is None:
+        return {"key": record.key, "revision": record.revision, "tombstone": True}
+    value = b64encode(record.value).decode()
+    return {"key": record.key, "revision": record.revision, "value": value}
+
+
+class StoreSite(JsonSite):
+    """The platform's store.
+
+    Attributes
+    ----------
+    is_busy : bool
+        Every call is answered 503.
+    delay_s : float
+        Calls are carried out and answered so much later.
+    answers_to_lose : int
+        So many writes still to come are carried out without an answer.
+    late_s : float
+        Such a write is carried out so much later, if its condition still holds.
+    """
+
+    def __init__(self, records: FleetRecords, clock) -> None:
+        super().__init__()
+        self._records = records
+        self._clock = clock
+        self.is_busy = False
+        self.delay_s = 0.0
+        self.answers_to_lose = 0
+        self.late_s = 0.0
+        self._compacted = 0
+
+    def compact(self) -> None:
+        """Drop the history, so that watches have to list anew."""
+        self._compacted = self._records.revision
+        self._records.history.clear()
+
+    def serve(self, request, path: str, document: dict) -> None:
+        """Serve one call, after the delay that is set."""
+        if self.is_busy:
+            self.answer(request, 503)
+        elif self.delay_s:
+            self._clock.callLater(self.delay_s, self._route, request, path, document)
+        else:
+            self._route(request, path, document)
+
+    def _route(self, request, path: str, document: dict) -> None:
+        call, _, argument = path.removeprefix("/-/").partition("/")
+        serve = {
+            "kv-key": self._read,
+            "kv-range": self._list,
+            "kv-watch": self._watch,
+            "kv-txn": self._commit,
+            "kv-lease": self._open_lease,
+            "kv-keep": self._renew,
+            "kv-lease-end": self._end_lease,
+        }[call]
+        serve(request, argument, document)
+
+    def _read(self, request, _argument_text, _document) -> None:
+        record = self._records.read(_argument(request, "key"))
+        if record is None:
+            self.answer(request, 404)
+            return
+        self.answer(request, 200, _item(record))
+
+    def _list(self, request, _argument_text, _document) -> None:
+        listing = self._records.list(_argument(request, "prefix"))
+        after = _argument(request, "after")
+        left = [record for record in listing.records if record.key > after]
+        page = {
+            "current_rev": listing.revision,
+            "items": [_item(record) for record in left[:PAGE_ITEMS]],
+            "has_more": len(left) > PAGE_ITEMS,
+        }
+        self.answer(request, 200, page)
+
+    def _watch(self, request, _argument_text, _document) -> None:
+        prefix = _argument(request, "prefix")
+        after = int(_argument(request, "after", "0"))
+        wait_s = int(_argument(request, "wait_ms", "0")) / 1000
+        until_s = self._clock.seconds() + wait_s
+
+        def look() -> None:
+            if after < self._compacted:
+                self.answer(request, 410)
+                return
+            listing = self._records.since(prefix, after)
+            if listing.records or self._clock.seconds() >= until_s:
+                events = [_item(record) for record in listing.records]
+                document = {"current_rev": listing.revision, "events": events}
+                self.answer(request, 200, document)
+            elif not request._disconnected:
+                self._clock.callLater(POLL_S, look)
+
+        look()
+
+    def _commit(self, request, _argument_text, document: dict) -> None:
+        if self.answers_to_lose:
+            self.answers_to_lose -= 1
+            self._clock.callLater(self.late_s, self._carry_out, document)
+            return
+        status, answer = self._carry_out(document)
+        self.answer(request, status, answer)
+
+    def _carry_out(self, document: dict) -> tuple[int, dict]:
+        expected = {row["key"]: row["revision"] for row in document["expect"]}
+        puts = tuple(
+            Put(row["key"], b64decode(row["value"]), row.get("lease", 0))
+            for row in document["puts"]
+        )
+        try:
+            result = self._records.commit(expected, puts, document["deletes"])
+        except LeaseEndedError:
+            return 404, {}
+        if result.revision:
+            return 200, {"revision": result.revision}
+        return 412, {"items": [_item(record) for record in result.found]}
+
+    def _open_lease(self, request, _argument_text, document: dict) -> None:
+        ttl_ms = document["ttl_ms"]
+        lease_id = self._records.open_lease(ttl_ms)
+        self.answer(request, 200, {"lease": lease_id, "ttl_ms": ttl_ms})
+
+    def _renew(self, request, lease: str, _document) -> None:
+        try:
+            self._records.renew(int(lease))
+        except LeaseEndedError:
+            self.answer(request, 404)
+            return
+        self.answer(request, 200)
+
+    def _end_lease(self, request, lease: str, _document) -> None:
+        self._records.end_lease(int(lease))
+        self.answer(request, 200)
+
+
+class WorkerSite(JsonSite):
+    """One worker; a later life of it takes the place of an earlier one.
+
+    Parameters
+    ----------
+    workers : FakeWorkers
+        All workers.
+    worker_id : str
+        The worker that is served.
+    refuses : callable
+        Takes an order to start and returns why it is refused, or None.
+
+    Attributes
+    ----------
+    late_starts : list of float
+        Delays of orders to start that are still to come; such an order gets no
+        answer.
+    """
+
+    def __init__(
+        self,
+        workers: FakeWorkers,
+        worker_id: str,
+        clock,
+        refuses: Callable[[FakeWorker, StartOrder], RefusalReason | None],
+    ) -> None:
+        super().__init__()
+        self._workers = workers
+        self._worker_id = worker_id
+        self._clock = clock
+        self._refuses = refuses
+        self.late_starts: list[float] = []
+
+    def serve(self, request, path: str, document: dict) -> None:
+        """Serve one order or look."""
+        worker = self._workers.workers[self._worker_id]
+        call = path.removeprefix("/-/")
+        if call == "run-start" and self.late_starts:
+            late_s = self.late_starts.pop()
+            self._clock.callLater(late_s, self._start_late, document)
+            return
+        if document.get("fencing_token", 0) < worker.fence:
+            self._refuse(request, worker, RefusalReason.FENCED)
+            return
+        worker.fence = document.get("fencing_token", 0)
+        self._workers.advance()
+        if call == "hold":
+            self._hold(request, worker, document)
+            return
+        try:
+            {"run-start": self._start, "run-stop": self._stop, "pace": self._pace}[
+                call
+            ](worker, document)
+        except OrderRefusedError as error:
+            self._refuse(request, worker, error.reason)
+            return
+        self.answer(request, 200, self._clock_document(worker))
+
+    def _clock_document(self, worker: FakeWorker) -> dict:
+        return {"clock_ms": worker.clock_ms(self._clock.seconds())}
+
+    def _refuse(self, request, worker: FakeWorker, reason: RefusalReason) -> None:
+        document = self._clock_document(worker)
+        self.answer(request, 409, document | {"reason": _REASONS[reason]})
+
+    def _start_late(self, document: dict) -> None:
+        worker = self._workers.workers[self._worker_id]
+        if document["fencing_token"] < worker.fence:
+            return
+        worker.fence = document["fencing_token"]
+        try:
+            self._start(worker, document)
+        except OrderRefusedError:
+            return
+
+    def _start(self, worker: FakeWorker, document: dict) -> None:
+        run = RunId(decode_task(document["task"]), document["run"])
+        order = StartOrder(run, document["spec"], document.get("last_checkpoint", ""))
+        now_ms = worker.clock_ms(self._clock.seconds())
+        self._workers.renew(worker, document["until_ms"])
+        if worker.until_ms <= now_ms:
+            raise OrderRefusedError(RefusalReason.EXPIRED)
+        if run in worker.running:
+            return
+        if run.number <= worker.highest.get(run.task, 0):
+            raise OrderRefusedError(RefusalReason.SUPERSEDED)
+        refusal = self._refuses(worker, order)
+        if refusal is not None:
+            raise OrderRefusedError(refusal)
+        self._workers.start(worker, order)
+
+    def _stop(self, worker: FakeWorker, document: dict) -> None:
+        run = RunId(decode_task(document["task"]), document["run"])
+        known = worker.highest.get(run.task, 0)
+        worker.highest[run.task] = max(known, run.number)
+        if run in worker.running:
+            self._workers.end(worker, worker.running[run], "stopped")
+
+    def _pace(self, _worker: FakeWorker, _document: dict) -> None:
+        """Accept any pace; runs of this platform disturb nothing."""
+
+    def _hold(self, request, worker: FakeWorker, document: dict) -> None:
+        if "until_ms" in document:
+            self._workers.renew(worker, document["until_ms"])
+        self._workers.acknowledge(worker, document["last_seen"])
+        until_s = self._clock.seconds() + document.get("wait_ms", 0) / 1000
+
+        def look() -> None:
+            if worker.ended or self._clock.seconds() >= until_s:
+                self.answer(request, 200, self._lists(worker))
+            elif not request._disconnected:
+                self._clock.callLater(POLL_S, look)
+
+        look()
+
+    def _lists(self, worker: FakeWorker) -> dict:
+        now_s = self._clock.seconds()
+        return self._clock_document(worker) | {
+            "born": worker.entry.born_ms,
+            "running": [_running_row(run, now_s) for run in worker.running.values()],
+            "ended": [
+                [
+                    end.number,
+                    encode_task(end.run.task),
+                    end.run.number,
+                    end.how,
+                    end.checkpoint,
+                ]
+                for end in worker.ended[:500]
+            ],
+        }
+
+
+def _running_row(run: FakeRun, now_s: float) -> list:
+    percent = 100
+    if run.lasts_s:
+        percent = min(99, int(100 * (now_s - run.began_s) / run.lasts_s))
+    name = encode_task(run.run.task)
+    return [name, run.run.number, run.checkpoint, percent, 0]
--- /dev/null
+++ b/tests/fleet_soak.py
@@ -0,0 +1,266 @@
+"""Fault soak of the daemons on the platform: ``python -m tests.fleet_soak``.
+
+Starts real daemons against the platform's stand-in, submits jobs over
+connections that stay open, strikes processes, links, the store and workers,
+and checks the promises from what workers and callers see. A seed fixes the
+faults and the jobs; the interleaving is the machine's.
+"""
+
+import random
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+import cyclopts
+from twisted.internet import reactor
+from twisted.internet.defer import gatherResults, inlineCallbacks
+from twisted.internet.task import LoopingCall, deferLater
+
+from dogwoodlever._http_fetch import NOT_WRITTEN_ERRORS, HttpFetcher
+from tests.soak_faults import SoakFaults
+from tests.soak_ledger import SoakJob, SoakStep
+from tests.soak_site import QUEUE_HOST, QUEUE_PREFIX, SoakSite
+
+CALLERS = 6
+CALL_TIMEOUT_S = 3.0
+ATTEMPTS = 5
+START_TIMEOUT_S = 20.0
+# All that is owed has to be done so long after the last fault: a run lease, a
+# change of leader and the longest job, with room for a busy machine.
+SETTLE_TIMEOUT_S = 60.0
+READ_ROUND_S = 0.5
+ADVANCE_S = 0.01
+CORES_MILLI = (250, 500, 1000)
+
+
+class SoakCaller:
+    """One caller: submits jobs, reads and cancels them, at any daemon.
+
+    Parameters
+    ----------
+    site : SoakSite
+        Where to.
+    seed : str
+        Seed of its jobs.
+    """
+
+    def __init__(self, site: SoakSite, seed: str) -> None:
+        self._site = site
+        self._random = random.Random(seed)
+        self._fetcher = HttpFetcher(reactor, CALL_TIMEOUT_S, 2)
+        self.outcomes: Counter[str] = Counter()
+
+    @inlineCallbacks
+    def run(self, until_s: float):
+        """Submit jobs until then, and follow some of them."""
+        while reactor.seconds() < until_s:
+            job = self._draw_job()
+            self._site.ledger.jobs[job.job_id] = job
+            yield self._submit(job)
+            if job.accepted_s is not None:
+                yield deferLater(reactor, self._random.uniform(0.0, 1.0))
+                yield self.read(job)
+                if job.is_standing or self._random.random() < 0.1:
+                    yield deferLater(reactor, self._random.uniform(0.0, 2.0))
+                    yield self._cancel(job)
+            yield deferLater(reactor, self._random.uniform(0.05, 0.5))
+
+    def _draw_job(self) -> SoakJob:
+        rng = self._random
+        job_id = f"{rng.getrandbits(64):016x}"
+        cores_milli = rng.choice(CORES_MILLI)
+        if rng.random() < 0.12:
+            return SoakJob(job_id, (SoakStep(rng.randint(1, 3), cores_milli, 0.0, 0),))
+        failing_part = rng.choice((0.0, 0.0, 0.0, 0.0, 0.1, 1.0))
+        steps = tuple(
+            SoakStep(
+                rng.randint(1, 4), cores_milli, rng.uniform(0.1, 0.8), failing_part
+            )
+            for _ in range(rng.randint(1, 3))
+        )
+        return SoakJob(job_id, steps)
+
+    @inlineCallbacks
+    def _call(self, method: bytes, name: str, body: bytes = b""):
+        """Return (status, content) of a call at any daemon, 0 for no answer."""
+        daemon = self._random.choice(sorted(self._site.daemons))
+        url = self._site.daemons[daemon].url + QUEUE_PREFIX + name
+        headers = ((b"host", QUEUE_HOST.encode()),)
+        try:
+            answer = yield self._fetcher.fetch(
+                method, url, body, CALL_TIMEOUT_S, headers
+            )
+        except NOT_WRITTEN_ERRORS:
+            return -1, b""
+        except Exception:  # noqa: BLE001
+            # Twisted's network errors have no common base but Exception.
+            return 0, b""
+        return answer
+
+    @inlineCallbacks
+    def _submit(self, job: SoakJob):
+        for _ in range(ATTEMPTS):
+            status, _ = yield self._call(b"POST", job.job_id, job.body())
+            outcome = _SUBMIT_OUTCOMES.get(status, "unknown")
+            job.outcomes[outcome] += 1
+            self.outcomes[outcome] += 1
+            if outcome == "accepted":
+                job.accepted_s = reactor.seconds()
+                break
+            yield deferLater(reactor, self._random.uniform(0.1, 0.6))
+        job.is_open = False
+
+    @inlineCallbacks
+    def _cancel(self, job: SoakJob):
+        job.cancel_asked = True
+        for _ in range(ATTEMPTS):
+            status, _ = yield self._call(b"DELETE", job.job_id)
+            if status in (200, 410):
+                job.cancelled_s = reactor.seconds()
+                return
+            yield deferLater(reactor, 0.3)
+
+    @inlineCallbacks
+    def read(self, job: SoakJob):
+        """Read a job's state once and check it."""
+        status, content = yield self._call(b"GET", job.job_id)
+        if status == 200:
+            phase = content.decode().partition('"state":"')[2].partition('"')[0]
+            self._site.ledger.check_phase(job, phase)
+        elif status == 410:
+            self._site.ledger.check_absent(job)
+
+
+_SUBMIT_OUTCOMES = {
+    200: "accepted",
+    # Never sent, so never run.
+    -1: "refused",
+    404: "refused",
+    429: "refused",
+    503: "refused",
+}
+
+
+class FleetSoak:
+    """One soak of one seed.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings and logs.
+    seed : int
+        Seed of faults and jobs.
+    duration_s : float
+        How long faults are injected.
+    daemons, workers : int
+        How many there are.
+    """
+
+    def __init__(
+        self, folder: Path, seed: int, duration_s: float, daemons: int, workers: int
+    ) -> None:
+        self.site = SoakSite(folder, daemons, workers)
+        self._faults = SoakFaults(self.site, seed)
+        self._callers = [
+            SoakCaller(self.site, f"{seed}/{number}") for number in range(CALLERS)
+        ]
+        self._duration_s = duration_s
+        self.failures: list[str] = []
+
+    @inlineCallbacks
+    def run(self):
+        """Run to the end; `failures` tells what was found."""
+        advancing = LoopingCall(self.site.ledger.advance)
+        advancing.start(ADVANCE_S)
+        watching = LoopingCall(self._watch_processes)
+        for daemon in self.site.daemons.values():
+            daemon.start()
+        yield self._await(self.site.leader, START_TIMEOUT_S, "no daemon leads")
+        watching.start(0.2)
+        until_s = reactor.seconds() + self._duration_s
+        calls = [caller.run(until_s) for caller in self._callers]
+        yield self._faults.run(self._duration_s)
+        yield gatherResults(calls)
+        yield self._settle()
+        watching.stop()
+        advancing.stop()
+        self.failures.extend(self.site.ledger.faults)
+
+    @inlineCallbacks
+    def _await(self, condition, limit_s: float, what: str):
+        until_s = reactor.seconds() + limit_s
+        while not condition():
+            if reactor.seconds() > until_s:
+                self.failures.append(what)
+                return
+            yield deferLater(reactor, 0.05)
+
+    @inlineCallbacks
+    def _settle(self):
+        until_s = reactor.seconds() + SETTLE_TIMEOUT_S
+        while reactor.seconds() < until_s:
+            jobs = list(self.site.ledger.jobs.values())
+            for job in jobs:
+                if job.accepted_s is not None and not job.cancel_asked:
+                    yield self._callers[0].read(job)
+            if not self.site.ledger.unfinished():
+                return
+            yield deferLater(reactor, READ_ROUND_S)
+        self.failures.extend(f"OWED: {what}" for what in self.site.ledger.unfinished())
+
+    def _watch_processes(self) -> None:
+        for daemon in self.site.daemons.values():
+            if daemon.ended_by_itself():
+                self.failures.append(f"{daemon.name} ended by itself")
+                daemon.start()
+
+    def summary(self) -> str:
+        """Return one line on what was done."""
+        ledger = self.site.ledger
+        outcomes = sum((caller.outcomes for caller in self._callers), Counter())
+        return (
+            f"faults={len(self._faults.struck)} jobs={len(ledger.jobs)} "
+            f"starts={len(ledger.starts)} accepted={outcomes['accepted']} "
+            f"refused={outcomes['refused']} unknown={outcomes['unknown']} "
+            f"no_room={ledger.room_refusals}"
+        )
+
+
+def main(
+    seed: int = 1,
+    duration_s: float = 20.0,
+    daemons: int = 4,
+    workers: int = 6,
+    folder: Path | None = None,
+) -> int:
+    """Run one soak; return the exit status.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of faults and jobs.
+    duration_s : float
+        How long faults are injected.
+    daemons, workers : int
+        How many there are.
+    folder : Path
+        Keeps settings and logs there.
+    """
+    with tempfile.TemporaryDirectory() as temporary:
+        kept = folder or Path(temporary)
+        kept.mkdir(parents=True, exist_ok=True)
+        soak = FleetSoak(kept, seed, duration_s, daemons, workers)
+        running = soak.run()
+        running.addErrback(lambda failure: soak.failures.append(str(failure)))
+        running.addBoth(lambda _result: soak.site.close())
+        running.addBoth(lambda _result: reactor.callLater(0.1, reactor.stop))
+        reactor.run()
+        for failure in soak.failures:
+            print(f"fault: {failure}", file=sys.stderr)
+        print(f"seed={seed} broken={len(soak.failures)} {soak.summary()}")
+    return 1 if soak.failures else 0
+
+
+if __name__ == "__main__":
+    cyclopts.run(main)
--- a/tests/soak.py
+++ b/tests/soak_cells.py
@@ -1,4 +1,4 @@
-"""Real processes under signals: ``make soak``; bounded, and not part of CI.
+"""Real processes under signals: ``make soak-cells``; bounded, and not part of CI.
 
 Starts the stand-ins and four daemons, sends bookings and quotes, kills,
 freezes and stops daemons, and checks the stand-ins' records: no slot over, no
--- /dev/null
+++ b/tests/soak_site.py
@@ -0,0 +1,255 @@
+"""The processes, links and workers of a fault soak."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+from twisted.internet import reactor
+from twisted.web.server import Site
+
+from dogwoodlever._fleet_records import LEADER_KEY, decode_leader
+from dogwoodlever._fleet_types import WorkerEntry
+from standins.faulty_proxy import FaultyProxy
+from standins.fleet import FleetRecords
+from standins.fleet_http import StoreSite, WorkerSite
+from tests.soak_ledger import ATTEMPTS_MAX, SoakLedger, SoakWorker
+
+ROOT = Path(__file__).parent.parent
+QUEUE_HOST = "desk.example"
+QUEUE_PREFIX = "/quotes/"
+WORKER_CORES_MILLI = 4_000
+# Time that the platform takes to notice that a worker is silent.
+ENTRY_LAPSE_S = 1.5
+# Higher than any fencing token.
+NOBODY_FENCE = 1 << 60
+# Ranks of a daemon's ports.
+CALLERS, READINESS, PEERS = range(3)
+
+
+def _free_ports(host: str, count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind((host, 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+class SoakDaemon:
+    """One daemon process on a loopback address of its own.
+
+    Parameters
+    ----------
+    name : str
+        Name of its VM.
+    host : str
+        Loopback address.
+    store_port : int
+        Port of its link to the store.
+    folder : Path
+        For its settings and its log.
+    """
+
+    def __init__(self, name: str, host: str, store_port: int, folder: Path) -> None:
+        self.name = name
+        self.host = host
+        self.ports = _free_ports(host, 3)
+        self._file = folder / f"{name}.toml"
+        self._file.write_text(self._settings(store_port))
+        self._log = open(folder / f"{name}.log", "ab")  # noqa: SIM115
+        self.process: subprocess.Popen | None = None
+        # Whether the soak itself has told the process to end.
+        self.is_ending = False
+
+    def _settings(self, store_port: int) -> str:
+        return f"""
+node = "{self.name}"
+ip = "{self.host}"
+zone = "north"
+port_range = [{self.ports[PEERS]}, {self.ports[PEERS]}]
+[listen]
+front = "{self.host}:{self.ports[CALLERS]}"
+readiness = "{self.host}:{self.ports[READINESS]}"
+[platform]
+address = "127.0.0.1:{store_port}"
+"""
+
+    @property
+    def url(self) -> str:
+        """Address that callers use."""
+        return f"http://{self.host}:{self.ports[CALLERS]}"
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        """Start the process, unless it runs."""
+        if self.is_running:
+            return
+        self.is_ending = False
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "dogwoodlever.fleet_daemon"],
+            cwd=ROOT,
+            env=os.environ | {"DOGWOODLEVER_NODE_FILE": str(self._file)},
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process, if it runs."""
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.is_ending = True
+        if self.is_running:
+            self.process.send_signal(number)
+
+    def ended_by_itself(self) -> bool:
+        """Tell whether the process ended without being told to."""
+        return not self.is_running and not self.is_ending
+
+    def close(self) -> None:
+        """Kill the process and close its log."""
+        if self.is_running:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGKILL)
+            self.process.wait()
+        self._log.close()
+
+
+class SoakSite:
+    """Store, workers and daemons, with a faulty link before each server.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings and logs.
+    daemons, workers : int
+        How many there are.
+    """
+
+    def __init__(self, folder: Path, daemons: int, workers: int) -> None:
+        self.records = FleetRecords(reactor)
+        self.store = StoreSite(self.records, reactor)
+        self.ledger = SoakLedger(reactor)
+        self.version = 0
+        self._lives = 0
+        self._listening = []
+        self.worker_sites: dict[str, WorkerSite] = {}
+        self.worker_links: dict[str, FaultyProxy] = {}
+        self.store_links: dict[str, FaultyProxy] = {}
+        self.daemons: dict[str, SoakDaemon] = {}
+        self.configure()
+        for number in range(workers):
+            self._open_worker(f"w{number}")
+        store_port = self._serve(self.store)
+        for number in range(daemons):
+            self._open_daemon(f"vm{number}", number, store_port, folder)
+
+    def _serve(self, resource) -> int:
+        site = Site(resource)
+        site.noisy = False
+        site.log = lambda _request: None
+        listening = reactor.listenTCP(0, site, interface="127.0.0.1")
+        self._listening.append(listening)
+        return listening.getHost().port
+
+    def _open_worker(self, worker_id: str) -> None:
+        site = WorkerSite(self.ledger, worker_id, reactor, self.ledger.refuses)
+        self.worker_sites[worker_id] = site
+        link = FaultyProxy(reactor, "127.0.0.1", self._serve(site))
+        self.worker_links[worker_id] = link
+        self.begin_life(worker_id)
+
+    def _open_daemon(self, name, number, store_port, folder) -> None:
+        link = FaultyProxy(reactor, "127.0.0.1", store_port)
+        self.store_links[name] = link
+        # The metrics port is the same for all, so each has an address of its own.
+        host = f"127.{1 + os.getpid() % 200}.{os.getpid() // 200 % 250}.{number + 2}"
+        self.daemons[name] = SoakDaemon(name, host, link.port, folder)
+
+    def configure(self, extra_queues: int = 0) -> None:
+        """Write the next version of the operators' configuration."""
+        self.version += 1
+        names = ["quotes", *(f"extra{number}" for number in range(extra_queues))]
+        routes = [
+            {
+                "name": name,
+                "host": QUEUE_HOST,
+                "prefix": f"/{name}/",
+                "service": "desk",
+                "max_attempts": ATTEMPTS_MAX,
+                "stretch": 2.0,
+                "slo_ms": 500,
+            }
+            for name in names
+        ]
+        document = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": "desk", "enforces_capacity": True}],
+        }
+        self.records.write("op/config", json.dumps(document).encode())
+
+    def begin_life(self, worker_id: str) -> None:
+        """Start a worker; what ran in its former life is over."""
+        self._lives += 1
+        entry = WorkerEntry(
+            worker_id, "desk", "127.0.0.1", self.worker_links[worker_id].port, "north",
+            int(reactor.seconds() * 1000) + self._lives, False, WORKER_CORES_MILLI,
+            16_000, 0, ("a", "r1"),
+        )  # fmt: skip
+        worker = SoakWorker(entry, reactor.seconds())
+        # Within what the platform allows for a worker's clock.
+        worker.clock_rate = (1.0, 0.985)[self._lives % 2]
+        self.ledger.workers[worker_id] = worker
+        self.tell_state(worker_id, "ready")
+
+    def end_life(self, worker_id: str) -> None:
+        """Crash a worker; its entry is removed once its silence is noticed."""
+        worker = self.ledger.workers[worker_id]
+        worker.running.clear()
+        # An order that is still to be carried out late finds nobody.
+        worker.fence = NOBODY_FENCE
+        reactor.callLater(ENTRY_LAPSE_S, self._lapse_entry, worker)
+
+    def _lapse_entry(self, worker: SoakWorker) -> None:
+        if self.ledger.workers[worker.entry.worker_id] is worker:
+            self.records.remove(f"servers/{worker.entry.worker_id}")
+
+    def tell_state(self, worker_id: str, state: str) -> None:
+        """Write a worker's entry."""
+        entry = self.ledger.workers[worker_id].entry
+        document = {
+            "service": entry.service,
+            "address": f"{entry.host}:{entry.port}",
+            "zone": entry.data_centre,
+            "state": state,
+            "capacity": {"cpu": entry.cores_milli, "mem_mb": entry.memory_mb},
+            "labels": list(entry.labels),
+            "born": entry.born_ms,
+        }
+        self.records.write(f"servers/{worker_id}", json.dumps(document).encode())
+
+    def leader(self) -> str:
+        """Return the VM of the daemon that leads, empty if none does."""
+        record = self.records.read(LEADER_KEY)
+        if record is None:
+            return ""
+        member = decode_leader(record.value).member
+        return next((n for n in self.daemons if member.startswith(f"{n}@")), "")
+
+    def close(self):
+        """End all processes and stop listening."""
+        for daemon in self.daemons.values():
+            daemon.close()
+        for link in (*self.worker_links.values(), *self.store_links.values()):
+            link.close()
+        for listening in self._listening:
+            listening.stopListening()
