The return of the store is noticed at once; standing work leaves room

Cause: after an outage the first watch waited 1.5 s for a change, and all else waited for its answer (store back at 15.7 s, noticed at 17.4 s, 6 daemons alike). Change: a follower that lost the store asks without a wait. Change: a worker that would keep less than 2 cores is taken last by them.

--- a/dogwoodlever/_fleet_follower.py
+++ b/dogwoodlever/_fleet_follower.py
@@ -119,7 +119,9 @@
 
     @inlineCallbacks
     def _watch(self):
-        listing = yield self._store.watch(self.prefix, self._revision, WATCH_WAIT_MS)
+        # After an outage the first answer must not wait for a change.
+        wait_ms = WATCH_WAIT_MS if self.is_connected else 0
+        listing = yield self._store.watch(self.prefix, self._revision, wait_ms)
         if self._is_closed:
             return
         for record in listing.records:
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -20,6 +20,10 @@
 # Cost of another image among a worker's standing tasks, in thousandths of a
 # core: fewer images leave more workers for the work that disturbs one of them.
 OTHER_IMAGE_COST = 50_000
+# Room that standing tasks should leave at a worker for short work, which cannot
+# wait until they end, and the cost of leaving less; in thousandths of a core.
+SHORT_ROOM_MILLI = 2_000
+SHORT_ROOM_COST = 20_000
 # Cost of doubling the tail latency of a standing task, in thousandths of a core.
 PRESSURE_COST = 20_000
 # A copy starts once a run takes this many times its declared time and more; run
@@ -317,7 +321,9 @@
             images = {serving.image for _, serving in room.serving_runs()}
             others = len(images - {spec.image}) * OTHER_IMAGE_COST
             pressure = self._pressure_on(spec, room) * PRESSURE_COST
-            return cost + pressure + others + room.cores_free
+            left = room.cores_free - spec.cores_milli
+            full = SHORT_ROOM_COST if left < SHORT_ROOM_MILLI else 0
+            return cost + pressure + others + full + room.cores_free
         return cost + room.cores_free
 
     def _pressure_on(self, spec: Step, room: WorkerRoom) -> float:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -1,10 +1,12 @@
 import unittest
 
 from dogwoodlever._fleet_desk import Outcome
+from dogwoodlever._fleet_follower import RETRY_S
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_leader import STARTS_A_ROUND
 from dogwoodlever._fleet_records import LEADER_KEY, progress_key
 from dogwoodlever._fleet_types import Step, SubmittedJob
+from standins.fleet import STORE_TIMEOUT_S
 from tests.fleet_world import FleetWorld, job, server_record, worker_entry
 
 JOB = "a" * 16
@@ -127,6 +129,19 @@
         answer = world.ask(desk.cancel("b" * 16, world.clock.seconds() + 3.0))
         self.assertEqual(answer.outcome, Outcome.DONE)
 
+    def test_return_of_the_store_is_noticed_though_nothing_changes(self):
+        # Pattern: an outage ends and the first watches wait for a change.
+        world = self.world()
+        world.records.leases_pause = True
+        for store in world.stores:
+            store.is_down = True
+        world.run_for(3.5)
+        for store in world.stores:
+            store.is_down = False
+        # One call may be under way without an answer, then the next is made.
+        world.run_for(STORE_TIMEOUT_S + RETRY_S + 0.1)
+        self.assertEqual([n._store.down_for_s() for n in world.nodes], [None] * 3)
+
     def test_leader_outlasts_an_outage_that_nobody_used(self):
         # Pattern: the first renewals after an outage fail, though the store is back
         # and shows that nobody else leads.
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -111,6 +111,18 @@
         placed = [job for job, _ in fixture.plan()]
         self.assertEqual(placed, ["j1", "j2", "j2", "j2"])
 
+    def test_standing_work_leaves_room_for_short_work(self):
+        # Pattern: standing tasks fill workers to the last core for a minute, and
+        # short work that comes meanwhile waits for them.
+        fixture = Fixture(workers=3, cores=16)
+        for room, cores in zip(fixture.rooms, (12.0, 8.0, 8.0), strict=True):
+            fixture.place(room, serving("s", cores=cores))
+        fixture.add("watch", [serving("s", tasks=4)])
+        fixture.plan()
+        self.assertEqual(
+            [room.cores_free for room in fixture.rooms], [4000, 2000, 2000]
+        )
+
     def test_short_urgent_work_goes_before_standing_work(self):
         # Pattern: standing tasks wait for more room than is left.
         fixture = Fixture(workers=1, cores=4)
