--- a/dogwoodlever/_cli_app.py
+++ b/dogwoodlever/_cli_app.py
@@ -17,6 +17,7 @@
 
 from dogwoodlever import _burn_report
 from dogwoodlever._job import parse_job
+from dogwoodlever._job_story import read_job
 from dogwoodlever._merge import read_document, read_documents
 from dogwoodlever._operator_client import OperatorClient
 from dogwoodlever._reader import read_site
@@ -323,8 +324,24 @@
 
 
 @app.command
-def why(item: str, *, to: Connection = LOCAL) -> None:
-    """Tell where and when a request or task ran, attempt by attempt, and why."""
+def why(item: str, *, log: list[Path] | None = None, to: Connection = LOCAL) -> None:
+    """Tell where and when a request, task or job ran, and why.
+
+    Parameters
+    ----------
+    item : str
+        Id of the request, task or job.
+    log : list of Path
+        Logs of the platform's daemons, to read a job's account from instead of
+        asking a daemon.
+    """
+    if log:
+        story = read_job(item, _read_lines(log))
+        if to.as_json:
+            _print_json(story.document())
+        else:
+            print(story.text())
+        return
     found = to.client().get(f"why/{item}")
     if to.as_json:
         _print_json(found)
@@ -332,6 +349,15 @@
     print(_why_task(found) if "task" in found else _why_request(found))
 
 
+def _read_lines(files: list[Path]):
+    for file in files:
+        try:
+            with open(file, encoding="utf-8", errors="replace") as lines:
+                yield from lines
+        except OSError as error:
+            raise CliError(f"log {file}: {error.strerror}") from error
+
+
 def _clock(at_s: float) -> str:
     return datetime.fromtimestamp(at_s, UTC).strftime("%H:%M:%S.%f")[:-3]
 
