A leader that stepped down in an outage frees its lease

Change: it ends its own lease as soon as the store answers. The test failed first: no leader while leases pause.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -267,4 +267,24 @@
         confirmed_s = max(self.renewed_s, self._follower.contact_s)
         age_s = self._clock.seconds() - confirmed_s
         if age_s > UNCONFIRMED_MAX_S:
+            lease_id = self._lease_id
             self.depose(f"unconfirmed for {age_s:.1f} s")
+            self._free_lease(lease_id)
+
+    @inlineCallbacks
+    def _free_lease(self, lease_id: int):
+        """End a lease that is not used any more, once the store is back.
+
+        Leases may pause while the store is down, and then keep successors away.
+        """
+        while not self._is_closed:
+            try:
+                yield self._store.end_lease(lease_id)
+            except LeaseEndedError:
+                return
+            except PlatformError:
+                # The watch of the leader's record logs that the store is away.
+                yield deferLater(self._clock, RETRY_S)
+                continue
+            log_event("leader.lease-freed", lease=lease_id)
+            return
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -142,6 +142,20 @@
         world.run_for(STORE_TIMEOUT_S + RETRY_S + 0.1)
         self.assertEqual([n._store.down_for_s() for n in world.nodes], [None] * 3)
 
+    def test_leader_that_stepped_down_in_an_outage_frees_its_lease(self):
+        # Pattern: leases pause in a long outage, so that of a leader that stepped
+        # down still keeps its successors away once the store is back.
+        world = self.world()
+        world.records.leases_pause = True
+        for store in world.stores:
+            store.is_down = True
+        world.run_for(8.0)
+        self.assertIsNone(world.leader())
+        for store in world.stores:
+            store.is_down = False
+        world.run_for(3.0)
+        self.assertIsNotNone(world.leader())
+
     def test_leader_outlasts_an_outage_that_nobody_used(self):
         # Pattern: the first renewals after an outage fail, though the store is back
         # and shows that nobody else leads.
