Queues whose starts need tickets of the advice service

Change: the leader asks for up to 30 workers a call, the best placed first, keeps what holds, and never asks again of a worker that may not run a step. A ticket that has ended or was not accepted is asked for anew. The objective of a job grants each step one such call.

--- a/dogwoodlever/_fleet_interfaces.py
+++ b/dogwoodlever/_fleet_interfaces.py
@@ -6,7 +6,7 @@
 
 from twisted.internet.defer import Deferred
 
-from dogwoodlever._fleet_types import RunId, StartOrder, WorkerEntry
+from dogwoodlever._fleet_types import RunId, StartOrder, StepId, WorkerEntry
 
 
 class RefusalReason(StrEnum):
@@ -119,6 +119,17 @@
         """End a lease and remove its records."""
 
 
+class AdviceService(ABC):
+    """The service that knows which workers may run a step."""
+
+    @abstractmethod
+    def advise(self, step: StepId, worker_ids: list[str]) -> Deferred:
+        """Return the tickets of the workers that may run `step`, by worker id.
+
+        Fails with `AdviceError` without an answer that can be used.
+        """
+
+
 class WorkerOrders(ABC):
     """Orders to workers.
 
--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -5,7 +5,14 @@
 
 import msgspec
 
-from dogwoodlever._fleet_types import Queue, RunId, Step, SubmittedJob, TaskId
+from dogwoodlever._fleet_types import (
+    Queue,
+    RunId,
+    Step,
+    StepId,
+    SubmittedJob,
+    TaskId,
+)
 
 
 class JobPhase(StrEnum):
@@ -114,6 +121,7 @@
         "occurrence",
         "ready",
         "spec",
+        "step_id",
         "tasks",
         "worker_tasks",
     )
@@ -123,6 +131,7 @@
         self.occurrence = occurrence
         self.number = number
         self.spec: Step = job.job.steps[number]
+        self.step_id = StepId(job.job.job_id, occurrence, number)
         self.tasks = [
             Task(TaskId(job.job.job_id, occurrence, number, index), self)
             for index in range(self.spec.tasks)
@@ -297,7 +306,8 @@
         ends: list[float] = []
         for step in self.job.steps:
             begins = max((ends[earlier] for earlier in step.after), default=0.0)
-            ends.append(begins + step.run_estimate_ms / 1000)
+            own_s = self.queue.advice_s + step.run_estimate_ms / 1000
+            ends.append(begins + own_s)
         return max(ends)
 
     def remaining_chain_s(self, occurrence: Occurrence) -> float:
@@ -305,7 +315,8 @@
         ends: list[float] = []
         for step in occurrence.steps:
             begins = max((ends[earlier] for earlier in step.spec.after), default=0.0)
-            own_s = 0.0 if step.is_done else step.spec.run_estimate_ms / 1000
+            own_s = self.queue.advice_s + step.spec.run_estimate_ms / 1000
+            own_s = 0.0 if step.is_done else own_s
             ends.append(begins + own_s)
         return max(ends)
 
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -7,9 +7,15 @@
 from twisted.internet.defer import inlineCallbacks
 
 from dogwoodlever._fault_attribution import FaultAttribution
+from dogwoodlever._fleet_advice import FleetAdvice
 from dogwoodlever._fleet_board import FleetBoard
 from dogwoodlever._fleet_follower import PrefixFollower
-from dogwoodlever._fleet_interfaces import Put, Record, WorkerOrders
+from dogwoodlever._fleet_interfaces import (
+    AdviceService,
+    Put,
+    Record,
+    WorkerOrders,
+)
 from dogwoodlever._fleet_interference import Interference
 from dogwoodlever._fleet_job import JobPhase, JobProgress, JobState, merge_progress
 from dogwoodlever._fleet_journal import FleetJournal
@@ -62,6 +68,8 @@
     ----------
     store, orders : ObservedStore, WorkerOrders
         The platform.
+    advice : AdviceService or None
+        The advice service, if there is one.
     clock : IReactorTime
         Runtime's clock.
     unix_s : callable
@@ -88,6 +96,7 @@
         self,
         store: ObservedStore,
         orders: WorkerOrders,
+        advice: AdviceService | None,
         clock,
         unix_s: Callable[[], float],
         site: FleetSite,
@@ -111,7 +120,8 @@
         faults = FaultAttribution(QUARANTINE_BASE_S)
         self._interference = Interference()
         self._interference_stored_s = clock.seconds()
-        self._planner = FleetPlanner(faults, self._interference)
+        self._advice = FleetAdvice(advice, clock, self.plan_soon)
+        self._planner = FleetPlanner(faults, self._interference, self._advice)
         self._roster = FleetRoster(
             store, clock, self._own_term_revision, self.plan_soon
         )
@@ -128,6 +138,7 @@
             self.plan_soon,
             self._runs_ended,
             fenced,
+            self._advice.reject,
             bounds.run_lease_max_s,
         )
         self._journal = FleetJournal(
@@ -321,6 +332,7 @@
         for job_id in job_ids:
             self._journal.forget(job_id)
             self._interference.forget_job(job_id)
+            self._advice.forget_job(job_id)
             self._held.pop(job_id, None)
 
     def state_of(self, job_id: str) -> JobPhase | None:
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -8,7 +8,12 @@
 from dogwoodlever._fleet_desk import FleetDesk
 from dogwoodlever._fleet_election import Election
 from dogwoodlever._fleet_follower import PrefixFollower
-from dogwoodlever._fleet_interfaces import FleetStore, Record, WorkerOrders
+from dogwoodlever._fleet_interfaces import (
+    AdviceService,
+    FleetStore,
+    Record,
+    WorkerOrders,
+)
 from dogwoodlever._fleet_leader import FleetLeader
 from dogwoodlever._fleet_metrics import FleetMetrics
 from dogwoodlever._fleet_observed_store import ObservedStore
@@ -47,6 +52,8 @@
         Key of connections between daemons while this one leads.
     store, orders : FleetStore, WorkerOrders
         The platform.
+    advice : AdviceService or None
+        The advice service, if there is one.
     make_mesh : callable
         Returns the transport for a member id and a key.
     clock : IReactorTime
@@ -62,6 +69,7 @@
         peer_key: str,
         store: FleetStore,
         orders: WorkerOrders,
+        advice: AdviceService | None,
         make_mesh,
         clock,
         unix_s: Callable[[], float],
@@ -71,6 +79,7 @@
         store = ObservedStore(store, clock, self.metrics)
         self._store = store
         self._orders = orders
+        self._advice = advice
         self._clock = clock
         self._unix_s = unix_s
         self.member = member_id(
@@ -181,6 +190,7 @@
         self.leader = FleetLeader(
             self._store,
             self._orders,
+            self._advice,
             self._clock,
             self._unix_s,
             self.site,
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -11,6 +11,7 @@
 from dogwoodlever._fleet_job import RunPhase, StepState, Task
 from dogwoodlever._fleet_order import order_key
 from dogwoodlever._fleet_room import WorkerRoom, is_serving
+from dogwoodlever._fleet_tickets import TicketSource
 from dogwoodlever._fleet_types import FleetConfiguration, Step
 
 # Part of a filling task's cores that must be left over where it starts.
@@ -43,11 +44,14 @@
     ----------
     number : int
         Run number that the members of a gang share; 0 for a task by itself.
+    ticket : str
+        Ticket of the advice service; empty if the queue needs none.
     """
 
     task: Task
     room: WorkerRoom
     number: int = 0
+    ticket: str = ""
 
 
 class Lacks:
@@ -95,11 +99,19 @@
         Tells which workers fail what they start.
     interference : Interference
         Tells which images disturb which.
+    tickets : TicketSource
+        Tells which workers may run the steps of some queues.
     """
 
-    __slots__ = ("_faults", "_filling_images", "_interference")
+    __slots__ = ("_faults", "_filling_images", "_interference", "_tickets")
 
-    def __init__(self, faults: FaultAttribution, interference: Interference) -> None:
+    def __init__(
+        self,
+        faults: FaultAttribution,
+        interference: Interference,
+        tickets: TicketSource,
+    ) -> None:
+        self._tickets = tickets
         self._faults = faults
         self._interference = interference
         # Images of work on leftover cores that were met.
@@ -148,6 +160,21 @@
             queue = configuration.queues.get(step.job.queue.name, step.job.queue)
             candidates = by_service.get(queue.service, ())
             yield from self._place_step(step, candidates, now_s, lacks, headroom)
+            if step.ready and _is_advised(step):
+                self._tickets.want(step, self._unadvised(step, candidates, now_s))
+
+    def _unadvised(self, step: StepState, candidates, now_s: float):
+        """Return the workers that would take a step's tasks with a ticket."""
+        rooms = [
+            room
+            for room in candidates
+            if room.fits(step.spec) and self._is_allowed(room, step, now_s)
+        ]
+        spec = step.spec
+        rooms.sort(
+            key=lambda room: (spec.rack not in ("", room.entry.rack), -room.cores_free)
+        )
+        return rooms
 
     def copies(
         self, board: FleetBoard, rooms: list[WorkerRoom], now_s: float
@@ -177,7 +204,7 @@
             ]
             room = self._choose(task, others, now_s, headroom)
             if room is not None:
-                yield Placement(task, room)
+                yield self._placement(task, room)
 
     def moves(self, slowed: Iterable[tuple[Task, WorkerRoom]], rooms, now_s: float):
         """Yield the tasks among slowed ones that another worker would take now."""
@@ -199,7 +226,7 @@
         headroom: Headroom,
     ):
         spec = step.spec
-        if lacks.covers(step):
+        if not _is_advised(step) and lacks.covers(step):
             return
         if spec.gang:
             yield from self._place_gang(step, candidates, now_s, headroom)
@@ -212,10 +239,11 @@
                 room = self._pop_best(ranked, step, now_s, headroom)
             if room is None:
                 if not task.failed_on:
-                    lacks.add(step)
+                    if not _is_advised(step):
+                        lacks.add(step)
                     return
                 continue
-            yield Placement(task, room)
+            yield self._placement(task, room)
             if spec.uses_leftover:
                 headroom.take(room, spec)
             self._push(ranked, room, step, now_s, headroom)
@@ -262,7 +290,7 @@
             room = self._choose(task, candidates, now_s, headroom)
             if room is None:
                 return
-            yield Placement(task, room, number)
+            yield self._placement(task, room, number)
 
     def _fits_together(self, step: StepState, candidates, now_s: float) -> bool:
         spec = step.spec
@@ -292,7 +320,16 @@
                 best, best_cost = room, cost
         return best
 
+    def _placement(self, task: Task, room: WorkerRoom, number: int = 0) -> Placement:
+        return Placement(task, room, number, self._tickets.ticket(task.step, room))
+
     def _may_take(self, room: WorkerRoom, step: StepState, now_s: float) -> bool:
+        """Tell whether a worker may run a task of a step now."""
+        if _is_advised(step) and not self._tickets.ticket(step, room):
+            return False
+        return self._is_allowed(room, step, now_s)
+
+    def _is_allowed(self, room: WorkerRoom, step: StepState, now_s: float) -> bool:
         spec = step.spec
         if spec.label and spec.label not in room.entry.labels:
             return False
@@ -330,6 +367,10 @@
         return self._interference.pressure_of(spec.image, room.disturbing_cores())
 
 
+def _is_advised(step: StepState) -> bool:
+    return step.job.queue.advice is not None
+
+
 def _late_tasks(board: FleetBoard, now_s: float) -> list[Task]:
     found = []
     for state in board.active.values():
--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -110,6 +110,27 @@
     harm_s: float
 
 
+# Workers that one call for advice names; the platform grants a step such a call.
+ADVISED_WORKERS = 30
+
+
+@dataclass(slots=True, frozen=True)
+class AdviceTerms:
+    """How the advice service answers for a queue.
+
+    Attributes
+    ----------
+    decision_ms, worker_ms : float
+        Time of a call, and on top for each worker that it names.
+    valid_ms : float
+        How long a ticket holds.
+    """
+
+    decision_ms: float
+    worker_ms: float
+    valid_ms: float
+
+
 @dataclass(slots=True, frozen=True)
 class Queue:
     """A queue of the configuration.
@@ -123,8 +144,8 @@
     stretch, slack_ms : float, int
         A job is on time within `stretch` times its longest chain of work and
         `slack_ms` more.
-    advised : bool
-        Starts need a ticket of the advice service.
+    advice : AdviceTerms or None
+        Terms of the advice service, if starts need its tickets.
     """
 
     name: str
@@ -135,7 +156,15 @@
     attempts_max: int = 1
     stretch: float = 1.0
     slack_ms: int = 0
-    advised: bool = False
+    advice: AdviceTerms | None = None
+
+    @property
+    def advice_s(self) -> float:
+        """Time of the one call for advice that a step is granted."""
+        if self.advice is None:
+            return 0.0
+        called_ms = ADVISED_WORKERS * self.advice.worker_ms
+        return (self.advice.decision_ms + called_ms) / 1000
 
 
 @dataclass(slots=True, frozen=True)
@@ -200,6 +229,15 @@
     index: int
 
 
+@dataclass(slots=True, frozen=True)
+class StepId:
+    """Identity of a step of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    number: int
+
+
 @dataclass(slots=True, frozen=True)
 class RunId:
     """One start of a task."""
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -6,7 +6,7 @@
 from dogwoodlever._fleet_board import FleetBoard
 from dogwoodlever._fleet_election import UNCONFIRMED_MAX_S
 from dogwoodlever._fleet_interfaces import Record, RefusalReason, WorkerOrders
-from dogwoodlever._fleet_job import Run, RunPhase
+from dogwoodlever._fleet_job import Run, RunPhase, StepState
 from dogwoodlever._fleet_link import (
     CLOCK_SLOWNESS,
     LAPSE_MARGIN_S,
@@ -74,6 +74,8 @@
         Called when runs have ended.
     fenced : callable
         Takes the id of a worker that obeys a later leader.
+    ticket_rejected : callable
+        Takes a step and a worker that did not accept its ticket.
     run_lease_max_s : float
         Longest lease of a run that workers give.
 
@@ -100,6 +102,7 @@
         changed: Callable[[], None],
         ended: Callable[[], None],
         fenced: Callable[[str], None],
+        ticket_rejected: Callable[[StepState, WorkerRoom], None],
         run_lease_max_s: float,
     ) -> None:
         self._orders = orders
@@ -114,6 +117,7 @@
         self._changed = changed
         self._ended = ended
         self._fenced = fenced
+        self._ticket_rejected = ticket_rejected
         self._lease_s = min(RUN_LEASE_WANTED_S, run_lease_max_s)
         # Longest lease on a slow clock, and what a timer may be late.
         self._lease_over_s = self._lease_s * (1 + CLOCK_SLOWNESS) + LAPSE_MARGIN_S
@@ -190,7 +194,9 @@
             waited_s=now_s - job.arrived_s,
             free_milli=room.cores_free,
         )
-        order = StartOrder(run.run_id, job.job.payload, task.checkpoint)
+        order = StartOrder(
+            run.run_id, job.job.payload, task.checkpoint, placement.ticket
+        )
         self._links[worker_id].start(run, order)
 
     def stop_all(self, runs) -> None:
@@ -448,6 +454,8 @@
         task = self._board.find(run.run_id.task)
         if task is not None:
             self._board.drop_run(task, run.run_id.number)
+            if reason is RefusalReason.NO_TICKET and room is not None:
+                self._ticket_rejected(task.step, room)
         self._changed()
 
     def lapsed(self, link: WorkerLink) -> None:
--- a/dogwoodlever/fleet_daemon.py
+++ b/dogwoodlever/fleet_daemon.py
@@ -20,6 +20,7 @@
 from dogwoodlever._peer_mesh import TcpMesh
 from dogwoodlever.platform import (
     NODE_FILE_VARIABLE,
+    HttpAdviceService,
     HttpFleetStore,
     HttpWorkerOrders,
     NodeFile,
@@ -34,6 +35,8 @@
 FETCH_TIMEOUT_S = 2.0
 # Watches and writes of one daemon that are under way at once.
 STORE_CONNECTIONS = 8
+# The service handles the calls of a VM one by one.
+ADVICE_CONNECTIONS = 2
 # A look that waits, and the orders of one busy moment.
 WORKER_CONNECTIONS = 6
 
@@ -57,6 +60,12 @@
         orders = HttpWorkerOrders(
             HttpFetcher(reactor, FETCH_TIMEOUT_S, WORKER_CONNECTIONS)
         )
+        advice = None
+        if settings.advice:
+            advice = HttpAdviceService(
+                HttpFetcher(reactor, FETCH_TIMEOUT_S, ADVICE_CONNECTIONS),
+                settings.advice,
+            )
         incarnation = f"{time.time_ns() // 1000:x}"
         self.node = FleetNode(
             settings,
@@ -64,6 +73,7 @@
             secrets.token_hex(16),
             store,
             orders,
+            advice,
             lambda member, key: TcpMesh(reactor, clock, member, key),
             clock,
             time.time,
--- a/dogwoodlever/platform/__init__.py
+++ b/dogwoodlever/platform/__init__.py
@@ -1,6 +1,7 @@
 """Adapter to the users' platform: names, formats and calls, no decisions."""
 
 from dogwoodlever.platform._callers_site import CallersSite
+from dogwoodlever.platform._http_advice import HttpAdviceService
 from dogwoodlever.platform._http_store import HttpFleetStore
 from dogwoodlever.platform._http_workers import HttpWorkerOrders
 from dogwoodlever.platform._keys import (
@@ -24,6 +25,7 @@
     "OPERATORS_PREFIX",
     "WORKERS_PREFIX",
     "CallersSite",
+    "HttpAdviceService",
     "HttpFleetStore",
     "HttpWorkerOrders",
     "NodeFile",
--- /dev/null
+++ b/dogwoodlever/platform/_http_advice.py
@@ -0,0 +1,45 @@
+"""The advice service over HTTP."""
+
+import msgspec
+from twisted.internet.defer import inlineCallbacks
+
+from dogwoodlever._fleet_interfaces import AdviceService
+from dogwoodlever._fleet_types import StepId
+from dogwoodlever._http_fetch import HttpFetcher
+from dogwoodlever.platform_errors import AdviceError
+
+# The service handles the calls of a VM in turn, each for the time that the
+# configuration tells.
+ADVICE_TIMEOUT_S = 5.0
+
+
+class _Advice(msgspec.Struct):
+    # Rows: worker, ticket.
+    good: list[tuple[str, str]] = []
+
+
+class HttpAdviceService(AdviceService):
+    """Calls to the advice service at `address`, as host and port."""
+
+    def __init__(self, fetcher: HttpFetcher, address: str) -> None:
+        self._fetcher = fetcher
+        self._url = f"http://{address}/-/advise"
+
+    @inlineCallbacks
+    def advise(self, step: StepId, worker_ids: list[str]):
+        """Return the tickets of the workers that may run a step."""
+        name = f"{step.job_id}.{step.occurrence}.{step.number}"
+        body = msgspec.json.encode({"step": name, "workers": worker_ids})
+        try:
+            status, content = yield self._fetcher.fetch(
+                b"POST", self._url, body, ADVICE_TIMEOUT_S
+            )
+        except Exception as error:
+            # Twisted's network errors have no common base but Exception.
+            raise AdviceError(f"advice on {name}: {error!r}") from error
+        if status != 200:
+            raise AdviceError(f"advice on {name}: status {status}")
+        try:
+            return dict(msgspec.json.decode(content, type=_Advice).good)
+        except ValueError as error:
+            raise AdviceError(f"advice on {name}: {error}") from error
--- a/dogwoodlever/platform/_node_file.py
+++ b/dogwoodlever/platform/_node_file.py
@@ -49,6 +49,8 @@
     platform: _Store
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
+    # Address of the service that gives tickets for workers.
+    advice: str = ""
 
 
 class NodeFile(msgspec.Struct, frozen=True):
@@ -64,6 +66,8 @@
         Where this process takes messages of its peers.
     store : str
         Host and port of the platform's store.
+    advice : str
+        Host and port of the advice service; empty if there is none.
     core_share : float
         Processor that the process may use, in usual cores.
     lease_ttl_min_ms : int
@@ -85,6 +89,7 @@
     peer_host: str
     peer_port: int
     store: str
+    advice: str
     core_share: float
     lease_ttl_min_ms: int
     run_lease_max_s: float
@@ -120,6 +125,7 @@
         peer_host=document.ip,
         peer_port=document.port_range[0],
         store=document.platform.address,
+        advice=document.advice,
         core_share=document.limits.cpu_share * document.limits.cores,
         lease_ttl_min_ms=document.platform.ttl_min_ms,
         run_lease_max_s=bounds.hold_max_ms / 1000,
--- a/dogwoodlever/platform/_wire_site.py
+++ b/dogwoodlever/platform/_wire_site.py
@@ -2,13 +2,26 @@
 
 import msgspec
 
-from dogwoodlever._fleet_types import FleetConfiguration, Queue, WorkerEntry
+from dogwoodlever._fleet_types import (
+    AdviceTerms,
+    FleetConfiguration,
+    Queue,
+    WorkerEntry,
+)
 from dogwoodlever.platform_errors import PlatformError
 
 READY = "ready"
 DRAINING = "draining"
 
 
+class _Advice(msgspec.Struct, frozen=True):
+    # Time of a call, and on top for each worker that it names.
+    decision_ms: float = 0
+    period_ms: float = 0
+    # How long a ticket holds.
+    valid_ms: float = 0
+
+
 class _Route(msgspec.Struct, frozen=True):
     # A route is a queue of jobs.
     name: str
@@ -20,8 +33,8 @@
     stretch: float = 1.0
     # Added to the stretched chain of work to give the objective.
     slo_ms: float = 0
-    # Terms of the advice service; present if starts need its tickets.
-    advice: dict[str, float] | None = None
+    # Present if starts need tickets of the advice service.
+    advice: _Advice | None = None
 
 
 class _Configuration(msgspec.Struct, frozen=True):
@@ -73,7 +86,7 @@
             route.max_attempts,
             route.stretch,
             int(route.slo_ms),
-            route.advice is not None,
+            _advice_terms(route.advice),
         )
         for route in document.routes
     }
@@ -82,6 +95,12 @@
     return FleetConfiguration(document.version, queues)
 
 
+def _advice_terms(advice: _Advice | None) -> AdviceTerms | None:
+    if advice is None:
+        return None
+    return AdviceTerms(advice.decision_ms, advice.period_ms, advice.valid_ms)
+
+
 def decode_worker(worker_id: str, value: bytes) -> WorkerEntry:
     """Decode a worker's entry.
 
--- a/dogwoodlever/platform_errors.py
+++ b/dogwoodlever/platform_errors.py
@@ -49,5 +49,9 @@
         super().__init__(str(reason))
 
 
+class AdviceError(PlatformError):
+    """The advice service gave no answer that can be used."""
+
+
 class OtherLifeError(PlatformError):
     """Another life of the worker answered than the one addressed."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred, fail
 
 from dogwoodlever._fleet_interfaces import (
+    AdviceService,
     CommitResult,
     FleetStore,
     Listing,
@@ -23,11 +24,13 @@
     RunId,
     RunningRun,
     StartOrder,
+    StepId,
     WorkerEntry,
     WorkerLook,
 )
 from dogwoodlever.peers import Message, PeerTransport
 from dogwoodlever.platform_errors import (
+    AdviceError,
     LeaseEndedError,
     OrderRefusedError,
     OtherLifeError,
@@ -38,6 +41,7 @@
 STORE_DELAY_S = 0.004
 STORE_TIMEOUT_S = 1.0
 WORKER_DELAY_S = 0.002
+ADVICE_DELAY_S = 0.05
 WORKER_TIMEOUT_S = 0.8
 LEASE_MAX_MS = 10_000
 
@@ -339,6 +343,8 @@
         Every run that began, with its worker.
     twice : list of RunId
         Runs that began while another run of the task was at work or done.
+    wants_tickets : bool
+        Starts without the ticket of their step and worker are refused.
     orders_to_lose : int
         So many orders to start are carried out without an answer.
     late_start_s : float or None
@@ -348,6 +354,7 @@
 
     def __init__(self, clock) -> None:
         self.late_start_s: float | None = None
+        self.wants_tickets = False
         self.clock = clock
         self.workers: dict[str, FakeWorker] = {}
         self.starts: list[tuple[RunId, str]] = []
@@ -479,6 +486,11 @@
 
         def act(found: FakeWorker) -> None:
             self._workers.renew(found, until_ms)
+            task = order.run.task
+            step = StepId(task.job_id, task.occurrence, task.step)
+            wanted = FakeAdvice.ticket(step, found.entry.worker_id)
+            if self._workers.wants_tickets and order.ticket != wanted:
+                raise OrderRefusedError(RefusalReason.NO_TICKET)
             self._workers.start(found, order)
 
         return self._call(worker, fence, act, not lost)
@@ -549,6 +561,54 @@
         return answer
 
 
+class FakeAdvice(AdviceService):
+    """The advice service of all daemons.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        Clock of the test.
+
+    Attributes
+    ----------
+    allowed : set of str
+        Workers that may run any step.
+    failures : int
+        So many calls still to come fail.
+    asked : list of (StepId, list of str)
+        Calls so far.
+    """
+
+    def __init__(self, clock) -> None:
+        self._clock = clock
+        self.allowed: set[str] = set()
+        self.failures = 0
+        self.asked: list[tuple[StepId, list[str]]] = []
+
+    def advise(self, step: StepId, worker_ids: list[str]) -> Deferred:
+        """Return tickets, after some milliseconds for each worker."""
+        self.asked.append((step, worker_ids))
+        answer: Deferred = Deferred()
+        if self.failures:
+            self.failures -= 1
+            self._clock.callLater(ADVICE_DELAY_S, self._fail, answer)
+            return answer
+        good = {
+            name: self.ticket(step, name) for name in worker_ids if name in self.allowed
+        }
+        self._clock.callLater(ADVICE_DELAY_S, answer.callback, good)
+        return answer
+
+    @staticmethod
+    def _fail(answer: Deferred) -> None:
+        answer.errback(AdviceError("busy"))
+
+    @staticmethod
+    def ticket(step: StepId, worker_id: str) -> str:
+        """Return the ticket of a worker for a step."""
+        return f"{step.job_id}.{step.occurrence}.{step.number}@{worker_id}"
+
+
 class FakeMesh(PeerTransport):
     """Connections between the daemons of one process.
 
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -7,6 +7,7 @@
 from dogwoodlever._fleet_types import Step, SubmittedJob, WorkerEntry
 from dogwoodlever.platform import NodeFile
 from standins.fleet import (
+    FakeAdvice,
     FakeFleetStore,
     FakeMesh,
     FakeOrders,
@@ -36,7 +37,7 @@
 
 def node_file(vm):
     return NodeFile(
-        vm, "north", ("127.0.0.1", 1), ("127.0.0.1", 2), "127.0.0.1", 3, "",
+        vm, "north", ("127.0.0.1", 1), ("127.0.0.1", 2), "127.0.0.1", 3, "", "",
         1.0, 1000, 10.0, 6.0, 120.0, 4.0,
     )  # fmt: skip
 
@@ -79,6 +80,7 @@
         self.records = FleetRecords(self.clock)
         self.records.write("op/config", msgspec.json.encode(CONFIGURATION))
         self.workers = FakeWorkers(self.clock)
+        self.advice = FakeAdvice(self.clock)
         self.members = {}
         self.nodes, self.stores, self.orders, self.clocks = [], [], [], []
         for number in range(workers):
@@ -100,6 +102,7 @@
             "key",
             store,
             orders,
+            self.advice,
             lambda member, key: FakeMesh(self.members, clock, member),
             clock,
             self.clock.seconds,
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -1,15 +1,24 @@
 import unittest
 
+import msgspec
+
 from dogwoodlever._fleet_desk import Outcome
 from dogwoodlever._fleet_follower import RETRY_S
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_leader import STARTS_A_ROUND
 from dogwoodlever._fleet_records import LEADER_KEY, progress_key
-from dogwoodlever._fleet_types import Step, SubmittedJob
+from dogwoodlever._fleet_types import ADVISED_WORKERS, Step, SubmittedJob
 from standins.fleet import STORE_TIMEOUT_S
-from tests.fleet_world import FleetWorld, job, server_record, worker_entry
+from tests.fleet_world import (
+    CONFIGURATION,
+    FleetWorld,
+    job,
+    server_record,
+    worker_entry,
+)
 
 JOB = "a" * 16
+ADVICE = {"decision_ms": 20, "period_ms": 1, "valid_ms": 1_500}
 
 
 class FleetNodeTest(unittest.TestCase):
@@ -388,6 +397,44 @@
         ]
         self.assertEqual(sorted(running), [JOB, "b" * 16])
 
+    def world_with_advice(self, allowed, workers=3):
+        world = self.world(workers=workers)
+        route = CONFIGURATION["routes"][0] | {"advice": ADVICE}
+        changed = CONFIGURATION | {"version": 2, "routes": [route]}
+        world.records.write("op/config", msgspec.json.encode(changed))
+        world.run_for(0.3)
+        world.workers.wants_tickets = True
+        world.advice.allowed = set(allowed)
+        return world
+
+    def test_advised_job_runs_where_the_service_allows_it(self):
+        world = self.world_with_advice({"w1"})
+        world.advice.failures = 1
+        world.submit(0, job(JOB, tasks=3, steps=2))
+        world.run_for(4.0)
+        self.assertEqual(world.phase(0, JOB), JobPhase.COMPLETED)
+        self.assertEqual({worker for _, worker in world.workers.starts}, {"w1"})
+        # One call failed, one for each step followed; no worker is asked for twice.
+        self.assertEqual(len(world.advice.asked), 3)
+
+    def test_ticket_that_has_ended_is_asked_for_again(self):
+        world = self.world_with_advice({"w0"}, workers=1)
+        world.submit(0, job(JOB, tasks=20))
+        # Eight tasks fit at a time, and a ticket holds for one and a half seconds.
+        world.run_for(5.0)
+        self.assertEqual(world.phase(0, JOB), JobPhase.COMPLETED)
+        self.assertEqual(len(world.workers.starts), 20)
+        self.assertGreaterEqual(len(world.advice.asked), 2)
+
+    def test_advice_is_asked_for_some_workers_at_a_time(self):
+        world = self.world_with_advice({"w40"}, workers=45)
+        world.submit(0, job(JOB, tasks=2))
+        world.run_for(3.0)
+        self.assertEqual(world.phase(0, JOB), JobPhase.COMPLETED)
+        sizes = [len(workers) for _, workers in world.advice.asked]
+        self.assertEqual(sum(sizes), 45)
+        self.assertLessEqual(max(sizes), ADVISED_WORKERS)
+
     def test_reborn_worker_frees_its_tasks_at_once(self):
         world = self.world(workers=1, run_s=5.0)
         world.submit(0, job(JOB, tasks=2))
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -7,6 +7,7 @@
 from dogwoodlever._fleet_order import Prospect, order_key
 from dogwoodlever._fleet_planner import FleetPlanner
 from dogwoodlever._fleet_room import WorkerRoom
+from dogwoodlever._fleet_tickets import TicketSource
 from dogwoodlever._fleet_types import FleetConfiguration, Queue, Step, SubmittedJob
 from tests.fleet_world import worker_entry
 
@@ -28,6 +29,14 @@
     return step(tasks, cores, 2.0, image=image, uses_leftover=True, checkpoints=True)
 
 
+class NoTickets(TicketSource):
+    def ticket(self, step, room):
+        return ""
+
+    def want(self, step, rooms):
+        raise AssertionError("no queue of these tests needs tickets")
+
+
 class Fixture:
     def __init__(self, workers=2, cores=16, entries=None):
         self.queues = {
@@ -38,7 +47,7 @@
         self.board = FleetBoard(1)
         self.faults = FaultAttribution()
         self.interference = Interference()
-        self.planner = FleetPlanner(self.faults, self.interference)
+        self.planner = FleetPlanner(self.faults, self.interference, NoTickets())
         entries = entries or [worker_entry(n, cores) for n in range(workers)]
         self.rooms = [WorkerRoom(entry) for entry in entries]
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -8,9 +8,10 @@
 from twisted.internet.error import ConnectionRefusedError
 
 from dogwoodlever._fleet_interfaces import Put, RefusalReason
-from dogwoodlever._fleet_types import RunId, StartOrder, TaskId
+from dogwoodlever._fleet_types import AdviceTerms, RunId, StartOrder, StepId, TaskId
 from dogwoodlever.fleet_errors import SubmissionError
 from dogwoodlever.platform import (
+    HttpAdviceService,
     HttpFleetStore,
     HttpWorkerOrders,
     decode_configuration,
@@ -19,6 +20,7 @@
 )
 from dogwoodlever.platform._wire_job import decode_job
 from dogwoodlever.platform_errors import (
+    AdviceError,
     HistoryGoneError,
     LeaseEndedError,
     OrderRefusedError,
@@ -128,6 +130,15 @@
                 queue = found.find_queue(host, path)
                 self.assertEqual(queue and queue.name, expected)
 
+    def test_terms_of_the_advice_service(self):
+        route = {"name": "q", "host": "a.example", "prefix": "/x/", "service": "s"}
+        terms = {"decision_ms": 40, "period_ms": 2, "valid_ms": 900}
+        document = {"version": 3, "routes": [route | {"advice": terms}]}
+        queue = decode_configuration(msgspec.json.encode(document)).queues["q"]
+        self.assertEqual(queue.advice, AdviceTerms(40, 2, 900))
+        # One call for thirty workers.
+        self.assertAlmostEqual(queue.advice_s, 0.1)
+
     def test_error_names_the_field(self):
         with self.assertRaisesRegex(PlatformError, "routes"):
             decode_configuration(b'{"version":1,"routes":5,"services":[]}')
@@ -272,6 +283,29 @@
         self.assertEqual((look.ended[0].number, look.ended[0].how), (58, "done"))
 
 
+class AdviceTest(unittest.TestCase):
+    STEP = StepId(JOB, 0, 2)
+
+    def test_tickets_by_worker(self):
+        fetcher = FakeFetcher((200, {"good": [["w1", "t1"]]}))
+        service = HttpAdviceService(fetcher, "10.0.0.1:8169")
+        self.assertEqual(result(service.advise(self.STEP, ["w1", "w2"])), {"w1": "t1"})
+        _, url, body = fetcher.calls[0]
+        self.assertEqual(url, "http://10.0.0.1:8169/-/advise")
+        self.assertEqual(body, {"step": f"{JOB}.0.2", "workers": ["w1", "w2"]})
+
+    def test_failures_have_one_error(self):
+        for name, answer in (
+            ("too many calls", (429, {})),
+            ("no answer", ConnectionRefusedError()),
+            ("unreadable", (200, {"good": 5})),
+        ):
+            with self.subTest(name):
+                service = HttpAdviceService(FakeFetcher(answer), "10.0.0.1:8169")
+                failure = result(service.advise(self.STEP, ["w1"]))
+                self.assertTrue(failure.check(AdviceError))
+
+
 class NodeFileTest(unittest.TestCase):
     def read(self, text):
         with TemporaryDirectory() as folder:
