Runs are split from the workers that carry them

Change: FleetRuns orders runs and takes what workers list of them; FleetWorkers keeps rooms, links, lives and leases. No change of behaviour.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -323,7 +323,7 @@
             return
         runs = self.board.end_job(state, JobPhase.CANCELLED)
         log_event("job.cancelled", job=state.job.job_id, runs=len(runs))
-        self.workers.stop_all(runs)
+        self.workers.runs.stop_all(runs)
         self._journal.wake()
 
     def _forget(self, job_ids: list[str]) -> None:
@@ -379,7 +379,7 @@
             bool(self.workers.unread),
         )
         for placement in islice(placements, STARTS_A_ROUND):
-            self.workers.start(placement, now_s)
+            self.workers.runs.start(placement, now_s)
             placed += 1
         took_s = self._clock.seconds() - now_s
         self._plan_pause_s = max(PLAN_PAUSE_S, took_s * (PLAN_TIME_PARTS - 1))
@@ -391,17 +391,17 @@
             return
         rooms = self.workers.open_rooms()
         for placement in self._planner.copies(self.board, rooms, now_s):
-            self.workers.start(placement, now_s)
+            self.workers.runs.start(placement, now_s)
 
     def _move_slowed(self, now_s: float) -> None:
         """Stop slowed work that has a better place."""
-        slowed = self.workers.slowed(now_s)
+        slowed = self.workers.runs.slowed(now_s)
         if not slowed:
             return
         rooms = self.workers.open_rooms()
         for task in self._planner.moves(slowed, rooms, now_s):
             for run in list(task.runs.values()):
-                self.workers.move(run)
+                self.workers.runs.move(run)
 
     @inlineCallbacks
     def _store_interference(self, now_s: float):
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -347,7 +347,7 @@
     def test_starts_of_one_moment_are_ordered_in_parts(self):
         # Pattern: all standing jobs of a site come at once.
         world = self.world(workers=2)
-        orders = world.nodes[world.leader()].leader.workers
+        orders = world.nodes[world.leader()].leader.workers.runs
         start = orders.start
         moments = {}
 
