Heartbeats of workers come together; ends are stored ten times a second

Change: 0.4 s between an answer and the next watch of these entries, 0.1 s for ends to come together.

--- a/dogwoodlever/_fleet_follower.py
+++ b/dogwoodlever/_fleet_follower.py
@@ -34,6 +34,8 @@
         Takes one `Record`, without a value if it was removed.
     listed : callable
         Called after each complete list has been handed over.
+    pause_s : float
+        Time from an answer to the next watch; changes of that time come together.
     """
 
     def __init__(
@@ -43,12 +45,14 @@
         prefix: str,
         changed: Callable[[Record], None],
         listed: Callable[[], None] = lambda: None,
+        pause_s: float = 0.0,
     ) -> None:
         self._store = store
         self._clock = clock
         self.prefix = prefix
         self._changed = changed
         self._listed = listed
+        self._pause_s = pause_s
         self._revisions: dict[str, int] = {}
         self._revision = 0
         self._is_closed = False
@@ -87,7 +91,7 @@
             return
         self.asked_s = asked_s
         self._regained()
-        self._again(0.0)
+        self._again(self._pause_s)
 
     def _again(self, delay_s: float) -> None:
         if not self._is_closed:
--- a/dogwoodlever/_fleet_journal.py
+++ b/dogwoodlever/_fleet_journal.py
@@ -17,7 +17,7 @@
 from dogwoodlever.platform_errors import PlatformError
 
 # Ends wait this long for others, so that a busy second costs few writes.
-FLUSH_PAUSE_S = 0.04
+FLUSH_PAUSE_S = 0.1
 RETRY_S = 0.25
 # The store takes 32 entries in one transaction: the term's condition, and a
 # condition and a value for each job.
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -47,6 +47,9 @@
 from dogwoodlever.platform_errors import PlatformError
 
 LOAD_RETRY_S = 0.2
+# Each worker's entry changes with each of its heartbeats; those of this time come
+# in one answer. Far below the two seconds in which a draining worker must be seen.
+WORKERS_PAUSE_S = 0.4
 # Events of one moment are planned together.
 PLAN_PAUSE_S = 0.004
 # Planning takes at most one part in so many of the process's time.
@@ -231,8 +234,10 @@
             self._interference.restore(models)
         self._follow(INBOX_PREFIX, self._take_inbox, self._inbox_listed)
 
-    def _follow(self, prefix, changed, listed) -> None:
-        follower = PrefixFollower(self._store, self._clock, prefix, changed, listed)
+    def _follow(self, prefix, changed, listed, pause_s=0.0) -> None:
+        follower = PrefixFollower(
+            self._store, self._clock, prefix, changed, listed, pause_s
+        )
         self._followers.append(follower)
         follower.open()
 
@@ -241,7 +246,7 @@
             return
         self.is_loaded = True
         self._progress.clear()
-        self._follow(WORKERS_PREFIX, self.workers.take, self.plan_soon)
+        self._follow(WORKERS_PREFIX, self.workers.take, self.plan_soon, WORKERS_PAUSE_S)
         self._tick()
         log_event(
             "leader.loaded",
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -191,6 +191,7 @@
         self.loses_renewals = False
         self.late_s: float | None = None
         self.commits = 0
+        self.watches = 0
 
     def _call(self, action: Callable[[], object]) -> Deferred:
         answer: Deferred = Deferred()
@@ -224,6 +225,7 @@
 
     def watch(self, prefix: str, revision: int, wait_ms: int) -> Deferred:
         """Wait for changes."""
+        self.watches += 1
         answer: Deferred = Deferred()
         until_s = self._clock.seconds() + wait_ms / 1000
 
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -455,6 +455,17 @@
         world.run_for(3.0)
         self.assertEqual({worker for _, worker in world.workers.starts}, {"w1"})
 
+    def test_heartbeats_of_many_workers_cost_few_watches(self):
+        # Pattern: each entry changes with each heartbeat of its worker.
+        world = self.world(workers=30)
+        before = world.stores[world.leader()].watches
+        for _ in range(2):
+            for worker_id, worker in world.workers.workers.items():
+                world.records.write(f"servers/{worker_id}", server_record(worker.entry))
+                world.run_for(0.05)
+        # Other prefixes are watched for one and a half seconds at a time.
+        self.assertLess(world.stores[world.leader()].watches - before, 20)
+
     def test_standing_tasks_leave_a_draining_worker_at_once(self):
         world = self.world(workers=2, run_s=0.0)
         world.submit(0, job(JOB, tasks=4, standing=True))
