A worker that failed gets standing work again soon

A worker that had failed was probed with one run until a success; a standing task never ends, so it stayed at one run. Quarantines also doubled to 8 and 16 s, beyond what the platform allows after a disturbance. Change: a standing task at work counts as a success; quarantines last 4 s each.

--- a/dogwoodlever/_fault_attribution.py
+++ b/dogwoodlever/_fault_attribution.py
@@ -35,12 +35,19 @@
     ----------
     quarantine_base_s : float
         First quarantine of a worker; each further one lasts twice as long.
+    quarantine_max_s : float
+        Longest quarantine.
     """
 
-    __slots__ = ("_finished", "_quarantine_base_s", "_workers")
+    __slots__ = ("_finished", "_quarantine_base_s", "_quarantine_max_s", "_workers")
 
-    def __init__(self, quarantine_base_s: float = QUARANTINE_BASE_S) -> None:
+    def __init__(
+        self,
+        quarantine_base_s: float = QUARANTINE_BASE_S,
+        quarantine_max_s: float = QUARANTINE_MAX_S,
+    ) -> None:
         self._quarantine_base_s = quarantine_base_s
+        self._quarantine_max_s = quarantine_max_s
         self._workers: dict[str, WorkerRecord] = {}
         self._finished: dict[str, int] = {}
 
@@ -86,7 +93,7 @@
         if now_s < record.quarantined_until_s or not self._may(now_s, workers):
             return False
         duration_s = min(
-            self._quarantine_base_s * 2**record.quarantines, QUARANTINE_MAX_S
+            self._quarantine_base_s * 2**record.quarantines, self._quarantine_max_s
         )
         record.quarantines += 1
         record.quarantined_until_s = now_s + duration_s
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -58,8 +58,9 @@
 STARTS_A_ROUND = 64
 # Occurrences come due and slow runs are noticed by this.
 TICK_S = 0.1
-# First quarantine of a worker that fails or stalls what it starts.
-QUARANTINE_BASE_S = 4.0
+# Quarantine of a worker that fails or stalls what it starts. Seven seconds after
+# a disturbance, the platform expects all room to be used; a probe takes a second.
+QUARANTINE_S = 4.0
 # A successor goes on from what was learned so long ago at most.
 INTERFERENCE_PAUSE_S = 4.0
 
@@ -120,7 +121,7 @@
         self.fence = fence
         self._term_revision = fence
         self.board = FleetBoard(term)
-        faults = FaultAttribution(QUARANTINE_BASE_S)
+        faults = FaultAttribution(QUARANTINE_S, QUARANTINE_S)
         self._interference = Interference()
         self._interference_stored_s = clock.seconds()
         self._advice = FleetAdvice(advice, clock, self.plan_soon)
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -207,10 +207,13 @@
         if held is None:
             self._adopt(room, link, row, now_s)
             return
-        run = held[0]
+        run, step = held
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
         if row.percent != run.percent:
+            if step.standing and row.percent == 100:
+                # It never ends, so being at work is all the success it can have.
+                self._faults.succeeded(run.worker_id, row.run.task.job_id)
             run.percent = row.percent
             run.progressed_s = now_s
         run.load = row.load
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -541,7 +541,9 @@
             self._workers.acknowledge(found, acknowledged)
             now_s = self._clock.seconds()
             running = tuple(
-                RunningRun(run.run, run.checkpoint, run.percent, 0)
+                RunningRun(
+                    run.run, run.checkpoint, run.percent if run.lasts_s else 100, 0
+                )
                 for run in found.running.values()
             )
             born_ms = found.entry.born_ms
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -466,6 +466,24 @@
         # Other prefixes are watched for one and a half seconds at a time.
         self.assertLess(world.stores[world.leader()].watches - before, 20)
 
+    def test_worker_that_failed_gets_standing_work_again_soon(self):
+        # Pattern: a worker fails all that it starts for some seconds; afterwards
+        # only standing tasks, which never end, are left to show that it is sound.
+        world = self.world(workers=2)
+        world.workers.workers["w0"].fails = True
+        for number in range(8):
+            world.submit(0, job(f"{number:016x}", tasks=4))
+        world.run_for(8.0)
+        world.workers.workers["w0"].fails = False
+        for worker in world.workers.workers.values():
+            worker.run_s = 0.0
+        world.submit(0, job(JOB, tasks=16, standing=True))
+        # A disruption counts as over four seconds after its end, and a standing
+        # task may wait for another three.
+        world.run_for(7.0)
+        running = [len(w.running) for w in world.workers.workers.values()]
+        self.assertEqual(running, [8, 8])
+
     def test_standing_tasks_leave_a_draining_worker_at_once(self):
         world = self.world(workers=2, run_s=0.0)
         world.submit(0, job(JOB, tasks=4, standing=True))
