--- a/standins/fleet_http.py
+++ b/standins/fleet_http.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from abc import ABC, abstractmethod
 from base64 import b64decode, b64encode
 from collections.abc import Callable
 
@@ -29,7 +30,7 @@
 }
 
 
-class JsonSite(Resource):
+class JsonSite(Resource, ABC):
     """Resource whose methods take and return JSON documents."""
 
     isLeaf = True
@@ -41,9 +42,9 @@
         self.serve(request, request.path.decode(), document)
         return NOT_DONE_YET
 
+    @abstractmethod
     def serve(self, request, path: str, document: dict) -> None:
         """Serve one call."""
-        raise NotImplementedError
 
     @staticmethod
     def answer(request, status: int, document: dict | None = None) -> None:
@@ -246,10 +247,13 @@
         if call == "hold":
             self._hold(request, worker, document)
             return
+        carry_out = {
+            "run-start": self._start,
+            "run-stop": self._stop,
+            "pace": self._pace,
+        }[call]
         try:
-            {"run-start": self._start, "run-stop": self._stop, "pace": self._pace}[
-                call
-            ](worker, document)
+            carry_out(worker, document)
         except OrderRefusedError as error:
             self._refuse(request, worker, error.reason)
             return
