--- a/examples/stage.py
+++ b/examples/stage.py
@@ -32,12 +32,12 @@
     """A process of the stage did not do what was expected."""
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
+def free_ports(count: int, host: str = HOST) -> list[int]:
+    """Return ports of a loopback address that nothing listens on."""
     sockets = [socket.socket() for _ in range(count)]
     try:
         for one in sockets:
-            one.bind((HOST, 0))
+            one.bind((host, 0))
         return [one.getsockname()[1] for one in sockets]
     finally:
         for one in sockets:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
 from twisted.internet.defer import Deferred, fail
 
 from dogwoodlever._fleet_interfaces import (
@@ -46,6 +47,21 @@
 LEASE_MAX_MS = 10_000
 
 
+def server_record(entry: WorkerEntry, state: str = "ready") -> bytes:
+    """Return the entry that a worker writes of itself."""
+    return msgspec.json.encode(
+        {
+            "service": entry.service,
+            "address": f"{entry.host}:{entry.port}",
+            "zone": entry.data_centre,
+            "state": state,
+            "capacity": {"cpu": entry.cores_milli, "mem_mb": entry.memory_mb},
+            "labels": list(entry.labels),
+            "born": entry.born_ms,
+        }
+    )
+
+
 class FleetRecords:
     """Contents of the store, shared by all its clients.
 
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -13,6 +13,7 @@
     FakeOrders,
     FakeWorkers,
     FleetRecords,
+    server_record,
 )
 from standins.in_process import ProcessClock
 
@@ -49,20 +50,6 @@
     )  # fmt: skip
 
 
-def server_record(entry, state="ready"):
-    return msgspec.json.encode(
-        {
-            "service": entry.service,
-            "address": f"{entry.host}:{entry.port}",
-            "zone": entry.data_centre,
-            "state": state,
-            "capacity": {"cpu": entry.cores_milli, "mem_mb": entry.memory_mb},
-            "labels": list(entry.labels),
-            "born": entry.born_ms,
-        }
-    )
-
-
 def job(job_id="a" * 16, tasks=4, steps=1, **fields):
     made = tuple(
         Step(tasks, 1000, 100, 0, 1000, after=(n - 1,) if n else (), **fields)
--- a/tests/soak_site.py
+++ b/tests/soak_site.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -13,8 +12,9 @@
 
 from dogwoodlever._fleet_records import LEADER_KEY, decode_leader
 from dogwoodlever._fleet_types import WorkerEntry
+from examples.stage import free_ports
 from standins.faulty_proxy import FaultyProxy
-from standins.fleet import FleetRecords
+from standins.fleet import FleetRecords, server_record
 from standins.fleet_http import StoreSite, WorkerSite
 from tests.soak_ledger import ATTEMPTS_MAX, SoakLedger, SoakWorker
 
@@ -30,17 +30,6 @@
 CALLERS, READINESS, PEERS = range(3)
 
 
-def _free_ports(host: str, count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((host, 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
-
-
 class SoakDaemon:
     """One daemon process on a loopback address of its own.
 
@@ -59,7 +48,7 @@
     def __init__(self, name: str, host: str, store_port: int, folder: Path) -> None:
         self.name = name
         self.host = host
-        self.ports = _free_ports(host, 3)
+        self.ports = free_ports(3, host)
         self._file = folder / f"{name}.toml"
         self._file.write_text(self._settings(store_port))
         self._log = open(folder / f"{name}.log", "ab")  # noqa: SIM115
@@ -226,16 +215,7 @@
     def tell_state(self, worker_id: str, state: str) -> None:
         """Write a worker's entry."""
         entry = self.ledger.workers[worker_id].entry
-        document = {
-            "service": entry.service,
-            "address": f"{entry.host}:{entry.port}",
-            "zone": entry.data_centre,
-            "state": state,
-            "capacity": {"cpu": entry.cores_milli, "mem_mb": entry.memory_mb},
-            "labels": list(entry.labels),
-            "born": entry.born_ms,
-        }
-        self.records.write(f"servers/{worker_id}", json.dumps(document).encode())
+        self.records.write(f"servers/{worker_id}", server_record(entry, state))
 
     def leader(self) -> str:
         """Return the VM of the daemon that leads, empty if none does."""
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -8,12 +8,11 @@
 from dogwoodlever._fleet_leader import STARTS_A_ROUND
 from dogwoodlever._fleet_records import LEADER_KEY, progress_key
 from dogwoodlever._fleet_types import ADVISED_WORKERS, Step, SubmittedJob
-from standins.fleet import STORE_TIMEOUT_S
+from standins.fleet import STORE_TIMEOUT_S, server_record
 from tests.fleet_world import (
     CONFIGURATION,
     FleetWorld,
     job,
-    server_record,
     worker_entry,
 )
 
