A start under way counts until the next life of its worker rules it out

Change: a start is doubtful from the moment it is sent. When a life is over, runs of such starts stay counted, pass to the next life's link, which stops them before it grants a lease, and are given up after a lease if no life comes.

--- /dev/null
+++ b/dogwoodlever/_fleet_daemon.py
@@ -0,0 +1,137 @@
+"""The daemon process on the users' platform."""
+
+import os
+import secrets
+import signal
+import sys
+import time
+from pathlib import Path
+
+from absl import logging
+from returns.result import Failure
+from twisted.internet import reactor
+
+from dogwoodlever._bounded_site import BoundedSite
+from dogwoodlever._clock import BootClock, use_boot_time
+from dogwoodlever._fleet_metrics import MetricsSite
+from dogwoodlever._fleet_node import FleetNode
+from dogwoodlever._http_fetch import HttpFetcher
+from dogwoodlever._logs import log_event
+from dogwoodlever._peer_mesh import TcpMesh
+from dogwoodlever.platform import (
+    NODE_FILE_VARIABLE,
+    HttpAdviceService,
+    HttpFleetStore,
+    HttpWorkerOrders,
+    NodeFile,
+    ReadinessSite,
+    read_node_file,
+)
+
+EXIT_SETTINGS = 2
+# As `deploy/system.toml` tells the platform.
+METRICS_PORT = 9464
+CALLER_BODY_BYTES_MAX = 1_000_000
+FETCH_TIMEOUT_S = 2.0
+# Watches and writes of one daemon that are under way at once.
+STORE_CONNECTIONS = 8
+# The service handles the calls of a VM one by one.
+ADVICE_CONNECTIONS = 2
+# A look that waits, and the orders of one busy moment.
+WORKER_CONNECTIONS = 6
+
+
+class FleetDaemon:
+    """One daemon process: a node and its four ports.
+
+    Parameters
+    ----------
+    settings : NodeFile
+        Checked settings.
+    """
+
+    def __init__(self, settings: NodeFile) -> None:
+        self.settings = settings
+        use_boot_time(reactor)
+        clock = BootClock(reactor)
+        store = HttpFleetStore(
+            HttpFetcher(reactor, FETCH_TIMEOUT_S, STORE_CONNECTIONS), settings.store
+        )
+        orders = HttpWorkerOrders(
+            HttpFetcher(reactor, FETCH_TIMEOUT_S, WORKER_CONNECTIONS)
+        )
+        advice = None
+        if settings.advice:
+            advice = HttpAdviceService(
+                HttpFetcher(reactor, FETCH_TIMEOUT_S, ADVICE_CONNECTIONS),
+                settings.advice,
+            )
+        incarnation = f"{time.time_ns() // 1000:x}"
+        self.node = FleetNode(
+            settings,
+            incarnation,
+            secrets.token_hex(16),
+            store,
+            orders,
+            advice,
+            lambda member, key: TcpMesh(reactor, clock, member, key),
+            clock,
+            time.time,
+        )
+        self.node.on_stopped = self._stopped
+
+    def listen(self) -> None:
+        """Open the ports of callers, readiness, metrics and peers."""
+        s = self.settings
+        host, port = s.callers
+        reactor.listenTCP(
+            port,
+            BoundedSite(self.node.callers, CALLER_BODY_BYTES_MAX),
+            interface=host,
+            backlog=512,
+        )
+        host, port = s.readiness
+        metrics = BoundedSite(MetricsSite(self.node.metrics), 0)
+        reactor.listenTCP(METRICS_PORT, metrics, interface=s.peer_host)
+        readiness = BoundedSite(ReadinessSite(self.node.is_ready), 0)
+        reactor.listenTCP(port, readiness, interface=host)
+        reactor.listenTCP(s.peer_port, self.node.mesh.factory(), interface=s.peer_host)
+
+    def run(self) -> None:
+        """Run until stopped."""
+        self.listen()
+        self.node.open()
+        reactor.run(installSignalHandlers=False)
+
+    def stop(self, *_args) -> None:
+        """Start a graceful stop, from a signal handler too."""
+        reactor.callFromThread(self.node.stop)
+
+    def reload(self, *_args) -> None:
+        """Note that the settings file changed; addresses stay until a restart."""
+        reactor.callFromThread(log_event, "daemon.reload", vm=self.settings.vm)
+
+    def _stopped(self) -> None:
+        log_event("daemon.exit", vm=self.settings.vm)
+        reactor.stop()
+
+
+def run() -> int:
+    """Run the daemon until it is stopped; return the exit status."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    logging.set_stderrthreshold(logging.INFO)
+    path = os.environ.get(NODE_FILE_VARIABLE)
+    if not path:
+        print(f"{NODE_FILE_VARIABLE} has to name the settings file", file=sys.stderr)
+        return EXIT_SETTINGS
+    read = read_node_file(Path(path))
+    if isinstance(read, Failure):
+        print(read.failure(), file=sys.stderr)
+        return EXIT_SETTINGS
+    daemon = FleetDaemon(read.unwrap())
+    signal.signal(signal.SIGTERM, daemon.stop)
+    signal.signal(signal.SIGINT, daemon.stop)
+    signal.signal(signal.SIGHUP, daemon.reload)
+    daemon.run()
+    return 0
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -365,6 +365,7 @@
         self._take_confirmed()
         self.board.open_due(self._unix_s() * 1000)
         self.workers.give_up_unread()
+        self.workers.give_up_unsettled()
         self._move_slowed(self._clock.seconds())
         self._store_interference(self._clock.seconds())
         self._retention.sweep()
--- a/dogwoodlever/_fleet_link.py
+++ b/dogwoodlever/_fleet_link.py
@@ -113,7 +113,7 @@
         self.has_lapsed = False
         self._wait_ms = LOOK_WAIT_MS
         self._failed_looks = 0
-        # Runs whose order to start got no answer and is not settled since.
+        # Runs whose order to start has no answer yet and is not settled otherwise.
         self.doubtful = doubtful
         # No lease is granted until these can not begin any more: a worker takes a
         # late order whose own lease is over if it holds another one by then.
@@ -270,6 +270,7 @@
         """
         uncertain = False
         expired = 0
+        self.doubtful[run.run_id] = run
         while self._repeats() and run.phase is not RunPhase.STOPPING:
             refusal = None
             fence = self._fence()
@@ -277,11 +278,12 @@
                 yield self._orders.start(self.entry, order, self._until_ms(), fence)
             except WorkerUnreachableError:
                 uncertain = True
-                self.doubtful[run.run_id] = run
                 yield self._pause(ORDER_RETRY_S)
                 continue
             except OtherLifeError:
                 # The look tells; the life that was addressed runs nothing now.
+                if not uncertain:
+                    self.doubtful.pop(run.run_id, None)
                 return
             except OrderRefusedError as error:
                 refusal = error.reason
@@ -297,10 +299,16 @@
             if uncertain:
                 # An earlier copy of the order may still arrive.
                 yield self.stop(run)
-            elif not self.is_closed:
-                self._listener.refused(self, run, refusal)
+            else:
+                self._refuse(run, refusal)
             return
 
+    def _refuse(self, run: Run, refusal: RefusalReason) -> None:
+        """Take a refusal of a start of which no other copy is under way."""
+        self.doubtful.pop(run.run_id, None)
+        if not self.is_closed:
+            self._listener.refused(self, run, refusal)
+
     def _repeats(self) -> bool:
         """Tell whether an order without an answer is worth repeating."""
         return not self.is_closed and not self.has_lapsed
@@ -327,6 +335,7 @@
                 if not (yield self._stop_until_answered(run_id)):
                     # The next look that is answered begins anew.
                     break
+                self.settled_s[run_id] = self._clock.seconds()
                 log_event("run.ruled-out", worker=self.entry.worker_id, run=run_id)
             self._withheld.discard(run_id)
         self._is_clearing = False
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -1,6 +1,6 @@
 """What runs on the workers: starts, ends, moves, and what workers list."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_board import FleetBoard
@@ -255,10 +255,11 @@
             )
             self._links[worker_id].stop(run)
 
-    def lose_all(self, room: WorkerRoom) -> None:
-        """Forget the runs of a worker that is lost."""
+    def lose_all(self, room: WorkerRoom, kept: Container[RunId] = ()) -> None:
+        """Forget the runs of a worker that is lost, but for those that are kept."""
         for run, _ in list(room.runs.values()):
-            self._lose(room, run, "worker lost")
+            if run.run_id not in kept:
+                self._lose(room, run, "worker lost")
 
     def _lose(self, room: WorkerRoom, run: Run, why: str) -> None:
         room.remove(run.run_id)
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -1,6 +1,7 @@
 """The workers as the leader knows them: rooms, links, lives and leases."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_board import FleetBoard
@@ -38,6 +39,25 @@
 WORKERS_AT_FULL_RATE = 100
 
 
+@dataclass(slots=True, frozen=True)
+class UnsettledLife:
+    """A worker's life that is over, with starts that got no answer.
+
+    Attributes
+    ----------
+    room : WorkerRoom
+        Holds the runs of these starts.
+    doubtful : dict of RunId to Run
+        The runs, and others that were lost before.
+    until_s : float
+        When they are given up, if no next life comes.
+    """
+
+    room: WorkerRoom
+    doubtful: dict[RunId, Run]
+    until_s: float
+
+
 class FleetWorkers(LinkListener):
     """Keeps a room and a link for each worker, and takes what the links learn.
 
@@ -114,6 +134,7 @@
         self._lease_over_s = self._lease_s * (1 + CLOCK_SLOWNESS) + LAPSE_MARGIN_S
         self.rooms: dict[str, WorkerRoom] = {}
         self._links: dict[str, WorkerLink] = {}
+        self._unsettled: dict[str, UnsettledLife] = {}
         self.unread: set[str] = set()
         self.runs = FleetRuns(
             clock,
@@ -182,15 +203,20 @@
             if entry.draining:
                 self.runs.empty(room)
             return
-        doubtful = {}
         if room is not None:
-            doubtful = self._links[worker_id].doubtful
             self._drop_life(worker_id, "reborn")
-        self._add_worker(entry, doubtful)
+        self._add_worker(entry)
 
-    def _add_worker(self, entry: WorkerEntry, doubtful: dict[RunId, Run]) -> None:
+    def _add_worker(self, entry: WorkerEntry) -> None:
         worker_id = entry.worker_id
-        self.rooms[worker_id] = WorkerRoom(entry)
+        room = WorkerRoom(entry)
+        self.rooms[worker_id] = room
+        doubtful = {}
+        former = self._unsettled.pop(worker_id, None)
+        if former is not None:
+            doubtful = former.doubtful
+            for run, step in former.room.runs.values():
+                room.add(run, step)
         link = WorkerLink(
             entry,
             self._orders,
@@ -206,15 +232,33 @@
         link.open()
 
     def _drop_life(self, worker_id: str, why: str) -> None:
-        """Forget a life of a worker; all that ran there is over."""
+        """Forget a life of a worker; all that ran there is over.
+
+        A start without an answer may still reach the next life, so its run counts
+        until that life rules it out, or for as long as that of a lost worker.
+        """
         room = self.rooms.pop(worker_id)
         link = self._links.pop(worker_id)
         link.close()
         log_event("worker.life-over", worker=worker_id, why=why, runs=len(room.runs))
-        self.runs.lose_all(room)
+        self.runs.lose_all(room, kept=link.doubtful)
+        if link.doubtful:
+            until_s = self._clock.seconds() + self._lease_over_s
+            self._unsettled[worker_id] = UnsettledLife(
+                room, dict(link.doubtful), until_s
+            )
         self.unread.discard(worker_id)
         self._changed()
 
+    def give_up_unsettled(self) -> None:
+        """Stop to wait for next lives that do not come."""
+        now_s = self._clock.seconds()
+        for worker_id, former in list(self._unsettled.items()):
+            if now_s >= former.until_s:
+                del self._unsettled[worker_id]
+                self.runs.lose_all(former.room)
+                self._changed()
+
     def _is_open(self, room: WorkerRoom) -> bool:
         """Tell whether new tasks may start at a worker."""
         link = self._links[room.entry.worker_id]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -365,6 +365,9 @@
         Starts without the ticket of their step and worker are refused.
     orders_to_lose : int
         So many orders to start are carried out without an answer.
+    start_lost_to_next_life : bool
+        The next order to start gets no answer and reaches the next life of its
+        worker as soon as that begins.
     late_start_s : float or None
         If set, the next order to start gets no answer and is carried out so much
         later, if the worker holds a lease by then.
@@ -373,6 +376,8 @@
     def __init__(self, clock) -> None:
         self.late_start_s: float | None = None
         self.wants_tickets = False
+        self.start_lost_to_next_life = False
+        self._for_next_life: dict[str, StartOrder] = {}
         self.clock = clock
         self.workers: dict[str, FakeWorker] = {}
         self.starts: list[tuple[RunId, str]] = []
@@ -385,6 +390,11 @@
         """Start a worker."""
         worker = FakeWorker(entry, self.clock.seconds(), run_s)
         self.workers[entry.worker_id] = worker
+        waiting = self._for_next_life.pop(entry.worker_id, None)
+        if waiting is not None:
+            # Its time, on the clock of the former life, is far in the future.
+            self.renew(worker, LEASE_MAX_MS)
+            self.start(worker, waiting)
         return worker
 
     def advance(self) -> None:
@@ -407,6 +417,11 @@
         if how == "done":
             self.done.add(run.run.task)
 
+    def keep_for_next_life(self, worker_id: str, order: StartOrder) -> None:
+        """Let an order reach the next life of a worker."""
+        self.start_lost_to_next_life = False
+        self._for_next_life[worker_id] = order
+
     def acknowledge(self, worker: FakeWorker, number: int) -> None:
         """Forget the ends up to a number."""
         worker.ended = [end for end in worker.ended if end.number > number]
@@ -499,6 +514,11 @@
         """Start a run."""
         if self._workers.late_start_s is not None:
             return self._start_late(worker, order, fence)
+        if self._workers.start_lost_to_next_life:
+            self._workers.keep_for_next_life(worker.worker_id, order)
+            answer: Deferred = Deferred()
+            self._clock.callLater(WORKER_TIMEOUT_S, self._lose, answer)
+            return answer
         lost = self._workers.orders_to_lose > 0
         self._workers.orders_to_lose -= lost
 
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -434,6 +434,36 @@
         self.assertEqual(sum(sizes), 45)
         self.assertLessEqual(max(sizes), ADVISED_WORKERS)
 
+    def test_start_that_reaches_the_next_life_is_not_started_elsewhere(self):
+        # Pattern: an order is under way while its worker crashes and comes back
+        # under the same id, where it has seen no fence and knows no older clock.
+        world = self.world(workers=2, run_s=0.0)
+        world.workers.start_lost_to_next_life = True
+        world.submit(0, job(JOB, tasks=1, standing=True), wait_s=0.1)
+        waiting = world.workers.starts == []
+        self.assertTrue(waiting)
+        struck = next(iter(world.workers._for_next_life))
+        entry = worker_entry(int(struck[1:]), born_ms=2)
+        world.workers.add(entry, 0.0)
+        world.run_for(0.3)
+        world.records.write(f"servers/{struck}", server_record(entry))
+        world.run_for(4.0)
+        self.assert_never_twice(world)
+        running = [r for w in world.workers.workers.values() for r in w.running]
+        self.assertEqual(len(running), 1)
+
+    def test_start_lost_with_its_worker_is_made_elsewhere(self):
+        # Pattern: the worker of an unanswered order never comes back.
+        world = self.world(workers=2, run_s=0.0)
+        world.workers.start_lost_to_next_life = True
+        world.submit(0, job(JOB, tasks=1, standing=True), wait_s=0.1)
+        struck = next(iter(world.workers._for_next_life))
+        world.workers.workers[struck].is_reachable = False
+        world.records.remove(f"servers/{struck}")
+        world.run_for(7.0)
+        running = [r for w in world.workers.workers.values() for r in w.running]
+        self.assertEqual(len(running), 1)
+
     def test_reborn_worker_frees_its_tasks_at_once(self):
         world = self.world(workers=1, run_s=5.0)
         world.submit(0, job(JOB, tasks=2))
@@ -503,7 +533,7 @@
         for store in world.stores:
             store.is_down = True
         leader = world.nodes[world.leader()].leader
-        leader.workers._add_worker(worker_entry(7), {})
+        leader.workers._add_worker(worker_entry(7))
         world.workers.add(worker_entry(7))
         world.run_for(4.2)
         self.assertGreaterEqual(len(world.workers.starts), 16)
