A start that a later life answered is not taken for this life's

Change: the answer's clock tells the lives apart: the next one began later, so its clock shows less than that of the life that was meant. Such a start stays doubtful until the next life's link rules it out. The test failed first, for each of its eight moments.

--- a/dogwoodlever/_fleet_interfaces.py
+++ b/dogwoodlever/_fleet_interfaces.py
@@ -142,7 +142,11 @@
     def start(
         self, worker: WorkerEntry, order: StartOrder, until_ms: int, fence: int
     ) -> Deferred:
-        """Start a run with a lease until the worker's clock shows `until_ms`."""
+        """Start a run with a lease until the worker's clock shows `until_ms`.
+
+        Gives the worker's clock in ms; it tells whether the life that was meant
+        has answered, since a later life may have the same id.
+        """
 
     @abstractmethod
     def stop(self, worker: WorkerEntry, run: RunId, fence: int) -> Deferred:
--- a/dogwoodlever/_fleet_link.py
+++ b/dogwoodlever/_fleet_link.py
@@ -30,6 +30,8 @@
 ORDER_RETRY_S = 0.1
 # A worker's clock may be this much slow.
 CLOCK_SLOWNESS = 0.02
+# Covers the rounding of a worker's clock and a scheduler's own.
+CLOCK_MARGIN_MS = 50
 # Covers a worker's timer that fires late.
 LAPSE_MARGIN_S = 0.25
 # After a refused lease, time for the clock of the worker to be read again.
@@ -174,6 +176,14 @@
         self._granted_ms = max(self._granted_ms, until_ms)
         return until_ms
 
+    def _least_clock_ms(self) -> int:
+        """Return what the worker's clock shows by now, if it is the same life."""
+        if not self._clock_ms:
+            return 0
+        elapsed_s = self._clock.seconds() - self._clock_at_s
+        elapsed_ms = int(elapsed_s * 1000 * (1 - CLOCK_SLOWNESS))
+        return self._clock_ms + elapsed_ms - CLOCK_MARGIN_MS
+
     def _heard(self, clock_ms: int) -> None:
         self._clock_ms = clock_ms
         self._clock_at_s = self._clock.seconds()
@@ -274,8 +284,11 @@
         while self._repeats() and run.phase is not RunPhase.STOPPING:
             refusal = None
             fence = self._fence()
+            least_ms = self._least_clock_ms()
             try:
-                yield self._orders.start(self.entry, order, self._until_ms(), fence)
+                clock_ms = yield self._orders.start(
+                    self.entry, order, self._until_ms(), fence
+                )
             except WorkerUnreachableError:
                 uncertain = True
                 yield self._pause(ORDER_RETRY_S)
@@ -287,6 +300,9 @@
                 return
             except OrderRefusedError as error:
                 refusal = error.reason
+            if refusal is None and clock_ms < least_ms:
+                # The next life took the order; its own link rules the run out.
+                return
             if refusal is None or (uncertain and refusal is RefusalReason.SUPERSEDED):
                 self._settle_start(run)
                 return
--- a/dogwoodlever/platform/_http_workers.py
+++ b/dogwoodlever/platform/_http_workers.py
@@ -91,8 +91,9 @@
     def _order(self, worker: WorkerEntry, path: str, document):
         return self._call(worker, path, document, ORDER_TIMEOUT_S)
 
+    @inlineCallbacks
     def start(self, worker: WorkerEntry, order: StartOrder, until_ms: int, fence: int):
-        """Start a run."""
+        """Start a run; gives the worker's clock in ms."""
         document = {
             "task": encode_task(order.run.task),
             "run": order.run.number,
@@ -104,7 +105,14 @@
             document["last_checkpoint"] = order.checkpoint
         if order.ticket:
             document["ticket"] = order.ticket
-        return self._order(worker, "/-/run-start", document)
+        content = yield self._order(worker, "/-/run-start", document)
+        try:
+            return msgspec.json.decode(content, type=_Answer).clock_ms
+        except ValueError as error:
+            # Whether the run was started is unknown, as without an answer.
+            raise WorkerUnreachableError(
+                f"worker {worker.worker_id}: {error}"
+            ) from error
 
     def stop(self, worker: WorkerEntry, run: RunId, fence: int):
         """Stop a run."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -365,6 +365,8 @@
         Starts without the ticket of their step and worker are refused.
     orders_to_lose : int
         So many orders to start are carried out without an answer.
+    lives_share_ids : bool
+        A later life answers orders that were meant for an earlier one.
     start_lost_to_next_life : bool
         The next order to start gets no answer and reaches the next life of its
         worker as soon as that begins.
@@ -376,6 +378,7 @@
     def __init__(self, clock) -> None:
         self.late_start_s: float | None = None
         self.wants_tickets = False
+        self.lives_share_ids = False
         self.start_lost_to_next_life = False
         self._for_next_life: dict[str, StartOrder] = {}
         self.clock = clock
@@ -484,7 +487,8 @@
         if worker is None or is_cut or not worker.is_reachable:
             self._clock.callLater(WORKER_TIMEOUT_S, self._lose, answer)
             return answer
-        if worker.entry.born_ms != entry.born_ms:
+        shares = self._workers.lives_share_ids
+        if worker.entry.born_ms != entry.born_ms and not shares:
             return fail(OtherLifeError("another life"))
 
         def act() -> None:
@@ -522,7 +526,7 @@
         lost = self._workers.orders_to_lose > 0
         self._workers.orders_to_lose -= lost
 
-        def act(found: FakeWorker) -> None:
+        def act(found: FakeWorker) -> int:
             self._workers.renew(found, until_ms)
             task = order.run.task
             step = StepId(task.job_id, task.occurrence, task.step)
@@ -530,6 +534,7 @@
             if self._workers.wants_tickets and order.ticket != wanted:
                 raise OrderRefusedError(RefusalReason.NO_TICKET)
             self._workers.start(found, order)
+            return found.clock_ms(self._clock.seconds())
 
         return self._call(worker, fence, act, not lost)
 
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -452,6 +452,25 @@
         running = [r for w in world.workers.workers.values() for r in w.running]
         self.assertEqual(len(running), 1)
 
+    def test_repeated_start_that_the_next_life_answers_is_ruled_out(self):
+        # Pattern: orders are repeated while a link is reset, and the next life of
+        # the worker, under the same id, takes them.
+        for after_s in (0.2, 0.4, 0.6, 0.7, 0.75, 0.8, 0.85, 0.9):
+            with self.subTest(after_s=after_s):
+                world = self.world(workers=1, run_s=0.0)
+                world.workers.lives_share_ids = True
+                world.workers.workers["w0"].is_reachable = False
+                world.submit(0, job(JOB, tasks=2, standing=True), wait_s=after_s)
+                world.add_worker(worker_entry(1), 0.0)
+                entry = worker_entry(0, born_ms=2)
+                world.workers.add(entry, 0.0)
+                world.run_for(1.5)
+                world.records.write("servers/w0", server_record(entry))
+                world.run_for(8.0)
+                self.assert_never_twice(world)
+                workers = world.workers.workers.values()
+                self.assertEqual(sum(len(w.running) for w in workers), 2)
+
     def test_start_lost_with_its_worker_is_made_elsewhere(self):
         # Pattern: the worker of an unanswered order never comes back.
         world = self.world(workers=2, run_s=0.0)
