A cut-off leader gives up no worker that its successor may reach

A leader that is cut off acts for 5 s; a worker that it could not reach seemed lapsed just before that, and it started the worker's tasks on others of its data centre, while its successor had reached the worker and renewed its lease. Ruled out: the lease's own account; what was granted was over. Change: a lapse counts once it is known that nobody else led until then.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -144,6 +144,7 @@
             fenced,
             self._advice.reject,
             bounds.run_lease_max_s,
+            confirmed_until_s,
         )
         self._journal = FleetJournal(
             store,
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -32,6 +32,8 @@
 
 # A former leader that gives no answer may renew leases for so long.
 FORMER_LEADER_S = UNCONFIRMED_MAX_S + 1.0
+# How often a leader that may have a successor looks whether it has one.
+CONFIRM_RETRY_S = 0.1
 # Looks at a worker where standing and leftover tasks meet; latencies are figures
 # of half a second.
 PACED_WAIT_MS = 300
@@ -91,6 +93,8 @@
         Takes a step and a worker that did not accept its ticket.
     run_lease_max_s : float
         Longest lease of a run that workers give.
+    confirmed_until_s : callable
+        Returns the time until which nobody else can have led.
 
     Attributes
     ----------
@@ -119,6 +123,7 @@
         fenced: Callable[[str], None],
         ticket_rejected: Callable[[StepState, WorkerRoom], None],
         run_lease_max_s: float,
+        confirmed_until_s: Callable[[], float],
     ) -> None:
         self._orders = orders
         self._clock = clock
@@ -134,6 +139,7 @@
         self._lease_over_s = self._lease_s * (1 + CLOCK_SLOWNESS) + LAPSE_MARGIN_S
         self.rooms: dict[str, WorkerRoom] = {}
         self._links: dict[str, WorkerLink] = {}
+        self._confirmed_until_s = confirmed_until_s
         self._unsettled: dict[str, UnsettledLife] = {}
         self.unread: set[str] = set()
         self.runs = FleetRuns(
@@ -304,7 +310,23 @@
         self._changed()
 
     def lapsed(self, link: WorkerLink) -> None:
-        """Forget the runs of a worker that was not reached for a lease."""
+        """Forget the runs of a worker that was not reached for a lease.
+
+        Unless another daemon may have led by then: it may have reached the worker,
+        and renewed the lease. The runs then count until that is ruled out.
+        """
+        if self._confirmed_until_s() < link.lapse_s:
+            if not link.is_closed:
+                self._clock.callLater(CONFIRM_RETRY_S, self._lapsed_again, link)
+            return
+        self._forget_lapsed(link)
+
+    def _lapsed_again(self, link: WorkerLink) -> None:
+        """Look again at a lapse that was not confirmed, unless it is past."""
+        if link.has_lapsed and not link.is_closed:
+            self.lapsed(link)
+
+    def _forget_lapsed(self, link: WorkerLink) -> None:
         worker_id = link.entry.worker_id
         room = self.rooms[worker_id]
         self._metrics.workers.labels("lapsed").inc()
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -306,6 +306,23 @@
         self.assertEqual(len(world.workers.starts), 4)
         self.assert_never_twice(world)
 
+    def test_cut_leader_gives_up_no_worker_that_its_successor_reaches(self):
+        # Pattern: a leader is cut off from the store and from a worker, whose runs
+        # its successor takes over; the lease of that worker seems over to it.
+        world = self.world(workers=2, run_s=0.0)
+        world.submit(0, job(JOB, tasks=3, standing=True, worker_tasks_max=3))
+        world.run_for(0.5)
+        former = world.leader()
+        held = world.workers.starts[0][1]
+        other = "w1" if held == "w0" else "w0"
+        world.stores[former].is_down = True
+        world.nodes[former].mesh.is_down = True
+        for number, orders in enumerate(world.orders):
+            orders.cut_off = {held} if number == former else {other}
+        world.run_for(10.0)
+        self.assertEqual(len(world.workers.starts), 3)
+        self.assert_never_twice(world)
+
     def test_worker_gone_for_good_delays_no_later_leader(self):
         # Pattern: a worker that was lost long ago stands on the roster while
         # leaders change; a standing task has to run again within 6 s.
