Work of workers that have ended starts elsewhere without their leases' end

Ruled out: leases that end with the leader's own lease of 1.8 s (an outage of the store of more than 3 s would end all work); counting a silent worker as ended (it may run on). Change: no lease outlasts the leader's last contact with the store by more than 8 s, so a successor waits for 8.35 s from its election, whoever died; the leader leads through an outage of 7 s without a takeover; two refused connections in a row, or another worker at the address, end a worker at once, for the leader and, by probes of the stored addresses, for a successor; workers without runs leave the membership with their entry. Unexpected errors in a poll no longer end the polls of a worker. What remains is a worker that is silent: its lease has to end.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -32,7 +32,11 @@
 STRONGEST_CORES_DEFAULT = 2.2
 # A leader without contact with the store for this long steps down, since it may have
 # missed a successor.
-UNCONFIRMED_MAX_S = 5.0
+UNCONFIRMED_MAX_S = 7.0
+# Workers' leases end at most this long after the leader's last contact with the store.
+# Work outlasts an outage of the store by this time, and a successor waits as long for
+# a worker that it cannot reach.
+WORKER_LEASES_MAX_S = 8.0
 
 
 class Election:
@@ -105,6 +109,15 @@
         lease_s = self.renewed_s + self._ttl_ms / 1000
         return max(lease_s, self._watcher.sent_s)
 
+    @property
+    def worker_leases_end_s(self) -> float:
+        """Time beyond which this daemon must not extend any worker's lease.
+
+        A successor is elected after the last contact at the earliest.
+        """
+        contact_s = max(self.renewed_s, self._watcher.sent_s)
+        return contact_s + WORKER_LEASES_MAX_S
+
     def close(self) -> None:
         """Stop renewing the lease and campaigning."""
         self._is_closed = True
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -94,6 +94,8 @@
         Limits that the platform sets.
     get_confirmed_until_s : callable
         Returns the time until which no other daemon can have led.
+    get_worker_leases_end_s : callable
+        Returns the time beyond which no worker's lease may be extended.
     """
 
     def __init__(
@@ -112,6 +114,7 @@
         metrics: FleetMetrics,
         platform_limits: PlatformLimits,
         get_confirmed_until_s: Callable[[], float],
+        get_worker_leases_end_s: Callable[[], float],
     ) -> None:
         self._store = store
         self._clock = clock
@@ -145,6 +148,7 @@
             self._tickets.reject,
             platform_limits.run_lease_max_s,
             get_confirmed_until_s,
+            get_worker_leases_end_s,
         )
         self._progress_writer = ProgressWriter(
             store,
@@ -251,7 +255,7 @@
         self._follow(
             WORKERS_PREFIX,
             self.workers.apply_entry,
-            self.plan_soon,
+            self._on_workers_listed,
             WORKERS_WATCH_INTERVAL_S,
         )
         self._tick()
@@ -263,6 +267,10 @@
             took_s=self._clock.seconds() - self._started_s,
         )
 
+    def _on_workers_listed(self) -> None:
+        self.workers.probe_unlisted_workers()
+        self.plan_soon()
+
     # Jobs
 
     def _apply_inbox_record(self, record: Record) -> None:
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -3,9 +3,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_desired_state import DesiredState, try_decode_worker
-from dogwoodlever._fleet_election import UNCONFIRMED_MAX_S
+from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_interfaces import FleetWorkerClient, Record, RefusalReason
 from dogwoodlever._fleet_job import Run, StepState
 from dogwoodlever._fleet_metrics import FleetMetrics
@@ -22,16 +25,21 @@
 from dogwoodlever._worker_link import (
     CLOCK_SLOWNESS,
     LEASE_EXPIRY_MARGIN_S,
+    POLL_RETRY_S,
     POLL_WAIT_MS,
+    POLLS_REFUSED_STOPPED,
     RUN_LEASE_TARGET_S,
     LinkListener,
     WorkerLink,
 )
 from dogwoodlever._worker_membership import WorkerMembership
 from dogwoodlever.platform import WORKERS_PREFIX
+from dogwoodlever.platform_errors import (
+    PlatformError,
+    WorkerStoppedError,
+    WrongIncarnationError,
+)
 
-# An unreachable former leader may renew leases for this long.
-FORMER_LEADER_RENEWS_MAX_S = UNCONFIRMED_MAX_S + 1.0
 # Interval at which a leader that may have a successor checks again.
 CONFIRM_RETRY_S = 0.1
 # Longest wait of a poll of a worker that runs standing and best-effort tasks; a
@@ -95,6 +103,8 @@
         Longest lease of a run that workers grant.
     get_confirmed_until_s : callable
         Returns the time until which no other daemon can have led.
+    get_leases_end_s : callable
+        Returns the time beyond which no lease may be granted.
 
     Attributes
     ----------
@@ -124,6 +134,7 @@
         on_ticket_rejected: Callable[[StepState, WorkerCapacity], None],
         run_lease_max_s: float,
         get_confirmed_until_s: Callable[[], float],
+        get_leases_end_s: Callable[[], float],
     ) -> None:
         self._worker_client = worker_client
         self._clock = clock
@@ -144,6 +155,7 @@
         self._get_confirmed_until_s = get_confirmed_until_s
         self._ended_incarnations: dict[str, EndedIncarnation] = {}
         self.unpolled_workers: set[str] = set()
+        self._is_closed = False
         self.runs = FleetRuns(
             clock,
             registry,
@@ -154,13 +166,16 @@
             self._links,
             on_ticket_rejected,
         )
-        # When the leases from a former leader have expired at every worker.
+        self._get_leases_end_s = get_leases_end_s
+        # When the leases from a former leader have expired at every worker, whose
+        # clocks may be slow for the length of one lease.
         self._former_leases_expire_s = (
-            clock.seconds() + FORMER_LEADER_RENEWS_MAX_S + self._lease_bound_s
+            clock.seconds() + WORKER_LEASES_MAX_S + self._lease_bound_s - self._lease_s
         )
 
     def close(self) -> None:
         """Stop all links."""
+        self._is_closed = True
         for link in self._links.values():
             link.close()
 
@@ -183,6 +198,45 @@
         for worker_id in list(self.unpolled_workers):
             self._remove_worker(worker_id)
 
+    def probe_unlisted_workers(self) -> None:
+        """Find out which unpolled workers without an entry have ended.
+
+        Work need not wait for the leases of a worker if another process answers at
+        its address, or none listens there, or it has nothing to report.
+        """
+        for worker_id in sorted(self.unpolled_workers - set(self.capacities)):
+            self._probe(self._membership.entry_of(worker_id))
+
+    @inlineCallbacks
+    def _probe(self, entry: WorkerEntry):
+        worker_id = entry.worker_id
+        refused_polls = 0
+        while not self._is_closed and worker_id in self.unpolled_workers:
+            is_refused = False
+            try:
+                result = yield self._worker_client.poll(
+                    entry, self._get_fencing_token(), 0, 0, 0
+                )
+                has_ended = not result.running and not result.ended
+            except WrongIncarnationError:
+                has_ended = True
+            except PlatformError as error:
+                is_refused = isinstance(error, WorkerStoppedError)
+                has_ended = False
+            refused_polls = refused_polls + 1 if is_refused else 0
+            if has_ended or refused_polls >= POLLS_REFUSED_STOPPED:
+                self._on_probed_ended(worker_id)
+                return
+            yield deferLater(self._clock, POLL_RETRY_S)
+
+    def _on_probed_ended(self, worker_id: str) -> None:
+        """Stop waiting for a worker, unless it has got an entry since."""
+        if self._is_closed or worker_id in self.capacities:
+            return
+        log_event("worker.gone", worker=worker_id)
+        self._remove_worker(worker_id)
+        self._on_change()
+
     def schedulable_capacities(self) -> list[WorkerCapacity]:
         """Return the capacities of the workers on which new tasks may start."""
         return [
@@ -210,6 +264,7 @@
             if capacity is not None:
                 capacity.is_listed = False
                 log_event("worker.unlisted", worker=worker_id)
+                self._remove_if_empty(capacity)
             return
         if capacity is not None and entry.started_at_ms == capacity.entry.started_at_ms:
             if capacity.entry.is_draining != entry.is_draining:
@@ -221,7 +276,7 @@
                 self.runs.evict_draining(capacity)
             return
         if capacity is not None:
-            self._drop_incarnation(worker_id, "restarted")
+            self._drop_incarnation(worker_id, "restarted", is_member=True)
         self._add_worker(entry)
 
     def _add_worker(self, entry: WorkerEntry) -> None:
@@ -243,17 +298,21 @@
             self._former_leases_expire_s,
             unanswered_starts,
             self._lease_s,
+            self._get_leases_end_s,
         )
         self._links[worker_id] = link
         self._membership.add(worker_id, f"{entry.host}:{entry.port}")
         link.open()
 
-    def _drop_incarnation(self, worker_id: str, why: str) -> None:
+    def _drop_incarnation(
+        self, worker_id: str, why: str, is_member: bool = False
+    ) -> None:
         """Drop an incarnation of a worker, whose runs have all ended.
 
         A start without a response may still reach the next incarnation. Its run
         counts until that one confirms that it is stopped, or until the lease of a
-        lost worker would have expired.
+        lost worker would have expired. `is_member` keeps the worker in the
+        membership for its next incarnation.
         """
         capacity = self.capacities.pop(worker_id)
         link = self._links.pop(worker_id)
@@ -267,9 +326,21 @@
             self._ended_incarnations[worker_id] = EndedIncarnation(
                 capacity, dict(link.unanswered_starts), expires_s
             )
+        elif not is_member:
+            self._remove_worker(worker_id)
         self.unpolled_workers.discard(worker_id)
         self._on_change()
 
+    def _remove_if_empty(self, capacity: WorkerCapacity) -> None:
+        """Remove a worker without an entry on which nothing runs or may start."""
+        worker_id = capacity.entry.worker_id
+        link = self._links[worker_id]
+        if not capacity.is_synced or capacity.runs or not link.is_settled:
+            return
+        link.close()
+        del self.capacities[worker_id], self._links[worker_id]
+        self._remove_worker(worker_id)
+
     def expire_ended_incarnations(self) -> None:
         """Drop the runs of ended incarnations that got no successor in time."""
         now_s = self._clock.seconds()
@@ -277,6 +348,7 @@
             if now_s >= previous.expires_s:
                 del self._ended_incarnations[worker_id]
                 self.runs.drop_lost_runs(previous.capacity)
+                self._remove_worker(worker_id)
                 self._on_change()
 
     def _is_schedulable(self, capacity: WorkerCapacity) -> bool:
@@ -299,13 +371,16 @@
         capacity = self.capacities[worker_id]
         self.runs.apply_poll(capacity, link, result, sent_s)
         link.set_poll_wait(self._poll_wait_ms(capacity))
+        is_usable_now = not capacity.is_synced or worker_id in self.unpolled_workers
         if not capacity.is_synced:
             capacity.is_synced = True
             log_event("worker.read", worker=worker_id, running=len(result.running))
         self.unpolled_workers.discard(worker_id)
         if result.ended:
             self._on_ended()
-        self._on_change()
+        # What a poll reports of loads alone is planned with at the next tick.
+        if result.ended or is_usable_now:
+            self._on_change()
 
     def _poll_wait_ms(self, capacity: WorkerCapacity) -> int:
         """Return how long the next poll may wait for an end."""
@@ -365,6 +440,12 @@
         """Report that the worker has seen a later fencing token."""
         self._on_fenced(link.entry.worker_id)
 
+    def on_stopped(self, link: WorkerLink) -> None:
+        """Drop the incarnation, whose process has ended."""
+        worker_id = link.entry.worker_id
+        if self._links.get(worker_id) is link:
+            self._drop_incarnation(worker_id, "connection refused")
+
     def on_replaced(self, link: WorkerLink) -> None:
         """Drop the incarnation; the new one is added with its entry."""
         worker_id = link.entry.worker_id
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -1,6 +1,7 @@
 """Polls of one worker, the leases it gets and the orders sent to it."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
@@ -12,6 +13,7 @@
 from dogwoodlever.platform_errors import (
     OrderRefusedError,
     PlatformError,
+    WorkerStoppedError,
     WorkerUnreachableError,
     WrongIncarnationError,
 )
@@ -24,6 +26,9 @@
 POLL_RETRY_S = 0.25
 # A single failure may be a lost response or a pause of this process.
 POLL_FAILURES_UNREACHABLE = 2
+# Refused connections in a row after which a worker's process counts as ended. One may
+# hit a process that is about to listen.
+POLLS_REFUSED_STOPPED = 2
 # A worker responds at once while it lists unacknowledged ends, so the next poll waits
 # until they are stored, or for this long.
 ACKNOWLEDGE_WAIT_S = 0.25
@@ -68,6 +73,10 @@
     def on_replaced(self, link: "WorkerLink") -> None:
         """Handle a response from another incarnation of the worker."""
 
+    @abstractmethod
+    def on_stopped(self, link: "WorkerLink") -> None:
+        """Handle the end of the worker's process, which ended its runs."""
+
 
 class WorkerLink:
     """Polls a worker continuously and retries orders until they are answered.
@@ -90,6 +99,8 @@
         Runs of an earlier incarnation whose start may still be carried out.
     lease_s : float
         Length of granted leases.
+    get_leases_end_s : callable
+        Returns the time beyond which no lease may be granted.
     """
 
     def __init__(
@@ -102,6 +113,7 @@
         inherited_expiry_s: float,
         unanswered_starts: dict[RunId, Run],
         lease_s: float,
+        get_leases_end_s: Callable[[], float],
     ) -> None:
         self.entry = entry
         self._worker_client = worker_client
@@ -109,6 +121,7 @@
         self._get_fencing_token = get_fencing_token
         self._listener = listener
         self._lease_s = lease_s
+        self._get_leases_end_s = get_leases_end_s
         self._clock_ms = 0
         self._clock_read_s = 0.0
         self._granted_ms = 0
@@ -116,6 +129,7 @@
         self.has_lease_expired = False
         self._poll_wait_ms = POLL_WAIT_MS
         self._failed_polls = 0
+        self._refused_polls = 0
         # Runs whose start was neither answered nor prevented by a confirmed stop.
         self.unanswered_starts = unanswered_starts
         # No lease is granted until these runs can no longer start: a worker carries
@@ -144,6 +158,11 @@
             if call is not None and call.active():
                 call.cancel()
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether no start is unanswered and every listed end is acknowledged."""
+        return not self.unanswered_starts and self.last_end_number <= self._acknowledged
+
     def limit_inherited_expiry(self, lease_expiry_s: float) -> None:
         """Lower the expiry of leases from a former leader."""
         if not self._granted_ms:
@@ -172,10 +191,10 @@
             return 0
         if self._failed_polls or self._lease_blockers:
             return self._granted_ms
-        elapsed_s = self._clock.seconds() - self._clock_read_s
-        until_ms = self._clock_ms + int((elapsed_s + self._lease_s) * 1000)
+        until_s = min(self._clock.seconds() + self._lease_s, self._get_leases_end_s())
+        until_ms = self._clock_ms + int((until_s - self._clock_read_s) * 1000)
         self._granted_ms = max(self._granted_ms, until_ms)
-        return until_ms
+        return self._granted_ms
 
     def _clock_lower_bound_ms(self) -> int:
         """Return the least value of the clock of the polled incarnation now."""
@@ -242,13 +261,20 @@
             self._listener.on_replaced(self)
             return
         self._failed_polls = 0
+        self._refused_polls = 0
         self._update_clock(result.clock_ms)
         if self._lease_blockers:
             self._stop_unanswered()
         elif not self.is_reachable:
             self.is_reachable = True
             log_event("worker.regained", worker=self.entry.worker_id)
-        self._listener.on_polled(self, result, sent_s)
+        try:
+            self._listener.on_polled(self, result, sent_s)
+        except Exception as error:
+            # One unexpected report must not end the polls that renew the lease.
+            log_event("poll.failed", worker=self.entry.worker_id, why=repr(error)[:200])
+            self._schedule_poll(POLL_RETRY_S)
+            return
         has_unacknowledged = self.last_end_number > self._acknowledged
         self._schedule_poll(ACKNOWLEDGE_WAIT_S if has_unacknowledged else 0.0)
 
@@ -259,6 +285,11 @@
         elif isinstance(error, WrongIncarnationError):
             self._listener.on_replaced(self)
             return
+        is_refused = isinstance(error, WorkerStoppedError)
+        self._refused_polls = self._refused_polls + 1 if is_refused else 0
+        if self._refused_polls >= POLLS_REFUSED_STOPPED:
+            self._listener.on_stopped(self)
+            return
         self._failed_polls += 1
         if self.is_reachable and self._failed_polls >= POLL_FAILURES_UNREACHABLE:
             self.is_reachable = False
@@ -296,8 +327,9 @@
                 clock_ms = yield self._worker_client.start(
                     self.entry, order, self._lease_until_ms(), fencing_token
                 )
-            except WorkerUnreachableError:
-                may_be_accepted = True
+            except WorkerUnreachableError as error:
+                is_sent = not isinstance(error, WorkerStoppedError)
+                may_be_accepted = may_be_accepted or is_sent
                 yield self._pause(ORDER_RETRY_S)
                 continue
             except WrongIncarnationError:
--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -13,6 +13,7 @@
     decode_worker_membership,
     encode,
 )
+from dogwoodlever._fleet_types import WorkerEntry
 from dogwoodlever._logs import log_event
 from dogwoodlever.platform_errors import PlatformError
 
@@ -68,6 +69,11 @@
         """Return whether a worker is stored, so that a successor would find it."""
         return worker_id in self._stored_ids
 
+    def entry_of(self, worker_id: str) -> WorkerEntry:
+        """Return an entry of a stored worker that has its address only."""
+        host, _, port = self._addresses[worker_id].rpartition(":")
+        return WorkerEntry(worker_id, "", host, int(port), "", 0, False, 0, 0, 0, ())
+
     def add(self, worker_id: str, address: str) -> None:
         """Add a worker."""
         self._addresses.setdefault(worker_id, address)
@@ -75,7 +81,8 @@
             self._write()
 
     def discard(self, worker_id: str) -> None:
-        """Remove a worker."""
+        """Remove a worker, which counts as not stored from now on."""
+        self._stored_ids -= {worker_id}
         if self._addresses.pop(worker_id, None) is not None:
             self._write()
 
@@ -98,7 +105,7 @@
                 yield deferLater(self._clock, CONFLICT_RETRY_S)
                 continue
             self._revision = result.revision
-            self._stored_ids = frozenset(written)
+            self._stored_ids = frozenset(written) & frozenset(self._addresses)
             self._on_stored()
             if written == self._addresses:
                 break
--- a/dogwoodlever/platform/_http_workers.py
+++ b/dogwoodlever/platform/_http_workers.py
@@ -2,6 +2,7 @@
 
 import msgspec
 from twisted.internet.defer import inlineCallbacks
+from twisted.internet.error import ConnectionRefusedError
 
 from dogwoodlever._fleet_interfaces import FleetWorkerClient, RefusalReason
 from dogwoodlever._fleet_types import (
@@ -17,6 +18,7 @@
 from dogwoodlever.platform_errors import (
     OrderRefusedError,
     PlatformError,
+    WorkerStoppedError,
     WorkerUnreachableError,
     WrongIncarnationError,
 )
@@ -77,6 +79,8 @@
             status, content = yield self._client.fetch(
                 b"POST", url, msgspec.json.encode(document), timeout_s, headers
             )
+        except ConnectionRefusedError as error:
+            raise WorkerStoppedError(f"worker {worker.worker_id}: {error!r}") from error
         except Exception as error:
             # Twisted's network errors share no base class but Exception.
             raise WorkerUnreachableError(
@@ -151,7 +155,7 @@
         content = yield self._call(worker, "/-/hold", document, limit_s)
         try:
             return _decode_poll(content)
-        except (ValueError, IndexError) as error:
+        except (ValueError, IndexError, TypeError, AttributeError) as error:
             raise PlatformError(f"worker {worker.worker_id}: {error}") from error
 
 
--- a/dogwoodlever/platform_errors.py
+++ b/dogwoodlever/platform_errors.py
@@ -15,6 +15,10 @@
     """The worker did not respond; an order may still be carried out."""
 
 
+class WorkerStoppedError(WorkerUnreachableError):
+    """The worker's address refused the connection: its process is not running."""
+
+
 class RequestNotSentError(PlatformError):
     """The request was not sent: no byte reached the backend server."""
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -35,6 +35,7 @@
     LeaseEndedError,
     OrderRefusedError,
     StoreUnavailableError,
+    WorkerStoppedError,
     WorkerUnreachableError,
     WrongIncarnationError,
 )
@@ -326,6 +327,8 @@
     ----------
     run_s : float
         Duration of each run; 0 for runs that last until they are stopped.
+    is_stopped : bool
+        Its process has ended, so its address refuses connections.
     """
 
     entry: WorkerEntry
@@ -339,6 +342,7 @@
     acknowledged_number: int = 0
     latest_numbers: dict = field(default_factory=dict)
     is_reachable: bool = True
+    is_stopped: bool = False
     fails: bool = False
     clock_rate: float = 1.0
 
@@ -373,6 +377,8 @@
     delays_start_to_next_incarnation : bool
         The next start order times out and reaches the next incarnation of its worker
         as soon as that starts.
+    replaced : set of str
+        Workers at whose addresses a worker with another id answers.
     start_delay_s : float or None
         If set, the next start order times out and takes effect after this delay, if
         the worker holds a lease by then.
@@ -384,6 +390,7 @@
         self.ignores_incarnation = False
         self.delays_start_to_next_incarnation = False
         self._for_next_incarnation: dict[str, StartOrder] = {}
+        self.replaced: set[str] = set()
         self.clock = clock
         self.workers: dict[str, FakeWorker] = {}
         self.starts: list[tuple[RunId, str]] = []
@@ -404,15 +411,19 @@
         return worker
 
     def advance(self) -> None:
-        """End the runs that are due; called as time passes."""
-        now_s = self.clock.seconds()
+        """End the runs that are due on all workers; called as time passes."""
         for worker in self.workers.values():
-            if worker.clock_ms(now_s) > worker.until_ms > 0:
-                for run in list(worker.running.values()):
-                    self.end(worker, run, "lapsed")
+            self.advance_worker(worker)
+
+    def advance_worker(self, worker: FakeWorker) -> None:
+        """End the runs of one worker that are due."""
+        now_s = self.clock.seconds()
+        if worker.clock_ms(now_s) > worker.until_ms > 0:
             for run in list(worker.running.values()):
-                if run.duration_s and now_s - run.started_s >= run.duration_s:
-                    self.end(worker, run, worker.outcome(run))
+                self.end(worker, run, "lapsed")
+        for run in list(worker.running.values()):
+            if run.duration_s and now_s - run.started_s >= run.duration_s:
+                self.end(worker, run, worker.outcome(run))
 
     def end(self, worker: FakeWorker, run: FakeRun, outcome: str) -> None:
         """End a run and add it to the ended list."""
@@ -423,6 +434,13 @@
         if outcome == "done":
             self.done.add(run.run.task)
 
+    def crash(self, worker_id: str) -> None:
+        """End a worker's process; what ran there is gone."""
+        worker = self.workers[worker_id]
+        worker.is_stopped = True
+        worker.running.clear()
+        worker.ended.clear()
+
     def hold_for_next_incarnation(self, worker_id: str, order: StartOrder) -> None:
         """Hold a start order for the next incarnation of a worker."""
         self.delays_start_to_next_incarnation = False
@@ -491,6 +509,10 @@
         sends_response: bool = True,
     ):
         worker = self._workers.workers.get(entry.worker_id)
+        if entry.worker_id in self._workers.replaced:
+            return fail(WrongIncarnationError("another worker answers"))
+        if worker is not None and worker.is_stopped:
+            return fail(WorkerStoppedError("connection refused"))
         response: Deferred = Deferred()
         is_cut = entry.worker_id in self.unreachable
         if worker is None or is_cut or not worker.is_reachable:
@@ -501,7 +523,7 @@
             return fail(WrongIncarnationError("worker was restarted"))
 
         def deliver() -> None:
-            self._workers.advance()
+            self._workers.advance_worker(worker)
             if fencing_token < worker.fencing_token:
                 response.errback(OrderRefusedError(RefusalReason.FENCED))
                 return
--- /dev/null
+++ b/tests/test_worker_recovery.py
@@ -0,0 +1,202 @@
+"""Recovery of work whose worker, or worker and leader, are gone."""
+
+import unittest
+
+from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
+from dogwoodlever._fleet_job import JobPhase
+from dogwoodlever._fleet_records import WORKER_MEMBERSHIP_KEY, decode_worker_membership
+from standins.fleet import server_record
+from tests.fleet_simulation import FleetSimulation, job, worker_entry
+
+JOB = "a" * 16
+# Design target from a leader's death to the start of work of a worker that has ended.
+RECOVERY_TARGET_S = 4.0
+# Covers the election, a slow clock of a worker and the load of the records.
+SUCCESSION_S = 3.5
+
+
+def silence(fleet, worker_id):
+    fleet.workers.workers[worker_id].is_reachable = False
+
+
+def crash(fleet, worker_id):
+    fleet.workers.crash(worker_id)
+
+
+def crash_and_unlist(fleet, worker_id):
+    fleet.workers.crash(worker_id)
+    fleet.records.remove(f"servers/{worker_id}")
+
+
+def replace(fleet, worker_id):
+    fleet.workers.workers[worker_id].running.clear()
+    fleet.workers.replaced.add(worker_id)
+    fleet.records.remove(f"servers/{worker_id}")
+
+
+class WorkerRecoveryTest(unittest.TestCase):
+    def start_fleet(self, **sizes):
+        fleet = FleetSimulation(run_s=0.0, **sizes)
+        fleet.run_for(1.0)
+        self.assertIsNotNone(fleet.leader())
+        return fleet
+
+    def start_standing_job(self, fleet, tasks):
+        fleet.submit(0, job(JOB, tasks=tasks, standing=True, worker_tasks_max=2))
+        fleet.run_for(1.0)
+        self.assertEqual(self.count_running(fleet), tasks)
+        return fleet.workers.starts[0][1]
+
+    def count_running(self, fleet):
+        return sum(len(worker.running) for worker in fleet.workers.workers.values())
+
+    def time_until_running(self, fleet, tasks, limit_s):
+        began_s = fleet.clock.seconds()
+        while self.count_running(fleet) < tasks:
+            fleet.run_for(0.05)
+            self.assertLess(fleet.clock.seconds() - began_s, limit_s)
+        return fleet.clock.seconds() - began_s
+
+    def test_work_of_an_ended_process_starts_elsewhere_immediately(self):
+        # A worker crashes; its address refuses connections while its entry remains.
+        fleet = self.start_fleet(workers=3)
+        crash(fleet, self.start_standing_job(fleet, 4))
+        self.time_until_running(fleet, 4, 1.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    def test_work_of_a_silent_worker_keeps_running_there(self):
+        # A worker is silent for less than its lease; nothing is lost or started anew.
+        fleet = self.start_fleet(workers=3)
+        silent = self.start_standing_job(fleet, 4)
+        silence(fleet, silent)
+        fleet.run_for(3.0)
+        fleet.workers.workers[silent].is_reachable = True
+        fleet.run_for(3.0)
+        self.assertEqual(len(fleet.workers.starts), 4)
+        self.assertEqual(self.count_running(fleet), 4)
+
+    def test_one_refused_connection_ends_no_worker(self):
+        fleet = self.start_fleet(workers=3)
+        refusing = fleet.workers.workers[self.start_standing_job(fleet, 4)]
+        refusing.is_stopped = True
+        fleet.run_for(0.2)
+        refusing.is_stopped = False
+        fleet.run_for(3.0)
+        self.assertEqual(len(fleet.workers.starts), 4)
+
+    CASES = [
+        ("its process ended", crash),
+        ("its process ended and its entry expired", crash_and_unlist),
+        ("another worker has its address", replace),
+    ]
+
+    def test_leader_and_worker_end_together(self):
+        for name, end_worker in self.CASES:
+            with self.subTest(name):
+                fleet = self.start_fleet(workers=3)
+                worker_id = self.start_standing_job(fleet, 4)
+                end_worker(fleet, worker_id)
+                fleet.kill(fleet.leader())
+                self.time_until_running(fleet, 4, RECOVERY_TARGET_S)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    def test_worker_that_ended_earlier_delays_no_successor(self):
+        # Workers crash and come back under other ids, then the leader is lost.
+        for name, end_worker in self.CASES:
+            with self.subTest(name):
+                fleet = self.start_fleet(workers=4)
+                end_worker(fleet, self.start_standing_job(fleet, 6))
+                fleet.run_for(3.0)
+                first = fleet.leader()
+                fleet.kill(first)
+                fleet.run_for(2.5)
+                ended = next(w for w in fleet.workers.workers.values() if w.running)
+                for run in list(ended.running.values()):
+                    fleet.workers.end(ended, run, "failed")
+                self.time_until_running(fleet, 6, 2.0)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    def test_wait_for_a_silent_worker_after_a_change_of_leader_is_bounded(self):
+        # Neither the former leader nor the worker gives any answer.
+        fleet = self.start_fleet(workers=3)
+        silence(fleet, self.start_standing_job(fleet, 4))
+        fleet.kill(fleet.leader())
+        fleet.run_for(2.0)
+        fleet.run_for(WORKER_LEASES_MAX_S + SUCCESSION_S)
+        reachable = [w for w in fleet.workers.workers.values() if w.is_reachable]
+        self.assertEqual(sum(len(worker.running) for worker in reachable), 4)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    def test_paused_leader_extends_no_lease_after_its_time(self):
+        # A leader is paused while its successor waits out the leases of a worker that
+        # only the former leader reaches, and starts that worker's tasks elsewhere.
+        for pause_s in (6.0, 9.0, 13.0, 20.0):
+            with self.subTest(pause_s=pause_s):
+                fleet = self.start_fleet(workers=3)
+                assigned = self.start_standing_job(fleet, 4)
+                former = fleet.leader()
+                fleet.nodes[former].mesh.is_down = True
+                for number, client in enumerate(fleet.worker_clients):
+                    client.unreachable = set() if number == former else {assigned}
+                fleet.clocks[former].freeze()
+                fleet.run_for(pause_s)
+                fleet.stores[former].is_down = True
+                fleet.clocks[former].thaw()
+                fleet.run_for(12.0)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    def test_leader_cut_off_from_the_store_extends_no_lease_after_its_time(self):
+        # The same with a leader that runs all the while.
+        fleet = self.start_fleet(workers=3)
+        assigned = self.start_standing_job(fleet, 4)
+        former = fleet.leader()
+        fleet.stores[former].is_down = True
+        fleet.nodes[former].mesh.is_down = True
+        for number, client in enumerate(fleet.worker_clients):
+            client.unreachable = set() if number == former else {assigned}
+        fleet.run_for(25.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(self.count_running(fleet), 4)
+
+    def test_work_outlasts_an_outage_of_the_store(self):
+        # Leases expire meanwhile, or do not.
+        for is_paused in (False, True):
+            with self.subTest(is_paused=is_paused):
+                fleet = self.start_fleet(workers=3)
+                self.start_standing_job(fleet, 4)
+                fleet.records.is_lease_expiry_paused = is_paused
+                for store in fleet.stores:
+                    store.is_down = True
+                fleet.run_for(6.7)
+                for store in fleet.stores:
+                    store.is_down = False
+                fleet.run_for(6.0)
+                self.assertEqual(len(fleet.workers.starts), 4)
+                self.assertEqual(self.count_running(fleet), 4)
+
+    def stored_workers(self, fleet):
+        record = fleet.records.records[WORKER_MEMBERSHIP_KEY]
+        return set(decode_worker_membership(record.value).workers)
+
+    def test_empty_worker_leaves_the_membership_with_its_entry(self):
+        fleet = self.start_fleet(workers=3)
+        self.assertEqual(self.stored_workers(fleet), {"w0", "w1", "w2"})
+        fleet.records.remove("servers/w1")
+        fleet.run_for(1.0)
+        self.assertEqual(self.stored_workers(fleet), {"w0", "w2"})
+
+    def test_worker_whose_entry_returns_gets_work_again(self):
+        fleet = self.start_fleet(workers=1)
+        fleet.records.remove("servers/w0")
+        fleet.run_for(1.0)
+        fleet.records.write("servers/w0", server_record(worker_entry(0)))
+        fleet.run_for(1.0)
+        for worker in fleet.workers.workers.values():
+            worker.run_s = 1.0
+        fleet.submit(0, job(JOB))
+        fleet.run_for(3.0)
+        self.assertEqual(fleet.read_phase(0, JOB), JobPhase.COMPLETED)
+
+
+if __name__ == "__main__":
+    unittest.main()
