One malformed message or unexpected error affects nothing but itself

Cause, each shown by a test that fails on the code before: a record that cannot be decoded ended the watch of its prefix, and stopped each successor; a handler of a peer's call that failed sent no reply; a reply that cannot be decoded failed the call of a caller; errors of callbacks and timers were logged nowhere. The command line took each URLError for a request that was not sent, and sent a command that may have been carried out to the next daemon. A submission's read before its write had no limit. Change: logged and passed over, one by one; commands go to another daemon only if no connection was made.

--- a/dogwoodlever/_fleet_rpc.py
+++ b/dogwoodlever/_fleet_rpc.py
@@ -5,6 +5,7 @@
 import msgspec
 from twisted.internet.defer import Deferred, inlineCallbacks
 
+from dogwoodlever._logs import log_event
 from dogwoodlever._peer_mesh import TcpMesh
 from dogwoodlever._peer_rpc import PeerRpc
 
@@ -149,9 +150,7 @@
         self._add_peer(member)
         body = msgspec.msgpack.encode(CreateRequest(key, value))
         reply = yield self._rpc.call(member, CREATE_METHOD, body, CREATE_TIMEOUT_S)
-        if reply is None:
-            return None
-        return msgspec.msgpack.decode(reply, type=CreateReply)
+        return _decode_reply(member, reply, CreateReply)
 
     def set_leader(self, member: str, key: str) -> None:
         """Set the leader, and dial it before the first call."""
@@ -168,9 +167,18 @@
         """
         self._add_peer(member)
         reply = yield self._rpc.call(member, method, argument.encode(), CALL_TIMEOUT_S)
-        if reply is None:
-            return None
-        return msgspec.msgpack.decode(reply, type=LeaderReply)
+        return _decode_reply(member, reply, LeaderReply)
+
+
+def _decode_reply(member: str, reply: bytes | None, reply_type):
+    """Decode a reply; one that cannot be decoded counts as none."""
+    if reply is None:
+        return None
+    try:
+        return msgspec.msgpack.decode(reply, type=reply_type)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        log_event("rpc.unreadable", member=member, why=str(error)[:200])
+        return None
 
 
 def _encode_replies(handler: Callable[[str], LeaderReply]):
--- a/dogwoodlever/_fleet_watcher.py
+++ b/dogwoodlever/_fleet_watcher.py
@@ -141,4 +141,8 @@
                 return
         else:
             self._revisions[record.key] = record.revision
-        self._on_change(record)
+        try:
+            self._on_change(record)
+        except Exception as error:
+            # One unreadable record must not end the watch of the others.
+            log_event("record.failed", key=record.key, why=repr(error)[:200])
--- a/dogwoodlever/_gateway.py
+++ b/dogwoodlever/_gateway.py
@@ -81,7 +81,7 @@
         node.rpc.register(OUTCOME_METHOD, self._handle_outcome)
 
     def _handle_outcome(self, body: bytes) -> bytes | None:
-        trace = self._node.traces.get(body.decode())
+        trace = self._node.traces.get(body.decode(errors="replace"))
         return None if trace is None else trace.outcome.encode()
 
     def new_request_id(self) -> str:
@@ -263,7 +263,7 @@
         bodies = yield self._node.rpc.call_all(
             others, OUTCOME_METHOD, request_id.encode()
         )
-        return bodies[0].decode() if bodies else ""
+        return bodies[0].decode(errors="replace") if bodies else ""
 
     def handle_disconnect(self, request_id: str, service: str) -> None:
         """Drop the request of a caller that closed its connection."""
--- a/dogwoodlever/_logs.py
+++ b/dogwoodlever/_logs.py
@@ -3,6 +3,7 @@
 import json
 
 from absl import logging
+from twisted.logger import LogLevel, formatEvent, globalLogPublisher
 
 UNQUOTED_CHARACTERS = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/#@+,*%"
@@ -23,7 +24,37 @@
     return " ".join(pairs)
 
 
-@logging.skip_log_prefix
 def log_event(event: str, **fields: object) -> None:
-    """Log an event at level ``info``."""
-    logging.info("%s", format_event(event, **fields))
+    """Log an event at level ``info``; its name stands where others have a file name."""
+    logger = logging.get_absl_logger()
+    if not logger.isEnabledFor(logging.converter.STANDARD_INFO):
+        return
+    # The logger's own methods search the stack for the caller, which takes most of
+    # the time of a call.
+    record = logger.makeRecord(
+        logger.name,
+        logging.converter.STANDARD_INFO,
+        event,
+        0,
+        format_event(event, **fields),
+        (),
+        None,
+    )
+    logger.handle(record)
+
+
+def log_unhandled_errors() -> None:
+    """Log the errors that Twisted reports, such as those of callbacks and timers."""
+    globalLogPublisher.addObserver(_log_unhandled_error)
+
+
+def _log_unhandled_error(event) -> None:
+    if event.get("log_level") not in (LogLevel.error, LogLevel.critical):
+        return
+    failure = event.get("log_failure")
+    where = ""
+    if failure is not None and failure.frames:
+        function, path, line, *_ = failure.frames[-1]
+        where = f"{path.rpartition('/')[2]}:{line}:{function}"
+    why = formatEvent(event) if failure is None else repr(failure.value)
+    log_event("error.unhandled", why=why[:200], where=where)
--- a/dogwoodlever/_operator_client.py
+++ b/dogwoodlever/_operator_client.py
@@ -1,8 +1,7 @@
 """HTTP client of the daemons' operators' port."""
 
+import http.client
 import json
-import urllib.error
-import urllib.request
 from typing import Any
 
 from dogwoodlever.cli_errors import (
@@ -40,31 +39,43 @@
     def _call(self, method: str, path: str, body: bytes | None) -> Any:
         failures = []
         for address in self._addresses:
-            request = urllib.request.Request(
-                f"http://{address}/{path}", data=body, method=method
-            )
-            request.add_header("Authorization", f"Bearer {self._key}")
-            request.add_header("Content-Type", "application/json")
             try:
-                with urllib.request.urlopen(request, timeout=TIMEOUT_S) as response:
-                    return json.load(response)
-            except urllib.error.HTTPError as error:
-                raise _error_from_response(error) from error
-            except urllib.error.URLError as error:
-                # Not connected, so nothing was sent and the next daemon can be tried.
-                failures.append(f"{address}: {error.reason}")
-            except (OSError, ValueError) as error:
-                raise OutcomeUnknownError(f"{address}: {error}") from error
+                connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
+                connection.connect()
+            except (OSError, http.client.InvalidURL) as error:
+                # Nothing was sent, so the next daemon can be tried.
+                failures.append(f"{address}: {error}")
+                continue
+            try:
+                return self._send(connection, method, path, body)
+            except (OSError, ValueError, http.client.HTTPException) as error:
+                if method != "GET":
+                    raise OutcomeUnknownError(f"{address}: {error!r}") from error
+                failures.append(f"{address}: {error!r}")
+            finally:
+                connection.close()
         raise UnreachableError("no daemon can be reached: " + "; ".join(failures))
 
+    def _send(self, connection, method: str, path: str, body: bytes | None) -> Any:
+        headers = {
+            "Authorization": f"Bearer {self._key}",
+            "Content-Type": "application/json",
+        }
+        connection.request(method, f"/{path}", body, headers)
+        response = connection.getresponse()
+        content = response.read()
+        if response.status >= 300:
+            raise _error_from_response(response.status, response.reason, content)
+        return json.loads(content)
+
 
-def _error_from_response(error: urllib.error.HTTPError):
+def _error_from_response(status: int, reason: str, content: bytes):
     try:
-        document = json.load(error)
+        document = json.loads(content)
     except ValueError:
-        document = {"error": error.reason}
+        document = {"error": reason}
     lines = [f"{f['where']}: {f['what']}" for f in document.get("faults", ())]
-    message = "\n".join(lines) or document.get("error", str(error))
-    if error.code == 503:
+    message = "\n".join(lines) or document.get("error", f"status {status}: {reason}")
+    if status == 503:
         return OutcomeUnknownError(message)
     return CommandRefusedError(message)
--- a/dogwoodlever/_operators_resource.py
+++ b/dogwoodlever/_operators_resource.py
@@ -213,7 +213,7 @@
         check_fits(job, site)
         cell = cell_for_job(job, site)
         follower = self._node.follower
-        known = yield self._reports.has_job(job.job, cell)
+        known = yield self._with_store_timeout(self._reports.has_job(job.job, cell))
         if known:
             return JsonResponse(200, {"job": job.job, "accepted": False, "known": True})
         written = yield self._with_store_timeout(
--- a/dogwoodlever/_peer_rpc.py
+++ b/dogwoodlever/_peer_rpc.py
@@ -4,6 +4,7 @@
 
 from twisted.internet.defer import Deferred, inlineCallbacks
 
+from dogwoodlever._logs import log_event
 from dogwoodlever._messages import Message, RpcReply, RpcRequest
 from dogwoodlever._peer_mesh import PeerTransport
 
@@ -42,26 +43,31 @@
 
     def handle_message(self, sender: str, message: Message) -> None:
         """Handle a request or a reply."""
-        if (
-            isinstance(message, RpcRequest)
-            and message.method in self._deferred_handlers
-        ):
-            deferred = self._deferred_handlers[message.method](message.body)
-            deferred.addCallback(
-                lambda body: self._peers.send(
-                    sender, RpcReply(message.number, True, body)
-                )
-            )
-        elif isinstance(message, RpcRequest):
-            handler = self._handlers.get(message.method)
-            body = handler(message.body) if handler else None
-            reply = RpcReply(message.number, body is not None, body or b"")
-            self._peers.send(sender, reply)
+        if isinstance(message, RpcRequest):
+            self._serve(sender, message)
         elif isinstance(message, RpcReply):
             pending = self._pending_calls.pop(message.number, None)
             if pending is not None:
                 pending.callback(message.body if message.found else None)
 
+    @inlineCallbacks
+    def _serve(self, sender: str, request: RpcRequest):
+        """Handle a request; the caller gets a reply even if the handler fails."""
+        handler = self._deferred_handlers.get(request.method)
+        if handler is None:
+            handler = self._handlers.get(request.method)
+        body = None
+        try:
+            if handler is not None:
+                body = yield handler(request.body)
+        except Exception as error:
+            # One malformed or unexpected request must not affect the others.
+            log_event(
+                "rpc.failed", method=request.method, sender=sender, why=repr(error)
+            )
+        reply = RpcReply(request.number, body is not None, body or b"")
+        self._peers.send(sender, reply)
+
     def call(
         self,
         member: str,
