--- a/dogwoodlever/_fleet_daemon.py
+++ b/dogwoodlever/_fleet_daemon.py
@@ -16,7 +16,8 @@
 from dogwoodlever._fleet_metrics import MetricsResource
 from dogwoodlever._fleet_node import FleetNode
 from dogwoodlever._http_client import HttpClient
-from dogwoodlever._logs import log_event
+from dogwoodlever._log_stream import LogStream
+from dogwoodlever._logs import log_event, log_unhandled_errors
 from dogwoodlever._peer_mesh import TcpMesh
 from dogwoodlever.platform import (
     NODE_FILE_VARIABLE,
@@ -123,6 +124,8 @@
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold(logging.INFO)
+    sys.stderr = LogStream(sys.stderr.fileno(), reactor)
+    log_unhandled_errors()
     path = os.environ.get(NODE_FILE_VARIABLE)
     if not path:
         print(f"{NODE_FILE_VARIABLE} must name the settings file", file=sys.stderr)
--- a/dogwoodlever/_http_client.py
+++ b/dogwoodlever/_http_client.py
@@ -1,23 +1,19 @@
-"""Small HTTP client over Twisted's agent, with a timeout on each call."""
+"""Small HTTP client over persistent connections, with a timeout on each call."""
 
-from io import BytesIO
+from functools import partial
 
 from twisted.internet import error as internet_errors
-from twisted.internet.defer import inlineCallbacks
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.web.client import (
-    Agent,
-    FileBodyProducer,
-    HTTPConnectionPool,
-    RequestNotSent,
-    readBody,
-)
-from twisted.web.http_headers import Headers
+from twisted.internet.defer import Deferred, TimeoutError, inlineCallbacks
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.web.client import RequestNotSent
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
+from dogwoodlever._http_connection import HttpConnection
+
 CONNECT_TIMEOUT_S = 2.0
 CONNECTIONS_PER_HOST = 4
+HTTP_PORT = 80
 # Errors after which no byte of the request has been sent.
 NOT_SENT_ERRORS = (
     internet_errors.ConnectError,
@@ -60,7 +56,7 @@
     reactor : object
         Twisted reactor.
     timeout_s : float
-        Timeout of the response, and of its body, unless a call sets its own.
+        Timeout of a call, up to the end of the body, unless the call sets its own.
     connections : int
         Idle connections kept to one host.
     """
@@ -70,15 +66,10 @@
     ) -> None:
         self._reactor = reactor
         self.timeout_s = timeout_s
-        pool = HTTPConnectionPool(reactor)
-        pool.maxPersistentPerHost = connections
-        # Whether a request may be retried depends on the call, so the caller decides.
-        pool.retryAutomatically = False
-        self._pool = pool
-        endpoints = IpEndpointFactory(reactor, CONNECT_TIMEOUT_S)
-        self._agent = Agent.usingEndpointFactory(reactor, endpoints, pool)
+        self._idle_max = connections
+        # Idle connections by address, the last used one at the end.
+        self._idle: dict[str, list[HttpConnection]] = {}
 
-    @inlineCallbacks
     def fetch(
         self,
         method: bytes,
@@ -86,22 +77,90 @@
         body: bytes = b"",
         timeout_s: float = 0.0,
         headers: tuple[tuple[bytes, bytes], ...] = (),
-    ):
+    ) -> Deferred:
         """Return a Deferred that fires with the status and the body.
 
-        Fails with Twisted's errors, `twisted.internet.defer.CancelledError` and
-        `TimeoutError` among them.
+        `timeout_s` bounds the whole call. Fails with Twisted's network errors,
+        `twisted.internet.defer.TimeoutError` and `InvalidResponseError`.
         """
-        request_headers = Headers({b"content-type": [b"application/json"]})
-        for name, value in headers:
-            request_headers.addRawHeader(name, value)
-        producer = FileBodyProducer(BytesIO(body)) if body else None
-        call_timeout_s = timeout_s or self.timeout_s
-        call = self._agent.request(method, url.encode(), request_headers, producer)
-        response = yield call.addTimeout(call_timeout_s, self._reactor)
-        content = yield readBody(response).addTimeout(call_timeout_s, self._reactor)
-        return response.code, content
-
-    def close(self):
-        """Close idle connections; return a Deferred that fires when they are closed."""
-        return self._pool.closeCachedConnections()
+        address, _, path = url.removeprefix("http://").partition("/")
+        request = _format_request(method, address, path, body, headers)
+        deadline_s = self._reactor.seconds() + (timeout_s or self.timeout_s)
+        idle = self._idle.get(address)
+        if idle:
+            return self._send(address, idle.pop(), request, deadline_s)
+        return self._connect_and_send(address, request, deadline_s)
+
+    @inlineCallbacks
+    def _connect_and_send(self, address: str, request: bytes, deadline_s: float):
+        host, _, port = address.partition(":")
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, host, int(port or HTTP_PORT), CONNECT_TIMEOUT_S
+        )
+        connection = HttpConnection(
+            partial(self._keep, address), partial(self._forget, address)
+        )
+        connecting = connectProtocol(endpoint, connection)
+        timer = self._call_at(deadline_s, connecting.cancel)
+        connecting.addBoth(_cancel_timer, timer)
+        yield connecting
+        result = yield self._send(address, connection, request, deadline_s)
+        return result
+
+    def _send(
+        self, address: str, connection: HttpConnection, request: bytes, deadline_s
+    ) -> Deferred:
+        response = connection.send(request)
+        timer = self._call_at(deadline_s, self._time_out, address, connection)
+        return response.addBoth(_cancel_timer, timer)
+
+    def _call_at(self, when_s: float, function, *arguments):
+        delay_s = max(0.0, when_s - self._reactor.seconds())
+        return self._reactor.callLater(delay_s, function, *arguments)
+
+    def _time_out(self, address: str, connection: HttpConnection) -> None:
+        """Give up a call, and idle connections that may be silent for good too."""
+        error = TimeoutError(f"no response from {address}")
+        connection.abort(error)
+        for idle in self._idle.pop(address, ()):
+            idle.abort(error)
+
+    def _keep(self, address: str, connection: HttpConnection) -> None:
+        """Keep an idle connection for the next call."""
+        idle = self._idle.setdefault(address, [])
+        if len(idle) < self._idle_max:
+            idle.append(connection)
+        else:
+            connection.transport.loseConnection()
+
+    def _forget(self, address: str, connection: HttpConnection) -> None:
+        """Drop a closed connection."""
+        idle = self._idle.get(address, [])
+        if connection in idle:
+            idle.remove(connection)
+        if not idle:
+            self._idle.pop(address, None)
+
+
+def _format_request(
+    method: bytes,
+    address: str,
+    path: str,
+    body: bytes,
+    headers: tuple[tuple[bytes, bytes], ...],
+) -> bytes:
+    names = {name.lower() for name, _ in headers}
+    lines = [b"%s /%s HTTP/1.1" % (method, path.encode("ascii"))]
+    if b"host" not in names:
+        lines.append(b"Host: " + address.encode("ascii"))
+    lines.extend(b"%s: %s" % header for header in headers)
+    if body or method != b"GET":
+        lines.append(b"Content-Type: application/json")
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def _cancel_timer(result, timer):
+    if timer.active():
+        timer.cancel()
+    return result
