--- a/dogwoodlever/_cell_assignment.py
+++ b/dogwoodlever/_cell_assignment.py
@@ -1,7 +1,5 @@
 """Assignment of workers, quotas and jobs to cells."""
 
-from math import ceil
-
 from dogwoodlever._job import Job, reservations
 from dogwoodlever._rendezvous import highest_ranked, rank
 from dogwoodlever._site import Site, Team
@@ -37,7 +35,7 @@
 def team_cells(site: Site, name: str) -> list[str]:
     """Return the cells that hold parts of a team's quota."""
     names = cell_names(site)
-    count = max(1, ceil(site.teams[name].cores // QUOTA_PART_CORES_MIN))
+    count = max(1, int(site.teams[name].cores // QUOTA_PART_CORES_MIN))
     return rank(name, names)[:count]
 
 
--- a/dogwoodlever/_dispatcher.py
+++ b/dogwoodlever/_dispatcher.py
@@ -136,10 +136,6 @@
         """Return the number of attempts whose callers still wait."""
         return sum(not a.abandoned for a in self._attempts.values())
 
-    def occupied(self) -> int:
-        """Return the number of occupied slots, abandoned attempts included."""
-        return len(self._attempts)
-
     def submit(self, request: Request, now_s: float) -> list[Effect]:
         """Queue a new request, or reject it if it cannot meet its deadline."""
         if self.draining:
@@ -215,7 +211,6 @@
             return None
         request = self.queue.pop()
         request.attempts += 1
-        request.tried.add(server)
         self._attempt_count += 1
         self._attempts[self._attempt_count] = Attempt(request, slot, now_s)
         heappush(
--- a/dogwoodlever/_fair_queue.py
+++ b/dogwoodlever/_fair_queue.py
@@ -89,7 +89,3 @@
             self._arrivals = [(r.arrived_s, i) for i, r in self._requests.items()]
             heapify(self._arrivals)
         return self._arrivals[0][0] if self._arrivals else None
-
-    def requests(self) -> list[Request]:
-        """Return the queued requests in no particular order."""
-        return list(self._requests.values())
--- a/dogwoodlever/_membership_lease.py
+++ b/dogwoodlever/_membership_lease.py
@@ -152,10 +152,6 @@
         read_sent_s = evidence.echo_s - evidence.store_age_s
         self._evidence_s = max(self._evidence_s, read_sent_s)
 
-    def forget(self, peer: str) -> None:
-        """Drop the evidence of a peer that is no longer a member."""
-        self._peers.pop(peer, None)
-
     def extend_in_outage(self, now_s: float, others: set[str]) -> bool:
         """Extend the lease if a majority has no contact with the store.
 
--- a/dogwoodlever/_quota.py
+++ b/dogwoodlever/_quota.py
@@ -43,10 +43,6 @@
         usage.cores += cores
         usage.accelerators += accelerators
 
-    def remove_usage(self, team: str, cores: float, accelerators: int) -> None:
-        """Remove the usage of a task that is no longer placed."""
-        self.add_usage(team, -cores, -accelerators)
-
     def allows(self, team: str, cores: float, accelerators: int) -> bool:
         """Return whether a task fits within the team's quota."""
         quota = self._teams.get(team)
--- a/dogwoodlever/_request.py
+++ b/dogwoodlever/_request.py
@@ -1,6 +1,6 @@
 """Requests, their outcomes and the effects that a dispatcher returns."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 
 from dogwoodlever._slot_pool import Loan
@@ -45,8 +45,6 @@
         Times of the reactor clock.
     written : bool
         Whether any byte of an attempt may have reached a backend server.
-    tried : set of str
-        Servers of all attempts.
     """
 
     request_id: str
@@ -58,7 +56,6 @@
     deadline_s: float
     attempts: int = 0
     written: bool = False
-    tried: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True, frozen=True)
--- a/dogwoodlever/_worker_capacity.py
+++ b/dogwoodlever/_worker_capacity.py
@@ -39,8 +39,6 @@
         Whether this leader has polled the worker with its own fencing token.
     is_listed : bool
         Whether the store has an entry of the worker.
-    is_reachable : bool
-        Always True and unused; `WorkerLink.is_reachable` tracks the worker.
     colocated_cores : dict of str to float
         Reference cores recently used by all but serving runs, by image; averaged
         over about the time that a reported latency covers.
@@ -54,7 +52,6 @@
         "cores_used",
         "entry",
         "is_listed",
-        "is_reachable",
         "is_synced",
         "memory_used",
         "refused_until_s",
@@ -67,7 +64,6 @@
         self.entry = entry
         self.is_synced = False
         self.is_listed = True
-        self.is_reachable = True
         self.refused_until_s = float("-inf")
         self.colocated_cores: dict[str, float] = {}
         self.colocated_updated_s = float("-inf")
--- a/standins/http_servers.py
+++ b/standins/http_servers.py
@@ -66,6 +66,7 @@
             "started_s": run.started_s,
             "ended_s": run.ended_s,
             "outcome": run.outcome,
+            "end_lost": run.end_lost,
         }
         for run in machine.records
     ]
