--- a/dogwoodlever/platform/_callers_resource.py
+++ b/dogwoodlever/platform/_callers_resource.py
@@ -16,6 +16,7 @@
 
 # For requests without a deadline; the usual timeout of the configurations.
 DEADLINE_DEFAULT_S = 3.0
+DEADLINE_DIGITS_MAX = 9
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}")
 
 _STATUSES = {
@@ -89,7 +90,7 @@
         if configuration is None:
             self._respond(request, CallResult(CallOutcome.NOT_DONE))
             return
-        host = (request.getHeader("host") or "").partition(":")[0]
+        host = (request.getHeader(b"host") or b"").decode("latin-1").partition(":")[0]
         path = request.path.decode("latin-1")
         queue = configuration.find_queue(host, path)
         if queue is None:
@@ -150,5 +151,7 @@
 
 
 def _deadline_s(request) -> float:
-    text = request.getHeader("deadline-ms") or ""
-    return int(text) / 1000 if text.isdigit() else DEADLINE_DEFAULT_S
+    # As bytes, since a header that is not UTF-8 fails as text.
+    text = request.getHeader(b"deadline-ms") or b""
+    is_valid = text.isdigit() and len(text) <= DEADLINE_DIGITS_MAX
+    return int(text) / 1000 if is_valid else DEADLINE_DEFAULT_S
--- a/tests/test_fleet_callers_resource.py
+++ b/tests/test_fleet_callers_resource.py
@@ -120,6 +120,21 @@
         self.serve(Request(b"GET", f"/q/{JOB}"), CallResult(CallOutcome.ABSENT))
         self.assertEqual(self.calls, [("GET", CallOutcome.ABSENT)])
 
+    def test_malformed_deadline_counts_as_none(self):
+        for text in (b"", b"soon", b"-5", b"1e3", b"\xb2", b"9" * 400):
+            with self.subTest(text):
+                request = Request(b"POST", f"/q/{JOB}", BODY)
+                request.requestHeaders.setRawHeaders(b"deadline-ms", [text])
+                self.serve(request, CallResult(CallOutcome.DONE))
+                self.assertEqual(request.responseCode, 200)
+                self.assertGreater(self.frontend.deadlines_s[0], 0.0)
+
+    def test_host_that_is_no_text_has_no_queue(self):
+        request = Request(b"GET", f"/q/{JOB}")
+        request.requestHeaders.setRawHeaders(b"host", [b"\xff\xfe"])
+        self.serve(request, None)
+        self.assertEqual(request.responseCode, 404)
+
 
 if __name__ == "__main__":
     unittest.main()
