Planning and throttling cost the leader of 270 workers a third

Change: a sample updates only the classes that it says something of; what best-effort runs add is worked out once a report and image; workers without spare cores are not tried; the headroom of a worker is kept until it reports or changes, for 0.5 s at most; runs to move are searched each 0.25 s. ManyWorkersTest counts the tries.

--- a/dogwoodlever/_fleet_headroom.py
+++ b/dogwoodlever/_fleet_headroom.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from dogwoodlever._fleet_types import Step
 from dogwoodlever._interference_model import InterferenceModel
@@ -26,6 +27,41 @@
 # Best-effort tasks of an untested pair that run at a time. Most pairs tolerate each
 # other, the others do great harm, and one task shows which.
 UNTESTED_TASKS_MAX = 2
+# How long the headroom of a worker is kept while nothing is reported of it.
+HEADROOM_VALID_S = 0.5
+
+
+@dataclass(slots=True)
+class CachedHeadroom:
+    """Headroom of one worker, kept between the rounds of planning.
+
+    Attributes
+    ----------
+    capacity : WorkerCapacity
+        The worker, in one incarnation.
+    version : int
+        Its version when the headroom was computed.
+    computed_s : float
+        When it was computed.
+    by_image : dict of str to float
+        Interference that each standing image still tolerates.
+    sensitivity : float or None
+        How strongly best-effort images interfere there, None before first use.
+    """
+
+    capacity: WorkerCapacity
+    version: int
+    computed_s: float
+    by_image: dict[str, float]
+    sensitivity: float | None = None
+
+    def is_valid(self, capacity: WorkerCapacity, now_s: float) -> bool:
+        """Return whether nothing has changed since it was computed."""
+        return (
+            self.capacity is capacity
+            and self.version == capacity.version
+            and now_s - self.computed_s < HEADROOM_VALID_S
+        )
 
 
 class Headroom:
@@ -39,16 +75,18 @@
         Current time.
     capacities : iterable of WorkerCapacity
         All workers, whose runs count as tests of their pairs.
+    cache : dict of str to CachedHeadroom
+        Headroom by worker id, kept by the owner for the next round.
     """
 
     __slots__ = (
         "_by_worker",
+        "_cache",
         "_capacities",
         "_interference",
         "_now_s",
         "_pairs",
         "_running",
-        "_sensitivities",
     )
 
     def __init__(
@@ -56,13 +94,14 @@
         interference: InterferenceModel,
         now_s: float,
         capacities: Iterable[WorkerCapacity],
+        cache: dict[str, CachedHeadroom],
     ) -> None:
+        self._cache = cache
         self._interference = interference
         self._now_s = now_s
         self._capacities = capacities
         self._by_worker: dict[str, dict[str, float]] = {}
         self._pairs: dict[tuple[str, str], tuple[float, float, bool]] = {}
-        self._sensitivities: dict[str, float] = {}
         # Best-effort tasks by pair of images, counted when first needed.
         self._running: Counter[tuple[str, str]] | None = None
 
@@ -103,10 +142,21 @@
         """Return the interference that each standing image still tolerates."""
         headroom = self._by_worker.get(capacity.entry.worker_id)
         if headroom is None:
-            headroom = self._compute(capacity)
+            # A copy, since placements of this round are subtracted from it.
+            headroom = dict(self._cached(capacity).by_image)
             self._by_worker[capacity.entry.worker_id] = headroom
         return headroom
 
+    def _cached(self, capacity: WorkerCapacity) -> CachedHeadroom:
+        worker_id = capacity.entry.worker_id
+        cached = self._cache.get(worker_id)
+        if cached is None or not cached.is_valid(capacity, self._now_s):
+            cached = CachedHeadroom(
+                capacity, capacity.version, self._now_s, self._compute(capacity)
+            )
+            self._cache[worker_id] = cached
+        return cached
+
     def _compute(self, capacity: WorkerCapacity) -> dict[str, float]:
         colocated_cores = capacity.interfering_cores()
         headroom: dict[str, float] = {}
@@ -153,13 +203,11 @@
 
     def sensitivity(self, capacity: WorkerCapacity, images: set[str]) -> float:
         """Return how strongly some images interfere with a worker's standing tasks."""
-        worker_id = capacity.entry.worker_id
-        sensitivity = self._sensitivities.get(worker_id)
-        if sensitivity is None:
-            sensitivity = sum(
+        cached = self._cached(capacity)
+        if cached.sensitivity is None:
+            cached.sensitivity = sum(
                 self._pair(image, other)[0]
-                for image in self.by_image(capacity)
+                for image in cached.by_image
                 for other in images
             )
-            self._sensitivities[worker_id] = sensitivity
-        return sensitivity
+        return cached.sensitivity
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -58,6 +58,9 @@
 STARTS_PER_ROUND = 64
 # Interval of the checks for due occurrences and slow runs.
 TICK_INTERVAL_S = 0.1
+# Interval of the searches for throttled runs to move, each of which reads all runs; a
+# run moves after 0.35 s at a low speed.
+MOVE_INTERVAL_S = 0.25
 # Quarantine of a worker whose runs fail or stall. The platform expects all capacity
 # to be in use 7 s after a disturbance, and probing a worker takes 1 s.
 QUARANTINE_S = 4.0
@@ -174,6 +177,7 @@
         self._get_confirmed_until_s = get_confirmed_until_s
         # Arrival time and record of jobs that a successor may have accepted.
         self._unconfirmed_jobs: deque[tuple[float, Record]] = deque()
+        self._moved_s = float("-inf")
         self._plan_delay_s = PLAN_DELAY_S
         self._plan_call = None
         self._tick_call = None
@@ -426,6 +430,9 @@
 
     def _move_throttled(self, now_s: float) -> None:
         """Stop throttled runs that another worker can continue at once."""
+        if now_s - self._moved_s < MOVE_INTERVAL_S:
+            return
+        self._moved_s = now_s
         throttled_tasks = self.workers.runs.throttled_tasks(now_s)
         if not throttled_tasks:
             return
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -1,11 +1,12 @@
 """Placement of waiting tasks on workers."""
 
 import heapq
+from bisect import bisect_right
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from dogwoodlever._fault_attribution import FaultAttribution
-from dogwoodlever._fleet_headroom import Headroom
+from dogwoodlever._fleet_headroom import CachedHeadroom, Headroom
 from dogwoodlever._fleet_job import RunPhase, StepState, Task
 from dogwoodlever._fleet_types import FleetConfiguration, Step
 from dogwoodlever._interference_model import InterferenceModel
@@ -84,6 +85,29 @@
         self._sizes.setdefault(_constraints(step), []).append(size)
 
 
+class SpareOrder:
+    """Workers by their spare cores at the start of a round, so that few are tried."""
+
+    __slots__ = ("_capacities", "_negative_spares")
+
+    def __init__(self, capacities: Iterable[WorkerCapacity]) -> None:
+        rows = sorted(
+            ((-capacity.spare_milli, capacity) for capacity in capacities),
+            key=lambda row: row[0],
+        )
+        self._negative_spares = [spare for spare, _ in rows]
+        self._capacities = [capacity for _, capacity in rows]
+
+    def with_spare(self, spare_milli: float) -> list[WorkerCapacity]:
+        """Return the workers that had at least `spare_milli`."""
+        return self._capacities[: bisect_right(self._negative_spares, -spare_milli)]
+
+
+def _spare_min(spec: Step) -> float:
+    """Return the spare cores that a best-effort task needs where it starts."""
+    return spec.cores_milli * SPARE_RATIO_MIN
+
+
 def _constraints(step: StepState) -> tuple:
     spec = step.spec
     image = spec.image if spec.uses_leftover else ""
@@ -105,7 +129,13 @@
         Provides tickets for steps of queues that need them.
     """
 
-    __slots__ = ("_best_effort_images", "_faults", "_interference", "_tickets")
+    __slots__ = (
+        "_best_effort_images",
+        "_faults",
+        "_headrooms",
+        "_interference",
+        "_tickets",
+    )
 
     def __init__(
         self,
@@ -118,6 +148,7 @@
         self._interference = interference
         # Images of the best-effort work seen so far.
         self._best_effort_images: set[str] = set()
+        self._headrooms: dict[str, CachedHeadroom] = {}
 
     def plan(
         self,
@@ -154,13 +185,21 @@
             if not (skips_inherited and step.job.is_inherited)
         ]
         steps.sort(key=lambda step: scheduling_key(step, now_s, now_ms))
+        if len(self._headrooms) > 2 * len(capacities):
+            # Drops the workers that have left.
+            self._headrooms.clear()
         unplaceable = UnplaceableSizes()
-        headroom = Headroom(self._interference, now_s, capacities)
+        headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
+        spare_by_service: dict[str, SpareOrder] = {}
         for step in steps:
-            if step.spec.uses_leftover:
-                self._best_effort_images.add(step.spec.image)
             queue = configuration.queues.get(step.job.queue.name, step.job.queue)
             candidates = by_service.get(queue.service, ())
+            if step.spec.uses_leftover:
+                self._best_effort_images.add(step.spec.image)
+                if queue.service not in spare_by_service:
+                    spare_by_service[queue.service] = SpareOrder(candidates)
+                order = spare_by_service[queue.service]
+                candidates = order.with_spare(_spare_min(step.spec))
             yield from self._place_step(step, candidates, now_s, unplaceable, headroom)
             if step.ready and _needs_ticket(step):
                 self._tickets.request(
@@ -200,7 +239,7 @@
         now_s : float
             Time on the scheduler's clock.
         """
-        headroom = Headroom(self._interference, now_s, capacities)
+        headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
         for task in _late_tasks(registry, now_s):
             used_workers = {run.worker_id for run in task.runs.values()}
             service = task.step.job.queue.service
@@ -221,7 +260,7 @@
         now_s: float,
     ):
         """Yield the throttled tasks that another worker can run now."""
-        headroom = Headroom(self._interference, now_s, capacities)
+        headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
         for task, current in throttled_tasks:
             service = task.step.job.queue.service
             others = [
@@ -398,7 +437,7 @@
         if spec.rack and capacity.entry.rack != spec.rack:
             cost += AVOID_COST
         if spec.uses_leftover:
-            if capacity.spare_milli < spec.cores_milli * SPARE_RATIO_MIN:
+            if capacity.spare_milli < _spare_min(spec):
                 return None
             interference = headroom.added_interference(capacity, spec)
             if interference is None:
--- a/dogwoodlever/_run_throttler.py
+++ b/dogwoodlever/_run_throttler.py
@@ -86,9 +86,17 @@
             return _unthrottle_all(best_effort)
         if not self._sample(capacity, serving, now_s):
             return []
+        if not best_effort:
+            return []
         limits = {run.run_id: 100.0 for run, _ in best_effort}
+        shares_by_image: dict[str, tuple[float, list[tuple[float, Run]]]] = {}
         for run, step in serving:
-            self._lower_limits(capacity, run, step, best_effort, limits, now_s)
+            if step.image not in shares_by_image:
+                shares_by_image[step.image] = (
+                    self._interference_of_unthrottled(capacity, step),
+                    self._shares(capacity, step, best_effort),
+                )
+            self._lower_limits(run, step, shares_by_image[step.image], limits, now_s)
         return _limit_changes(best_effort, limits)
 
     def runs_to_move(
@@ -99,7 +107,9 @@
         Runs without checkpoints stay, because they would start over.
         """
         runs = []
-        for run, step in capacity.best_effort_runs():
+        for run, step in capacity.runs.values():
+            if not step.uses_leftover:
+                continue
             if not 0 <= run.speed_limit_percent < MOVE_BELOW_PERCENT:
                 run.slow_since_s = float("inf")
                 continue
@@ -143,18 +153,39 @@
             if not step.uses_leftover and not is_serving(step)
         )
 
+    def _shares(
+        self, capacity: WorkerCapacity, step: Step, best_effort
+    ) -> list[tuple[float, Run]]:
+        """Return what each best-effort run adds at full speed, the least first.
+
+        Runs that interfere least keep their speed.
+        """
+        shares = [
+            (
+                self._interference.per_core(step.image, other_step.image)
+                * capacity.to_reference_cores(other_step.cores_milli),
+                other,
+            )
+            for other, other_step in best_effort
+        ]
+        shares.sort(key=lambda row: (row[0], row[1].run_id.task))
+        return shares
+
     def _lower_limits(
         self,
-        capacity: WorkerCapacity,
         run: Run,
         step: Step,
-        best_effort,
+        interference: tuple[float, list[tuple[float, Run]]],
         limits,
         now_s: float,
     ) -> None:
-        """Lower `limits` until the standing run is expected to meet its target."""
+        """Lower `limits` until the standing run is expected to meet its target.
+
+        `interference` is that of unthrottled runs, and the share of each other run.
+        """
+        of_unthrottled, shares = interference
         if now_s - run.over_target_since_s >= self._pause_all_s:
-            for other, _ in best_effort:
+            for _, other in shares:
                 limits[other.run_id] = 0.0
             return
         remaining = self._interference.limit(
@@ -164,17 +195,7 @@
             run.latency_excess,
             now_s + LOOKAHEAD_S,
         )
-        remaining -= self._interference_of_unthrottled(capacity, step)
-        shares = [
-            (
-                self._interference.per_core(step.image, other_step.image)
-                * capacity.to_reference_cores(other_step.cores_milli),
-                other,
-            )
-            for other, other_step in best_effort
-        ]
-        # Runs that interfere least keep their speed.
-        shares.sort(key=lambda row: (row[0], row[1].run_id.task))
+        remaining -= of_unthrottled
         for share, other in shares:
             requested = share * limits[other.run_id] / 100
             if requested <= remaining:
--- a/dogwoodlever/_slowdown.py
+++ b/dogwoodlever/_slowdown.py
@@ -13,6 +13,8 @@
 OUTLIER_SIGMAS = 3.0
 OUTLIER_INFLATION = 1.5
 CAUTION_SIGMAS = 1.0
+# Covariance with a sample, as a ratio of the squared scale, below which it is ignored.
+CORRELATION_RATIO_MIN = 1e-5
 
 
 @dataclass(slots=True, frozen=True)
@@ -103,13 +105,14 @@
             deviation_s = PRIOR_DEVIATION_RATIO * self._scale_s
             self._add(task_class, PRIOR_RATIO * self._scale_s, deviation_s)
 
-    def _inputs(self, load: float, class_cores: dict[str, float]) -> list[float]:
-        inputs = [0.0] * len(self._mean)
-        inputs[self._index[IDLE]] = 1.0
-        inputs[self._index[LOAD]] = load
+    def _inputs(
+        self, load: float, class_cores: dict[str, float]
+    ) -> list[tuple[int, float]]:
+        """Return the inputs of a sample that are not zero, by index."""
+        inputs = [(self._index[IDLE], 1.0), (self._index[LOAD], load)]
         for task_class, cores in class_cores.items():
-            inputs[self._index[task_class]] = cores * load
-        return inputs
+            inputs.append((self._index[task_class], cores * load))
+        return [row for row in inputs if row[1]]
 
     def observe(self, latency_s: float, load: float, class_cores: dict[str, float]):
         """Update the state with one sample."""
@@ -127,19 +130,25 @@
         self._update(spread, variance, error_s)
 
     def _update(self, spread: list[float], variance: float, error_s: float) -> None:
+        # A sample says little of most classes: those that are hardly correlated with
+        # what it contains are left as they are.
+        limit = CORRELATION_RATIO_MIN * self._scale_s**2
+        related = [(i, value) for i, value in enumerate(spread) if abs(value) > limit]
+        for i, value in related:
+            gain = value / variance
+            self._mean[i] += gain * error_s
+            row = self._covariance[i]
+            for j, other in related:
+                row[j] -= gain * other
         drift = (DRIFT_RATIO * self._scale_s) ** 2
         for i, row in enumerate(self._covariance):
-            gain = spread[i] / variance
-            self._mean[i] += gain * error_s
-            for j in range(len(row)):
-                row[j] -= gain * spread[j]
             row[i] = min(row[i] + drift, self._scale_s**2)
 
-    def _inflate(self, inputs: list[float]) -> None:
+    def _inflate(self, inputs: list[tuple[int, float]]) -> None:
         """Inflate the uncertainty of what a sample contains, at most to `_scale_s`."""
-        for i, row in enumerate(self._covariance):
-            if inputs[i]:
-                row[i] = min(row[i] * OUTLIER_INFLATION + 1e-12, self._scale_s**2)
+        for i, _ in inputs:
+            row = self._covariance[i]
+            row[i] = min(row[i] * OUTLIER_INFLATION + 1e-12, self._scale_s**2)
 
     def baseline_s(self, load: float) -> float:
         """Return the latency without batch work."""
@@ -153,8 +162,11 @@
         return Coefficient(self._mean[index], variance**0.5)
 
 
-def _dot(left: list[float], right: list[float]) -> float:
-    return sum(a * b for a, b in zip(left, right, strict=True))
+def _dot(row: list[float], inputs: list[tuple[int, float]]) -> float:
+    total = 0.0
+    for index, value in inputs:
+        total += row[index] * value
+    return total
 
 
 class SlowdownEstimator:
--- a/dogwoodlever/_worker_capacity.py
+++ b/dogwoodlever/_worker_capacity.py
@@ -39,6 +39,8 @@
         Whether this leader has polled the worker with its own fencing token.
     is_listed : bool
         Whether the store has an entry of the worker.
+    version : int
+        Changes with the runs and with each report of them.
     colocated_cores : dict of str to float
         Reference cores recently used by all but serving runs, by image; averaged
         over about the time that a reported latency covers.
@@ -58,6 +60,7 @@
         "runs",
         "serving_count",
         "serving_milli",
+        "version",
     )
 
     def __init__(self, entry: WorkerEntry) -> None:
@@ -68,6 +71,7 @@
         self.colocated_cores: dict[str, float] = {}
         self.colocated_updated_s = float("-inf")
         self.runs: dict[RunId, tuple[Run, Step]] = {}
+        self.version = 0
         self.cores_used = 0
         self.memory_used = 0
         self.accelerators_used = 0
@@ -138,6 +142,7 @@
 
     def record_usage(self, now_s: float) -> None:
         """Add the latest usage of all but serving runs to `colocated_cores`."""
+        self.version += 1
         used: dict[str, float] = {}
         for run, step in self.runs.values():
             if run.percent >= 0 and not is_serving(step):
@@ -155,6 +160,7 @@
         self.colocated_cores = averaged
 
     def _count(self, step: Step, sign: int) -> None:
+        self.version += 1
         self.memory_used += sign * step.memory_mb
         self.accelerators_used += sign * step.accelerators
         if step.uses_leftover:
--- a/tests/test_best_effort_placement.py
+++ b/tests/test_best_effort_placement.py
@@ -1,18 +1,23 @@
 """Placement of best-effort work beside standing tasks.
 
-Patterns: a burst of an unknown image, moments of low load, tasks that are starting.
+Patterns: a burst of an unknown image, moments of low load, tasks that are starting,
+and hundreds of workers of which few have cores to spare.
 """
 
 import unittest
+from unittest.mock import patch
 
 from dogwoodlever._fleet_headroom import UNTESTED_TASKS_MAX
+from dogwoodlever._fleet_planner import FleetPlanner
 from dogwoodlever._interference_model import InterferenceModel
+from dogwoodlever._run_throttler import RunThrottler
 from tests.test_fleet_planner import (
     NOW_S,
     TARGET_MS,
     Fixture,
     best_effort_step,
     serving_step,
+    step,
 )
 
 USUAL_MS = TARGET_MS * 0.45
@@ -70,6 +75,45 @@
         self.assertEqual(fixture.plan(), [])
 
 
+class ManyWorkersTest(unittest.TestCase):
+    def test_workers_without_spare_cores_are_not_tried(self):
+        # Hundreds of workers are full, and many best-effort steps wait in each round.
+        fixture = Fixture(workers=270)
+        for capacity in fixture.capacities[3:]:
+            fixture.run_on(capacity, step(cores=16.0))
+        for number in range(40):
+            fixture.add(f"j{number}", [best_effort_step(f"i{number}", 2)], "batch")
+        cost = FleetPlanner._cost
+        tried = []
+
+        def count(planner, capacity, *arguments):
+            tried.append(capacity.entry.worker_id)
+            return cost(planner, capacity, *arguments)
+
+        with patch.object(FleetPlanner, "_cost", count):
+            placed = fixture.plan()
+        self.assertGreater(len(placed), 10)
+        self.assertEqual(set(tried), {"w0", "w1", "w2"})
+
+    def test_one_report_of_a_worker_reads_each_pair_once(self):
+        # A worker with many standing and best-effort tasks reports often.
+        fixture = Fixture(workers=1, cores=64)
+        capacity = fixture.capacities[0]
+        for _ in range(8):
+            run = fixture.run_on(capacity, serving_step("s"))
+            run.percent, run.load = 100, 10
+        for number in range(8):
+            run = fixture.run_on(capacity, best_effort_step(f"i{number % 2}"))
+            run.percent = 50
+        throttler = RunThrottler(fixture.interference, 4.0)
+        with (
+            patch.object(InterferenceModel, "per_core", return_value=0.01) as per_core,
+            patch.object(InterferenceModel, "observe", return_value=0.0),
+        ):
+            throttler.decide(capacity, NOW_S)
+        self.assertLessEqual(per_core.call_count, 8)
+
+
 class InterferenceModelTest(unittest.TestCase):
     def train(self, first_latency_ms):
         model = InterferenceModel()
