--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -151,18 +151,30 @@
         started_s = self._clock.seconds()
         log_event("daemon.stop", vm=self.settings.vm, leads=self.leader is not None)
         self.callers.closes_connections = True
-        if self.leader is not None:
-            self.leader.close()
-            self.leader = None
-        yield self.election.resign()
-        yield deferLater(self._clock, BALANCER_DETECTION_S)
         limit_s = started_s + self.settings.grace_s * GRACE_FRACTION
+        handing_over = self._hand_over(limit_s)
+        yield deferLater(self._clock, BALANCER_DETECTION_S)
+        yield handing_over
         while self.callers.open_requests and self._clock.seconds() < limit_s:
             yield deferLater(self._clock, STOP_POLL_S)
         for watcher in self._watchers:
             watcher.close()
         self.on_stopped()
 
+    @inlineCallbacks
+    def _hand_over(self, limit_s: float):
+        """Resign; during an outage of the store, lead on, since nobody can follow."""
+        while (
+            self.leader is not None
+            and self._store.down_for_s() is not None
+            and self._clock.seconds() < limit_s
+        ):
+            yield deferLater(self._clock, STOP_POLL_S)
+        if self.leader is not None:
+            self.leader.close()
+            self.leader = None
+        yield self.election.resign()
+
     # Leadership
 
     def _apply_leader_record(self, record: Record) -> None:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -166,6 +166,38 @@
         fleet.run_for(3.0)
         self.assertIsNotNone(fleet.leader())
 
+    def test_leader_that_is_stopped_in_an_outage_leads_on(self):
+        # Nobody can be elected while the store is down; the grace period is 6 s.
+        fleet = self.start_fleet()
+        leader = fleet.leader()
+        fleet.submit(leader, job(JOB, tasks=4, steps=8))
+        for store in fleet.stores:
+            store.is_down = True
+        fleet.run_for(2.5)
+        before = len(fleet.workers.starts)
+        stopped = []
+        fleet.nodes[leader].on_stopped = lambda: stopped.append(fleet.clock.seconds())
+        stopped_s = fleet.clock.seconds()
+        fleet.nodes[leader].stop()
+        fleet.run_for(3.0)
+        self.assertGreaterEqual(len(fleet.workers.starts) - before, 8)
+        fleet.run_for(3.0)
+        self.assertLess(stopped[0] - stopped_s, 6.0)
+
+    def test_leader_that_is_stopped_hands_over_as_soon_as_the_store_is_back(self):
+        fleet = self.start_fleet()
+        leader = fleet.leader()
+        fleet.records.is_lease_expiry_paused = True
+        for store in fleet.stores:
+            store.is_down = True
+        fleet.run_for(2.5)
+        fleet.nodes[leader].stop()
+        fleet.run_for(1.0)
+        for store in fleet.stores:
+            store.is_down = False
+        fleet.run_for(2.5)
+        self.assertNotIn(fleet.leader(), (None, leader))
+
     def test_leader_keeps_its_term_over_an_outage_without_a_successor(self):
         # The first renewals after an outage fail, although the store is reachable and
         # shows that no other daemon leads.
