--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -261,11 +261,12 @@
     ):
         """Yield the throttled tasks that another worker can run now."""
         headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
+        order = SpareOrder(capacities)
         for task, current in throttled_tasks:
             service = task.step.job.queue.service
             others = [
                 capacity
-                for capacity in capacities
+                for capacity in order.with_spare(_spare_min(task.step.spec))
                 if capacity is not current and capacity.entry.service == service
             ]
             capacity = self._cheapest(task, others, now_s, headroom)
