--- a/dogwoodlever/_log_stream.py
+++ b/dogwoodlever/_log_stream.py
@@ -63,6 +63,9 @@
                 del self._pending[: os.write(self._descriptor, self._pending)]
         except BlockingIOError:
             return
+        except OSError:
+            # The reader is gone; there is nowhere left to report it.
+            self._pending.clear()
         if self.dropped_lines:
             dropped, self.dropped_lines = self.dropped_lines, 0
             self.write(f"event=log.dropped lines={dropped}\n")
--- a/tests/test_log_stream.py
+++ b/tests/test_log_stream.py
@@ -48,6 +48,15 @@
         self.assertEqual(kept.count(b"\n") + 1, lines - dropped)
         self.assertEqual(last, f"event=log.dropped lines={dropped}".encode())
 
+    def test_reader_that_is_gone_affects_nothing(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, writer)
+        os.close(reader)
+        stream = LogStream(writer, self.clock)
+        stream.write("nobody reads this\n")
+        self.clock.advance(FLUSH_INTERVAL_S)
+        self.assertEqual(self.clock.getDelayedCalls(), [])
+
     def test_pending_lines_are_written_at_the_end(self):
         self.stream.write("last words\n")
         self.stream.write_pending()
