--- a/dogwoodlever/_fleet_headroom.py
+++ b/dogwoodlever/_fleet_headroom.py
@@ -13,7 +13,7 @@
 from dogwoodlever._interference_model import InterferenceModel
 from dogwoodlever._worker_capacity import WorkerCapacity
 
-# Ratio of the latency target below which a standing task is kept.
+# Ratio of the latency target that best-effort work may use up where it is placed.
 TARGET_RATIO = 0.9
 # Share of the current excess latency that is expected to persist.
 EXCESS_PERSISTENCE = 0.5
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -97,7 +97,7 @@
         Limits that the platform sets.
     get_confirmed_until_s : callable
         Returns the time until which no other daemon can have led.
-    get_worker_leases_end_s : callable
+    get_leases_end_s : callable
         Returns the time beyond which no worker's lease may be extended.
     """
 
@@ -117,7 +117,7 @@
         metrics: FleetMetrics,
         platform_limits: PlatformLimits,
         get_confirmed_until_s: Callable[[], float],
-        get_worker_leases_end_s: Callable[[], float],
+        get_leases_end_s: Callable[[], float],
     ) -> None:
         self._store = store
         self._clock = clock
@@ -151,7 +151,7 @@
             self._tickets.reject,
             platform_limits.run_lease_max_s,
             get_confirmed_until_s,
-            get_worker_leases_end_s,
+            get_leases_end_s,
         )
         self._progress_writer = ProgressWriter(
             store,
--- a/dogwoodlever/_run_throttler.py
+++ b/dogwoodlever/_run_throttler.py
@@ -14,7 +14,7 @@
 
 # A reported latency covers the last 0.5 s; an earlier sample repeats the previous one.
 SAMPLE_INTERVAL_S = 0.28
-# Ratio of the latency target below which a standing task is kept.
+# Ratio of the latency target at which best-effort runs are throttled; reports are late.
 TARGET_RATIO = 0.85
 # Delay from a sample to the effect of the resulting limit, plus half of the time that
 # the sample covers.
