A refused connection no longer counts as the end of a worker

Callers saw: tasks that ran twice at the same time.

Cause: since two refused connections in a row ended a worker's incarnation, so its runs were started elsewhere at once. A partition that rejects connections (RST) looks the same, and the worker runs on until its lease expires. Class of fault: the end of a worker concluded from something else than the answer of a later process at its address or the expiry of its leases.

Ruled out: waiting for some more refusals (a partition lasts longer than any such wait); heartbeats in the store as a sign of life (their absence proves nothing while the worker is cut off from the store too); asking other daemons (a partition of the worker is the same for all).

Change: an incarnation ends only if another worker or incarnation answers at its address, or its leases expire. A refused order still counts as not sent.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -27,7 +27,6 @@
     LEASE_EXPIRY_MARGIN_S,
     POLL_RETRY_S,
     POLL_WAIT_MS,
-    POLLS_REFUSED_STOPPED,
     RUN_LEASE_TARGET_S,
     LinkListener,
     WorkerLink,
@@ -36,7 +35,6 @@
 from dogwoodlever.platform import WORKERS_PREFIX
 from dogwoodlever.platform_errors import (
     PlatformError,
-    WorkerStoppedError,
     WrongIncarnationError,
 )
 
@@ -202,7 +200,8 @@
         """Find out which unpolled workers without an entry have ended.
 
         Work need not wait for the leases of a worker if another process answers at
-        its address, or none listens there, or it has nothing to report.
+        its address, or if it has nothing to report. A refused connection proves
+        nothing: a partition may reject connections to a worker that runs on.
         """
         for worker_id in sorted(self.unpolled_workers - set(self.capacities)):
             self._probe(self._membership.entry_of(worker_id))
@@ -210,9 +209,7 @@
     @inlineCallbacks
     def _probe(self, entry: WorkerEntry):
         worker_id = entry.worker_id
-        refused_polls = 0
         while not self._is_closed and worker_id in self.unpolled_workers:
-            is_refused = False
             try:
                 result = yield self._worker_client.poll(
                     entry, self._get_fencing_token(), 0, 0, 0
@@ -220,11 +217,9 @@
                 has_ended = not result.running and not result.ended
             except WrongIncarnationError:
                 has_ended = True
-            except PlatformError as error:
-                is_refused = isinstance(error, WorkerStoppedError)
+            except PlatformError:
                 has_ended = False
-            refused_polls = refused_polls + 1 if is_refused else 0
-            if has_ended or refused_polls >= POLLS_REFUSED_STOPPED:
+            if has_ended:
                 self._on_probed_ended(worker_id)
                 return
             yield deferLater(self._clock, POLL_RETRY_S)
@@ -440,12 +435,6 @@
         """Report that the worker has seen a later fencing token."""
         self._on_fenced(link.entry.worker_id)
 
-    def on_stopped(self, link: WorkerLink) -> None:
-        """Drop the incarnation, whose process has ended."""
-        worker_id = link.entry.worker_id
-        if self._links.get(worker_id) is link:
-            self._drop_incarnation(worker_id, "connection refused")
-
     def on_replaced(self, link: WorkerLink) -> None:
         """Drop the incarnation; the new one is added with its entry."""
         worker_id = link.entry.worker_id
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -11,9 +11,9 @@
 from dogwoodlever._fleet_types import PollResult, RunId, StartOrder, WorkerEntry
 from dogwoodlever._logs import log_event
 from dogwoodlever.platform_errors import (
+    ConnectionRefusedByWorkerError,
     OrderRefusedError,
     PlatformError,
-    WorkerStoppedError,
     WorkerUnreachableError,
     WrongIncarnationError,
 )
@@ -26,9 +26,6 @@
 POLL_RETRY_S = 0.25
 # A single failure may be a lost response or a pause of this process.
 POLL_FAILURES_UNREACHABLE = 2
-# Refused connections in a row after which a worker's process counts as ended. One may
-# hit a process that is about to listen.
-POLLS_REFUSED_STOPPED = 2
 # A worker responds at once while it lists unacknowledged ends, so the next poll waits
 # until they are stored, or for this long.
 ACKNOWLEDGE_WAIT_S = 0.25
@@ -73,10 +70,6 @@
     def on_replaced(self, link: "WorkerLink") -> None:
         """Handle a response from another incarnation of the worker."""
 
-    @abstractmethod
-    def on_stopped(self, link: "WorkerLink") -> None:
-        """Handle the end of the worker's process, which ended its runs."""
-
 
 class WorkerLink:
     """Polls a worker continuously and retries orders until they are answered.
@@ -129,7 +122,6 @@
         self.has_lease_expired = False
         self._poll_wait_ms = POLL_WAIT_MS
         self._failed_polls = 0
-        self._refused_polls = 0
         # Runs whose start was neither answered nor prevented by a confirmed stop.
         self.unanswered_starts = unanswered_starts
         # No lease is granted until these runs can no longer start: a worker carries
@@ -261,7 +253,6 @@
             self._listener.on_replaced(self)
             return
         self._failed_polls = 0
-        self._refused_polls = 0
         self._update_clock(result.clock_ms)
         if self._lease_blockers:
             self._stop_unanswered()
@@ -285,11 +276,6 @@
         elif isinstance(error, WrongIncarnationError):
             self._listener.on_replaced(self)
             return
-        is_refused = isinstance(error, WorkerStoppedError)
-        self._refused_polls = self._refused_polls + 1 if is_refused else 0
-        if self._refused_polls >= POLLS_REFUSED_STOPPED:
-            self._listener.on_stopped(self)
-            return
         self._failed_polls += 1
         if self.is_reachable and self._failed_polls >= POLL_FAILURES_UNREACHABLE:
             self.is_reachable = False
@@ -328,7 +314,7 @@
                     self.entry, order, self._lease_until_ms(), fencing_token
                 )
             except WorkerUnreachableError as error:
-                is_sent = not isinstance(error, WorkerStoppedError)
+                is_sent = not isinstance(error, ConnectionRefusedByWorkerError)
                 may_be_accepted = may_be_accepted or is_sent
                 yield self._pause(ORDER_RETRY_S)
                 continue
--- a/dogwoodlever/platform/_http_workers.py
+++ b/dogwoodlever/platform/_http_workers.py
@@ -16,9 +16,9 @@
 )
 from dogwoodlever._http_client import HttpClient
 from dogwoodlever.platform_errors import (
+    ConnectionRefusedByWorkerError,
     OrderRefusedError,
     PlatformError,
-    WorkerStoppedError,
     WorkerUnreachableError,
     WrongIncarnationError,
 )
@@ -80,7 +80,9 @@
                 b"POST", url, msgspec.json.encode(document), timeout_s, headers
             )
         except ConnectionRefusedError as error:
-            raise WorkerStoppedError(f"worker {worker.worker_id}: {error!r}") from error
+            raise ConnectionRefusedByWorkerError(
+                f"worker {worker.worker_id}: {error!r}"
+            ) from error
         except Exception as error:
             # Twisted's network errors share no base class but Exception.
             raise WorkerUnreachableError(
--- a/dogwoodlever/platform_errors.py
+++ b/dogwoodlever/platform_errors.py
@@ -15,8 +15,8 @@
     """The worker did not respond; an order may still be carried out."""
 
 
-class WorkerStoppedError(WorkerUnreachableError):
-    """The worker's address refused the connection: its process is not running."""
+class ConnectionRefusedByWorkerError(WorkerUnreachableError):
+    """The connection was refused, so no order was sent; the worker may run on."""
 
 
 class RequestNotSentError(PlatformError):
