A late copy of a start reaches no later incarnation of its worker

Callers could see a task run twice, or again after its end: an order to start a run got no answer, its repetition was confirmed, the worker crashed and came back under its id, and the first copy was carried out there, seconds later.

Cause: a worker recognises copies within one incarnation; the next one has seen neither the run nor a fencing token, and on its new clock the order's lease is far ahead. The link kept unanswered starts only until any copy was answered, also by a stop.

Ruled out: a new fencing token for each worker that crashes (a write to the store and a new token at all workers); a shorter lease in orders (the next incarnation's clock starts anew).

Change: a link remembers each start of which a copy got no answer, for 15 s (orders are carried out up to 12 s late). A run that is lost with its worker and has such a copy counts until the next incarnation has confirmed that it is stopped, or its lease would have expired; copies of runs that have ended are stopped there too. What remains: a copy that arrives before the first poll of that incarnation and whose run has ended already.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -29,6 +29,7 @@
     POLL_WAIT_MS,
     RUN_LEASE_TARGET_S,
     LinkListener,
+    StartInFlight,
     WorkerLink,
 )
 from dogwoodlever._worker_membership import WorkerMembership
@@ -49,20 +50,20 @@
 
 @dataclass(slots=True, frozen=True)
 class EndedIncarnation:
-    """An ended incarnation of a worker with starts that got no response.
+    """An ended incarnation of a worker to which starts were sent without an answer.
 
     Attributes
     ----------
     capacity : WorkerCapacity
         Counts the runs of these starts.
-    unanswered_starts : dict of RunId to Run
-        These runs, and those of earlier incarnations.
+    starts_in_flight : dict of RunId to StartInFlight
+        These starts, and those sent to earlier incarnations.
     expires_s : float
         When the runs are dropped, unless a new incarnation appears.
     """
 
     capacity: WorkerCapacity
-    unanswered_starts: dict[RunId, Run]
+    starts_in_flight: dict[RunId, StartInFlight]
     expires_s: float
 
 
@@ -278,10 +279,10 @@
         worker_id = entry.worker_id
         capacity = WorkerCapacity(entry)
         self.capacities[worker_id] = capacity
-        unanswered_starts = {}
+        starts_in_flight = {}
         previous = self._ended_incarnations.pop(worker_id, None)
         if previous is not None:
-            unanswered_starts = previous.unanswered_starts
+            starts_in_flight = previous.starts_in_flight
             for run, step in previous.capacity.runs.values():
                 capacity.add(run, step)
         link = WorkerLink(
@@ -291,7 +292,7 @@
             self._get_fencing_token,
             self,
             self._former_leases_expire_s,
-            unanswered_starts,
+            starts_in_flight,
             self._lease_s,
             self._get_leases_end_s,
         )
@@ -304,8 +305,8 @@
     ) -> None:
         """Drop an incarnation of a worker, whose runs have all ended.
 
-        A start without a response may still reach the next incarnation. Its run
-        counts until that one confirms that it is stopped, or until the lease of a
+        A copy of a start without a response may still reach the next incarnation. Its
+        run counts until that one confirms that it is stopped, or until the lease of a
         lost worker would have expired. `is_member` keeps the worker in the
         membership for its next incarnation.
         """
@@ -315,13 +316,14 @@
         log_event(
             "worker.life-over", worker=worker_id, why=why, runs=len(capacity.runs)
         )
-        self.runs.drop_lost_runs(capacity, kept=link.unanswered_starts)
-        if link.unanswered_starts:
+        starts_in_flight = link.starts_in_flight()
+        self.runs.drop_lost_runs(capacity, kept=starts_in_flight)
+        if starts_in_flight:
             expires_s = self._clock.seconds() + self._lease_bound_s
             self._ended_incarnations[worker_id] = EndedIncarnation(
-                capacity, dict(link.unanswered_starts), expires_s
+                capacity, starts_in_flight, expires_s
             )
-        elif not is_member:
+        if not capacity.runs and not is_member:
             self._remove_worker(worker_id)
         self.unpolled_workers.discard(worker_id)
         self._on_change()
@@ -340,11 +342,13 @@
         """Drop the runs of ended incarnations that got no successor in time."""
         now_s = self._clock.seconds()
         for worker_id, previous in list(self._ended_incarnations.items()):
-            if now_s >= previous.expires_s:
-                del self._ended_incarnations[worker_id]
+            if now_s >= previous.expires_s and previous.capacity.runs:
                 self.runs.drop_lost_runs(previous.capacity)
                 self._remove_worker(worker_id)
                 self._on_change()
+            starts = previous.starts_in_flight.values()
+            if not any(start.may_be_carried_out(now_s) for start in starts):
+                del self._ended_incarnations[worker_id]
 
     def _is_schedulable(self, capacity: WorkerCapacity) -> bool:
         """Return whether new tasks may start on a worker."""
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
@@ -39,6 +40,9 @@
 # Starts refused for an expired lease are retried, since the next poll updates the
 # worker's clock.
 EXPIRED_STARTS_MAX = 3
+# How long after its sending an order without an answer may still be carried out. A copy
+# that reaches the next incarnation of a worker is not recognised as a repetition there.
+LATE_ORDER_MAX_S = 15.0
 # Refusals of a stop after which a start in flight may still be carried out.
 STOP_RETRY_REASONS = frozenset({RefusalReason.FENCED, RefusalReason.UNHEALTHY})
 
@@ -71,6 +75,24 @@
         """Handle a response from another incarnation of the worker."""
 
 
+@dataclass(slots=True, frozen=True)
+class StartInFlight:
+    """A start of which a copy may still be carried out, by any later incarnation.
+
+    Attributes
+    ----------
+    sent_s : float
+        When the last copy without an answer was sent.
+    """
+
+    run: Run
+    sent_s: float
+
+    def may_be_carried_out(self, now_s: float) -> bool:
+        """Return whether the copy may still reach the worker."""
+        return now_s - self.sent_s < LATE_ORDER_MAX_S
+
+
 class WorkerLink:
     """Polls a worker continuously and retries orders until they are answered.
 
@@ -88,8 +110,8 @@
         Receives the events.
     inherited_expiry_s : float
         When all leases from a former leader have expired.
-    unanswered_starts : dict of RunId to Run
-        Runs of an earlier incarnation whose start may still be carried out.
+    starts_in_flight : dict of RunId to StartInFlight
+        Starts sent to earlier incarnations that may still be carried out.
     lease_s : float
         Length of granted leases.
     get_leases_end_s : callable
@@ -104,7 +126,7 @@
         get_fencing_token,
         listener: LinkListener,
         inherited_expiry_s: float,
-        unanswered_starts: dict[RunId, Run],
+        starts_in_flight: dict[RunId, StartInFlight],
         lease_s: float,
         get_leases_end_s: Callable[[], float],
     ) -> None:
@@ -123,10 +145,14 @@
         self._poll_wait_ms = POLL_WAIT_MS
         self._failed_polls = 0
         # Runs whose start was neither answered nor prevented by a confirmed stop.
-        self.unanswered_starts = unanswered_starts
+        self.unanswered_starts = {
+            run_id: start.run for run_id, start in starts_in_flight.items()
+        }
+        # Starts of which a copy got no answer, whether or not another copy did.
+        self._unanswered_copies = dict(starts_in_flight)
         # No lease is granted until these runs can no longer start: a worker carries
         # out a late order with an expired lease if it holds a newer lease by then.
-        self._lease_blockers = set(unanswered_starts)
+        self._lease_blockers = set(self.unanswered_starts)
         self._is_stopping_unanswered = False
         self.is_closed = False
         self.is_reachable = True
@@ -155,6 +181,18 @@
         """Whether no start is unanswered and every listed end is acknowledged."""
         return not self.unanswered_starts and self.last_end_number <= self._acknowledged
 
+    def starts_in_flight(self) -> dict[RunId, StartInFlight]:
+        """Return the starts that the next incarnation may still carry out."""
+        now_s = self._clock.seconds()
+        starts = {
+            run_id: start
+            for run_id, start in self._unanswered_copies.items()
+            if start.may_be_carried_out(now_s)
+        }
+        for run_id, run in self.unanswered_starts.items():
+            starts.setdefault(run_id, StartInFlight(run, now_s))
+        return starts
+
     def limit_inherited_expiry(self, lease_expiry_s: float) -> None:
         """Lower the expiry of leases from a former leader."""
         if not self._granted_ms:
@@ -314,8 +352,9 @@
                     self.entry, order, self._lease_until_ms(), fencing_token
                 )
             except WorkerUnreachableError as error:
-                is_sent = not isinstance(error, ConnectionRefusedByWorkerError)
-                may_be_accepted = may_be_accepted or is_sent
+                if not isinstance(error, ConnectionRefusedByWorkerError):
+                    may_be_accepted = True
+                    self._record_unanswered_copy(run)
                 yield self._pause(ORDER_RETRY_S)
                 continue
             except WrongIncarnationError:
@@ -346,6 +385,13 @@
                 self._refuse(run, refusal)
             return
 
+    def _record_unanswered_copy(self, run: Run) -> None:
+        now_s = self._clock.seconds()
+        for run_id, start in list(self._unanswered_copies.items()):
+            if not start.may_be_carried_out(now_s):
+                del self._unanswered_copies[run_id]
+        self._unanswered_copies[run.run_id] = StartInFlight(run, now_s)
+
     def _refuse(self, run: Run, refusal: RefusalReason) -> None:
         """Handle a refusal of a start that has no other copy in flight."""
         self.unanswered_starts.pop(run.run_id, None)
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -507,6 +507,53 @@
         running = [r for w in fleet.workers.workers.values() for r in w.running]
         self.assertEqual(len(running), 1)
 
+    # Guards against a run that is started twice by a copy of an order that was carried
+    # out late, after a repetition of the order had been confirmed.
+    def test_late_copy_of_a_confirmed_start_reaches_the_next_incarnation(self):
+        for returns_after_s in (0.05, 0.5, 3.0):
+            for kills_leader in (False, True):
+                with self.subTest(
+                    returns_after_s=returns_after_s, kills_leader=kills_leader
+                ):
+                    self.check_late_copy(returns_after_s, kills_leader)
+
+    def check_late_copy(self, returns_after_s, kills_leader):
+        fleet = self.start_fleet(workers=2, run_s=0.0)
+        fleet.workers.delays_start_to_next_incarnation = True
+        fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=2.0)
+        self.assertEqual(len(fleet.workers.starts), 1)
+        affected = next(iter(fleet.workers._for_next_incarnation))
+        fleet.workers.crash(affected)
+        fleet.run_for(returns_after_s)
+        if kills_leader:
+            fleet.kill(fleet.leader())
+        entry = worker_entry(int(affected[1:]), started_at_ms=2)
+        fleet.workers.ignores_incarnation = True
+        fleet.workers.add(entry, 0.0)
+        fleet.run_for(0.3)
+        fleet.records.write(f"servers/{affected}", server_record(entry))
+        fleet.run_for(14.0)
+        self.assert_no_duplicate_runs(fleet)
+        running = [r for w in fleet.workers.workers.values() for r in w.running]
+        self.assertEqual(len(running), 1)
+
+    # Guards against a task that runs again after its end, by a copy of an order that
+    # was carried out late.
+    def test_late_copy_of_a_start_does_not_repeat_an_ended_run(self):
+        fleet = self.start_fleet(workers=2)
+        fleet.workers.start_delay_s = 5.0
+        fleet.submit(0, job(JOB, tasks=1), wait_s=3.0)
+        self.assertEqual(fleet.read_phase(0, JOB), JobPhase.COMPLETED)
+        affected = fleet.workers.starts[0][1]
+        fleet.workers.crash(affected)
+        fleet.workers.ignores_incarnation = True
+        entry = worker_entry(int(affected[1:]), started_at_ms=2)
+        fleet.workers.add(entry)
+        fleet.records.write(f"servers/{affected}", server_record(entry))
+        fleet.run_for(4.0)
+        self.assertEqual(len(fleet.workers.starts), 1)
+        self.assert_no_duplicate_runs(fleet)
+
     def test_retried_start_answered_by_the_next_incarnation_is_prevented(self):
         # Orders are retried while a connection is reset, and the next incarnation of
         # the worker, under the same id, accepts them.
