An entry of another incarnation ends no run without the worker's own answer

Callers could see tasks run twice: each entry of a worker whose time of start differed from the known one was taken for a restart, and the runs were started elsewhere at once. An entry may be written late (a write without an answer is carried out up to 6 s later), or by another writer without a time of start, while the worker runs on.

A successor had the same fault in another form: it knew the worker by its outdated entry only, and the first answer, by another incarnation, dropped the worker although that incarnation ran the tasks.

Ruled out: ignoring entries with an earlier start (the time of day may step back between two incarnations); rejecting entries without a start time (harmless now).

Change: an entry that names another incarnation is kept aside until the process at its address has said who it is; new work for the worker waits for that one poll. A worker that answers a leader's first poll as another incarnation than its entry names is accepted as what it says.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -1,7 +1,7 @@
 """The leader's view of the workers: capacities, links, incarnations and leases."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
@@ -153,6 +153,8 @@
         self._links: dict[str, WorkerLink] = {}
         self._get_confirmed_until_s = get_confirmed_until_s
         self._ended_incarnations: dict[str, EndedIncarnation] = {}
+        # Entries that name another incarnation than the known one, by worker id.
+        self._announced: dict[str, WorkerEntry] = {}
         self.unpolled_workers: set[str] = set()
         self._is_closed = False
         self.runs = FleetRuns(
@@ -257,23 +259,83 @@
         entry = try_decode_worker(worker_id, record)
         capacity = self.capacities.get(worker_id)
         if entry is None:
+            self._announced.pop(worker_id, None)
             if capacity is not None:
                 capacity.is_listed = False
                 log_event("worker.unlisted", worker=worker_id)
                 self._remove_if_empty(capacity)
             return
-        if capacity is not None and entry.started_at_ms == capacity.entry.started_at_ms:
-            if capacity.entry.is_draining != entry.is_draining:
-                log_event("worker.draining", worker=worker_id)
-            capacity.entry = entry
-            self._links[worker_id].entry = entry
-            capacity.is_listed = True
-            if entry.is_draining:
-                self.runs.evict_draining(capacity)
-            return
+        if capacity is None:
+            self._add_worker(entry)
+        elif entry.started_at_ms != capacity.entry.started_at_ms:
+            is_confirming = worker_id in self._announced
+            self._announced[worker_id] = entry
+            if not is_confirming:
+                self._confirm_incarnation(worker_id)
+        else:
+            self._announced.pop(worker_id, None)
+            self._update_entry(capacity, entry)
+
+    def _update_entry(self, capacity: WorkerCapacity, entry: WorkerEntry) -> None:
+        """Apply a changed entry of a known incarnation."""
+        if capacity.entry.is_draining != entry.is_draining:
+            log_event("worker.draining", worker=entry.worker_id)
+        capacity.entry = entry
+        self._links[entry.worker_id].entry = entry
+        capacity.is_listed = True
+        if entry.is_draining:
+            self.runs.evict_draining(capacity)
+
+    @inlineCallbacks
+    def _confirm_incarnation(self, worker_id: str):
+        """Ask an announced incarnation whether it has replaced the known one.
+
+        Its entry alone does not end the known one: it may be written late, or by
+        another writer.
+        """
+        while not self._is_closed and worker_id in self._announced:
+            entry = self._announced[worker_id]
+            if worker_id not in self.capacities:
+                del self._announced[worker_id]
+                self._add_worker(entry)
+                return
+            try:
+                result = yield self._worker_client.poll(
+                    entry, self._get_fencing_token(), 0, 0, 0
+                )
+            except WrongIncarnationError:
+                # Another worker has the announced address.
+                if self._announced.get(worker_id) is entry:
+                    del self._announced[worker_id]
+            except PlatformError:
+                yield deferLater(self._clock, POLL_RETRY_S)
+            else:
+                if not self._is_closed and self._announced.get(worker_id) is entry:
+                    self._apply_announcement(entry, result.started_at_ms)
+
+    def _apply_announcement(self, entry: WorkerEntry, started_at_ms: int) -> None:
+        """Apply the answer at the address of an announced incarnation.
+
+        Parameters
+        ----------
+        entry : WorkerEntry
+            The announced incarnation.
+        started_at_ms : int
+            Start of the incarnation that answered, 0 if it is not known.
+        """
+        worker_id = entry.worker_id
+        del self._announced[worker_id]
+        capacity = self.capacities.get(worker_id)
         if capacity is not None:
+            if started_at_ms == capacity.entry.started_at_ms:
+                if entry.started_at_ms == started_at_ms:
+                    self._update_entry(capacity, entry)
+                else:
+                    log_event("worker.entry-outdated", worker=worker_id)
+                return
             self._drop_incarnation(worker_id, "restarted", is_member=True)
-        self._add_worker(entry)
+        if started_at_ms in (0, entry.started_at_ms):
+            self._add_worker(entry)
 
     def _add_worker(self, entry: WorkerEntry) -> None:
         worker_id = entry.worker_id
@@ -356,6 +418,7 @@
         return (
             capacity.is_synced
             and capacity.is_listed
+            and capacity.entry.worker_id not in self._announced
             and self._membership.is_stored(capacity.entry.worker_id)
             and link.is_reachable
             and not capacity.entry.is_draining
@@ -439,6 +502,15 @@
         """Report that the worker has seen a later fencing token."""
         self._on_fenced(link.entry.worker_id)
 
+    def on_identified(self, link: WorkerLink, started_at_ms: int) -> None:
+        """Correct an outdated entry by what the worker says of itself.
+
+        A worker that is known by its entry only may run tasks in another incarnation.
+        """
+        entry = replace(link.entry, started_at_ms=started_at_ms)
+        log_event("worker.entry-outdated", worker=entry.worker_id)
+        self.capacities[entry.worker_id].entry = link.entry = entry
+
     def on_replaced(self, link: WorkerLink) -> None:
         """Drop the incarnation; the new one is added with its entry."""
         worker_id = link.entry.worker_id
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -70,6 +70,10 @@
     def on_fenced(self, link: "WorkerLink") -> None:
         """Handle a rejection because the worker has seen a later fencing token."""
 
+    @abstractmethod
+    def on_identified(self, link: "WorkerLink", started_at_ms: int) -> None:
+        """Handle a first response from another incarnation than the entry names."""
+
     @abstractmethod
     def on_replaced(self, link: "WorkerLink") -> None:
         """Handle a response from another incarnation of the worker."""
@@ -288,8 +292,10 @@
             and result.started_at_ms
             and result.started_at_ms != self.entry.started_at_ms
         ):
-            self._listener.on_replaced(self)
-            return
+            if self._clock_ms:
+                self._listener.on_replaced(self)
+                return
+            self._listener.on_identified(self, result.started_at_ms)
         self._failed_polls = 0
         self._update_clock(result.clock_ms)
         if self._lease_blockers:
--- a/tests/test_worker_recovery.py
+++ b/tests/test_worker_recovery.py
@@ -136,6 +136,38 @@
         self.assertEqual(len(fleet.workers.starts), 4)
         self.assertEqual(self.count_running(fleet), 4)
 
+    # Guards against runs that are started elsewhere because their worker's entry,
+    # written late or by another writer, names another incarnation.
+    def test_entry_of_another_incarnation_ends_no_run(self):
+        current = {"started_at_ms": 5}
+        cases = [
+            ("earlier incarnation, written late", {"started_at_ms": 1}),
+            ("no start time", {"started_at_ms": 0}),
+            ("later incarnation at an address without a worker", {"started_at_ms": 9}),
+        ]
+        for name, fields in cases:
+            for kills_leader in (False, True):
+                with self.subTest(name, kills_leader=kills_leader):
+                    fleet = FleetSimulation(run_s=0.0, workers=0)
+                    fleet.workers.ignores_incarnation = True
+                    for number in range(3):
+                        fleet.add_worker(worker_entry(number, **current), 0.0)
+                    fleet.run_for(1.0)
+                    assigned = self.start_standing_job(fleet, 4)
+                    number = int(assigned[1:])
+                    stale = worker_entry(number, **fields)
+                    fleet.records.write(f"servers/{assigned}", server_record(stale))
+                    fleet.run_for(1.0)
+                    if kills_leader:
+                        fleet.kill(fleet.leader())
+                        fleet.run_for(3.0)
+                    entry = worker_entry(number, **current)
+                    fleet.records.write(f"servers/{assigned}", server_record(entry))
+                    fleet.run_for(WORKER_LEASES_MAX_S + SUCCESSION_S)
+                    self.assertEqual(fleet.workers.duplicate_starts, [])
+                    self.assertEqual(len(fleet.workers.starts), 4)
+                    self.assertEqual(self.count_running(fleet), 4)
+
     CASES = [
         ("its next incarnation answers", restart),
         ("its next incarnation answers and has no entry", restart_unlisted),
