Tests of workers whose capacity shrinks and grows

Workers may change their capacity while they run. The tests show what already holds: a worker that shrank below its runs keeps them and gets nothing new until they fit, also no member of a gang; what grows is used at the next planning round; a size that no shrunk worker fits hides no smaller one; an entry without a readable capacity stops starts on its worker and ends no run.

The simulated workers count starts beyond their capacity, and their stops may take time.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -269,7 +269,7 @@
         if capacity is not None and entry.started_at_ms == capacity.entry.started_at_ms:
             if capacity.entry.is_draining != entry.is_draining:
                 log_event("worker.draining", worker=worker_id)
-            capacity.entry = entry
+            capacity.update_entry(entry)
             self._links[worker_id].entry = entry
             capacity.is_listed = True
             if entry.is_draining:
--- a/dogwoodlever/_worker_capacity.py
+++ b/dogwoodlever/_worker_capacity.py
@@ -81,6 +81,10 @@
         self.serving_count = 0
         self.serving_milli = 0
 
+    def update_entry(self, entry: WorkerEntry) -> None:
+        """Apply a changed entry of the same incarnation."""
+        self.entry = entry
+
     @property
     def cores_free(self) -> int:
         """Unreserved cores, in thousandths."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -382,10 +382,19 @@
     start_delay_s : float or None
         If set, the next start order times out and takes effect after this delay, if
         the worker holds a lease by then.
+    stop_s : float
+        Duration of a stop; the run is listed as running until then.
+    run_cores_milli : int
+        Cores of each run, for `overcommitted_starts`.
+    overcommitted_starts : list of (RunId, str)
+        Starts that brought their worker over its capacity.
     """
 
     def __init__(self, clock) -> None:
         self.start_delay_s: float | None = None
+        self.stop_s = 0.0
+        self.run_cores_milli = 0
+        self.overcommitted_starts: list[tuple[RunId, str]] = []
         self.requires_tickets = False
         self.ignores_incarnation = False
         self.delays_start_to_next_incarnation = False
@@ -478,6 +487,22 @@
             worker.run_duration_s(order.run, order.payload),
         )
         self.starts.append((order.run, worker.entry.worker_id))
+        used_milli = len(worker.running) * self.run_cores_milli
+        if used_milli > worker.entry.cores_milli:
+            self.overcommitted_starts.append((order.run, worker.entry.worker_id))
+
+    def stop(self, worker: FakeWorker, run_id: RunId) -> None:
+        """Stop a run, after `stop_s` if it is running."""
+        number = max(worker.latest_numbers.get(run_id.task, 0), run_id.number)
+        worker.latest_numbers[run_id.task] = number
+        if run_id in worker.running and not self.stop_s:
+            self.end(worker, worker.running[run_id], "stopped")
+        elif run_id in worker.running:
+            self.clock.callLater(self.stop_s, self._end_stopped, worker, run_id)
+
+    def _end_stopped(self, worker: FakeWorker, run_id: RunId) -> None:
+        if run_id in worker.running:
+            self.end(worker, worker.running[run_id], "stopped")
 
 
 class FakeFleetWorkerClient(FleetWorkerClient):
@@ -593,10 +618,7 @@
         """Stop a run."""
 
         def stop_run(target: FakeWorker) -> None:
-            number = max(target.latest_numbers.get(run.task, 0), run.number)
-            target.latest_numbers[run.task] = number
-            if run in target.running:
-                self._workers.end(target, target.running[run], "stopped")
+            self._workers.stop(target, run)
 
         return self._call(worker, fencing_token, stop_run)
 
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -1,5 +1,7 @@
 """Fleet daemons on the simulated, in-process platform."""
 
+from dataclasses import replace
+
 import msgspec
 from twisted.internet.task import Clock
 
@@ -79,6 +81,11 @@
         self.records.write(f"servers/{entry.worker_id}", server_record(entry))
         return self.workers.add(entry, run_s)
 
+    def resize_worker(self, worker_id, cores):
+        worker = self.workers.workers[worker_id]
+        worker.entry = replace(worker.entry, cores_milli=cores * 1000)
+        self.records.write(f"servers/{worker_id}", server_record(worker.entry))
+
     def add_daemon(self, vm):
         clock = ProcessClock(self.clock)
         store = FakeFleetStore(self.records, clock)
