Polls of a worker without cores are applied

With a worker that shrinks to nothing, ends were neither stored nor acknowledged while other tasks ran there, and its best-effort tasks were no longer throttled.

Cause: usage is converted to reference cores by dividing by the worker's capacity, which may now be 0: ZeroDivisionError in the middle of each poll.

Ruled out: skipping the conversion without cores, which would hide the usage of what still runs there; dividing by the shrunk capacity as long as it is above 0, since the same usage would count as several times the cores and spoil the learned interference of its images.

Change: conversion uses the largest capacity that the incarnation has had, and the reference size if it never had any.

ERROR: test_reports_of_a_worker_without_cores_are_applied [shrunk to nothing] ZeroDivisionError: float division by zero ERROR: test_reports_of_a_worker_without_cores_are_applied [added without cores] ZeroDivisionError: float division by zero FAIL: test_work_of_a_worker_that_shrank_to_nothing_completes AssertionError: Lists differ: [EndedRun(number=1, ...)] != []

Conclusion: polls of such workers are applied in full. Whether the platform's interference follows the shrunk or the full size was not measured.

--- a/dogwoodlever/_worker_capacity.py
+++ b/dogwoodlever/_worker_capacity.py
@@ -41,6 +41,8 @@
         Whether the store has an entry of the worker.
     version : int
         Changes with the runs and with each report of them.
+    size_milli : int
+        Largest capacity of this incarnation, in thousandths of a core.
     colocated_cores : dict of str to float
         Reference cores recently used by all but serving runs, by image; averaged
         over about the time that a reported latency covers.
@@ -60,11 +62,13 @@
         "runs",
         "serving_count",
         "serving_milli",
+        "size_milli",
         "version",
     )
 
     def __init__(self, entry: WorkerEntry) -> None:
         self.entry = entry
+        self.size_milli = entry.cores_milli
         self.is_synced = False
         self.is_listed = True
         self.refused_until_s = float("-inf")
@@ -84,6 +88,7 @@
     def update_entry(self, entry: WorkerEntry) -> None:
         """Apply a changed entry of the same incarnation."""
         self.entry = entry
+        self.size_milli = max(self.size_milli, entry.cores_milli)
 
     @property
     def cores_free(self) -> int:
@@ -127,7 +132,9 @@
 
     def to_reference_cores(self, cores_milli: float) -> float:
         """Convert cores of this worker to cores of a worker of reference size."""
-        return cores_milli / 1000 * REFERENCE_CORES_MILLI / self.entry.cores_milli
+        # A worker may have shrunk to nothing, or be added without cores.
+        size_milli = self.size_milli if self.size_milli > 0 else REFERENCE_CORES_MILLI
+        return cores_milli / 1000 * REFERENCE_CORES_MILLI / size_milli
 
     def interfering_cores(self) -> dict[str, float]:
         """Return the reference cores of all but serving runs, by image.
--- a/tests/test_worker_resize.py
+++ b/tests/test_worker_resize.py
@@ -3,10 +3,14 @@
 import unittest
 from dataclasses import replace
 
+from dogwoodlever._fleet_job import JobPhase
+from dogwoodlever._worker_capacity import WorkerCapacity
 from standins.fleet import server_record
 from tests.fleet_simulation import FleetSimulation, job, worker_entry
 from tests.test_fleet_planner import (
+    NOW_S,
     Fixture,
+    best_effort_step,
     step,
 )
 
@@ -46,6 +50,29 @@
         fixture.add("small", [step(cores=2.0)], "batch")
         self.assertEqual(fixture.plan(), [("small", "w1")])
 
+    # A worker without cores ended each of its polls with a ZeroDivisionError.
+    def test_reports_of_a_worker_without_cores_are_applied(self):
+        # name, sizes in the order of the entries, reference cores of one core
+        table = (
+            ("shrunk to nothing", (8, 0), 2.0),
+            ("added without cores", (0,), 1.0),
+            ("added with a negative capacity", (-1,), 1.0),
+            ("grown from nothing", (0, 8), 2.0),
+            ("shrunk and grown", (8, 2, 8), 2.0),
+            ("grown", (8, 16), 1.0),
+        )
+        for name, sizes, reference_cores in table:
+            with self.subTest(name):
+                capacity = WorkerCapacity(worker_entry(0, sizes[0]))
+                for cores in sizes[1:]:
+                    capacity.update_entry(worker_entry(0, cores))
+                fixture = Fixture(workers=1)
+                fixture.capacities = [capacity]
+                run = fixture.run_on(capacity, best_effort_step("f"))
+                run.percent, run.load = 10, 2000
+                capacity.record_usage(NOW_S)
+                self.assertEqual(capacity.to_reference_cores(1000), reference_cores)
+
 
 class FleetOnResizedWorkersTest(unittest.TestCase):
     def start_fleet(self, workers=1, run_s=0.0):
@@ -87,6 +114,19 @@
         self.assertEqual(self.count_running(fleet), 4)
         self.assertEqual(fleet.workers.overcommitted_starts, [])
 
+    # The ends that a worker without cores listed were neither stored nor acknowledged.
+    def test_work_of_a_worker_that_shrank_to_nothing_completes(self):
+        fleet = self.start_fleet()
+        fleet.submit(0, job(OTHER_JOB, tasks=1, standing=True))
+        fleet.run_for(0.5)
+        fleet.workers.workers["w0"].run_s = 2.0
+        fleet.submit(0, job(JOB, tasks=4))
+        fleet.run_for(0.5)
+        fleet.resize_worker("w0", 0)
+        fleet.run_for(3.0)
+        self.assertEqual(fleet.read_phase(0, JOB), JobPhase.COMPLETED)
+        self.assertEqual(fleet.workers.workers["w0"].ended, [])
+
     def test_unreadable_entry_stops_starts_and_ends_no_run(self):
         # The worker's next entry names its capacity again.
         for capacity in (b'"capacity": null', b'"capacity": {"cpu": "8"}', b"\xff"):
