Headroom follows the size of its worker

What callers saw: nothing measured. For up to 0.5 s after a worker had grown, or until its next poll, best-effort work was placed by the headroom of its former size.

Cause: the headroom is kept between planning rounds until the version of the capacity changes, and a changed entry did not raise it.

Ruled out: raising it with each entry, which a worker writes at each heartbeat.

Change: the version rises with the size, the only field of the entry that the headroom is computed from.

Conclusion: the cached headroom is dropped when its worker grows.

--- a/dogwoodlever/_worker_capacity.py
+++ b/dogwoodlever/_worker_capacity.py
@@ -40,7 +40,7 @@
     is_listed : bool
         Whether the store has an entry of the worker.
     version : int
-        Changes with the runs and with each report of them.
+        Changes with the runs, with each report of them and with the size.
     size_milli : int
         Largest capacity of this incarnation, in thousandths of a core.
     colocated_cores : dict of str to float
@@ -88,7 +88,9 @@
     def update_entry(self, entry: WorkerEntry) -> None:
         """Apply a changed entry of the same incarnation."""
         self.entry = entry
-        self.size_milli = max(self.size_milli, entry.cores_milli)
+        if entry.cores_milli > self.size_milli:
+            self.size_milli = entry.cores_milli
+            self.version += 1
 
     @property
     def cores_free(self) -> int:
--- a/tests/test_worker_resize.py
+++ b/tests/test_worker_resize.py
@@ -3,14 +3,17 @@
 import unittest
 from dataclasses import replace
 
+from dogwoodlever._fleet_headroom import Headroom
 from dogwoodlever._fleet_job import JobPhase
-from dogwoodlever._worker_capacity import WorkerCapacity
+from dogwoodlever._worker_capacity import REFERENCE_CORES_MILLI, WorkerCapacity
 from standins.fleet import server_record
 from tests.fleet_simulation import FleetSimulation, job, worker_entry
 from tests.test_fleet_planner import (
     NOW_S,
+    TARGET_MS,
     Fixture,
     best_effort_step,
+    serving_step,
     step,
 )
 
@@ -73,6 +76,23 @@
                 capacity.record_usage(NOW_S)
                 self.assertEqual(capacity.to_reference_cores(1000), reference_cores)
 
+    # Headroom was computed from the former size until the next poll.
+    def test_headroom_follows_the_size_of_its_worker(self):
+        fixture = Fixture(workers=1)
+        capacity = WorkerCapacity(worker_entry(0, 8))
+        fixture.train("s", "f", TARGET_MS)
+        fixture.run_on(capacity, serving_step("s"))
+        fixture.run_on(capacity, best_effort_step("f"))
+        cache = {}
+
+        def tolerated():
+            headroom = Headroom(fixture.interference, NOW_S, [capacity], cache)
+            return headroom.by_image(capacity)["s"]
+
+        before = tolerated()
+        capacity.update_entry(worker_entry(0, REFERENCE_CORES_MILLI // 1000))
+        self.assertGreater(tolerated(), before)
+
 
 class FleetOnResizedWorkersTest(unittest.TestCase):
     def start_fleet(self, workers=1, run_s=0.0):
