No best-effort work starts on a worker that has shrunk below its runs

A worker that enforces its capacity may reject such a start (a priced call), and one that does not is brought further over it (LIMIT).

Cause: the cores of best-effort tasks are not reserved, so `fits` skipped the check of cores altogether, and the idle part of the standing tasks' cores counted as spare even where the worker no longer had these cores.

Ruled out: other tasks without cores, and memory and accelerators, whose negative rest already fitted nothing; gangs, whose candidates pass `fits` first.

Change: a best-effort task needs no cores but fits only while the reserved cores do.

Conclusion: nothing at all is placed on an overcommitted worker.

--- a/dogwoodlever/_worker_capacity.py
+++ b/dogwoodlever/_worker_capacity.py
@@ -112,11 +112,14 @@
         return [pair for pair in self.runs.values() if pair[1].uses_leftover]
 
     def fits(self, step: Step) -> bool:
-        """Return whether one more task of a step fits."""
-        if not step.uses_leftover and step.cores_milli > self.cores_free:
-            return False
+        """Return whether one more task of a step fits.
+
+        Nothing fits a worker that has shrunk below its runs.
+        """
+        cores_milli = 0 if step.uses_leftover else step.cores_milli
         return (
-            step.memory_mb <= self.entry.memory_mb - self.memory_used
+            cores_milli <= self.cores_free
+            and step.memory_mb <= self.entry.memory_mb - self.memory_used
             and step.accelerators <= self.entry.accelerators - self.accelerators_used
         )
 
--- a/tests/test_worker_resize.py
+++ b/tests/test_worker_resize.py
@@ -37,6 +37,28 @@
                 )
             )
 
+    def test_nothing_starts_on_a_worker_that_shrank_below_its_runs(self):
+        # name, cores and memory after the shrink, step that waits
+        table = (
+            ("cores", 2, 64_000, step()),
+            ("cores, task without cores", 2, 64_000, step(cores=0.0)),
+            ("cores, best-effort task", 2, 64_000, best_effort_step("f", cores=0.1)),
+            ("memory", 16, 50, step()),
+            ("all", 0, 0, step()),
+            ("gang", 2, 64_000, step(2, gang=True)),
+            ("standing task", 2, 64_000, serving_step("other", cores=0.5)),
+        )
+        for name, cores, memory_mb, waiting in table:
+            with self.subTest(name):
+                fixture = Fixture(workers=1, cores=16)
+                fixture.train("s", "f", HARMLESS_MS)
+                fixture.run_on(fixture.capacities[0], serving_step("s", cores=3.0))
+                self.resize(fixture, cores, memory_mb)
+                fixture.add("waiting", [waiting])
+                self.assertEqual(fixture.plan(), [])
+                self.resize(fixture, 16)
+                self.assertEqual(len(fixture.plan()), waiting.tasks)
+
     def test_gang_does_not_count_the_room_of_a_shrunk_worker(self):
         fixture = Fixture(workers=2, cores=4)
         fixture.run_on(fixture.capacities[0], step(cores=3.0))
