Runs that no task has count on their worker until they have stopped

After a change of leader, the successor stopped the runs of a job that had been cancelled meanwhile and started other work on the same cores at once: a worker that enforces its capacity rejects that, one that does not is brought over it (LIMIT counts what is being stopped).

Cause: only adopted runs were counted. A run that a worker lists and that must stop (its job or task has ended, or its task runs elsewhere) was stopped but not counted.

Ruled out: waiting with all starts on such a worker, since the size of the run is known from its job; runs that this leader placed and stops, which count until their end is listed. A run of a job that the leader does not know is still not counted, as its size is unknown; jobs are known for as long as their state is kept, which is longer than a run without a lease lasts.

Change: such a run counts with the size of its step until its end is listed, it is no longer listed, or its worker has ended. A copy of a task's run is not the task's run: its loss drops nothing from the registry.

The other tests guard the bookkeeping of copies, and members of a gang of a repeated job that end a moment later and must not be stopped; they fail without the checks of identity and phase.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -224,7 +224,7 @@
     ) -> None:
         pair = capacity.runs.get(listed_run.run)
         now_s = self._clock.seconds()
-        if pair is None:
+        if pair is None or self._is_unwanted(pair[0]):
             self._adopt(capacity, link, listed_run, now_s)
             return
         run, step = pair
@@ -255,6 +255,8 @@
         )
         if run is not None and run.worker_id == worker_id:
             task = self._registry.find(listed_run.run.task)
+            # It may have counted as unwanted.
+            capacity.remove(run.run_id)
             capacity.add(run, task.step.spec)
             link.last_response_s[run.run_id] = now_s
             run.percent = listed_run.percent
@@ -264,7 +266,21 @@
             )
             return
         log_event("run.unwanted", run=_format_run_id(listed_run.run), worker=worker_id)
-        link.stop(Run(listed_run.run, worker_id, RunPhase.STOPPING, now_s))
+        unwanted = Run(listed_run.run, worker_id, RunPhase.STOPPING, now_s)
+        step = self._registry.find_step(listed_run.run.task)
+        if step is not None:
+            # It uses capacity until its end is listed.
+            capacity.add(unwanted, step)
+        link.stop(unwanted)
+
+    def _is_unwanted(self, run: Run) -> bool:
+        """Return whether a run counts until it has stopped, but is no task's."""
+        return run.phase is RunPhase.STOPPING and not self._is_registered(run)
+
+    def _is_registered(self, run: Run) -> bool:
+        """Return whether a run is its task's, not a copy that must stop."""
+        task = self._registry.find(run.run_id.task)
+        return task is not None and task.runs.get(run.run_id.number) is run
 
     def _stop_stalled(self, capacity: WorkerCapacity) -> None:
         """Stop runs that make no progress, so that they restart elsewhere."""
@@ -299,8 +315,8 @@
         link = self._links.get(capacity.entry.worker_id)
         if link is not None:
             link.last_response_s.pop(run.run_id, None)
-        task = self._registry.find(run.run_id.task)
-        if task is not None:
+        if self._is_registered(run):
+            task = self._registry.find(run.run_id.task)
             self._registry.drop_run(task, run.run_id.number)
         self._metrics.run_ends.labels("lost").inc()
         log_event(
--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -12,7 +12,7 @@
     StepState,
     Task,
 )
-from dogwoodlever._fleet_types import EndedRun, Queue, RunId, SubmittedJob, TaskId
+from dogwoodlever._fleet_types import EndedRun, Queue, RunId, Step, SubmittedJob, TaskId
 
 # Run numbers of a task in one term; those of later terms are higher.
 RUNS_PER_TERM = 1000
@@ -95,6 +95,13 @@
         tasks = occurrence.steps[task_id.step].tasks
         return tasks[task_id.index] if task_id.index < len(tasks) else None
 
+    def find_step(self, task_id: TaskId) -> Step | None:
+        """Return a task's step, also if its job has ended; None if it is unknown."""
+        state = self.jobs.get(task_id.job_id)
+        if state is None or task_id.step >= len(state.job.steps):
+            return None
+        return state.job.steps[task_id.step]
+
     def begin_run(self, task: Task, worker_id: str, now_s: float, number=0) -> Run:
         """Record the start of a task and return the new run."""
         number = number or self.next_run_number(task)
--- a/tests/test_worker_resize.py
+++ b/tests/test_worker_resize.py
@@ -2,9 +2,22 @@
 
 import unittest
 from dataclasses import replace
+from unittest.mock import Mock
+
+from twisted.internet.task import Clock
 
 from dogwoodlever._fleet_headroom import Headroom
-from dogwoodlever._fleet_job import JobPhase
+from dogwoodlever._fleet_job import JobPhase, RunPhase
+from dogwoodlever._fleet_metrics import FleetMetrics
+from dogwoodlever._fleet_runs import FleetRuns
+from dogwoodlever._fleet_types import (
+    EndedRun,
+    PollResult,
+    RunId,
+    RunningRun,
+    SubmittedJob,
+)
+from dogwoodlever._run_throttler import RunThrottler
 from dogwoodlever._worker_capacity import REFERENCE_CORES_MILLI, WorkerCapacity
 from standins.fleet import server_record
 from tests.fleet_simulation import FleetSimulation, job, worker_entry
@@ -116,6 +129,82 @@
         self.assertGreater(tolerated(), before)
 
 
+class UnwantedRunTest(unittest.TestCase):
+    """A worker lists a run that its task has on another worker."""
+
+    def setUp(self):
+        self.fixture = fixture = Fixture(workers=2)
+        self.task_on, self.copy_on = fixture.capacities
+        self.run = fixture.run_on(self.task_on, step(cores=3.0))
+        self.task = fixture.registry.find(self.run.run_id.task)
+        capacities = {c.entry.worker_id: c for c in fixture.capacities}
+        self.links = {
+            worker_id: Mock(last_response_s={}, last_end_number=0)
+            for worker_id in capacities
+        }
+        self.runs = FleetRuns(
+            Clock(),
+            fixture.registry,
+            RunThrottler(fixture.interference, 4.0),
+            fixture.faults,
+            FleetMetrics(),
+            capacities,
+            self.links,
+            Mock(),
+        )
+        self.list_copy()
+
+    def list_copy(self):
+        listed = RunningRun(self.run.run_id, "", 5, 0)
+        link = self.links[self.copy_on.entry.worker_id]
+        self.runs.apply_poll(self.copy_on, link, PollResult(1, 1, (listed,), ()), 0.0)
+
+    def test_copy_counts_until_its_end_is_listed(self):
+        link = self.links[self.copy_on.entry.worker_id]
+        link.stop.assert_called_once()
+        self.assertEqual(self.copy_on.cores_used, 3000)
+        end = EndedRun(1, self.run.run_id, "stopped", "")
+        self.runs.apply_poll(self.copy_on, link, PollResult(2, 1, (), (end,)), 0.0)
+        self.assertEqual(self.copy_on.cores_used, 0)
+
+    def test_members_of_a_gang_end_on_their_own(self):
+        # The end of one member ends the occurrence; the others end a moment later.
+        spec = step(2, gang=True)
+        due_ms = int(NOW_S * 1000)
+        repeated = SubmittedJob("gang", "urgent", "", (spec,), 2, due_ms, 60_000)
+        registry = self.fixture.registry
+        state = registry.add_job(repeated, self.fixture.queues["urgent"], 1, NOW_S)
+        state.open_due(due_ms)
+        tasks = state.occurrences[0].steps[0].tasks
+        for task, capacity in zip(tasks, self.fixture.capacities, strict=True):
+            worker_id = capacity.entry.worker_id
+            run = registry.begin_run(task, worker_id, NOW_S, 1)
+            run.phase = RunPhase.RUNNING
+            capacity.add(run, spec)
+        end = EndedRun(1, RunId(tasks[0].task_id, 1), "done", "")
+        link = self.links[self.task_on.entry.worker_id]
+        self.runs.apply_poll(self.task_on, link, PollResult(1, 1, (), (end,)), 0.0)
+        self.assertEqual(state.finished, 1)
+        listed = RunningRun(RunId(tasks[1].task_id, 1), "", 99, 0)
+        link = self.links[self.copy_on.entry.worker_id]
+        link.stop.reset_mock()
+        self.runs.apply_poll(self.copy_on, link, PollResult(1, 1, (listed,), ()), 0.0)
+        link.stop.assert_not_called()
+
+    def test_loss_of_the_copy_is_no_loss_of_the_run(self):
+        self.runs.drop_lost_runs(self.copy_on)
+        self.assertEqual(self.copy_on.cores_used, 0)
+        self.assertEqual(self.task.runs, {self.run.run_id.number: self.run})
+
+    def test_copy_that_is_adopted_is_lost_with_its_worker(self):
+        self.runs.drop_lost_runs(self.task_on)
+        self.list_copy()
+        self.assertEqual(len(self.task.runs), 1)
+        self.assertEqual(self.copy_on.cores_used, 3000)
+        self.runs.drop_lost_runs(self.copy_on)
+        self.assertEqual(self.task.runs, {})
+
+
 class FleetOnResizedWorkersTest(unittest.TestCase):
     def start_fleet(self, workers=1, run_s=0.0):
         fleet = FleetSimulation(workers=workers, run_s=run_s)
@@ -187,6 +276,22 @@
                 self.assertEqual(self.count_running(fleet), 4)
                 self.assertEqual(len(fleet.workers.starts), 4)
 
+    # A successor started work beside the runs of a cancelled job that it had stopped.
+    def test_runs_of_a_cancelled_job_count_until_they_have_stopped(self):
+        fleet = self.start_fleet()
+        fleet.submit(0, job(JOB, tasks=8, standing=True))
+        fleet.run_for(1.0)
+        self.assertEqual(self.count_running(fleet), 8)
+        fleet.workers.stop_s = 1.0
+        fleet.kill(fleet.leader())
+        other = next(n for n, clock in enumerate(fleet.clocks) if clock.is_alive)
+        fleet.await_result(fleet.nodes[other].frontend.cancel(JOB, 1e9), 0.2)
+        fleet.submit(other, job(OTHER_JOB, tasks=8, standing=True))
+        fleet.run_for(7.0)
+        self.assertEqual(fleet.read_phase(other, JOB), JobPhase.CANCELLED)
+        self.assertEqual(self.count_running(fleet), 8)
+        self.assertEqual(fleet.workers.overcommitted_starts, [])
+
 
 if __name__ == "__main__":
     unittest.main()
