An unanswered start is not repeated on a worker that has shrunk

A start that gets no answer is repeated for as long as the worker's leases last, some seconds beyond the time for which starts on a shrunk worker are tolerated. A worker that does not enforce its capacity carries out the repeated order and is over it (LIMIT).

Cause: capacity is checked when a task is placed only; the link repeats the order whatever the worker's entry says since.

Ruled out: stopping fresh starts as soon as the entry shrinks, since they are covered by the time that the platform tolerates, and work that has just begun would be thrown away; runs that a poll has listed, which are not started by a repeated order.

Change: before a repeated start the link asks whether the worker is overcommitted, in cores, memory or accelerators; if it is, the run is stopped, which also rules out the earlier order, and the task is placed anew.

Conclusion: no start beyond the capacity in that test; the tasks start when the worker grows again. An order that was sent before the shrink and is carried out late cannot be recalled before the stop is answered.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -10,7 +10,7 @@
 from dogwoodlever._fleet_desired_state import DesiredState, try_decode_worker
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_interfaces import FleetWorkerClient, Record, RefusalReason
-from dogwoodlever._fleet_job import Run, StepState
+from dogwoodlever._fleet_job import Run, RunPhase, StepState
 from dogwoodlever._fleet_metrics import FleetMetrics
 from dogwoodlever._fleet_runs import FleetRuns
 from dogwoodlever._fleet_types import (
@@ -393,6 +393,18 @@
         """Handle a worker's confirmation that a run was started."""
         self.runs.on_started(run)
 
+    def may_retry_start(self, run: Run) -> bool:
+        """Return whether a run is listed or its worker has not shrunk below its runs.
+
+        A worker that does not enforce its capacity carries out any start.
+        """
+        capacity = self.capacities.get(run.worker_id)
+        return (
+            run.phase is not RunPhase.STARTING
+            or capacity is None
+            or not capacity.is_overcommitted
+        )
+
     def on_refused(self, link: WorkerLink, run: Run, reason: RefusalReason) -> None:
         """Handle a worker's refusal to start a run."""
         self.runs.on_refused(run, reason)
--- a/dogwoodlever/_worker_capacity.py
+++ b/dogwoodlever/_worker_capacity.py
@@ -97,6 +97,15 @@
         """Unreserved cores, in thousandths."""
         return self.entry.cores_milli - self.cores_used
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether the worker has shrunk below its runs."""
+        return (
+            self.cores_free < 0
+            or self.memory_used > self.entry.memory_mb
+            or self.accelerators_used > self.entry.accelerators
+        )
+
     @property
     def spare_milli(self) -> float:
         """Cores expected to be idle less those of best-effort runs, in thousandths."""
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -57,6 +57,10 @@
     def on_started(self, link: "WorkerLink", run: Run) -> None:
         """Handle the worker's confirmation that a run was started."""
 
+    @abstractmethod
+    def may_retry_start(self, run: Run) -> bool:
+        """Return whether a start without an answer may be ordered again."""
+
     @abstractmethod
     def on_refused(self, link: "WorkerLink", run: Run, reason: RefusalReason) -> None:
         """Handle a final refusal of the worker to start a run."""
@@ -317,9 +321,14 @@
         until the worker responds or its lease has expired.
         """
         may_be_accepted = False
+        is_retry = False
         expired_count = 0
         self.unanswered_starts[run.run_id] = run
         while self._may_retry() and run.phase is not RunPhase.STOPPING:
+            if is_retry and not self._listener.may_retry_start(run):
+                yield self.stop(run)
+                return
+            is_retry = True
             refusal = None
             fencing_token = self._get_fencing_token()
             clock_min_ms = self._clock_lower_bound_ms()
--- a/tests/test_worker_resize.py
+++ b/tests/test_worker_resize.py
@@ -15,6 +15,7 @@
     PollResult,
     RunId,
     RunningRun,
+    Step,
     SubmittedJob,
 )
 from dogwoodlever._run_throttler import RunThrottler
@@ -88,6 +89,22 @@
         fixture.add("small", [step(cores=2.0)], "batch")
         self.assertEqual(fixture.plan(), [("small", "w1")])
 
+    def test_worker_is_overcommitted_in_any_resource(self):
+        # name, cores, memory and accelerators of the worker, expected
+        table = (
+            ("as large as its runs", 2, 100, 1, False),
+            ("fewer cores", 1, 100, 1, True),
+            ("less memory", 2, 99, 1, True),
+            ("fewer accelerators", 2, 100, 0, True),
+            ("nothing", 0, 0, 0, True),
+        )
+        for name, cores, memory_mb, accelerators, expected in table:
+            with self.subTest(name):
+                fixture = Fixture(workers=1)
+                fixture.run_on(fixture.capacities[0], Step(1, 2000, 100, 1))
+                self.resize(fixture, cores, memory_mb, accelerators)
+                self.assertIs(fixture.capacities[0].is_overcommitted, expected)
+
     # A worker without cores ended each of its polls with a ZeroDivisionError.
     def test_reports_of_a_worker_without_cores_are_applied(self):
         # name, sizes in the order of the entries, reference cores of one core
@@ -292,6 +309,43 @@
         self.assertEqual(self.count_running(fleet), 8)
         self.assertEqual(fleet.workers.overcommitted_starts, [])
 
+    # An unanswered start was retried after its worker had shrunk below its runs.
+    def test_start_is_not_retried_on_a_worker_that_has_shrunk(self):
+        fleet = self.start_fleet(workers=2)
+        fleet.submit(0, job(JOB, tasks=6, standing=True, worker_tasks_max=3))
+        fleet.run_for(1.0)
+        client = fleet.worker_clients[fleet.leader()]
+        client.unreachable.add("w0")
+        fleet.resize_worker("w1", 3)
+        fleet.submit(0, job(OTHER_JOB, tasks=2, standing=True))
+        fleet.resize_worker("w0", 3)
+        fleet.run_for(SHRINK_NOTICE_S)
+        client.unreachable.clear()
+        fleet.run_for(3.0)
+        self.assertEqual(fleet.workers.overcommitted_starts, [])
+        fleet.resize_worker("w0", 8)
+        fleet.run_for(1.0)
+        self.assertEqual(self.count_running(fleet, "w0"), 5)
+
+    def test_start_that_is_listed_is_not_stopped_for_its_lost_response(self):
+        fleet = self.start_fleet()
+        fleet.submit(0, job(JOB, tasks=6, standing=True))
+        fleet.run_for(1.0)
+        workers = fleet.nodes[fleet.leader()].leader.workers
+        run = next(iter(workers.capacities["w0"].runs.values()))[0]
+        # name, cores of the worker, phase of the run, expected
+        table = (
+            ("fits", 6, RunPhase.STARTING, True),
+            ("shrunk", 5, RunPhase.STARTING, False),
+            ("shrunk, but listed", 5, RunPhase.RUNNING, True),
+        )
+        for name, cores, phase, expected in table:
+            with self.subTest(name):
+                fleet.resize_worker("w0", cores)
+                fleet.run_for(0.5)
+                run.phase = phase
+                self.assertIs(workers.may_retry_start(run), expected)
+
 
 if __name__ == "__main__":
     unittest.main()
