--- a/tests/test_worker_resize.py
+++ b/tests/test_worker_resize.py
@@ -262,6 +262,22 @@
         self.assertEqual(self.count_running(fleet), 4)
         self.assertEqual(fleet.workers.overcommitted_starts, [])
 
+    def test_successor_counts_what_runs_on_a_shrunk_worker(self):
+        fleet = self.start_fleet()
+        fleet.submit(0, job(JOB, tasks=6, standing=True))
+        fleet.run_for(1.0)
+        fleet.resize_worker("w0", 4)
+        fleet.kill(fleet.leader())
+        other = next(n for n, clock in enumerate(fleet.clocks) if clock.is_alive)
+        fleet.submit(other, job(OTHER_JOB, tasks=2, standing=True))
+        fleet.run_for(7.0)
+        self.assertIsNotNone(fleet.leader())
+        self.assertEqual(len(fleet.workers.starts), 6)
+        self.assertEqual(self.count_running(fleet), 6)
+        fleet.resize_worker("w0", 8)
+        fleet.run_for(1.0)
+        self.assertEqual(self.count_running(fleet), 8)
+
     # The ends that a worker without cores listed were neither stored nor acknowledged.
     def test_work_of_a_worker_that_shrank_to_nothing_completes(self):
         fleet = self.start_fleet()
