--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -10,7 +10,7 @@
 from dogwoodlever._fleet_desired_state import DesiredState, try_decode_worker
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_interfaces import FleetWorkerClient, Record, RefusalReason
-from dogwoodlever._fleet_job import Run, StepState
+from dogwoodlever._fleet_job import Run, RunPhase, StepState
 from dogwoodlever._fleet_metrics import FleetMetrics
 from dogwoodlever._fleet_runs import FleetRuns
 from dogwoodlever._fleet_types import (
@@ -280,7 +280,7 @@
         """Apply a changed entry of a known incarnation."""
         if capacity.entry.is_draining != entry.is_draining:
             log_event("worker.draining", worker=entry.worker_id)
-        capacity.entry = entry
+        capacity.update_entry(entry)
         self._links[entry.worker_id].entry = entry
         capacity.is_listed = True
         if entry.is_draining:
@@ -455,6 +455,18 @@
         """Handle a worker's confirmation that a run was started."""
         self.runs.on_started(run)
 
+    def may_retry_start(self, run: Run) -> bool:
+        """Return whether a run is listed or its worker has not shrunk below its runs.
+
+        A worker that does not enforce its capacity carries out any start.
+        """
+        capacity = self.capacities.get(run.worker_id)
+        return (
+            run.phase is not RunPhase.STARTING
+            or capacity is None
+            or not capacity.is_overcommitted
+        )
+
     def on_refused(self, link: WorkerLink, run: Run, reason: RefusalReason) -> None:
         """Handle a worker's refusal to start a run."""
         self.runs.on_refused(run, reason)
@@ -509,7 +521,8 @@
         """
         entry = replace(link.entry, started_at_ms=started_at_ms)
         log_event("worker.entry-outdated", worker=entry.worker_id)
-        self.capacities[entry.worker_id].entry = link.entry = entry
+        link.entry = entry
+        self.capacities[entry.worker_id].update_entry(entry)
 
     def on_replaced(self, link: WorkerLink) -> None:
         """Drop the incarnation; the new one is added with its entry."""
--- a/dogwoodlever/_worker_capacity.py
+++ b/dogwoodlever/_worker_capacity.py
@@ -40,7 +40,9 @@
     is_listed : bool
         Whether the store has an entry of the worker.
     version : int
-        Changes with the runs and with each report of them.
+        Changes with the runs, with each report of them and with the size.
+    size_milli : int
+        Largest capacity of this incarnation, in thousandths of a core.
     colocated_cores : dict of str to float
         Reference cores recently used by all but serving runs, by image; averaged
         over about the time that a reported latency covers.
@@ -60,11 +62,13 @@
         "runs",
         "serving_count",
         "serving_milli",
+        "size_milli",
         "version",
     )
 
     def __init__(self, entry: WorkerEntry) -> None:
         self.entry = entry
+        self.size_milli = entry.cores_milli
         self.is_synced = False
         self.is_listed = True
         self.refused_until_s = float("-inf")
@@ -81,11 +85,27 @@
         self.serving_count = 0
         self.serving_milli = 0
 
+    def update_entry(self, entry: WorkerEntry) -> None:
+        """Apply a changed entry of the same incarnation."""
+        self.entry = entry
+        if entry.cores_milli > self.size_milli:
+            self.size_milli = entry.cores_milli
+            self.version += 1
+
     @property
     def cores_free(self) -> int:
         """Unreserved cores, in thousandths."""
         return self.entry.cores_milli - self.cores_used
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether the worker has shrunk below its runs."""
+        return (
+            self.cores_free < 0
+            or self.memory_used > self.entry.memory_mb
+            or self.accelerators_used > self.entry.accelerators
+        )
+
     @property
     def spare_milli(self) -> float:
         """Cores expected to be idle less those of best-effort runs, in thousandths."""
@@ -101,11 +121,14 @@
         return [pair for pair in self.runs.values() if pair[1].uses_leftover]
 
     def fits(self, step: Step) -> bool:
-        """Return whether one more task of a step fits."""
-        if not step.uses_leftover and step.cores_milli > self.cores_free:
-            return False
+        """Return whether one more task of a step fits.
+
+        Nothing fits a worker that has shrunk below its runs.
+        """
+        cores_milli = 0 if step.uses_leftover else step.cores_milli
         return (
-            step.memory_mb <= self.entry.memory_mb - self.memory_used
+            cores_milli <= self.cores_free
+            and step.memory_mb <= self.entry.memory_mb - self.memory_used
             and step.accelerators <= self.entry.accelerators - self.accelerators_used
         )
 
@@ -123,7 +146,9 @@
 
     def to_reference_cores(self, cores_milli: float) -> float:
         """Convert cores of this worker to cores of a worker of reference size."""
-        return cores_milli / 1000 * REFERENCE_CORES_MILLI / self.entry.cores_milli
+        # A worker may have shrunk to nothing, or be added without cores.
+        size_milli = self.size_milli if self.size_milli > 0 else REFERENCE_CORES_MILLI
+        return cores_milli / 1000 * REFERENCE_CORES_MILLI / size_milli
 
     def interfering_cores(self) -> dict[str, float]:
         """Return the reference cores of all but serving runs, by image.
