Leases that a call for a former incarnation grants to the next one count

Callers could see a task run twice: a worker crashed and came back under its id, was cut off seconds later, and its new runs were started elsewhere 5.4 s after the last contact, while the worker held a lease of up to hold_max_ms (10 s).

Cause: the link to the former incarnation polls on, or repeats a start, until an answer shows the restart. That call reaches the new incarnation, whose clock has started anew, so the lease in it, a time on the former clock, is shortened to the longest lease only. The link to the new incarnation knew the leases that it granted itself.

Ruled out: polls without a lease after a failed poll (starts carry a lease as well).

Change: the link to a next incarnation takes no lease for expired before the longest lease since the former link was closed. What remains: calls that are carried out later than that, and a successor, which knows of neither.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -50,21 +50,24 @@
 
 @dataclass(slots=True, frozen=True)
 class EndedIncarnation:
-    """An ended incarnation of a worker to which starts were sent without an answer.
+    """An ended incarnation of a worker, whose calls may have reached the next one.
 
     Attributes
     ----------
     capacity : WorkerCapacity
-        Counts the runs of these starts.
+        Counts the runs of starts without an answer.
     starts_in_flight : dict of RunId to StartInFlight
         These starts, and those sent to earlier incarnations.
     expires_s : float
         When the runs are dropped, unless a new incarnation appears.
+    leases_expire_s : float
+        When the leases have expired that its calls may have granted to the next one.
     """
 
     capacity: WorkerCapacity
     starts_in_flight: dict[RunId, StartInFlight]
     expires_s: float
+    leases_expire_s: float
 
 
 class FleetWorkers(LinkListener):
@@ -149,6 +152,11 @@
         self._lease_bound_s = (
             self._lease_s * (1 + CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
         )
+        # The clock of the next incarnation starts anew, so a call for the former one
+        # grants the longest lease there.
+        self._misdirected_lease_bound_s = (
+            run_lease_max_s * (1 + CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
+        )
         self.capacities: dict[str, WorkerCapacity] = {}
         self._links: dict[str, WorkerLink] = {}
         self._get_confirmed_until_s = get_confirmed_until_s
@@ -342,9 +350,11 @@
         capacity = WorkerCapacity(entry)
         self.capacities[worker_id] = capacity
         starts_in_flight = {}
+        misdirected_expiry_s = float("-inf")
         previous = self._ended_incarnations.pop(worker_id, None)
         if previous is not None:
             starts_in_flight = previous.starts_in_flight
+            misdirected_expiry_s = previous.leases_expire_s
             for run, step in previous.capacity.runs.values():
                 capacity.add(run, step)
         link = WorkerLink(
@@ -354,6 +364,7 @@
             self._get_fencing_token,
             self,
             self._former_leases_expire_s,
+            misdirected_expiry_s,
             starts_in_flight,
             self._lease_s,
             self._get_leases_end_s,
@@ -380,11 +391,13 @@
         )
         starts_in_flight = link.starts_in_flight()
         self.runs.drop_lost_runs(capacity, kept=starts_in_flight)
-        if starts_in_flight:
-            expires_s = self._clock.seconds() + self._lease_bound_s
-            self._ended_incarnations[worker_id] = EndedIncarnation(
-                capacity, starts_in_flight, expires_s
-            )
+        now_s = self._clock.seconds()
+        self._ended_incarnations[worker_id] = EndedIncarnation(
+            capacity,
+            starts_in_flight,
+            now_s + self._lease_bound_s,
+            now_s + self._misdirected_lease_bound_s,
+        )
         if not capacity.runs and not is_member:
             self._remove_worker(worker_id)
         self.unpolled_workers.discard(worker_id)
@@ -409,7 +422,9 @@
                 self._remove_worker(worker_id)
                 self._on_change()
             starts = previous.starts_in_flight.values()
-            if not any(start.may_be_carried_out(now_s) for start in starts):
+            if now_s >= previous.leases_expire_s and not any(
+                start.may_be_carried_out(now_s) for start in starts
+            ):
                 del self._ended_incarnations[worker_id]
 
     def _is_schedulable(self, capacity: WorkerCapacity) -> bool:
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -114,6 +114,9 @@
         Receives the events.
     inherited_expiry_s : float
         When all leases from a former leader have expired.
+    misdirected_expiry_s : float
+        When the leases have expired that calls for a former incarnation may have
+        granted.
     starts_in_flight : dict of RunId to StartInFlight
         Starts sent to earlier incarnations that may still be carried out.
     lease_s : float
@@ -130,6 +133,7 @@
         get_fencing_token,
         listener: LinkListener,
         inherited_expiry_s: float,
+        misdirected_expiry_s: float,
         starts_in_flight: dict[RunId, StartInFlight],
         lease_s: float,
         get_leases_end_s: Callable[[], float],
@@ -144,7 +148,8 @@
         self._clock_ms = 0
         self._clock_read_s = 0.0
         self._granted_ms = 0
-        self.lease_expiry_s = inherited_expiry_s
+        self._misdirected_expiry_s = misdirected_expiry_s
+        self.lease_expiry_s = max(inherited_expiry_s, misdirected_expiry_s)
         self.has_lease_expired = False
         self._poll_wait_ms = POLL_WAIT_MS
         self._failed_polls = 0
@@ -200,7 +205,9 @@
     def limit_inherited_expiry(self, lease_expiry_s: float) -> None:
         """Lower the expiry of leases from a former leader."""
         if not self._granted_ms:
-            self.lease_expiry_s = min(self.lease_expiry_s, lease_expiry_s)
+            self.lease_expiry_s = max(
+                min(self.lease_expiry_s, lease_expiry_s), self._misdirected_expiry_s
+            )
 
     def set_poll_wait(self, wait_ms: int) -> None:
         """Set how long polls may wait for an end."""
@@ -248,7 +255,9 @@
         if self._granted_ms:
             lease_left_s = (self._granted_ms - self._clock_ms) / 1000
             lease_left_s = lease_left_s / (1 - CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
-            self.lease_expiry_s = self._clock_read_s + lease_left_s
+            self.lease_expiry_s = max(
+                self._clock_read_s + lease_left_s, self._misdirected_expiry_s
+            )
 
     def _watch_lease_expiry(self) -> None:
         """Notify the listener when the leases of an unreachable worker expire."""
