Late copies of starts are remembered beyond the removal of a worker's entry

Callers could see a task run again after its end: an order to start it got no answer, its repetition ran and ended, the worker crashed, its entry was removed, and it came back under its id. The first copy was carried out there up to 12 s after its sending.

Cause: a start of which a copy got no answer is passed to the link of the next incarnation only if the former one is dropped by `_drop_incarnation`. A worker that is removed since it has no entry and no runs, or whose leases have expired, lost them.

Ruled out: keeping the link open without an entry (a successor would have to wait for it).

Change: both removals keep the starts for the next incarnation, as `_drop_incarnation` does.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -391,17 +391,23 @@
         )
         starts_in_flight = link.starts_in_flight()
         self.runs.drop_lost_runs(capacity, kept=starts_in_flight)
+        self._keep_starts_in_flight(capacity, starts_in_flight)
+        if not capacity.runs and not is_member:
+            self._remove_worker(worker_id)
+        self.unpolled_workers.discard(worker_id)
+        self._on_change()
+
+    def _keep_starts_in_flight(
+        self, capacity: WorkerCapacity, starts_in_flight: dict[RunId, StartInFlight]
+    ) -> None:
+        """Keep what calls to a dropped worker may still do at its next incarnation."""
         now_s = self._clock.seconds()
-        self._ended_incarnations[worker_id] = EndedIncarnation(
+        self._ended_incarnations[capacity.entry.worker_id] = EndedIncarnation(
             capacity,
             starts_in_flight,
             now_s + self._lease_bound_s,
             now_s + self._misdirected_lease_bound_s,
         )
-        if not capacity.runs and not is_member:
-            self._remove_worker(worker_id)
-        self.unpolled_workers.discard(worker_id)
-        self._on_change()
 
     def _remove_if_empty(self, capacity: WorkerCapacity) -> None:
         """Remove a worker without an entry on which nothing runs or may start."""
@@ -411,6 +417,7 @@
             return
         link.close()
         del self.capacities[worker_id], self._links[worker_id]
+        self._keep_starts_in_flight(capacity, link.starts_in_flight())
         self._remove_worker(worker_id)
 
     def expire_ended_incarnations(self) -> None:
@@ -504,6 +511,7 @@
         if not capacity.is_listed:
             link.close()
             del self.capacities[worker_id], self._links[worker_id]
+            self._keep_starts_in_flight(capacity, link.starts_in_flight())
             self._remove_worker(worker_id)
         self._on_change()
 
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
+from dogwoodlever._fleet_job import JobPhase
 from standins.fleet import LEASE_MAX_MS, server_record
 from tests.fleet_simulation import FleetSimulation, job, worker_entry
 
@@ -55,6 +56,32 @@
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 4)
 
+    # Guards against a task that runs again after its end, by a late copy of an order to
+    # a worker whose entry was removed meanwhile.
+    def test_late_copy_of_a_start_reaches_a_worker_that_was_unlisted(self):
+        for absent_s in (0.5, 1.5, 6.0):
+            for unlists_first in (False, True):
+                with self.subTest(absent_s=absent_s, unlists_first=unlists_first):
+                    self.check_unlisted_worker(absent_s, unlists_first)
+
+    def check_unlisted_worker(self, absent_s, unlists_first):
+        fleet = self.start_fleet(workers=2, run_s=1.0)
+        fleet.workers.start_delay_s = 11.0
+        fleet.submit(0, job(JOB, tasks=1), wait_s=3.0)
+        self.assertEqual(fleet.read_phase(0, JOB), JobPhase.COMPLETED)
+        affected = fleet.workers.starts[0][1]
+        if unlists_first:
+            fleet.records.remove(f"servers/{affected}")
+            fleet.run_for(0.5)
+        fleet.workers.crash(affected)
+        if not unlists_first:
+            fleet.run_for(0.5)
+            fleet.records.remove(f"servers/{affected}")
+        fleet.run_for(absent_s)
+        self.restart(fleet, affected, run_s=1.0)
+        fleet.run_for(8.0)
+        self.assertEqual(len(fleet.workers.starts), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
