A successor probes a worker at the address of its newest incarnation

Callers could see a task run twice: a worker came back under its id at another address and got work, another worker took its former address, its entry was removed (its own contact with the store was lost), and the leader changed. The successor started its tasks elsewhere at once.

Cause: the worker membership kept the first address that it got for an id, and a successor takes the answer of another worker at that address for the end of the worker.

Ruled out: setting the address when an entry is read (it may be written late).

Change: the address at which a worker answers a leader's first poll replaces the stored one; nothing starts there before it is written. The stand-in answers at the address of the worker only.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -458,6 +458,8 @@
         is_usable_now = not capacity.is_synced or worker_id in self.unpolled_workers
         if not capacity.is_synced:
             capacity.is_synced = True
+            address = f"{link.entry.host}:{link.entry.port}"
+            self._membership.set_address(worker_id, address)
             log_event("worker.read", worker=worker_id, running=len(result.running))
         self.unpolled_workers.discard(worker_id)
         if result.ended:
--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -80,6 +80,16 @@
         if worker_id not in self._stored_ids:
             self._write()
 
+    def set_address(self, worker_id: str, address: str) -> None:
+        """Set the address at which a worker has answered.
+
+        A worker whose address has changed counts as not stored until it is written.
+        """
+        if self._addresses.get(worker_id) != address:
+            self._addresses[worker_id] = address
+            self._stored_ids -= {worker_id}
+            self._write()
+
     def discard(self, worker_id: str) -> None:
         """Remove a worker, which counts as not stored from now on."""
         self._stored_ids -= {worker_id}
@@ -105,7 +115,11 @@
                 yield deferLater(self._clock, CONFLICT_RETRY_S)
                 continue
             self._revision = result.revision
-            self._stored_ids = frozenset(written) & frozenset(self._addresses)
+            self._stored_ids = frozenset(
+                worker_id
+                for worker_id, address in written.items()
+                if self._addresses.get(worker_id) == address
+            )
             self._on_stored()
             if written == self._addresses:
                 break
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -346,6 +346,11 @@
     fails: bool = False
     clock_rate: float = 1.0
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port at which the worker answers."""
+        return self.entry.host, self.entry.port
+
     def clock_ms(self, now_s: float) -> int:
         """Return the worker's monotonic clock in milliseconds."""
         return int((now_s - self.started_s) * 1000 * self.clock_rate) + 1
@@ -513,6 +518,11 @@
             return fail(WrongIncarnationError("another worker answers"))
         if worker is not None and worker.refuses_connections:
             return fail(ConnectionRefusedByWorkerError("connection refused"))
+        address = (entry.host, entry.port)
+        if worker is not None and worker.address != address:
+            if any(w.address == address for w in self._workers.workers.values()):
+                return fail(WrongIncarnationError("another worker answers"))
+            return fail(ConnectionRefusedByWorkerError("no worker at the address"))
         response: Deferred = Deferred()
         is_cut = entry.worker_id in self.unreachable
         if worker is None or is_cut or not worker.is_reachable:
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -56,6 +56,28 @@
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 4)
 
+    # Guards against runs that are started elsewhere because another worker answers at
+    # the address that their worker had as a former incarnation.
+    def test_successor_knows_the_address_of_the_newest_incarnation(self):
+        fleet = self.start_fleet(workers=3)
+        assigned = self.start_standing_job(fleet, 4)
+        fleet.workers.crash(assigned)
+        fleet.run_for(0.5)
+        former_port = fleet.workers.workers[assigned].entry.port
+        worker = self.restart(fleet, assigned, port=9100)
+        fleet.run_for(2.0)
+        for other in list(fleet.workers.workers.values()):
+            if other is not worker:
+                for run in list(other.running.values()):
+                    fleet.workers.end(other, run, "failed")
+        fleet.run_for(1.0)
+        self.restart(fleet, "w5", port=former_port)
+        fleet.run_for(1.0)
+        fleet.records.remove(f"servers/{assigned}")
+        fleet.kill(fleet.leader())
+        fleet.run_for(WORKER_LEASES_MAX_S + 4.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
     # Guards against a task that runs again after its end, by a late copy of an order to
     # a worker whose entry was removed meanwhile.
     def test_late_copy_of_a_start_reaches_a_worker_that_was_unlisted(self):
