A run whose end does not fit into a worker's response is not taken for lost

Callers could see a task run again after it was done: a worker with more than 500 ends that were not acknowledged yet lists the first 500, and the runs of the others neither as running nor as ended, so they were started again.

Cause: `FleetRuns._drop_unlisted` took each response for complete.

Ruled out: acknowledging ends before they are stored.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -23,6 +23,8 @@
 # After a refusal for lack of capacity, the leader's view of the worker is stale for a
 # while.
 REFUSED_BACKOFF_S = 0.3
+# Most ends in one response of a worker; the others follow once these are acknowledged.
+ENDS_LISTED_MAX = 500
 # An unhealthy worker refuses all orders.
 UNHEALTHY_BACKOFF_S = 1.0
 
@@ -168,6 +170,8 @@
         sent_s: float,
     ) -> None:
         """Drop unlisted runs with an order that was answered before the poll."""
+        if len(result.ended) >= ENDS_LISTED_MAX:
+            return
         listed = {listed_run.run for listed_run in result.running}
         for run, _ in list(capacity.runs.values()):
             last_response_s = link.last_response_s.get(run.run_id)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -46,6 +46,8 @@
 ADVICE_DELAY_S = 0.05
 WORKER_TIMEOUT_S = 0.8
 LEASE_MAX_MS = 10_000
+# Most ends that a worker lists in one response.
+ENDS_LISTED_MAX = 500
 
 
 def server_record(entry: WorkerEntry, state: str = "ready") -> bytes:
@@ -633,9 +635,8 @@
                 for run in target.running.values()
             )
             started_at_ms = target.entry.started_at_ms
-            return PollResult(
-                target.clock_ms(now_s), started_at_ms, running, tuple(target.ended)
-            )
+            ended = tuple(target.ended[:ENDS_LISTED_MAX])
+            return PollResult(target.clock_ms(now_s), started_at_ms, running, ended)
 
         def send_poll() -> None:
             call = self._call(worker, fencing_token, poll_worker)
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -5,8 +5,9 @@
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_job import JobPhase
+from dogwoodlever._fleet_types import Step, SubmittedJob
 from standins.fleet import LEASE_MAX_MS, server_record
-from tests.fleet_simulation import FleetSimulation, job, worker_entry
+from tests.fleet_simulation import QUEUE, FleetSimulation, job, worker_entry
 
 JOB = "a" * 16
 
@@ -104,6 +105,19 @@
         fleet.run_for(8.0)
         self.assertEqual(len(fleet.workers.starts), 1)
 
+    # Guards against runs that are taken for lost because their ends do not fit into one
+    # response of the worker.
+    def test_run_whose_end_is_not_listed_yet_is_not_lost(self):
+        fleet = self.start_fleet(workers=0)
+        fleet.add_worker(worker_entry(0, cores=1000), 1.0)
+        fleet.run_for(0.5)
+        step = Step(600, 10, 10, 0, 1000)
+        fleet.submit(0, SubmittedJob(JOB, QUEUE, "", (step,)))
+        fleet.run_for(6.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(len(fleet.workers.starts), 600)
+        self.assertEqual(fleet.read_phase(0, JOB), JobPhase.COMPLETED)
+
 
 if __name__ == "__main__":
     unittest.main()
