A successor asks a worker at its stored address before it takes it for ended

Callers could see a task run twice: the entry of a former incarnation at another address, where another worker answers by now, was written late, and the leader changed meanwhile. The successor took the answer of that worker for the end of the worker of the entry, and started its tasks elsewhere at once.

Ruled out: polling both addresses at once (two calls for each worker that has moved).

Change: if another worker answers at the address of an entry, and the stored address of the worker differs, the worker counts until it has been probed there or its leases have expired.

--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -213,6 +213,11 @@
     warmup_remaining_ms: int = 0
     drain_remaining_ms: int = 0
 
+    @property
+    def address(self) -> str:
+        """Host and port at which it answers."""
+        return f"{self.host}:{self.port}"
+
     @property
     def rack(self) -> str:
         """Rack of the worker, its second label."""
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -370,7 +370,7 @@
             self._get_leases_end_s,
         )
         self._links[worker_id] = link
-        self._membership.add(worker_id, f"{entry.host}:{entry.port}")
+        self._membership.add(worker_id, entry.address)
         link.open()
 
     def _drop_incarnation(
@@ -458,8 +458,7 @@
         is_usable_now = not capacity.is_synced or worker_id in self.unpolled_workers
         if not capacity.is_synced:
             capacity.is_synced = True
-            address = f"{link.entry.host}:{link.entry.port}"
-            self._membership.set_address(worker_id, address)
+            self._membership.set_address(worker_id, link.entry.address)
             log_event("worker.read", worker=worker_id, running=len(result.running))
         self.unpolled_workers.discard(worker_id)
         if result.ended:
@@ -539,5 +538,14 @@
     def on_replaced(self, link: WorkerLink) -> None:
         """Drop the incarnation; the new one is added with its entry."""
         worker_id = link.entry.worker_id
-        if self._links.get(worker_id) is link:
-            self._drop_incarnation(worker_id, "another incarnation answers")
+        if self._links.get(worker_id) is not link:
+            return
+        if worker_id in self.unpolled_workers and (
+            self._membership.address_of(worker_id) != link.entry.address
+        ):
+            # The entry may be outdated; the worker is asked at its stored address.
+            link.close()
+            del self.capacities[worker_id], self._links[worker_id]
+            self._probe(self._membership.entry_of(worker_id))
+            return
+        self._drop_incarnation(worker_id, "another incarnation answers")
--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -69,6 +69,10 @@
         """Return whether a worker is stored, so that a successor would find it."""
         return worker_id in self._stored_ids
 
+    def address_of(self, worker_id: str) -> str:
+        """Return the address of a worker of the membership."""
+        return self._addresses[worker_id]
+
     def entry_of(self, worker_id: str) -> WorkerEntry:
         """Return an entry of a stored worker that has its address only."""
         host, _, port = self._addresses[worker_id].rpartition(":")
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -118,6 +118,26 @@
         self.assertEqual(len(fleet.workers.starts), 600)
         self.assertEqual(fleet.read_phase(0, JOB), JobPhase.COMPLETED)
 
+    # Guards against runs that are started elsewhere by a new leader because another
+    # worker has the address in an entry of a former incarnation, written late.
+    def test_outdated_entry_at_the_address_of_another_worker(self):
+        fleet = self.start_fleet(workers=0)
+        for number in range(3):
+            entry = worker_entry(number, started_at_ms=5)
+            fleet.add_worker(entry, 0.0)
+        fleet.run_for(1.0)
+        assigned = self.start_standing_job(fleet, 4)
+        number = int(assigned[1:])
+        other = worker_entry((number + 1) % 3)
+        stale = replace(worker_entry(number, started_at_ms=1), port=other.port)
+        fleet.records.write(f"servers/{assigned}", server_record(stale))
+        fleet.kill(fleet.leader())
+        fleet.run_for(3.5)
+        current = fleet.workers.workers[assigned].entry
+        fleet.records.write(f"servers/{assigned}", server_record(current))
+        fleet.run_for(WORKER_LEASES_MAX_S)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
 
 if __name__ == "__main__":
     unittest.main()
