A leader before the last one is not taken for stopped because the last one is

Callers could see a task run twice when the leader changed twice within seconds: the first leader was cut off with one worker and extended its lease, the second one lost its record and stepped down, and the third waited 5.35 s from that answer only before it started the tasks of the worker elsewhere.

Cause: `on_former_leader_stopped` stands for all former leaders, and the answer for the last one only.

Ruled out: a chain of former leaders in the term record (none of a former leader's processes may be left to answer).

Change: each daemon notes when it saw the record of the leader that it succeeds; leases from earlier leaders end 8.35 s after that, as they do after an election.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -96,8 +96,11 @@
         self._is_closed = False
         self._is_campaigning = False
         self.is_record_loaded = False
-        # Leader of the term before this daemon's.
+        # Leader of the term before this daemon's, and a time by which it was elected.
         self.former_leader = ""
+        self.former_elected_s = float("-inf")
+        self._record_seen_s = float("-inf")
+        self._seen_member = ""
         self.leader: LeaderRecord | None = None
         self.fencing_token = 0
         self.leads = False
@@ -137,6 +140,9 @@
         """Apply a change of the leader's record."""
         self._leader_revision = record.revision if record.value is not None else 0
         self.leader = None if record.value is None else decode_leader(record.value)
+        if self.leader is not None:
+            self._record_seen_s = self._clock.seconds()
+            self._seen_member = self.leader.member
         if self.leader is None or self.leader.member == self._record.member:
             self._schedule_campaign()
         elif self.leads and record.revision > self.fencing_token:
@@ -229,6 +235,9 @@
             return
         if not is_continued:
             self.former_leader = previous.member
+            self.former_elected_s = (
+                self._record_seen_s if self._seen_member == previous.member else sent_s
+            )
         self._on_won(term, result.revision, lease_id, sent_s, is_continued)
 
     def _weak_vm_delay_s(self, strongest_cores: float) -> float:
@@ -247,6 +256,8 @@
 
     def _on_won(self, term, revision, lease_id, sent_s, is_continued) -> None:
         self.leader = self._record
+        self._record_seen_s = self._clock.seconds()
+        self._seen_member = self._record.member
         self._leader_revision = revision
         self._own_term_revision = revision
         self._lease_id = lease_id
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -210,10 +210,10 @@
         self.fencing_token = fencing_token
         self._term_revision = fencing_token
 
-    def on_former_leader_stopped(self) -> None:
-        """Record that no former leader renews leases any more."""
+    def on_former_leader_stopped(self, elected_s: float) -> None:
+        """Record that the former leader, elected by `elected_s`, has stopped."""
         self.is_former_leader_stopped = True
-        self.workers.on_former_leader_stopped()
+        self.workers.on_former_leader_stopped(elected_s)
 
     def _get_term_revision(self) -> int:
         return self._term_revision
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -230,18 +230,18 @@
     def _stop_former_leader(self, leader: FleetLeader, former_leader: str):
         """Call the former leader until its address reports that it does not lead."""
         if not former_leader:
-            leader.on_former_leader_stopped()
+            leader.on_former_leader_stopped(self.election.former_elected_s)
             return
         while not leader.is_closed and not leader.is_former_leader_stopped:
             if former_leader == self.member:
-                leader.on_former_leader_stopped()
+                leader.on_former_leader_stopped(self.election.former_elected_s)
                 return
             reply = yield self.rpc.call(
                 former_leader, STEP_DOWN_METHOD, str(leader.fencing_token)
             )
             if reply is not None and not reply.leads:
                 log_event("leader.former-stopped", member=former_leader)
-                leader.on_former_leader_stopped()
+                leader.on_former_leader_stopped(self.election.former_elected_s)
                 return
             yield deferLater(self._clock, STEP_DOWN_RETRY_S)
 
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -188,9 +188,14 @@
         for link in self._links.values():
             link.close()
 
-    def on_former_leader_stopped(self) -> None:
-        """Record that no former leader renews leases any more."""
-        expire_s = self._clock.seconds() + self._lease_bound_s
+    def on_former_leader_stopped(self, elected_s: float) -> None:
+        """Record that the former leader, elected by `elected_s`, has stopped.
+
+        Its own predecessors may be cut off and renew leases for a time after that.
+        """
+        expire_s = self._lease_bound_s + max(
+            self._clock.seconds(), elected_s + WORKER_LEASES_MAX_S - self._lease_s
+        )
         self._former_leases_expire_s = min(self._former_leases_expire_s, expire_s)
         for link in self._links.values():
             link.limit_inherited_expiry(self._former_leases_expire_s)
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -118,6 +118,45 @@
         self.assertEqual(len(fleet.workers.starts), 600)
         self.assertEqual(fleet.read_phase(0, JOB), JobPhase.COMPLETED)
 
+    # Guards against a leader that takes the second but last leader for stopped because
+    # the last one is.
+    def test_leaders_change_in_series_while_the_first_one_extends_leases(self):
+        for lasts_s in (0.1, 0.5, 1.0):
+            for revokes_first in (False, True):
+                with self.subTest(lasts_s=lasts_s, revokes_first=revokes_first):
+                    self.check_leaders_in_series(lasts_s, revokes_first)
+
+    def check_leaders_in_series(self, lasts_s, revokes_first):
+        fleet = self.start_fleet(workers=3)
+        assigned = self.start_standing_job(fleet, 4)
+        fleet.run_for(3.0)
+        first = fleet.leader()
+        fleet.nodes[first].mesh.is_down = True
+        others = set(fleet.workers.workers) - {assigned}
+        for number, client in enumerate(fleet.worker_clients):
+            client.unreachable = others if number == first else {assigned}
+        self.cut_off_from_store(fleet, first, revokes_first)
+        second = self.await_other_leader(fleet, {first})
+        fleet.run_for(lasts_s)
+        self.cut_off_from_store(fleet, second, revokes_lease=True)
+        self.await_other_leader(fleet, {first, second})
+        fleet.run_for(15.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    def cut_off_from_store(self, fleet, number, revokes_lease):
+        fleet.stores[number].is_down = True
+        if revokes_lease:
+            other = next(store for store in fleet.stores if not store.is_down)
+            other.end_lease(fleet.nodes[number].election._lease_id)
+
+    def await_other_leader(self, fleet, former):
+        for _ in range(100):
+            fleet.run_for(0.05)
+            for number, node in enumerate(fleet.nodes):
+                if number not in former and node.leader and node.leader.is_loaded:
+                    return number
+        return self.fail("no daemon was elected")
+
     # Guards against runs that are started elsewhere by a new leader because another
     # worker has the address in an entry of a former incarnation, written late.
     def test_outdated_entry_at_the_address_of_another_worker(self):
