Tests of paused and cut-off leaders: the former leader reaches the one worker only

In both tests the former leader also reached the workers that its successor had polled, and was stopped by the first fencing token there, before any lease bound mattered. It now reaches the worker only that its successor does not reach, as the comment says.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -572,6 +572,8 @@
         self._workers.orders_to_lose -= lost
 
         def start_run(target: FakeWorker) -> int:
+            if until_ms <= target.clock_ms(self._workers.clock.seconds()):
+                raise OrderRefusedError(RefusalReason.EXPIRED)
             self._workers.renew(target, until_ms)
             task = order.run.task
             step = StepId(task.job_id, task.occurrence, task.step)
--- a/tests/test_worker_recovery.py
+++ b/tests/test_worker_recovery.py
@@ -228,8 +228,9 @@
                 assigned = self.start_standing_job(fleet, 4)
                 former = fleet.leader()
                 fleet.nodes[former].mesh.is_down = True
+                others = set(fleet.workers.workers) - {assigned}
                 for number, client in enumerate(fleet.worker_clients):
-                    client.unreachable = set() if number == former else {assigned}
+                    client.unreachable = others if number == former else {assigned}
                 fleet.clocks[former].freeze()
                 fleet.run_for(pause_s)
                 fleet.stores[former].is_down = True
@@ -244,8 +245,9 @@
         former = fleet.leader()
         fleet.stores[former].is_down = True
         fleet.nodes[former].mesh.is_down = True
+        others = set(fleet.workers.workers) - {assigned}
         for number, client in enumerate(fleet.worker_clients):
-            client.unreachable = set() if number == former else {assigned}
+            client.unreachable = others if number == former else {assigned}
         fleet.run_for(25.0)
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 4)
