--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -5,11 +5,13 @@
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_job import JobPhase
-from dogwoodlever._fleet_types import Step, SubmittedJob
+from dogwoodlever._fleet_types import StartOrder, Step, SubmittedJob
 from standins.fleet import LEASE_MAX_MS, server_record
 from tests.fleet_simulation import QUEUE, FleetSimulation, job, worker_entry
 
 JOB = "a" * 16
+# Far ahead on the clock of an incarnation that has just started.
+FORMER_CLOCK_MS = 10**9
 
 
 class WorkerIncarnationsTest(unittest.TestCase):
@@ -57,6 +59,70 @@
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 4)
 
+    # The same for a successor whose former leader has answered that it has stopped.
+    def test_successor_knows_of_longer_leases_of_the_next_incarnation(self):
+        fleet = self.start_fleet(workers=2)
+        fleet.run_for(20.0)
+        assigned = self.start_standing_job(fleet, 4)
+        fleet.workers.crash(assigned)
+        fleet.run_for(0.5)
+        entry = replace(fleet.workers.workers[assigned].entry, started_at_ms=2)
+        worker = fleet.workers.add(entry, 0.0)
+        fleet.run_for(0.3)
+        fleet.records.write(f"servers/{assigned}", server_record(entry))
+        fleet.run_for(1.0)
+        self.assertEqual(len(worker.running), 2)
+        worker.is_reachable = False
+        self.restart(fleet, "w2")
+        former = fleet.leader()
+        self.cut_off_from_store(fleet, former, revokes_lease=True)
+        fleet.run_for(WORKER_LEASES_MAX_S + LEASE_MAX_MS / 1000)
+        self.assertNotEqual(fleet.leader(), former)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    # The same by a poll of the former incarnation that is carried out late.
+    def test_late_poll_of_the_former_incarnation_grants_a_longer_lease(self):
+        fleet = self.start_fleet(workers=2)
+        assigned = self.start_standing_job(fleet, 4)
+        fleet.workers.workers[assigned].is_reachable = False
+        fleet.run_for(1.0)
+        worker = self.restart(fleet, assigned)
+        fleet.run_for(1.0)
+        self.assertEqual(len(worker.running), 2)
+        self.restart(fleet, "w2")
+        worker.is_reachable = False
+        # A poll that was sent 2 s to 5 s ago is carried out.
+        fleet.run_for(3.0)
+        fleet.workers.renew(worker, FORMER_CLOCK_MS)
+        fleet.run_for(WORKER_LEASES_MAX_S + LEASE_MAX_MS / 1000)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(self.count_running(fleet), 4)
+
+    # Guards against a run that is repeated after its end was acknowledged by a poll of
+    # the former incarnation that is carried out late.
+    def test_late_poll_of_the_former_incarnation_acknowledges_no_unread_end(self):
+        fleet = self.start_fleet(workers=1, run_s=1.0)
+        fleet.submit(0, job("b" * 16, tasks=8))
+        fleet.run_for(3.0)
+        former = fleet.workers.workers["w0"]
+        acknowledged = former.acknowledged_number
+        self.assertEqual(acknowledged, 8)
+        former.is_reachable = False
+        fleet.run_for(0.5)
+        worker = self.restart(fleet, "w0", run_s=1.0)
+        fleet.submit(0, job(JOB, tasks=2))
+        while not worker.running:
+            fleet.run_for(0.01)
+        fleet.run_for(0.3)
+        # The second run ends just after the first, while the leader stores that end.
+        first, second = worker.running.values()
+        fleet.workers.end(worker, first, "done")
+        fleet.run_for(0.05)
+        fleet.workers.end(worker, second, "done")
+        fleet.workers.acknowledge(worker, acknowledged)
+        fleet.run_for(5.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
     # Guards against runs that are started elsewhere because another worker answers at
     # the address that their worker had as a former incarnation.
     def test_successor_knows_the_address_of_the_newest_incarnation(self):
@@ -79,6 +145,23 @@
         fleet.run_for(WORKER_LEASES_MAX_S + 4.0)
         self.assertEqual(fleet.workers.duplicate_starts, [])
 
+    # Guards against a run that is started elsewhere although a copy of its first order
+    # may still reach the next incarnation of its worker.
+    def test_late_copy_of_a_start_after_a_long_crash(self):
+        for returns_after_s in (4.0, 5.5, 6.5, 8.0, 9.5):
+            with self.subTest(returns_after_s=returns_after_s):
+                fleet = self.start_fleet(workers=2)
+                fleet.workers.delays_start_to_next_incarnation = True
+                fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=2.0)
+                self.assertEqual(len(fleet.workers.starts), 1)
+                affected = next(iter(fleet.workers._for_next_incarnation))
+                fleet.workers.crash(affected)
+                fleet.run_for(returns_after_s)
+                self.restart(fleet, affected)
+                fleet.run_for(14.0)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+                self.assertEqual(self.count_running(fleet), 1)
+
     # Guards against a task that runs again after its end, by a late copy of an order to
     # a worker whose entry was removed meanwhile.
     def test_late_copy_of_a_start_reaches_a_worker_that_was_unlisted(self):
@@ -105,6 +188,29 @@
         fleet.run_for(8.0)
         self.assertEqual(len(fleet.workers.starts), 1)
 
+    # Guards against a run that is started by a late copy of its order at the second of
+    # two next incarnations, after the first has confirmed that it is stopped.
+    def test_late_copy_of_a_start_reaches_the_second_next_incarnation(self):
+        fleet = self.start_fleet(workers=2)
+        fleet.workers.delays_start_to_next_incarnation = True
+        fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=2.0)
+        affected = next(iter(fleet.workers._for_next_incarnation))
+        order = fleet.workers._for_next_incarnation.pop(affected)
+        self.assertIsInstance(order, StartOrder)
+        fleet.workers.crash(affected)
+        fleet.run_for(0.3)
+        second = self.restart(fleet, affected, 2)
+        draining = server_record(second.entry, "draining")
+        fleet.records.write(f"servers/{affected}", draining)
+        fleet.run_for(4.0)
+        self.assertEqual(self.count_running(fleet), 1)
+        fleet.workers.crash(affected)
+        fleet.run_for(0.3)
+        fleet.workers.hold_for_next_incarnation(affected, order)
+        self.restart(fleet, affected, 3)
+        fleet.run_for(5.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
     # Guards against runs that are taken for lost because their ends do not fit into one
     # response of the worker.
     def test_run_whose_end_is_not_listed_yet_is_not_lost(self):
