A worker known by an outdated entry gets no work before its own entry

A new leader could start more on a worker than its capacity, or work for a label that it lacks: the worker had crashed and returned as a smaller one, its new entry was not written yet, and the leader took the capacity from the entry of the former incarnation.

Cause: since a first answer by another incarnation than the entry names is accepted; before, it dropped the worker until its entry came.

Ruled out: dropping the worker again (its runs would start elsewhere while they run).

Change: such a worker counts as unlisted, so its runs are adopted and nothing new starts there, until an entry names the incarnation that answered.

Test: `outdated_entry_gives_a_worker_no_work`, failed on the code before: AssertionError: 4 != 0

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -535,10 +535,13 @@
         """Correct an outdated entry by what the worker says of itself.
 
         A worker that is known by its entry only may run tasks in another incarnation.
+        It gets no work before that one's entry, as its capacity may differ.
         """
         entry = replace(link.entry, started_at_ms=started_at_ms)
         log_event("worker.entry-outdated", worker=entry.worker_id)
-        self.capacities[entry.worker_id].entry = link.entry = entry
+        capacity = self.capacities[entry.worker_id]
+        capacity.entry = link.entry = entry
+        capacity.is_listed = False
 
     def on_replaced(self, link: WorkerLink) -> None:
         """Drop the incarnation; the new one is added with its entry."""
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -283,6 +283,22 @@
         fleet.run_for(WORKER_LEASES_MAX_S)
         self.assertEqual(fleet.workers.duplicate_starts, [])
 
+    # Guards against work for a worker that returned with less capacity than the entry
+    # of its former incarnation has, as long as a new leader knows that entry only.
+    def test_outdated_entry_gives_a_worker_no_work(self):
+        fleet = FleetSimulation(run_s=0.0, workers=0)
+        fleet.workers.ignores_incarnation = True
+        fleet.add_worker(worker_entry(0), 0.0)
+        small = worker_entry(0, cores=2, started_at_ms=2)
+        fleet.workers.add(small, 0.0)
+        fleet.run_for(1.0)
+        fleet.submit(0, job(JOB, tasks=4, standing=True))
+        fleet.run_for(1.0)
+        self.assertEqual(self.count_running(fleet), 0)
+        fleet.records.write("servers/w0", server_record(small))
+        fleet.run_for(1.0)
+        self.assertEqual(self.count_running(fleet), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
