A leader whose record was taken away drops no runs that its successor has adopted

Callers could see a task run twice: the store took the record of a leader away at once (`platform_down`, how `revoke`) while the leader was cut off, its successor reached a worker that the leader had lost and renewed its leases, and the leader started the worker's task on one that the successor did not reach yet.

Cause: `confirmed_until_s` counts on the record for the whole of its lease of 1.8 s.

Ruled out: the same for jobs that arrive (each would wait up to 0.5 s for a renewal); their case is not shown.

Change: the expiry of a worker's leases counts once the store was reached after it, and showed no successor.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -112,14 +112,18 @@
         lease_s = self.renewed_s + self._ttl_ms / 1000
         return max(lease_s, self._watcher.sent_s)
 
+    @property
+    def contact_s(self) -> float:
+        """Time of the last contact with the store that showed no successor."""
+        return max(self.renewed_s, self._watcher.sent_s)
+
     @property
     def worker_leases_end_s(self) -> float:
         """Time beyond which this daemon must not extend any worker's lease.
 
         A successor is elected after the last contact at the earliest.
         """
-        contact_s = max(self.renewed_s, self._watcher.sent_s)
-        return contact_s + WORKER_LEASES_MAX_S
+        return self.contact_s + WORKER_LEASES_MAX_S
 
     def close(self) -> None:
         """Stop renewing the lease and campaigning."""
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -97,6 +97,8 @@
         Limits that the platform sets.
     get_confirmed_until_s : callable
         Returns the time until which no other daemon can have led.
+    get_contact_s : callable
+        Returns the time of the last contact with the store that showed no successor.
     get_leases_end_s : callable
         Returns the time beyond which no worker's lease may be extended.
     """
@@ -117,6 +119,7 @@
         metrics: FleetMetrics,
         platform_limits: PlatformLimits,
         get_confirmed_until_s: Callable[[], float],
+        get_contact_s: Callable[[], float],
         get_leases_end_s: Callable[[], float],
     ) -> None:
         self._store = store
@@ -150,7 +153,7 @@
             on_fenced,
             self._tickets.reject,
             platform_limits.run_lease_max_s,
-            get_confirmed_until_s,
+            get_contact_s,
             get_leases_end_s,
         )
         self._progress_writer = ProgressWriter(
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -220,6 +220,7 @@
                 self.settings.harm_s,
             ),
             lambda: self.election.confirmed_until_s,
+            lambda: self.election.contact_s,
             lambda: self.election.worker_leases_end_s,
         )
         self.metrics.leads.set(1)
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -103,8 +103,8 @@
         Called with a step and the capacity of a worker that rejected its ticket.
     run_lease_max_s : float
         Longest lease of a run that workers grant.
-    get_confirmed_until_s : callable
-        Returns the time until which no other daemon can have led.
+    get_contact_s : callable
+        Returns the time of the last contact with the store that showed no successor.
     get_leases_end_s : callable
         Returns the time beyond which no lease may be granted.
 
@@ -135,7 +135,7 @@
         on_fenced: Callable[[str], None],
         on_ticket_rejected: Callable[[StepState, WorkerCapacity], None],
         run_lease_max_s: float,
-        get_confirmed_until_s: Callable[[], float],
+        get_contact_s: Callable[[], float],
         get_leases_end_s: Callable[[], float],
     ) -> None:
         self._worker_client = worker_client
@@ -159,7 +159,7 @@
         )
         self.capacities: dict[str, WorkerCapacity] = {}
         self._links: dict[str, WorkerLink] = {}
-        self._get_confirmed_until_s = get_confirmed_until_s
+        self._get_contact_s = get_contact_s
         self._ended_incarnations: dict[str, EndedIncarnation] = {}
         # Entries that name another incarnation than the known one, by worker id.
         self._announced: dict[str, WorkerEntry] = {}
@@ -492,9 +492,10 @@
         """Drop the runs of a worker that was unreachable for the length of a lease.
 
         If another daemon may have led by then, it may have reached the worker and
-        renewed the lease. The runs then count until that is ruled out.
+        renewed the lease. The runs then count until that is ruled out; the lease of the
+        leader's record does not, since the store may take the record away.
         """
-        if self._get_confirmed_until_s() < link.lease_expiry_s:
+        if self._get_contact_s() < link.lease_expiry_s:
             if not link.is_closed:
                 self._clock.callLater(CONFIRM_RETRY_S, self._recheck_expiry, link)
             return
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -299,6 +299,25 @@
         fleet.run_for(1.0)
         self.assertEqual(self.count_running(fleet), 2)
 
+    # Guards against a leader that counts on its record until the end of its lease,
+    # although the store has taken the record away and a successor leads.
+    def test_revoked_leader_drops_no_runs_that_its_successor_has_adopted(self):
+        for revoked_after_s in (3.4, 3.8, 4.2, 4.6, 5.0):
+            with self.subTest(revoked_after_s=revoked_after_s):
+                fleet = self.start_fleet(workers=2)
+                fleet.submit(0, job(JOB, tasks=1, standing=True))
+                fleet.run_for(1.0)
+                assigned = fleet.workers.starts[0][1]
+                first = fleet.leader()
+                others = set(fleet.workers.workers) - {assigned}
+                for number, client in enumerate(fleet.worker_clients):
+                    client.unreachable = {assigned} if number == first else others
+                fleet.run_for(revoked_after_s)
+                fleet.nodes[first].mesh.is_down = True
+                self.cut_off_from_store(fleet, first, revokes_lease=True)
+                fleet.run_for(15.0)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+
 
 if __name__ == "__main__":
     unittest.main()
