Failing test: a leader whose record was taken away starts a job of its successor

Not fixed: without a call to the store for each arrival, a job would wait up to 0.5 s for the next renewal.

--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -318,6 +318,26 @@
                 fleet.run_for(15.0)
                 self.assertEqual(fleet.workers.duplicate_starts, [])
 
+    # Guards against a job that a leader starts although its successor, elected after
+    # the store took the leader's record away, starts it as well.
+    def test_revoked_leader_starts_no_job_of_its_successor(self):
+        for delay_s in (0.0, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5):
+            with self.subTest(delay_s=delay_s):
+                fleet = self.start_fleet(workers=2)
+                first = fleet.leader()
+                for number, client in enumerate(fleet.worker_clients):
+                    client.unreachable = {"w0"} if number == first else {"w1"}
+                fleet.run_for(2.0)
+                fleet.nodes[first].mesh.is_down = True
+                lease_id = fleet.nodes[first].election._lease_id
+                fleet.stores[first].silent_prefixes.add("dogwoodlever/leader")
+                other = next(n for n in range(3) if n != first)
+                fleet.stores[other].end_lease(lease_id)
+                fleet.run_for(delay_s)
+                fleet.submit(other, job(JOB, tasks=1, standing=True))
+                fleet.run_for(12.0)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+
 
 if __name__ == "__main__":
     unittest.main()
