A new leader knows the jobs from before its election before it reads their ends

Callers could see a task run again after it was done: the leader changed, the inbox was read while the renewals of the successor's lease got no answers, so that its jobs were held, and the workers were polled meanwhile. The end of a task of a held job was ignored, but acknowledged, and the task was started again once the job was accepted.

Cause: a job is held as long as a further successor may have accepted it. A job from before the election needs no such wait, as it is started only after all workers were polled.

Ruled out: polling workers only once no job is held (leases would expire).

Change: jobs from before the election are accepted at once.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -284,6 +284,10 @@
         if record.value is None:
             return
         if record.key.startswith(JOBS_PREFIX):
+            if record.revision < self.fencing_token:
+                # A job from before the election must be known before its ends are read.
+                self._accept_job(record)
+                return
             now_s = self._clock.seconds()
             self._unconfirmed_jobs.append((now_s, record))
             self._accept_confirmed_jobs()
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -5,6 +5,7 @@
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_job import JobPhase
+from dogwoodlever._fleet_records import INBOX_PREFIX
 from dogwoodlever._fleet_types import StartOrder, Step, SubmittedJob
 from standins.fleet import LEASE_MAX_MS, server_record
 from tests.fleet_simulation import QUEUE, FleetSimulation, job, worker_entry
@@ -338,6 +339,34 @@
                 fleet.run_for(12.0)
                 self.assertEqual(fleet.workers.duplicate_starts, [])
 
+    # Guards against a task that runs again after its end, which a new leader read
+    # before it had accepted the job.
+    def test_end_of_a_job_that_is_held_is_not_acknowledged(self):
+        fleet = self.start_fleet(workers=1, run_s=3.0)
+        fleet.submit(0, job(JOB, tasks=1))
+        fleet.run_for(0.5)
+        first = fleet.leader()
+        for store in fleet.stores:
+            store.silent_prefixes.add(INBOX_PREFIX)
+            self.lose_answers_to_renewals(store)
+        fleet.kill(first)
+        fleet.run_for(5.0)
+        for store in fleet.stores:
+            store.silent_prefixes.clear()
+        fleet.run_for(6.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        reader = next(n for n in range(3) if n != first)
+        self.assertEqual(fleet.read_phase(reader, JOB), JobPhase.COMPLETED)
+
+    def lose_answers_to_renewals(self, store):
+        renew_lease = store.renew_lease
+
+        def renew_without_answer(lease_id):
+            renew_lease(lease_id).addErrback(lambda _: None)
+            return store._no_response()
+
+        store.renew_lease = renew_without_answer
+
 
 if __name__ == "__main__":
     unittest.main()
