An end of an occurrence counts although its due time has not come here

Callers could see a task of a scheduled job run again after it was done: the clock of a leader was 2 s ahead, so that it started an occurrence early; it stopped, and its successor read the end before the due time on its own clock, ignored it, acknowledged it, and started the task at the due time. A run that was still listed was stopped as unwanted.

Cause: `RunRegistry.find` knows open occurrences only.

Ruled out: leaving such ends unacknowledged (all later ends of the worker would wait).

Change: an occurrence of which a worker reports a run or an end is opened. Its other tasks may start up to the difference of the clocks before their time.

--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -358,6 +358,14 @@
                 return
             self._open(number, due_ms)
 
+    def open_reported(self, number: int) -> None:
+        """Open an occurrence of which a worker reports a run.
+
+        The clock of the leader that started it may have been ahead.
+        """
+        if not self.has_ended and 0 <= number < self.job.occurrences:
+            self._open(number, self.job.first_due_ms + number * self.job.interval_ms)
+
     def _open(self, number: int, due_ms: int) -> None:
         if number in self.occurrences or number < self.finished:
             return
--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -95,6 +95,11 @@
         tasks = occurrence.steps[task_id.step].tasks
         return tasks[task_id.index] if task_id.index < len(tasks) else None
 
+    def _open_reported(self, task_id: TaskId) -> None:
+        state = self.jobs.get(task_id.job_id)
+        if state is not None:
+            state.open_reported(task_id.occurrence)
+
     def begin_run(self, task: Task, worker_id: str, now_s: float, number=0) -> Run:
         """Record the start of a task and return the new run."""
         number = number or self.next_run_number(task)
@@ -110,6 +115,7 @@
         self, run_id: RunId, worker_id: str, checkpoint: str, now_s: float
     ) -> Run | None:
         """Adopt a run that a worker lists; None if it must be stopped."""
+        self._open_reported(run_id.task)
         task = self.find(run_id.task)
         if task is None or task.is_done or task.step.job.has_ended:
             return None
@@ -149,6 +155,7 @@
 
     def end_run(self, end: EndedRun) -> EndOutcome:
         """Record the end of a run that a worker listed."""
+        self._open_reported(end.run.task)
         task = self.find(end.run.task)
         if task is None:
             return EndOutcome(None)
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -367,6 +367,26 @@
 
         store.renew_lease = renew_without_answer
 
+    # Guards against a task of an occurrence that runs again after its end, which a new
+    # leader, whose clock is behind the former one's, read before the due time.
+    def test_end_of_an_occurrence_that_is_not_due_yet_counts(self):
+        fleet = self.start_fleet(workers=1, run_s=0.2)
+        first = fleet.leader()
+        now_s = fleet.clock.seconds()
+        fleet.nodes[first].leader._unix_s = lambda: fleet.clock.seconds() + 2.0
+        timed = SubmittedJob(
+            JOB, QUEUE, "", (Step(1, 1000, 100, 0, 200),), 1, int(now_s * 1000) + 2_500
+        )
+        fleet.submit(0, timed)
+        while not fleet.workers.starts:
+            fleet.run_for(0.01)
+        fleet.run_for(0.1)
+        fleet.nodes[first].stop()
+        fleet.run_for(6.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        reader = next(n for n in range(3) if n != first)
+        self.assertEqual(fleet.read_phase(reader, JOB), JobPhase.COMPLETED)
+
 
 if __name__ == "__main__":
     unittest.main()
