--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -97,6 +97,8 @@
         Limits that the platform sets.
     get_confirmed_until_s : callable
         Returns the time until which no other daemon can have led.
+    get_contact_s : callable
+        Returns the time of the last contact with the store that showed no successor.
     get_leases_end_s : callable
         Returns the time beyond which no worker's lease may be extended.
     """
@@ -117,6 +119,7 @@
         metrics: FleetMetrics,
         platform_limits: PlatformLimits,
         get_confirmed_until_s: Callable[[], float],
+        get_contact_s: Callable[[], float],
         get_leases_end_s: Callable[[], float],
     ) -> None:
         self._store = store
@@ -150,7 +153,7 @@
             on_fenced,
             self._tickets.reject,
             platform_limits.run_lease_max_s,
-            get_confirmed_until_s,
+            get_contact_s,
             get_leases_end_s,
         )
         self._progress_writer = ProgressWriter(
@@ -210,10 +213,10 @@
         self.fencing_token = fencing_token
         self._term_revision = fencing_token
 
-    def on_former_leader_stopped(self) -> None:
-        """Record that no former leader renews leases any more."""
+    def on_former_leader_stopped(self, elected_s: float) -> None:
+        """Record that the former leader, elected by `elected_s`, has stopped."""
         self.is_former_leader_stopped = True
-        self.workers.on_former_leader_stopped()
+        self.workers.on_former_leader_stopped(elected_s)
 
     def _get_term_revision(self) -> int:
         return self._term_revision
@@ -281,6 +284,10 @@
         if record.value is None:
             return
         if record.key.startswith(JOBS_PREFIX):
+            if record.revision < self.fencing_token:
+                # A job from before the election must be known before its ends are read.
+                self._accept_job(record)
+                return
             now_s = self._clock.seconds()
             self._unconfirmed_jobs.append((now_s, record))
             self._accept_confirmed_jobs()
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -50,21 +50,24 @@
 
 @dataclass(slots=True, frozen=True)
 class EndedIncarnation:
-    """An ended incarnation of a worker to which starts were sent without an answer.
+    """An ended incarnation of a worker, whose calls may have reached the next one.
 
     Attributes
     ----------
     capacity : WorkerCapacity
-        Counts the runs of these starts.
+        Counts the runs of starts without an answer.
     starts_in_flight : dict of RunId to StartInFlight
         These starts, and those sent to earlier incarnations.
     expires_s : float
         When the runs are dropped, unless a new incarnation appears.
+    leases_expire_s : float
+        When the leases have expired that its calls may have granted to the next one.
     """
 
     capacity: WorkerCapacity
     starts_in_flight: dict[RunId, StartInFlight]
     expires_s: float
+    leases_expire_s: float
 
 
 class FleetWorkers(LinkListener):
@@ -100,8 +103,8 @@
         Called with a step and the capacity of a worker that rejected its ticket.
     run_lease_max_s : float
         Longest lease of a run that workers grant.
-    get_confirmed_until_s : callable
-        Returns the time until which no other daemon can have led.
+    get_contact_s : callable
+        Returns the time of the last contact with the store that showed no successor.
     get_leases_end_s : callable
         Returns the time beyond which no lease may be granted.
 
@@ -132,7 +135,7 @@
         on_fenced: Callable[[str], None],
         on_ticket_rejected: Callable[[StepState, WorkerCapacity], None],
         run_lease_max_s: float,
-        get_confirmed_until_s: Callable[[], float],
+        get_contact_s: Callable[[], float],
         get_leases_end_s: Callable[[], float],
     ) -> None:
         self._worker_client = worker_client
@@ -149,9 +152,14 @@
         self._lease_bound_s = (
             self._lease_s * (1 + CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
         )
+        # The clock of the next incarnation starts anew, so a call for the former one
+        # grants the longest lease there.
+        self._misdirected_lease_bound_s = (
+            run_lease_max_s * (1 + CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
+        )
         self.capacities: dict[str, WorkerCapacity] = {}
         self._links: dict[str, WorkerLink] = {}
-        self._get_confirmed_until_s = get_confirmed_until_s
+        self._get_contact_s = get_contact_s
         self._ended_incarnations: dict[str, EndedIncarnation] = {}
         # Entries that name another incarnation than the known one, by worker id.
         self._announced: dict[str, WorkerEntry] = {}
@@ -180,9 +188,14 @@
         for link in self._links.values():
             link.close()
 
-    def on_former_leader_stopped(self) -> None:
-        """Record that no former leader renews leases any more."""
-        expire_s = self._clock.seconds() + self._lease_bound_s
+    def on_former_leader_stopped(self, elected_s: float) -> None:
+        """Record that the former leader, elected by `elected_s`, has stopped.
+
+        Its own predecessors may be cut off and renew leases for a time after that.
+        """
+        expire_s = self._lease_bound_s + max(
+            self._clock.seconds(), elected_s + WORKER_LEASES_MAX_S - self._lease_s
+        )
         self._former_leases_expire_s = min(self._former_leases_expire_s, expire_s)
         for link in self._links.values():
             link.limit_inherited_expiry(self._former_leases_expire_s)
@@ -342,9 +355,11 @@
         capacity = WorkerCapacity(entry)
         self.capacities[worker_id] = capacity
         starts_in_flight = {}
+        misdirected_expiry_s = float("-inf")
         previous = self._ended_incarnations.pop(worker_id, None)
         if previous is not None:
             starts_in_flight = previous.starts_in_flight
+            misdirected_expiry_s = previous.leases_expire_s
             for run, step in previous.capacity.runs.values():
                 capacity.add(run, step)
         link = WorkerLink(
@@ -354,12 +369,13 @@
             self._get_fencing_token,
             self,
             self._former_leases_expire_s,
+            misdirected_expiry_s,
             starts_in_flight,
             self._lease_s,
             self._get_leases_end_s,
         )
         self._links[worker_id] = link
-        self._membership.add(worker_id, f"{entry.host}:{entry.port}")
+        self._membership.add(worker_id, entry.address)
         link.open()
 
     def _drop_incarnation(
@@ -380,16 +396,24 @@
         )
         starts_in_flight = link.starts_in_flight()
         self.runs.drop_lost_runs(capacity, kept=starts_in_flight)
-        if starts_in_flight:
-            expires_s = self._clock.seconds() + self._lease_bound_s
-            self._ended_incarnations[worker_id] = EndedIncarnation(
-                capacity, starts_in_flight, expires_s
-            )
+        self._keep_starts_in_flight(capacity, starts_in_flight)
         if not capacity.runs and not is_member:
             self._remove_worker(worker_id)
         self.unpolled_workers.discard(worker_id)
         self._on_change()
 
+    def _keep_starts_in_flight(
+        self, capacity: WorkerCapacity, starts_in_flight: dict[RunId, StartInFlight]
+    ) -> None:
+        """Keep what calls to a dropped worker may still do at its next incarnation."""
+        now_s = self._clock.seconds()
+        self._ended_incarnations[capacity.entry.worker_id] = EndedIncarnation(
+            capacity,
+            starts_in_flight,
+            now_s + self._lease_bound_s,
+            now_s + self._misdirected_lease_bound_s,
+        )
+
     def _remove_if_empty(self, capacity: WorkerCapacity) -> None:
         """Remove a worker without an entry on which nothing runs or may start."""
         worker_id = capacity.entry.worker_id
@@ -398,6 +422,7 @@
             return
         link.close()
         del self.capacities[worker_id], self._links[worker_id]
+        self._keep_starts_in_flight(capacity, link.starts_in_flight())
         self._remove_worker(worker_id)
 
     def expire_ended_incarnations(self) -> None:
@@ -409,7 +434,9 @@
                 self._remove_worker(worker_id)
                 self._on_change()
             starts = previous.starts_in_flight.values()
-            if not any(start.may_be_carried_out(now_s) for start in starts):
+            if now_s >= previous.leases_expire_s and not any(
+                start.may_be_carried_out(now_s) for start in starts
+            ):
                 del self._ended_incarnations[worker_id]
 
     def _is_schedulable(self, capacity: WorkerCapacity) -> bool:
@@ -436,6 +463,7 @@
         is_usable_now = not capacity.is_synced or worker_id in self.unpolled_workers
         if not capacity.is_synced:
             capacity.is_synced = True
+            self._membership.set_address(worker_id, link.entry.address)
             log_event("worker.read", worker=worker_id, running=len(result.running))
         self.unpolled_workers.discard(worker_id)
         if result.ended:
@@ -476,9 +504,10 @@
         """Drop the runs of a worker that was unreachable for the length of a lease.
 
         If another daemon may have led by then, it may have reached the worker and
-        renewed the lease. The runs then count until that is ruled out.
+        renewed the lease. The runs then count until that is ruled out; the lease of the
+        leader's record does not, since the store may take the record away.
         """
-        if self._get_confirmed_until_s() < link.lease_expiry_s:
+        if self._get_contact_s() < link.lease_expiry_s:
             if not link.is_closed:
                 self._clock.callLater(CONFIRM_RETRY_S, self._recheck_expiry, link)
             return
@@ -501,6 +530,7 @@
         if not capacity.is_listed:
             link.close()
             del self.capacities[worker_id], self._links[worker_id]
+            self._keep_starts_in_flight(capacity, link.starts_in_flight())
             self._remove_worker(worker_id)
         self._on_change()
 
@@ -518,14 +548,26 @@
         """Correct an outdated entry by what the worker says of itself.
 
         A worker that is known by its entry only may run tasks in another incarnation.
+        It gets no work before that one's entry, as its capacity may differ.
         """
         entry = replace(link.entry, started_at_ms=started_at_ms)
         log_event("worker.entry-outdated", worker=entry.worker_id)
         link.entry = entry
-        self.capacities[entry.worker_id].update_entry(entry)
+        capacity = self.capacities[entry.worker_id]
+        capacity.update_entry(entry)
+        capacity.is_listed = False
 
     def on_replaced(self, link: WorkerLink) -> None:
         """Drop the incarnation; the new one is added with its entry."""
         worker_id = link.entry.worker_id
-        if self._links.get(worker_id) is link:
-            self._drop_incarnation(worker_id, "another incarnation answers")
+        if self._links.get(worker_id) is not link:
+            return
+        if worker_id in self.unpolled_workers and (
+            self._membership.address_of(worker_id) != link.entry.address
+        ):
+            # The entry may be outdated; the worker is asked at its stored address.
+            link.close()
+            del self.capacities[worker_id], self._links[worker_id]
+            self._probe(self._membership.entry_of(worker_id))
+            return
+        self._drop_incarnation(worker_id, "another incarnation answers")
--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -102,6 +102,11 @@
             return None
         return state.job.steps[task_id.step]
 
+    def _open_reported(self, task_id: TaskId) -> None:
+        state = self.jobs.get(task_id.job_id)
+        if state is not None:
+            state.open_reported(task_id.occurrence)
+
     def begin_run(self, task: Task, worker_id: str, now_s: float, number=0) -> Run:
         """Record the start of a task and return the new run."""
         number = number or self.next_run_number(task)
@@ -117,6 +122,7 @@
         self, run_id: RunId, worker_id: str, checkpoint: str, now_s: float
     ) -> Run | None:
         """Adopt a run that a worker lists; None if it must be stopped."""
+        self._open_reported(run_id.task)
         task = self.find(run_id.task)
         if task is None or task.is_done or task.step.job.has_ended:
             return None
@@ -156,6 +162,7 @@
 
     def end_run(self, end: EndedRun) -> EndOutcome:
         """Record the end of a run that a worker listed."""
+        self._open_reported(end.run.task)
         task = self.find(end.run.task)
         if task is None:
             return EndOutcome(None)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -46,6 +46,8 @@
 ADVICE_DELAY_S = 0.05
 WORKER_TIMEOUT_S = 0.8
 LEASE_MAX_MS = 10_000
+# Most ends that a worker lists in one response.
+ENDS_LISTED_MAX = 500
 
 
 def server_record(entry: WorkerEntry, state: str = "ready") -> bytes:
@@ -346,6 +348,11 @@
     fails: bool = False
     clock_rate: float = 1.0
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port at which the worker answers."""
+        return self.entry.host, self.entry.port
+
     def clock_ms(self, now_s: float) -> int:
         """Return the worker's monotonic clock in milliseconds."""
         return int((now_s - self.started_s) * 1000 * self.clock_rate) + 1
@@ -538,6 +545,11 @@
             return fail(WrongIncarnationError("another worker answers"))
         if worker is not None and worker.refuses_connections:
             return fail(ConnectionRefusedByWorkerError("connection refused"))
+        address = (entry.host, entry.port)
+        if worker is not None and worker.address != address:
+            if any(w.address == address for w in self._workers.workers.values()):
+                return fail(WrongIncarnationError("another worker answers"))
+            return fail(ConnectionRefusedByWorkerError("no worker at the address"))
         response: Deferred = Deferred()
         is_cut = entry.worker_id in self.unreachable
         if worker is None or is_cut or not worker.is_reachable:
@@ -585,6 +597,8 @@
         self._workers.orders_to_lose -= lost
 
         def start_run(target: FakeWorker) -> int:
+            if until_ms <= target.clock_ms(self._workers.clock.seconds()):
+                raise OrderRefusedError(RefusalReason.EXPIRED)
             self._workers.renew(target, until_ms)
             task = order.run.task
             step = StepId(task.job_id, task.occurrence, task.step)
@@ -645,9 +659,8 @@
                 for run in target.running.values()
             )
             started_at_ms = target.entry.started_at_ms
-            return PollResult(
-                target.clock_ms(now_s), started_at_ms, running, tuple(target.ended)
-            )
+            ended = tuple(target.ended[:ENDS_LISTED_MAX])
+            return PollResult(target.clock_ms(now_s), started_at_ms, running, ended)
 
         def send_poll() -> None:
             call = self._call(worker, fencing_token, poll_worker)
--- /dev/null
+++ b/tests/test_worker_incarnations.py
@@ -0,0 +1,392 @@
+"""Leases, ends and addresses of workers that come back as another incarnation."""
+
+import unittest
+from dataclasses import replace
+
+from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
+from dogwoodlever._fleet_job import JobPhase
+from dogwoodlever._fleet_records import INBOX_PREFIX
+from dogwoodlever._fleet_types import StartOrder, Step, SubmittedJob
+from standins.fleet import LEASE_MAX_MS, server_record
+from tests.fleet_simulation import QUEUE, FleetSimulation, job, worker_entry
+
+JOB = "a" * 16
+# Far ahead on the clock of an incarnation that has just started.
+FORMER_CLOCK_MS = 10**9
+
+
+class WorkerIncarnationsTest(unittest.TestCase):
+    def start_fleet(self, run_s=0.0, **sizes):
+        fleet = FleetSimulation(run_s=run_s, **sizes)
+        fleet.workers.ignores_incarnation = True
+        fleet.run_for(1.0)
+        self.assertIsNotNone(fleet.leader())
+        return fleet
+
+    def start_standing_job(self, fleet, tasks):
+        fleet.submit(0, job(JOB, tasks=tasks, standing=True, worker_tasks_max=2))
+        fleet.run_for(1.0)
+        self.assertEqual(self.count_running(fleet), tasks)
+        return fleet.workers.starts[0][1]
+
+    def count_running(self, fleet):
+        return sum(len(worker.running) for worker in fleet.workers.workers.values())
+
+    def restart(self, fleet, worker_id, started_at_ms=2, run_s=0.0, **fields):
+        entry = worker_entry(int(worker_id[1:]), started_at_ms=started_at_ms)
+        entry = replace(entry, **fields)
+        worker = fleet.workers.add(entry, run_s)
+        fleet.records.write(f"servers/{worker_id}", server_record(entry))
+        return worker
+
+    # Guards against runs that are started elsewhere while their worker holds a longer
+    # lease, which a call meant for its former incarnation has granted.
+    def test_call_for_the_former_incarnation_grants_a_longer_lease(self):
+        fleet = self.start_fleet(workers=2)
+        fleet.run_for(20.0)
+        assigned = self.start_standing_job(fleet, 4)
+        fleet.workers.crash(assigned)
+        fleet.run_for(0.5)
+        # The next poll reaches the new incarnation before its entry is written.
+        entry = replace(fleet.workers.workers[assigned].entry, started_at_ms=2)
+        worker = fleet.workers.add(entry, 0.0)
+        fleet.run_for(0.3)
+        fleet.records.write(f"servers/{assigned}", server_record(entry))
+        fleet.run_for(1.0)
+        self.assertEqual(len(worker.running), 2)
+        worker.is_reachable = False
+        self.restart(fleet, "w2")
+        fleet.run_for(WORKER_LEASES_MAX_S + LEASE_MAX_MS / 1000)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(self.count_running(fleet), 4)
+
+    # The same for a successor whose former leader has answered that it has stopped.
+    def test_successor_knows_of_longer_leases_of_the_next_incarnation(self):
+        fleet = self.start_fleet(workers=2)
+        fleet.run_for(20.0)
+        assigned = self.start_standing_job(fleet, 4)
+        fleet.workers.crash(assigned)
+        fleet.run_for(0.5)
+        entry = replace(fleet.workers.workers[assigned].entry, started_at_ms=2)
+        worker = fleet.workers.add(entry, 0.0)
+        fleet.run_for(0.3)
+        fleet.records.write(f"servers/{assigned}", server_record(entry))
+        fleet.run_for(1.0)
+        self.assertEqual(len(worker.running), 2)
+        worker.is_reachable = False
+        self.restart(fleet, "w2")
+        former = fleet.leader()
+        self.cut_off_from_store(fleet, former, revokes_lease=True)
+        fleet.run_for(WORKER_LEASES_MAX_S + LEASE_MAX_MS / 1000)
+        self.assertNotEqual(fleet.leader(), former)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    # The same by a poll of the former incarnation that is carried out late.
+    def test_late_poll_of_the_former_incarnation_grants_a_longer_lease(self):
+        fleet = self.start_fleet(workers=2)
+        assigned = self.start_standing_job(fleet, 4)
+        fleet.workers.workers[assigned].is_reachable = False
+        fleet.run_for(1.0)
+        worker = self.restart(fleet, assigned)
+        fleet.run_for(1.0)
+        self.assertEqual(len(worker.running), 2)
+        self.restart(fleet, "w2")
+        worker.is_reachable = False
+        # A poll that was sent 2 s to 5 s ago is carried out.
+        fleet.run_for(3.0)
+        fleet.workers.renew(worker, FORMER_CLOCK_MS)
+        fleet.run_for(WORKER_LEASES_MAX_S + LEASE_MAX_MS / 1000)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(self.count_running(fleet), 4)
+
+    # Guards against a run that is repeated after its end was acknowledged by a poll of
+    # the former incarnation that is carried out late.
+    def test_late_poll_of_the_former_incarnation_acknowledges_no_unread_end(self):
+        fleet = self.start_fleet(workers=1, run_s=1.0)
+        fleet.submit(0, job("b" * 16, tasks=8))
+        fleet.run_for(3.0)
+        former = fleet.workers.workers["w0"]
+        acknowledged = former.acknowledged_number
+        self.assertEqual(acknowledged, 8)
+        former.is_reachable = False
+        fleet.run_for(0.5)
+        worker = self.restart(fleet, "w0", run_s=1.0)
+        fleet.submit(0, job(JOB, tasks=2))
+        while not worker.running:
+            fleet.run_for(0.01)
+        fleet.run_for(0.3)
+        # The second run ends just after the first, while the leader stores that end.
+        first, second = worker.running.values()
+        fleet.workers.end(worker, first, "done")
+        fleet.run_for(0.05)
+        fleet.workers.end(worker, second, "done")
+        fleet.workers.acknowledge(worker, acknowledged)
+        fleet.run_for(5.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    # Guards against runs that are started elsewhere because another worker answers at
+    # the address that their worker had as a former incarnation.
+    def test_successor_knows_the_address_of_the_newest_incarnation(self):
+        fleet = self.start_fleet(workers=3)
+        assigned = self.start_standing_job(fleet, 4)
+        fleet.workers.crash(assigned)
+        fleet.run_for(0.5)
+        former_port = fleet.workers.workers[assigned].entry.port
+        worker = self.restart(fleet, assigned, port=9100)
+        fleet.run_for(2.0)
+        for other in list(fleet.workers.workers.values()):
+            if other is not worker:
+                for run in list(other.running.values()):
+                    fleet.workers.end(other, run, "failed")
+        fleet.run_for(1.0)
+        self.restart(fleet, "w5", port=former_port)
+        fleet.run_for(1.0)
+        fleet.records.remove(f"servers/{assigned}")
+        fleet.kill(fleet.leader())
+        fleet.run_for(WORKER_LEASES_MAX_S + 4.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    # Guards against a run that is started elsewhere although a copy of its first order
+    # may still reach the next incarnation of its worker.
+    def test_late_copy_of_a_start_after_a_long_crash(self):
+        for returns_after_s in (4.0, 5.5, 6.5, 8.0, 9.5):
+            with self.subTest(returns_after_s=returns_after_s):
+                fleet = self.start_fleet(workers=2)
+                fleet.workers.delays_start_to_next_incarnation = True
+                fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=2.0)
+                self.assertEqual(len(fleet.workers.starts), 1)
+                affected = next(iter(fleet.workers._for_next_incarnation))
+                fleet.workers.crash(affected)
+                fleet.run_for(returns_after_s)
+                self.restart(fleet, affected)
+                fleet.run_for(14.0)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+                self.assertEqual(self.count_running(fleet), 1)
+
+    # Guards against a task that runs again after its end, by a late copy of an order to
+    # a worker whose entry was removed meanwhile.
+    def test_late_copy_of_a_start_reaches_a_worker_that_was_unlisted(self):
+        for absent_s in (0.5, 1.5, 6.0):
+            for unlists_first in (False, True):
+                with self.subTest(absent_s=absent_s, unlists_first=unlists_first):
+                    self.check_unlisted_worker(absent_s, unlists_first)
+
+    def check_unlisted_worker(self, absent_s, unlists_first):
+        fleet = self.start_fleet(workers=2, run_s=1.0)
+        fleet.workers.start_delay_s = 11.0
+        fleet.submit(0, job(JOB, tasks=1), wait_s=3.0)
+        self.assertEqual(fleet.read_phase(0, JOB), JobPhase.COMPLETED)
+        affected = fleet.workers.starts[0][1]
+        if unlists_first:
+            fleet.records.remove(f"servers/{affected}")
+            fleet.run_for(0.5)
+        fleet.workers.crash(affected)
+        if not unlists_first:
+            fleet.run_for(0.5)
+            fleet.records.remove(f"servers/{affected}")
+        fleet.run_for(absent_s)
+        self.restart(fleet, affected, run_s=1.0)
+        fleet.run_for(8.0)
+        self.assertEqual(len(fleet.workers.starts), 1)
+
+    # Guards against a run that is started by a late copy of its order at the second of
+    # two next incarnations, after the first has confirmed that it is stopped.
+    def test_late_copy_of_a_start_reaches_the_second_next_incarnation(self):
+        fleet = self.start_fleet(workers=2)
+        fleet.workers.delays_start_to_next_incarnation = True
+        fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=2.0)
+        affected = next(iter(fleet.workers._for_next_incarnation))
+        order = fleet.workers._for_next_incarnation.pop(affected)
+        self.assertIsInstance(order, StartOrder)
+        fleet.workers.crash(affected)
+        fleet.run_for(0.3)
+        second = self.restart(fleet, affected, 2)
+        draining = server_record(second.entry, "draining")
+        fleet.records.write(f"servers/{affected}", draining)
+        fleet.run_for(4.0)
+        self.assertEqual(self.count_running(fleet), 1)
+        fleet.workers.crash(affected)
+        fleet.run_for(0.3)
+        fleet.workers.hold_for_next_incarnation(affected, order)
+        self.restart(fleet, affected, 3)
+        fleet.run_for(5.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    # Guards against runs that are taken for lost because their ends do not fit into one
+    # response of the worker.
+    def test_run_whose_end_is_not_listed_yet_is_not_lost(self):
+        fleet = self.start_fleet(workers=0)
+        fleet.add_worker(worker_entry(0, cores=1000), 1.0)
+        fleet.run_for(0.5)
+        step = Step(600, 10, 10, 0, 1000)
+        fleet.submit(0, SubmittedJob(JOB, QUEUE, "", (step,)))
+        fleet.run_for(6.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(len(fleet.workers.starts), 600)
+        self.assertEqual(fleet.read_phase(0, JOB), JobPhase.COMPLETED)
+
+    # Guards against a leader that takes the second but last leader for stopped because
+    # the last one is.
+    def test_leaders_change_in_series_while_the_first_one_extends_leases(self):
+        for lasts_s in (0.1, 0.5, 1.0):
+            for revokes_first in (False, True):
+                with self.subTest(lasts_s=lasts_s, revokes_first=revokes_first):
+                    self.check_leaders_in_series(lasts_s, revokes_first)
+
+    def check_leaders_in_series(self, lasts_s, revokes_first):
+        fleet = self.start_fleet(workers=3)
+        assigned = self.start_standing_job(fleet, 4)
+        fleet.run_for(3.0)
+        first = fleet.leader()
+        fleet.nodes[first].mesh.is_down = True
+        others = set(fleet.workers.workers) - {assigned}
+        for number, client in enumerate(fleet.worker_clients):
+            client.unreachable = others if number == first else {assigned}
+        self.cut_off_from_store(fleet, first, revokes_first)
+        second = self.await_other_leader(fleet, {first})
+        fleet.run_for(lasts_s)
+        self.cut_off_from_store(fleet, second, revokes_lease=True)
+        self.await_other_leader(fleet, {first, second})
+        fleet.run_for(15.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    def cut_off_from_store(self, fleet, number, revokes_lease):
+        fleet.stores[number].is_down = True
+        if revokes_lease:
+            other = next(store for store in fleet.stores if not store.is_down)
+            other.end_lease(fleet.nodes[number].election._lease_id)
+
+    def await_other_leader(self, fleet, former):
+        for _ in range(100):
+            fleet.run_for(0.05)
+            for number, node in enumerate(fleet.nodes):
+                if number not in former and node.leader and node.leader.is_loaded:
+                    return number
+        return self.fail("no daemon was elected")
+
+    # Guards against runs that are started elsewhere by a new leader because another
+    # worker has the address in an entry of a former incarnation, written late.
+    def test_outdated_entry_at_the_address_of_another_worker(self):
+        fleet = self.start_fleet(workers=0)
+        for number in range(3):
+            entry = worker_entry(number, started_at_ms=5)
+            fleet.add_worker(entry, 0.0)
+        fleet.run_for(1.0)
+        assigned = self.start_standing_job(fleet, 4)
+        number = int(assigned[1:])
+        other = worker_entry((number + 1) % 3)
+        stale = replace(worker_entry(number, started_at_ms=1), port=other.port)
+        fleet.records.write(f"servers/{assigned}", server_record(stale))
+        fleet.kill(fleet.leader())
+        fleet.run_for(3.5)
+        current = fleet.workers.workers[assigned].entry
+        fleet.records.write(f"servers/{assigned}", server_record(current))
+        fleet.run_for(WORKER_LEASES_MAX_S)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    # Guards against work for a worker that returned with less capacity than the entry
+    # of its former incarnation has, as long as a new leader knows that entry only.
+    def test_outdated_entry_gives_a_worker_no_work(self):
+        fleet = FleetSimulation(run_s=0.0, workers=0)
+        fleet.workers.ignores_incarnation = True
+        fleet.add_worker(worker_entry(0), 0.0)
+        small = worker_entry(0, cores=2, started_at_ms=2)
+        fleet.workers.add(small, 0.0)
+        fleet.run_for(1.0)
+        fleet.submit(0, job(JOB, tasks=4, standing=True))
+        fleet.run_for(1.0)
+        self.assertEqual(self.count_running(fleet), 0)
+        fleet.records.write("servers/w0", server_record(small))
+        fleet.run_for(1.0)
+        self.assertEqual(self.count_running(fleet), 2)
+
+    # Guards against a leader that counts on its record until the end of its lease,
+    # although the store has taken the record away and a successor leads.
+    def test_revoked_leader_drops_no_runs_that_its_successor_has_adopted(self):
+        for revoked_after_s in (3.4, 3.8, 4.2, 4.6, 5.0):
+            with self.subTest(revoked_after_s=revoked_after_s):
+                fleet = self.start_fleet(workers=2)
+                fleet.submit(0, job(JOB, tasks=1, standing=True))
+                fleet.run_for(1.0)
+                assigned = fleet.workers.starts[0][1]
+                first = fleet.leader()
+                others = set(fleet.workers.workers) - {assigned}
+                for number, client in enumerate(fleet.worker_clients):
+                    client.unreachable = {assigned} if number == first else others
+                fleet.run_for(revoked_after_s)
+                fleet.nodes[first].mesh.is_down = True
+                self.cut_off_from_store(fleet, first, revokes_lease=True)
+                fleet.run_for(15.0)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    # Guards against a job that a leader starts although its successor, elected after
+    # the store took the leader's record away, starts it as well.
+    def test_revoked_leader_starts_no_job_of_its_successor(self):
+        for delay_s in (0.0, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5):
+            with self.subTest(delay_s=delay_s):
+                fleet = self.start_fleet(workers=2)
+                first = fleet.leader()
+                for number, client in enumerate(fleet.worker_clients):
+                    client.unreachable = {"w0"} if number == first else {"w1"}
+                fleet.run_for(2.0)
+                fleet.nodes[first].mesh.is_down = True
+                lease_id = fleet.nodes[first].election._lease_id
+                fleet.stores[first].silent_prefixes.add("dogwoodlever/leader")
+                other = next(n for n in range(3) if n != first)
+                fleet.stores[other].end_lease(lease_id)
+                fleet.run_for(delay_s)
+                fleet.submit(other, job(JOB, tasks=1, standing=True))
+                fleet.run_for(12.0)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    # Guards against a task that runs again after its end, which a new leader read
+    # before it had accepted the job.
+    def test_end_of_a_job_that_is_held_is_not_acknowledged(self):
+        fleet = self.start_fleet(workers=1, run_s=3.0)
+        fleet.submit(0, job(JOB, tasks=1))
+        fleet.run_for(0.5)
+        first = fleet.leader()
+        for store in fleet.stores:
+            store.silent_prefixes.add(INBOX_PREFIX)
+            self.lose_answers_to_renewals(store)
+        fleet.kill(first)
+        fleet.run_for(5.0)
+        for store in fleet.stores:
+            store.silent_prefixes.clear()
+        fleet.run_for(6.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        reader = next(n for n in range(3) if n != first)
+        self.assertEqual(fleet.read_phase(reader, JOB), JobPhase.COMPLETED)
+
+    def lose_answers_to_renewals(self, store):
+        renew_lease = store.renew_lease
+
+        def renew_without_answer(lease_id):
+            renew_lease(lease_id).addErrback(lambda _: None)
+            return store._no_response()
+
+        store.renew_lease = renew_without_answer
+
+    # Guards against a task of an occurrence that runs again after its end, which a new
+    # leader, whose clock is behind the former one's, read before the due time.
+    def test_end_of_an_occurrence_that_is_not_due_yet_counts(self):
+        fleet = self.start_fleet(workers=1, run_s=0.2)
+        first = fleet.leader()
+        now_s = fleet.clock.seconds()
+        fleet.nodes[first].leader._unix_s = lambda: fleet.clock.seconds() + 2.0
+        timed = SubmittedJob(
+            JOB, QUEUE, "", (Step(1, 1000, 100, 0, 200),), 1, int(now_s * 1000) + 2_500
+        )
+        fleet.submit(0, timed)
+        while not fleet.workers.starts:
+            fleet.run_for(0.01)
+        fleet.run_for(0.1)
+        fleet.nodes[first].stop()
+        fleet.run_for(6.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        reader = next(n for n in range(3) if n != first)
+        self.assertEqual(fleet.read_phase(reader, JOB), JobPhase.COMPLETED)
+
+
+if __name__ == "__main__":
+    unittest.main()
