Interrupted standing tasks go before other work after 3 s

Callers saw: a standing task that stayed down for up to 18 s on a full service.

Cause: since late short work goes before standing work, also before a standing task that has run and must run again.

Change: a standing task that has run goes first once it has been interrupted for 3 s; the platform allows 6 s. Standing tasks that have never run wait as before. A successor counts from its load, for all tasks of jobs from before its election.

Test: `interrupted_standing_task_goes_first_after_some_seconds`, 2 of 4 cases failed on the code before: AssertionError: 'quote' != 'watch'.

--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -8,7 +8,7 @@
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_headroom import CachedHeadroom, Headroom
 from dogwoodlever._fleet_job import RunPhase, StepState, Task
-from dogwoodlever._fleet_types import FleetConfiguration, Step
+from dogwoodlever._fleet_types import FleetConfiguration, Step, TaskId
 from dogwoodlever._interference_model import InterferenceModel
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._scheduling_order import scheduling_key
@@ -34,6 +34,9 @@
 # margin. Estimates may be too short by a factor of two.
 COPY_FACTOR = 2.0
 COPY_MARGIN_S = 0.3
+# A standing task that was interrupted for this long goes before all other work, so that
+# it runs again within the 6 s that the platform allows.
+INTERRUPTION_MAX_S = 3.0
 # Cost reduction for tolerated work on workers that are sensitive to other work, in
 # thousandths of a core per unit of interference from one core.
 SENSITIVITY_GAIN = 3_000
@@ -134,6 +137,7 @@
         "_faults",
         "_headrooms",
         "_interference",
+        "_interrupted_since_s",
         "_tickets",
     )
 
@@ -149,6 +153,8 @@
         # Images of the best-effort work seen so far.
         self._best_effort_images: set[str] = set()
         self._headrooms: dict[str, CachedHeadroom] = {}
+        # Since when standing tasks that have run wait to run again.
+        self._interrupted_since_s: dict[TaskId, float] = {}
 
     def plan(
         self,
@@ -185,13 +191,14 @@
             if not (skips_inherited and step.job.is_inherited)
         ]
         steps.sort(key=lambda step: scheduling_key(step, now_s, now_ms))
+        interrupted_steps = self._find_interrupted(steps, now_s)
         if len(self._headrooms) > 2 * len(capacities):
             # Drops the workers that have left.
             self._headrooms.clear()
         unplaceable = UnplaceableSizes()
         headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
         spare_by_service: dict[str, SpareOrder] = {}
-        for step in steps:
+        for step, tasks in [*interrupted_steps, *((step, None) for step in steps)]:
             queue = configuration.queues.get(step.job.queue.name, step.job.queue)
             candidates = by_service.get(queue.service, ())
             if step.spec.uses_leftover:
@@ -200,12 +207,36 @@
                     spare_by_service[queue.service] = SpareOrder(candidates)
                 order = spare_by_service[queue.service]
                 candidates = order.with_spare(_spare_min(step.spec))
-            yield from self._place_step(step, candidates, now_s, unplaceable, headroom)
+            yield from self._place_step(
+                step, candidates, now_s, unplaceable, headroom, tasks
+            )
             if step.ready and _needs_ticket(step):
                 self._tickets.request(
                     step, self._ticket_candidates(step, candidates, now_s)
                 )
 
+    def _find_interrupted(
+        self, steps: list[StepState], now_s: float
+    ) -> list[tuple[StepState, list[Task]]]:
+        """Return the steps with standing tasks that go first, and these tasks."""
+        since_s: dict[TaskId, float] = {}
+        found = []
+        for step in steps:
+            if not step.spec.standing or step.spec.gang:
+                continue
+            overdue = []
+            for task in step.ready.values():
+                if not task.last_run and not step.job.is_inherited:
+                    continue
+                task_id = task.task_id
+                since_s[task_id] = self._interrupted_since_s.get(task_id, now_s)
+                if now_s - since_s[task_id] >= INTERRUPTION_MAX_S:
+                    overdue.append(task)
+            if overdue:
+                found.append((step, overdue))
+        self._interrupted_since_s = since_s
+        return found
+
     def _ticket_candidates(self, step: StepState, candidates, now_s: float):
         """Return the workers that need only a ticket to run a step's tasks."""
         capacities = [
@@ -281,7 +312,9 @@
         now_s: float,
         unplaceable: "UnplaceableSizes",
         headroom: Headroom,
+        tasks: list[Task] | None = None,
     ):
+        """Yield placements of a step's tasks, or of the given ones only."""
         spec = step.spec
         if not _needs_ticket(step) and unplaceable.covers(step):
             return
@@ -289,7 +322,7 @@
             yield from self._place_gang(step, candidates, now_s, headroom)
             return
         ranked = self._rank(step, candidates, now_s, headroom)
-        for task in list(step.ready.values()):
+        for task in list(step.ready.values()) if tasks is None else tasks:
             if task.failed_on:
                 capacity = self._cheapest(task, candidates, now_s, headroom)
             else:
--- a/dogwoodlever/_scheduling_order.py
+++ b/dogwoodlever/_scheduling_order.py
@@ -2,7 +2,8 @@
 
 Under overload, work that can still be on time goes before late work, and late work that
 still has value before the rest. Standing work waits for both: it occupies its cores for
-so long that a short job which it passes would lose all its value.
+so long that a short job which it passes would lose all its value. A standing task that
+has run goes first once it has been interrupted for some seconds, since its users wait.
 """
 
 from enum import IntEnum
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -2,7 +2,7 @@
 from unittest.mock import patch
 
 from dogwoodlever._fault_attribution import FaultAttribution
-from dogwoodlever._fleet_planner import FleetPlanner
+from dogwoodlever._fleet_planner import INTERRUPTION_MAX_S, FleetPlanner
 from dogwoodlever._fleet_types import FleetConfiguration, Queue, Step, SubmittedJob
 from dogwoodlever._interference_model import InterferenceModel
 from dogwoodlever._run_registry import RunRegistry
@@ -75,14 +75,14 @@
                 f"k{number}", image, latency_ms, TARGET_MS, colocated_cores, now_s
             )
 
-    def plan(self, skips_inherited=False):
+    def plan(self, skips_inherited=False, now_s=NOW_S):
         placed = []
-        now_ms = NOW_S * 1000
+        now_ms = now_s * 1000
         for placement in self.planner.plan(
             self.registry,
             self.capacities,
             self.configuration,
-            NOW_S,
+            now_s,
             now_ms,
             skips_inherited,
         ):
@@ -152,6 +152,31 @@
                 placed = [job for job, _ in fixture.plan()]
                 self.assertEqual(set(placed), {first})
 
+    # Guards against standing tasks that stay down on a full service while late short
+    # work takes each hole.
+    def test_interrupted_standing_task_goes_first_after_some_seconds(self):
+        table = (
+            ("interrupted just now", 0.0, True, False, "quote"),
+            ("interrupted for long", INTERRUPTION_MAX_S, True, False, "watch"),
+            ("of an earlier leader", INTERRUPTION_MAX_S, False, True, "watch"),
+            ("has never run", INTERRUPTION_MAX_S, False, False, "quote"),
+        )
+        for name, wait_s, has_run, is_inherited, first in table:
+            with self.subTest(name):
+                fixture = Fixture(workers=1, cores=3)
+                watch = fixture.add("watch", [serving_step("s")], age_s=20.0)
+                watch.is_inherited = is_inherited
+                if has_run:
+                    task = watch.occurrences[0].steps[0].tasks[0]
+                    fixture.registry.begin_run(task, "gone", NOW_S)
+                    fixture.registry.drop_run(task, 1)
+                spare, fixture.capacities = fixture.capacities, []
+                self.assertEqual(fixture.plan(), [])
+                fixture.capacities = spare
+                fixture.add("quote", [step(3)], age_s=1.5 - wait_s)
+                placed = [job for job, _ in fixture.plan(now_s=NOW_S + wait_s)]
+                self.assertEqual(placed[0], first)
+
 
 class PlannerTest(unittest.TestCase):
     ELIGIBILITY = [
