A run with a late copy of its start waits for the copy at each next incarnation

Callers could see a task run twice: its first order got no answer, the worker crashed, the next incarnation confirmed that the run is stopped, and the task started elsewhere; that incarnation crashed too, and the copy was carried out by the one after it.

Ruled out: a wait for copies also at workers that are silent (a start that was lost in a partition would be repeated after 12.5 s instead of 5.35 s; on 153 incarnations that ended in our logs, none came back under its id).

Change: a run is released once its copy can no longer be carried out, 12.5 s after it was sent. If another worker answers at the address, it is released at once, since calls for the id are rejected there; a link tells the two apart now.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -58,15 +58,12 @@
         Counts the runs of starts without an answer.
     starts_in_flight : dict of RunId to StartInFlight
         These starts, and those sent to earlier incarnations.
-    expires_s : float
-        When the runs are dropped, unless a new incarnation appears.
     leases_expire_s : float
         When the leases have expired that its calls may have granted to the next one.
     """
 
     capacity: WorkerCapacity
     starts_in_flight: dict[RunId, StartInFlight]
-    expires_s: float
     leases_expire_s: float
 
 
@@ -379,14 +376,17 @@
         link.open()
 
     def _drop_incarnation(
-        self, worker_id: str, why: str, is_member: bool = False
+        self,
+        worker_id: str,
+        why: str,
+        is_member: bool = False,
+        may_return: bool = True,
     ) -> None:
         """Drop an incarnation of a worker, whose runs have all ended.
 
-        A copy of a start without a response may still reach the next incarnation. Its
-        run counts until that one confirms that it is stopped, or until the lease of a
-        lost worker would have expired. `is_member` keeps the worker in the
-        membership for its next incarnation.
+        A copy of a start without a response may still reach a later incarnation, if
+        the worker may return to its address. Its run counts until then. `is_member`
+        keeps the worker in the membership for its next incarnation.
         """
         capacity = self.capacities.pop(worker_id)
         link = self._links.pop(worker_id)
@@ -394,7 +394,7 @@
         log_event(
             "worker.life-over", worker=worker_id, why=why, runs=len(capacity.runs)
         )
-        starts_in_flight = link.starts_in_flight()
+        starts_in_flight = link.starts_in_flight() if may_return else {}
         self.runs.drop_lost_runs(capacity, kept=starts_in_flight)
         self._keep_starts_in_flight(capacity, starts_in_flight)
         if not capacity.runs and not is_member:
@@ -410,7 +410,6 @@
         self._ended_incarnations[capacity.entry.worker_id] = EndedIncarnation(
             capacity,
             starts_in_flight,
-            now_s + self._lease_bound_s,
             now_s + self._misdirected_lease_bound_s,
         )
 
@@ -426,17 +425,20 @@
         self._remove_worker(worker_id)
 
     def expire_ended_incarnations(self) -> None:
-        """Drop the runs of ended incarnations that got no successor in time."""
+        """Drop the runs of ended incarnations of which no start is in flight."""
         now_s = self._clock.seconds()
         for worker_id, previous in list(self._ended_incarnations.items()):
-            if now_s >= previous.expires_s and previous.capacity.runs:
-                self.runs.drop_lost_runs(previous.capacity)
-                self._remove_worker(worker_id)
+            in_flight = {
+                run_id
+                for run_id, start in previous.starts_in_flight.items()
+                if start.may_be_carried_out(now_s)
+            }
+            if not in_flight.issuperset(previous.capacity.runs):
+                self.runs.drop_lost_runs(previous.capacity, kept=in_flight)
                 self._on_change()
-            starts = previous.starts_in_flight.values()
-            if now_s >= previous.leases_expire_s and not any(
-                start.may_be_carried_out(now_s) for start in starts
-            ):
+                if not previous.capacity.runs:
+                    self._remove_worker(worker_id)
+            if now_s >= previous.leases_expire_s and not in_flight:
                 del self._ended_incarnations[worker_id]
 
     def _is_schedulable(self, capacity: WorkerCapacity) -> bool:
@@ -557,8 +559,8 @@
         capacity.update_entry(entry)
         capacity.is_listed = False
 
-    def on_replaced(self, link: WorkerLink) -> None:
-        """Drop the incarnation; the new one is added with its entry."""
+    def on_address_taken(self, link: WorkerLink) -> None:
+        """Drop the incarnation; calls for its id are rejected at its address."""
         worker_id = link.entry.worker_id
         if self._links.get(worker_id) is not link:
             return
@@ -570,4 +572,10 @@
             del self.capacities[worker_id], self._links[worker_id]
             self._probe(self._membership.entry_of(worker_id))
             return
-        self._drop_incarnation(worker_id, "another incarnation answers")
+        self._drop_incarnation(worker_id, "another worker answers", may_return=False)
+
+    def on_replaced(self, link: WorkerLink) -> None:
+        """Drop the incarnation; the new one is added with its entry."""
+        worker_id = link.entry.worker_id
+        if self._links.get(worker_id) is link:
+            self._drop_incarnation(worker_id, "another incarnation answers")
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -42,7 +42,7 @@
 EXPIRED_STARTS_MAX = 3
 # How long after its sending an order without an answer may still be carried out. A copy
 # that reaches the next incarnation of a worker is not recognised as a repetition there.
-LATE_ORDER_MAX_S = 15.0
+LATE_ORDER_MAX_S = 12.5
 # Refusals of a stop after which a start in flight may still be carried out.
 STOP_RETRY_REASONS = frozenset({RefusalReason.FENCED, RefusalReason.UNHEALTHY})
 
@@ -78,6 +78,10 @@
     def on_identified(self, link: "WorkerLink", started_at_ms: int) -> None:
         """Handle a first response from another incarnation than the entry names."""
 
+    @abstractmethod
+    def on_address_taken(self, link: "WorkerLink") -> None:
+        """Handle a response from another worker, which has the worker's address."""
+
     @abstractmethod
     def on_replaced(self, link: "WorkerLink") -> None:
         """Handle a response from another incarnation of the worker."""
@@ -96,9 +100,14 @@
     run: Run
     sent_s: float
 
+    @property
+    def expires_s(self) -> float:
+        """Time from which the copy is not carried out any more."""
+        return self.sent_s + LATE_ORDER_MAX_S
+
     def may_be_carried_out(self, now_s: float) -> bool:
         """Return whether the copy may still reach the worker."""
-        return now_s - self.sent_s < LATE_ORDER_MAX_S
+        return now_s < self.expires_s
 
 
 class WorkerLink:
@@ -331,7 +340,7 @@
             if error.reason is RefusalReason.FENCED:
                 self._report_fenced(fencing_token)
         elif isinstance(error, WrongIncarnationError):
-            self._listener.on_replaced(self)
+            self._listener.on_address_taken(self)
             return
         self._failed_polls += 1
         if self.is_reachable and self._failed_polls >= POLL_FAILURES_UNREACHABLE:
@@ -408,6 +417,8 @@
             else:
                 self._refuse(run, refusal)
             return
+        if not may_be_accepted:
+            self.unanswered_starts.pop(run.run_id, None)
 
     def _record_unanswered_copy(self, run: Run) -> None:
         now_s = self._clock.seconds()
@@ -448,11 +459,26 @@
                 if not (yield self._stop_until_answered(run_id)):
                     # The next successful poll starts over.
                     break
-                self.last_response_s[run_id] = self._clock.seconds()
                 log_event("run.ruled-out", worker=self.entry.worker_id, run=run_id)
+                self._release_later(run_id)
             self._lease_blockers.discard(run_id)
         self._is_stopping_unanswered = False
 
+    def _release_later(self, run_id: RunId) -> None:
+        """Let a stopped run be dropped once no copy of its start is in flight.
+
+        The stop holds for this incarnation only.
+        """
+        start = self._unanswered_copies.get(run_id)
+        delay_s = 0.0
+        if start is not None:
+            delay_s = max(0.0, start.expires_s - self._clock.seconds())
+        self._clock.callLater(delay_s, self._release, run_id)
+
+    def _release(self, run_id: RunId) -> None:
+        if not self.is_closed:
+            self.last_response_s[run_id] = self._clock.seconds()
+
     def _confirm_start(self, run: Run) -> None:
         self.unanswered_starts.pop(run.run_id, None)
         if self._may_retry():
