A next incarnation gets no start before it may get a lease

Test: next_incarnation_gets_no_start_before_it_may_get_a_lease, failed before (one start without a lease).

--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -177,7 +177,8 @@
         self._lease_blockers = set(self.unanswered_starts)
         self._is_stopping_unanswered = False
         self.is_closed = False
-        self.is_reachable = True
+        # A worker gets no start before it may get a lease.
+        self.is_reachable = not starts_in_flight
         # The worker may drop ends up to this number, as they are stored.
         self._acknowledged = 0
         # Highest number of an end that was applied.
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -391,6 +391,8 @@
         Duration of a stop; the run is listed as running until then.
     run_cores_milli : int
         Cores of each run, for `overcommitted_starts`.
+    invalid_starts : list of RunId
+        Starts without a lease, which workers reject.
     overcommitted_starts : list of (RunId, str)
         Starts that brought their worker over its capacity.
     """
@@ -400,6 +402,7 @@
         self.stop_s = 0.0
         self.run_cores_milli = 0
         self.overcommitted_starts: list[tuple[RunId, str]] = []
+        self.invalid_starts: list[RunId] = []
         self.requires_tickets = False
         self.delays_start_to_next_incarnation = False
         self._for_next_incarnation: dict[str, StartOrder] = {}
@@ -591,6 +594,9 @@
         self._workers.orders_to_lose -= lost
 
         def start_run(target: FakeWorker) -> int:
+            if not until_ms:
+                self._workers.invalid_starts.append(order.run)
+                raise OrderRefusedError(RefusalReason.INVALID)
             if until_ms <= target.clock_ms(self._workers.clock.seconds()):
                 raise OrderRefusedError(RefusalReason.EXPIRED)
             self._workers.renew(target, until_ms)
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -211,6 +211,18 @@
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 1)
 
+    # Guards against starts that a worker rejects since they grant no lease.
+    def test_next_incarnation_gets_no_start_before_it_may_get_a_lease(self):
+        fleet = self.start_fleet(workers=1)
+        fleet.workers.delays_start_to_next_incarnation = True
+        fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=0.1)
+        fleet.submit(0, job("b" * 16, tasks=1, standing=True), wait_s=0.1)
+        fleet.workers.crash("w0")
+        self.restart(fleet, "w0")
+        fleet.run_for(14.0)
+        self.assertEqual(fleet.workers.invalid_starts, [])
+        self.assertEqual(self.count_running(fleet), 2)
+
     # Guards against runs that are taken for lost because their ends do not fit into one
     # response of the worker.
     def test_run_whose_end_is_not_listed_yet_is_not_lost(self):
