Tasks that crash their workers are isolated and given up

Each crash lost 6 to 25 other runs, so jobs that could be done were late.

Cause: a run that is lost with its worker counts as no attempt, and nothing related the ends of workers to the tasks that had just started there. Ruled out: the limit on failed runs (such a run never ends as failed) and quarantine of workers (each crash is the first failure of another worker).

Change: a crash is recorded for each task whose run was on probation on that worker, and stored with the job's progress. Such a suspect starts alone on a worker with few runs. A run that outlives its probation clears its task. The second crash without another run on probation, the third with one, or the fourth while many workers end at the same moment, ends the job as failed. A task with two crashes starts only when they are stored, so a successor continues the count.

A worker that is draining, or that this leader has not polled, is no evidence, and a refused start is none either.

Conclusion: the number of starts of such a task is bounded, also over changes of leader. Open: a task whose worker falls silent instead of refusing connections is not counted.

--- /dev/null
+++ b/dogwoodlever/_crash_attribution.py
@@ -0,0 +1,239 @@
+"""Attribution of crashed workers to the tasks that started on them.
+
+A task may crash its worker each time it starts, and every run on that worker is lost
+with it. A crash alone does not tell which task caused it, or whether any did: workers
+also crash for reasons of their own, several at once when their data centre fails.
+
+A task that crashes its worker does so soon after its start. A run is therefore evidence
+only during its probation. A crash is recorded for each task with a run on probation
+there, and makes it a suspect. A suspect starts only on a worker without another suspect
+on probation, nothing else starts there meanwhile, and workers with few runs are
+preferred. So the next crash is evidence against one task. A task is cleared when its
+run is listed after its probation, on the worker's own clock, or ends by itself.
+
+A task is given up after its second crash if that met no other run on probation. If it
+met one, which may be the cause, the third crash as the only suspect decides. Neither
+holds if the crash is also explained by workers that ended at the same moment: one that
+ended with no run on probation ended for another reason, and one reason may end many. In
+that case the task starts again, up to `CRASHES_MAX` times.
+
+A start without an answer counts too, as the crash often comes before the answer. One
+of them is not counted towards giving up, as it may not have been carried out.
+
+A crash is hidden if the leader is lost before it has stored it. With one hidden crash,
+a task starts at most five times, even if many workers ended at the moment of each other
+crash.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from dogwoodlever._fleet_job import Run, RunPhase, Task
+from dogwoodlever._fleet_types import RunId, TaskId
+
+# Time after its start in which a run may crash its worker; a program that does so does
+# it while it loads and makes its first calls.
+PROBATION_MS = 500
+# Crashes after which the only suspect of the last one is given up: without other runs
+# that may have caused it, and with them. The platform allows no fewer than two.
+CRASHES_ALONE = 2
+CRASHES_AS_ONLY_SUSPECT = 3
+# Crashes after which a task is given up whatever else ended; the platform allows five
+# starts, one of which a change of leader may hide.
+CRASHES_MAX = 4
+# Connections to workers that end together break within this time.
+SAME_MOMENT_S = 0.25
+# A verdict waits for the ends of the same moment, each of which is certain after some
+# polls.
+VERDICT_DELAY_S = 0.6
+# Ends that are certain only when leases expire are compared with earlier ones.
+ENDS_KEPT_S = 10.0
+# Number and share of the workers whose end in one moment has a common cause.
+COMMON_CAUSE_WORKERS_MIN = 4
+COMMON_CAUSE_RATIO = 0.1
+
+
+@dataclass(slots=True, frozen=True)
+class WorkerEnd:
+    """End of a worker's process.
+
+    Attributes
+    ----------
+    has_young_runs : bool
+        Whether a run on probation may have caused it.
+    """
+
+    ended_s: float
+    has_young_runs: bool
+
+
+@dataclass(slots=True, frozen=True)
+class PendingVerdict:
+    """Task that is given up unless its last crash has a common cause with others.
+
+    Attributes
+    ----------
+    crashed_s, detected_s : float
+        When the worker crashed, and when that became known.
+    workers : int
+        Number of workers at the time of the crash.
+    """
+
+    task: Task
+    crashed_s: float
+    detected_s: float
+    workers: int
+
+
+class CrashAttribution:
+    """Finds tasks that crash the workers on which they start.
+
+    Parameters
+    ----------
+    is_stored : callable
+        Returns whether the progress of a job, by id, is stored. A task with several
+        crashes waits for that, so that no successor starts it without knowing them.
+    """
+
+    __slots__ = ("_is_stored", "_on_probation", "_pending", "_worker_ends")
+
+    def __init__(self, is_stored: Callable[[str], bool]) -> None:
+        self._is_stored = is_stored
+        # Runs of suspects on probation, by worker id.
+        self._on_probation: dict[str, set[RunId]] = {}
+        self._pending: dict[TaskId, PendingVerdict] = {}
+        self._worker_ends: list[WorkerEnd] = []
+
+    def is_held(self, task: Task) -> bool:
+        """Return whether a task must not start now."""
+        owner = task.accountable
+        if len(owner.crashes) < CRASHES_ALONE:
+            return False
+        return owner.task_id in self._pending or not self._is_stored(
+            owner.task_id.job_id
+        )
+
+    def is_reserved(self, worker_id: str) -> bool:
+        """Return whether a suspect is on probation on a worker."""
+        return worker_id in self._on_probation
+
+    def add_run(self, run: Run, task: Task) -> None:
+        """Reserve the worker of a run if its task is a suspect."""
+        if task.accountable.crashes:
+            self._on_probation.setdefault(run.worker_id, set()).add(run.run_id)
+
+    def remove_run(self, run: Run) -> None:
+        """Release the worker of a run that ended or outlived its probation."""
+        run_ids = self._on_probation.get(run.worker_id)
+        if run_ids is not None:
+            run_ids.discard(run.run_id)
+            if not run_ids:
+                del self._on_probation[run.worker_id]
+
+    def record_listed(self, run: Run, task: Task | None, clock_ms: int) -> bool:
+        """Record that a run was running; return whether that clears its task.
+
+        Parameters
+        ----------
+        run : Run
+            The run.
+        task : Task or None
+            Its task; None if its job is not open.
+        clock_ms : int
+            The worker's clock at the report.
+        """
+        if run.is_proven:
+            return False
+        if run.seen_clock_ms < 0:
+            run.seen_clock_ms = clock_ms
+        if clock_ms - run.seen_clock_ms < PROBATION_MS:
+            return False
+        run.is_proven = True
+        self.remove_run(run)
+        return task is not None and self.clear(task)
+
+    def clear(self, task: Task) -> bool:
+        """Drop the evidence against a task; return whether there was any."""
+        owner = task.accountable
+        self._pending.pop(owner.task_id, None)
+        if not owner.crashes:
+            return False
+        owner.crashes.clear()
+        owner.unanswered_crashes.clear()
+        return True
+
+    def record_crash(
+        self,
+        worker_id: str,
+        runs: Iterable[tuple[Run, Task]],
+        ended_s: float,
+        now_s: float,
+        workers: int,
+    ) -> list[Task]:
+        """Record that a worker's process ended; return the tasks that may have done it.
+
+        Parameters
+        ----------
+        worker_id : str
+            The worker.
+        runs : iterable of (Run, Task)
+            The runs that it lost, and the starts that it may have carried out.
+        ended_s : float
+            When the process ended; infinitely early if unknown.
+        now_s : float
+            Current time.
+        workers : int
+            Number of workers.
+        """
+        young = [
+            (run, task.accountable)
+            for run, task in runs
+            if not run.is_proven and ended_s - run.started_s < PROBATION_MS / 1000
+        ]
+        suspects = {owner.task_id for _, owner in young if owner.crashes}
+        crashed_s = now_s if math.isinf(ended_s) else ended_s
+        self._worker_ends = [
+            end for end in self._worker_ends if now_s - end.ended_s <= ENDS_KEPT_S
+        ]
+        self._worker_ends.append(WorkerEnd(crashed_s, bool(young)))
+        owners = {owner.task_id: owner for _, owner in young}
+        for run, owner in young:
+            owner.crashes[run.run_id.number] = worker_id
+            if run.phase is RunPhase.STARTING:
+                owner.unanswered_crashes.add(run.run_id.number)
+        threshold = CRASHES_ALONE if len(owners) == 1 else CRASHES_AS_ONLY_SUSPECT
+        for task_id, owner in owners.items():
+            crashes = len(owner.crashes)
+            counted = crashes - bool(owner.unanswered_crashes)
+            is_decisive = suspects == {task_id} and counted >= threshold
+            if is_decisive or crashes >= CRASHES_MAX:
+                self._pending[task_id] = PendingVerdict(
+                    owner, crashed_s, now_s, workers
+                )
+        return list(owners.values())
+
+    def pop_given_up(self, now_s: float) -> list[Task]:
+        """Return the tasks that are given up now, and release the exonerated ones."""
+        given_up = []
+        for task_id, verdict in list(self._pending.items()):
+            if now_s - verdict.detected_s < VERDICT_DELAY_S:
+                continue
+            del self._pending[task_id]
+            is_final = len(verdict.task.crashes) >= CRASHES_MAX
+            if is_final or not self._has_common_cause(verdict):
+                given_up.append(verdict.task)
+        return given_up
+
+    def _has_common_cause(self, verdict: PendingVerdict) -> bool:
+        """Return whether other workers ended together with that of a crash."""
+        ends = [
+            end
+            for end in self._worker_ends
+            if abs(end.ended_s - verdict.crashed_s) <= SAME_MOMENT_S
+        ]
+        if not all(end.has_young_runs for end in ends):
+            return True
+        return len(ends) >= max(
+            COMMON_CAUSE_WORKERS_MIN, verdict.workers * COMMON_CAUSE_RATIO
+        )
--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -63,6 +63,12 @@
         Since when its latency exceeds its target; infinite if it does not.
     latency_excess : float
         Average excess of its latency over the expected one, as a logarithm.
+    may_have_started : bool
+        Whether an order to start it may have been carried out.
+    seen_clock_ms : int
+        The worker's clock when it confirmed or first listed the run; -1 before that.
+    is_proven : bool
+        Whether it has run for so long that it does not crash its worker.
     """
 
     run_id: RunId
@@ -78,6 +84,9 @@
     sampled_s: float = float("-inf")
     over_target_since_s: float = float("inf")
     latency_excess: float = 0.0
+    may_have_started: bool = True
+    seen_clock_ms: int = -1
+    is_proven: bool = False
 
     def remaining_s(self, step: Step) -> float:
         """Return the estimated run time left at the last report."""
@@ -86,7 +95,15 @@
 
 @dataclass(slots=True)
 class Task:
-    """One task of a step."""
+    """One task of a step.
+
+    Attributes
+    ----------
+    crashes : dict of int to str
+        Runs that may have crashed their worker, with its id; empty if unknown.
+    unanswered_crashes : set of int
+        Those of them that may not have been carried out, as far as this leader knows.
+    """
 
     task_id: TaskId
     step: "StepState"
@@ -96,6 +113,13 @@
     checkpoint: str = ""
     runs: dict[int, Run] = field(default_factory=dict)
     failed_on: set[str] = field(default_factory=set)
+    crashes: dict[int, str] = field(default_factory=dict)
+    unanswered_crashes: set[int] = field(default_factory=set)
+
+    @property
+    def accountable(self) -> "Task":
+        """Task on which failures and crashes count: the first of a gang."""
+        return self.step.tasks[0] if self.step.spec.gang else self
 
     @property
     def is_ready(self) -> bool:
@@ -201,11 +225,14 @@
         Numbers of failed runs and the newest checkpoint by index of the task. The
         numbers are kept instead of a count, because a worker may list an end again
         to a later leader.
+    crashes : dict
+        Numbers of runs that may have crashed their worker, by index of the task.
     """
 
     done: str = "0"
     failures: dict[int, tuple[int, ...]] = {}
     checkpoints: dict[int, str] = {}
+    crashes: dict[int, tuple[int, ...]] = {}
 
 
 class JobProgress(msgspec.Struct, omit_defaults=True):
@@ -238,16 +265,23 @@
 
 
 def _merge_step(first: StepProgress, other: StepProgress) -> StepProgress:
-    failures = dict(first.failures)
-    for index, runs in other.failures.items():
-        failures[index] = tuple(sorted({*runs, *failures.get(index, ())}))
     return StepProgress(
         f"{int(first.done, 16) | int(other.done, 16):x}",
-        failures,
+        _merge_runs(first.failures, other.failures),
         {**first.checkpoints, **other.checkpoints},
+        _merge_runs(first.crashes, other.crashes),
     )
 
 
+def _merge_runs(
+    first: dict[int, tuple[int, ...]], other: dict[int, tuple[int, ...]]
+) -> dict[int, tuple[int, ...]]:
+    merged = dict(first)
+    for index, runs in other.items():
+        merged[index] = tuple(sorted({*runs, *merged.get(index, ())}))
+    return merged
+
+
 class JobState:
     """State of a registered job.
 
@@ -419,15 +453,18 @@
     done = 0
     failures = {}
     checkpoints = {}
+    crashes = {}
     for index, task in enumerate(step.tasks):
         if task.is_done:
             done |= 1 << index
             continue
+        if task.crashes:
+            crashes[index] = tuple(sorted(task.crashes))
         if task.failed_runs:
             failures[index] = tuple(sorted(task.failed_runs))
         if task.checkpoint:
             checkpoints[index] = task.checkpoint
-    return StepProgress(f"{done:x}", failures, checkpoints)
+    return StepProgress(f"{done:x}", failures, checkpoints, crashes)
 
 
 def _restore_step(step: StepState, stored: StepProgress) -> None:
@@ -435,7 +472,8 @@
     for index, task in enumerate(step.tasks):
         task.is_done = bool(done >> index & 1)
         task.failed_runs = set(stored.failures.get(index, ()))
-        task.last_run = max(task.failed_runs, default=0)
+        task.crashes = dict.fromkeys(stored.crashes.get(index, ()), "")
+        task.last_run = max((*task.failed_runs, *task.crashes), default=0)
         task.checkpoint = stored.checkpoints.get(index, "")
         step.refresh(task)
     step.done = done.bit_count()
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import inlineCallbacks
 
+from dogwoodlever._crash_attribution import CrashAttribution
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_desired_state import DesiredState
 from dogwoodlever._fleet_interfaces import (
@@ -128,10 +129,11 @@
         self._term_revision = fencing_token
         self.registry = RunRegistry(term)
         faults = FaultAttribution(QUARANTINE_S, QUARANTINE_S)
+        crashes = CrashAttribution(self._is_stored)
         self._interference = InterferenceModel()
         self._interference_stored_s = clock.seconds()
         self._tickets = TicketCache(advice, clock, self.plan_soon)
-        self._planner = FleetPlanner(faults, self._interference, self._tickets)
+        self._planner = FleetPlanner(faults, crashes, self._interference, self._tickets)
         self._membership = WorkerMembership(
             store, clock, self._get_term_revision, self.plan_soon
         )
@@ -144,6 +146,7 @@
             self._membership,
             RunThrottler(self._interference, platform_limits.target_violation_max_s),
             faults,
+            crashes,
             metrics,
             self.plan_soon,
             self._on_runs_ended,
@@ -372,6 +375,9 @@
         state = self.registry.jobs.get(job_id)
         return None if state is None else state.phase
 
+    def _is_stored(self, job_id: str) -> bool:
+        return self._progress_writer.is_stored(job_id)
+
     def _on_runs_ended(self) -> None:
         self._progress_writer.schedule_flush()
 
@@ -392,6 +398,9 @@
         self.registry.open_due(self._unix_s() * 1000)
         self.workers.expire_unpolled_workers()
         self.workers.expire_ended_incarnations()
+        self.workers.runs.give_up_crashing(self._clock.seconds())
+        if self.registry.dirty:
+            self._progress_writer.schedule_flush()
         self._move_throttled(self._clock.seconds())
         self._store_interference(self._clock.seconds())
         self._retention.sweep()
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -44,6 +44,9 @@
         self.worker_events = self._counter(
             "worker_events", "Events of workers", "event"
         )
+        self.suspect_events = self._counter(
+            "suspect_events", "Events of tasks that may crash workers", "event"
+        )
 
     def _counter(self, name: str, documentation: str, *labels: str) -> Counter:
         return Counter(
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from dogwoodlever._crash_attribution import PROBATION_MS, CrashAttribution
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_headroom import CachedHeadroom, Headroom
 from dogwoodlever._fleet_job import RunPhase, StepState, Task
@@ -30,6 +31,10 @@
 # Cost of a unit of interference, which more than doubles the tail latency of a
 # standing task, in thousandths of a core.
 INTERFERENCE_COST = 20_000
+# Costs of each run beside a task that may crash its worker, in thousandths of a core. A
+# run on probation may be the cause of the next crash.
+BYSTANDER_COST = 50_000
+YOUNG_BYSTANDER_COST = 400_000
 # A speculative copy starts once a run exceeds its estimate by this factor plus the
 # margin. Estimates may be too short by a factor of two.
 COPY_FACTOR = 2.0
@@ -123,6 +128,8 @@
     ----------
     faults : FaultAttribution
         Limits the tasks on workers whose runs fail.
+    crashes : CrashAttribution
+        Isolates tasks that may crash their workers.
     interference : InterferenceModel
         Estimates the interference between images.
     tickets : TicketSource
@@ -131,6 +138,7 @@
 
     __slots__ = (
         "_best_effort_images",
+        "_crashes",
         "_faults",
         "_headrooms",
         "_interference",
@@ -140,11 +148,13 @@
     def __init__(
         self,
         faults: FaultAttribution,
+        crashes: CrashAttribution,
         interference: InterferenceModel,
         tickets: TicketSource,
     ) -> None:
         self._tickets = tickets
         self._faults = faults
+        self._crashes = crashes
         self._interference = interference
         # Images of the best-effort work seen so far.
         self._best_effort_images: set[str] = set()
@@ -290,12 +300,15 @@
             return
         ranked = self._rank(step, candidates, now_s, headroom)
         for task in list(step.ready.values()):
-            if task.failed_on:
+            if self._crashes.is_held(task):
+                continue
+            is_single = bool(task.failed_on or task.crashes)
+            if is_single:
                 capacity = self._cheapest(task, candidates, now_s, headroom)
             else:
                 capacity = self._pop_cheapest(ranked, step, now_s, headroom)
             if capacity is None:
-                if not task.failed_on:
+                if not is_single:
                     if not _needs_ticket(step):
                         unplaceable.add(step)
                     return
@@ -332,7 +345,7 @@
     def _place_gang(
         self, step: StepState, candidates, now_s: float, headroom: Headroom
     ):
-        if len(step.ready) < len(step.tasks):
+        if len(step.ready) < len(step.tasks) or self._crashes.is_held(step.tasks[0]):
             return
         racks = (
             {capacity.entry.rack for capacity in candidates}
@@ -366,6 +379,7 @@
                 continue
             worker_id = capacity.entry.worker_id
             cost += AVOID_COST if worker_id in failed_on else 0.0
+            cost += _bystander_cost(step.tasks[0], capacity, now_s)
             ranked.append((cost, worker_id, capacity))
         chosen: list[WorkerCapacity] = []
         for _, _, capacity in sorted(ranked, key=lambda row: row[:2]):
@@ -400,6 +414,7 @@
                 continue
             if capacity.entry.worker_id in task.failed_on:
                 cost += AVOID_COST
+            cost += _bystander_cost(task, capacity, now_s)
             if cheapest is None or cost < cheapest_cost:
                 cheapest, cheapest_cost = capacity, cost
         return cheapest
@@ -424,6 +439,8 @@
         if spec.label and spec.label not in capacity.entry.labels:
             return False
         worker_id = capacity.entry.worker_id
+        if self._crashes.is_reserved(worker_id):
+            return False
         tasks_max = spec.worker_tasks_max
         if tasks_max and step.worker_tasks.get(worker_id, 0) >= tasks_max:
             return False
@@ -461,6 +478,17 @@
         return self._interference.total(spec.image, capacity.interfering_cores())
 
 
+def _bystander_cost(task: Task, capacity: WorkerCapacity, now_s: float) -> int:
+    """Return the cost of the runs that a task would lose by crashing a worker."""
+    if not task.accountable.crashes:
+        return 0
+    cost = 0
+    for run, _ in capacity.runs.values():
+        is_young = now_s - run.started_s < PROBATION_MS / 1000
+        cost += YOUNG_BYSTANDER_COST if is_young else BYSTANDER_COST
+    return cost
+
+
 def _needs_ticket(step: StepState) -> bool:
     return step.job.queue.advice is not None
 
@@ -477,7 +505,7 @@
 
 def _is_late(task: Task, now_s: float) -> bool:
     """Return whether a task's only run takes far longer than estimated."""
-    if task.is_done or len(task.runs) != 1:
+    if task.is_done or len(task.runs) != 1 or task.accountable.crashes:
         return False
     run = next(iter(task.runs.values()))
     limit_s = COPY_FACTOR * task.step.spec.run_estimate_ms / 1000 + COPY_MARGIN_S
--- a/dogwoodlever/_fleet_progress_writer.py
+++ b/dogwoodlever/_fleet_progress_writer.py
@@ -74,6 +74,8 @@
         self._timer = None
         self._is_writing = False
         self._is_closed = False
+        # Jobs whose progress is being written.
+        self._in_flight: tuple[str, ...] = ()
         self._revisions: dict[str, int] = {}
         self.write_count = 0
 
@@ -85,6 +87,10 @@
         """Drop the revision of a job whose records are removed."""
         self._revisions.pop(job_id, None)
 
+    def is_stored(self, job_id: str) -> bool:
+        """Return whether all progress of a job is stored."""
+        return job_id not in self._registry.dirty and job_id not in self._in_flight
+
     def close(self) -> None:
         """Stop writing."""
         self._is_closed = True
@@ -139,11 +145,14 @@
                 remaining[JOBS_PER_WRITE_MAX:],
             )
             self._registry.dirty.difference_update(batch)
+            self._in_flight = tuple(batch)
             try:
                 yield self._write_batch(batch)
             except PlatformError:
                 self._registry.dirty.update(batch)
                 raise
+            finally:
+                self._in_flight = ()
         self._reported.clear()
         if not self._is_closed:
             self._on_stored(last_end_numbers)
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable, Container
 
+from dogwoodlever._crash_attribution import CrashAttribution
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_interfaces import RefusalReason
-from dogwoodlever._fleet_job import Run, RunPhase, StepState
+from dogwoodlever._fleet_job import JobPhase, JobState, Run, RunPhase, StepState, Task
 from dogwoodlever._fleet_metrics import FleetMetrics
 from dogwoodlever._fleet_planner import Placement
 from dogwoodlever._fleet_types import (
@@ -13,9 +14,10 @@
     RunId,
     RunningRun,
     StartOrder,
+    TaskId,
 )
 from dogwoodlever._logs import log_event
-from dogwoodlever._run_registry import RunRegistry
+from dogwoodlever._run_registry import ENDED_DONE, ENDED_FAILED, RunRegistry
 from dogwoodlever._run_throttler import RunThrottler, stalled_runs
 from dogwoodlever._worker_capacity import WorkerCapacity
 from dogwoodlever._worker_link import WorkerLink
@@ -25,6 +27,8 @@
 REFUSED_BACKOFF_S = 0.3
 # An unhealthy worker refuses all orders.
 UNHEALTHY_BACKOFF_S = 1.0
+# Ends that a task reaches by itself, on a worker that still reports them.
+PROVEN_OUTCOMES = frozenset({ENDED_DONE, ENDED_FAILED})
 
 
 class FleetRuns:
@@ -40,6 +44,8 @@
         Throttles best-effort runs.
     faults : FaultAttribution
         Finds workers whose runs fail.
+    crashes : CrashAttribution
+        Finds tasks that crash workers.
     metrics : FleetMetrics
         Counters and histograms.
     capacities : dict of str to WorkerCapacity
@@ -56,6 +62,7 @@
         registry: RunRegistry,
         throttler: RunThrottler,
         faults: FaultAttribution,
+        crashes: CrashAttribution,
         metrics: FleetMetrics,
         capacities: dict[str, WorkerCapacity],
         links: dict[str, WorkerLink],
@@ -65,6 +72,7 @@
         self._registry = registry
         self._throttler = throttler
         self._faults = faults
+        self._crashes = crashes
         self._metrics = metrics
         self._capacities = capacities
         self._links = links
@@ -79,6 +87,7 @@
         worker_id = capacity.entry.worker_id
         run = self._registry.begin_run(task, worker_id, now_s, placement.number)
         capacity.add(run, task.step.spec)
+        self._crashes.add_run(run, task)
         job = task.step.job
         self._metrics.task_wait_s.observe(now_s - job.arrived_s)
         log_event(
@@ -153,7 +162,7 @@
                 link.last_end_number = end.number
                 self._apply_end(capacity, link, end)
         for listed_run in result.running:
-            self._apply_running(capacity, link, listed_run)
+            self._apply_running(capacity, link, listed_run, result.clock_ms)
         self._drop_unlisted(capacity, link, result, sent_s)
         for order in self._throttler.decide(capacity, self._clock.seconds()):
             self._metrics.throttle_orders.inc()
@@ -185,6 +194,8 @@
         pair = capacity.runs.get(end.run)
         capacity.remove(end.run)
         link.last_response_s.pop(end.run, None)
+        if pair is not None:
+            self._crashes.remove_run(pair[0])
         outcome = self._registry.end_run(end)
         self._metrics.run_ends.labels(end.outcome).inc()
         worker_id = capacity.entry.worker_id
@@ -208,19 +219,28 @@
                 outcome.task.failed_on.add(worker_id)
         elif pair and outcome.task is not None and outcome.task.is_done:
             self._faults.record_success(worker_id, end.run.task.job_id)
+        if outcome.task is not None and end.outcome in PROVEN_OUTCOMES:
+            self._clear(outcome.task)
         if outcome.job_ended:
-            state = outcome.task.step.job
-            log_event(
-                "job.ended",
-                job=state.job.job_id,
-                phase=state.phase,
-                took_s=now_s - state.arrived_s,
-                objective_s=state.objective_s,
-            )
+            self._log_job_ended(outcome.task.step.job, now_s)
         self.stop_all(outcome.obsolete)
 
+    @staticmethod
+    def _log_job_ended(state: JobState, now_s: float) -> None:
+        log_event(
+            "job.ended",
+            job=state.job.job_id,
+            phase=state.phase,
+            took_s=now_s - state.arrived_s,
+            objective_s=state.objective_s,
+        )
+
     def _apply_running(
-        self, capacity: WorkerCapacity, link: WorkerLink, listed_run: RunningRun
+        self,
+        capacity: WorkerCapacity,
+        link: WorkerLink,
+        listed_run: RunningRun,
+        clock_ms: int,
     ) -> None:
         pair = capacity.runs.get(listed_run.run)
         now_s = self._clock.seconds()
@@ -228,6 +248,10 @@
             self._adopt(capacity, link, listed_run, now_s)
             return
         run, step = pair
+        if not run.is_proven:
+            task = self._registry.find(listed_run.run.task)
+            if self._crashes.record_listed(run, task, clock_ms):
+                self._report_cleared(task)
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
         if listed_run.percent != run.percent:
@@ -256,6 +280,7 @@
         if run is not None and run.worker_id == worker_id:
             task = self._registry.find(listed_run.run.task)
             capacity.add(run, task.step.spec)
+            self._crashes.add_run(run, task)
             link.last_response_s[run.run_id] = now_s
             run.percent = listed_run.percent
             run.progressed_s = now_s
@@ -294,8 +319,67 @@
             if run.run_id not in kept:
                 self._drop_lost(capacity, run, "worker lost")
 
+    def drop_crashed_runs(
+        self, capacity: WorkerCapacity, ended_s: float, kept: Container[RunId] = ()
+    ) -> None:
+        """Drop the runs of a worker whose process ended, except those in `kept`.
+
+        Those in `kept` got no answer, and count as lost too, unless each order was
+        refused. A draining worker ends as announced, whatever runs there. Of one that
+        was never polled, it is not known what ran there.
+        """
+        worker_id = capacity.entry.worker_id
+        if capacity.is_synced and not capacity.entry.is_draining:
+            lost = []
+            for run, _ in capacity.runs.values():
+                self._crashes.remove_run(run)
+                task = self._registry.find(run.run_id.task)
+                is_open = task is not None and not task.step.job.has_ended
+                if is_open and run.may_have_started:
+                    lost.append((run, task))
+            suspects = self._crashes.record_crash(
+                worker_id, lost, ended_s, self._clock.seconds(), len(self._capacities)
+            )
+            for task in suspects:
+                self._registry.dirty.add(task.task_id.job_id)
+                self._metrics.suspect_events.labels("suspected").inc()
+                log_event(
+                    "task.suspected",
+                    task=_format_task_id(task.task_id),
+                    crashes=len(task.crashes),
+                    worker=worker_id,
+                )
+        self.drop_lost_runs(capacity, kept)
+
+    def _clear(self, task: Task) -> None:
+        """Clear a task whose run has ended without a crash of its worker."""
+        if self._crashes.clear(task):
+            self._report_cleared(task)
+
+    def _report_cleared(self, task: Task) -> None:
+        self._registry.dirty.add(task.task_id.job_id)
+        self._metrics.suspect_events.labels("cleared").inc()
+        log_event("task.cleared", task=_format_task_id(task.task_id))
+
+    def give_up_crashing(self, now_s: float) -> None:
+        """End the jobs of tasks that crash their workers."""
+        for task in self._crashes.pop_given_up(now_s):
+            state = task.step.job
+            if state.has_ended:
+                continue
+            self._metrics.suspect_events.labels("given_up").inc()
+            log_event(
+                "task.given-up",
+                task=_format_task_id(task.task_id),
+                crashes=len(task.crashes),
+                workers=",".join(filter(None, task.crashes.values())),
+            )
+            self.stop_all(self._registry.end_job(state, JobPhase.FAILED))
+            self._log_job_ended(state, now_s)
+
     def _drop_lost(self, capacity: WorkerCapacity, run: Run, why: str) -> None:
         capacity.remove(run.run_id)
+        self._crashes.remove_run(run)
         link = self._links.get(capacity.entry.worker_id)
         if link is not None:
             link.last_response_s.pop(run.run_id, None)
@@ -322,6 +406,7 @@
         log_event("run.refused", run=_format_run(run), worker=worker_id, reason=reason)
         if capacity is not None:
             capacity.remove(run.run_id)
+            self._crashes.remove_run(run)
             pause_s = REFUSED_BACKOFF_S
             if reason is RefusalReason.UNHEALTHY:
                 pause_s = UNHEALTHY_BACKOFF_S
@@ -333,9 +418,12 @@
                 self._on_ticket_rejected(task.step, capacity)
 
 
+def _format_task_id(task: TaskId) -> str:
+    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
+
+
 def _format_run_id(run_id: RunId) -> str:
-    task = run_id.task
-    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}#{run_id.number}"
+    return f"{_format_task_id(run_id.task)}#{run_id.number}"
 
 
 def _format_run(run: Run) -> str:
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
+from dogwoodlever._crash_attribution import PROBATION_MS, CrashAttribution
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_desired_state import DesiredState, try_decode_worker
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
@@ -89,6 +90,8 @@
         Throttles best-effort runs.
     faults : FaultAttribution
         Finds workers whose runs fail.
+    crashes : CrashAttribution
+        Finds tasks that crash workers.
     metrics : FleetMetrics
         Counters and histograms.
     on_change : callable
@@ -127,6 +130,7 @@
         membership: WorkerMembership,
         throttler: RunThrottler,
         faults: FaultAttribution,
+        crashes: CrashAttribution,
         metrics: FleetMetrics,
         on_change: Callable[[], None],
         on_ended: Callable[[], None],
@@ -141,6 +145,7 @@
         self._get_fencing_token = get_fencing_token
         self._desired_state = desired_state
         self._membership = membership
+        self._crashes = crashes
         self._metrics = metrics
         self._on_change = on_change
         self._on_ended = on_ended
@@ -161,6 +166,7 @@
             registry,
             throttler,
             faults,
+            crashes,
             metrics,
             self.capacities,
             self._links,
@@ -320,7 +326,7 @@
         log_event(
             "worker.life-over", worker=worker_id, why=why, runs=len(capacity.runs)
         )
-        self.runs.drop_lost_runs(capacity, kept=link.unanswered_starts)
+        self.runs.drop_crashed_runs(capacity, link.broken_s, link.unanswered_starts)
         if link.unanswered_starts:
             expires_s = self._clock.seconds() + self._lease_bound_s
             self._ended_incarnations[worker_id] = EndedIncarnation(
@@ -387,6 +393,8 @@
         if capacity.serving_count and capacity.best_effort_milli:
             slowdown = max(1.0, len(self.capacities) / WORKERS_AT_FULL_POLL_RATE)
             return int(THROTTLED_POLL_WAIT_MS * slowdown)
+        if self._crashes.is_reserved(capacity.entry.worker_id):
+            return PROBATION_MS
         return POLL_WAIT_MS
 
     def on_started(self, link: WorkerLink, run: Run) -> None:
--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -190,9 +190,8 @@
         step = task.step
         if step.spec.standing:
             return EndOutcome(task, is_failure=True)
-        counted_task = step.tasks[0] if step.spec.gang else task
-        counted_task.failed_runs.add(number)
-        if len(counted_task.failed_runs) < step.job.queue.attempts_max:
+        task.accountable.failed_runs.add(number)
+        if len(task.accountable.failed_runs) < step.job.queue.attempts_max:
             return EndOutcome(task, is_failure=True)
         runs = self.end_job(step.job, JobPhase.FAILED)
         return EndOutcome(task, is_failure=True, job_ended=True, obsolete=runs)
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -130,6 +130,9 @@
         self._poll_wait_ms = POLL_WAIT_MS
         self._failed_polls = 0
         self._refused_polls = 0
+        # When the connection of the first poll without an answer ended, or when that
+        # poll was sent if it timed out; infinitely early if the last one was answered.
+        self.broken_s = float("-inf")
         # Runs whose start was neither answered nor prevented by a confirmed stop.
         self.unanswered_starts = unanswered_starts
         # No lease is granted until these runs can no longer start: a worker carries
@@ -249,6 +252,10 @@
             )
         except PlatformError as error:
             if not self.is_closed:
+                if not self._failed_polls:
+                    now_s = self._clock.seconds()
+                    is_early = now_s - sent_s <= wait_ms / 1000
+                    self.broken_s = now_s if is_early else sent_s
                 self._poll_failed(error, fencing_token)
             return
         if self.is_closed:
@@ -262,6 +269,7 @@
             return
         self._failed_polls = 0
         self._refused_polls = 0
+        self.broken_s = float("-inf")
         self._update_clock(result.clock_ms)
         if self._lease_blockers:
             self._stop_unanswered()
@@ -330,6 +338,7 @@
             except WorkerUnreachableError as error:
                 is_sent = not isinstance(error, WorkerStoppedError)
                 may_be_accepted = may_be_accepted or is_sent
+                run.may_have_started = may_be_accepted
                 yield self._pause(ORDER_RETRY_S)
                 continue
             except WrongIncarnationError:
@@ -345,6 +354,8 @@
             if refusal is None or (
                 may_be_accepted and refusal is RefusalReason.SUPERSEDED
             ):
+                if refusal is None:
+                    run.seen_clock_ms = clock_ms
                 self._confirm_start(run)
                 return
             expired_count += refusal is RefusalReason.EXPIRED
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -27,6 +27,7 @@
     RunningRun,
     StartOrder,
     StepId,
+    TaskId,
     WorkerEntry,
 )
 from dogwoodlever.peers import Message, PeerTransport
@@ -46,6 +47,8 @@
 ADVICE_DELAY_S = 0.05
 WORKER_TIMEOUT_S = 0.8
 LEASE_MAX_MS = 10_000
+# From the start of a task that crashes its worker to the crash.
+CRASH_DELAY_S = 0.01
 
 
 def server_record(entry: WorkerEntry, state: str = "ready") -> bytes:
@@ -382,10 +385,19 @@
     start_delay_s : float or None
         If set, the next start order times out and takes effect after this delay, if
         the worker holds a lease by then.
+    crashing_tasks : set of TaskId
+        Tasks that crash each worker that starts them.
+    crash_delay_s : float
+        From the start of such a task to the crash; 0 if the start gets no answer.
+    crashes : list of str
+        Workers whose processes ended, in order.
     """
 
     def __init__(self, clock) -> None:
         self.start_delay_s: float | None = None
+        self.crashing_tasks: set[TaskId] = set()
+        self.crash_delay_s = CRASH_DELAY_S
+        self.crashes: list[str] = []
         self.requires_tickets = False
         self.ignores_incarnation = False
         self.delays_start_to_next_incarnation = False
@@ -437,6 +449,9 @@
     def crash(self, worker_id: str) -> None:
         """End a worker's process; what ran there is gone."""
         worker = self.workers[worker_id]
+        if worker.is_stopped:
+            return
+        self.crashes.append(worker_id)
         worker.is_stopped = True
         worker.running.clear()
         worker.ended.clear()
@@ -478,6 +493,17 @@
             worker.run_duration_s(order.run, order.payload),
         )
         self.starts.append((order.run, worker.entry.worker_id))
+        if order.run.task in self.crashing_tasks:
+            if not self.crash_delay_s:
+                self.crash(worker.entry.worker_id)
+                raise WorkerUnreachableError("connection lost")
+            self.clock.callLater(
+                self.crash_delay_s, self._crash_if_running, worker, order
+            )
+
+    def _crash_if_running(self, worker: FakeWorker, order: StartOrder) -> None:
+        if order.run in worker.running:
+            self.crash(worker.entry.worker_id)
 
 
 class FakeFleetWorkerClient(FleetWorkerClient):
@@ -530,7 +556,7 @@
             worker.fencing_token = fencing_token
             try:
                 result = action(worker)
-            except OrderRefusedError as error:
+            except (OrderRefusedError, WorkerUnreachableError) as error:
                 response.errback(error)
                 return
             if sends_response:
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -1,6 +1,7 @@
 import unittest
 from unittest.mock import patch
 
+from dogwoodlever._crash_attribution import CrashAttribution
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_planner import FleetPlanner
 from dogwoodlever._fleet_types import FleetConfiguration, Queue, Step, SubmittedJob
@@ -46,8 +47,11 @@
         self.configuration = FleetConfiguration(1, self.queues)
         self.registry = RunRegistry(1)
         self.faults = FaultAttribution()
+        self.crashes = CrashAttribution(lambda job_id: True)
         self.interference = InterferenceModel()
-        self.planner = FleetPlanner(self.faults, self.interference, NoTickets())
+        self.planner = FleetPlanner(
+            self.faults, self.crashes, self.interference, NoTickets()
+        )
         entries = entries or [worker_entry(n, cores) for n in range(workers)]
         self.capacities = [WorkerCapacity(entry) for entry in entries]
 
