--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
+from dogwoodlever._crash_attribution import PROBATION_MS, CrashAttribution
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_desired_state import DesiredState, try_decode_worker
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
@@ -88,6 +89,8 @@
         Throttles best-effort runs.
     faults : FaultAttribution
         Finds workers whose runs fail.
+    crashes : CrashAttribution
+        Finds tasks that crash workers.
     metrics : FleetMetrics
         Counters and histograms.
     on_change : callable
@@ -126,6 +129,7 @@
         membership: WorkerMembership,
         throttler: RunThrottler,
         faults: FaultAttribution,
+        crashes: CrashAttribution,
         metrics: FleetMetrics,
         on_change: Callable[[], None],
         on_ended: Callable[[], None],
@@ -140,6 +144,7 @@
         self._get_fencing_token = get_fencing_token
         self._desired_state = desired_state
         self._membership = membership
+        self._crashes = crashes
         self._metrics = metrics
         self._on_change = on_change
         self._on_ended = on_ended
@@ -167,6 +172,7 @@
             registry,
             throttler,
             faults,
+            crashes,
             metrics,
             self.capacities,
             self._links,
@@ -395,7 +401,7 @@
             "worker.life-over", worker=worker_id, why=why, runs=len(capacity.runs)
         )
         starts_in_flight = link.starts_in_flight() if may_return else {}
-        self.runs.drop_lost_runs(capacity, kept=starts_in_flight)
+        self.runs.drop_crashed_runs(capacity, link.broken_s, starts_in_flight)
         self._keep_starts_in_flight(capacity, starts_in_flight)
         if not capacity.runs and not is_member:
             self._remove_worker(worker_id)
@@ -479,6 +485,8 @@
         if capacity.serving_count and capacity.best_effort_milli:
             slowdown = max(1.0, len(self.capacities) / WORKERS_AT_FULL_POLL_RATE)
             return int(THROTTLED_POLL_WAIT_MS * slowdown)
+        if self._crashes.is_reserved(capacity.entry.worker_id):
+            return PROBATION_MS
         return POLL_WAIT_MS
 
     def on_started(self, link: WorkerLink, run: Run) -> None:
@@ -526,7 +534,11 @@
         self._metrics.worker_events.labels("lapsed").inc()
         log_event("worker.lapsed", worker=worker_id, runs=len(capacity.runs))
         link.last_response_s.clear()
-        self.runs.drop_lost_runs(capacity)
+        if link.is_refused:
+            # Most likely its process has ended.
+            self.runs.drop_crashed_runs(capacity, link.broken_s)
+        else:
+            self.runs.drop_lost_runs(capacity)
         self.unpolled_workers.discard(worker_id)
         capacity.is_synced = False
         if not capacity.is_listed:
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -166,6 +166,11 @@
         self.has_lease_expired = False
         self._poll_wait_ms = POLL_WAIT_MS
         self._failed_polls = 0
+        # Whether the connection of the last poll was refused.
+        self.is_refused = False
+        # When the connection of the first poll without an answer ended, or when that
+        # poll was sent if it timed out; infinitely early if the last one was answered.
+        self.broken_s = float("-inf")
         # Runs whose start was neither answered nor prevented by a confirmed stop.
         self.unanswered_starts = {
             run_id: start.run for run_id, start in starts_in_flight.items()
@@ -306,6 +311,10 @@
             )
         except PlatformError as error:
             if not self.is_closed:
+                if not self._failed_polls:
+                    now_s = self._clock.seconds()
+                    is_early = now_s - sent_s <= wait_ms / 1000
+                    self.broken_s = now_s if is_early else sent_s
                 self._poll_failed(error, fencing_token)
             return
         if self.is_closed:
@@ -320,6 +329,8 @@
                 return
             self._listener.on_identified(self, result.started_at_ms)
         self._failed_polls = 0
+        self.is_refused = False
+        self.broken_s = float("-inf")
         self._update_clock(result.clock_ms)
         if self._lease_blockers:
             self._stop_unanswered()
@@ -343,6 +354,7 @@
         elif isinstance(error, WrongIncarnationError):
             self._listener.on_address_taken(self)
             return
+        self.is_refused = isinstance(error, ConnectionRefusedByWorkerError)
         self._failed_polls += 1
         if self.is_reachable and self._failed_polls >= POLL_FAILURES_UNREACHABLE:
             self.is_reachable = False
@@ -389,6 +401,7 @@
                 if not isinstance(error, ConnectionRefusedByWorkerError):
                     may_be_accepted = True
                     self._record_unanswered_copy(run)
+                run.may_have_started = may_be_accepted
                 yield self._pause(ORDER_RETRY_S)
                 continue
             except WrongIncarnationError:
@@ -404,6 +417,8 @@
             if refusal is None or (
                 may_be_accepted and refusal is RefusalReason.SUPERSEDED
             ):
+                if refusal is None:
+                    run.seen_clock_ms = clock_ms
                 self._confirm_start(run)
                 return
             expired_count += refusal is RefusalReason.EXPIRED
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -27,6 +27,7 @@
     RunningRun,
     StartOrder,
     StepId,
+    TaskId,
     WorkerEntry,
 )
 from dogwoodlever.peers import Message, PeerTransport
@@ -48,6 +49,8 @@
 LEASE_MAX_MS = 10_000
 # Most ends that a worker lists in one response.
 ENDS_LISTED_MAX = 500
+# From the start of a task that crashes its worker to the crash.
+CRASH_DELAY_S = 0.01
 
 
 def server_record(entry: WorkerEntry, state: str = "ready") -> bytes:
@@ -395,6 +398,12 @@
         Starts without a lease, which workers reject.
     overcommitted_starts : list of (RunId, str)
         Starts that brought their worker over its capacity.
+    crashing_tasks : set of TaskId
+        Tasks that crash each worker that starts them.
+    crash_delay_s : float
+        From the start of such a task to the crash; 0 if the start gets no answer.
+    crashes : list of str
+        Workers whose processes ended, in order.
     """
 
     def __init__(self, clock) -> None:
@@ -403,6 +412,9 @@
         self.run_cores_milli = 0
         self.overcommitted_starts: list[tuple[RunId, str]] = []
         self.invalid_starts: list[RunId] = []
+        self.crashing_tasks: set[TaskId] = set()
+        self.crash_delay_s = CRASH_DELAY_S
+        self.crashes: list[str] = []
         self.requires_tickets = False
         self.delays_start_to_next_incarnation = False
         self._for_next_incarnation: dict[str, StartOrder] = {}
@@ -453,6 +465,9 @@
     def crash(self, worker_id: str) -> None:
         """End a worker's process; what ran there is gone."""
         worker = self.workers[worker_id]
+        if worker.refuses_connections:
+            return
+        self.crashes.append(worker_id)
         worker.refuses_connections = True
         worker.running.clear()
         worker.ended.clear()
@@ -497,6 +512,17 @@
         used_milli = len(worker.running) * self.run_cores_milli
         if used_milli > worker.entry.cores_milli:
             self.overcommitted_starts.append((order.run, worker.entry.worker_id))
+        if order.run.task in self.crashing_tasks:
+            if not self.crash_delay_s:
+                self.crash(worker.entry.worker_id)
+                raise WorkerUnreachableError("connection lost")
+            self.clock.callLater(
+                self.crash_delay_s, self._crash_if_running, worker, order
+            )
+
+    def _crash_if_running(self, worker: FakeWorker, order: StartOrder) -> None:
+        if order.run in worker.running:
+            self.crash(worker.entry.worker_id)
 
     def stop(self, worker: FakeWorker, run_id: RunId) -> None:
         """Stop a run, after `stop_s` if it is running."""
@@ -564,7 +590,7 @@
             worker.fencing_token = fencing_token
             try:
                 result = action(worker)
-            except OrderRefusedError as error:
+            except (OrderRefusedError, WorkerUnreachableError) as error:
                 response.errback(error)
                 return
             if sends_response:
--- a/tests/test_worker_resize.py
+++ b/tests/test_worker_resize.py
@@ -164,6 +164,7 @@
             fixture.registry,
             RunThrottler(fixture.interference, 4.0),
             fixture.faults,
+            fixture.crashes,
             FleetMetrics(),
             capacities,
             self.links,
