--- a/Makefile
+++ b/Makefile
@@ -31,12 +31,13 @@
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks
 
-# Six random seeds by default; `make soak SEEDS="1 2 3"` runs the given ones.
+# Six random seeds by default; `make soak SEEDS="1 2 3"` runs the given ones, and
+# `SOAK_OPTIONS=--refuses` lets links that are cut refuse connections.
 SEEDS ?= $(shell for n in 1 2 3 4 5 6; do od -An -N3 -tu4 /dev/urandom; done)
 SOAK_JOBS ?= 3
 soak: $(STAMP)
 	echo $(SEEDS) | tr ' ' '\n' | \
-		xargs -P $(SOAK_JOBS) -I{} $(BIN)/python -m tests.fleet_soak --seed {}
+		xargs -P $(SOAK_JOBS) -I{} $(BIN)/python -m tests.fleet_soak --seed {} $(SOAK_OPTIONS)
 
 soak-cells: $(STAMP)
 	$(BIN)/python -m tests.soak_cells
--- a/standins/faulty_proxy.py
+++ b/standins/faulty_proxy.py
@@ -1,7 +1,9 @@
 """A TCP proxy on loopback that delays, drops or resets traffic."""
 
+import socket
 from enum import StrEnum
 
+from twisted.internet.defer import inlineCallbacks, succeed
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
 
@@ -17,6 +19,8 @@
     OPEN_SILENT = "open-silent"
     # Open and new connections are reset.
     RESET = "reset"
+    # Open connections are reset and new ones refused, as if nothing listened.
+    REFUSED = "refused"
 
 
 class FaultyProxy(Factory):
@@ -48,6 +52,8 @@
         self.connections: set[_ClientConnection] = set()
         self._listening = reactor.listenTCP(0, self, interface=host)
         self.port = self._listening.getHost().port
+        # Keeps the port while connections are refused.
+        self._reservation: socket.socket | None = None
 
     def buildProtocol(self, _address):  # noqa: N802
         """Return the protocol of a new client connection."""
@@ -55,20 +61,45 @@
 
     def inject(self, fault: LinkFault) -> None:
         """Inject a fault into the link; `NONE` ends the current one."""
+        was_refusing = self.fault is LinkFault.REFUSED
         self.fault = fault
-        if fault is LinkFault.RESET:
-            for client in list(self.connections):
-                client.abort()
-        elif fault is LinkFault.OPEN_SILENT:
+        if fault in (LinkFault.RESET, LinkFault.REFUSED):
+            self._reset_connections()
+        if fault is LinkFault.REFUSED and not was_refusing:
+            self._refuse()
+        elif fault is not LinkFault.REFUSED and self._reservation is not None:
+            self._listen_again()
+        if fault is LinkFault.OPEN_SILENT:
             for client in self.connections:
                 client.is_silent = True
             self.fault = LinkFault.NONE
 
     def close(self):
         """Reset all connections; return a Deferred that fires once listening stops."""
+        self._reset_connections()
+        if self._reservation is not None:
+            self._reservation.close()
+            return succeed(None)
+        return self._listening.stopListening()
+
+    def _reset_connections(self) -> None:
         for client in list(self.connections):
             client.abort()
-        return self._listening.stopListening()
+
+    @inlineCallbacks
+    def _refuse(self):
+        """Replace the listening socket by one that only keeps the port."""
+        yield self._listening.stopListening()
+        self._reservation = socket.socket()
+        self._reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reservation.bind((self.host, self.port))
+        if self.fault is not LinkFault.REFUSED:
+            self._listen_again()
+
+    def _listen_again(self) -> None:
+        self._reservation.close()
+        self._reservation = None
+        self._listening = self.reactor.listenTCP(self.port, self, interface=self.host)
 
 
 class _ClientConnection(Protocol):
--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -18,8 +18,9 @@
 from twisted.internet.task import LoopingCall, deferLater
 
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
+from standins.faulty_proxy import LinkFault
 from tests.soak_checker import SoakJob, SoakStep
-from tests.soak_faults import SoakFaults
+from tests.soak_faults import LINK_FAULTS, SoakFaults
 from tests.soak_site import QUEUE_HOST, QUEUE_PREFIX, SoakSite
 
 # A failure seen once is traced from the logs of its run.
@@ -160,13 +161,21 @@
         Time during which faults are injected.
     daemons, workers : int
         Number of daemons and of workers.
+    link_faults : tuple of LinkFault
+        Faults of links that are cut.
     """
 
     def __init__(
-        self, folder: Path, seed: int, duration_s: float, daemons: int, workers: int
+        self,
+        folder: Path,
+        seed: int,
+        duration_s: float,
+        daemons: int,
+        workers: int,
+        link_faults: tuple[LinkFault, ...],
     ) -> None:
         self.site = SoakSite(folder, daemons, workers)
-        self._faults = SoakFaults(self.site, seed)
+        self._faults = SoakFaults(self.site, seed, link_faults)
         self._callers = [
             SoakCaller(self.site, f"{seed}/{number}") for number in range(CALLERS)
         ]
@@ -240,6 +249,7 @@
     daemons: int = 4,
     workers: int = 6,
     folder: Path | None = None,
+    refuses: bool = False,
 ) -> int:
     """Run one soak; return the exit status.
 
@@ -254,12 +264,15 @@
     folder : Path
         Folder in which settings and logs are kept; a new one under `LOG_FOLDER` by
         default.
+    refuses : bool
+        Links that are cut refuse connections.
     """
     if folder is None:
         LOG_FOLDER.mkdir(parents=True, exist_ok=True)
         folder = Path(tempfile.mkdtemp(prefix=f"seed-{seed}-", dir=LOG_FOLDER))
     folder.mkdir(parents=True, exist_ok=True)
-    soak = FleetSoak(folder, seed, duration_s, daemons, workers)
+    link_faults = (LinkFault.REFUSED,) if refuses else LINK_FAULTS
+    soak = FleetSoak(folder, seed, duration_s, daemons, workers, link_faults)
     running = soak.run()
     running.addErrback(lambda failure: soak.failures.append(str(failure)))
     running.addBoth(lambda _result: soak.site.close())
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -32,10 +32,15 @@
         Site to inject the faults into.
     seed : int
         Seed of the faults, their targets and times.
+    link_faults : tuple of LinkFault
+        Faults of links that are cut; the last one is that of crashed workers.
     """
 
-    def __init__(self, site: SoakSite, seed: int) -> None:
+    def __init__(
+        self, site: SoakSite, seed: int, link_faults: tuple[LinkFault, ...]
+    ) -> None:
         self._site = site
+        self._link_faults = link_faults
         self._random = random.Random(seed)
         self._until_s = 0.0
         self._active_count = 0
@@ -168,7 +173,7 @@
 
     @inlineCallbacks
     def _inject_link_fault(self, links, target: str, least_s: float, most_s: float):
-        fault = self._random.choice(LINK_FAULTS)
+        fault = self._random.choice(self._link_faults)
         self._record(f"{fault} {target}")
         for link in links:
             link.inject(fault)
@@ -241,7 +246,7 @@
         self._reserved.add(name)
         self._record(f"crash {name}")
         link = self._site.worker_links[name]
-        link.inject(LinkFault.RESET)
+        link.inject(self._link_faults[-1])
         self._site.stop_worker(name)
         yield self._pause(0.3, 5.0)
         self._site.start_worker(name)
