A leader accepts a job after a contact with the store that was sent later

Cause: `_accept_confirmed_jobs` counted on `confirmed_until_s`, the whole lease of the record (1.8 s), which the store may end earlier.

Ruled out: the watch of the leader's record, whose answers count as before; waiting for the next regular renewal, which would add up to 0.5 s to each job.

Change: a job waits for a renewal or an answer of the watch that was sent after its arrival. A held job causes a renewal at once, unless one is under way, which is then followed by one more; after a failed renewal the next follows 0.1 s later. The answer to a renewal under a former lease is ignored: a late `LeaseEndedError` would have ended the new term. `job.held` is logged for jobs that waited over 0.1 s, with `held_s` instead of `unconfirmed_s`.

A renewal that is answered proves that the lease exists; a store that removes the record but keeps its lease is noticed by the watch alone.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -24,6 +24,8 @@
 LEASE_TTL_MS = 1_800
 RENEW_INTERVAL_S = 0.5
 RETRY_S = 0.2
+# Delay after a failed renewal while jobs wait for one.
+CONFIRM_RETRY_S = 0.1
 # Spreads the candidates, so that most find the record already written.
 CANDIDATE_DELAY_MAX_S = 0.08
 # Longest delay of a candidate on a weak VM, which lets stronger ones lead.
@@ -63,6 +65,8 @@
         no other daemon has led since this one did.
     on_step_down : callable
         Called with the reason when this daemon steps down.
+    on_renewed : callable
+        Called after each successful renewal.
     watcher : PrefixWatcher
         Watches the leader's record; its last successful call shows until when there
         was no successor.
@@ -77,6 +81,7 @@
         ttl_min_ms: int,
         on_elected: Callable[[int, int, bool], None],
         on_step_down: Callable[[str], None],
+        on_renewed: Callable[[], None],
         watcher: PrefixWatcher,
     ) -> None:
         self._store = store
@@ -86,6 +91,7 @@
         self._ttl_ms = max(LEASE_TTL_MS, ttl_min_ms)
         self._on_elected = on_elected
         self._on_step_down = on_step_down
+        self._on_renewed = on_renewed
         self._watcher = watcher
         self._random = random.Random(record.member)
         self._lease_id = 0
@@ -95,6 +101,10 @@
         self._timer = None
         self._is_closed = False
         self._is_campaigning = False
+        # Lease of the renewal that is under way, 0 for none.
+        self._renewing_lease_id = 0
+        self._renewal_failed_s = float("-inf")
+        self._is_confirmation_due = False
         self.is_record_loaded = False
         # Leader of the term before this daemon's, and a time by which it was elected.
         self.former_leader = ""
@@ -106,12 +116,6 @@
         self.leads = False
         self.renewed_s = float("-inf")
 
-    @property
-    def confirmed_until_s(self) -> float:
-        """Time until which this daemon is known to have led without a successor."""
-        lease_s = self.renewed_s + self._ttl_ms / 1000
-        return max(lease_s, self._watcher.sent_s)
-
     @property
     def contact_s(self) -> float:
         """Time of the last contact with the store that showed no successor."""
@@ -125,6 +129,18 @@
         """
         return self.contact_s + WORKER_LEASES_MAX_S
 
+    def confirm_soon(self) -> None:
+        """Renew the lease at once, which shows whether this daemon still leads.
+
+        Calls during a renewal cause one more renewal after it. A campaign needs none,
+        since its write shows the same.
+        """
+        if self._is_closed or not self.leads or self.leader is None:
+            return
+        self._is_confirmation_due = True
+        if self._renewing_lease_id != self._lease_id:
+            self._schedule_renewal()
+
     def close(self) -> None:
         """Stop renewing the lease and campaigning."""
         self._is_closed = True
@@ -268,32 +284,54 @@
         self.fencing_token = revision
         self.leads = True
         self.renewed_s = sent_s
+        self._is_confirmation_due = False
         self._cancel_timer()
         self._timer = self._clock.callLater(RENEW_INTERVAL_S, self._renew)
         log_event("leader.elected", term=term, fence=revision, continued=is_continued)
         self._on_elected(term, revision, is_continued)
 
+    def _schedule_renewal(self) -> None:
+        delay_s = RENEW_INTERVAL_S
+        if self._is_confirmation_due:
+            wait_until_s = self._renewal_failed_s + CONFIRM_RETRY_S
+            delay_s = max(0.0, wait_until_s - self._clock.seconds())
+        self._cancel_timer()
+        self._timer = self._clock.callLater(delay_s, self._renew)
+
     @inlineCallbacks
     def _renew(self):
         if not self.leads or self._is_closed:
             return
         sent_s = self._clock.seconds()
-        lease_id = self._lease_id
+        lease_id = self._renewing_lease_id = self._lease_id
+        is_confirmation = self._is_confirmation_due
+        self._is_confirmation_due = False
+        is_renewed = False
         try:
             yield self._store.renew_lease(lease_id)
-            self.renewed_s = sent_s
+            is_renewed = True
         except LeaseEndedError:
-            log_event("leader.lease-ended", term_age_s=sent_s - self.renewed_s)
-            if self.leads:
+            if lease_id == self._lease_id and self.leads:
+                log_event("leader.lease-ended", term_age_s=sent_s - self.renewed_s)
                 self.leader = None
                 self._schedule_campaign()
-            return
         except PlatformError as error:
             log_event("leader.renewal-failed", why=str(error)[:160])
-            self._step_down_if_unconfirmed()
-        if self.leads and not self._is_closed:
-            self._cancel_timer()
-            self._timer = self._clock.callLater(RENEW_INTERVAL_S, self._renew)
+            if lease_id == self._lease_id:
+                self._renewal_failed_s = self._clock.seconds()
+                self._is_confirmation_due |= is_confirmation
+                self._step_down_if_unconfirmed()
+        if lease_id != self._lease_id:
+            # This daemon stepped down, or leads under a new lease that is renewed.
+            return
+        self._renewing_lease_id = 0
+        if self._is_closed or not self.leads:
+            return
+        if self.leader is not None:
+            self._schedule_renewal()
+        if is_renewed:
+            self.renewed_s = sent_s
+            self._on_renewed()
 
     def _step_down_if_unconfirmed(self) -> None:
         if not self.leads:
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -48,6 +48,8 @@
 from dogwoodlever.platform_errors import PlatformError
 
 LOAD_RETRY_S = 0.2
+# A job that waits for a contact with the store for longer than this is logged.
+LONG_HOLD_S = 0.1
 # Every heartbeat changes a worker's entry, so changes are batched for this long. Far
 # below the 2 s within which a draining worker must be noticed.
 WORKERS_WATCH_INTERVAL_S = 0.4
@@ -96,8 +98,8 @@
         Counters and histograms.
     platform_limits : PlatformLimits
         Limits that the platform sets.
-    get_confirmed_until_s : callable
-        Returns the time until which no other daemon can have led.
+    confirm_soon : callable
+        Requests a contact with the store, to learn whether there is a successor.
     get_contact_s : callable
         Returns the time of the last contact with the store that showed no successor.
     get_leases_end_s : callable
@@ -119,7 +121,7 @@
         on_unstored: Callable[[dict[str, bytes]], None],
         metrics: FleetMetrics,
         platform_limits: PlatformLimits,
-        get_confirmed_until_s: Callable[[], float],
+        confirm_soon: Callable[[], None],
         get_contact_s: Callable[[], float],
         get_leases_end_s: Callable[[], float],
     ) -> None:
@@ -180,7 +182,8 @@
         self._cancelled: set[str] = set()
         self._progress: dict[str, bytes] = {}
         self._unstored_progress = unstored_progress
-        self._get_confirmed_until_s = get_confirmed_until_s
+        self._confirm_soon = confirm_soon
+        self._get_contact_s = get_contact_s
         # Arrival time and record of jobs that a successor may have accepted.
         self._unconfirmed_jobs: deque[tuple[float, Record]] = deque()
         self._moved_s = float("-inf")
@@ -215,6 +218,9 @@
         self.term = term
         self.fencing_token = fencing_token
         self._term_revision = fencing_token
+        self.accept_confirmed_jobs()
+        if self._unconfirmed_jobs:
+            self._confirm_soon()
 
     def on_former_leader_stopped(self, elected_s: float) -> None:
         """Record that the former leader, elected by `elected_s`, has stopped."""
@@ -291,28 +297,29 @@
                 # A job from before the election must be known before its ends are read.
                 self._accept_job(record)
                 return
-            now_s = self._clock.seconds()
-            self._unconfirmed_jobs.append((now_s, record))
-            self._accept_confirmed_jobs()
-            if self._unconfirmed_jobs:
-                age_s = now_s - self._get_confirmed_until_s()
-                log_event("job.held", key=record.key, unconfirmed_s=age_s)
+            self._unconfirmed_jobs.append((self._clock.seconds(), record))
+            self._confirm_soon()
         elif record.key.startswith(CANCELS_PREFIX):
             self._accept_cancel(record.key[len(CANCELS_PREFIX) :])
 
-    def _accept_confirmed_jobs(self) -> None:
-        """Accept the jobs that arrived while no other daemon can have led.
+    def accept_confirmed_jobs(self) -> None:
+        """Accept the jobs that arrived before the last contact with the store.
 
-        A partitioned leader may see its successor's jobs before it learns of the
-        successor, and may reach workers on which the successor's fencing token is
-        not yet known.
+        The contact showed no successor. A partitioned leader may see its successor's
+        jobs before it learns of the successor, and may reach workers on which the
+        successor's fencing token is not yet known.
         """
-        confirmed_until_s = self._get_confirmed_until_s()
-        while (
-            self._unconfirmed_jobs and self._unconfirmed_jobs[0][0] <= confirmed_until_s
-        ):
-            _, record = self._unconfirmed_jobs.popleft()
-            self._accept_job(record)
+        contact_s = self._get_contact_s()
+        while self._unconfirmed_jobs and self._unconfirmed_jobs[0][0] <= contact_s:
+            arrival_s, record = self._unconfirmed_jobs.popleft()
+            held_s = self._clock.seconds() - arrival_s
+            if held_s > LONG_HOLD_S:
+                log_event("job.held", key=record.key, held_s=held_s)
+            try:
+                self._accept_job(record)
+            except Exception as error:
+                # One unreadable record must not hold the others.
+                log_event("record.failed", key=record.key, why=repr(error)[:200])
 
     def _accept_job(self, record: Record) -> None:
         job = decode_submission(record.value)
@@ -401,7 +408,7 @@
         if self.is_closed:
             return
         self._tick_call = self._clock.callLater(TICK_INTERVAL_S, self._tick)
-        self._accept_confirmed_jobs()
+        self.accept_confirmed_jobs()
         self.registry.open_due(self._unix_s() * 1000)
         self.workers.expire_unpolled_workers()
         self.workers.expire_ended_incarnations()
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -105,6 +105,7 @@
             settings.lease_ttl_min_ms,
             self._on_elected,
             self._on_step_down,
+            self._on_renewed,
             self._leader_watcher,
         )
         self.frontend = FleetFrontend(
@@ -219,7 +220,7 @@
                 self.settings.job_state_kept_s,
                 self.settings.harm_s,
             ),
-            lambda: self.election.confirmed_until_s,
+            self.election.confirm_soon,
             lambda: self.election.contact_s,
             lambda: self.election.worker_leases_end_s,
         )
@@ -253,6 +254,10 @@
             self.leader.close()
             self.leader = None
 
+    def _on_renewed(self) -> None:
+        if self.leader is not None:
+            self.leader.accept_confirmed_jobs()
+
     def _on_fenced(self, worker_id: str) -> None:
         self.election.step_down(f"worker {worker_id} has a higher fencing token")
 
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -1,14 +1,17 @@
 import unittest
 
 import msgspec
+from twisted.internet.defer import Deferred, fail
 
+from dogwoodlever._fleet_election import CONFIRM_RETRY_S
 from dogwoodlever._fleet_frontend import CallOutcome
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_leader import STARTS_PER_ROUND
-from dogwoodlever._fleet_records import LEADER_KEY, progress_key
+from dogwoodlever._fleet_records import JOBS_PREFIX, LEADER_KEY, progress_key
 from dogwoodlever._fleet_types import ADVICE_WORKERS_MAX, Step, SubmittedJob
 from dogwoodlever._fleet_watcher import RETRY_S
-from standins.fleet import STORE_TIMEOUT_S, server_record
+from dogwoodlever.platform_errors import StoreRefusedError
+from standins.fleet import STORE_DELAY_S, STORE_TIMEOUT_S, server_record
 from tests.fleet_simulation import (
     CONFIGURATION,
     FleetSimulation,
@@ -692,5 +695,228 @@
         self.assertLess(fleet.workers.polls - before, 30)
 
 
+class RenewalLog:
+    """Records the renewals of one daemon, and delays, loses or refuses them.
+
+    Parameters
+    ----------
+    fleet : FleetSimulation
+        The fleet.
+    number : int
+        Number of the daemon.
+
+    Attributes
+    ----------
+    sent_s, answered_s : list of float
+        Times of the calls and of their answers or failures.
+    delay_s : float
+        Delay before the store gets a renewal.
+    answers_to_lose : int
+        How many of the next renewals take effect but time out.
+    is_refusing : bool
+        Renewals fail immediately.
+    """
+
+    def __init__(self, fleet, number):
+        self.sent_s, self.answered_s = [], []
+        self.delay_s = 0.0
+        self.answers_to_lose = 0
+        self.is_refusing = False
+        self.outstanding_max = 0
+        self._clock = fleet.clock
+        self._store = fleet.stores[number]
+        self._renew_lease = self._store.renew_lease
+        self._store.renew_lease = self.renew
+
+    def renew(self, lease_id):
+        self.sent_s.append(self._clock.seconds())
+        outstanding = len(self.sent_s) - len(self.answered_s)
+        self.outstanding_max = max(self.outstanding_max, outstanding)
+        if self.is_refusing:
+            return fail(StoreRefusedError("refused")).addBoth(self._on_answer)
+        if self.answers_to_lose:
+            self.answers_to_lose -= 1
+            self._renew_lease(lease_id)
+            return self._store._no_response().addBoth(self._on_answer)
+        call = Deferred()
+        self._clock.callLater(self.delay_s, call.callback, lease_id)
+        return call.addCallback(self._renew_lease).addBoth(self._on_answer)
+
+    def _on_answer(self, result):
+        self.answered_s.append(self._clock.seconds())
+        return result
+
+
+class JobConfirmationTest(unittest.TestCase):
+    step_s = 0.001
+
+    def start_fleet(self, **sizes):
+        fleet = FleetSimulation(**sizes)
+        fleet.run_for(1.0)
+        return fleet, fleet.nodes[fleet.leader()], RenewalLog(fleet, fleet.leader())
+
+    def run_until(self, fleet, is_reached, limit_s=3.0):
+        until_s = fleet.clock.seconds() + limit_s
+        while not is_reached():
+            self.assertLess(fleet.clock.seconds(), until_s)
+            fleet.clock.advance(self.step_s)
+            fleet.workers.advance()
+        return fleet.clock.seconds()
+
+    def run_until_renewed(self, fleet, renewals):
+        answers = len(renewals.answered_s)
+        return self.run_until(fleet, lambda: len(renewals.answered_s) > answers)
+
+    def submit(self, fleet, job_ids):
+        for job_id in job_ids:
+            deadline_s = fleet.clock.seconds() + 3.0
+            fleet.nodes[0].frontend.submit(job(job_id, tasks=1), deadline_s)
+
+    def await_arrival(self, fleet, node):
+        return self.run_until(fleet, lambda: node.leader._unconfirmed_jobs)
+
+    def await_acceptance(self, fleet, node, job_ids, limit_s=3.0):
+        def are_accepted():
+            return all(job_id in node.leader.registry.jobs for job_id in job_ids)
+
+        return self.run_until(fleet, are_accepted, limit_s)
+
+    # Guards against jobs that wait for the next regular renewal.
+    def test_job_waits_for_one_call_to_the_store(self):
+        for delay_s in (0.0, 0.05, 0.3):
+            with self.subTest(delay_s=delay_s):
+                fleet, node, renewals = self.start_fleet()
+                self.run_until_renewed(fleet, renewals)
+                renewals.delay_s = delay_s
+                self.submit(fleet, [JOB])
+                arrived_s = self.await_arrival(fleet, node)
+                accepted_s = self.await_acceptance(fleet, node, [JOB])
+                call_s = delay_s + STORE_DELAY_S + 2 * self.step_s
+                self.assertLessEqual(accepted_s - arrived_s, call_s)
+
+    # Guards against a renewal that was sent before a job arrived and confirms it.
+    def test_job_that_arrives_during_a_renewal_waits_for_the_next_one(self):
+        fleet, node, renewals = self.start_fleet()
+        renewals.delay_s = 0.2
+        renewed_s = self.run_until_renewed(fleet, renewals)
+        sent = len(renewals.sent_s)
+        self.run_until(fleet, lambda: len(renewals.sent_s) > sent)
+        self.assertAlmostEqual(renewals.sent_s[-1], renewed_s + 0.5, delta=0.005)
+        self.submit(fleet, [JOB])
+        arrived_s = self.await_arrival(fleet, node)
+        self.assertGreater(arrived_s, renewals.sent_s[-1])
+        accepted_s = self.await_acceptance(fleet, node, [JOB])
+        self.assertEqual(len(renewals.sent_s), sent + 2)
+        self.assertGreaterEqual(renewals.sent_s[-1], arrived_s)
+        self.assertEqual(accepted_s, renewals.answered_s[-1])
+
+    # Guards against a renewal for each job.
+    def test_jobs_that_arrive_together_share_renewals(self):
+        for delay_s in (0.0, 0.1):
+            with self.subTest(delay_s=delay_s):
+                fleet, node, renewals = self.start_fleet()
+                self.run_until_renewed(fleet, renewals)
+                renewals.delay_s = delay_s
+                sent = len(renewals.sent_s)
+                job_ids = [f"{number:016x}" for number in range(50)]
+                self.submit(fleet, job_ids)
+                self.await_acceptance(fleet, node, job_ids)
+                self.assertIn(len(renewals.sent_s) - sent, (1, 2))
+                self.assertEqual(renewals.outstanding_max, 1)
+                # The usual rhythm goes on.
+                sent = len(renewals.sent_s)
+                renewals.delay_s = 0.0
+                fleet.run_for(5.0)
+                self.assertIn(len(renewals.sent_s) - sent, (9, 10))
+
+    # Guards against renewals that stop after one without an answer.
+    def test_lost_answers_of_renewals_delay_a_job(self):
+        fleet, node, renewals = self.start_fleet()
+        self.run_until_renewed(fleet, renewals)
+        fleet.stores[fleet.leader()].silent_prefixes.add(LEADER_KEY)
+        renewals.answers_to_lose = 2
+        sent = len(renewals.sent_s)
+        self.submit(fleet, [JOB])
+        arrived_s = self.await_arrival(fleet, node)
+        accepted_s = self.await_acceptance(fleet, node, [JOB])
+        wait_s = 2 * (STORE_TIMEOUT_S + CONFIRM_RETRY_S) + STORE_DELAY_S
+        self.assertAlmostEqual(accepted_s - arrived_s, wait_s, delta=0.01)
+        self.assertEqual(len(renewals.sent_s), sent + 3)
+        self.assertEqual(renewals.outstanding_max, 1)
+
+    # Guards against many renewals while the store refuses them.
+    def test_refused_renewals_are_repeated_at_intervals(self):
+        fleet, node, renewals = self.start_fleet()
+        self.run_until_renewed(fleet, renewals)
+        fleet.stores[fleet.leader()].silent_prefixes.add(LEADER_KEY)
+        renewals.is_refusing = True
+        sent = len(renewals.sent_s)
+        for number in range(10):
+            self.submit(fleet, [f"{number:016x}"])
+            self.run_until(fleet, lambda: node.leader._unconfirmed_jobs)
+            fleet.run_for(0.1)
+        self.assertEqual(len(node.leader.registry.jobs), 0)
+        times_s = renewals.sent_s[sent:]
+        self.assertGreater(len(times_s), 5)
+        for earlier_s, later_s in zip(times_s, times_s[1:], strict=False):
+            self.assertGreaterEqual(later_s - earlier_s, CONFIRM_RETRY_S - 1e-6)
+        renewals.is_refusing = False
+        regained_s = fleet.clock.seconds()
+        job_ids = [f"{number:016x}" for number in range(10)]
+        accepted_s = self.await_acceptance(fleet, node, job_ids)
+        self.assertLess(accepted_s - regained_s, CONFIRM_RETRY_S + 0.01)
+
+    # Guards against jobs that are lost or run twice because the store went down, or
+    # took the leader's record away, while they were held.
+    def test_held_jobs_outlast_an_outage_and_a_new_term(self):
+        for daemons, down_s, revokes_lease in (
+            (3, 2.0, False),
+            (3, 5.0, False),
+            (1, 0.0, True),
+            (1, 2.0, True),
+        ):
+            with self.subTest(daemons=daemons, down_s=down_s, revokes=revokes_lease):
+                self.check_held_jobs(daemons, down_s, revokes_lease)
+
+    def check_held_jobs(self, daemons, down_s, revokes_lease):
+        fleet, node, renewals = self.start_fleet(daemons=daemons)
+        leader, fencing_token = node.leader, node.leader.fencing_token
+        fleet.stores[fleet.leader()].silent_prefixes.add(LEADER_KEY)
+        renewals.is_refusing = True
+        job_ids = [f"{number:016x}" for number in range(10)]
+        self.submit(fleet, job_ids)
+        fleet.run_for(0.2)
+        self.assertEqual(len(leader._unconfirmed_jobs), 10)
+        fleet.records.is_lease_expiry_paused = True
+        for store in fleet.stores:
+            store.is_down = True
+        if revokes_lease:
+            fleet.records.end_lease(node.election._lease_id)
+        renewals.is_refusing = False
+        fleet.run_for(down_s)
+        self.assertEqual(len(leader.registry.jobs), 0)
+        for store in fleet.stores:
+            store.is_down = False
+        # A call from before the end of the outage may delay the renewal.
+        fleet.run_for(STORE_TIMEOUT_S + 0.5)
+        fleet.records.is_lease_expiry_paused = False
+        fleet.run_for(1.5)
+        self.assertIs(node.leader, leader)
+        self.assertEqual(leader.fencing_token > fencing_token, revokes_lease)
+        fleet.run_for(2.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        for job_id in job_ids:
+            self.assertEqual(leader.job_phase(job_id), JobPhase.COMPLETED)
+
+    # Guards against an unreadable record that holds the jobs that arrive with it.
+    def test_unreadable_job_affects_only_itself(self):
+        fleet, node, _ = self.start_fleet()
+        fleet.records.write(f"{JOBS_PREFIX}{'b' * 16}", b"\xff")
+        self.submit(fleet, [JOB])
+        arrived_s = self.await_arrival(fleet, node)
+        accepted_s = self.await_acceptance(fleet, node, [JOB])
+        self.assertLessEqual(accepted_s - arrived_s, 0.02)
+
+
 if __name__ == "__main__":
     unittest.main()
