A poll after a failed one grants no lease and acknowledges no end

Callers could see a task run twice: a worker crashed and returned under its id, and a poll meant for its former incarnation granted it the longest lease, since its clock starts anew. The leader changed, and its successor, which counts with leases of 5 s, started the tasks elsewhere while they still ran there. The same poll let the new incarnation drop ends that nobody had read.

Cause: polls that are repeated after a failure name a time and a number that are valid for one incarnation, and another one may answer them.

Ruled out: a longer wait of each successor (it would delay all work of silent workers); leases stored for a successor (a write for each return).

Change: after a failure, polls carry neither until one is answered. Nothing is lost by that: the lease was not extended either, and the next poll follows the answer at once.

Conclusion: a poll that is under way at the crash and carried out late, and a start that is repeated, still grant such a lease; a successor does not know of it.

--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -300,14 +300,16 @@
             return
         sent_s = self._clock.seconds()
         fencing_token = self._get_fencing_token()
-        wait_ms = self._poll_wait_ms if self._clock_ms and not self._failed_polls else 0
+        acknowledged, until_ms, wait_ms = 0, 0, 0
+        if not self._failed_polls:
+            acknowledged = self._acknowledged
+            until_ms = self._lease_until_ms()
+            wait_ms = self._poll_wait_ms if self._clock_ms else 0
+        # After a failure, another incarnation may answer, for which neither the number
+        # of the acknowledged end nor the time of the lease is valid.
         try:
             result = yield self._worker_client.poll(
-                self.entry,
-                fencing_token,
-                self._acknowledged,
-                self._lease_until_ms(),
-                wait_ms,
+                self.entry, fencing_token, acknowledged, until_ms, wait_ms
             )
         except PlatformError as error:
             if not self.is_closed:
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -59,6 +59,33 @@
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 4)
 
+    # Guards against leases and acknowledgements that a poll repeated after a failure
+    # brings to an incarnation for which they are not meant.
+    def test_poll_after_a_failure_changes_nothing_at_the_next_incarnation(self):
+        for is_silent in (False, True):
+            for returns_after_s in (0.5, 1.5, 3.0):
+                with self.subTest(is_silent=is_silent, returns_after_s=returns_after_s):
+                    self.check_repeated_poll(is_silent, returns_after_s)
+
+    def check_repeated_poll(self, is_silent, returns_after_s):
+        fleet = self.start_fleet(workers=1, run_s=1.0)
+        fleet.submit(0, job(JOB, tasks=8))
+        fleet.run_for(20.0)
+        former = fleet.workers.workers["w0"]
+        self.assertEqual(former.acknowledged_number, 8)
+        fleet.workers.crash("w0")
+        if is_silent:
+            former.refuses_connections = False
+            former.is_reachable = False
+            # The poll that was under way fails.
+            fleet.run_for(1.0)
+        fleet.run_for(returns_after_s)
+        worker = fleet.workers.add(replace(former.entry, started_at_ms=2), 0.0)
+        fleet.run_for(1.0)
+        self.assertEqual(worker.fencing_token, former.fencing_token)
+        self.assertEqual(worker.acknowledged_number, 0)
+        self.assertEqual(worker.until_ms, 0)
+
     # The same for a successor whose former leader has answered that it has stopped.
     def test_successor_knows_of_longer_leases_of_the_next_incarnation(self):
         fleet = self.start_fleet(workers=2)
