Leases of a worker count as longer while late calls may grant them

Callers could see a task run twice: a worker stopped answering, returned under its id and got work, and a poll for its former incarnation, carried out 2 s to 5 s late, granted it a lease of 10 s. The worker was cut off, and the leader, which counted with 5 s, started the tasks elsewhere while they still ran there.

Cause: the leader knew only of calls for a former incarnation that another one had answered.

Ruled out: telling refused from broken connections, since a call without a response may be carried out in either case; a refused one has not arrived.

Change: a link whose predecessor under the same id had calls without an answer that grant a lease counts with the longest lease for 12.5 s after the last of them. Cost: if that worker is lost again within this time, its tasks wait up to 21 s instead of 10.5 s. A worker that returns under another id costs nothing.

Conclusion: shown in process only. A successor does not know of such calls; a worker that it has polled rejects them, since they name a lower fencing token.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -61,11 +61,14 @@
         These starts, and those sent to earlier incarnations.
     leases_expire_s : float
         When the leases have expired that its calls may have granted to the next one.
+    late_grants_end_s : float
+        Until when its calls without an answer may still grant leases.
     """
 
     capacity: WorkerCapacity
     starts_in_flight: dict[RunId, StartInFlight]
     leases_expire_s: float
+    late_grants_end_s: float
 
 
 class FleetWorkers(LinkListener):
@@ -358,11 +361,12 @@
         capacity = WorkerCapacity(entry)
         self.capacities[worker_id] = capacity
         starts_in_flight = {}
-        misdirected_expiry_s = float("-inf")
+        misdirected_expiry_s = late_grants_end_s = float("-inf")
         previous = self._ended_incarnations.pop(worker_id, None)
         if previous is not None:
             starts_in_flight = previous.starts_in_flight
             misdirected_expiry_s = previous.leases_expire_s
+            late_grants_end_s = previous.late_grants_end_s
             for run, step in previous.capacity.runs.values():
                 capacity.add(run, step)
         link = WorkerLink(
@@ -373,8 +377,10 @@
             self,
             self._former_leases_expire_s,
             misdirected_expiry_s,
+            late_grants_end_s,
             starts_in_flight,
             self._lease_s,
+            self._misdirected_lease_bound_s,
             self._get_leases_end_s,
         )
         self._links[worker_id] = link
@@ -402,14 +408,17 @@
         )
         starts_in_flight = link.starts_in_flight() if may_return else {}
         self.runs.drop_crashed_runs(capacity, link.broken_s, starts_in_flight)
-        self._keep_starts_in_flight(capacity, starts_in_flight)
+        self._keep_starts_in_flight(capacity, starts_in_flight, link.late_grants_end_s)
         if not capacity.runs and not is_member:
             self._remove_worker(worker_id)
         self.unpolled_workers.discard(worker_id)
         self._on_change()
 
     def _keep_starts_in_flight(
-        self, capacity: WorkerCapacity, starts_in_flight: dict[RunId, StartInFlight]
+        self,
+        capacity: WorkerCapacity,
+        starts_in_flight: dict[RunId, StartInFlight],
+        late_grants_end_s: float,
     ) -> None:
         """Keep what calls to a dropped worker may still do at its next incarnation."""
         now_s = self._clock.seconds()
@@ -417,6 +426,7 @@
             capacity,
             starts_in_flight,
             now_s + self._misdirected_lease_bound_s,
+            late_grants_end_s,
         )
 
     def _remove_if_empty(self, capacity: WorkerCapacity) -> None:
@@ -427,7 +437,9 @@
             return
         link.close()
         del self.capacities[worker_id], self._links[worker_id]
-        self._keep_starts_in_flight(capacity, link.starts_in_flight())
+        self._keep_starts_in_flight(
+            capacity, link.starts_in_flight(), link.late_grants_end_s
+        )
         self._remove_worker(worker_id)
 
     def expire_ended_incarnations(self) -> None:
@@ -444,7 +456,8 @@
                 self._on_change()
                 if not previous.capacity.runs:
                     self._remove_worker(worker_id)
-            if now_s >= previous.leases_expire_s and not in_flight:
+            kept_until_s = max(previous.leases_expire_s, previous.late_grants_end_s)
+            if now_s >= kept_until_s and not in_flight:
                 del self._ended_incarnations[worker_id]
 
     def _is_schedulable(self, capacity: WorkerCapacity) -> bool:
@@ -544,7 +557,9 @@
         if not capacity.is_listed:
             link.close()
             del self.capacities[worker_id], self._links[worker_id]
-            self._keep_starts_in_flight(capacity, link.starts_in_flight())
+            self._keep_starts_in_flight(
+                capacity, link.starts_in_flight(), link.late_grants_end_s
+            )
             self._remove_worker(worker_id)
         self._on_change()
 
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -130,10 +130,15 @@
     misdirected_expiry_s : float
         When the leases have expired that calls for a former incarnation may have
         granted.
+    late_grants_end_s : float
+        Until when calls for earlier incarnations may still grant leases.
     starts_in_flight : dict of RunId to StartInFlight
         Starts sent to earlier incarnations that may still be carried out.
     lease_s : float
         Length of granted leases.
+    late_lease_bound_s : float
+        Longest time from a late call for a former incarnation to the expiry of the
+        lease that it grants.
     get_leases_end_s : callable
         Returns the time beyond which no lease may be granted.
     """
@@ -147,8 +152,10 @@
         listener: LinkListener,
         inherited_expiry_s: float,
         misdirected_expiry_s: float,
+        late_grants_end_s: float,
         starts_in_flight: dict[RunId, StartInFlight],
         lease_s: float,
+        late_lease_bound_s: float,
         get_leases_end_s: Callable[[], float],
     ) -> None:
         self.entry = entry
@@ -157,6 +164,11 @@
         self._get_fencing_token = get_fencing_token
         self._listener = listener
         self._lease_s = lease_s
+        self._late_lease_bound_s = late_lease_bound_s
+        self._inherited_late_grants_end_s = late_grants_end_s
+        # Until when calls of this link without an answer may grant leases.
+        self._own_late_grants_end_s = float("-inf")
+        self._is_grant_under_way = False
         self._get_leases_end_s = get_leases_end_s
         self._clock_ms = 0
         self._clock_read_s = 0.0
@@ -221,6 +233,14 @@
             starts.setdefault(run_id, StartInFlight(run, now_s))
         return starts
 
+    @property
+    def late_grants_end_s(self) -> float:
+        """Time until which calls without an answer may grant the next one leases."""
+        end_s = max(self._inherited_late_grants_end_s, self._own_late_grants_end_s)
+        if self._is_grant_under_way or self.unanswered_starts:
+            end_s = max(end_s, self._clock.seconds() + LATE_ORDER_MAX_S)
+        return end_s
+
     def limit_inherited_expiry(self, lease_expiry_s: float) -> None:
         """Lower the expiry of leases from a former leader."""
         if not self._granted_ms:
@@ -274,9 +294,14 @@
         if self._granted_ms:
             lease_left_s = (self._granted_ms - self._clock_ms) / 1000
             lease_left_s = lease_left_s / (1 - CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
-            self.lease_expiry_s = max(
+            expiry_s = max(
                 self._clock_read_s + lease_left_s, self._misdirected_expiry_s
             )
+            # A late call extends only a lease that has not expired.
+            granted_late_s = min(self._inherited_late_grants_end_s, expiry_s)
+            self.lease_expiry_s = max(
+                expiry_s, granted_late_s + self._late_lease_bound_s
+            )
 
     def _watch_lease_expiry(self) -> None:
         """Notify the listener when the leases of an unreachable worker expire."""
@@ -305,6 +330,7 @@
             acknowledged = self._acknowledged
             until_ms = self._lease_until_ms()
             wait_ms = self._poll_wait_ms if self._clock_ms else 0
+        self._is_grant_under_way = until_ms > 0
         # After a failure, another incarnation may answer, for which neither the number
         # of the acknowledged end nor the time of the lease is valid.
         try:
@@ -313,6 +339,9 @@
             )
         except PlatformError as error:
             if not self.is_closed:
+                if self._is_grant_under_way:
+                    self._record_late_grant(error)
+                self._is_grant_under_way = False
                 if not self._failed_polls:
                     now_s = self._clock.seconds()
                     is_early = now_s - sent_s <= wait_ms / 1000
@@ -321,6 +350,7 @@
             return
         if self.is_closed:
             return
+        self._is_grant_under_way = False
         if (
             self.entry.started_at_ms
             and result.started_at_ms
@@ -349,6 +379,12 @@
         has_unacknowledged = self.last_end_number > self._acknowledged
         self._schedule_poll(ACKNOWLEDGE_WAIT_S if has_unacknowledged else 0.0)
 
+    def _record_late_grant(self, error: PlatformError) -> None:
+        """Record that a call that grants a lease may be carried out late."""
+        is_unanswered = isinstance(error, WorkerUnreachableError)
+        if is_unanswered and not isinstance(error, ConnectionRefusedByWorkerError):
+            self._own_late_grants_end_s = self._clock.seconds() + LATE_ORDER_MAX_S
+
     def _poll_failed(self, error: PlatformError, fencing_token: int) -> None:
         if isinstance(error, OrderRefusedError):
             if error.reason is RefusalReason.FENCED:
@@ -402,6 +438,7 @@
             except WorkerUnreachableError as error:
                 if not isinstance(error, ConnectionRefusedByWorkerError):
                     may_be_accepted = True
+                    self._record_late_grant(error)
                     self._record_unanswered_copy(run)
                 run.may_have_started = may_be_accepted
                 yield self._pause(ORDER_RETRY_S)
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -125,6 +125,39 @@
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 4)
 
+    # Guards against work that waits for leases that no late call can have granted.
+    def test_leases_count_as_longer_only_while_late_calls_may_grant_them(self):
+        cases = (
+            # id after the return, time from the return to the loss, wait is longer
+            ("w0", 1.0, True),
+            ("w0", 30.0, False),
+            ("w7", 1.0, False),
+        )
+        for worker_id, runs_for_s, is_longer in cases:
+            with self.subTest(worker_id=worker_id, runs_for_s=runs_for_s):
+                self.check_wait_for_leases(worker_id, runs_for_s, is_longer)
+
+    def check_wait_for_leases(self, worker_id, runs_for_s, is_longer):
+        fleet = self.start_fleet(workers=1)
+        self.start_standing_job(fleet, 2)
+        fleet.workers.workers["w0"].is_reachable = False
+        fleet.run_for(1.0)
+        if worker_id != "w0":
+            fleet.workers.replaced.add("w0")
+            fleet.workers.workers["w0"].running.clear()
+            fleet.records.remove("servers/w0")
+        worker = self.restart(fleet, worker_id)
+        fleet.run_for(runs_for_s)
+        self.assertEqual(len(worker.running), 2)
+        self.restart(fleet, "w2")
+        worker.is_reachable = False
+        fleet.run_for(7.0)
+        self.assertEqual(len(fleet.workers.workers["w2"].running), 2 * (not is_longer))
+        # A late call may extend a lease that another one has granted at the return.
+        fleet.run_for(2 * LEASE_MAX_MS / 1000 - 6.0)
+        self.assertEqual(len(fleet.workers.workers["w2"].running), 2)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
     # Guards against a run that is repeated after its end was acknowledged by a poll of
     # the former incarnation that is carried out late.
     def test_late_poll_of_the_former_incarnation_acknowledges_no_unread_end(self):
