--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -59,6 +59,33 @@
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 4)
 
+    # Guards against leases and acknowledgements that a poll repeated after a failure
+    # brings to an incarnation for which they are not meant.
+    def test_poll_after_a_failure_changes_nothing_at_the_next_incarnation(self):
+        for is_silent in (False, True):
+            for returns_after_s in (0.5, 1.5, 3.0):
+                with self.subTest(is_silent=is_silent, returns_after_s=returns_after_s):
+                    self.check_repeated_poll(is_silent, returns_after_s)
+
+    def check_repeated_poll(self, is_silent, returns_after_s):
+        fleet = self.start_fleet(workers=1, run_s=1.0)
+        fleet.submit(0, job(JOB, tasks=8))
+        fleet.run_for(20.0)
+        former = fleet.workers.workers["w0"]
+        self.assertEqual(former.acknowledged_number, 8)
+        fleet.workers.crash("w0")
+        if is_silent:
+            former.refuses_connections = False
+            former.is_reachable = False
+            # The poll that was under way fails.
+            fleet.run_for(1.0)
+        fleet.run_for(returns_after_s)
+        worker = fleet.workers.add(replace(former.entry, started_at_ms=2), 0.0)
+        fleet.run_for(1.0)
+        self.assertEqual(worker.fencing_token, former.fencing_token)
+        self.assertEqual(worker.acknowledged_number, 0)
+        self.assertEqual(worker.until_ms, 0)
+
     # The same for a successor whose former leader has answered that it has stopped.
     def test_successor_knows_of_longer_leases_of_the_next_incarnation(self):
         fleet = self.start_fleet(workers=2)
@@ -98,6 +125,39 @@
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 4)
 
+    # Guards against work that waits for leases that no late call can have granted.
+    def test_leases_count_as_longer_only_while_late_calls_may_grant_them(self):
+        cases = (
+            # id after the return, time from the return to the loss, wait is longer
+            ("w0", 1.0, True),
+            ("w0", 30.0, False),
+            ("w7", 1.0, False),
+        )
+        for worker_id, runs_for_s, is_longer in cases:
+            with self.subTest(worker_id=worker_id, runs_for_s=runs_for_s):
+                self.check_wait_for_leases(worker_id, runs_for_s, is_longer)
+
+    def check_wait_for_leases(self, worker_id, runs_for_s, is_longer):
+        fleet = self.start_fleet(workers=1)
+        self.start_standing_job(fleet, 2)
+        fleet.workers.workers["w0"].is_reachable = False
+        fleet.run_for(1.0)
+        if worker_id != "w0":
+            fleet.workers.replaced.add("w0")
+            fleet.workers.workers["w0"].running.clear()
+            fleet.records.remove("servers/w0")
+        worker = self.restart(fleet, worker_id)
+        fleet.run_for(runs_for_s)
+        self.assertEqual(len(worker.running), 2)
+        self.restart(fleet, "w2")
+        worker.is_reachable = False
+        fleet.run_for(7.0)
+        self.assertEqual(len(fleet.workers.workers["w2"].running), 2 * (not is_longer))
+        # A late call may extend a lease that another one has granted at the return.
+        fleet.run_for(2 * LEASE_MAX_MS / 1000 - 6.0)
+        self.assertEqual(len(fleet.workers.workers["w2"].running), 2)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
     # Guards against a run that is repeated after its end was acknowledged by a poll of
     # the former incarnation that is carried out late.
     def test_late_poll_of_the_former_incarnation_acknowledges_no_unread_end(self):
