A cell's task that crashes its workers is isolated and failed

A task of a cell that crashes the process of each worker that starts it was started again without end, and each crash lost the other attempts of that worker.

Cause: an attempt that a worker does not hold after a boot is applied as `lost`, which takes the task to `queued` and counts nothing; `failed_on` grows only if the worker reports a failure. Ruled out: quarantine of workers (a crash was no failure of the worker) and the limit on failed attempts (none is reported).

Change: another boot of a worker that this owner knew, and that was not leaving, counts for each task whose attempt was on probation there (10 s by the worker's reports, or only ordered). The list of these workers is stored with the task and cleared by an attempt that runs on or finishes. From the second crash on, a task starts apart from other young attempts if a worker allows it, and nothing starts beside it. A crash decides about the only one on probation or the only suspect, by the rule for failed tasks (three workers that are not at fault), or at the sixth crash in a cell with fewer workers. The history names the workers. Expired leases, assignments without an order and a new owner's first reports are no evidence. `CrashAttribution` was not used: it counts runs by the fleet's ids, its verdict waits for leases that a cell's workers do not have, and its limits are those of the users' platform; the cell has `FaultAttribution` for the same decision.

Conclusion: the restarts of such a task are bounded. Open: a worker that returns after its lease was given up is no evidence; a crash later than 10 s after each start is not bounded; three restarts in a row by an operator, each within 10 s of a task's start, count as crashes.

--- a/dogwoodlever/_cell.py
+++ b/dogwoodlever/_cell.py
@@ -1,6 +1,6 @@
 """Scheduling of a cell's tasks: placement, eviction, recovery and commits."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from dogwoodlever._cell_state import (
@@ -35,6 +35,12 @@
 from dogwoodlever._worker_view import WorkerView
 
 EVICTION_COST_S = 5.0
+# Time after its start in which an attempt may crash its worker.
+PROBATION_S = 10.0
+# Crashes after which a task starts apart from other tasks, and after which it is given
+# up even if fewer workers crashed than a failing task is tried on.
+CRASHES_TO_ISOLATE = 2
+CRASHES_MAX = 6
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,6 +68,11 @@
     value: bytes
 
 
+def _is_on_probation(task: Task, at_wall_s: float) -> bool:
+    """Return whether the latest attempt of a task may crash its worker."""
+    return at_wall_s - task.started_s < PROBATION_S
+
+
 class Cell:
     """Scheduler of one cell, run by the cell's owner.
 
@@ -87,6 +98,8 @@
         Quotas of the teams in this cell; those of the site by default.
     placer : Placer, optional
         Ranking of workers; best fit by default.
+    log_event : callable, optional
+        Writes a log event, by name and fields; none is written by default.
     """
 
     def __init__(
@@ -99,8 +112,10 @@
         workers: set[str] | None = None,
         teams: dict[str, Team] | None = None,
         placer: Placer | None = None,
+        log_event: Callable[..., None] | None = None,
     ) -> None:
         self.name = name
+        self._log_event = log_event
         self.cell_state = cell_state
         self.lease_settings = lease_settings
         self.workers: dict[str, WorkerView] = {}
@@ -114,6 +129,8 @@
         self._jobs_dirty = False
         self._committing = False
         self._allocations: dict[str, Allocation] = {}
+        # Tasks that may crash their workers and start apart from others.
+        self._suspects: set[str] = set()
         self._queue = TaskQueue()
         self._order_builder = OrderBuilder(cell_state, self._is_committed)
         self._eviction_planner = EvictionPlanner(cell_state, self._eviction_cost_s)
@@ -180,6 +197,14 @@
                 self._queue.add(task, self._job(task))
             elif task.state in PLACED_STATES:
                 self._allocate(task)
+            self._update_suspect(task)
+
+    def _update_suspect(self, task: Task) -> None:
+        is_suspect = len(task.crashed_on) >= CRASHES_TO_ISOLATE
+        if is_suspect and task.state not in ENDED_STATES:
+            self._suspects.add(task.task_id)
+        else:
+            self._suspects.discard(task.task_id)
 
     def _job(self, task: Task) -> Job:
         return self.cell_state.jobs[task.job_id]
@@ -225,6 +250,7 @@
         """Apply an event to a task and update allocations, queue and dirty set."""
         task.apply(event, wall_s, reason, worker)
         self._dirty.add(task.task_id)
+        self._update_suspect(task)
         if event == "assign":
             task.planned_cores = self._planned_cores(self._job(task))
             self._queue.remove(task, self._job(task))
@@ -285,6 +311,8 @@
         # attempts missing from it were lost in an earlier boot or never received.
         rebooted = view.boot_id != report.boot_id
         view.apply_event("reboot" if rebooted else "report")
+        crashed = rebooted and view.boot_id and not self._is_unschedulable(view)
+        last_report_wall_s = wall_s - (now_s - view.report_s)
         view.boot_id = report.boot_id
         view.report_s = now_s
         view.report_clock_s = report.clock_s
@@ -298,9 +326,11 @@
         for ended in report.ended:
             self._record_end(view, ended, now_s, wall_s)
         if rebooted:
-            self._requeue_lost_tasks(
+            lost = self._requeue_lost_tasks(
                 view, wall_s, "not held by the worker since it booted"
             )
+            if crashed:
+                self._record_crash(view, lost, last_report_wall_s, now_s, wall_s)
         for sample in report.usage:
             self._record_usage(view, sample, now_s, wall_s)
 
@@ -308,6 +338,18 @@
         task = self._order_builder.current_task(view, attempt.task_id, attempt.attempt)
         if task is not None and attempt.started and task.state == "assigned":
             self._apply(task, "start", wall_s, "worker reports it running")
+        if task is not None and task.crashed_on and not _is_on_probation(task, wall_s):
+            self._clear_crashes(task)
+
+    def _clear_crashes(self, task: Task) -> None:
+        task.crashed_on = []
+        self._dirty.add(task.task_id)
+        self._update_suspect(task)
+        self._log("task.cleared", task)
+
+    def _log(self, name: str, task: Task, **fields) -> None:
+        if self._log_event is not None:
+            self._log_event(name, cell=self.name, task=task.task_id, **fields)
 
     def _accept_late_end(self, view, ended: EndedAttempt, wall_s) -> None:
         """Accept the end of an earlier attempt that was presumed lost."""
@@ -337,6 +379,8 @@
         self.faults.record_success(view.name, job.job)
         if not job.standing:
             self.estimates.observe(job.task_class, ended.cores_used, ended.run_s)
+        if task.crashed_on:
+            self._clear_crashes(task)
         self._apply(task, "finish", wall_s, "worker reports it finished")
         if job.standing and task.state == "finished":
             self._apply(task, "restart", wall_s, "standing task ended")
@@ -347,21 +391,87 @@
         if task.state != "queued":
             return
         task.failed_on = sorted({*task.failed_on, view.name})
-        quarantined = self.faults.record_failure(
-            view.name, job.job, now_s, len(self.workers)
-        )
-        if not quarantined and self.faults.has_failed_too_often(task.failed_on, now_s):
+        if self._has_failed_too_often(view, task, task.failed_on, now_s):
             where = ", ".join(task.failed_on)
             self._apply(task, "give_up", wall_s, f"failed on {where}")
 
-    def _requeue_lost_tasks(self, view: WorkerView, wall_s: float, reason: str) -> None:
-        """Requeue the tasks whose attempts the worker no longer holds."""
+    def _has_failed_too_often(self, view, task, workers: list[str], now_s) -> bool:
+        """Record a failure on a worker; return whether the task is at fault.
+
+        Parameters
+        ----------
+        view : WorkerView
+            The worker.
+        task : Task
+            The task that failed there.
+        workers : list of str
+            All workers on which it failed in this way.
+        now_s : float
+            Current time.
+        """
+        quarantined = self.faults.record_failure(
+            view.name, task.job_id, now_s, len(self.workers)
+        )
+        return not quarantined and self.faults.has_failed_too_often(workers, now_s)
+
+    def _record_crash(
+        self, view, lost: list[Task], ended_wall_s: float, now_s, wall_s
+    ) -> None:
+        """Count the crash of a worker for the attempts on probation that it lost.
+
+        The crash decides about a task only if nothing else is as likely the cause: the
+        task is the only one on probation there, or the only suspect among them.
+
+        Parameters
+        ----------
+        view : WorkerView
+            The worker.
+        lost : list of Task
+            Tasks whose attempts the worker lost.
+        ended_wall_s : float
+            Unix time of its last report before the crash.
+        now_s, wall_s : float
+            Current time, and Unix time.
+        """
+        young = [task for task in lost if _is_on_probation(task, ended_wall_s)]
+        suspects = [task for task in young if task.task_id in self._suspects]
+        for task in young:
+            task.crashed_on = [*task.crashed_on, view.name]
+            self._update_suspect(task)
+            crashes = len(task.crashed_on)
+            self._log("task.suspected", task, crashes=crashes, worker=view.name)
+        accused = suspects or young
+        if len(accused) != 1 or accused[0].state != "queued":
+            return
+        task = accused[0]
+        too_often = self._has_failed_too_often(view, task, task.crashed_on, now_s)
+        if too_often or len(task.crashed_on) >= CRASHES_MAX:
+            where = ", ".join(task.crashed_on)
+            reason = f"workers crashed soon after it started there: {where}"
+            self._apply(task, "give_up", wall_s, reason)
+            self._log("task.given-up", task, workers=where)
+
+    def _requeue_lost_tasks(
+        self, view: WorkerView, wall_s: float, reason: str
+    ) -> list[Task]:
+        """Requeue the tasks whose attempts the worker no longer holds.
+
+        Returns
+        -------
+        lost : list of Task
+            The tasks whose attempts the worker may have started.
+        """
+        lost = []
         for task_id in sorted(view.tasks):
             task = self.cell_state.tasks[task_id]
             attempt = AttemptId(task_id, task.attempt)
             if attempt in view.reported_attempts or task.state not in PLACED_STATES:
                 continue
+            # An uncommitted assignment was not ordered yet.
+            if task.state != "assigned" or self._is_committed(task_id):
+                lost.append(task)
             self._apply(task, "lost", wall_s, reason)
+        return lost
 
     def _record_usage(self, view, sample, now_s, wall_s) -> None:
         service = self.site.services.get(sample.service)
@@ -453,11 +563,18 @@
                 if task.state in ("assigned", "running"):
                     self._apply(task, "evict", wall_s, "its worker leaves service")
 
-    def _schedulable_workers(self, now_s: float) -> list[WorkerView]:
+    def _schedulable_workers(self, now_s: float, wall_s: float) -> list[WorkerView]:
+        reserved = {
+            task.worker
+            for task_id in self._suspects
+            if _is_on_probation(task := self.cell_state.tasks[task_id], wall_s)
+        }
         views = []
         for view in self.workers.values():
             if view.state != "ready" or self._is_unschedulable(view):
                 continue
+            if view.name in reserved:
+                continue
             task_limit = self.faults.task_limit(view.name, now_s)
             if task_limit is not None and len(view.tasks) >= task_limit:
                 continue
@@ -467,24 +584,31 @@
     def _place(self, now_s: float, wall_s: float) -> None:
         if not self._queue:
             return
-        placement = PlacementRound(self._placer, self._schedulable_workers(now_s))
+        views = self._schedulable_workers(now_s, wall_s)
+        placement = PlacementRound(self._placer, views)
+        young = self._workers_on_probation(wall_s) if self._suspects else set()
         for task in self._queue.in_order(self._queue_order):
             if not placement:
                 break
-            if not self._place_one(task, placement, now_s, wall_s):
+            if not self._place_one(task, placement, young, now_s, wall_s):
                 self._queue.defer(self._job(task))
 
-    def _place_one(self, task, placement, now_s, wall_s) -> bool:
-        """Assign one task; return False to defer its job to the next round."""
+    def _place_one(self, task, placement, young: set[str], now_s, wall_s) -> bool:
+        """Assign one task; return False to defer its job to the next round.
+
+        Suspects avoid the workers in `young`, which have attempts on probation.
+        """
         job = self._job(task)
         cores = self._planned_cores(job)
         if not self.quota.allows(job.team, cores, job.accelerators):
             if job.urgent:
                 self._preempt_for_quota(job, wall_s)
             return False
-        view = placement.choose(
-            cores, job.memory_bytes, job.accelerators, set(task.failed_on)
-        )
+        avoid = {*task.failed_on, *task.crashed_on}
+        is_suspect = task.task_id in self._suspects
+        if is_suspect:
+            avoid |= young
+        view = placement.choose(cores, job.memory_bytes, job.accelerators, avoid)
         if view is None:
             if job.urgent:
                 self._preempt_for_capacity(job, placement, wall_s)
@@ -493,11 +617,22 @@
         placement.before_change(view)
         self._apply(task, "assign", wall_s, reason, view.name)
         placement.after_change(view)
+        young.add(view.name)
         task_limit = self.faults.task_limit(view.name, now_s)
-        if task_limit is not None and len(view.tasks) >= task_limit:
+        is_full = task_limit is not None and len(view.tasks) >= task_limit
+        if is_full or is_suspect:
             placement.drop(view)
         return True
 
+    def _workers_on_probation(self, wall_s: float) -> set[str]:
+        """Return the workers with an attempt that may yet crash them."""
+        tasks = self.cell_state.tasks
+        return {
+            view.name
+            for view in self.workers.values()
+            if any(_is_on_probation(tasks[task_id], wall_s) for task_id in view.tasks)
+        }
+
     def _preempt_for_capacity(
         self, job: Job, placement: PlacementRound, wall_s: float
     ) -> None:
--- a/dogwoodlever/_cell_role.py
+++ b/dogwoodlever/_cell_role.py
@@ -199,6 +199,7 @@
             self._clock.seconds(),
             self._worker_names,
             self._teams,
+            log_event=log_event,
         )
         cell.set_vms(self._vms)
         self.cell = cell
--- a/dogwoodlever/_cell_state.py
+++ b/dogwoodlever/_cell_state.py
@@ -49,6 +49,9 @@
         Run time saved by the latest checkpoint.
     failed_on : list of str
         Workers on which an attempt failed.
+    crashed_on : list of str
+        Workers that crashed soon after an attempt had started there, one entry each
+        time; cleared by an attempt that runs on.
     """
 
     task_id: str
@@ -60,6 +63,19 @@
     checkpoint_s: float = 0.0
     failed_on: list[str] = []
     history: list[TaskEvent] = []
+    crashed_on: list[str] = []
+
+    @property
+    def started_s(self) -> float:
+        """Unix time of the first report of the latest attempt; infinite before."""
+        return next(
+            (
+                entry.at_s
+                for entry in reversed(self.history)
+                if entry.event == "start" and entry.attempt == self.attempt
+            ),
+            float("inf"),
+        )
 
     def apply(self, event: str, at_s: float, reason: str, worker: str = "") -> None:
         """Apply an event of the task chart and record it in the history.
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -1,4 +1,7 @@
 import unittest
+import zlib
+
+import msgspec
 
 from dogwoodlever.batch import (
     Cell,
@@ -6,6 +9,7 @@
     Job,
     LeaseSettings,
     decode_cell_state,
+    encode_cell_state,
 )
 from dogwoodlever.platform_clients import (
     AttemptId,
@@ -37,11 +41,20 @@
     return Job(name, more.pop("team", "alpha"), "c", tasks, cores, 1000, 60.0, **more)
 
 
-class CellTest(unittest.TestCase):
+class CellTestCase(unittest.TestCase):
     def setUp(self):
+        self.start_cell()
+
+    def start_cell(self, workers=4):
         self.now_s = 0.0
+        self.events = []
         self.cell = Cell(
-            "c", CellStateRecord("me", 1), make_site(), LEASE_SETTINGS, 0.0
+            "c",
+            CellStateRecord("me", 1),
+            make_site(workers),
+            LEASE_SETTINGS,
+            0.0,
+            log_event=lambda name, **fields: self.events.append(name),
         )
         self.report_all()
 
@@ -79,6 +92,8 @@
     def states(self):
         return sorted({t.state for t in self.cell.cell_state.tasks.values()})
 
+
+class CellTest(CellTestCase):
     def test_sync_holds_only_committed_orders(self):
         self.cell.submit(job(tasks=1), 0.0)
         self.step(commit=False)
@@ -322,3 +337,176 @@
                 self.cell.submit(job(tasks=1), 0.0)
                 self.step()
                 self.assertAlmostEqual(self.task("j/0").planned_cores, planned, 1)
+
+
+class CrashingTasksTest(CellTestCase):
+    """Tasks whose workers' processes restart while they run."""
+
+    # Well above the crashes after which a task is given up.
+    ROUNDS = 12
+
+    def restart(self, worker):
+        """Report another boot of a worker, which holds nothing of the former one."""
+        self.boots = getattr(self, "boots", 0) + 1
+        self.report(worker, boot=f"boot-{self.boots}", running=False)
+
+    def run_for(self, duration_s):
+        """Let all workers report each second."""
+        for _ in range(round(duration_s)):
+            self.now_s += 1.0
+            for name, view in self.cell.workers.items():
+                self.report(name, boot=view.boot_id)
+            self.step()
+
+    def start_all(self):
+        self.step()
+        for name, view in self.cell.workers.items():
+            self.report(name, boot=view.boot_id)
+
+    def crash_rounds(self, task_id, rounds, age_s=2.0):
+        """Crash the task's worker at an age of each of its attempts."""
+        for _ in range(rounds):
+            self.start_all()
+            self.run_for(age_s)
+            if self.task(task_id).state == "failed":
+                return
+            self.restart(self.task(task_id).worker)
+
+    def replace_owner(self):
+        state = decode_cell_state(encode_cell_state(self.cell.cell_state))
+        boots = {name: view.boot_id for name, view in self.cell.workers.items()}
+        self.cell = Cell("c", state, make_site(), LEASE_SETTINGS, self.now_s)
+        for name, boot in boots.items():
+            self.report(name, boot=boot)
+
+    # Guards against a task that crashes worker after worker without end.
+    def test_task_whose_workers_restart_is_given_up(self):
+        table = (
+            ("four workers", 4, {}, 2.0, 3),
+            ("before the first report", 4, {}, 0.0, 3),
+            ("a standing task", 4, {"standing": True}, 2.0, 3),
+            ("two workers", 2, {}, 2.0, 6),
+        )
+        for name, workers, fields, age_s, attempts_max in table:
+            with self.subTest(name):
+                self.start_cell(workers)
+                self.cell.submit(job(tasks=1, **fields), 0.0)
+                self.crash_rounds("j/0", self.ROUNDS, age_s)
+                task = self.task("j/0")
+                self.assertEqual(task.state, "failed")
+                self.assertLessEqual(task.attempt, attempts_max)
+                self.assertIn("crashed", task.history[-1].reason)
+                self.assertIn("w0", task.history[-1].reason)
+                crashes = len(task.crashed_on)
+                expected = ["task.suspected"] * crashes + ["task.given-up"]
+                self.assertEqual(self.events, expected)
+
+    # Guards against giving up tasks that shared workers with one that crashes them.
+    def test_tasks_that_shared_crashed_workers_are_not_given_up(self):
+        table = (("one job", ("j/0",)), ("two crash workers", ("j/0", "j/1")))
+        for name, deadly in table:
+            with self.subTest(name):
+                self.setUp()
+                self.cell.submit(job(tasks=8), 0.0)
+                for _ in range(4 * self.ROUNDS):
+                    self.start_all()
+                    self.run_for(2.0)
+                    for task_id in deadly:
+                        if self.task(task_id).state == "running":
+                            self.restart(self.task(task_id).worker)
+                self.run_for(12.0)
+                for number in range(8):
+                    task = self.task(f"j/{number}")
+                    expected = "failed" if task.task_id in deadly else "running"
+                    self.assertEqual(task.state, expected, task.task_id)
+                    if task.task_id in deadly:
+                        self.assertLessEqual(task.attempt, 6)
+
+    # Guards against evidence that adds up over the life of a standing task.
+    def test_standing_task_outlives_restarts_of_its_workers(self):
+        self.cell.submit(job(tasks=1, standing=True), 0.0)
+        for number in range(self.ROUNDS):
+            # Now and then a worker restarts soon after the start as well.
+            self.crash_rounds("j/0", 1, age_s=30.0 if number % 3 else 2.0)
+        self.start_all()
+        self.assertEqual(self.task("j/0").state, "running")
+        self.run_for(12.0)
+        self.assertEqual(self.task("j/0").crashed_on, [])
+
+    # Guards against taking an unreachable or leaving worker for a crashed one.
+    def test_lost_worker_without_a_crash_is_no_evidence(self):
+        for name in ("unreachable", "leaving", "restarted after its lease"):
+            with self.subTest(name):
+                self.setUp()
+                self.cell.submit(job(tasks=1), 0.0)
+                for _ in range(self.ROUNDS):
+                    self.start_all()
+                    worker = self.task("j/0").worker
+                    if name == "leaving":
+                        listed = frozenset(self.cell.workers)
+                        self.cell.set_vms(VMStates(listed, frozenset({worker})))
+                        self.restart(worker)
+                        self.cell.set_vms(VMStates(listed))
+                        continue
+                    self.sync(worker)
+                    self.now_s += 70.0
+                    self.cell.sync_failed(worker, self.now_s)
+                    self.cell.decide(self.now_s, self.now_s)
+                    for other, view in self.cell.workers.items():
+                        self.report(other, boot=view.boot_id)
+                    if name != "unreachable":
+                        self.restart(worker)
+                task = self.task("j/0")
+                self.assertNotEqual(task.state, "failed")
+                self.assertEqual(task.crashed_on, [])
+
+    # Guards against blaming a task for the end of a worker that never had its order.
+    def test_attempt_without_an_order_is_no_evidence(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        for _ in range(self.ROUNDS):
+            self.step(commit=False)
+            self.restart(self.task("j/0").worker)
+        self.assertEqual(self.task("j/0").state, "queued")
+        self.assertEqual(self.task("j/0").crashed_on, [])
+
+    # Guards against an owner that counts anew.
+    def test_change_of_owner_keeps_the_count(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        for _ in range(self.ROUNDS):
+            self.crash_rounds("j/0", 1)
+            self.replace_owner()
+        self.assertEqual(self.task("j/0").state, "failed")
+        self.assertLessEqual(self.task("j/0").attempt, 3)
+
+    def test_first_report_to_an_owner_is_no_evidence(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        for _ in range(self.ROUNDS):
+            self.start_all()
+            worker = self.task("j/0").worker
+            state = decode_cell_state(encode_cell_state(self.cell.cell_state))
+            self.cell = Cell("c", state, make_site(), LEASE_SETTINGS, self.now_s)
+            self.restart(worker)
+            self.report_all()
+        self.assertNotEqual(self.task("j/0").state, "failed")
+
+    def test_nothing_starts_beside_a_suspect_on_probation(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        self.crash_rounds("j/0", 2)
+        self.start_all()
+        worker = self.task("j/0").worker
+        self.cell.submit(job("late", 16), self.now_s)
+        self.step()
+        self.assertEqual(self.cell.workers[worker].tasks, {"j/0"})
+        self.run_for(12.0)
+        self.assertGreater(len(self.cell.workers[worker].tasks), 1)
+
+    def test_states_of_earlier_builds_decode(self):
+        self.cell.submit(job(tasks=1), 0.0)
+        self.step()
+        state = msgspec.json.decode(
+            zlib.decompress(encode_cell_state(self.cell.cell_state))
+        )
+        state["tasks"]["j/0"] = state["tasks"]["j/0"][:9]
+        old = zlib.compress(msgspec.json.encode(state))
+        task = decode_cell_state(old).tasks["j/0"]
+        self.assertEqual((task.state, task.crashed_on), ("assigned", []))
