A task that crashes its workers up to 4 s after its start is isolated and given up

A task that crashes its worker 0.6 s to 3 s after each start was started again without end.

Cause: a run counts as evidence for 0.5 s only; afterwards it is listed, which clears its task. Ruled out: a longer probation for all runs, which would make suspects of every run that a crash takes along, and reserve workers for each of them.

Change: a run of up to 4 s that is lost in a crash counts as a late crash of its task. It is stored with the job's progress, so that a successor continues the count, and cleared by a later run that is listed for 4 s or ends. The second in a row makes the task a suspect with a probation of 4 s; its third crash as the only suspect gives it up, compared with other ends as before. So an innocent task is given up only after four crashes in a row, in the last of which it was the only suspect. A gang's other members clear no late crash.

The count of starts became one of crashes in these new tests before they first passed: runs of 4 s without progress are also stopped as stalled, and started again without a crash. With the late crashes kept by the leader only, two of the seven changes of leader led to six starts; hence the record.

Conclusion: the crashes of such a task are bounded by five in these cases. Open: crashes later than 4 s after the start, and workers that fall silent.

--- a/dogwoodlever/_crash_attribution.py
+++ b/dogwoodlever/_crash_attribution.py
@@ -17,6 +17,10 @@
 ended with no run on probation ended for another reason, and one reason may end many. In
 that case the task starts again, up to `CRASHES_MAX` times.
 
+A task that crashes its workers later than that is found by its runs of up to
+`LATE_PROBATION_MS` that were lost in crashes. The second in a row makes it a suspect,
+with a probation of that length; then its third crash as the only suspect decides.
+
 A start without an answer counts too, as the crash often comes before the answer. One
 of them is not counted towards giving up, as it may not have been carried out.
 
@@ -35,6 +39,9 @@
 # Time after its start in which a run may crash its worker; a program that does so does
 # it while it loads and makes its first calls.
 PROBATION_MS = 500
+# The same for suspects of late crashes, and the late crashes in a row that make one.
+LATE_PROBATION_MS = 4_000
+LATE_CRASHES_TO_SUSPECT = 2
 # Crashes after which the only suspect of the last one is given up: without other runs
 # that may have caused it, and with them. The platform allows no fewer than two.
 CRASHES_ALONE = 2
@@ -54,6 +61,14 @@
 COMMON_CAUSE_RATIO = 0.1
 
 
+def _probation_ms(task: Task) -> int:
+    return LATE_PROBATION_MS if _is_late_suspect(task) else PROBATION_MS
+
+
+def _is_late_suspect(task: Task) -> bool:
+    return len(task.accountable.late_crashes) >= LATE_CRASHES_TO_SUSPECT
+
+
 @dataclass(slots=True, frozen=True)
 class WorkerEnd:
     """End of a worker's process.
@@ -96,10 +111,17 @@
         crashes waits for that, so that no successor starts it without knowing them.
     """
 
-    __slots__ = ("_is_stored", "_on_probation", "_pending", "_worker_ends")
+    __slots__ = (
+        "_changed_jobs",
+        "_is_stored",
+        "_on_probation",
+        "_pending",
+        "_worker_ends",
+    )
 
     def __init__(self, is_stored: Callable[[str], bool]) -> None:
         self._is_stored = is_stored
+        self._changed_jobs: set[str] = set()
         # Runs of suspects on probation, by worker id.
         self._on_probation: dict[str, set[RunId]] = {}
         self._pending: dict[TaskId, PendingVerdict] = {}
@@ -143,18 +165,41 @@
         clock_ms : int
             The worker's clock at the report.
         """
-        if run.is_proven:
+        late_crashes = set() if task is None else task.accountable.late_crashes
+        if run.is_proven and not late_crashes:
             return False
         if run.seen_clock_ms < 0:
             run.seen_clock_ms = clock_ms
-        if clock_ms - run.seen_clock_ms < PROBATION_MS:
+        age_ms = clock_ms - run.seen_clock_ms
+        # Another member of the gang that crashed proves nothing.
+        last_number = max(late_crashes, default=0)
+        if age_ms >= LATE_PROBATION_MS and run.run_id.number > last_number > 0:
+            self._clear_late_crashes(task)
+        # Cleared late crashes shorten the probation.
+        is_young = age_ms < (PROBATION_MS if task is None else _probation_ms(task))
+        if run.is_proven or is_young:
             return False
         run.is_proven = True
         self.remove_run(run)
-        return task is not None and self.clear(task)
+        return task is not None and self._clear_crashes(task)
 
     def clear(self, task: Task) -> bool:
-        """Drop the evidence against a task; return whether there was any."""
+        """Drop the evidence against a task; return whether it was a suspect."""
+        self._clear_late_crashes(task)
+        return self._clear_crashes(task)
+
+    def _clear_late_crashes(self, task: Task) -> None:
+        owner = task.accountable
+        if owner.late_crashes:
+            owner.late_crashes.clear()
+            self._changed_jobs.add(owner.task_id.job_id)
+
+    def pop_changed_jobs(self) -> set[str]:
+        """Return the jobs whose late crashes have changed since the last call."""
+        changed, self._changed_jobs = self._changed_jobs, set()
+        return changed
+
+    def _clear_crashes(self, task: Task) -> bool:
         owner = task.accountable
         self._pending.pop(owner.task_id, None)
         if not owner.crashes:
@@ -186,24 +231,34 @@
         workers : int
             Number of workers.
         """
-        young = [
-            (run, task.accountable)
-            for run, task in runs
-            if not run.is_proven and ended_s - run.started_s < PROBATION_MS / 1000
-        ]
-        suspects = {owner.task_id for _, owner in young if owner.crashes}
         crashed_s = now_s if math.isinf(ended_s) else ended_s
+        young = []
+        late = []
+        for run, task in runs:
+            owner = task.accountable
+            if (
+                not run.is_proven
+                and ended_s - run.started_s < _probation_ms(task) / 1000
+            ):
+                young.append((run, owner))
+            elif crashed_s - run.started_s < LATE_PROBATION_MS / 1000:
+                owner.late_crashes.add(run.run_id.number)
+                self._changed_jobs.add(owner.task_id.job_id)
+                if _is_late_suspect(owner):
+                    late.append((run, owner))
+        suspects = {owner.task_id for _, owner in young if owner.crashes}
         self._worker_ends = [
             end for end in self._worker_ends if now_s - end.ended_s <= ENDS_KEPT_S
         ]
         self._worker_ends.append(WorkerEnd(crashed_s, bool(young)))
         owners = {owner.task_id: owner for _, owner in young}
-        for run, owner in young:
+        for run, owner in [*young, *late]:
             owner.crashes[run.run_id.number] = worker_id
             if run.phase is RunPhase.STARTING:
                 owner.unanswered_crashes.add(run.run_id.number)
-        threshold = CRASHES_ALONE if len(owners) == 1 else CRASHES_AS_ONLY_SUSPECT
         for task_id, owner in owners.items():
+            is_certain = len(owners) == 1 and not _is_late_suspect(owner)
+            threshold = CRASHES_ALONE if is_certain else CRASHES_AS_ONLY_SUSPECT
             crashes = len(owner.crashes)
             counted = crashes - bool(owner.unanswered_crashes)
             is_decisive = suspects == {task_id} and counted >= threshold
@@ -211,6 +266,7 @@
                 self._pending[task_id] = PendingVerdict(
                     owner, crashed_s, now_s, workers
                 )
+        owners.update((owner.task_id, owner) for _, owner in late)
         return list(owners.values())
 
     def pop_given_up(self, now_s: float) -> list[Task]:
--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -103,6 +103,8 @@
         Runs that may have crashed their worker, with its id; empty if unknown.
     unanswered_crashes : set of int
         Those of them that may not have been carried out, as far as this leader knows.
+    late_crashes : set of int
+        Runs in a row that were lost in a crash after their probation.
     """
 
     task_id: TaskId
@@ -115,6 +117,7 @@
     failed_on: set[str] = field(default_factory=set)
     crashes: dict[int, str] = field(default_factory=dict)
     unanswered_crashes: set[int] = field(default_factory=set)
+    late_crashes: set[int] = field(default_factory=set)
 
     @property
     def accountable(self) -> "Task":
@@ -225,14 +228,16 @@
         Numbers of failed runs and the newest checkpoint by index of the task. The
         numbers are kept instead of a count, because a worker may list an end again
         to a later leader.
-    crashes : dict
-        Numbers of runs that may have crashed their worker, by index of the task.
+    crashes, late_crashes : dict
+        Numbers of runs that may have crashed their worker, by index of the task, and
+        of those that were lost in a crash after their probation.
     """
 
     done: str = "0"
     failures: dict[int, tuple[int, ...]] = {}
     checkpoints: dict[int, str] = {}
     crashes: dict[int, tuple[int, ...]] = {}
+    late_crashes: dict[int, tuple[int, ...]] = {}
 
 
 class JobProgress(msgspec.Struct, omit_defaults=True):
@@ -270,6 +275,7 @@
         _merge_runs(first.failures, other.failures),
         {**first.checkpoints, **other.checkpoints},
         _merge_runs(first.crashes, other.crashes),
+        _merge_runs(first.late_crashes, other.late_crashes),
     )
 
 
@@ -462,17 +468,20 @@
     failures = {}
     checkpoints = {}
     crashes = {}
+    late_crashes = {}
     for index, task in enumerate(step.tasks):
         if task.is_done:
             done |= 1 << index
             continue
         if task.crashes:
             crashes[index] = tuple(sorted(task.crashes))
+        if task.late_crashes:
+            late_crashes[index] = tuple(sorted(task.late_crashes))
         if task.failed_runs:
             failures[index] = tuple(sorted(task.failed_runs))
         if task.checkpoint:
             checkpoints[index] = task.checkpoint
-    return StepProgress(f"{done:x}", failures, checkpoints, crashes)
+    return StepProgress(f"{done:x}", failures, checkpoints, crashes, late_crashes)
 
 
 def _restore_step(step: StepState, stored: StepProgress) -> None:
@@ -481,7 +490,10 @@
         task.is_done = bool(done >> index & 1)
         task.failed_runs = set(stored.failures.get(index, ()))
         task.crashes = dict.fromkeys(stored.crashes.get(index, ()), "")
-        task.last_run = max((*task.failed_runs, *task.crashes), default=0)
+        task.late_crashes = set(stored.late_crashes.get(index, ()))
+        task.last_run = max(
+            (*task.failed_runs, *task.crashes, *task.late_crashes), default=0
+        )
         task.checkpoint = stored.checkpoints.get(index, "")
         step.refresh(task)
     step.done = done.bit_count()
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -382,7 +382,10 @@
         log_event("task.cleared", task=_format_task_id(task.task_id))
 
     def give_up_crashing(self, now_s: float) -> None:
-        """End the jobs of tasks that crash their workers."""
+        """End the jobs of tasks that crash their workers, and store the evidence."""
+        self._registry.dirty |= self._crashes.pop_changed_jobs() & set(
+            self._registry.active
+        )
         for task in self._crashes.pop_given_up(now_s):
             state = task.step.job
             if state.has_ended:
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -4,6 +4,7 @@
 
 from dogwoodlever._crash_attribution import (
     CRASHES_MAX,
+    LATE_PROBATION_MS,
     PROBATION_MS,
     VERDICT_DELAY_S,
     CrashAttribution,
@@ -117,6 +118,38 @@
                 self.assertLessEqual(self.starts(fleet), CRASHES_MAX)
                 self.assert_completed(fleet, 6)
 
+    # Guards against a task that crashes its workers after its probation, without end.
+    def test_task_that_crashes_its_workers_late(self):
+        for crash_delay_s in (0.6, 1.0, 2.0, 3.0):
+            for name, tasks, fields in self.CASES:
+                if fields.get("gang"):
+                    # The simulated members that run on complete the gang.
+                    continue
+                with self.subTest(name, crash_delay_s=crash_delay_s):
+                    fleet = self.start_fleet(run_s=4.0)
+                    fleet.workers.crash_delay_s = crash_delay_s
+                    self.submit_ordinary(fleet, 6)
+                    self.submit_deadly(fleet, tasks=tasks, **fields)
+                    self.submit_ordinary(fleet, 6, first=6)
+                    self.run_fleet(fleet, VERDICT_MAX_S)
+                    self.assertEqual(self.phase(fleet), JobPhase.FAILED)
+                    self.assertLessEqual(len(fleet.workers.crashes), STARTS_MAX)
+                    self.assert_completed(fleet, 12)
+
+    def test_change_of_leader_during_late_crashes(self):
+        for kill_s in (0.5, 1.0, 1.9, 2.5, 4.0, 6.0, 9.0):
+            with self.subTest(kill_s=kill_s):
+                fleet = self.start_fleet(run_s=4.0)
+                fleet.workers.crash_delay_s = 1.5
+                self.submit_ordinary(fleet, 4)
+                self.submit_deadly(fleet)
+                self.run_fleet(fleet, kill_s)
+                fleet.kill(fleet.leader())
+                self.run_fleet(fleet, VERDICT_MAX_S)
+                self.assertEqual(self.phase(fleet), JobPhase.FAILED)
+                self.assertLessEqual(len(fleet.workers.crashes), STARTS_MAX)
+                self.assert_completed(fleet, 4)
+
     # Guards against a successor that starts counting anew.
     def test_changes_of_leader_keep_the_count(self):
         for kill_s in (0.02, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.9, 1.2):
@@ -312,6 +345,23 @@
                     given_up = self.given_up()
                     self.assertEqual(given_up, [task] if number == expected else [])
 
+    # Guards against giving up a task that shared workers with one that crashes late.
+    def test_run_that_outlives_the_late_probation_clears_its_task(self):
+        (task,) = self.add_tasks("a")
+        for number in range(2):
+            pair = self.start(task, f"w{number}")
+            self.prove(pair)
+            self.now_s += 1.0
+            self.crash(f"w{number}", pair)
+        self.assertEqual(self.given_up(), [])
+        self.assertEqual(list(task.crashes), [2])
+        pair = self.start(task, "w2")
+        self.assertFalse(self.prove(pair))
+        self.assertTrue(self.crashes.is_reserved("w2"))
+        self.assertTrue(self.crashes.record_listed(*pair, 1 + LATE_PROBATION_MS))
+        self.assertFalse(self.crashes.is_reserved("w2"))
+        self.assertEqual((task.crashes, task.late_crashes), ({}, set()))
+
     def test_runs_before_the_last_contact_are_no_evidence(self):
         early, late = self.add_tasks("a")[0], self.add_tasks("b")[0]
         pairs = [self.start(early, "w0")]
@@ -401,11 +451,13 @@
     def test_crashes_outlast_a_record(self):
         registry = RunRegistry(1)
         queue = Queue(QUEUE, "", "/", "desk")
-        stored = JobProgress("running", 0, {0: [StepProgress(crashes={1: (3, 1004)})]})
+        step = StepProgress(crashes={1: (3, 1004)}, late_crashes={1: (2, 3)})
+        stored = JobProgress("running", 0, {0: [step]})
         stored = decode_progress(encode(stored))
         state = registry.add_job(job(DEADLY, tasks=2), queue, 1, 0.0, stored)
         task = state.occurrences[0].steps[0].tasks[1]
         self.assertEqual(set(task.crashes), {3, 1004})
+        self.assertEqual(task.late_crashes, {2, 3})
         self.assertEqual(task.last_run, 1004)
         self.assertEqual(state.progress(), stored)
 
