Late crashes of a task are cleared by a run that lasts

Change: a run's reports are looked at until they can clear nothing more. Test: crashes_are_stored_until_the_task_is_cleared, its new case failed before: AssertionError: {0: (1,)} != {}.

--- a/dogwoodlever/_crash_attribution.py
+++ b/dogwoodlever/_crash_attribution.py
@@ -167,6 +167,7 @@
         """
         late_crashes = set() if task is None else task.accountable.late_crashes
         if run.is_proven and not late_crashes:
+            run.is_watched = False
             return False
         if run.seen_clock_ms < 0:
             run.seen_clock_ms = clock_ms
--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -69,6 +69,8 @@
         The worker's clock when it confirmed or first listed the run; -1 before that.
     is_proven : bool
         Whether it has run for so long that it does not crash its worker.
+    is_watched : bool
+        Whether its reports may still clear its task of crashes.
     """
 
     run_id: RunId
@@ -87,6 +89,7 @@
     may_have_started: bool = True
     seen_clock_ms: int = -1
     is_proven: bool = False
+    is_watched: bool = True
 
     def remaining_s(self, step: Step) -> float:
         """Return the estimated run time left at the last report."""
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -252,7 +252,7 @@
             self._adopt(capacity, link, listed_run, now_s)
             return
         run, step = pair
-        if not run.is_proven:
+        if run.is_watched:
             task = self._registry.find(listed_run.run.task)
             if self._crashes.record_listed(run, task, clock_ms):
                 self._report_cleared(task)
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -264,20 +264,23 @@
         running = sum(len(w.running) for w in fleet.workers.workers.values())
         self.assertEqual(running, 2)
 
+    # Guards against evidence that a task keeps although its next run lasts.
     def test_crashes_are_stored_until_the_task_is_cleared(self):
-        fleet = self.start_fleet(workers=4, run_s=0.0)
-        fleet.submit(0, job(ordinary_id(0), tasks=1, standing=True))
-        self.run_fleet(fleet, 0.2)
-        fleet.workers.crash(fleet.workers.starts[0][1])
-        self.run_fleet(fleet, RETURN_S + 0.5)
-        self.assertEqual(self.stored(fleet), {0: (1,)})
-        self.run_fleet(fleet, 5.0)
-        self.assertEqual(self.stored(fleet), {})
+        for age_s, field in ((0.2, "crashes"), (1.5, "late_crashes")):
+            with self.subTest(age_s=age_s):
+                fleet = self.start_fleet(workers=4, run_s=0.0)
+                fleet.submit(0, job(ordinary_id(0), tasks=1, standing=True))
+                self.run_fleet(fleet, age_s)
+                fleet.workers.crash(fleet.workers.starts[0][1])
+                self.run_fleet(fleet, RETURN_S + 0.5)
+                self.assertEqual(getattr(self.stored(fleet), field), {0: (1,)})
+                self.run_fleet(fleet, 6.0)
+                self.assertEqual(getattr(self.stored(fleet), field), {})
 
     @staticmethod
     def stored(fleet):
         record = fleet.records.records[progress_key(ordinary_id(0))]
-        return decode_progress(record.value).occurrences[0][0].crashes
+        return decode_progress(record.value).occurrences[0][0]
 
 
 class CrashAttributionTest(unittest.TestCase):
