--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -1,5 +1,6 @@
 """Fleet daemons on the simulated, in-process platform."""
 
+import unittest
 from dataclasses import replace
 
 import msgspec
@@ -21,6 +22,7 @@
 
 STEP_S = 0.01
 QUEUE = "quotes"
+JOB = "a" * 16
 CONFIGURATION = {
     "version": 1,
     "routes": [
@@ -139,3 +141,23 @@
             frontend.read(job_id, self.clock.seconds() + 3.0), wait_s
         )
         return result and result.phase
+
+
+class StandingWorkTest(unittest.TestCase):
+    """Base of tests that follow a standing job over changes of workers and leaders."""
+
+    def start_fleet(self, run_s=0.0, **sizes):
+        fleet = FleetSimulation(run_s=run_s, **sizes)
+        fleet.run_for(1.0)
+        self.assertIsNotNone(fleet.leader())
+        return fleet
+
+    def start_standing_job(self, fleet, tasks):
+        """Start a job with two tasks a worker; return one of the workers."""
+        fleet.submit(0, job(JOB, tasks=tasks, standing=True, worker_tasks_max=2))
+        fleet.run_for(1.0)
+        self.assertEqual(self.count_running(fleet), tasks)
+        return fleet.workers.starts[0][1]
+
+    def count_running(self, fleet):
+        return sum(len(worker.running) for worker in fleet.workers.workers.values())
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -8,29 +8,20 @@
 from dogwoodlever._fleet_records import INBOX_PREFIX
 from dogwoodlever._fleet_types import StartOrder, Step, SubmittedJob
 from standins.fleet import LEASE_MAX_MS, server_record
-from tests.fleet_simulation import QUEUE, FleetSimulation, job, worker_entry
+from tests.fleet_simulation import (
+    JOB,
+    QUEUE,
+    FleetSimulation,
+    StandingWorkTest,
+    job,
+    worker_entry,
+)
 
-JOB = "a" * 16
 # Far ahead on the clock of an incarnation that has just started.
 FORMER_CLOCK_MS = 10**9
 
 
-class WorkerIncarnationsTest(unittest.TestCase):
-    def start_fleet(self, run_s=0.0, **sizes):
-        fleet = FleetSimulation(run_s=run_s, **sizes)
-        fleet.run_for(1.0)
-        self.assertIsNotNone(fleet.leader())
-        return fleet
-
-    def start_standing_job(self, fleet, tasks):
-        fleet.submit(0, job(JOB, tasks=tasks, standing=True, worker_tasks_max=2))
-        fleet.run_for(1.0)
-        self.assertEqual(self.count_running(fleet), tasks)
-        return fleet.workers.starts[0][1]
-
-    def count_running(self, fleet):
-        return sum(len(worker.running) for worker in fleet.workers.workers.values())
-
+class WorkerIncarnationsTest(StandingWorkTest):
     def restart(self, fleet, worker_id, started_at_ms=2, run_s=0.0, **fields):
         entry = worker_entry(int(worker_id[1:]), started_at_ms=started_at_ms)
         entry = replace(entry, **fields)
@@ -38,12 +29,8 @@
         fleet.records.write(f"servers/{worker_id}", server_record(entry))
         return worker
 
-    # Guards against runs that are started elsewhere while their worker holds a longer
-    # lease, which a call meant for its former incarnation has granted.
-    def test_call_for_the_former_incarnation_grants_a_longer_lease(self):
-        fleet = self.start_fleet(workers=2)
-        fleet.run_for(20.0)
-        assigned = self.start_standing_job(fleet, 4)
+    def cut_off_next_incarnation(self, fleet, assigned):
+        """Crash a worker; cut it off once its next incarnation has got work."""
         fleet.workers.crash(assigned)
         fleet.run_for(0.5)
         # The next poll reaches the new incarnation before its entry is written.
@@ -55,6 +42,14 @@
         self.assertEqual(len(worker.running), 2)
         worker.is_reachable = False
         self.restart(fleet, "w2")
+
+    # Guards against runs that are started elsewhere while their worker holds a longer
+    # lease, which a call meant for its former incarnation has granted.
+    def test_call_for_the_former_incarnation_grants_a_longer_lease(self):
+        fleet = self.start_fleet(workers=2)
+        fleet.run_for(20.0)
+        assigned = self.start_standing_job(fleet, 4)
+        self.cut_off_next_incarnation(fleet, assigned)
         fleet.run_for(WORKER_LEASES_MAX_S + LEASE_MAX_MS / 1000)
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 4)
@@ -91,16 +86,7 @@
         fleet = self.start_fleet(workers=2)
         fleet.run_for(20.0)
         assigned = self.start_standing_job(fleet, 4)
-        fleet.workers.crash(assigned)
-        fleet.run_for(0.5)
-        entry = replace(fleet.workers.workers[assigned].entry, started_at_ms=2)
-        worker = fleet.workers.add(entry, 0.0)
-        fleet.run_for(0.3)
-        fleet.records.write(f"servers/{assigned}", server_record(entry))
-        fleet.run_for(1.0)
-        self.assertEqual(len(worker.running), 2)
-        worker.is_reachable = False
-        self.restart(fleet, "w2")
+        self.cut_off_next_incarnation(fleet, assigned)
         former = fleet.leader()
         self.cut_off_from_store(fleet, former, revokes_lease=True)
         fleet.run_for(WORKER_LEASES_MAX_S + LEASE_MAX_MS / 1000)
--- a/tests/test_worker_recovery.py
+++ b/tests/test_worker_recovery.py
@@ -6,9 +6,14 @@
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_records import WORKER_MEMBERSHIP_KEY, decode_worker_membership
 from standins.fleet import server_record
-from tests.fleet_simulation import FleetSimulation, job, worker_entry
+from tests.fleet_simulation import (
+    JOB,
+    FleetSimulation,
+    StandingWorkTest,
+    job,
+    worker_entry,
+)
 
-JOB = "a" * 16
 # Design target from a leader's death to the start of work of a worker that has ended.
 RECOVERY_TARGET_S = 4.0
 # From the death of a leader and a worker of which nothing is heard to the start of the
@@ -52,22 +57,7 @@
     fleet.records.remove(f"servers/{worker_id}")
 
 
-class WorkerRecoveryTest(unittest.TestCase):
-    def start_fleet(self, **sizes):
-        fleet = FleetSimulation(run_s=0.0, **sizes)
-        fleet.run_for(1.0)
-        self.assertIsNotNone(fleet.leader())
-        return fleet
-
-    def start_standing_job(self, fleet, tasks):
-        fleet.submit(0, job(JOB, tasks=tasks, standing=True, worker_tasks_max=2))
-        fleet.run_for(1.0)
-        self.assertEqual(self.count_running(fleet), tasks)
-        return fleet.workers.starts[0][1]
-
-    def count_running(self, fleet):
-        return sum(len(worker.running) for worker in fleet.workers.workers.values())
-
+class WorkerRecoveryTest(StandingWorkTest):
     def time_until_running(self, fleet, tasks, limit_s):
         began_s = fleet.clock.seconds()
         while self.count_running(fleet) < tasks:
