--- a/dogwoodlever/_cell.py
+++ b/dogwoodlever/_cell.py
@@ -440,10 +440,10 @@
             self._update_suspect(task)
             crashes = len(task.crashed_on)
             self._log("task.suspected", task, crashes=crashes, worker=view.name)
-        accused = suspects or young
-        if len(accused) != 1 or accused[0].state != "queued":
+        candidates = suspects or young
+        if len(candidates) != 1 or candidates[0].state != "queued":
             return
-        task = accused[0]
+        task = candidates[0]
         too_often = self._has_failed_too_often(view, task, task.crashed_on, now_s)
         if too_often or len(task.crashed_on) >= CRASHES_MAX:
             where = ", ".join(task.crashed_on)
--- a/dogwoodlever/_crash_attribution.py
+++ b/dogwoodlever/_crash_attribution.py
@@ -51,10 +51,10 @@
 CRASHES_MAX = 4
 # Connections to workers that end together break within this time.
 SAME_MOMENT_S = 0.25
-# A verdict waits for the ends of the same moment, which are certain at the latest when
+# A decision waits for the ends of the same moment, which are certain at the latest when
 # the workers' leases have expired.
-VERDICT_DELAY_S = 5.4
-# The ends that a verdict is compared with.
+DECISION_DELAY_S = 5.4
+# The ends that a decision is compared with.
 ENDS_KEPT_S = 10.0
 # Number and share of the workers whose end in one moment has a common cause.
 COMMON_CAUSE_WORKERS_MIN = 4
@@ -84,7 +84,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class PendingVerdict:
+class PendingDecision:
     """Task that is given up unless its last crash has a common cause with others.
 
     Attributes
@@ -124,7 +124,7 @@
         self._changed_jobs: set[str] = set()
         # Runs of suspects on probation, by worker id.
         self._on_probation: dict[str, set[RunId]] = {}
-        self._pending: dict[TaskId, PendingVerdict] = {}
+        self._pending: dict[TaskId, PendingDecision] = {}
         self._worker_ends: list[WorkerEnd] = []
 
     def is_held(self, task: Task) -> bool:
@@ -264,33 +264,33 @@
             counted = crashes - bool(owner.unanswered_crashes)
             is_decisive = suspects == {task_id} and counted >= threshold
             if is_decisive or crashes >= CRASHES_MAX:
-                self._pending[task_id] = PendingVerdict(
+                self._pending[task_id] = PendingDecision(
                     owner, crashed_s, now_s, workers
                 )
         owners.update((owner.task_id, owner) for _, owner in late)
         return list(owners.values())
 
     def pop_given_up(self, now_s: float) -> list[Task]:
-        """Return the tasks that are given up now, and release the exonerated ones."""
+        """Return the tasks that are given up now, and release the others."""
         given_up = []
-        for task_id, verdict in list(self._pending.items()):
-            if now_s - verdict.detected_s < VERDICT_DELAY_S:
+        for task_id, decision in list(self._pending.items()):
+            if now_s - decision.detected_s < DECISION_DELAY_S:
                 continue
             del self._pending[task_id]
-            is_final = len(verdict.task.crashes) >= CRASHES_MAX
-            if is_final or not self._has_common_cause(verdict):
-                given_up.append(verdict.task)
+            is_final = len(decision.task.crashes) >= CRASHES_MAX
+            if is_final or not self._has_common_cause(decision):
+                given_up.append(decision.task)
         return given_up
 
-    def _has_common_cause(self, verdict: PendingVerdict) -> bool:
+    def _has_common_cause(self, decision: PendingDecision) -> bool:
         """Return whether other workers ended together with that of a crash."""
         ends = [
             end
             for end in self._worker_ends
-            if abs(end.ended_s - verdict.crashed_s) <= SAME_MOMENT_S
+            if abs(end.ended_s - decision.crashed_s) <= SAME_MOMENT_S
         ]
         if not all(end.has_young_runs for end in ends):
             return True
         return len(ends) >= max(
-            COMMON_CAUSE_WORKERS_MIN, verdict.workers * COMMON_CAUSE_RATIO
+            COMMON_CAUSE_WORKERS_MIN, decision.workers * COMMON_CAUSE_RATIO
         )
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -33,8 +33,8 @@
 INTERFERENCE_COST = 20_000
 # Costs of each run beside a task that may crash its worker, in thousandths of a core. A
 # run on probation may be the cause of the next crash.
-BYSTANDER_COST = 50_000
-YOUNG_BYSTANDER_COST = 400_000
+COLOCATED_RUN_COST = 50_000
+YOUNG_COLOCATED_RUN_COST = 400_000
 # A speculative copy starts once a run exceeds its estimate by this factor plus the
 # margin. Estimates may be too short by a factor of two.
 COPY_FACTOR = 2.0
@@ -412,7 +412,7 @@
                 continue
             worker_id = capacity.entry.worker_id
             cost += AVOID_COST if worker_id in failed_on else 0.0
-            cost += _bystander_cost(step.tasks[0], capacity, now_s)
+            cost += _colocated_runs_cost(step.tasks[0], capacity, now_s)
             ranked.append((cost, worker_id, capacity))
         chosen: list[WorkerCapacity] = []
         for _, _, capacity in sorted(ranked, key=lambda row: row[:2]):
@@ -447,7 +447,7 @@
                 continue
             if capacity.entry.worker_id in task.failed_on:
                 cost += AVOID_COST
-            cost += _bystander_cost(task, capacity, now_s)
+            cost += _colocated_runs_cost(task, capacity, now_s)
             if cheapest is None or cost < cheapest_cost:
                 cheapest, cheapest_cost = capacity, cost
         return cheapest
@@ -511,14 +511,14 @@
         return self._interference.total(spec.image, capacity.interfering_cores())
 
 
-def _bystander_cost(task: Task, capacity: WorkerCapacity, now_s: float) -> int:
+def _colocated_runs_cost(task: Task, capacity: WorkerCapacity, now_s: float) -> int:
     """Return the cost of the runs that a task would lose by crashing a worker."""
     if not task.accountable.crashes:
         return 0
     cost = 0
     for run, _ in capacity.runs.values():
         is_young = now_s - run.started_s < PROBATION_MS / 1000
-        cost += YOUNG_BYSTANDER_COST if is_young else BYSTANDER_COST
+        cost += YOUNG_COLOCATED_RUN_COST if is_young else COLOCATED_RUN_COST
     return cost
 
 
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -404,22 +404,22 @@
     # Guards against giving up tasks that shared workers with one that crashes them.
     def test_tasks_that_shared_crashed_workers_are_not_given_up(self):
         table = (("one job", ("j/0",)), ("two crash workers", ("j/0", "j/1")))
-        for name, deadly in table:
+        for name, crashing in table:
             with self.subTest(name):
                 self.setUp()
                 self.cell.submit(job(tasks=8), 0.0)
                 for _ in range(4 * self.ROUNDS):
                     self.start_all()
                     self.run_for(2.0)
-                    for task_id in deadly:
+                    for task_id in crashing:
                         if self.task(task_id).state == "running":
                             self.restart(self.task(task_id).worker)
                 self.run_for(12.0)
                 for number in range(8):
                     task = self.task(f"j/{number}")
-                    expected = "failed" if task.task_id in deadly else "running"
+                    expected = "failed" if task.task_id in crashing else "running"
                     self.assertEqual(task.state, expected, task.task_id)
-                    if task.task_id in deadly:
+                    if task.task_id in crashing:
                         self.assertLessEqual(task.attempt, 6)
 
     # Guards against evidence that adds up over the life of a standing task.
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -4,9 +4,9 @@
 
 from dogwoodlever._crash_attribution import (
     CRASHES_MAX,
+    DECISION_DELAY_S,
     LATE_PROBATION_MS,
     PROBATION_MS,
-    VERDICT_DELAY_S,
     CrashAttribution,
 )
 from dogwoodlever._fleet_job import (
@@ -21,14 +21,14 @@
 from dogwoodlever._run_registry import RunRegistry
 from tests.fleet_simulation import QUEUE, FleetSimulation, job, worker_entry
 
-DEADLY = "d" * 16
+CRASHING_JOB = "d" * 16
 # Starts of a task that crashes its workers: two of its runners may crash, and the
 # platform counts the fourth start after the third crash.
 STARTS_MAX = 5
 RETURN_S = 3.0
 # Covers a few crashes, each known when the worker returns or its leases expire, and the
-# verdict.
-VERDICT_MAX_S = 60.0
+# decision.
+DECISION_MAX_S = 60.0
 
 
 def ordinary_id(number):
@@ -66,15 +66,15 @@
     def alive(fleet):
         return next(n for n, clock in enumerate(fleet.clocks) if clock.is_alive)
 
-    def submit_deadly(self, fleet, job_id=DEADLY, tasks=1, **fields):
+    def submit_crashing(self, fleet, job_id=CRASHING_JOB, tasks=1, **fields):
         fleet.workers.crashing_tasks.add(TaskId(job_id, 0, 0, 0))
         fleet.submit(self.alive(fleet), job(job_id, tasks=tasks, **fields))
 
-    def starts(self, fleet, job_id=DEADLY):
+    def starts(self, fleet, job_id=CRASHING_JOB):
         task_id = TaskId(job_id, 0, 0, 0)
         return sum(run.task == task_id for run, _ in fleet.workers.starts)
 
-    def phase(self, fleet, job_id=DEADLY):
+    def phase(self, fleet, job_id=CRASHING_JOB):
         return fleet.nodes[fleet.leader()].leader.job_phase(job_id)
 
     def assert_completed(self, fleet, count):
@@ -97,9 +97,9 @@
             with self.subTest(name):
                 fleet = self.start_fleet()
                 self.submit_ordinary(fleet, 6)
-                self.submit_deadly(fleet, tasks=tasks, **fields)
+                self.submit_crashing(fleet, tasks=tasks, **fields)
                 self.submit_ordinary(fleet, 6, first=6)
-                self.run_fleet(fleet, VERDICT_MAX_S)
+                self.run_fleet(fleet, DECISION_MAX_S)
                 self.assertEqual(self.phase(fleet), JobPhase.FAILED)
                 self.assertLessEqual(self.starts(fleet), 3)
                 self.assertLessEqual(len(fleet.workers.crashes), 3)
@@ -112,8 +112,8 @@
                 fleet = self.start_fleet()
                 fleet.workers.crash_delay_s = 0.0
                 self.submit_ordinary(fleet, 6)
-                self.submit_deadly(fleet, tasks=tasks, **fields)
-                self.run_fleet(fleet, VERDICT_MAX_S)
+                self.submit_crashing(fleet, tasks=tasks, **fields)
+                self.run_fleet(fleet, DECISION_MAX_S)
                 self.assertEqual(self.phase(fleet), JobPhase.FAILED)
                 self.assertLessEqual(self.starts(fleet), CRASHES_MAX)
                 self.assert_completed(fleet, 6)
@@ -129,9 +129,9 @@
                     fleet = self.start_fleet(run_s=4.0)
                     fleet.workers.crash_delay_s = crash_delay_s
                     self.submit_ordinary(fleet, 6)
-                    self.submit_deadly(fleet, tasks=tasks, **fields)
+                    self.submit_crashing(fleet, tasks=tasks, **fields)
                     self.submit_ordinary(fleet, 6, first=6)
-                    self.run_fleet(fleet, VERDICT_MAX_S)
+                    self.run_fleet(fleet, DECISION_MAX_S)
                     self.assertEqual(self.phase(fleet), JobPhase.FAILED)
                     self.assertLessEqual(len(fleet.workers.crashes), STARTS_MAX)
                     self.assert_completed(fleet, 12)
@@ -142,10 +142,10 @@
                 fleet = self.start_fleet(run_s=4.0)
                 fleet.workers.crash_delay_s = 1.5
                 self.submit_ordinary(fleet, 4)
-                self.submit_deadly(fleet)
+                self.submit_crashing(fleet)
                 self.run_fleet(fleet, kill_s)
                 fleet.kill(fleet.leader())
-                self.run_fleet(fleet, VERDICT_MAX_S)
+                self.run_fleet(fleet, DECISION_MAX_S)
                 self.assertEqual(self.phase(fleet), JobPhase.FAILED)
                 self.assertLessEqual(len(fleet.workers.crashes), STARTS_MAX)
                 self.assert_completed(fleet, 4)
@@ -154,14 +154,14 @@
     def test_leader_killed_after_each_late_crash(self):
         fleet = self.start_fleet(daemons=5, run_s=0.0)
         fleet.workers.crash_delay_s = 1.5
-        self.submit_deadly(fleet, standing=True)
+        self.submit_crashing(fleet, standing=True)
         for _ in range(2):
             crashes = len(fleet.workers.crashes)
             while len(fleet.workers.crashes) == crashes:
                 self.run_fleet(fleet, 0.05)
             self.run_fleet(fleet, 0.05)
             fleet.kill(fleet.leader())
-        self.run_fleet(fleet, VERDICT_MAX_S)
+        self.run_fleet(fleet, DECISION_MAX_S)
         self.assertEqual(self.phase(fleet), JobPhase.FAILED)
         self.assertLessEqual(len(fleet.workers.crashes), STARTS_MAX)
 
@@ -169,8 +169,8 @@
     def test_task_that_crashes_its_workers_after_the_late_probation(self):
         fleet = self.start_fleet(run_s=0.0)
         fleet.workers.crash_delay_s = 4.5
-        self.submit_deadly(fleet, standing=True)
-        self.run_fleet(fleet, VERDICT_MAX_S)
+        self.submit_crashing(fleet, standing=True)
+        self.run_fleet(fleet, DECISION_MAX_S)
         self.assertEqual(self.phase(fleet), JobPhase.FAILED)
         self.assertLessEqual(len(fleet.workers.crashes), STARTS_MAX)
 
@@ -180,10 +180,10 @@
             with self.subTest(kill_s=kill_s):
                 fleet = self.start_fleet()
                 self.submit_ordinary(fleet, 4)
-                self.submit_deadly(fleet)
+                self.submit_crashing(fleet)
                 self.run_fleet(fleet, kill_s)
                 fleet.kill(fleet.leader())
-                self.run_fleet(fleet, VERDICT_MAX_S)
+                self.run_fleet(fleet, DECISION_MAX_S)
                 self.assertEqual(self.phase(fleet), JobPhase.FAILED)
                 self.assertLessEqual(self.starts(fleet), STARTS_MAX)
                 self.assert_completed(fleet, 4)
@@ -192,20 +192,20 @@
         for delay_s in (0.05, 0.25, 0.35):
             with self.subTest(delay_s=delay_s):
                 fleet = self.start_fleet(daemons=5)
-                self.submit_deadly(fleet)
+                self.submit_crashing(fleet)
                 for _ in range(2):
                     crashes = len(fleet.workers.crashes)
                     while len(fleet.workers.crashes) == crashes:
                         self.run_fleet(fleet, 0.05)
                     self.run_fleet(fleet, delay_s)
                     fleet.kill(fleet.leader())
-                self.run_fleet(fleet, VERDICT_MAX_S)
+                self.run_fleet(fleet, DECISION_MAX_S)
                 self.assertEqual(self.phase(fleet), JobPhase.FAILED)
                 self.assertLessEqual(self.starts(fleet), STARTS_MAX)
 
     def test_task_with_two_crashes_waits_for_the_store(self):
         fleet = self.start_fleet()
-        self.submit_deadly(fleet)
+        self.submit_crashing(fleet)
         while not fleet.workers.crashes:
             self.run_fleet(fleet, 0.05)
         for store in fleet.stores:
@@ -220,12 +220,12 @@
 
     def test_several_crashing_tasks_at_once(self):
         fleet = self.start_fleet(workers=16)
-        deadly = [f"{number:x}" * 16 for number in range(10, 15)]
+        crashing = [f"{number:x}" * 16 for number in range(10, 15)]
         self.submit_ordinary(fleet, 8)
-        for job_id in deadly:
-            self.submit_deadly(fleet, job_id)
-        self.run_fleet(fleet, VERDICT_MAX_S)
-        for job_id in deadly:
+        for job_id in crashing:
+            self.submit_crashing(fleet, job_id)
+        self.run_fleet(fleet, DECISION_MAX_S)
+        for job_id in crashing:
             self.assertEqual(self.phase(fleet, job_id), JobPhase.FAILED)
             self.assertLessEqual(self.starts(fleet, job_id), CRASHES_MAX)
         self.assert_completed(fleet, 8)
@@ -315,7 +315,7 @@
         )
 
     def given_up(self):
-        self.now_s += VERDICT_DELAY_S + 0.01
+        self.now_s += DECISION_DELAY_S + 0.01
         return self.crashes.pop_given_up(self.now_s)
 
     def suspects(self, *names):
@@ -410,8 +410,8 @@
         ("three with young runs", [((f"y{n}",), 0.1) for n in range(3)], True),
     ]
 
-    def test_ends_of_the_same_moment_exonerate(self):
-        for name, others, is_exonerated in self.COMMON_CAUSES:
+    def test_ends_of_the_same_moment_are_a_common_cause(self):
+        for name, others, has_common_cause in self.COMMON_CAUSES:
             with self.subTest(name):
                 self.setUp()
                 (task,) = self.suspects("a")
@@ -424,7 +424,7 @@
                     self.now_s += delay_s
                     self.crash(f"x{number}", *pairs, workers=20)
                     self.now_s = crashed_s
-                self.assertEqual(self.given_up(), [] if is_exonerated else [task])
+                self.assertEqual(self.given_up(), [] if has_common_cause else [task])
                 self.assertFalse(self.crashes.is_held(task))
 
     def test_last_crash_gives_up_whatever_else_ended(self):
@@ -481,7 +481,7 @@
         step = StepProgress(crashes={1: (3, 1004)}, late_crashes={1: (2, 3)})
         stored = JobProgress("running", 0, {0: [step]})
         stored = decode_progress(encode(stored))
-        state = registry.add_job(job(DEADLY, tasks=2), queue, 1, 0.0, stored)
+        state = registry.add_job(job(CRASHING_JOB, tasks=2), queue, 1, 0.0, stored)
         task = state.occurrences[0].steps[0].tasks[1]
         self.assertEqual(set(task.crashes), {3, 1004})
         self.assertEqual(task.late_crashes, {2, 3})
--- a/tests/test_worker_recovery.py
+++ b/tests/test_worker_recovery.py
@@ -135,7 +135,7 @@
         cases = [
             ("earlier incarnation, written late", {"started_at_ms": 1}),
             ("no start time", {"started_at_ms": 0}),
-            ("later incarnation at an address without a worker", {"started_at_ms": 9}),
+            ("later incarnation, written by another writer", {"started_at_ms": 9}),
         ]
         for name, fields in cases:
             for kills_leader in (False, True):
