Workspaces in the configuration: names, weights, caps and digests of keys

Cause: the fleet decodes routes only; a configuration with workspaces was read as if it had none, so no key was checked and no cap held. Change: the adapter decodes workspaces and public queues into types of our own, keeps only digests of keys, and rejects a malformed workspace with the name of the field.

--- a/dogwoodlever/_fleet_desired_state.py
+++ b/dogwoodlever/_fleet_desired_state.py
@@ -40,7 +40,7 @@
             log_event("configuration.removed", revision=record.revision)
             return
         try:
-            decoded = decode_configuration(record.value)
+            decoded = decode_configuration(record.value, record.revision)
         except PlatformError as error:
             log_event("configuration.unreadable", why=str(error)[:300])
             return
--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -79,6 +79,8 @@
         Unix time of the first occurrence, and the interval between occurrences.
     submitted_ms : int
         Unix time at which a daemon accepted it.
+    workspace : str
+        Workspace of the key with which it was submitted; empty without a key.
     """
 
     job_id: str
@@ -89,6 +91,7 @@
     first_due_ms: int = 0
     interval_ms: int = 0
     submitted_ms: int = 0
+    workspace: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -103,11 +106,20 @@
         Time for which the state of an ended job must remain readable.
     target_violation_max_s : float
         Time for which co-located work may keep a standing task above its target.
+    stop_timeout_s : float
+        Maximum time from an order to stop a run to its end.
+    checkpoint_interval_s : float
+        Work after which a run writes another checkpoint.
+    workspace_rate_window_s : float
+        Time over which the jobs of a workspace count against its rate.
     """
 
     run_lease_max_s: float
     job_state_kept_s: float
     target_violation_max_s: float
+    stop_timeout_s: float = 0.4
+    checkpoint_interval_s: float = 1.0
+    workspace_rate_window_s: float = 5.0
 
 
 # Workers per advice call; the platform grants each step the time of one such call.
@@ -146,6 +158,8 @@
         `slack_ms`; within it, the job is on time.
     advice : AdviceTiming or None
         Timing of the advice service, if runs need its tickets.
+    is_public : bool
+        Whether calls need no key, even if the configuration has workspaces.
     """
 
     name: str
@@ -157,6 +171,7 @@
     stretch: float = 1.0
     slack_ms: int = 0
     advice: AdviceTiming | None = None
+    is_public: bool = False
 
     @property
     def advice_call_s(self) -> float:
@@ -167,12 +182,52 @@
         return (self.advice.decision_ms + workers_ms) / 1000
 
 
+@dataclass(slots=True, frozen=True)
+class ResourceAmounts:
+    """Amounts of the resources of workers; CPU in thousandths of a core."""
+
+    cores_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Workspace:
+    """Group of callers that share keys, a cap and a share of the workers.
+
+    Attributes
+    ----------
+    weight : float
+        Its share of the workers when all are full, relative to other workspaces, and
+        the jobs per second that count as its usual rate.
+    cap : ResourceAmounts
+        What its tasks may use on all workers together; 0 for no limit.
+    key_digests : frozenset of bytes
+        SHA-256 digests of its keys.
+    """
+
+    name: str
+    weight: float = 1.0
+    cap: ResourceAmounts = ResourceAmounts()
+    key_digests: frozenset[bytes] = frozenset()
+
+
 @dataclass(slots=True, frozen=True)
 class FleetConfiguration:
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    Attributes
+    ----------
+    workspaces : dict of str to Workspace
+        Workspaces by name; empty if calls need no keys.
+    revision : int
+        Store revision of its record; 0 if unknown.
+    """
 
     version: int
     queues: dict[str, Queue] = field(default_factory=dict)
+    workspaces: dict[str, Workspace] = field(default_factory=dict)
+    revision: int = 0
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue at `host` with the longest prefix that matches `path`."""
--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -1,15 +1,22 @@
 """Decoding of records that operators and workers write to the store."""
 
+import hashlib
+from typing import Annotated
+
 import msgspec
 
 from dogwoodlever._fleet_types import (
     AdviceTiming,
     FleetConfiguration,
     Queue,
+    ResourceAmounts,
     WorkerEntry,
+    Workspace,
 )
 from dogwoodlever.platform_errors import PlatformError
 
+_Amount = Annotated[int, msgspec.Meta(ge=0)]
+
 READY = "ready"
 DRAINING = "draining"
 
@@ -35,11 +42,8 @@
     slo_ms: float = 0
     # Present if runs need tickets of the advice service.
     advice: _Advice | None = None
-
-
-class _Configuration(msgspec.Struct, frozen=True):
-    version: int
-    routes: list[_Route]
+    # Calls need no key.
+    public: bool = False
 
 
 class _Capacity(msgspec.Struct, frozen=True):
@@ -49,6 +53,27 @@
     gpu: int = 0
 
 
+class _Cap(msgspec.Struct, frozen=True):
+    # Thousandths of a core; 0 for no limit, as below.
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+
+
+class _Tenant(msgspec.Struct, frozen=True):
+    # A tenant is a workspace.
+    name: str
+    api_keys: tuple[str, ...] = ()
+    weight: Annotated[float, msgspec.Meta(ge=0)] = 1
+    cap: _Cap = _Cap()
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route]
+    tenants: tuple[_Tenant, ...] = ()
+
+
 class _Server(msgspec.Struct, frozen=True):
     service: str
     address: str
@@ -64,8 +89,8 @@
     remaining_ms: int = 0
 
 
-def decode_configuration(value: bytes) -> FleetConfiguration:
-    """Decode the operators' configuration.
+def decode_configuration(value: bytes, revision: int = 0) -> FleetConfiguration:
+    """Decode the operators' configuration, read at a store revision.
 
     Raises
     ------
@@ -87,12 +112,27 @@
             route.stretch,
             int(route.slo_ms),
             _convert_advice(route.advice),
+            route.public,
         )
         for route in document.routes
     }
     # Whether the workers of a service enforce their capacity is ignored, since none
     # is ever assigned more than its capacity.
-    return FleetConfiguration(document.version, queues)
+    workspaces = {
+        tenant.name: Workspace(
+            tenant.name,
+            tenant.weight,
+            ResourceAmounts(tenant.cap.cpu, tenant.cap.mem_mb, tenant.cap.gpu),
+            frozenset(digest_key(key.encode()) for key in tenant.api_keys),
+        )
+        for tenant in document.tenants
+    }
+    return FleetConfiguration(document.version, queues, workspaces, revision)
+
+
+def digest_key(key: bytes) -> bytes:
+    """Return the digest by which a key is kept and compared."""
+    return hashlib.sha256(key).digest()
 
 
 def _convert_advice(advice: _Advice | None) -> AdviceTiming | None:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -8,7 +8,15 @@
 from twisted.internet.error import ConnectionRefusedError
 
 from dogwoodlever._fleet_interfaces import Put, RefusalReason
-from dogwoodlever._fleet_types import AdviceTiming, RunId, StartOrder, StepId, TaskId
+from dogwoodlever._fleet_types import (
+    AdviceTiming,
+    ResourceAmounts,
+    RunId,
+    StartOrder,
+    StepId,
+    TaskId,
+    Workspace,
+)
 from dogwoodlever.fleet_errors import SubmissionError
 from dogwoodlever.platform import (
     HttpAdviceService,
@@ -19,6 +27,7 @@
     read_node_file,
 )
 from dogwoodlever.platform._wire_job import decode_job
+from dogwoodlever.platform._wire_records import digest_key
 from dogwoodlever.platform_errors import (
     AdviceError,
     HistoryGoneError,
@@ -139,6 +148,49 @@
         # One call for thirty workers.
         self.assertAlmostEqual(queue.advice_call_s, 0.1)
 
+    def test_workspaces_and_public_queues(self):
+        route = {"name": "q", "host": "h", "prefix": "/", "service": "s"}
+        document = {
+            "version": 1,
+            "routes": [route, {**route, "name": "p", "public": True}],
+            "tenants": [
+                {
+                    "name": "a",
+                    "api_keys": ["k1", "k2"],
+                    "priority": 1,
+                    "weight": 7,
+                    "cap": {"cpu": 2_000, "mem_mb": 512, "gpu": 0},
+                },
+                {"name": "b"},
+            ],
+        }
+        configuration = decode_configuration(msgspec.json.encode(document), 17)
+        self.assertEqual(configuration.revision, 17)
+        self.assertFalse(configuration.queues["q"].is_public)
+        self.assertTrue(configuration.queues["p"].is_public)
+        workspace = configuration.workspaces["a"]
+        self.assertEqual(workspace.weight, 7)
+        self.assertEqual(workspace.cap, ResourceAmounts(2_000, 512, 0))
+        self.assertEqual(workspace.key_digests, {digest_key(b"k1"), digest_key(b"k2")})
+        self.assertEqual(configuration.workspaces["b"], Workspace("b"))
+
+    # Guards against a cap or weight that is taken over although it is malformed.
+    def test_malformed_workspace_names_the_field(self):
+        cases = (
+            ({"name": 5}, "tenants[0].name"),
+            ({"name": "a", "weight": -1}, "tenants[0].weight"),
+            ({"name": "a", "cap": {"cpu": -1}}, "tenants[0].cap.cpu"),
+            ({"name": "a", "api_keys": "k"}, "tenants[0].api_keys"),
+        )
+        for tenant, field in cases:
+            with self.subTest(field=field), self.assertRaises(PlatformError) as caught:
+                decode_configuration(
+                    msgspec.json.encode(
+                        {"version": 1, "routes": [], "tenants": [tenant]}
+                    )
+                )
+            self.assertIn(field, str(caught.exception))
+
     def test_error_names_the_field(self):
         with self.assertRaisesRegex(PlatformError, "routes"):
             decode_configuration(b'{"version":1,"routes":5,"services":[]}')
