API keys of workspaces: check, conditional writes and age of the configuration

Cause: callers of a deployment with workspaces present keys, and a withdrawn key must be refused by every VM in time. Change: KeyChecker resolves keys by digest and knows how old the configuration may be; submissions and cancellations are conditional on the configuration's revision, also when relayed through the leader; reads compare the job's workspace.

--- a/dogwoodlever/_fleet_desired_state.py
+++ b/dogwoodlever/_fleet_desired_state.py
@@ -1,6 +1,7 @@
 """Desired state that operators write, as read by this daemon."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from dogwoodlever._fleet_interfaces import Record
 from dogwoodlever._fleet_types import FleetConfiguration, WorkerEntry
@@ -27,6 +28,8 @@
         self._on_change = on_change
         self.configuration: FleetConfiguration | None = None
         self.data_centres_out: set[str] = set()
+        # Store revision of the newest change of the configuration's record.
+        self._revision = 0
 
     def apply_record(self, record: Record) -> None:
         """Apply a record that operators wrote or removed."""
@@ -36,17 +39,24 @@
             self._apply_evacuation(record.key[len(EVACUATION_PREFIX) :], record)
 
     def _apply_configuration(self, record: Record) -> None:
+        if record.revision <= self._revision:
+            # A conditional write may have shown the record before the watch does.
+            return
+        self._revision = record.revision
         if record.value is None:
             log_event("configuration.removed", revision=record.revision)
+            self._keep_configuration(0)
             return
         try:
             decoded = decode_configuration(record.value, record.revision)
         except PlatformError as error:
             log_event("configuration.unreadable", why=str(error)[:300])
+            self._keep_configuration(record.revision)
             return
         if self.configuration and decoded.version < self.configuration.version:
             # A delayed listing must not restore an older version.
             log_event("configuration.older", version=decoded.version)
+            self._keep_configuration(record.revision)
             return
         self.configuration = decoded
         log_event(
@@ -54,6 +64,15 @@
         )
         self._on_change()
 
+    def _keep_configuration(self, revision: int) -> None:
+        """Keep the configuration although its record has changed.
+
+        Writes are conditional on the record's revision, 0 for a removed one, and
+        would fail until the next usable version if the revision stayed behind.
+        """
+        if self.configuration is not None:
+            self.configuration = replace(self.configuration, revision=revision)
+
     def _apply_evacuation(self, data_centre: str, record: Record) -> None:
         if record.value is None:
             self.data_centres_out.discard(data_centre)
--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
@@ -13,6 +14,7 @@
 from dogwoodlever._fleet_records import (
     cancel_key,
     decode_progress,
+    decode_submission,
     encode,
     job_key,
     progress_key,
@@ -25,6 +27,13 @@
 )
 from dogwoodlever._fleet_types import Step, SubmittedJob
 from dogwoodlever._logs import log_event
+from dogwoodlever._workspace_keys import (
+    UNCHECKED,
+    KeyCheck,
+    KeyChecker,
+    KeyOutcome,
+    RefusalCause,
+)
 from dogwoodlever.platform_errors import PlatformError, StoreRefusedError
 
 CALL_RETRY_S = 0.05
@@ -37,6 +46,9 @@
 RETRY_AFTER_LONG_S = 2
 # How long to call the leader before the store is read.
 LEADER_WAIT_S = 0.8
+# Attempts of a write whose conditions fail since the configuration has changed; it
+# changes a few times a second at most.
+CONDITIONAL_WRITES_MAX = 5
 
 
 def _describe_step(step: Step) -> str:
@@ -67,6 +79,10 @@
     # The call may have taken effect or may still do so.
     UNKNOWN = "unknown"
     ABSENT = "absent"
+    # The key was withdrawn before the write; the call will have no effect.
+    KEY_REFUSED = "key-refused"
+    # A job of another workspace has the id.
+    TAKEN = "taken"
 
 
 @dataclass(slots=True, frozen=True)
@@ -109,6 +125,8 @@
         This daemon's member id.
     handlers : dict of str to callable
         This daemon's own RPC handlers by method, called while it leads.
+    keys : KeyChecker
+        Checks keys again when the configuration changes during a call.
     """
 
     def __init__(
@@ -119,6 +137,7 @@
         get_leader: Callable[[], str],
         own_member: str,
         handlers: dict[str, Callable[[str], LeaderReply]],
+        keys: KeyChecker,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -126,9 +145,10 @@
         self._get_leader = get_leader
         self._own_member = own_member
         self._handlers = handlers
+        self._keys = keys
 
     @inlineCallbacks
-    def submit(self, job: SubmittedJob, deadline_s: float):
+    def submit(self, job: SubmittedJob, deadline_s: float, check: KeyCheck = UNCHECKED):
         """Store a job; return a Deferred that fires with a `CallResult`.
 
         Parameters
@@ -137,34 +157,57 @@
             Validated job.
         deadline_s : float
             Time on the reactor clock at which the caller gives up.
+        check : KeyCheck
+            Check of the caller's key, which must have been accepted.
         """
+        if check.workspace:
+            job = msgspec.structs.replace(job, workspace=check.workspace)
         put = Put(job_key(job.job_id), encode(job))
-        result = yield self._write(put, deadline_s)
+        result = yield self._write(put, deadline_s, check)
+        if result.outcome is CallOutcome.TAKEN:
+            self._refuse_other_workspace(check, job.queue)
         log_event(
             "job.submitted",
             job=job.job_id,
             queue=job.queue,
             outcome=result.outcome,
             steps=" ".join(_describe_step(step) for step in job.steps),
+            **({"workspace": job.workspace} if job.workspace else {}),
         )
         return result
 
+    def _refuse_other_workspace(self, check: KeyCheck, queue: str) -> None:
+        self._keys.refuse(RefusalCause.OTHER_WORKSPACE, queue, check.workspace or "")
+
     @inlineCallbacks
-    def cancel(self, job_id: str, deadline_s: float):
+    def cancel(self, job_id: str, deadline_s: float, check: KeyCheck = UNCHECKED):
         """Store a cancellation; return a Deferred that fires with a `CallResult`."""
-        existence = yield self._check_exists(job_id, deadline_s)
+        existence = yield self._check_exists(job_id, deadline_s, check)
         if existence is CallOutcome.ABSENT:
             return CallResult(existence)
         if existence is CallOutcome.NOT_DONE:
             reply = yield self._call_leader(JOB_METHOD, job_id, deadline_s)
             if reply is None or not reply.phase:
                 return self._build_result(existence)
-        result = yield self._write(Put(cancel_key(job_id), b""), deadline_s)
+            if check.workspace is not None:
+                if reply.workspace is None:
+                    return self._build_result(existence)
+                if not self._can_access(check, reply.workspace):
+                    return CallResult(CallOutcome.ABSENT)
+        put = Put(cancel_key(job_id), b"")
+        result = yield self._write(put, deadline_s, check)
         log_event("job.cancel-asked", job=job_id, outcome=result.outcome)
         return result
 
+    def _can_access(self, check: KeyCheck, workspace: str) -> bool:
+        """Return whether a caller may access a job; if not, count the refusal."""
+        if check.can_access(workspace):
+            return True
+        self._refuse_other_workspace(check, check.queue)
+        return False
+
     @inlineCallbacks
-    def _check_exists(self, job_id: str, deadline_s: float):
+    def _check_exists(self, job_id: str, deadline_s: float, check: KeyCheck):
         if self._store.down_for_s() is not None:
             return CallOutcome.NOT_DONE
         while True:
@@ -176,10 +219,16 @@
                     return CallOutcome.NOT_DONE
                 yield deferLater(self._clock, STORE_RETRY_S)
                 continue
-            return CallOutcome.ABSENT if record is None else CallOutcome.DONE
+            if record is None:
+                return CallOutcome.ABSENT
+            if check.workspace is not None:
+                workspace = decode_submission(record.value).workspace
+                if not self._can_access(check, workspace):
+                    return CallOutcome.ABSENT
+            return CallOutcome.DONE
 
     @inlineCallbacks
-    def _write(self, put: Put, deadline_s: float):
+    def _write(self, put: Put, deadline_s: float, check: KeyCheck):
         """Create a record unless it exists; a retry has no further effect.
 
         If the store refuses the call or is unreachable, the leader is called to
@@ -187,27 +236,74 @@
         """
         is_certain = True
         if self._store.down_for_s() is not None:
-            outcome = yield self._relay_to_leader(put)
+            outcome = yield self._relay_to_leader(put, check)
             return self._build_result(outcome)
         while True:
             try:
-                yield self._store.commit({put.key: 0}, (put,))
+                outcome = yield self._commit(put, check)
             except StoreRefusedError as error:
                 log_event("write.refused", key=put.key, why=str(error)[:160])
             except PlatformError as error:
                 is_certain = False
                 log_event("write.unanswered", key=put.key, why=str(error)[:160])
             else:
-                return self._build_result(CallOutcome.DONE)
+                return self._build_result(outcome)
             if is_certain or self._must_stop_retrying(deadline_s):
-                outcome = yield self._relay_to_leader(put)
+                outcome = yield self._relay_to_leader(put, check)
                 if outcome is CallOutcome.NOT_DONE and not is_certain:
                     outcome = CallOutcome.UNKNOWN
                 return self._build_result(outcome)
             yield deferLater(self._clock, STORE_RETRY_S)
 
     @inlineCallbacks
-    def _relay_to_leader(self, put: Put):
+    def _commit(self, put: Put, check: KeyCheck):
+        """Create a record unless it exists, if the key is still valid.
+
+        The write fails if the configuration has changed since the key was checked.
+        The key is then checked against the newer version, and the write is repeated.
+        Every outcome but `DONE` is certain, also after earlier attempts without an
+        answer: their condition can no longer be met, since revisions do not recur.
+
+        Returns
+        -------
+        Deferred
+            Fires with a `CallOutcome`; fails with `PlatformError`.
+        """
+        for _ in range(CONDITIONAL_WRITES_MAX):
+            expected = {put.key: 0, **check.expected}
+            result = yield self._store.commit(expected, (put,))
+            if result.revision or check.workspace is None:
+                return CallOutcome.DONE
+            current = {record.key: record for record in result.current}
+            existing = current.pop(put.key, None)
+            if existing is not None and existing.value is not None:
+                return self._judge_existing(put, existing.value, check)
+            again = None
+            for key in check.expected:
+                again = self._keys.check_again(current.get(key), check)
+            if again is None:
+                # The watch shows the newer configuration soon.
+                yield deferLater(self._clock, STORE_RETRY_S)
+                continue
+            if again.outcome is KeyOutcome.UNKNOWN:
+                return CallOutcome.KEY_REFUSED
+            if again.workspace != check.workspace:
+                # The caller's next attempt is checked as a whole.
+                return CallOutcome.NOT_DONE
+            check = again
+        log_event("write.superseded", key=put.key, attempts=CONDITIONAL_WRITES_MAX)
+        return CallOutcome.NOT_DONE
+
+    @staticmethod
+    def _judge_existing(put: Put, value: bytes, check: KeyCheck) -> CallOutcome:
+        """Return the outcome of a write whose record exists already."""
+        # A cancellation is empty; it is the same whoever made it.
+        if put.value and not check.owns(decode_submission(value).workspace):
+            return CallOutcome.TAKEN
+        return CallOutcome.DONE
+
+    @inlineCallbacks
+    def _relay_to_leader(self, put: Put, check: KeyCheck):
         """Let the leader create a record.
 
         Returns a Deferred that fires with a `CallOutcome`.
@@ -220,29 +316,33 @@
         status = yield self._rpc.call(leader, PENDING_METHOD, "")
         if status is None or not status.can_write:
             return CallOutcome.NOT_DONE
-        reply = yield self._rpc.create(leader, put.key, put.value)
+        sent_check = None if check.workspace is None else check
+        reply = yield self._rpc.create(leader, put.key, put.value, sent_check)
         if reply is None:
             return CallOutcome.UNKNOWN
         log_event("write.relayed", key=put.key, leader=leader, outcome=reply.outcome)
         return CallOutcome(reply.outcome)
 
     @inlineCallbacks
-    def create_for_peer(self, key: str, value: bytes):
+    def create_for_peer(self, key: str, value: bytes, check: KeyCheck | None = None):
         """Create a record for a peer that cannot reach the store.
 
+        The peer's check of the key is repeated here if the configuration has changed
+        since, as the peer cannot read the newer version.
+
         Returns a Deferred that fires with a `CallOutcome`.
         """
         if self._store.down_for_s() is not None:
             return CallOutcome.NOT_DONE
         try:
-            yield self._store.commit({key: 0}, (Put(key, value),))
+            outcome = yield self._commit(Put(key, value), check or UNCHECKED)
         except StoreRefusedError as error:
             log_event("write.refused", key=key, why=str(error)[:160])
             return CallOutcome.NOT_DONE
         except PlatformError as error:
             log_event("write.unanswered", key=key, why=str(error)[:160])
             return CallOutcome.UNKNOWN
-        return CallOutcome.DONE
+        return outcome
 
     def _build_result(self, outcome: CallOutcome) -> CallResult:
         down_s = self._store.down_for_s() or 0.0
@@ -262,17 +362,21 @@
         return self._clock.seconds() + RESPONSE_MARGIN_S >= deadline_s
 
     @inlineCallbacks
-    def read(self, job_id: str, deadline_s: float):
+    def read(self, job_id: str, deadline_s: float, check: KeyCheck = UNCHECKED):
         """Read a job's phase; return a Deferred that fires with a `CallResult`."""
         reply = yield self._call_leader(JOB_METHOD, job_id, deadline_s)
-        if reply is not None and reply.phase:
+        # Daemons of versions without workspaces do not tell the job's workspace.
+        is_known = check.workspace is None or (reply and reply.workspace is not None)
+        if reply is not None and reply.phase and is_known:
+            if not self._can_access(check, reply.workspace or ""):
+                return CallResult(CallOutcome.ABSENT)
             return CallResult(CallOutcome.DONE, JobPhase(reply.phase))
         # The leader may not have seen the job yet, or there is no leader.
         if self._store.down_for_s() is not None:
             return self._build_result(CallOutcome.NOT_DONE)
         while True:
             try:
-                result = yield self._read_stored(job_id)
+                result = yield self._read_stored(job_id, check)
                 return result
             except PlatformError as error:
                 if self._must_stop_retrying(deadline_s):
@@ -281,7 +385,14 @@
             yield deferLater(self._clock, STORE_RETRY_S)
 
     @inlineCallbacks
-    def _read_stored(self, job_id: str):
+    def _read_stored(self, job_id: str, check: KeyCheck):
+        if check.workspace is not None:
+            submitted = yield self._store.read(job_key(job_id))
+            if submitted is None:
+                return CallResult(CallOutcome.ABSENT)
+            workspace = decode_submission(submitted.value).workspace
+            if not self._can_access(check, workspace):
+                return CallResult(CallOutcome.ABSENT)
         progress = yield self._store.read(progress_key(job_id))
         if progress is not None and progress.value is not None:
             phase = JobPhase(decode_progress(progress.value).phase)
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -19,6 +19,9 @@
         self.caller_calls = self._counter(
             "caller_calls", "Callers' calls", "call", "outcome"
         )
+        self.key_refusals = self._counter(
+            "key_refusals", "Calls refused because of their key", "cause"
+        )
         self.store_calls = self._counter("store_calls", "Calls to the store", "outcome")
         self.store_write_s = self._histogram(
             "store_write_seconds", "Time of a write to the store", CALL_BUCKETS_S
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -27,9 +27,15 @@
     format_member_id,
 )
 from dogwoodlever._fleet_types import PlatformLimits
-from dogwoodlever._fleet_watcher import PrefixWatcher
+from dogwoodlever._fleet_watcher import WATCH_WAIT_MS, PrefixWatcher
 from dogwoodlever._logs import log_event
-from dogwoodlever.platform import OPERATORS_PREFIX, FleetCallersResource, NodeFile
+from dogwoodlever._workspace_keys import KeyChecker
+from dogwoodlever.platform import (
+    CONFIGURATION_KEY,
+    OPERATORS_PREFIX,
+    FleetCallersResource,
+    NodeFile,
+)
 
 # The load balancer polls readiness every second and drops a VM after two failures.
 BALANCER_DETECTION_S = 2.6
@@ -57,7 +63,7 @@
     make_mesh : callable
         Called with a member id and a key; returns the transport between daemons.
     clock : IReactorTime
-        Reactor clock.
+        Reactor clock, which must include the time for which the VM was suspended.
     unix_s : callable
         Returns Unix time in seconds.
     """
@@ -108,6 +114,18 @@
             self._on_renewed,
             self._leader_watcher,
         )
+        self._operators_watcher = PrefixWatcher(
+            store, clock, OPERATORS_PREFIX, self.desired_state.apply_record
+        )
+        self.keys = KeyChecker(
+            lambda: self.desired_state.configuration,
+            self.desired_state.apply_record,
+            CONFIGURATION_KEY,
+            settings.key_withdrawal_s,
+            lambda: self._operators_watcher.sent_s,
+            clock,
+            lambda cause: self.metrics.key_refusals.labels(cause).inc(),
+        )
         self.frontend = FleetFrontend(
             store,
             clock,
@@ -115,6 +133,7 @@
             self._get_leader_member,
             self.member,
             handlers,
+            self.keys,
         )
         self.rpc.register_create(self.frontend.create_for_peer)
         self.callers = FleetCallersResource(
@@ -123,13 +142,9 @@
             clock,
             unix_s,
             lambda call, outcome: self.metrics.caller_calls.labels(call, outcome).inc(),
+            self.keys,
         )
-        self._watchers = [
-            PrefixWatcher(
-                store, clock, OPERATORS_PREFIX, self.desired_state.apply_record
-            ),
-            self._leader_watcher,
-        ]
+        self._watchers = [self._operators_watcher, self._leader_watcher]
         self._is_stopping = False
         self.on_stopped: Callable[[], None] = lambda: None
 
@@ -141,7 +156,11 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send new connections."""
-        return self.desired_state.configuration is not None and not self._is_stopping
+        return (
+            self.desired_state.configuration is not None
+            and not self._is_stopping
+            and not self.keys.is_undecided_for_long()
+        )
 
     @inlineCallbacks
     def stop(self):
@@ -265,6 +284,12 @@
         self.election.step_down(f"worker {worker_id} has a higher fencing token")
 
     def _on_desired_state_changed(self) -> None:
+        if self.desired_state.configuration is not None:
+            self.keys.apply_configuration(self.desired_state.configuration)
+        wait_s = self.keys.watch_wait_s()
+        self._operators_watcher.wait_ms = (
+            WATCH_WAIT_MS if wait_s is None else min(WATCH_WAIT_MS, int(wait_s * 1000))
+        )
         if self.leader is not None:
             self.leader.plan_soon()
 
@@ -279,7 +304,9 @@
         leader = self._get_loaded_leader()
         if leader is None:
             return LeaderReply(False)
-        return LeaderReply(True, leader.job_phase(job_id) or "")
+        state = leader.registry.jobs.get(job_id)
+        workspace = None if state is None else state.job.workspace
+        return LeaderReply(True, leader.job_phase(job_id) or "", workspace=workspace)
 
     def _handle_step_down(self, fencing_token: str) -> LeaderReply:
         if self.election.leads and int(fencing_token) > self.election.fencing_token:
--- a/dogwoodlever/_fleet_rpc.py
+++ b/dogwoodlever/_fleet_rpc.py
@@ -8,6 +8,7 @@
 from dogwoodlever._logs import log_event
 from dogwoodlever._peer_mesh import TcpMesh
 from dogwoodlever._peer_rpc import PeerRpc
+from dogwoodlever._workspace_keys import KeyCheck
 
 # A reply takes some milliseconds; the first call after a dial is lost.
 CALL_TIMEOUT_S = 0.25
@@ -27,10 +28,18 @@
 
 
 class CreateRequest(msgspec.Struct, frozen=True):
-    """Record to create unless it exists."""
+    """Record to create unless it exists.
+
+    Attributes
+    ----------
+    check : KeyCheck or None
+        Check of the caller's key, which names the conditions of the write; None if
+        the configuration has no workspaces.
+    """
 
     key: str
     value: bytes
+    check: KeyCheck | None = None
 
 
 class CreateReply(msgspec.Struct, frozen=True):
@@ -52,12 +61,15 @@
         Number of jobs of the queue that have not started any task.
     can_write : bool
         Whether the daemon can reach the store.
+    workspace : str or None
+        Workspace of the job, empty for none; None if the daemon does not tell.
     """
 
     leads: bool
     phase: str = ""
     pending: int = 0
     can_write: bool = False
+    workspace: str | None = None
 
 
 def format_member_id(vm: str, host: str, port: int, incarnation: str) -> str:
@@ -129,12 +141,14 @@
         for member in self._addresses:
             self._rpc.call(member, UNSTORED_METHOD, body, CALL_TIMEOUT_S)
 
-    def register_create(self, create: Callable[[str, bytes], Deferred]) -> None:
+    def register_create(
+        self, create: Callable[[str, bytes, KeyCheck | None], Deferred]
+    ) -> None:
         """Register the handler that creates records; it returns a Deferred outcome."""
 
         def handle_create(body: bytes) -> Deferred:
             request = msgspec.msgpack.decode(body, type=CreateRequest)
-            created = create(request.key, request.value)
+            created = create(request.key, request.value, request.check)
             return created.addCallback(
                 lambda outcome: msgspec.msgpack.encode(CreateReply(str(outcome)))
             )
@@ -142,13 +156,15 @@
         self._rpc.register_deferred(CREATE_METHOD, handle_create)
 
     @inlineCallbacks
-    def create(self, member: str, key: str, value: bytes):
-        """Let a member create a record.
+    def create(
+        self, member: str, key: str, value: bytes, check: KeyCheck | None = None
+    ):
+        """Let a member create a record, under the conditions of a key's check.
 
         Returns a Deferred that fires with a `CreateReply`, or None without one.
         """
         self._add_peer(member)
-        body = msgspec.msgpack.encode(CreateRequest(key, value))
+        body = msgspec.msgpack.encode(CreateRequest(key, value, check))
         reply = yield self._rpc.call(member, CREATE_METHOD, body, CREATE_TIMEOUT_S)
         return _decode_reply(member, reply, CreateReply)
 
--- a/dogwoodlever/_fleet_watcher.py
+++ b/dogwoodlever/_fleet_watcher.py
@@ -36,6 +36,14 @@
         Called after each complete listing has been applied.
     pause_s : float
         Delay from a response to the next watch, which batches the changes.
+
+    Attributes
+    ----------
+    responded_s, sent_s : float
+        Time of the last response of the store, and of the call that it belongs to.
+        What was applied was the newest state at some time after `sent_s`.
+    wait_ms : int
+        Time for which a call waits for a change.
     """
 
     def __init__(
@@ -57,7 +65,7 @@
         self._revision = 0
         self._is_closed = False
         self._timer = None
-        # Time of the last response of the store, and of the call that it belongs to.
+        self.wait_ms = WATCH_WAIT_MS
         self.responded_s = float("-inf")
         self.sent_s = float("-inf")
         self.is_connected = False
@@ -124,7 +132,7 @@
     @inlineCallbacks
     def _watch(self):
         # After an outage the first watch must not wait for a change.
-        wait_ms = WATCH_WAIT_MS if self.is_connected else 0
+        wait_ms = self.wait_ms if self.is_connected else 0
         listing = yield self._store.watch(self.prefix, self._revision, wait_ms)
         if self._is_closed:
             return
--- a/dogwoodlever/platform/_callers_resource.py
+++ b/dogwoodlever/platform/_callers_resource.py
@@ -9,21 +9,42 @@
 from twisted.web.server import NOT_DONE_YET
 
 from dogwoodlever._fleet_frontend import CallOutcome, CallResult, FleetFrontend
-from dogwoodlever._fleet_types import FleetConfiguration
+from dogwoodlever._fleet_types import FleetConfiguration, Queue
 from dogwoodlever._logs import log_event
+from dogwoodlever._workspace_keys import (
+    KeyCheck,
+    KeyChecker,
+    KeyOutcome,
+    RefusalCause,
+)
 from dogwoodlever.fleet_errors import SubmissionError
 from dogwoodlever.platform._wire_job import decode_job
+from dogwoodlever.platform._wire_records import digest_key
 
 # For requests without a deadline; the usual timeout of the configurations.
 DEADLINE_DEFAULT_S = 3.0
 DEADLINE_DIGITS_MAX = 9
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}")
+# The scheme of a header is case-insensitive (RFC 9110, 11.1).
+AUTHORIZATION_PATTERN = re.compile(rb"(?i:token) +([!-~\x80-\xff]+)")
 
 _STATUSES = {
     CallOutcome.DONE: 200,
     CallOutcome.NOT_DONE: 503,
     CallOutcome.UNKNOWN: 504,
     CallOutcome.ABSENT: 410,
+    CallOutcome.KEY_REFUSED: 401,
+    CallOutcome.TAKEN: 409,
+}
+
+_REFUSALS = {
+    RefusalCause.MISSING: "the Authorization header is missing",
+    RefusalCause.MALFORMED: "the Authorization header is not of the form 'Token KEY'",
+    RefusalCause.UNKNOWN: "the key is unknown",
+}
+_ERRORS = {
+    CallOutcome.KEY_REFUSED: _REFUSALS[RefusalCause.UNKNOWN],
+    CallOutcome.TAKEN: "a job of another workspace has this id",
 }
 
 
@@ -42,6 +63,8 @@
         Returns Unix time in seconds.
     on_call : callable
         Called with the HTTP method and the outcome of each call.
+    keys : KeyChecker
+        Checks the callers' keys.
     """
 
     isLeaf = True
@@ -53,6 +76,7 @@
         clock,
         unix_s: Callable[[], float],
         on_call: Callable[[str, str], None],
+        keys: KeyChecker,
     ) -> None:
         super().__init__()
         self._frontend = frontend
@@ -60,6 +84,7 @@
         self._clock = clock
         self._unix_s = unix_s
         self._on_call = on_call
+        self._keys = keys
         self.open_requests = 0
         # Set while the process stops, so that callers connect to another one.
         self.closes_connections = False
@@ -96,7 +121,11 @@
         if queue is None:
             self._write_response(request, 404, {"error": f"no queue at {host}{path}"})
             return
-        deadline_s = self._clock.seconds() + _deadline_s(request)
+        read_s = self._clock.seconds()
+        check = self._check_key(request, configuration, queue, read_s)
+        if check is None:
+            return
+        deadline_s = read_s + _deadline_s(request)
         job_id = path[len(queue.prefix) :]
         if not job_id and request.method == b"GET":
             result = yield self._frontend.count_pending(queue.name, deadline_s)
@@ -108,20 +137,55 @@
             )
             return
         if request.method == b"POST":
-            yield self._submit(request, job_id, queue.name, deadline_s)
+            yield self._submit(request, job_id, queue.name, deadline_s, check)
         elif request.method == b"DELETE":
-            result = yield self._frontend.cancel(job_id, deadline_s)
+            result = yield self._frontend.cancel(job_id, deadline_s, check)
             self._respond(request, result)
         elif request.method == b"GET":
-            result = yield self._frontend.read(job_id, deadline_s)
+            result = yield self._frontend.read(job_id, deadline_s, check)
             self._respond(request, result, {"state": result.phase or ""})
         else:
             self._write_response(
                 request, 405, {"error": "POST, GET and DELETE are accepted"}
             )
 
+    def _check_key(
+        self,
+        request,
+        configuration: FleetConfiguration,
+        queue: Queue,
+        read_s: float,
+    ) -> KeyCheck | None:
+        """Check the key of a request; None if it was refused with a response."""
+        digest = b""
+        if self._keys.needs_key(configuration, queue):
+            headers = request.requestHeaders.getRawHeaders(b"authorization") or ()
+            if not headers:
+                self._refuse_key(request, RefusalCause.MISSING)
+                self._keys.refuse(RefusalCause.MISSING, queue.name)
+                return None
+            match = AUTHORIZATION_PATTERN.fullmatch(headers[0])
+            if match is None or len(headers) > 1:
+                self._refuse_key(request, RefusalCause.MALFORMED)
+                self._keys.refuse(RefusalCause.MALFORMED, queue.name)
+                return None
+            digest = digest_key(match[1])
+        check = self._keys.check(configuration, queue, digest, read_s)
+        if check.outcome is KeyOutcome.UNKNOWN:
+            self._refuse_key(request, RefusalCause.UNKNOWN)
+            return None
+        if check.outcome is KeyOutcome.UNDECIDED:
+            self._respond(request, CallResult(CallOutcome.NOT_DONE))
+            return None
+        return check
+
+    def _refuse_key(self, request, cause: RefusalCause) -> None:
+        self._write_response(request, 401, {"error": _REFUSALS[cause]})
+
     @inlineCallbacks
-    def _submit(self, request, job_id: str, queue: str, deadline_s: float):
+    def _submit(
+        self, request, job_id: str, queue: str, deadline_s: float, check: KeyCheck
+    ):
         now_ms = int(self._unix_s() * 1000)
         try:
             job = decode_job(job_id, queue, now_ms, request.content.read())
@@ -129,7 +193,7 @@
             log_event("job.malformed", job=job_id, why=str(error))
             self._write_response(request, 400, {"error": str(error)})
             return
-        result = yield self._frontend.submit(job, deadline_s)
+        result = yield self._frontend.submit(job, deadline_s, check)
         self._respond(request, result)
 
     def _respond(self, request, result: CallResult, body: dict | None = None) -> None:
@@ -137,13 +201,18 @@
         self._on_call(request.method.decode("latin-1"), result.outcome)
         if status == 503:
             request.setHeader("retry-after", str(result.retry_after_s))
-        self._write_response(request, status, body if status == 200 and body else {})
+        if status != 200 or not body:
+            error = _ERRORS.get(result.outcome)
+            body = {"error": error} if error else {}
+        self._write_response(request, status, body)
 
     def _write_response(self, request, status: int, body: dict) -> None:
         if not request.is_open:
             return
         request.setResponseCode(status)
         request.setHeader("content-type", "application/json")
+        if status == 401:
+            request.setHeader("www-authenticate", "Token")
         if self.closes_connections:
             request.setHeader("connection", "close")
         request.write(msgspec.json.encode(body))
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -40,10 +40,10 @@
 }
 
 
-def node_file(vm):
+def node_file(vm, **settings):
     return NodeFile(
         vm, "north", ("127.0.0.1", 1), ("127.0.0.1", 2), "127.0.0.1", 3, "", "",
-        1.0, 1000, 10.0, 6.0, 120.0, 4.0,
+        1.0, 1000, 10.0, 6.0, 120.0, 4.0, **settings,
     )  # fmt: skip
 
 
@@ -63,13 +63,29 @@
 
 
 class FleetSimulation:
-    """Daemons, workers and a store on one simulated clock."""
-
-    def __init__(self, daemons=3, workers=3, run_s=1.0):
+    """Daemons, workers and a store on one simulated clock.
+
+    Parameters
+    ----------
+    configuration : dict
+        Operators' configuration.
+    settings : dict
+        Fields of the daemons' `NodeFile` that differ from the usual ones.
+    """
+
+    def __init__(
+        self,
+        daemons=3,
+        workers=3,
+        run_s=1.0,
+        configuration=CONFIGURATION,
+        settings=None,
+    ):
+        self.settings = settings or {}
         self.clock = Clock()
         self.clock.advance(100.0)
         self.records = FleetRecords(self.clock)
-        self.records.write("op/config", msgspec.json.encode(CONFIGURATION))
+        self.records.write("op/config", msgspec.json.encode(configuration))
         self.workers = FakeWorkers(self.clock)
         self.advice = FakeAdvice(self.clock)
         self.members = {}
@@ -93,7 +109,7 @@
         store = FakeFleetStore(self.records, clock)
         worker_client = FakeFleetWorkerClient(self.workers, clock)
         node = FleetNode(
-            node_file(vm),
+            node_file(vm, **self.settings),
             str(len(self.nodes)),
             "key",
             store,
--- a/tests/test_fleet_callers_resource.py
+++ b/tests/test_fleet_callers_resource.py
@@ -9,7 +9,8 @@
 from dogwoodlever._fleet_frontend import CallOutcome, CallResult
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_types import FleetConfiguration, Queue
-from dogwoodlever.platform import FleetCallersResource
+from dogwoodlever._workspace_keys import KeyChecker
+from dogwoodlever.platform import CONFIGURATION_KEY, FleetCallersResource
 
 JOB = "5c0e7a21d94b36f8"
 BODY = b'{"spec":"s","steps":[{"count":1}]}'
@@ -20,8 +21,8 @@
         self.result = result
         self.deadlines_s = []
 
-    def _reply(self, *args):
-        self.deadlines_s.append(args[-1])
+    def _reply(self, _subject, deadline_s, _check=None):
+        self.deadlines_s.append(deadline_s)
         if isinstance(self.result, Exception):
             return fail(self.result)
         return succeed(self.result)
@@ -29,6 +30,18 @@
     submit = cancel = read = count_pending = _reply
 
 
+def make_checker(configuration):
+    return KeyChecker(
+        lambda: configuration,
+        lambda record: None,
+        CONFIGURATION_KEY,
+        None,
+        lambda: 0.0,
+        Clock(),
+        lambda cause: None,
+    )
+
+
 class Request(DummyRequest):
     is_open = True
 
@@ -67,6 +80,7 @@
             Clock(),
             lambda: 5.0,
             lambda call, outcome: self.calls.append((call, outcome)),
+            make_checker(configuration),
         )
         resource.render(request)
         self.assertEqual(resource.open_requests, 0)
