Caps and fair shares of workspaces in the leader's planning

Cause: the configuration names workspaces with weights and caps, but planning ignored them. Change: usage per workspace is counted with the capacities of the workers, including starts that may be carried out late and workers that were not polled. The planner takes its turns from weighted dominant-resource fairness within the caps when there are workspaces. Jobs beyond the rate of their workspace come last. Gauges and log events name the workspace.

--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -311,6 +311,7 @@
         "finished",
         "has_started",
         "is_inherited",
+        "is_over_rate",
         "job",
         "objective_s",
         "occurrences",
@@ -329,6 +330,8 @@
         self.phase = JobPhase.QUEUED
         self.has_started = False
         self.is_inherited = False
+        # Whether it arrived beyond the usual rate of its workspace.
+        self.is_over_rate = False
         # Occurrences below this number are done and no longer in memory.
         self.finished = 0
         self.occurrences: dict[int, Occurrence] = {}
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -44,6 +44,9 @@
 from dogwoodlever._run_throttler import RunThrottler
 from dogwoodlever._ticket_cache import TicketCache
 from dogwoodlever._worker_membership import WorkerMembership
+from dogwoodlever._workspace_report import WorkspaceReport
+from dogwoodlever._workspace_shares import WorkspaceRates, WorkspaceShares
+from dogwoodlever._workspace_usage import WorkspaceUsage
 from dogwoodlever.platform import WORKERS_PREFIX
 from dogwoodlever.platform_errors import PlatformError
 
@@ -138,7 +141,18 @@
         self._interference = InterferenceModel()
         self._interference_stored_s = clock.seconds()
         self._tickets = TicketCache(advice, clock, self.plan_soon)
-        self._planner = FleetPlanner(faults, crashes, self._interference, self._tickets)
+        self._usage = WorkspaceUsage(
+            self.registry, lambda: self._desired_state.configuration
+        )
+        self._rates = WorkspaceRates(platform_limits.workspace_rate_window_s)
+        self._workspace_report = WorkspaceReport(metrics, self._usage)
+        self._planner = FleetPlanner(
+            faults,
+            crashes,
+            self._interference,
+            self._tickets,
+            WorkspaceShares(self._usage),
+        )
         self._membership = WorkerMembership(
             store, clock, self._get_term_revision, self.plan_soon
         )
@@ -152,6 +166,7 @@
             RunThrottler(self._interference, platform_limits.target_violation_max_s),
             faults,
             crashes,
+            self._usage,
             metrics,
             self.plan_soon,
             self._on_runs_ended,
@@ -209,6 +224,7 @@
             watcher.close()
         self._membership.close()
         self.workers.close()
+        self._workspace_report.close()
         for call in (self._plan_call, self._tick_call):
             if call is not None and call.active():
                 call.cancel()
@@ -268,6 +284,11 @@
             return
         self.is_loaded = True
         self._progress.clear()
+        self._rates.decide_inherited(
+            self.registry.jobs.values(),
+            self._desired_state.configuration,
+            self._unix_s() * 1000,
+        )
         self._follow(
             WORKERS_PREFIX,
             self.workers.apply_entry,
@@ -339,6 +360,9 @@
             job, queue, record.revision, now_s - age_s, progress
         )
         state.is_inherited = is_inherited
+        if self.is_loaded:
+            # The others are decided on once all are known, in their order.
+            self._rates.decide(state, configuration, now_ms)
         if job.job_id in self._unstored_progress:
             self.registry.dirty.add(job.job_id)
             self._progress_writer.schedule_flush()
@@ -382,6 +406,7 @@
             self._progress_writer.drop_job(job_id)
             self._interference.drop_job(job_id)
             self._tickets.drop_job(job_id)
+            self._usage.drop_job(job_id)
             self._unstored_progress.pop(job_id, None)
 
     def job_phase(self, job_id: str) -> JobPhase | None:
@@ -419,12 +444,18 @@
         self._store_interference(self._clock.seconds())
         self._retention.sweep()
         self._start_speculative_copies(self._clock.seconds())
+        self._workspace_report.update(
+            self._desired_state.configuration,
+            self.workers.capacities.values(),
+            self._clock.seconds(),
+        )
         self.plan_soon()
 
     def _plan(self) -> None:
         if self._desired_state.configuration is None:
             return
         now_s = self._clock.seconds()
+        self.workers.refresh_usage()
         placed = 0
         placements = self._planner.plan(
             self.registry,
@@ -445,6 +476,7 @@
     def _start_speculative_copies(self, now_s: float) -> None:
         if self.workers.unpolled_workers:
             return
+        self.workers.refresh_usage()
         capacities = self.workers.schedulable_capacities()
         for placement in self._planner.speculative_copies(
             self.registry, capacities, now_s
@@ -459,6 +491,7 @@
         throttled_tasks = self.workers.runs.throttled_tasks(now_s)
         if not throttled_tasks:
             return
+        self.workers.refresh_usage()
         capacities = self.workers.schedulable_capacities()
         for task in self._planner.tasks_to_move(throttled_tasks, capacities, now_s):
             for run in list(task.runs.values()):
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -47,12 +47,31 @@
         self.suspect_events = self._counter(
             "suspect_events", "Events of tasks that may crash workers", "event"
         )
+        self.workspace_cores = self._gauge(
+            "workspace_cores", "Cores requested by a workspace's runs", "workspace"
+        )
+        self.workspace_cap_cores = self._gauge(
+            "workspace_cap_cores", "Cap of a workspace; 0 for none", "workspace"
+        )
+        self.workspace_share = self._gauge(
+            "workspace_share", "Dominant share of a workspace's runs", "workspace"
+        )
+        self.workspace_weight_ratio = self._gauge(
+            "workspace_weight_ratio",
+            "Weight of a workspace, relative to the sum of all",
+            "workspace",
+        )
 
     def _counter(self, name: str, documentation: str, *labels: str) -> Counter:
         return Counter(
             name, documentation, labels, namespace=PREFIX, registry=self.registry
         )
 
+    def _gauge(self, name: str, documentation: str, *labels: str) -> Gauge:
+        return Gauge(
+            name, documentation, labels, namespace=PREFIX, registry=self.registry
+        )
+
     def _histogram(self, name: str, documentation: str, buckets) -> Histogram:
         return Histogram(
             name,
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -15,6 +15,7 @@
 from dogwoodlever._scheduling_order import scheduling_key
 from dogwoodlever._ticket_source import TicketSource
 from dogwoodlever._worker_capacity import WorkerCapacity, is_serving
+from dogwoodlever._workspace_shares import WorkspaceShares
 
 # Share of a best-effort task's cores that must be spare where it starts.
 SPARE_RATIO_MIN = 0.6
@@ -137,6 +138,8 @@
         Estimates the interference between images.
     tickets : TicketSource
         Provides tickets for steps of queues that need them.
+    shares : WorkspaceShares or None
+        Orders steps and applies caps if the configuration has workspaces.
     """
 
     __slots__ = (
@@ -146,6 +149,7 @@
         "_headrooms",
         "_interference",
         "_interrupted_since_s",
+        "_shares",
         "_tickets",
     )
 
@@ -155,8 +159,10 @@
         crashes: CrashAttribution,
         interference: InterferenceModel,
         tickets: TicketSource,
+        shares: WorkspaceShares | None = None,
     ) -> None:
         self._tickets = tickets
+        self._shares = shares
         self._faults = faults
         self._crashes = crashes
         self._interference = interference
@@ -208,7 +214,13 @@
         unplaceable = UnplaceableSizes()
         headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
         spare_by_service: dict[str, SpareOrder] = {}
-        for step, tasks in [*interrupted_steps, *((step, None) for step in steps)]:
+        turns = [*interrupted_steps, *((step, None) for step in steps)]
+        if self._shares is not None and configuration.workspaces:
+            entries = [capacity.entry for capacity in capacities]
+            turns = self._shares.turns(
+                interrupted_steps, steps, entries, configuration, now_s, now_ms
+            )
+        for step, tasks in turns:
             queue = configuration.queues.get(step.job.queue.name, step.job.queue)
             candidates = by_service.get(queue.service, ())
             if step.spec.uses_leftover:
@@ -282,6 +294,8 @@
         """
         headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
         for task in _late_tasks(registry, now_s):
+            if self._shares is not None and not self._shares.allows_copy(task.step):
+                continue
             used_workers = {run.worker_id for run in task.runs.values()}
             service = task.step.job.queue.service
             others = [
@@ -304,6 +318,8 @@
         headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
         order = SpareOrder(capacities)
         for task, current in throttled_tasks:
+            if self._shares is not None and not self._shares.allows_move(task.step):
+                continue
             service = task.step.job.queue.service
             others = [
                 capacity
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -21,6 +21,7 @@
 from dogwoodlever._run_throttler import RunThrottler, stalled_runs
 from dogwoodlever._worker_capacity import WorkerCapacity
 from dogwoodlever._worker_link import WorkerLink
+from dogwoodlever._workspace_usage import WorkspaceUsage
 
 # After a refusal for lack of capacity, the leader's view of the worker is stale for a
 # while.
@@ -48,6 +49,8 @@
         Finds workers whose runs fail.
     crashes : CrashAttribution
         Finds tasks that crash workers.
+    usage : WorkspaceUsage
+        Counts the runs of each workspace.
     metrics : FleetMetrics
         Counters and histograms.
     capacities : dict of str to WorkerCapacity
@@ -65,6 +68,7 @@
         throttler: RunThrottler,
         faults: FaultAttribution,
         crashes: CrashAttribution,
+        usage: WorkspaceUsage,
         metrics: FleetMetrics,
         capacities: dict[str, WorkerCapacity],
         links: dict[str, WorkerLink],
@@ -75,6 +79,7 @@
         self._throttler = throttler
         self._faults = faults
         self._crashes = crashes
+        self._usage = usage
         self._metrics = metrics
         self._capacities = capacities
         self._links = links
@@ -191,6 +196,7 @@
             ):
                 continue
             self._drop_lost(capacity, run, "not listed")
+            self._usage.release(capacity.entry.worker_id, run.run_id)
 
     def _apply_end(
         self, capacity: WorkerCapacity, link: WorkerLink, end: EndedRun
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -34,6 +34,7 @@
     WorkerLink,
 )
 from dogwoodlever._worker_membership import WorkerMembership
+from dogwoodlever._workspace_usage import WorkspaceUsage
 from dogwoodlever.platform import WORKERS_PREFIX
 from dogwoodlever.platform_errors import (
     PlatformError,
@@ -94,6 +95,8 @@
         Finds workers whose runs fail.
     crashes : CrashAttribution
         Finds tasks that crash workers.
+    usage : WorkspaceUsage
+        Counts the runs of each workspace.
     metrics : FleetMetrics
         Counters and histograms.
     on_change : callable
@@ -133,6 +136,7 @@
         throttler: RunThrottler,
         faults: FaultAttribution,
         crashes: CrashAttribution,
+        usage: WorkspaceUsage,
         metrics: FleetMetrics,
         on_change: Callable[[], None],
         on_ended: Callable[[], None],
@@ -148,6 +152,7 @@
         self._desired_state = desired_state
         self._membership = membership
         self._crashes = crashes
+        self._usage = usage
         self._metrics = metrics
         self._on_change = on_change
         self._on_ended = on_ended
@@ -176,6 +181,7 @@
             throttler,
             faults,
             crashes,
+            usage,
             metrics,
             self.capacities,
             self._links,
@@ -358,7 +364,7 @@
 
     def _add_worker(self, entry: WorkerEntry) -> None:
         worker_id = entry.worker_id
-        capacity = WorkerCapacity(entry)
+        capacity = WorkerCapacity(entry, self._usage)
         self.capacities[worker_id] = capacity
         starts_in_flight = {}
         misdirected_expiry_s = late_grants_end_s = float("-inf")
@@ -422,6 +428,7 @@
     ) -> None:
         """Keep what calls to a dropped worker may still do at its next incarnation."""
         now_s = self._clock.seconds()
+        self._hold_usage(capacity, starts_in_flight)
         self._ended_incarnations[capacity.entry.worker_id] = EndedIncarnation(
             capacity,
             starts_in_flight,
@@ -429,6 +436,22 @@
             late_grants_end_s,
         )
 
+    def _hold_usage(
+        self, capacity: WorkerCapacity, starts_in_flight: dict[RunId, StartInFlight]
+    ) -> None:
+        """Count starts that may be carried out late until their leases would end."""
+        for run_id, start in starts_in_flight.items():
+            until_s = start.expires_s + self._misdirected_lease_bound_s
+            self._usage.hold(capacity.entry, run_id, until_s)
+
+    def refresh_usage(self) -> None:
+        """Update what counts against workspaces' caps beside the runs on workers."""
+        self._usage.expire_holds(self._clock.seconds())
+        entries = {}
+        if self.unpolled_workers:
+            entries = {name: found.entry for name, found in self.capacities.items()}
+        self._usage.set_unpolled(self.unpolled_workers, entries)
+
     def _remove_if_empty(self, capacity: WorkerCapacity) -> None:
         """Remove a worker without an entry on which nothing runs or may start."""
         worker_id = capacity.entry.worker_id
@@ -547,6 +570,7 @@
         self._metrics.worker_events.labels("lapsed").inc()
         log_event("worker.lapsed", worker=worker_id, runs=len(capacity.runs))
         link.last_response_s.clear()
+        self._hold_usage(capacity, link.starts_in_flight())
         if link.is_refused:
             # Most likely its process has ended.
             self.runs.drop_crashed_runs(capacity, link.broken_s)
--- a/dogwoodlever/_worker_capacity.py
+++ b/dogwoodlever/_worker_capacity.py
@@ -4,6 +4,7 @@
 
 from dogwoodlever._fleet_job import Run
 from dogwoodlever._fleet_types import RunId, Step, WorkerEntry
+from dogwoodlever._workspace_usage import WorkspaceUsage
 
 # Interference is measured in cores of a worker of this size; a core of a larger
 # worker interferes less.
@@ -32,6 +33,8 @@
     ----------
     entry : WorkerEntry
         The worker's own description.
+    usage : WorkspaceUsage or None
+        Counts the runs of each workspace, if there may be any.
 
     Attributes
     ----------
@@ -49,6 +52,7 @@
     """
 
     __slots__ = (
+        "_usage",
         "accelerators_used",
         "best_effort_milli",
         "colocated_cores",
@@ -66,8 +70,9 @@
         "version",
     )
 
-    def __init__(self, entry: WorkerEntry) -> None:
+    def __init__(self, entry: WorkerEntry, usage: WorkspaceUsage | None = None) -> None:
         self.entry = entry
+        self._usage = usage
         self.size_milli = entry.cores_milli
         self.is_synced = False
         self.is_listed = True
@@ -137,12 +142,16 @@
         if run.run_id not in self.runs:
             self.runs[run.run_id] = (run, step)
             self._count(step, 1)
+            if self._usage is not None:
+                self._usage.add(self.entry, run.run_id, step)
 
     def remove(self, run_id: RunId) -> None:
         """Stop counting a run."""
         pair = self.runs.pop(run_id, None)
         if pair is not None:
             self._count(pair[1], -1)
+            if self._usage is not None:
+                self._usage.remove(self.entry.worker_id, run_id)
 
     def to_reference_cores(self, cores_milli: float) -> float:
         """Convert cores of this worker to cores of a worker of reference size."""
--- /dev/null
+++ b/dogwoodlever/_workspace_shares.py
@@ -0,0 +1,296 @@
+"""Order of waiting steps by the fair shares of their workspaces."""
+
+import heapq
+from collections import deque
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from dogwoodlever._fleet_job import JobState, StepState, Task
+from dogwoodlever._fleet_types import (
+    FleetConfiguration,
+    ResourceAmounts,
+    WorkerEntry,
+    Workspace,
+)
+from dogwoodlever._scheduling_order import DeadlineOutlook, scheduling_key
+from dogwoodlever._workspace_usage import WorkspaceUsage
+
+# Most tasks that a workspace places before the shares are compared again. Fewer divide
+# the workers more exactly, but each turn ranks the workers anew.
+TURN_TASKS_MAX = 4
+# Stands for a weight of 0, which gets what the others leave.
+WEIGHT_MIN = 1e-6
+
+
+@dataclass(slots=True)
+class Participant:
+    """A workspace in one group of steps that compete.
+
+    Attributes
+    ----------
+    steps : deque of (StepState, list of Task)
+        Its steps in their order, with the tasks that were not tried in this round;
+        the list is empty until the step's first turn.
+    """
+
+    name: str
+    weight: float
+    steps: deque = field(default_factory=deque)
+
+
+class WorkspaceShares:
+    """Orders waiting steps by weighted dominant-resource fairness, within the caps.
+
+    Among the steps of one outlook and queue priority, the next comes from the
+    workspace with the least dominant share for its weight. Steps without a workspace
+    compete as one more participant of average weight. Standing steps keep their order.
+    Steps of jobs beyond their workspace's rate come last.
+
+    Parameters
+    ----------
+    usage : WorkspaceUsage
+        What each workspace uses, and the caps.
+    """
+
+    __slots__ = ("_usage",)
+
+    def __init__(self, usage: WorkspaceUsage) -> None:
+        self._usage = usage
+
+    def allows_copy(self, step: StepState) -> bool:
+        """Return whether the cap allows one more run of a step."""
+        return self._usage.fits(step)
+
+    def allows_move(self, step: StepState) -> bool:
+        """Return whether a stopped run of a step could start again under the cap."""
+        return not self._usage.is_over_cap(step.job.job.workspace)
+
+    def turns(
+        self,
+        interrupted_steps: Iterable[tuple[StepState, list[Task]]],
+        steps: list[StepState],
+        entries: Iterable[WorkerEntry],
+        configuration: FleetConfiguration,
+        now_s: float,
+        now_ms: float,
+    ) -> Iterator[tuple[StepState, list[Task] | None]]:
+        """Yield steps and the tasks of them to place next; None for a whole gang.
+
+        The caller places what it can and counts it before it requests the next turn.
+
+        Parameters
+        ----------
+        interrupted_steps : iterable of (StepState, list of Task)
+            Steps with standing tasks that go first.
+        steps : list of StepState
+            Steps in their order without workspaces.
+        entries : iterable of WorkerEntry
+            The schedulable workers.
+        configuration : FleetConfiguration
+            Names the workspaces and maps queues to services.
+        now_s, now_ms : float
+            Time on the scheduler's clock, and Unix time.
+        """
+        for step, tasks in interrupted_steps:
+            yield from self._turn_within_cap(step, tasks, now_s)
+        groups: dict[tuple, dict[str, list[StepState]]] = {}
+        for step in steps:
+            outlook, priority, *_ = scheduling_key(step, now_s, now_ms)
+            is_last = step.job.is_over_rate and outlook is not DeadlineOutlook.STANDING
+            queue = configuration.queues.get(step.job.queue.name, step.job.queue)
+            group = groups.setdefault((is_last, outlook, priority), {})
+            group.setdefault(queue.service, []).append(step)
+        totals = totals_by_service(entries)
+        for key in sorted(groups):
+            for service, members in groups[key].items():
+                total = totals.get(service)
+                if total is None:
+                    continue
+                if key[1] is DeadlineOutlook.STANDING:
+                    yield from self._in_order(members, now_s)
+                else:
+                    yield from self._by_share(
+                        members, service, total, configuration, now_s
+                    )
+
+    def _in_order(self, steps: list[StepState], now_s: float):
+        for step in steps:
+            tasks = None if step.spec.gang else list(step.ready.values())
+            if step.ready:
+                yield from self._turn_within_cap(step, tasks, now_s)
+
+    def _turn_within_cap(self, step: StepState, tasks, now_s: float):
+        """Yield as many of the tasks as the cap allows; a gang as a whole or not."""
+        wanted = len(step.tasks) if tasks is None else len(tasks)
+        allowed = self._usage.tasks_that_fit(step)
+        if allowed < wanted:
+            self._usage.log_wait(step, now_s)
+            if tasks is None or allowed <= 0:
+                return
+            tasks = tasks[:allowed]
+        yield step, tasks
+
+    def _by_share(
+        self,
+        steps: list[StepState],
+        service: str,
+        total: ResourceAmounts,
+        configuration: FleetConfiguration,
+        now_s: float,
+    ):
+        participants: dict[str, Participant] = {}
+        default_weight = _mean_weight(configuration)
+        for step in steps:
+            name = step.job.job.workspace
+            if name not in participants:
+                workspace = configuration.workspaces.get(name)
+                weight = default_weight if workspace is None else workspace.weight
+                participants[name] = Participant(name, max(weight, WEIGHT_MIN))
+            participants[name].steps.append((step, []))
+        # The names decide between equal shares.
+        heap = [
+            (self._share(participant, service, total), name)
+            for name, participant in participants.items()
+        ]
+        heapq.heapify(heap)
+        while heap:
+            _, name = heap[0]
+            participant = participants[name]
+            yield from self._take_turn(participant, now_s)
+            if participant.steps:
+                share = self._share(participant, service, total)
+                heapq.heapreplace(heap, (share, name))
+            else:
+                heapq.heappop(heap)
+
+    def _share(
+        self, participant: Participant, service: str, total: ResourceAmounts
+    ) -> float:
+        used = self._usage.used_of_service(participant.name, service)
+        return dominant_share(used, total) / participant.weight
+
+    def _take_turn(self, participant: Participant, now_s: float):
+        """Yield a participant's steps until one of them has placed tasks."""
+        while participant.steps:
+            step, tasks = participant.steps.popleft()
+            if step.spec.gang:
+                before = len(step.ready)
+                yield from self._turn_within_cap(step, None, now_s)
+                if len(step.ready) < before:
+                    return
+                continue
+            if not tasks:
+                tasks = list(step.ready.values())
+            allowed = self._usage.tasks_that_fit(step)
+            if allowed <= 0:
+                self._usage.log_wait(step, now_s)
+                continue
+            count = min(TURN_TASKS_MAX, allowed)
+            turn, rest = tasks[:count], tasks[count:]
+            before = len(step.ready)
+            yield step, turn
+            placed = before - len(step.ready)
+            # A task that failed or crashed may wait while others of its step start.
+            has_room = placed == len(turn) or any(
+                t.failed_on or t.crashes for t in turn
+            )
+            if rest and has_room:
+                participant.steps.appendleft((step, rest))
+            if placed:
+                return
+
+
+def dominant_share(used: ResourceAmounts, total: ResourceAmounts) -> float:
+    """Return the largest share of any resource."""
+    share = 0.0
+    if total.cores_milli:
+        share = used.cores_milli / total.cores_milli
+    if total.memory_mb:
+        share = max(share, used.memory_mb / total.memory_mb)
+    if total.accelerators:
+        share = max(share, used.accelerators / total.accelerators)
+    return share
+
+
+def totals_by_service(entries: Iterable[WorkerEntry]) -> dict[str, ResourceAmounts]:
+    """Return the capacity of the workers of each service."""
+    totals: dict[str, ResourceAmounts] = {}
+    for entry in entries:
+        total = totals.get(entry.service, ResourceAmounts())
+        totals[entry.service] = ResourceAmounts(
+            total.cores_milli + entry.cores_milli,
+            total.memory_mb + entry.memory_mb,
+            total.accelerators + entry.accelerators,
+        )
+    return totals
+
+
+def _mean_weight(configuration: FleetConfiguration) -> float:
+    weights = [workspace.weight for workspace in configuration.workspaces.values()]
+    return sum(weights) / len(weights)
+
+
+@dataclass(slots=True)
+class TokenBucket:
+    """Jobs that a workspace may still submit within its rate."""
+
+    tokens: float
+    updated_ms: float
+
+    def take(self, workspace: Workspace, window_s: float, now_ms: float) -> bool:
+        """Take a token for a job; return whether there was one."""
+        size = _bucket_size(workspace, window_s)
+        elapsed_s = max(0.0, now_ms - self.updated_ms) / 1000
+        self.tokens = min(size, self.tokens + elapsed_s * workspace.weight)
+        self.updated_ms = max(self.updated_ms, now_ms)
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+def _bucket_size(workspace: Workspace, window_s: float) -> float:
+    return max(1.0, workspace.weight * window_s)
+
+
+class WorkspaceRates:
+    """Decides which jobs are beyond the usual rate of their workspace.
+
+    Parameters
+    ----------
+    window_s : float
+        Time over which jobs count against the rate.
+    """
+
+    __slots__ = ("_buckets", "_window_s")
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._buckets: dict[str, TokenBucket] = {}
+
+    def decide(
+        self,
+        state: JobState,
+        configuration: FleetConfiguration | None,
+        arrived_ms: float,
+    ) -> None:
+        """Set whether a job that arrived at a Unix time is beyond the rate."""
+        name = state.job.workspace
+        workspace = configuration.workspaces.get(name) if configuration else None
+        if workspace is None:
+            return
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            bucket = TokenBucket(_bucket_size(workspace, self._window_s), arrived_ms)
+            self._buckets[name] = bucket
+        state.is_over_rate = not bucket.take(workspace, self._window_s, arrived_ms)
+
+    def decide_inherited(
+        self,
+        states: Iterable[JobState],
+        configuration: FleetConfiguration | None,
+        now_ms: float,
+    ) -> None:
+        """Decide anew on the jobs that a former leader accepted."""
+        for state in sorted(states, key=lambda state: state.revision):
+            self.decide(state, configuration, min(state.job.submitted_ms, now_ms))
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -65,11 +65,11 @@
 class FleetSimulation:
     """Daemons, workers and a store on one simulated clock."""
 
-    def __init__(self, daemons=3, workers=3, run_s=1.0):
+    def __init__(self, daemons=3, workers=3, run_s=1.0, configuration=None):
         self.clock = Clock()
         self.clock.advance(100.0)
         self.records = FleetRecords(self.clock)
-        self.records.write("op/config", msgspec.json.encode(CONFIGURATION))
+        self.configure(configuration or CONFIGURATION)
         self.workers = FakeWorkers(self.clock)
         self.advice = FakeAdvice(self.clock)
         self.members = {}
@@ -79,6 +79,9 @@
         for number in range(daemons):
             self.add_daemon(f"vm{number}")
 
+    def configure(self, configuration):
+        self.records.write("op/config", msgspec.json.encode(configuration))
+
     def add_worker(self, entry, run_s=1.0):
         self.records.write(f"servers/{entry.worker_id}", server_record(entry))
         return self.workers.add(entry, run_s)
