--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -206,7 +206,13 @@
             for step in registry.active_steps()
             if not (skips_inherited and step.job.is_inherited)
         ]
-        steps.sort(key=lambda step: scheduling_key(step, now_s, now_ms))
+        shares = self._shares if configuration.workspaces else None
+        if shares is None:
+            steps.sort(key=lambda step: scheduling_key(step, now_s, now_ms))
+        else:
+            keys = {step: scheduling_key(step, now_s, now_ms) for step in steps}
+            steps.sort(key=keys.__getitem__)
+            keys = {step: keys[step] for step in steps}
         interrupted_steps = self._find_interrupted(steps, now_s)
         if len(self._headrooms) > 2 * len(capacities):
             # Drops the workers that have left.
@@ -215,11 +221,9 @@
         headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
         spare_by_service: dict[str, SpareOrder] = {}
         turns = [*interrupted_steps, *((step, None) for step in steps)]
-        if self._shares is not None and configuration.workspaces:
+        if shares is not None:
             entries = [capacity.entry for capacity in capacities]
-            turns = self._shares.turns(
-                interrupted_steps, steps, entries, configuration, now_s, now_ms
-            )
+            turns = shares.turns(interrupted_steps, keys, entries, configuration, now_s)
         for step, tasks in turns:
             queue = configuration.queues.get(step.job.queue.name, step.job.queue)
             candidates = by_service.get(queue.service, ())
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -446,7 +446,15 @@
 
     def refresh_usage(self) -> None:
         """Update what counts against workspaces' caps beside the runs on workers."""
-        self._usage.expire_holds(self._clock.seconds())
+        configuration = self._desired_state.configuration
+        if configuration is None or not configuration.workspaces:
+            return
+        if not self._usage.is_counting:
+            ended = (found.capacity for found in self._ended_incarnations.values())
+            self._usage.start(
+                (capacity.entry, capacity.runs.values())
+                for capacity in (*self.capacities.values(), *ended)
+            )
         entries = {}
         if self.unpolled_workers:
             entries = {name: found.entry for name, found in self.capacities.items()}
@@ -468,6 +476,8 @@
     def expire_ended_incarnations(self) -> None:
         """Drop the runs of ended incarnations of which no start is in flight."""
         now_s = self._clock.seconds()
+        if self._usage.expire_holds(now_s):
+            self._on_change()
         for worker_id, previous in list(self._ended_incarnations.items()):
             in_flight = {
                 run_id
--- a/dogwoodlever/_workspace_shares.py
+++ b/dogwoodlever/_workspace_shares.py
@@ -9,15 +9,18 @@
 from dogwoodlever._fleet_types import (
     FleetConfiguration,
     ResourceAmounts,
+    Step,
     WorkerEntry,
     Workspace,
 )
-from dogwoodlever._scheduling_order import DeadlineOutlook, scheduling_key
+from dogwoodlever._scheduling_order import DeadlineOutlook
 from dogwoodlever._workspace_usage import WorkspaceUsage
 
-# Most tasks that a workspace places before the shares are compared again. Fewer divide
+# Most tasks that a workspace places before the shares are compared again, and the most
+# of a service's workers that they may use, but at least one task. Smaller turns divide
 # the workers more exactly, but each turn ranks the workers anew.
-TURN_TASKS_MAX = 4
+TURN_TASKS_MAX = 16
+TURN_SHARE_MAX = 1 / 400
 # Stands for a weight of 0, which gets what the others leave.
 WEIGHT_MIN = 1e-6
 
@@ -68,11 +71,10 @@
     def turns(
         self,
         interrupted_steps: Iterable[tuple[StepState, list[Task]]],
-        steps: list[StepState],
+        keys: dict[StepState, tuple],
         entries: Iterable[WorkerEntry],
         configuration: FleetConfiguration,
         now_s: float,
-        now_ms: float,
     ) -> Iterator[tuple[StepState, list[Task] | None]]:
         """Yield steps and the tasks of them to place next; None for a whole gang.
 
@@ -82,20 +84,20 @@
         ----------
         interrupted_steps : iterable of (StepState, list of Task)
             Steps with standing tasks that go first.
-        steps : list of StepState
-            Steps in their order without workspaces.
+        keys : dict of StepState to tuple
+            Waiting steps in their order without workspaces, with their keys.
         entries : iterable of WorkerEntry
             The schedulable workers.
         configuration : FleetConfiguration
             Names the workspaces and maps queues to services.
-        now_s, now_ms : float
-            Time on the scheduler's clock, and Unix time.
+        now_s : float
+            Time on the scheduler's clock.
         """
         for step, tasks in interrupted_steps:
             yield from self._turn_within_cap(step, tasks, now_s)
         groups: dict[tuple, dict[str, list[StepState]]] = {}
-        for step in steps:
-            outlook, priority, *_ = scheduling_key(step, now_s, now_ms)
+        for step in keys:
+            outlook, priority, *_ = keys[step]
             is_last = step.job.is_over_rate and outlook is not DeadlineOutlook.STANDING
             queue = configuration.queues.get(step.job.queue.name, step.job.queue)
             group = groups.setdefault((is_last, outlook, priority), {})
@@ -156,7 +158,7 @@
         while heap:
             _, name = heap[0]
             participant = participants[name]
-            yield from self._take_turn(participant, now_s)
+            yield from self._take_turn(participant, total, now_s)
             if participant.steps:
                 share = self._share(participant, service, total)
                 heapq.heapreplace(heap, (share, name))
@@ -169,7 +171,9 @@
         used = self._usage.used_of_service(participant.name, service)
         return dominant_share(used, total) / participant.weight
 
-    def _take_turn(self, participant: Participant, now_s: float):
+    def _take_turn(
+        self, participant: Participant, total: ResourceAmounts, now_s: float
+    ):
         """Yield a participant's steps until one of them has placed tasks."""
         while participant.steps:
             step, tasks = participant.steps.popleft()
@@ -185,7 +189,7 @@
             if allowed <= 0:
                 self._usage.log_wait(step, now_s)
                 continue
-            count = min(TURN_TASKS_MAX, allowed)
+            count = min(_turn_tasks(step.spec, total), allowed)
             turn, rest = tasks[:count], tasks[count:]
             before = len(step.ready)
             yield step, turn
@@ -200,7 +204,14 @@
                 return
 
 
-def dominant_share(used: ResourceAmounts, total: ResourceAmounts) -> float:
+def _turn_tasks(spec: Step, total: ResourceAmounts) -> int:
+    share = dominant_share(spec, total)
+    if not share:
+        return TURN_TASKS_MAX
+    return max(1, min(TURN_TASKS_MAX, int(TURN_SHARE_MAX / share)))
+
+
+def dominant_share(used: ResourceAmounts | Step, total: ResourceAmounts) -> float:
     """Return the largest share of any resource."""
     share = 0.0
     if total.cores_milli:
--- a/dogwoodlever/_workspace_usage.py
+++ b/dogwoodlever/_workspace_usage.py
@@ -1,9 +1,9 @@
 """What the tasks of each workspace use, and what its cap still allows."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from dogwoodlever._fleet_job import StepState
+from dogwoodlever._fleet_job import Run, StepState
 from dogwoodlever._fleet_types import (
     FleetConfiguration,
     ResourceAmounts,
@@ -62,6 +62,9 @@
 
     Attributes
     ----------
+    is_counting : bool
+        Whether runs are counted, which costs time with each start and end. Without
+        workspaces in the configuration they are not.
     unpolled : ResourceAmounts
         Capacity of the workers that this leader has not polled. Any workspace's tasks
         may run there, so it counts against each cap.
@@ -76,6 +79,7 @@
         "_registry",
         "_runs",
         "_wait_logged_s",
+        "is_counting",
         "unpolled",
     )
 
@@ -89,8 +93,10 @@
         # By worker id and run.
         self._runs: dict[tuple[str, RunId], CountedRun] = {}
         self._held: set[tuple[str, RunId]] = set()
-        self._by_workspace: dict[str, ResourceAmounts] = {}
-        self._by_service: dict[tuple[str, str], ResourceAmounts] = {}
+        # Cores, memory and accelerators by workspace, and by workspace and service.
+        self._by_workspace: dict[str, list[int]] = {}
+        self._by_service: dict[tuple[str, str], list[int]] = {}
+        self.is_counting = False
         self.unpolled = ResourceAmounts()
         # Steps with a task or gang larger than the cap, which are logged once.
         self._oversized: set[StepId] = set()
@@ -98,8 +104,19 @@
 
     # Runs
 
+    def start(
+        self, runs: Iterable[tuple[WorkerEntry, Iterable[tuple[Run, Step]]]]
+    ) -> None:
+        """Start to count, with the runs that the capacities of workers count now."""
+        self.is_counting = True
+        for entry, pairs in runs:
+            for run, step in pairs:
+                self.add(entry, run.run_id, step)
+
     def add(self, entry: WorkerEntry, run_id: RunId, step: Step) -> None:
         """Count a run that the capacity of a worker counts."""
+        if not self.is_counting:
+            return
         counted = self._find_or_count(entry, run_id, step)
         if counted is not None:
             counted.is_running = True
@@ -109,6 +126,8 @@
 
         A run that is held counts on until its hold has expired.
         """
+        if not self.is_counting:
+            return
         key = (worker_id, run_id)
         counted = self._runs.get(key)
         if counted is None:
@@ -168,11 +187,11 @@
 
     def used(self, workspace: str) -> ResourceAmounts:
         """Return what the runs of a workspace use."""
-        return self._by_workspace.get(workspace, ResourceAmounts())
+        return ResourceAmounts(*self._by_workspace.get(workspace, ()))
 
     def used_of_service(self, workspace: str, service: str) -> ResourceAmounts:
         """Return what the runs of a workspace use on the workers of a service."""
-        return self._by_service.get((workspace, service), ResourceAmounts())
+        return ResourceAmounts(*self._by_service.get((workspace, service), ()))
 
     def cap(self, workspace: str) -> ResourceAmounts | None:
         """Return the newest cap of a workspace, None if nothing limits it."""
@@ -312,12 +331,12 @@
 
 
 def _add(table: dict, key, step: Step, sign: int) -> None:
-    amounts = table.get(key, ResourceAmounts())
-    table[key] = ResourceAmounts(
-        amounts.cores_milli + sign * step.cores_milli,
-        amounts.memory_mb + sign * step.memory_mb,
-        amounts.accelerators + sign * step.accelerators,
-    )
+    amounts = table.get(key)
+    if amounts is None:
+        amounts = table[key] = [0, 0, 0]
+    amounts[0] += sign * step.cores_milli
+    amounts[1] += sign * step.memory_mb
+    amounts[2] += sign * step.accelerators
 
 
 def _exceeds(spec: Step, tasks: int, cap: ResourceAmounts) -> bool:
