Waits at caps are recorded by the decision modules and logged by the leader

Cause: the modules that decide do no I/O; counting usage imported the log. Change: WorkspaceUsage records waits, WorkspaceReport logs them after each round; both new decision modules are in the table of tests.test_imports.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -468,6 +468,7 @@
         for placement in islice(placements, STARTS_PER_ROUND):
             self.workers.runs.start(placement, now_s)
             placed += 1
+        self._workspace_report.log_waits(now_s)
         took_s = self._clock.seconds() - now_s
         self._plan_delay_s = max(PLAN_DELAY_S, took_s * (PLAN_TIME_DIVISOR - 1))
         if placed == STARTS_PER_ROUND:
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -223,7 +223,7 @@
         turns = [*interrupted_steps, *((step, None) for step in steps)]
         if shares is not None:
             entries = [capacity.entry for capacity in capacities]
-            turns = shares.turns(interrupted_steps, keys, entries, configuration, now_s)
+            turns = shares.turns(interrupted_steps, keys, entries, configuration)
         for step, tasks in turns:
             queue = configuration.queues.get(step.job.queue.name, step.job.queue)
             candidates = by_service.get(queue.service, ())
--- a/dogwoodlever/_workspace_report.py
+++ b/dogwoodlever/_workspace_report.py
@@ -1,18 +1,20 @@
-"""Metrics of workspaces: usage against caps, shares against weights."""
+"""Metrics and log events of workspaces: usage, caps, shares and waits."""
 
 from collections.abc import Iterable
 
 from dogwoodlever._fleet_metrics import FleetMetrics
-from dogwoodlever._fleet_types import FleetConfiguration
+from dogwoodlever._fleet_types import FleetConfiguration, ResourceAmounts, Step
+from dogwoodlever._logs import log_event
 from dogwoodlever._worker_capacity import WorkerCapacity
 from dogwoodlever._workspace_shares import dominant_share, totals_by_service
-from dogwoodlever._workspace_usage import WorkspaceUsage
+from dogwoodlever._workspace_usage import WorkspaceUsage, gang_size
 
+# Interval of the gauges, and of the log events of one workspace that waits.
 UPDATE_INTERVAL_S = 1.0
 
 
 class WorkspaceReport:
-    """Sets the gauges of workspaces at intervals while a daemon leads.
+    """Reports on workspaces while a daemon leads.
 
     Parameters
     ----------
@@ -22,13 +24,21 @@
         What each workspace uses.
     """
 
-    __slots__ = ("_gauges", "_metrics", "_names", "_updated_s", "_usage")
+    __slots__ = (
+        "_gauges",
+        "_metrics",
+        "_names",
+        "_updated_s",
+        "_usage",
+        "_wait_logged_s",
+    )
 
     def __init__(self, metrics: FleetMetrics, usage: WorkspaceUsage) -> None:
         self._metrics = metrics
         self._usage = usage
         self._updated_s = float("-inf")
         self._names: set[str] = set()
+        self._wait_logged_s: dict[str, float] = {}
         self._gauges = (
             metrics.workspace_cores,
             metrics.workspace_cap_cores,
@@ -66,6 +76,36 @@
             self._metrics.workspace_share.labels(name).set(max(shares, default=0.0))
             self._metrics.workspace_weight_ratio.labels(name).set(ratio)
 
+    def log_waits(self, now_s: float) -> None:
+        """Log the waits that the last planning round has recorded."""
+        waiting, oversized = self._usage.pop_waits()
+        for step in oversized:
+            workspace = step.job.job.workspace
+            log_event(
+                "workspace.task-over-cap",
+                workspace=workspace,
+                job=step.job.job.job_id,
+                step=step.number,
+                tasks=gang_size(step),
+                task=_format(step.spec),
+                cap=_format(self._usage.cap(workspace)),
+            )
+        for step in waiting:
+            workspace = step.job.job.workspace
+            logged_s = self._wait_logged_s.get(workspace, float("-inf"))
+            if now_s - logged_s < UPDATE_INTERVAL_S:
+                continue
+            self._wait_logged_s[workspace] = now_s
+            log_event(
+                "workspace.waits-at-cap",
+                workspace=workspace,
+                job=step.job.job.job_id,
+                step=step.number,
+                used=_format(self._usage.used(workspace)),
+                cap=_format(self._usage.cap(workspace)),
+                unpolled=_format(self._usage.unpolled),
+            )
+
     def close(self) -> None:
         """Remove the gauges, as another daemon leads."""
         self._drop(set(self._names))
@@ -75,3 +115,9 @@
             for gauge in self._gauges:
                 gauge.remove(name)
         self._names -= names
+
+
+def _format(amounts: ResourceAmounts | Step | None) -> str:
+    if amounts is None:
+        return "none"
+    return f"{amounts.cores_milli}m/{amounts.memory_mb}MB/{amounts.accelerators}"
--- a/dogwoodlever/_workspace_shares.py
+++ b/dogwoodlever/_workspace_shares.py
@@ -74,7 +74,6 @@
         keys: dict[StepState, tuple],
         entries: Iterable[WorkerEntry],
         configuration: FleetConfiguration,
-        now_s: float,
     ) -> Iterator[tuple[StepState, list[Task] | None]]:
         """Yield steps and the tasks of them to place next; None for a whole gang.
 
@@ -90,11 +89,9 @@
             The schedulable workers.
         configuration : FleetConfiguration
             Names the workspaces and maps queues to services.
-        now_s : float
-            Time on the scheduler's clock.
         """
         for step, tasks in interrupted_steps:
-            yield from self._turn_within_cap(step, tasks, now_s)
+            yield from self._turn_within_cap(step, tasks)
         groups: dict[tuple, dict[str, list[StepState]]] = {}
         for step in keys:
             outlook, priority, *_ = keys[step]
@@ -109,24 +106,22 @@
                 if total is None:
                     continue
                 if key[1] is DeadlineOutlook.STANDING:
-                    yield from self._in_order(members, now_s)
+                    yield from self._in_order(members)
                 else:
-                    yield from self._by_share(
-                        members, service, total, configuration, now_s
-                    )
+                    yield from self._by_share(members, service, total, configuration)
 
-    def _in_order(self, steps: list[StepState], now_s: float):
+    def _in_order(self, steps: list[StepState]):
         for step in steps:
             tasks = None if step.spec.gang else list(step.ready.values())
             if step.ready:
-                yield from self._turn_within_cap(step, tasks, now_s)
+                yield from self._turn_within_cap(step, tasks)
 
-    def _turn_within_cap(self, step: StepState, tasks, now_s: float):
+    def _turn_within_cap(self, step: StepState, tasks):
         """Yield as many of the tasks as the cap allows; a gang as a whole or not."""
         wanted = len(step.tasks) if tasks is None else len(tasks)
         allowed = self._usage.tasks_that_fit(step)
         if allowed < wanted:
-            self._usage.log_wait(step, now_s)
+            self._usage.record_wait(step)
             if tasks is None or allowed <= 0:
                 return
             tasks = tasks[:allowed]
@@ -138,7 +133,6 @@
         service: str,
         total: ResourceAmounts,
         configuration: FleetConfiguration,
-        now_s: float,
     ):
         participants: dict[str, Participant] = {}
         default_weight = _mean_weight(configuration)
@@ -158,7 +152,7 @@
         while heap:
             _, name = heap[0]
             participant = participants[name]
-            yield from self._take_turn(participant, total, now_s)
+            yield from self._take_turn(participant, total)
             if participant.steps:
                 share = self._share(participant, service, total)
                 heapq.heapreplace(heap, (share, name))
@@ -171,15 +165,13 @@
         used = self._usage.used_of_service(participant.name, service)
         return dominant_share(used, total) / participant.weight
 
-    def _take_turn(
-        self, participant: Participant, total: ResourceAmounts, now_s: float
-    ):
+    def _take_turn(self, participant: Participant, total: ResourceAmounts):
         """Yield a participant's steps until one of them has placed tasks."""
         while participant.steps:
             step, tasks = participant.steps.popleft()
             if step.spec.gang:
                 before = len(step.ready)
-                yield from self._turn_within_cap(step, None, now_s)
+                yield from self._turn_within_cap(step, None)
                 if len(step.ready) < before:
                     return
                 continue
@@ -187,7 +179,7 @@
                 tasks = list(step.ready.values())
             allowed = self._usage.tasks_that_fit(step)
             if allowed <= 0:
-                self._usage.log_wait(step, now_s)
+                self._usage.record_wait(step)
                 continue
             count = min(_turn_tasks(step.spec, total), allowed)
             turn, rest = tasks[:count], tasks[count:]
--- a/dogwoodlever/_workspace_usage.py
+++ b/dogwoodlever/_workspace_usage.py
@@ -12,13 +12,10 @@
     StepId,
     WorkerEntry,
 )
-from dogwoodlever._logs import log_event
 from dogwoodlever._run_registry import RunRegistry
 
 # Stands for no limit.
 UNLIMITED = 1 << 60
-# A workspace that waits at its cap is logged at most once in this time.
-WAIT_LOG_INTERVAL_S = 1.0
 # Most cores that reserved and best-effort tasks together may request from a worker, as
 # a multiple of its cores. Best-effort tasks may fill an empty worker and 45 % of the
 # cores of its standing tasks, and other tasks may fill it once more; the rest covers
@@ -75,10 +72,11 @@
         "_by_workspace",
         "_get_configuration",
         "_held",
+        "_new_oversized",
         "_oversized",
         "_registry",
         "_runs",
-        "_wait_logged_s",
+        "_waits",
         "is_counting",
         "unpolled",
     )
@@ -98,9 +96,10 @@
         self._by_service: dict[tuple[str, str], list[int]] = {}
         self.is_counting = False
         self.unpolled = ResourceAmounts()
-        # Steps with a task or gang larger than the cap, which are logged once.
+        self._waits: dict[str, StepState] = {}
+        # Steps with a task or gang larger than the cap, and those not returned yet.
         self._oversized: set[StepId] = set()
-        self._wait_logged_s: dict[str, float] = {}
+        self._new_oversized: list[StepState] = []
 
     # Runs
 
@@ -281,51 +280,43 @@
 
     # Waits
 
-    def log_wait(self, step: StepState, now_s: float) -> None:
-        """Log that tasks of a step wait because of their workspace's cap."""
+    def record_wait(self, step: StepState) -> None:
+        """Record that tasks of a step wait because of their workspace's cap."""
         workspace = step.job.job.workspace
         cap = self.cap(workspace)
         if cap is None:
             return
-        tasks = len(step.tasks) if step.spec.gang else 1
-        if _exceeds(step.spec, tasks, cap):
-            self._log_oversized(step, tasks, cap)
-            return
-        logged_s = self._wait_logged_s.get(workspace, float("-inf"))
-        if now_s - logged_s < WAIT_LOG_INTERVAL_S:
-            return
-        self._wait_logged_s[workspace] = now_s
-        used = self.used(workspace)
-        log_event(
-            "workspace.waits-at-cap",
-            workspace=workspace,
-            job=step.job.job.job_id,
-            step=step.number,
-            used=_format(used),
-            cap=_format(cap),
-            unpolled=_format(self.unpolled),
-        )
-
-    def _log_oversized(self, step: StepState, tasks: int, cap: ResourceAmounts) -> None:
-        if step.step_id in self._oversized:
-            return
-        self._oversized.add(step.step_id)
-        log_event(
-            "workspace.task-over-cap",
-            workspace=step.job.job.workspace,
-            job=step.job.job.job_id,
-            step=step.number,
-            tasks=tasks,
-            task=_format(step.spec),
-            cap=_format(cap),
-        )
+        if not _exceeds(step.spec, gang_size(step), cap):
+            self._waits.setdefault(workspace, step)
+        elif step.step_id not in self._oversized:
+            self._oversized.add(step.step_id)
+            self._new_oversized.append(step)
+
+    def pop_waits(self) -> tuple[list[StepState], list[StepState]]:
+        """Return the recorded waits since the last call.
+
+        Returns
+        -------
+        waiting : list of StepState
+            The first step of each workspace that waits for room under its cap.
+        oversized : list of StepState
+            Steps with a task or gang larger than the cap; each is returned once.
+        """
+        waiting, self._waits = list(self._waits.values()), {}
+        oversized, self._new_oversized = self._new_oversized, []
+        return waiting, oversized
 
     def drop_job(self, job_id: str) -> None:
-        """Drop what was logged of a job that is removed."""
+        """Drop what was recorded of a job that is removed."""
         if self._oversized:
             self._oversized = {s for s in self._oversized if s.job_id != job_id}
 
 
+def gang_size(step: StepState) -> int:
+    """Return how many tasks of a step start together."""
+    return len(step.tasks) if step.spec.gang else 1
+
+
 def _left(cap: int, used: int) -> int:
     return cap - used if cap else UNLIMITED
 
@@ -348,7 +339,3 @@
             (spec.accelerators, cap.accelerators),
         )
     )
-
-
-def _format(amounts: ResourceAmounts | Step) -> str:
-    return f"{amounts.cores_milli}m/{amounts.memory_mb}MB/{amounts.accelerators}"
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -18,6 +18,8 @@
     "_run_throttler",
     "_fleet_planner",
     "_worker_capacity",
+    "_workspace_shares",
+    "_workspace_usage",
     "_fleet_types",
     "_interference_controller",
     "_cell_state",
--- a/tests/test_workspace_usage.py
+++ b/tests/test_workspace_usage.py
@@ -2,7 +2,7 @@
 from dataclasses import replace
 from unittest.mock import patch
 
-from dogwoodlever import _workspace_usage
+from dogwoodlever import _workspace_report
 from dogwoodlever._crash_attribution import CrashAttribution
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_metrics import FleetMetrics
@@ -319,13 +319,15 @@
 class ObservabilityTest(unittest.TestCase):
     def events(self, fixture, times_s):
         events = []
+        report = WorkspaceReport(FleetMetrics(), fixture.usage)
 
         def record(event, **fields):
             events.append((event, fields["workspace"]))
 
-        with patch.object(_workspace_usage, "log_event", record):
+        with patch.object(_workspace_report, "log_event", record):
             for now_s in times_s:
                 fixture.plan(now_s)
+                report.log_waits(now_s)
         return events
 
     def test_waits_are_logged_once_a_second_for_each_workspace(self):
