--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -211,8 +211,8 @@
             steps.sort(key=lambda step: scheduling_key(step, now_s, now_ms))
         else:
             keys = {step: scheduling_key(step, now_s, now_ms) for step in steps}
-            steps.sort(key=keys.__getitem__)
-            keys = {step: keys[step] for step in steps}
+            keys = dict(sorted(keys.items(), key=lambda item: item[1]))
+            steps = list(keys)
         interrupted_steps = self._find_interrupted(steps, now_s)
         if len(self._headrooms) > 2 * len(capacities):
             # Drops the workers that have left.
--- a/dogwoodlever/_workspace_shares.py
+++ b/dogwoodlever/_workspace_shares.py
@@ -91,7 +91,7 @@
             Names the workspaces and maps queues to services.
         """
         for step, tasks in interrupted_steps:
-            yield from self._turn_within_cap(step, tasks)
+            yield from self._all_turns(step, tasks)
         groups: dict[tuple, dict[str, list[StepState]]] = {}
         for step in keys:
             outlook, priority, *_ = keys[step]
@@ -112,20 +112,38 @@
 
     def _in_order(self, steps: list[StepState]):
         for step in steps:
-            tasks = None if step.spec.gang else list(step.ready.values())
-            if step.ready:
-                yield from self._turn_within_cap(step, tasks)
-
-    def _turn_within_cap(self, step: StepState, tasks):
-        """Yield as many of the tasks as the cap allows; a gang as a whole or not."""
-        wanted = len(step.tasks) if tasks is None else len(tasks)
-        allowed = self._usage.tasks_that_fit(step)
-        if allowed < wanted:
-            self._usage.record_wait(step)
-            if tasks is None or allowed <= 0:
+            if step.spec.gang:
+                yield from self._gang_turn(step)
+            else:
+                yield from self._all_turns(step, list(step.ready.values()))
+
+    def _all_turns(self, step: StepState, tasks: list[Task]):
+        """Yield turns of a step while the cap allows them and they place tasks."""
+        while tasks:
+            allowed = self._usage.tasks_that_fit(step)
+            if allowed <= 0:
+                self._usage.record_wait(step)
                 return
-            tasks = tasks[:allowed]
-        yield step, tasks
+            tasks = yield from self._turn(step, tasks, allowed)
+
+    def _gang_turn(self, step: StepState):
+        """Yield a turn of a gang if the cap allows all of it."""
+        if self._usage.fits(step, len(step.tasks)):
+            yield step, None
+        else:
+            self._usage.record_wait(step)
+
+    @staticmethod
+    def _turn(step: StepState, tasks: list[Task], count: int):
+        """Yield a turn of at most `count` tasks; return those to try after it."""
+        turn, rest = tasks[:count], tasks[count:]
+        before = len(step.ready)
+        yield step, turn
+        placed = before - len(step.ready)
+        # A task that failed or crashed may wait while others of its step start.
+        if placed == len(turn) or any(task.failed_on or task.crashes for task in turn):
+            return rest
+        return []
 
     def _by_share(
         self,
@@ -169,30 +187,20 @@
         """Yield a participant's steps until one of them has placed tasks."""
         while participant.steps:
             step, tasks = participant.steps.popleft()
-            if step.spec.gang:
-                before = len(step.ready)
-                yield from self._turn_within_cap(step, None)
-                if len(step.ready) < before:
-                    return
-                continue
-            if not tasks:
-                tasks = list(step.ready.values())
-            allowed = self._usage.tasks_that_fit(step)
-            if allowed <= 0:
-                self._usage.record_wait(step)
-                continue
-            count = min(_turn_tasks(step.spec, total), allowed)
-            turn, rest = tasks[:count], tasks[count:]
             before = len(step.ready)
-            yield step, turn
-            placed = before - len(step.ready)
-            # A task that failed or crashed may wait while others of its step start.
-            has_room = placed == len(turn) or any(
-                t.failed_on or t.crashes for t in turn
-            )
-            if rest and has_room:
-                participant.steps.appendleft((step, rest))
-            if placed:
+            if step.spec.gang:
+                yield from self._gang_turn(step)
+            else:
+                allowed = self._usage.tasks_that_fit(step)
+                if allowed <= 0:
+                    self._usage.record_wait(step)
+                    continue
+                count = min(_turn_tasks(step.spec, total), allowed)
+                tasks = tasks or list(step.ready.values())
+                rest = yield from self._turn(step, tasks, count)
+                if rest:
+                    participant.steps.appendleft((step, rest))
+            if len(step.ready) < before:
                 return
 
 
--- a/tests/test_workspace_shares.py
+++ b/tests/test_workspace_shares.py
@@ -1,6 +1,8 @@
 import unittest
 from random import Random
+from unittest.mock import patch
 
+from dogwoodlever._crash_attribution import CrashAttribution
 from dogwoodlever._fleet_types import Workspace
 from dogwoodlever._scheduling_order import DeadlineOutlook, scheduling_key
 from tests.test_workspace_usage import NOW_S, WorkspaceFixture, step, workspace
@@ -98,6 +100,20 @@
         state.occurrences[0].steps[0].tasks[0].failed_on.add("w0")
         self.assertEqual(fixture.plan().count("a"), 3)
 
+    # Guards against room under a cap that a task which may not start keeps idle.
+    def test_held_task_leaves_the_room_under_the_cap_to_others(self):
+        for name, fields in (("short", {}), ("standing", {"standing": True})):
+            with self.subTest(name):
+                fixture = WorkspaceFixture([workspace("a", cores=1)])
+                state = fixture.add("a", step(3, image="i", **fields))
+                held = state.occurrences[0].steps[0].tasks[0]
+                held.crashes = {1: "w9", 2: "w9"}
+                with patch.object(
+                    CrashAttribution, "is_held", lambda _, t: bool(t.crashes)
+                ):
+                    self.assertEqual(fixture.plan(), ["a"])
+                self.assertTrue(held.is_ready)
+
     def test_urgent_queue_goes_before_shares(self):
         fixture = WorkspaceFixture([workspace("a"), workspace("b")])
         fixture.add("a", step(99), queue="urgent")
