FleetRuns takes the usage of workspaces as its last, optional parameter

Cause: tests that make FleetRuns without workspaces failed for the new parameter (four in tests.test_worker_resize). Change: the parameter is optional.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -49,8 +49,6 @@
         Finds workers whose runs fail.
     crashes : CrashAttribution
         Finds tasks that crash workers.
-    usage : WorkspaceUsage
-        Counts the runs of each workspace.
     metrics : FleetMetrics
         Counters and histograms.
     capacities : dict of str to WorkerCapacity
@@ -59,6 +57,8 @@
         Links by worker id, kept by the owner.
     on_ticket_rejected : callable
         Called with a step and the capacity of a worker that rejected its ticket.
+    usage : WorkspaceUsage or None
+        Counts the runs of each workspace, if there may be any.
     """
 
     def __init__(
@@ -68,11 +68,11 @@
         throttler: RunThrottler,
         faults: FaultAttribution,
         crashes: CrashAttribution,
-        usage: WorkspaceUsage,
         metrics: FleetMetrics,
         capacities: dict[str, WorkerCapacity],
         links: dict[str, WorkerLink],
         on_ticket_rejected: Callable[[StepState, WorkerCapacity], None],
+        usage: WorkspaceUsage | None = None,
     ) -> None:
         self._clock = clock
         self._registry = registry
@@ -196,7 +196,8 @@
             ):
                 continue
             self._drop_lost(capacity, run, "not listed")
-            self._usage.release(capacity.entry.worker_id, run.run_id)
+            if self._usage is not None:
+                self._usage.release(capacity.entry.worker_id, run.run_id)
 
     def _apply_end(
         self, capacity: WorkerCapacity, link: WorkerLink, end: EndedRun
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -181,11 +181,11 @@
             throttler,
             faults,
             crashes,
-            usage,
             metrics,
             self.capacities,
             self._links,
             on_ticket_rejected,
+            usage,
         )
         self._get_leases_end_s = get_leases_end_s
         # When the leases from a former leader have expired at every worker, whose
