--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -21,6 +21,7 @@
 from dogwoodlever._run_throttler import RunThrottler, stalled_runs
 from dogwoodlever._worker_capacity import WorkerCapacity
 from dogwoodlever._worker_link import WorkerLink
+from dogwoodlever._workspace_usage import WorkspaceUsage
 
 # After a refusal for lack of capacity, the leader's view of the worker is stale for a
 # while.
@@ -56,6 +57,8 @@
         Links by worker id, kept by the owner.
     on_ticket_rejected : callable
         Called with a step and the capacity of a worker that rejected its ticket.
+    usage : WorkspaceUsage or None
+        Counts the runs of each workspace, if there may be any.
     """
 
     def __init__(
@@ -69,12 +72,14 @@
         capacities: dict[str, WorkerCapacity],
         links: dict[str, WorkerLink],
         on_ticket_rejected: Callable[[StepState, WorkerCapacity], None],
+        usage: WorkspaceUsage | None = None,
     ) -> None:
         self._clock = clock
         self._registry = registry
         self._throttler = throttler
         self._faults = faults
         self._crashes = crashes
+        self._usage = usage
         self._metrics = metrics
         self._capacities = capacities
         self._links = links
@@ -191,6 +196,8 @@
             ):
                 continue
             self._drop_lost(capacity, run, "not listed")
+            if self._usage is not None:
+                self._usage.release(capacity.entry.worker_id, run.run_id)
 
     def _apply_end(
         self, capacity: WorkerCapacity, link: WorkerLink, end: EndedRun
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -85,7 +85,7 @@
         self.clock = Clock()
         self.clock.advance(100.0)
         self.records = FleetRecords(self.clock)
-        self.records.write("op/config", msgspec.json.encode(configuration))
+        self.configure(configuration)
         self.workers = FakeWorkers(self.clock)
         self.advice = FakeAdvice(self.clock)
         self.members = {}
@@ -95,6 +95,9 @@
         for number in range(daemons):
             self.add_daemon(f"vm{number}")
 
+    def configure(self, configuration):
+        self.records.write("op/config", msgspec.json.encode(configuration))
+
     def add_worker(self, entry, run_s=1.0):
         self.records.write(f"servers/{entry.worker_id}", server_record(entry))
         return self.workers.add(entry, run_s)
