Attribution of crashes later than 4 s by runs lost in a row

Cause: a run lost more than 4 s after its start was no evidence, so a task that crashes its workers later was started without end.

Ruled out: a longer probation, which reserves workers for innocent tasks as long; counting losses alone, which gives up innocent tasks while workers fail often (the standing task of test_standing_task_outlives_unrelated_crashes loses six runs in a row at an age of 5 s).

Change: a task's runs lost before 30 s, in a row, are stored with age and worker. It avoids those workers, and from two on waits until they are stored. It is given up if the losses on four or more different workers have a probability below 1e-8 at the rate of the other workers' ends in the last 300 s, with a prior of one end in 1,000 worker-seconds, and no other task was lost in each of these crashes. A run of 30 s ends the row.

--- a/dogwoodlever/_crash_attribution.py
+++ b/dogwoodlever/_crash_attribution.py
@@ -21,6 +21,13 @@
 `LATE_PROBATION_MS` that were lost in crashes. The second in a row makes it a suspect,
 with a probation of that length; then its third crash as the only suspect decides.
 
+A task that crashes its workers later still, up to `LOST_RUN_MAX_MS` after the start, is
+found by its runs of any age that were lost in a row on different workers. An innocent
+task loses its runs at the rate at which all workers end. A task is given up if so many
+losses in so little running time are too improbable at the rate of the other workers'
+ends, and no other task was lost in each of these crashes. Such runs reserve no worker;
+the task only avoids the workers on which it was lost.
+
 A start without an answer counts too, as the crash often comes before the answer. One
 of them is not counted towards giving up, as it may not have been carried out.
 
@@ -30,10 +37,11 @@
 """
 
 import math
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from dogwoodlever._fleet_job import Run, RunPhase, Task
+from dogwoodlever._fleet_job import LostRun, Run, RunPhase, Task
 from dogwoodlever._fleet_types import RunId, TaskId
 
 # Time after its start in which a run may crash its worker; a program that does so does
@@ -54,8 +62,21 @@
 # A decision waits for the ends of the same moment, which are certain at the latest when
 # the workers' leases have expired.
 DECISION_DELAY_S = 5.4
-# The ends that a decision is compared with.
-ENDS_KEPT_S = 10.0
+# A run of this age shows that its task does not crash its workers; the losses before it
+# are no evidence any more.
+LOST_RUN_MAX_MS = 30_000
+# Lost runs in a row, on as many workers, after which a task may be given up, and after
+# which it waits until they are stored.
+LOST_RUNS_TO_GIVE_UP = 4
+LOST_RUNS_TO_HOLD = 2
+# Probability below which losses in a row are not explained by the other workers' ends.
+# An innocent task with L losses a day is given up on about L x 1e-8 of the days.
+LOST_RUNS_PROBABILITY_MAX = 1e-8
+# Assumed before any end is known: one end in this running time of all workers. A new
+# leader thus gives up no task for lack of observations.
+PRIOR_WORKER_S = 1_000.0
+# The ends that a decision is compared with, and that the workers' rate is made of.
+ENDS_KEPT_S = 300.0
 # Number and share of the workers whose end in one moment has a common cause.
 COMMON_CAUSE_WORKERS_MIN = 4
 COMMON_CAUSE_RATIO = 0.1
@@ -77,10 +98,13 @@
     ----------
     has_young_runs : bool
         Whether a run on probation may have caused it.
+    lost_runs : dict of TaskId to int
+        Numbers of the runs that it lost before `LOST_RUN_MAX_MS`, by accountable task.
     """
 
     ended_s: float
     has_young_runs: bool
+    lost_runs: dict[TaskId, int]
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,12 +117,15 @@
         When the worker crashed, and when that became known.
     workers : int
         Number of workers at the time of the crash.
+    is_by_lost_runs : bool
+        Whether the lost runs in a row are the evidence, not the only suspect's crashes.
     """
 
     task: Task
     crashed_s: float
     detected_s: float
     workers: int
+    is_by_lost_runs: bool = False
 
 
 class CrashAttribution:
@@ -114,6 +141,7 @@
     __slots__ = (
         "_changed_jobs",
         "_is_stored",
+        "_observed_since_s",
         "_on_probation",
         "_pending",
         "_worker_ends",
@@ -125,12 +153,16 @@
         # Runs of suspects on probation, by worker id.
         self._on_probation: dict[str, set[RunId]] = {}
         self._pending: dict[TaskId, PendingDecision] = {}
-        self._worker_ends: list[WorkerEnd] = []
+        self._worker_ends: deque[WorkerEnd] = deque()
+        self._observed_since_s = math.inf
 
     def is_held(self, task: Task) -> bool:
         """Return whether a task must not start now."""
         owner = task.accountable
-        if len(owner.crashes) < CRASHES_ALONE:
+        if (
+            len(owner.crashes) < CRASHES_ALONE
+            and len(owner.lost_runs) < LOST_RUNS_TO_HOLD
+        ):
             return False
         return owner.task_id in self._pending or not self._is_stored(
             owner.task_id.job_id
@@ -166,7 +198,8 @@
             The worker's clock at the report.
         """
         late_crashes = set() if task is None else task.accountable.late_crashes
-        if run.is_proven and not late_crashes:
+        lost_runs = {} if task is None else task.accountable.lost_runs
+        if run.is_proven and not late_crashes and not lost_runs:
             run.is_watched = False
             return False
         if run.seen_clock_ms < 0:
@@ -176,6 +209,8 @@
         last_number = max(late_crashes, default=0)
         if age_ms >= LATE_PROBATION_MS and run.run_id.number > last_number > 0:
             self._clear_late_crashes(task)
+        if age_ms >= LOST_RUN_MAX_MS and run.run_id.number > max(lost_runs, default=0):
+            self._clear_lost_runs(task)
         # Cleared late crashes shorten the probation.
         is_young = age_ms < (PROBATION_MS if task is None else _probation_ms(task))
         if run.is_proven or is_young:
@@ -187,8 +222,21 @@
     def clear(self, task: Task) -> bool:
         """Drop the evidence against a task; return whether it was a suspect."""
         self._clear_late_crashes(task)
+        self._clear_lost_runs(task)
         return self._clear_crashes(task)
 
+    def _clear_lost_runs(self, task: Task | None) -> None:
+        if task is not None and task.accountable.lost_runs:
+            owner = task.accountable
+            owner.failed_on.difference_update(
+                lost_run.worker_id for lost_run in owner.lost_runs.values()
+            )
+            owner.lost_runs.clear()
+            decision = self._pending.get(owner.task_id)
+            if decision is not None and decision.is_by_lost_runs:
+                del self._pending[owner.task_id]
+            self._changed_jobs.add(owner.task_id.job_id)
+
     def _clear_late_crashes(self, task: Task) -> None:
         owner = task.accountable
         if owner.late_crashes:
@@ -196,7 +244,7 @@
             self._changed_jobs.add(owner.task_id.job_id)
 
     def pop_changed_jobs(self) -> set[str]:
-        """Return the jobs whose late crashes have changed since the last call."""
+        """Return the jobs whose lost runs have changed since the last call."""
         changed, self._changed_jobs = self._changed_jobs, set()
         return changed
 
@@ -235,8 +283,15 @@
         crashed_s = now_s if math.isinf(ended_s) else ended_s
         young = []
         late = []
+        lost = {}
         for run, task in runs:
             owner = task.accountable
+            age_ms = max(0, int((crashed_s - run.started_s) * 1000))
+            if age_ms < LOST_RUN_MAX_MS and run.phase is not RunPhase.STARTING:
+                owner.lost_runs[run.run_id.number] = LostRun(age_ms, worker_id)
+                owner.failed_on.add(worker_id)
+                lost[owner.task_id] = (run, owner)
+                self._changed_jobs.add(owner.task_id.job_id)
             if (
                 not run.is_proven
                 and ended_s - run.started_s < _probation_ms(task) / 1000
@@ -248,10 +303,15 @@
                 if _is_late_suspect(owner):
                     late.append((run, owner))
         suspects = {owner.task_id for _, owner in young if owner.crashes}
-        self._worker_ends = [
-            end for end in self._worker_ends if now_s - end.ended_s <= ENDS_KEPT_S
-        ]
-        self._worker_ends.append(WorkerEnd(crashed_s, bool(young)))
+        while self._worker_ends and now_s - self._worker_ends[0].ended_s > ENDS_KEPT_S:
+            self._worker_ends.popleft()
+        self._worker_ends.append(
+            WorkerEnd(
+                crashed_s,
+                bool(young),
+                {task_id: run.run_id.number for task_id, (run, _) in lost.items()},
+            )
+        )
         owners = {owner.task_id: owner for _, owner in young}
         for run, owner in [*young, *late]:
             owner.crashes[run.run_id.number] = worker_id
@@ -267,16 +327,28 @@
                 self._pending[task_id] = PendingDecision(
                     owner, crashed_s, now_s, workers
                 )
+        for task_id, (_, owner) in lost.items():
+            if task_id not in self._pending and self._is_crashing(
+                owner, workers, now_s
+            ):
+                self._pending[task_id] = PendingDecision(
+                    owner, crashed_s, now_s, workers, is_by_lost_runs=True
+                )
         owners.update((owner.task_id, owner) for _, owner in late)
         return list(owners.values())
 
     def pop_given_up(self, now_s: float) -> list[Task]:
         """Return the tasks that are given up now, and release the others."""
+        self._observed_since_s = min(self._observed_since_s, now_s)
         given_up = []
         for task_id, decision in list(self._pending.items()):
             if now_s - decision.detected_s < DECISION_DELAY_S:
                 continue
             del self._pending[task_id]
+            if decision.is_by_lost_runs:
+                if self._is_crashing(decision.task, decision.workers, now_s):
+                    given_up.append(decision.task)
+                continue
             is_final = len(decision.task.crashes) >= CRASHES_MAX
             if is_final or not self._has_common_cause(decision):
                 given_up.append(decision.task)
@@ -294,3 +366,27 @@
         return len(ends) >= max(
             COMMON_CAUSE_WORKERS_MIN, decision.workers * COMMON_CAUSE_RATIO
         )
+
+    def _is_crashing(self, owner: Task, workers: int, now_s: float) -> bool:
+        """Return whether a task's lost runs in a row show that it caused them."""
+        lost_runs = owner.lost_runs
+        count = len({lost_run.worker_id for lost_run in lost_runs.values()})
+        if count < LOST_RUNS_TO_GIVE_UP:
+            return False
+        other_ends = 0
+        companions = None
+        for end in self._worker_ends:
+            if end.lost_runs.get(owner.task_id) not in lost_runs:
+                other_ends += 1
+                continue
+            others = end.lost_runs.keys() - {owner.task_id}
+            companions = others if companions is None else companions & others
+        if companions:
+            return False
+        observed_s = min(max(0.0, now_s - self._observed_since_s), ENDS_KEPT_S)
+        ends_per_worker_s = (other_ends + 1) / (observed_s * workers + PRIOR_WORKER_S)
+        running_s = sum(lost_run.age_ms for lost_run in lost_runs.values()) / 1000
+        expected = ends_per_worker_s * running_s
+        # Bounds the probability of so many ends of a Poisson process from above.
+        probability = expected**count / math.factorial(count)
+        return probability < LOST_RUNS_PROBABILITY_MAX
--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -28,6 +28,19 @@
 ENDED_PHASES = frozenset({JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED})
 
 
+class LostRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run that was lost in a crash of its worker.
+
+    Attributes
+    ----------
+    age_ms : int
+        Time from its start to the crash.
+    """
+
+    age_ms: int
+    worker_id: str
+
+
 class RunPhase(StrEnum):
     """State of a run as known to the scheduler."""
 
@@ -108,6 +121,8 @@
         Those of them that may not have been carried out, as far as this leader knows.
     late_crashes : set of int
         Runs in a row that were lost in a crash after their probation.
+    lost_runs : dict of int to LostRun
+        Runs in a row that were lost in a crash, by number.
     """
 
     task_id: TaskId
@@ -121,6 +136,7 @@
     crashes: dict[int, str] = field(default_factory=dict)
     unanswered_crashes: set[int] = field(default_factory=set)
     late_crashes: set[int] = field(default_factory=set)
+    lost_runs: dict[int, LostRun] = field(default_factory=dict)
 
     @property
     def accountable(self) -> "Task":
@@ -234,6 +250,8 @@
     crashes, late_crashes : dict
         Numbers of runs that may have crashed their worker, by index of the task, and
         of those that were lost in a crash after their probation.
+    lost_runs : dict
+        Runs in a row that were lost in a crash, by index of the task and by number.
     """
 
     done: str = "0"
@@ -241,6 +259,7 @@
     checkpoints: dict[int, str] = {}
     crashes: dict[int, tuple[int, ...]] = {}
     late_crashes: dict[int, tuple[int, ...]] = {}
+    lost_runs: dict[int, dict[int, LostRun]] = {}
 
 
 class JobProgress(msgspec.Struct, omit_defaults=True):
@@ -279,6 +298,10 @@
         {**first.checkpoints, **other.checkpoints},
         _merge_runs(first.crashes, other.crashes),
         _merge_runs(first.late_crashes, other.late_crashes),
+        {
+            index: {**first.lost_runs.get(index, {}), **other.lost_runs.get(index, {})}
+            for index in sorted({*first.lost_runs, *other.lost_runs})
+        },
     )
 
 
@@ -472,6 +495,7 @@
     checkpoints = {}
     crashes = {}
     late_crashes = {}
+    lost_runs = {}
     for index, task in enumerate(step.tasks):
         if task.is_done:
             done |= 1 << index
@@ -480,11 +504,15 @@
             crashes[index] = tuple(sorted(task.crashes))
         if task.late_crashes:
             late_crashes[index] = tuple(sorted(task.late_crashes))
+        if task.lost_runs:
+            lost_runs[index] = dict(task.lost_runs)
         if task.failed_runs:
             failures[index] = tuple(sorted(task.failed_runs))
         if task.checkpoint:
             checkpoints[index] = task.checkpoint
-    return StepProgress(f"{done:x}", failures, checkpoints, crashes, late_crashes)
+    return StepProgress(
+        f"{done:x}", failures, checkpoints, crashes, late_crashes, lost_runs
+    )
 
 
 def _restore_step(step: StepState, stored: StepProgress) -> None:
@@ -494,8 +522,11 @@
         task.failed_runs = set(stored.failures.get(index, ()))
         task.crashes = dict.fromkeys(stored.crashes.get(index, ()), "")
         task.late_crashes = set(stored.late_crashes.get(index, ()))
+        task.lost_runs = dict(stored.lost_runs.get(index, {}))
+        task.failed_on.update(run.worker_id for run in task.lost_runs.values())
         task.last_run = max(
-            (*task.failed_runs, *task.crashes, *task.late_crashes), default=0
+            (*task.failed_runs, *task.crashes, *task.late_crashes, *task.lost_runs),
+            default=0,
         )
         task.checkpoint = stored.checkpoints.get(index, "")
         step.refresh(task)
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -1,17 +1,21 @@
 """Tasks that crash the workers on which they start."""
 
+import random
 import unittest
 
 from dogwoodlever._crash_attribution import (
     CRASHES_MAX,
     DECISION_DELAY_S,
     LATE_PROBATION_MS,
+    LOST_RUN_MAX_MS,
+    LOST_RUNS_TO_GIVE_UP,
     PROBATION_MS,
     CrashAttribution,
 )
 from dogwoodlever._fleet_job import (
     JobPhase,
     JobProgress,
+    LostRun,
     RunPhase,
     StepProgress,
     merge_progress,
@@ -389,6 +393,116 @@
         self.assertFalse(self.crashes.is_reserved("w2"))
         self.assertEqual((task.crashes, task.late_crashes), ({}, set()))
 
+    # Task, workers of its lost runs, age at the loss, companions of each loss, ends of
+    # other workers between two losses, and whether it is given up.
+    LOST_ROWS = [
+        ("alone on four workers", "abcd", 5.0, ["", "", "", ""], 0, True),
+        ("alone on three workers", "abc", 5.0, ["", "", ""], 0, False),
+        ("on one worker again and again", "aaaaaaaa", 5.0, [""] * 8, 0, False),
+        ("with changing companions", "abcd", 5.0, ["x", "y", "", "z"], 0, True),
+        ("with the same companion", "abcd", 5.0, ["x", "xy", "x", "xz"], 0, False),
+        ("while other workers end", "abcd", 5.0, [""] * 4, 10, False),
+        ("after a long run", "abcd", LOST_RUN_MAX_MS / 1000, [""] * 4, 0, False),
+    ]
+
+    # Guards against a task that crashes its workers later than the late probation, and
+    # against giving up one whose workers end for other reasons.
+    def test_lost_runs_in_a_row_on_different_workers(self):
+        for name, workers, age_s, companions, ends, expected in self.LOST_ROWS:
+            with self.subTest(name):
+                self.setUp()
+                self.crashes.pop_given_up(self.now_s)
+                (task,) = self.add_tasks("a", standing=True)
+                tasks = {other: self.add_tasks(other)[0] for other in "xyz"}
+                given_up = []
+                for worker_id, others in zip(workers, companions, strict=True):
+                    pairs = [self.start(task, worker_id)]
+                    pairs += [self.start(tasks[other], worker_id) for other in others]
+                    self.age(pairs, age_s)
+                    self.crash(worker_id, *pairs)
+                    for number in range(ends):
+                        self.now_s += 1.0
+                        self.crash(f"other-{number}")
+                    given_up += self.given_up()
+                self.assertEqual(given_up, [task] if expected else [])
+
+    def age(self, pairs, age_s):
+        """Let runs reach an age at which they are listed."""
+        for pair in pairs:
+            self.crashes.record_listed(*pair, 1)
+        self.now_s += age_s
+        for pair in pairs:
+            self.crashes.record_listed(*pair, 1 + int(age_s * 1000))
+
+    def test_long_run_ends_a_row_of_lost_runs(self):
+        (task,) = self.add_tasks("a", standing=True)
+        for number in range(LOST_RUNS_TO_GIVE_UP - 1):
+            pair = self.start(task, f"w{number}")
+            self.age([pair], 5.0)
+            self.crash(f"w{number}", pair)
+        self.assertEqual(task.failed_on, {"w0", "w1", "w2"})
+        self.unstored.add("a")
+        self.assertTrue(self.crashes.is_held(task))
+        self.age([self.start(task, "w3")], LOST_RUN_MAX_MS / 1000)
+        self.assertEqual((task.lost_runs, task.failed_on), ({}, set()))
+        self.assertFalse(self.crashes.is_held(task))
+        self.assertEqual(self.crashes.pop_changed_jobs(), {"a"})
+
+    # Mean life of a worker, and whether all lives are equally long.
+    FLAPPING = [(20.0, False), (60.0, False), (300.0, False), (8.0, True), (25.0, True)]
+    DAY_S = 86_400.0
+
+    # Guards against giving up innocent tasks on a day on which all workers flap. Ends
+    # of workers with younger runs than `LATE_PROBATION_MS` are left out, as these are
+    # evidence by the other rules.
+    def test_no_task_is_given_up_while_workers_flap_all_day(self):
+        for life_s, is_regular in self.FLAPPING:
+            with self.subTest(life_s=life_s, is_regular=is_regular):
+                self.setUp()
+                generator = random.Random(7)
+                workers = [f"w{number}" for number in range(10)]
+                tasks = self.add_tasks("a", tasks=15, standing=True)
+                runs = {worker_id: [] for worker_id in workers}
+                for task in tasks:
+                    worker_id = generator.choice(workers)
+                    runs[worker_id].append(self.start(task, worker_id))
+                ends_s = {w: self.now_s + generator.random() * life_s for w in workers}
+                day_end_s = self.now_s + self.DAY_S
+                given_up = self.crashes.pop_given_up(self.now_s)
+                while self.now_s < day_end_s:
+                    worker_id = min(ends_s, key=ends_s.get)
+                    self.now_s = ends_s[worker_id]
+                    ends_s[worker_id] += (
+                        life_s if is_regular else generator.expovariate(1 / life_s)
+                    )
+                    given_up += self.crashes.pop_given_up(self.now_s)
+                    self.end_flapping(worker_id, runs, generator)
+                self.assertEqual(given_up, [])
+
+    def end_flapping(self, worker_id, runs, generator):
+        """End a worker unless it has young runs; start its tasks on others."""
+        lost = runs[worker_id]
+        ages_s = [self.now_s - run.started_s for run, _ in lost]
+        if any(age_s < LATE_PROBATION_MS / 1000 for age_s in ages_s):
+            return
+        for (run, task), age_s in zip(lost, ages_s, strict=True):
+            self.crashes.record_listed(run, task, 1)
+            self.crashes.record_listed(run, task, 1 + int(age_s * 1000))
+        self.crash(worker_id, *lost, workers=len(runs))
+        others = (
+            [
+                name
+                for name in runs
+                if name != worker_id and name not in lost[0][1].failed_on
+            ]
+            if lost
+            else []
+        )
+        runs[worker_id] = []
+        for _, task in lost:
+            chosen = generator.choice(others or list(runs))
+            runs[chosen].append(self.start(task, chosen))
+
     def test_runs_before_the_last_contact_are_no_evidence(self):
         early, late = self.add_tasks("a")[0], self.add_tasks("b")[0]
         pairs = [self.start(early, "w0")]
@@ -478,13 +592,19 @@
     def test_crashes_outlast_a_record(self):
         registry = RunRegistry(1)
         queue = Queue(QUEUE, "", "/", "desk")
-        step = StepProgress(crashes={1: (3, 1004)}, late_crashes={1: (2, 3)})
+        step = StepProgress(
+            crashes={1: (3, 1004)},
+            late_crashes={1: (2, 3)},
+            lost_runs={1: {3: LostRun(4_500, "w1")}},
+        )
         stored = JobProgress("running", 0, {0: [step]})
         stored = decode_progress(encode(stored))
         state = registry.add_job(job(CRASHING_JOB, tasks=2), queue, 1, 0.0, stored)
         task = state.occurrences[0].steps[0].tasks[1]
         self.assertEqual(set(task.crashes), {3, 1004})
         self.assertEqual(task.late_crashes, {2, 3})
+        self.assertEqual(task.lost_runs, {3: LostRun(4_500, "w1")})
+        self.assertEqual(task.failed_on, {"w1"})
         self.assertEqual(task.last_run, 1004)
         self.assertEqual(state.progress(), stored)
 
