Learned run times for the order of work and speculative copies

Declared estimates are off by up to 90 %, and the order of work, the time objective and the limit of speculative copies follow them. A successor starts from a bounded record in the store.

--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -71,6 +71,13 @@
         Whether it has run for so long that it does not crash its worker.
     is_watched : bool
         Whether its reports may still clear its task of crashes.
+    is_partial : bool
+        Whether it resumed from a checkpoint or an earlier leader started it, so that
+        its time since `started_s` is not that of the whole task.
+    first_percent : int
+        First reported progress; -1 before the first report.
+    first_percent_s : float
+        When it was reported.
     """
 
     run_id: RunId
@@ -90,6 +97,17 @@
     seen_clock_ms: int = -1
     is_proven: bool = False
     is_watched: bool = True
+    is_partial: bool = False
+    first_percent: int = -1
+    first_percent_s: float = 0.0
+
+    def record_percent(self, percent: int, now_s: float) -> None:
+        """Record a change of the reported progress."""
+        if self.first_percent < 0:
+            self.first_percent = percent
+            self.first_percent_s = now_s
+        self.percent = percent
+        self.progressed_s = now_s
 
     def remaining_s(self, step: Step) -> float:
         """Return the estimated run time left at the last report."""
@@ -142,10 +160,15 @@
         Tasks that may be started now, by index; empty until earlier steps are done.
     worker_tasks : dict of str to int
         Number of the step's runs by worker id.
+    times_log : list of float
+        Logarithms of the run times of its done tasks in seconds.
+    expected_s : float
+        Expected run time of a task, the declared estimate unless another was learned.
     """
 
     __slots__ = (
         "done",
+        "expected_s",
         "is_open",
         "job",
         "number",
@@ -154,6 +177,7 @@
         "spec",
         "step_id",
         "tasks",
+        "times_log",
         "worker_tasks",
     )
 
@@ -171,6 +195,8 @@
         self.is_open = False
         self.ready: dict[int, Task] = {}
         self.worker_tasks: dict[str, int] = {}
+        self.times_log: list[float] = []
+        self.expected_s = self.spec.run_estimate_ms / 1000
 
     @property
     def is_done(self) -> bool:
@@ -194,13 +220,24 @@
 
 
 class Occurrence:
-    """One execution of the steps of a job."""
+    """One execution of the steps of a job.
 
-    __slots__ = ("due_ms", "number", "steps")
+    Attributes
+    ----------
+    objective_s : float
+        Time objective by the expected run times.
+    times_version : int
+        Version of the learned run times to which the expected ones belong: 0 for the
+        declared estimates, -1 if they are outdated.
+    """
+
+    __slots__ = ("due_ms", "number", "objective_s", "steps", "times_version")
 
     def __init__(self, job: "JobState", number: int, due_ms: int) -> None:
         self.number = number
         self.due_ms = due_ms
+        self.objective_s = job.objective_s
+        self.times_version = 0
         self.steps = [
             StepState(job, number, index) for index in range(len(job.job.steps))
         ]
@@ -332,8 +369,7 @@
         # Occurrences below this number are done and no longer in memory.
         self.finished = 0
         self.occurrences: dict[int, Occurrence] = {}
-        path_s = self.critical_path_s()
-        self.objective_s = queue.stretch * path_s + queue.slack_ms / 1000
+        self.objective_s = self._objective_s(self.critical_path_s())
 
     @property
     def has_ended(self) -> bool:
@@ -345,28 +381,44 @@
         """Whether any of its tasks run until the job is cancelled."""
         return any(step.standing for step in self.job.steps)
 
-    def critical_path_s(self) -> float:
-        """Return the estimated run time of the critical path of all steps."""
+    def _objective_s(self, path_s: float) -> float:
+        return self.queue.stretch * path_s + self.queue.slack_ms / 1000
+
+    def objective_of(self, occurrence: Occurrence) -> float:
+        """Return the time objective by the expected run times of an occurrence."""
+        durations_s = [step.expected_s for step in occurrence.steps]
+        return self._objective_s(self.critical_path_s(durations_s))
+
+    def critical_path_s(self, durations_s: list[float] | None = None) -> float:
+        """Return the run time of the critical path of all steps.
+
+        Parameters
+        ----------
+        durations_s : list of float or None
+            Run times by step; None for the declared estimates.
+        """
+        if durations_s is None:
+            durations_s = [step.run_estimate_ms / 1000 for step in self.job.steps]
         end_times_s: list[float] = []
-        for step in self.job.steps:
+        for step, step_s in zip(self.job.steps, durations_s, strict=True):
             start_s = max(
                 (end_times_s[predecessor] for predecessor in step.after), default=0.0
             )
-            duration_s = self.queue.advice_call_s + step.run_estimate_ms / 1000
-            end_times_s.append(start_s + duration_s)
+            end_times_s.append(start_s + self.queue.advice_call_s + step_s)
         return max(end_times_s)
 
     def remaining_critical_path_s(self, occurrence: Occurrence) -> float:
         """Return the estimated run time of the critical path that is not done."""
+        # Called for each waiting step in each round, so without generators.
+        call_s = self.queue.advice_call_s
         end_times_s: list[float] = []
         for step in occurrence.steps:
-            start_s = max(
-                (end_times_s[predecessor] for predecessor in step.spec.after),
-                default=0.0,
-            )
-            duration_s = self.queue.advice_call_s + step.spec.run_estimate_ms / 1000
-            duration_s = 0.0 if step.is_done else duration_s
-            end_times_s.append(start_s + duration_s)
+            end_s = 0.0
+            for predecessor in step.spec.after:
+                end_s = max(end_s, end_times_s[predecessor])
+            if step.done < len(step.tasks):
+                end_s += call_s + step.expected_s
+            end_times_s.append(end_s)
         return max(end_times_s)
 
     def remaining_core_s(self, occurrence: Occurrence) -> float:
@@ -374,7 +426,7 @@
         total = 0.0
         for step in occurrence.steps:
             remaining = len(step.tasks) - step.done
-            total += remaining * step.spec.cores_milli * step.spec.run_estimate_ms / 1e6
+            total += remaining * step.spec.cores_milli / 1000 * step.expected_s
         return total
 
     def active_steps(self):
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from itertools import islice
 
+import msgspec
 from twisted.internet.defer import inlineCallbacks
 
 from dogwoodlever._crash_attribution import CrashAttribution
@@ -26,11 +27,14 @@
     INTERFERENCE_KEY,
     JOBS_PREFIX,
     PROGRESS_PREFIX,
+    RUN_TIMES_KEY,
     TERM_KEY,
     WORKER_MEMBERSHIP_KEY,
     InterferenceRecord,
+    RunTimesRecord,
     decode_interference,
     decode_progress,
+    decode_run_times,
     decode_submission,
     encode,
 )
@@ -42,6 +46,7 @@
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
+from dogwoodlever._run_time_model import RunTimeModel
 from dogwoodlever._ticket_cache import TicketCache
 from dogwoodlever._worker_membership import WorkerMembership
 from dogwoodlever.platform import WORKERS_PREFIX
@@ -67,8 +72,10 @@
 # Quarantine of a worker whose runs fail or stall. The platform expects all capacity
 # to be in use 7 s after a disturbance, and probing a worker takes 1 s.
 QUARANTINE_S = 4.0
-# A successor resumes from interference estimates that are at most this old.
+# A successor resumes from interference estimates and learned run times that are at
+# most this old.
 INTERFERENCE_STORE_INTERVAL_S = 4.0
+RUN_TIMES_STORE_INTERVAL_S = 4.0
 
 
 class FleetLeader:
@@ -137,8 +144,14 @@
         crashes = CrashAttribution(self._is_stored)
         self._interference = InterferenceModel()
         self._interference_stored_s = clock.seconds()
+        self._run_times = RunTimeModel(
+            lambda queue, ratio: metrics.run_time_ratio.labels(queue).observe(ratio)
+        )
+        self._run_times_stored_s = clock.seconds()
         self._tickets = TicketCache(advice, clock, self.plan_soon)
-        self._planner = FleetPlanner(faults, crashes, self._interference, self._tickets)
+        self._planner = FleetPlanner(
+            faults, crashes, self._interference, self._tickets, self._run_times
+        )
         self._membership = WorkerMembership(
             store, clock, self._get_term_revision, self.plan_soon
         )
@@ -160,6 +173,7 @@
             platform_limits.run_lease_max_s,
             get_contact_s,
             get_leases_end_s,
+            self._run_times,
         )
         self._progress_writer = ProgressWriter(
             store,
@@ -239,6 +253,7 @@
             progress = yield self._store.list(PROGRESS_PREFIX)
             membership = yield self._store.read(WORKER_MEMBERSHIP_KEY)
             interference = yield self._store.read(INTERFERENCE_KEY)
+            run_times = yield self._store.read(RUN_TIMES_KEY)
         except PlatformError as error:
             log_event("leader.load-failed", why=str(error)[:160])
             if not self.is_closed:
@@ -254,8 +269,17 @@
         if interference is not None and interference.value is not None:
             models = decode_interference(interference.value).models
             self._interference.restore(models)
+        if run_times is not None and run_times.value is not None:
+            self._restore_run_times(run_times.value)
         self._follow(INBOX_PREFIX, self._apply_inbox_record, self._on_inbox_listed)
 
+    def _restore_run_times(self, value: bytes) -> None:
+        try:
+            self._run_times.restore(decode_run_times(value).queues)
+        except (msgspec.MsgspecError, ValueError) as error:
+            # A leader without it learns the run times anew.
+            log_event("run-times.record-ignored", why=str(error)[:160])
+
     def _follow(self, prefix, on_change, on_listed, pause_s=0.0) -> None:
         watcher = PrefixWatcher(
             self._store, self._clock, prefix, on_change, on_listed, pause_s
@@ -417,6 +441,8 @@
             self._progress_writer.schedule_flush()
         self._move_throttled(self._clock.seconds())
         self._store_interference(self._clock.seconds())
+        self._run_times.refresh(self.registry.active.values(), self._clock.seconds())
+        self._store_run_times(self._clock.seconds())
         self._retention.sweep()
         self._start_speculative_copies(self._clock.seconds())
         self.plan_soon()
@@ -483,3 +509,18 @@
             yield self._store.commit({TERM_KEY: self._term_revision}, (put,))
         except PlatformError as error:
             log_event("interference.write-failed", why=str(error)[:160])
+
+    @inlineCallbacks
+    def _store_run_times(self, now_s: float):
+        """Store the newest run times at intervals; like the interference model."""
+        if now_s - self._run_times_stored_s < RUN_TIMES_STORE_INTERVAL_S:
+            return
+        states = self._run_times.states()
+        if not states:
+            return
+        self._run_times_stored_s = now_s
+        put = Put(RUN_TIMES_KEY, encode(RunTimesRecord(states)))
+        try:
+            yield self._store.commit({TERM_KEY: self._term_revision}, (put,))
+        except PlatformError as error:
+            log_event("run-times.write-failed", why=str(error)[:160])
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -7,6 +7,8 @@
 PREFIX = "dogwoodlever"
 # From a response on an open connection to that of a store sixty times slower.
 CALL_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0)
+# Estimates are off by up to 90 %, and some tasks take seven times as long.
+RATIO_BUCKETS = (0.1, 0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 8.0, 16.0, 70.0)
 # From a task that starts immediately to one beyond its job's objective.
 WAIT_BUCKETS_S = (0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
 
@@ -38,6 +40,12 @@
             "From a job's arrival to a task's start",
             WAIT_BUCKETS_S,
         )
+        self.run_time_ratio = self._histogram(
+            "run_time_ratio",
+            "Actual to declared run time",
+            RATIO_BUCKETS,
+            "queue",
+        )
         self.run_ends = self._counter("run_ends", "Runs that ended", "how")
         self.run_moves = self._counter("run_moves", "Runs stopped to go on", "why")
         self.throttle_orders = self._counter("paces", "Orders of a pace")
@@ -53,10 +61,13 @@
             name, documentation, labels, namespace=PREFIX, registry=self.registry
         )
 
-    def _histogram(self, name: str, documentation: str, buckets) -> Histogram:
+    def _histogram(
+        self, name: str, documentation: str, buckets, *labels: str
+    ) -> Histogram:
         return Histogram(
             name,
             documentation,
+            labels,
             namespace=PREFIX,
             registry=self.registry,
             buckets=buckets,
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -12,6 +12,7 @@
 from dogwoodlever._fleet_types import FleetConfiguration, Step, TaskId
 from dogwoodlever._interference_model import InterferenceModel
 from dogwoodlever._run_registry import RunRegistry
+from dogwoodlever._run_time_model import RunTimeModel
 from dogwoodlever._scheduling_order import scheduling_key
 from dogwoodlever._ticket_source import TicketSource
 from dogwoodlever._worker_capacity import WorkerCapacity, is_serving
@@ -137,6 +138,8 @@
         Estimates the interference between images.
     tickets : TicketSource
         Provides tickets for steps of queues that need them.
+    run_times : RunTimeModel or None
+        Learned run times; None for one of its own.
     """
 
     __slots__ = (
@@ -146,6 +149,7 @@
         "_headrooms",
         "_interference",
         "_interrupted_since_s",
+        "_run_times",
         "_tickets",
     )
 
@@ -155,8 +159,10 @@
         crashes: CrashAttribution,
         interference: InterferenceModel,
         tickets: TicketSource,
+        run_times: RunTimeModel | None = None,
     ) -> None:
         self._tickets = tickets
+        self._run_times = run_times or RunTimeModel()
         self._faults = faults
         self._crashes = crashes
         self._interference = interference
@@ -200,7 +206,8 @@
             for step in registry.active_steps()
             if not (skips_inherited and step.job.is_inherited)
         ]
-        steps.sort(key=lambda step: scheduling_key(step, now_s, now_ms))
+        run_times = self._run_times
+        steps.sort(key=lambda step: scheduling_key(step, now_s, now_ms, run_times))
         interrupted_steps = self._find_interrupted(steps, now_s)
         if len(self._headrooms) > 2 * len(capacities):
             # Drops the workers that have left.
@@ -281,7 +288,7 @@
             Time on the scheduler's clock.
         """
         headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
-        for task in _late_tasks(registry, now_s):
+        for task in _late_tasks(registry, now_s, self._run_times):
             used_workers = {run.worker_id for run in task.runs.values()}
             service = task.step.job.queue.service
             others = [
@@ -526,23 +533,38 @@
     return step.job.queue.advice is not None
 
 
-def _late_tasks(registry: RunRegistry, now_s: float) -> list[Task]:
+def _late_tasks(
+    registry: RunRegistry, now_s: float, run_times: RunTimeModel
+) -> list[Task]:
     tasks = []
     for state in registry.active.values():
         for occurrence in state.occurrences.values():
             for step in occurrence.steps:
                 if step.is_open and step.spec.speculative and not step.is_done:
-                    tasks.extend(t for t in step.tasks if _is_late(t, now_s))
+                    tasks.extend(t for t in step.tasks if _is_late(t, now_s, run_times))
     return tasks
 
 
-def _is_late(task: Task, now_s: float) -> bool:
-    """Return whether a task's only run takes far longer than estimated."""
+def _is_late(task: Task, now_s: float, run_times: RunTimeModel) -> bool:
+    """Return whether a task's only run takes far longer than expected."""
     if task.is_done or len(task.runs) != 1 or task.accountable.crashes:
         return False
     run = next(iter(task.runs.values()))
-    limit_s = COPY_FACTOR * task.step.spec.run_estimate_ms / 1000 + COPY_MARGIN_S
-    return run.phase is not RunPhase.STOPPING and now_s - run.started_s > limit_s
+    if run.phase is RunPhase.STOPPING:
+        return False
+    step = task.step
+    elapsed_s = now_s - run.started_s
+    if not run_times.is_learned(step.job.queue.name):
+        limit_s = COPY_FACTOR * step.spec.run_estimate_ms / 1000 + COPY_MARGIN_S
+        return elapsed_s > limit_s
+    if elapsed_s <= COPY_MARGIN_S:
+        return False
+    peers_s = run_times.peers_s(step)
+    limit_s = max(COPY_FACTOR * peers_s, run_times.likely_max_s(step))
+    if elapsed_s <= limit_s + COPY_MARGIN_S:
+        return False
+    # A copy that would end after the run is of no use.
+    return run_times.remaining_s(run, step, now_s) > peers_s
 
 
 def _tasks_that_fit(capacity: WorkerCapacity, spec: Step) -> int:
--- a/dogwoodlever/_fleet_records.py
+++ b/dogwoodlever/_fleet_records.py
@@ -4,6 +4,7 @@
 
 from dogwoodlever._fleet_job import JobProgress
 from dogwoodlever._fleet_types import SubmittedJob
+from dogwoodlever._run_time_model import StoredTimes
 from dogwoodlever._slowdown import ModelState
 
 PREFIX = "dogwoodlever/"
@@ -15,6 +16,7 @@
 PROGRESS_PREFIX = f"{PREFIX}progress/"
 WORKER_MEMBERSHIP_KEY = f"{PREFIX}roster"
 INTERFERENCE_KEY = f"{PREFIX}interference"
+RUN_TIMES_KEY = f"{PREFIX}run-times"
 TERM_KEY = f"{PREFIX}term"
 # Bound to a lease, watched by every daemon.
 LEADER_KEY = f"{PREFIX}leader"
@@ -66,6 +68,12 @@
     models: dict[str, ModelState] = {}
 
 
+class RunTimesRecord(msgspec.Struct, frozen=True):
+    """Declared and actual run times in ms by queue and class of steps."""
+
+    queues: StoredTimes = {}
+
+
 def job_key(job_id: str) -> str:
     """Return the key of a submitted job."""
     return JOBS_PREFIX + job_id
@@ -111,6 +119,11 @@
     return msgspec.msgpack.decode(value, type=InterferenceRecord)
 
 
+def decode_run_times(value: bytes) -> RunTimesRecord:
+    """Decode the learned run times."""
+    return msgspec.msgpack.decode(value, type=RunTimesRecord)
+
+
 def decode_worker_membership(value: bytes) -> WorkerMembershipRecord:
     """Decode the worker membership."""
     return msgspec.msgpack.decode(value, type=WorkerMembershipRecord)
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -14,11 +14,13 @@
     RunId,
     RunningRun,
     StartOrder,
+    Step,
     TaskId,
 )
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_registry import ENDED_DONE, ENDED_FAILED, RunRegistry
 from dogwoodlever._run_throttler import RunThrottler, stalled_runs
+from dogwoodlever._run_time_model import RunTimeModel
 from dogwoodlever._worker_capacity import WorkerCapacity
 from dogwoodlever._worker_link import WorkerLink
 
@@ -56,6 +58,8 @@
         Links by worker id, kept by the owner.
     on_ticket_rejected : callable
         Called with a step and the capacity of a worker that rejected its ticket.
+    run_times : RunTimeModel or None
+        Learns run times; None for one of its own.
     """
 
     def __init__(
@@ -69,6 +73,7 @@
         capacities: dict[str, WorkerCapacity],
         links: dict[str, WorkerLink],
         on_ticket_rejected: Callable[[StepState, WorkerCapacity], None],
+        run_times: RunTimeModel | None = None,
     ) -> None:
         self._clock = clock
         self._registry = registry
@@ -79,6 +84,7 @@
         self._capacities = capacities
         self._links = links
         self._on_ticket_rejected = on_ticket_rejected
+        self._run_times = run_times or RunTimeModel()
 
     # Orders
 
@@ -131,7 +137,7 @@
             if run.phase is not RunPhase.RUNNING:
                 continue
             if step.standing or (
-                step.checkpoints and run.remaining_s(step) > remaining_s
+                step.checkpoints and self._remaining_s(run, step) > remaining_s
             ):
                 log_event(
                     "run.evicted",
@@ -142,6 +148,12 @@
                 self._metrics.run_moves.labels("draining").inc()
                 self._links[run.worker_id].stop(run)
 
+    def _remaining_s(self, run: Run, step: Step) -> float:
+        task = self._registry.find(run.run_id.task)
+        if task is None:
+            return run.remaining_s(step)
+        return self._run_times.remaining_s(run, task.step, self._clock.seconds())
+
     def stop_all(self, runs) -> None:
         """Order runs to stop, except those that are stopping already."""
         for run in runs:
@@ -223,6 +235,8 @@
                 outcome.task.failed_on.add(worker_id)
         elif pair and outcome.task is not None and outcome.task.is_done:
             self._faults.record_success(worker_id, end.run.task.job_id)
+            if end.outcome == ENDED_DONE and not capacity.entry.warmup_remaining_ms:
+                self._run_times.record_end(outcome.task, pair[0], now_s)
         if outcome.task is not None and end.outcome in PROVEN_OUTCOMES:
             self._clear(outcome.task)
         if outcome.job_ended:
@@ -262,8 +276,7 @@
             if step.standing and listed_run.percent == 100:
                 # A standing task never ends, so running is its only success.
                 self._faults.record_success(run.worker_id, listed_run.run.task.job_id)
-            run.percent = listed_run.percent
-            run.progressed_s = now_s
+            run.record_percent(listed_run.percent, now_s)
         run.load = listed_run.load
         if listed_run.checkpoint:
             task = self._registry.find(listed_run.run.task)
@@ -288,8 +301,7 @@
             capacity.add(run, task.step.spec)
             self._crashes.add_run(run, task)
             link.last_response_s[run.run_id] = now_s
-            run.percent = listed_run.percent
-            run.progressed_s = now_s
+            run.record_percent(listed_run.percent, now_s)
             log_event(
                 "run.adopted", run=_format_run_id(listed_run.run), worker=worker_id
             )
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -22,6 +22,7 @@
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
+from dogwoodlever._run_time_model import RunTimeModel
 from dogwoodlever._worker_capacity import WorkerCapacity
 from dogwoodlever._worker_link import (
     CLOCK_SLOWNESS,
@@ -110,6 +111,8 @@
         Returns the time of the last contact with the store that showed no successor.
     get_leases_end_s : callable
         Returns the time beyond which no lease may be granted.
+    run_times : RunTimeModel or None
+        Learns run times; None for one of its own.
 
     Attributes
     ----------
@@ -141,6 +144,7 @@
         run_lease_max_s: float,
         get_contact_s: Callable[[], float],
         get_leases_end_s: Callable[[], float],
+        run_times: RunTimeModel | None = None,
     ) -> None:
         self._worker_client = worker_client
         self._clock = clock
@@ -180,6 +184,7 @@
             self.capacities,
             self._links,
             on_ticket_rejected,
+            run_times,
         )
         self._get_leases_end_s = get_leases_end_s
         # When the leases from a former leader have expired at every worker, whose
--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -110,7 +110,13 @@
     def begin_run(self, task: Task, worker_id: str, now_s: float, number=0) -> Run:
         """Record the start of a task and return the new run."""
         number = number or self.next_run_number(task)
-        run = Run(RunId(task.task_id, number), worker_id, RunPhase.STARTING, now_s)
+        run = Run(
+            RunId(task.task_id, number),
+            worker_id,
+            RunPhase.STARTING,
+            now_s,
+            is_partial=bool(task.checkpoint),
+        )
         self._attach(task, run)
         return run
 
@@ -132,7 +138,14 @@
         if task.runs and not task.step.spec.speculative:
             return None
         # Workers do not report the speed limit that a former leader ordered.
-        run = Run(run_id, worker_id, RunPhase.RUNNING, now_s, speed_limit_percent=-1)
+        run = Run(
+            run_id,
+            worker_id,
+            RunPhase.RUNNING,
+            now_s,
+            speed_limit_percent=-1,
+            is_partial=True,
+        )
         self._attach(task, run)
         task.checkpoint = checkpoint or task.checkpoint
         return run
--- a/dogwoodlever/_scheduling_order.py
+++ b/dogwoodlever/_scheduling_order.py
@@ -9,6 +9,7 @@
 from enum import IntEnum
 
 from dogwoodlever._fleet_job import StepState
+from dogwoodlever._run_time_model import RunTimeModel
 
 # A late job loses value until three times its time objective, and has none after that.
 LATE_FACTOR = 3.0
@@ -27,7 +28,12 @@
     TOO_LATE = 3
 
 
-def scheduling_key(step: StepState, now_s: float, now_ms: float) -> tuple:
+def scheduling_key(
+    step: StepState,
+    now_s: float,
+    now_ms: float,
+    run_times: RunTimeModel | None = None,
+) -> tuple:
     """Return the sort key of a step with tasks to start.
 
     Among steps of one outlook and queue priority, the one whose occurrence has the
@@ -40,6 +46,8 @@
         Step with tasks to start.
     now_s, now_ms : float
         Time on the scheduler's clock, and Unix time.
+    run_times : RunTimeModel or None
+        Learned run times; None for the declared estimates.
     """
     job = step.job
     if step.spec.standing:
@@ -53,7 +61,10 @@
     age_s = now_s - job.arrived_s
     if job.job.occurrences:
         age_s = (now_ms - occurrence.due_ms) / 1000
-    time_left_s = job.objective_s - age_s
+    objective_s = job.objective_s
+    if run_times is not None:
+        objective_s = run_times.update(job, occurrence, now_s)
+    time_left_s = objective_s - age_s
     remaining_path_s = job.remaining_critical_path_s(occurrence)
     remaining_core_s = job.remaining_core_s(occurrence)
     if remaining_path_s <= time_left_s:
@@ -63,6 +74,6 @@
             remaining_core_s,
             step.number,
         )
-    if remaining_path_s <= time_left_s + (LATE_FACTOR - 1) * job.objective_s:
+    if remaining_path_s <= time_left_s + (LATE_FACTOR - 1) * objective_s:
         return (DeadlineOutlook.LATE, job.queue.priority, remaining_core_s, step.number)
     return (DeadlineOutlook.TOO_LATE, job.queue.priority, remaining_core_s, step.number)
