--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -441,7 +441,7 @@
             self._progress_writer.schedule_flush()
         self._move_throttled(self._clock.seconds())
         self._store_interference(self._clock.seconds())
-        self._run_times.refresh(self.registry.active.values(), self._clock.seconds())
+        self._refresh_run_times(self._clock.seconds())
         self._store_run_times(self._clock.seconds())
         self._retention.sweep()
         self._start_speculative_copies(self._clock.seconds())
@@ -510,6 +510,17 @@
         except PlatformError as error:
             log_event("interference.write-failed", why=str(error)[:160])
 
+    def _refresh_run_times(self, now_s: float) -> None:
+        for learned in self._run_times.refresh(self.registry.active.values(), now_s):
+            log_event(
+                "run-times.learned",
+                queue=learned.queue,
+                ratio=learned.ratio,
+                spread=learned.spread,
+                likely=learned.likely,
+                steps=learned.steps,
+            )
+
     @inlineCallbacks
     def _store_run_times(self, now_s: float):
         """Store the newest run times at intervals; like the interference model."""
--- a/dogwoodlever/_run_time_model.py
+++ b/dogwoodlever/_run_time_model.py
@@ -14,7 +14,6 @@
 
 from dogwoodlever._fleet_job import JobState, Occurrence, Run, StepState, Task
 from dogwoodlever._fleet_types import Step
-from dogwoodlever._logs import log_event
 
 # A queue's learned times are used once this many of its steps and runs have ended and
 # its estimates are off by the factor, in the median or in the median deviation.
@@ -156,6 +155,27 @@
     weight: float = 0.0
 
 
+@dataclass(slots=True, frozen=True)
+class LearnedRatio:
+    """Ratio of actual to declared run times of a queue, for the log.
+
+    Attributes
+    ----------
+    ratio, spread : float
+        Median, and median deviation as a factor.
+    likely : float
+        Factor on expected times that most runs do not exceed.
+    steps : int
+        Number of steps observed.
+    """
+
+    queue: str
+    ratio: float
+    spread: float
+    likely: float
+    steps: int
+
+
 @dataclass(slots=True)
 class QueueTimes:
     """What was observed of one queue.
@@ -282,7 +302,7 @@
         """Return the time after which a run is expected to end."""
         if not self.is_learned(step.job.queue.name):
             return run.remaining_s(step.spec)
-        expected_s = self.expected_s(step, now_s) * self.slowdown(run.worker_id)
+        expected_s = self.peers_s(step) * self.slowdown(run.worker_id)
         elapsed_s = now_s - run.started_s
         if run.is_partial:
             # Its start or the work it started with is not known.
@@ -404,7 +424,7 @@
             errors = self._worker_errors[worker_id] = deque(maxlen=SPEED_ERRORS)
         errors.append(error_log)
 
-    def refresh(self, jobs: Iterable[JobState], now_s: float) -> None:
+    def refresh(self, jobs: Iterable[JobState], now_s: float) -> list[LearnedRatio]:
         """Update the estimates by queue and class at intervals.
 
         Parameters
@@ -413,14 +433,32 @@
             Active jobs, whose running tasks are lower bounds of run times.
         now_s : float
             Time on the scheduler's clock.
+
+        Returns
+        -------
+        list of LearnedRatio
+            Queues with learned times that are due to be logged.
         """
         if now_s - self._refreshed_s < REFRESH_INTERVAL_S or not self._queues:
-            return
+            return []
         self._refreshed_s = now_s
         running = self._running_steps(jobs, now_s)
+        learned = []
         for queue, times in self._queues.items():
-            self._refresh_queue(queue, times, running, now_s)
+            self._refresh_queue(queue, times, running)
+            if times.is_active and now_s - times.logged_s >= LOG_INTERVAL_S:
+                times.logged_s = now_s
+                learned.append(
+                    LearnedRatio(
+                        queue,
+                        math.exp(times.ratio.ratio_log),
+                        math.exp(times.deviation_log),
+                        math.exp(times.likely_log),
+                        sum(len(rows) for rows in times.classes.values()),
+                    )
+                )
         self._refresh_speeds()
+        return learned
 
     def _running_steps(
         self, jobs: Iterable[JobState], now_s: float
@@ -450,7 +488,7 @@
                         running.setdefault(key, []).append(row)
         return running
 
-    def _refresh_queue(self, queue, times: QueueTimes, running, now_s: float) -> None:
+    def _refresh_queue(self, queue: str, times: QueueTimes, running) -> None:
         ratios: list[tuple[float, bool]] = []
         fits = {}
         for name, rows in times.classes.items():
@@ -488,16 +526,6 @@
             times.ratio = ratio
             times.fits = fits
             times.version += 1
-        if times.is_active and now_s - times.logged_s >= LOG_INTERVAL_S:
-            times.logged_s = now_s
-            log_event(
-                "run-times.learned",
-                queue=queue,
-                ratio=math.exp(ratio.ratio_log),
-                spread=math.exp(times.deviation_log),
-                likely=math.exp(times.likely_log),
-                steps=count,
-            )
 
     def _refresh_speeds(self) -> None:
         self._speeds.clear()
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -11,6 +11,7 @@
     "_dispatcher",
     "_fault_attribution",
     "_run_registry",
+    "_run_time_model",
     "_fleet_headroom",
     "_interference_model",
     "_fleet_job",
--- a/tests/test_run_time_model.py
+++ b/tests/test_run_time_model.py
@@ -1,10 +1,21 @@
 import math
 import random
 import unittest
-from unittest.mock import patch
-
-from dogwoodlever import _run_time_model
+from unittest.mock import Mock, patch
+
+import msgspec
+
+from dogwoodlever._crash_attribution import CrashAttribution
+from dogwoodlever._fault_attribution import FaultAttribution
+from dogwoodlever._fleet_planner import FleetPlanner
+from dogwoodlever._fleet_records import (
+    RUN_TIMES_KEY,
+    RunTimesRecord,
+    decode_run_times,
+    encode,
+)
 from dogwoodlever._fleet_types import EndedRun, Queue, Step, SubmittedJob
+from dogwoodlever._interference_model import InterferenceModel
 from dogwoodlever._run_registry import ENDED_DONE, RunRegistry
 from dogwoodlever._run_time_model import (
     CLASSES_PER_QUEUE,
@@ -17,6 +28,8 @@
     censored_quantile,
 )
 from dogwoodlever._scheduling_order import DeadlineOutlook, scheduling_key
+from dogwoodlever._worker_capacity import WorkerCapacity
+from tests.fleet_simulation import FleetSimulation, job, worker_entry
 
 QUEUE = Queue("batch", "", "/", "desk", 2, 3, 2.0, 1000)
 
@@ -57,7 +70,7 @@
 
     def refresh(self):
         self.now_s += REFRESH_INTERVAL_S
-        self.model.refresh(self.registry.active.values(), self.now_s)
+        return self.model.refresh(self.registry.active.values(), self.now_s)
 
     def expected_s(self, state):
         return self.model.expected_s(state, self.now_s)
@@ -185,13 +198,11 @@
         fixture = Fixture()
         for _ in range(40):
             fixture.run_step(step(4, 1.0), [5.0] * 4)
-        with patch.object(_run_time_model, "log_event") as log_event:
-            for _ in range(round(2 * LOG_INTERVAL_S / REFRESH_INTERVAL_S)):
-                fixture.refresh()
-        self.assertEqual(log_event.call_count, 2)
-        (event,), fields = log_event.call_args
-        self.assertEqual((event, fields["queue"]), ("run-times.learned", "batch"))
-        self.assertAlmostEqual(fields["ratio"], 5.0)
+        learned = []
+        for _ in range(round(2 * LOG_INTERVAL_S / REFRESH_INTERVAL_S)):
+            learned += fixture.refresh()
+        self.assertEqual([row.queue for row in learned], ["batch", "batch"])
+        self.assertAlmostEqual(learned[0].ratio, 5.0)
 
 
 class CensoringTest(unittest.TestCase):
@@ -331,6 +342,94 @@
                 self.assertEqual(fixture.model.slowdown("w5"), 1.0)
 
 
+class SpeculativeCopyTest(unittest.TestCase):
+    CASES = [
+        # name, learned, time since the start, percent, whether a copy starts
+        ("declared estimate exceeded", False, 2.5, -1, True),
+        ("usual for its queue", True, 5.5, -1, False),
+        ("hangs", True, 12.0, -1, True),
+        ("late, but nearly done", True, 12.0, 95, False),
+        ("late and slow", True, 12.0, 20, True),
+    ]
+
+    # Guards against copies of runs that only exceed a wrong estimate.
+    def test_copies_follow_learned_times(self):
+        for name, learned, elapsed_s, percent, expected in self.CASES:
+            with self.subTest(name):
+                fixture = Fixture()
+                for _ in range(64 * learned):
+                    fixture.run_step(step(4, 1.0), [4.0] * 4)
+                fixture.refresh()
+                state = fixture.add(step(1, 1.0, speculative=True))
+                run = fixture.start(state)
+                fixture.now_s += elapsed_s
+                fixture.refresh()
+                if percent >= 0:
+                    run.record_percent(percent, fixture.now_s)
+                planner = FleetPlanner(
+                    FaultAttribution(),
+                    CrashAttribution(lambda job_id: True),
+                    InterferenceModel(),
+                    Mock(ticket=lambda step, capacity: ""),
+                    fixture.model,
+                )
+                capacities = [WorkerCapacity(worker_entry(1))]
+                copies = planner.speculative_copies(
+                    fixture.registry, capacities, fixture.now_s
+                )
+                self.assertEqual(len(list(copies)), expected)
+
+
+class LeaderTest(unittest.TestCase):
+    def run_until_stored(self):
+        fleet = FleetSimulation(daemons=3, workers=4, run_s=3.0)
+        fleet.run_for(1.0)
+        for number in range(8):
+            fleet.submit(0, job(f"{number:016x}", tasks=3))
+        fleet.run_for(8.0)
+        self.assertIsNotNone(fleet.records.read(RUN_TIMES_KEY))
+        return fleet
+
+    # Guards against a successor that learns the run times anew.
+    def test_successor_reads_the_record(self):
+        fleet = self.run_until_stored()
+        stored = decode_run_times(fleet.records.read(RUN_TIMES_KEY).value).queues
+        ((queue, classes),) = stored.items()
+        for rows in classes.values():
+            for declared_ms, actual_ms in rows:
+                self.assertEqual(declared_ms, 1000)
+                self.assertAlmostEqual(actual_ms, 3000, delta=200)
+        fleet.kill(fleet.leader())
+        fleet.run_for(10.0)
+        self.assertTrue(fleet.nodes[fleet.leader()].leader._run_times.is_learned(queue))
+
+    # Guards against a record that keeps a leader from loading.
+    def test_malformed_record_is_ignored_and_logged(self):
+        valid = encode(RunTimesRecord({"quotes": {"size:10": [(1, 1)]}}))
+        table = (
+            ("no record", b"\xff\x00"),
+            ("cut off", valid[:-1]),
+            ("other types", msgspec.msgpack.encode({"queues": {"quotes": [1]}})),
+            (
+                "time out of range",
+                encode(RunTimesRecord({"quotes": {"size:10": [(1, 0)]}})),
+            ),
+        )
+        for name, value in table:
+            with self.subTest(name):
+                fleet = FleetSimulation(daemons=0)
+                fleet.records.write(RUN_TIMES_KEY, value)
+                with patch("dogwoodlever._fleet_leader.log_event") as log_event:
+                    fleet.add_daemon("vm0")
+                    fleet.run_for(1.0)
+                events = [call.args[0] for call in log_event.call_args_list]
+                self.assertIn("run-times.record-ignored", events)
+                self.assertIsNotNone(fleet.leader())
+                self.assertEqual(
+                    fleet.nodes[fleet.leader()].leader._run_times.states(), {}
+                )
+
+
 class RecordTest(unittest.TestCase):
     def test_successor_starts_from_the_record(self):
         fixture = Fixture()
