Reservations for large tasks and gangs that stay blocked

Up to four workers, at most 5 % of a service's, are kept for the first blocked large tasks, gangs and rack-bound steps.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,13 +5,14 @@
 
 from absl import logging
 
-from benchmarks import batch, colocation, configuration, processes, routing
+from benchmarks import batch, colocation, configuration, planning, processes, routing
 
 BENCHMARKS = {
     "routing": routing.main,
     "batch": batch.main,
     "colocation": colocation.main,
     "configuration": configuration.main,
+    "planning": planning.main,
     "processes": processes.main,
 }
 
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -133,6 +133,7 @@
         get_leases_end_s: Callable[[], float],
     ) -> None:
         self._store = store
+        self._metrics = metrics
         self._clock = clock
         self._unix_s = unix_s
         self._desired_state = desired_state
@@ -463,6 +464,16 @@
         for placement in islice(placements, STARTS_PER_ROUND):
             self.workers.runs.start(placement, now_s)
             placed += 1
+        for event in self._planner.reservations.pop_events():
+            self._metrics.reservation_events.labels(event.kind).inc()
+            log_event(
+                f"reservation.{event.kind}",
+                job=event.step_id.job_id,
+                step=f"{event.step_id.occurrence}.{event.step_id.number}",
+                workers=",".join(event.workers),
+                due_in_s=event.due_in_s,
+                why=event.why,
+            )
         took_s = self._clock.seconds() - now_s
         self._plan_delay_s = max(PLAN_DELAY_S, took_s * (PLAN_TIME_DIVISOR - 1))
         if placed == STARTS_PER_ROUND:
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -40,6 +40,15 @@
             "From a job's arrival to a task's start",
             WAIT_BUCKETS_S,
         )
+        self.reservation_events = self._counter(
+            "reservation_events", "Events of reservations for large tasks", "event"
+        )
+        self.size_wait_s = self._histogram(
+            "size_wait_seconds",
+            "From a job's arrival to a task's start, by size class",
+            WAIT_BUCKETS_S,
+            "size",
+        )
         self.run_time_ratio = self._histogram(
             "run_time_ratio",
             "Actual to declared run time",
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -9,11 +9,12 @@
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_headroom import CachedHeadroom, Headroom
 from dogwoodlever._fleet_job import RunPhase, StepState, Task
-from dogwoodlever._fleet_types import FleetConfiguration, Step, TaskId
+from dogwoodlever._fleet_types import FleetConfiguration, RunId, Step, TaskId
 from dogwoodlever._interference_model import InterferenceModel
+from dogwoodlever._reservations import Reservations
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_time_model import RunTimeModel
-from dogwoodlever._scheduling_order import scheduling_key
+from dogwoodlever._scheduling_order import DeadlineOutlook, scheduling_key
 from dogwoodlever._ticket_source import TicketSource
 from dogwoodlever._worker_capacity import WorkerCapacity, is_serving
 
@@ -140,6 +141,11 @@
         Provides tickets for steps of queues that need them.
     run_times : RunTimeModel or None
         Learned run times; None for one of its own.
+
+    Attributes
+    ----------
+    reservations : Reservations
+        Room that is kept for large tasks and gangs.
     """
 
     __slots__ = (
@@ -151,6 +157,7 @@
         "_interrupted_since_s",
         "_run_times",
         "_tickets",
+        "reservations",
     )
 
     def __init__(
@@ -163,6 +170,7 @@
     ) -> None:
         self._tickets = tickets
         self._run_times = run_times or RunTimeModel()
+        self.reservations = Reservations(self._run_times)
         self._faults = faults
         self._crashes = crashes
         self._interference = interference
@@ -213,6 +221,7 @@
             # Drops the workers that have left.
             self._headrooms.clear()
         unplaceable = UnplaceableSizes()
+        self.reservations.begin_round(capacities, now_s)
         headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
         spare_by_service: dict[str, SpareOrder] = {}
         for step, tasks in [*interrupted_steps, *((step, None) for step in steps)]:
@@ -231,6 +240,26 @@
                 self._tickets.request(
                     step, self._ticket_candidates(step, candidates, now_s)
                 )
+            if step.ready and self.reservations.wants(step, candidates, now_s):
+                outlook = scheduling_key(step, now_s, now_ms, run_times)[0]
+                if outlook <= DeadlineOutlook.LATE:
+                    self._reserve(registry, step, candidates, now_s)
+
+    def _reserve(
+        self, registry: RunRegistry, step: StepState, candidates, now_s: float
+    ) -> None:
+        """Reserve room for a blocked step where it may run."""
+
+        def find_step(run_id: RunId) -> StepState | None:
+            task = registry.find(run_id.task)
+            return None if task is None else task.step
+
+        allowed = [
+            capacity
+            for capacity in candidates
+            if self._is_allowed(capacity, step, now_s)
+        ]
+        self.reservations.make(step, allowed, len(candidates), find_step, now_s)
 
     def _find_interrupted(
         self, steps: list[StepState], now_s: float
@@ -333,7 +362,10 @@
     ):
         """Yield placements of a step's tasks, or of the given ones only."""
         spec = step.spec
-        if not _needs_ticket(step) and unplaceable.covers(step):
+        if not _needs_ticket(step) and (
+            unplaceable.covers(step)
+            or self.reservations.covers(step, _constraints(step))
+        ):
             return
         if spec.gang:
             yield from self._place_gang(step, candidates, now_s, headroom)
@@ -350,9 +382,14 @@
             if capacity is None:
                 if not is_single:
                     if not _needs_ticket(step):
-                        unplaceable.add(step)
+                        held = self.reservations.record_unplaced(
+                            step, _constraints(step)
+                        )
+                        if not held:
+                            unplaceable.add(step)
                     return
                 continue
+            self.reservations.record_placed(step, capacity, now_s)
             yield self._placement(task, capacity)
             if spec.uses_leftover:
                 headroom.reserve(capacity, spec)
@@ -402,6 +439,8 @@
                 break
         chosen = chosen or self._choose_for_gang(step, candidates, now_s, headroom)
         number = 1 + max(task.last_run for task in step.tasks)
+        if chosen:
+            self.reservations.record_placed(step, chosen[0], now_s)
         for task, capacity in zip(list(step.ready.values()), chosen, strict=False):
             yield self._placement(task, capacity, number)
 
@@ -470,7 +509,9 @@
         """Return whether a worker may run a task of a step now."""
         if _needs_ticket(step) and not self._tickets.ticket(step, capacity):
             return False
-        return self._is_allowed(capacity, step, now_s)
+        return self._is_allowed(
+            capacity, step, now_s
+        ) and not self.reservations.holds_back(capacity, step, now_s)
 
     def _is_allowed(
         self, capacity: WorkerCapacity, step: StepState, now_s: float
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -18,6 +18,7 @@
     TaskId,
 )
 from dogwoodlever._logs import log_event
+from dogwoodlever._reservations import size_class
 from dogwoodlever._run_registry import ENDED_DONE, ENDED_FAILED, RunRegistry
 from dogwoodlever._run_throttler import RunThrottler, stalled_runs
 from dogwoodlever._run_time_model import RunTimeModel
@@ -98,6 +99,8 @@
         self._crashes.add_run(run, task)
         job = task.step.job
         self._metrics.task_wait_s.observe(now_s - job.arrived_s)
+        size = size_class(task.step.spec, capacity.size)
+        self._metrics.size_wait_s.labels(size).observe(now_s - job.arrived_s)
         log_event(
             "run.placed",
             run=_format_run(run),
--- a/dogwoodlever/_run_time_model.py
+++ b/dogwoodlever/_run_time_model.py
@@ -288,11 +288,14 @@
 
     def likely_max_s(self, step: StepState) -> float:
         """Return a run time that nine of ten of a step's tasks do not exceed."""
-        peers_s = self.peers_s(step)
-        times = self._queues.get(step.job.queue.name)
+        return self.peers_s(step) * self.likely_factor(step.job.queue.name)
+
+    def likely_factor(self, queue: str) -> float:
+        """Return a factor on expected times that nine of ten runs do not exceed."""
+        times = self._queues.get(queue)
         if times is None or not times.is_active:
-            return peers_s * LIKELY_FACTOR
-        return peers_s * math.exp(max(times.likely_log, 0.0))
+            return LIKELY_FACTOR
+        return math.exp(max(times.likely_log, 0.0))
 
     def slowdown(self, worker_id: str) -> float:
         """Return a worker's run times relative to those of the others."""
--- a/dogwoodlever/_worker_capacity.py
+++ b/dogwoodlever/_worker_capacity.py
@@ -97,6 +97,12 @@
         """Unreserved cores, in thousandths."""
         return self.entry.cores_milli - self.cores_used
 
+    @property
+    def size(self) -> tuple[int, int, int]:
+        """Cores in thousandths, memory in MB and accelerators of the worker."""
+        entry = self.entry
+        return (entry.cores_milli, entry.memory_mb, entry.accelerators)
+
     @property
     def is_overcommitted(self) -> bool:
         """Whether the worker has shrunk below its runs."""
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -12,6 +12,7 @@
     "_fault_attribution",
     "_run_registry",
     "_run_time_model",
+    "_reservations",
     "_fleet_headroom",
     "_interference_model",
     "_fleet_job",
