--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -233,6 +233,7 @@
                     spare_by_service[queue.service] = SpareOrder(candidates)
                 order = spare_by_service[queue.service]
                 candidates = order.with_spare(_spare_min(step.spec))
+            self.reservations.exempt = None if tasks is None else step
             yield from self._place_step(
                 step, candidates, now_s, unplaceable, headroom, tasks
             )
--- a/dogwoodlever/_reservations.py
+++ b/dogwoodlever/_reservations.py
@@ -136,6 +136,12 @@
     ----------
     run_times : RunTimeModel
         Expected ends of runs.
+
+    Attributes
+    ----------
+    exempt : StepState or None
+        Step that is not held back now, since its standing tasks were interrupted for
+        so long that they go before all other work.
     """
 
     __slots__ = (
@@ -151,10 +157,12 @@
         "_retry_s",
         "_run_times",
         "_searched_s",
+        "exempt",
     )
 
     def __init__(self, run_times: RunTimeModel) -> None:
         self._run_times = run_times
+        self.exempt: StepState | None = None
         self._reservations: list[Reservation] = []
         self._by_worker: dict[str, Reservation] = {}
         # Sums of what was placed, by service.
@@ -234,7 +242,7 @@
         if not self._by_worker:
             return False
         reservation = self._by_worker.get(capacity.entry.worker_id)
-        if reservation is None or reservation.step is step:
+        if reservation is None or step in (reservation.step, self.exempt):
             return False
         if step.job.queue.priority < reservation.step.job.queue.priority:
             return False
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -1,10 +1,12 @@
 import random
 import unittest
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from prometheus_client.exposition import generate_latest
 
-from dogwoodlever._fleet_types import EndedRun
+from dogwoodlever._fleet_types import EndedRun, SubmittedJob
 from dogwoodlever._reservations import (
     DURATION_MAX_S,
     WORKERS_MAX,
@@ -13,8 +15,8 @@
 )
 from dogwoodlever._run_registry import ENDED_DONE
 from dogwoodlever._run_time_model import RunTimeModel
-from tests.fleet_simulation import worker_entry
-from tests.test_fleet_planner import NOW_S, Fixture, step
+from tests.fleet_simulation import QUEUE, FleetSimulation, job, worker_entry
+from tests.test_fleet_planner import NOW_S, Fixture, serving_step, step
 
 ROUND_S = 0.05
 # Reservations need at least 20 workers, of which they take up to 5 %.
@@ -292,6 +294,29 @@
                 simulation.run_for(ROUND_S, small=0)
                 self.assertEqual(job_id in simulation.started, starts)
 
+    # Guards against a standing task that stays down longer than the platform allows.
+    def test_long_interrupted_standing_task_is_not_held_back(self):
+        for interrupted in (False, True):
+            with self.subTest(interrupted=interrupted):
+                simulation = Simulation()
+                fixture = simulation.fixture
+                for number, capacity in enumerate(fixture.capacities):
+                    spec = step(1, 25.0, 1.0 if number == 4 else 60.0)
+                    fixture.run_on(capacity, spec)
+                simulation.add(step(1, 28.0, 1.0))
+                simulation.run_for(0.3, small=0)
+                for capacity in fixture.capacities:
+                    if capacity.entry.worker_id != "w4":
+                        fixture.run_on(capacity, step(1, 7.0, 60.0))
+                watch = simulation.add(serving_step("s"), "batch")
+                state = fixture.registry.jobs[watch]
+                if interrupted:
+                    task = state.occurrences[0].steps[0].tasks[0]
+                    task.last_run = 1
+                    fixture.planner._interrupted_since_s[task.task_id] = NOW_S - 9.0
+                simulation.run_for(ROUND_S, small=0)
+                self.assertEqual(watch in simulation.started, interrupted)
+
     # Guards against a held step that hides a higher priority of the same size.
     def test_held_step_hides_no_other(self):
         simulation = Simulation()
@@ -325,6 +350,27 @@
                 self.assertEqual(size_class(spec, largest), expected)
 
 
+class LeaderTest(unittest.TestCase):
+    # Guards against reservations that operators cannot see.
+    def test_leader_reserves_and_logs(self):
+        simulation = FleetSimulation(daemons=1, workers=WORKERS)
+        simulation.run_for(1.0)
+        frontend = simulation.nodes[0].frontend
+        deadline_s = simulation.clock.seconds() + 3.0
+        for number in range(300):
+            frontend.submit(job(f"{number:016x}", tasks=4), deadline_s)
+        large = SubmittedJob("f" * 16, QUEUE, "", (step(1, 6.0, 1.0),))
+        frontend.submit(large, deadline_s)
+        with patch("dogwoodlever._fleet_leader.log_event") as log_event:
+            simulation.run_for(3.0)
+        events = [call.args[0] for call in log_event.call_args_list]
+        reserved = [event for event in events if event.startswith("reservation.")]
+        self.assertEqual(reserved, ["reservation.made", "reservation.met"])
+        metrics = generate_latest(simulation.nodes[0].metrics.registry).decode()
+        self.assertIn('reservation_events_total{event="met"} 1.0', metrics)
+        self.assertIn('size_wait_seconds_count{size="large"} 1.0', metrics)
+
+
 class PropertyTest(unittest.TestCase):
     @settings(derandomize=True, max_examples=60, deadline=None)
     @given(
