Preemption: first version of the decision and its hooks

Cause: urgent work waits behind long batch work on a full fleet and misses its objective. Change: PreemptionPlanner chooses runs of lower priority with checkpoints to stop, and holds the room that they free; the planner, the leader and FleetRuns call it.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -40,6 +40,7 @@
 from dogwoodlever._fleet_workers import FleetWorkers
 from dogwoodlever._interference_model import InterferenceModel
 from dogwoodlever._logs import log_event
+from dogwoodlever._preemption import PreemptionPlanner
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
 from dogwoodlever._ticket_cache import TicketCache
@@ -138,7 +139,13 @@
         self._interference = InterferenceModel()
         self._interference_stored_s = clock.seconds()
         self._tickets = TicketCache(advice, clock, self.plan_soon)
-        self._planner = FleetPlanner(faults, crashes, self._interference, self._tickets)
+        self._planner = FleetPlanner(
+            faults,
+            crashes,
+            self._interference,
+            self._tickets,
+            PreemptionPlanner(platform_limits.stop_timeout_s),
+        )
         self._membership = WorkerMembership(
             store, clock, self._get_term_revision, self.plan_soon
         )
@@ -437,11 +444,23 @@
         for placement in islice(placements, STARTS_PER_ROUND):
             self.workers.runs.start(placement, now_s)
             placed += 1
+        if placed < STARTS_PER_ROUND:
+            self._preempt(now_s)
         took_s = self._clock.seconds() - now_s
         self._plan_delay_s = max(PLAN_DELAY_S, took_s * (PLAN_TIME_DIVISOR - 1))
         if placed == STARTS_PER_ROUND:
             self.plan_soon()
 
+    def _preempt(self, now_s: float) -> None:
+        """Stop runs for urgent tasks that the planning round left waiting."""
+        if self.workers.unpolled_workers:
+            # Their room is not known yet.
+            return
+        for preemption in self._planner.preemptions(
+            self.registry, now_s, self._unix_s() * 1000
+        ):
+            self.workers.runs.preempt(preemption)
+
     def _start_speculative_copies(self, now_s: float) -> None:
         if self.workers.unpolled_workers:
             return
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -11,6 +11,7 @@
 from dogwoodlever._fleet_job import RunPhase, StepState, Task
 from dogwoodlever._fleet_types import FleetConfiguration, Step, TaskId
 from dogwoodlever._interference_model import InterferenceModel
+from dogwoodlever._preemption import Preemption, PreemptionPlanner
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._scheduling_order import scheduling_key
 from dogwoodlever._ticket_source import TicketSource
@@ -71,16 +72,23 @@
     __slots__ = ("_sizes",)
 
     def __init__(self) -> None:
-        self._sizes: dict[tuple, list[tuple[int, int, int]]] = {}
+        self._sizes: dict[tuple, list[tuple[int, int, int, int]]] = {}
 
     def covers(self, step: StepState) -> bool:
-        """Return whether a step needs at least as much as one that did not fit."""
+        """Return whether a step needs at least as much as one that did not fit.
+
+        Room may be held against lower priorities only, so a step of higher priority
+        is tried.
+        """
         spec = step.spec
         return any(
-            spec.cores_milli >= cores
+            step.job.queue.priority >= priority
+            and spec.cores_milli >= cores
             and spec.memory_mb >= memory
             and spec.accelerators >= accelerators
-            for cores, memory, accelerators in self._sizes.get(_constraints(step), ())
+            for priority, cores, memory, accelerators in self._sizes.get(
+                _constraints(step), ()
+            )
         )
 
     def add(self, step: StepState) -> None:
@@ -89,7 +97,8 @@
         if spec.worker_tasks_max:
             # The step's own tasks may be the reason.
             return
-        size = (spec.cores_milli, spec.memory_mb, spec.accelerators)
+        priority = step.job.queue.priority
+        size = (priority, spec.cores_milli, spec.memory_mb, spec.accelerators)
         self._sizes.setdefault(_constraints(step), []).append(size)
 
 
@@ -137,6 +146,8 @@
         Estimates the interference between images.
     tickets : TicketSource
         Provides tickets for steps of queues that need them.
+    preemption : PreemptionPlanner or None
+        Decides which runs are stopped for urgent tasks; None for the usual limits.
     """
 
     __slots__ = (
@@ -146,6 +157,7 @@
         "_headrooms",
         "_interference",
         "_interrupted_since_s",
+        "_preemption",
         "_tickets",
     )
 
@@ -155,8 +167,10 @@
         crashes: CrashAttribution,
         interference: InterferenceModel,
         tickets: TicketSource,
+        preemption: PreemptionPlanner | None = None,
     ) -> None:
         self._tickets = tickets
+        self._preemption = preemption or PreemptionPlanner()
         self._faults = faults
         self._crashes = crashes
         self._interference = interference
@@ -191,6 +205,7 @@
             Whether jobs of an earlier term wait because a worker that has not been
             polled yet may be running their tasks.
         """
+        self._preemption.begin_round(capacities, configuration, now_s)
         by_service: dict[str, list[WorkerCapacity]] = {}
         for capacity in capacities:
             if now_s >= capacity.refused_until_s:
@@ -220,11 +235,27 @@
             yield from self._place_step(
                 step, candidates, now_s, unplaceable, headroom, tasks
             )
+            if step.ready:
+                self._preemption.record_waiting(step, candidates, tasks)
             if step.ready and _needs_ticket(step):
                 self._tickets.request(
                     step, self._ticket_candidates(step, candidates, now_s)
                 )
 
+    def preemptions(
+        self, registry: RunRegistry, now_s: float, now_ms: float
+    ) -> list[Preemption]:
+        """Return the runs to stop for urgent tasks that the last round left waiting.
+
+        Parameters
+        ----------
+        registry : RunRegistry
+            Jobs and runs.
+        now_s, now_ms : float
+            Time on the scheduler's clock, and Unix time.
+        """
+        return self._preemption.decide(registry, now_s, now_ms, self._is_allowed)
+
     def _find_interrupted(
         self, steps: list[StepState], now_s: float
     ) -> list[tuple[StepState, list[Task]]]:
@@ -326,7 +357,8 @@
     ):
         """Yield placements of a step's tasks, or of the given ones only."""
         spec = step.spec
-        if not _needs_ticket(step) and unplaceable.covers(step):
+        has_room_held = self._preemption.holds.count(step) > 0
+        if not _needs_ticket(step) and not has_room_held and unplaceable.covers(step):
             return
         if spec.gang:
             yield from self._place_gang(step, candidates, now_s, headroom)
@@ -431,6 +463,9 @@
         task_limit = self._faults.task_limit(capacity.entry.worker_id, now_s)
         if task_limit is not None:
             count = min(count, task_limit - len(capacity.runs))
+        if self._preemption.holds.limits(capacity, step):
+            # One fits beside the held room; whether more do is not known.
+            count = min(count, 1)
         return max(0, count)
 
     def _cheapest(
@@ -455,6 +490,7 @@
     def _placement(
         self, task: Task, capacity: WorkerCapacity, number: int = 0
     ) -> Placement:
+        self._preemption.holds.release(capacity, task.step)
         return Placement(
             task, capacity, number, self._tickets.ticket(task.step, capacity)
         )
@@ -463,6 +499,8 @@
         """Return whether a worker may run a task of a step now."""
         if _needs_ticket(step) and not self._tickets.ticket(step, capacity):
             return False
+        if not self._preemption.holds.allows(capacity, step):
+            return False
         return self._is_allowed(capacity, step, now_s)
 
     def _is_allowed(
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -17,6 +17,7 @@
     TaskId,
 )
 from dogwoodlever._logs import log_event
+from dogwoodlever._preemption import Preemption
 from dogwoodlever._run_registry import ENDED_DONE, ENDED_FAILED, RunRegistry
 from dogwoodlever._run_throttler import RunThrottler, stalled_runs
 from dogwoodlever._worker_capacity import WorkerCapacity
@@ -120,6 +121,19 @@
         log_event("run.moved", run=_format_run(run), worker=run.worker_id)
         self._links[run.worker_id].stop(run)
 
+    def preempt(self, preemption: Preemption) -> None:
+        """Stop a run, so that an urgent step gets its room."""
+        run = preemption.run
+        step_id = preemption.step.step_id
+        self._metrics.run_moves.labels("preempted").inc()
+        log_event(
+            "run.preempted",
+            run=_format_run(run),
+            worker=run.worker_id,
+            step=f"{step_id.job_id}.{step_id.occurrence}.{step_id.number}",
+        )
+        self._links[run.worker_id].stop(run)
+
     def evict_draining(self, capacity: WorkerCapacity) -> None:
         """Evict the runs that would be lost when a draining worker leaves.
 
--- a/dogwoodlever/_job_timeline.py
+++ b/dogwoodlever/_job_timeline.py
@@ -180,6 +180,10 @@
             return f"{fields.get('how')} on {worker} after {fields.get('took_s')} s"
         case "run.moved":
             return f"stopped on {worker} to go on elsewhere: slowed by its pace"
+        case "run.preempted":
+            return (
+                f"stopped on {worker} to go on elsewhere: room for {fields.get('step')}"
+            )
         case "run.evicted" | "run.lost":
             return f"{event.name[4:]} on {worker}: {fields.get('why')}"
         case "run.stalled":
--- a/dogwoodlever/_scheduling_order.py
+++ b/dogwoodlever/_scheduling_order.py
@@ -27,6 +27,15 @@
     TOO_LATE = 3
 
 
+def time_left_s(step: StepState, now_s: float, now_ms: float) -> float:
+    """Return the time until the objective of a step's occurrence."""
+    job = step.job
+    age_s = now_s - job.arrived_s
+    if job.job.occurrences:
+        age_s = (now_ms - job.occurrences[step.occurrence].due_ms) / 1000
+    return job.objective_s - age_s
+
+
 def scheduling_key(step: StepState, now_s: float, now_ms: float) -> tuple:
     """Return the sort key of a step with tasks to start.
 
@@ -50,19 +59,16 @@
             step.number,
         )
     occurrence = job.occurrences[step.occurrence]
-    age_s = now_s - job.arrived_s
-    if job.job.occurrences:
-        age_s = (now_ms - occurrence.due_ms) / 1000
-    time_left_s = job.objective_s - age_s
+    left_s = time_left_s(step, now_s, now_ms)
     remaining_path_s = job.remaining_critical_path_s(occurrence)
     remaining_core_s = job.remaining_core_s(occurrence)
-    if remaining_path_s <= time_left_s:
+    if remaining_path_s <= left_s:
         return (
             DeadlineOutlook.ON_TIME,
             job.queue.priority,
             remaining_core_s,
             step.number,
         )
-    if remaining_path_s <= time_left_s + (LATE_FACTOR - 1) * job.objective_s:
+    if remaining_path_s <= left_s + (LATE_FACTOR - 1) * job.objective_s:
         return (DeadlineOutlook.LATE, job.queue.priority, remaining_core_s, step.number)
     return (DeadlineOutlook.TOO_LATE, job.queue.priority, remaining_core_s, step.number)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -17,6 +17,7 @@
     "_scheduling_order",
     "_run_throttler",
     "_fleet_planner",
+    "_preemption",
     "_worker_capacity",
     "_fleet_types",
     "_interference_controller",
