--- a/dogwoodlever/_preemption.py
+++ b/dogwoodlever/_preemption.py
@@ -82,14 +82,16 @@
 class RoomHolds:
     """Room that is held for urgent steps, by worker."""
 
-    __slots__ = ("_by_worker",)
+    __slots__ = ("_by_worker", "_counts")
 
     def __init__(self) -> None:
         self._by_worker: dict[str, list[RoomHold]] = {}
+        self._counts: Counter[StepId] = Counter()
 
     def add(self, hold: RoomHold) -> None:
         """Hold room."""
         self._by_worker.setdefault(hold.capacity.entry.worker_id, []).append(hold)
+        self._counts[hold.step.step_id] += 1
 
     def on(self, worker_id: str) -> Iterable[RoomHold]:
         """Return the holds on a worker."""
@@ -97,9 +99,7 @@
 
     def count(self, step: StepState) -> int:
         """Return for how many tasks of a step room is held."""
-        return sum(
-            hold.step is step for holds in self._by_worker.values() for hold in holds
-        )
+        return self._counts[step.step_id] if self._counts else 0
 
     def allows(self, capacity: WorkerCapacity, step: StepState) -> bool:
         """Return whether a task of a step fits beside what is held for others.
@@ -169,6 +169,10 @@
         holds.remove(hold)
         if not holds:
             del self._by_worker[worker_id]
+        step_id = hold.step.step_id
+        self._counts[step_id] -= 1
+        if not self._counts[step_id]:
+            del self._counts[step_id]
 
 
 def _is_against(hold: RoomHold, step: StepState) -> bool:
@@ -189,7 +193,7 @@
     LATE = 2
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, frozen=True, eq=False)
 class Victim:
     """A run that may be stopped.
 
@@ -404,7 +408,8 @@
             return []
         self._decided_s = now_s
         self._forget_ended(registry)
-        decision = _Decision(self, registry, now_s, now_ms, is_allowed)
+        priority = min(waiting.step.job.queue.priority for waiting, _ in blocked)
+        decision = _Decision(self, registry, now_s, now_ms, is_allowed, priority)
         return decision.choose(blocked)
 
     def _slack_s(self, step: StepState, now_s: float, now_ms: float) -> float:
@@ -432,6 +437,7 @@
 
     __slots__ = (
         "_budget",
+        "_highest_priority",
         "_is_allowed",
         "_now_ms",
         "_now_s",
@@ -448,8 +454,10 @@
         now_s: float,
         now_ms: float,
         is_allowed: Callable[[WorkerCapacity, StepState, float], bool],
+        highest_priority: int,
     ) -> None:
         self._planner = planner
+        self._highest_priority = highest_priority
         self._registry = registry
         self._now_s = now_s
         self._now_ms = now_ms
@@ -514,9 +522,7 @@
         if task is None or len(task.runs) != 1 or task.accountable.crashes:
             return None
         job = task.step.job
-        if job.has_ended or job.queue.priority > planner._lowest_priority:
-            return None
-        if planner._job_preemptions[job.job.job_id] >= JOB_PREEMPTIONS_MAX:
+        if job.has_ended or job.queue.priority <= self._highest_priority:
             return None
         if (
             task.task_id in planner._stopped_tasks
@@ -558,20 +564,28 @@
                 if id(capacity) in self._rooms
                 and self._is_allowed(capacity, step, self._now_s)
             ]
-            group = waiting.tasks if step.spec.gang else 1
-            for _ in range(waiting.tasks // group):
-                if self._waits(step, rooms, group, slack_s):
-                    continue
-                assignments = self._assign_in_racks(step, rooms, group)
+            if step.spec.gang:
+                if not self._claim(step, rooms, waiting.tasks, slack_s):
+                    assignments = self._assign_gang(step, rooms, waiting.tasks)
+                    preemptions.extend(self._record(step, assignments))
+                continue
+            tasks = waiting.tasks
+            while tasks and self._claim(step, rooms, 1, slack_s):
+                tasks -= 1
+            ranked = self._rank(step, rooms) if tasks else []
+            for _ in range(tasks):
+                assignments = self._assign(step, ranked, 1)
                 if not assignments:
                     break
                 preemptions.extend(self._record(step, assignments))
         return preemptions
 
-    def _waits(
+    def _claim(
         self, step: StepState, rooms: list[WorkerRoom], group: int, slack_s: float
     ) -> bool:
-        """Claim room that becomes free by itself in time; return whether there is any.
+        """Claim room that becomes free by itself in time, for a number of tasks.
+
+        Returns whether there is room for all of them; else none is claimed.
 
         In time means before a stop would come too late, so that a preemption is still
         possible if the estimates prove wrong.
@@ -589,33 +603,43 @@
             room.claims.remove(step)
         return False
 
-    def _assign_in_racks(
+    def _assign_gang(
         self, step: StepState, rooms: list[WorkerRoom], group: int
     ) -> list[Assignment]:
+        """Assign rooms to all tasks of a gang, in one rack if it prefers that."""
         if step.spec.same_rack:
             for rack in sorted({room.capacity.entry.rack for room in rooms}):
                 in_rack = [room for room in rooms if room.capacity.entry.rack == rack]
-                assignments = self._assign(step, in_rack, group)
+                assignments = self._assign(step, self._rank(step, in_rack), group)
                 if assignments:
                     return assignments
-        return self._assign(step, rooms, group)
+        return self._assign(step, self._rank(step, rooms), group)
+
+    def _rank(self, step: StepState, rooms: list[WorkerRoom]) -> list[tuple]:
+        """Return a heap of the rooms for one more task, by the cost of the stops."""
+        ranked: list[tuple] = []
+        for room in rooms:
+            self._push(ranked, room, step)
+        return ranked
 
     def _assign(
-        self, step: StepState, rooms: list[WorkerRoom], group: int
+        self, step: StepState, ranked: list[tuple], group: int
     ) -> list[Assignment]:
         """Assign rooms to some tasks of a step; none if not all of them get one."""
-        ranked = []
-        for room in rooms:
-            self._push(ranked, room, step)
         assignments: list[Assignment] = []
         stops = 0
         while ranked and len(assignments) < group:
             _, _, room, victims = heapq.heappop(ranked)
+            if self._choose_victims(room, step) != victims:
+                # A job among them has reached its limit since.
+                self._push(ranked, room, step)
+                continue
             stops += len(victims)
             if stops > self._budget:
                 break
             room.claims.append(step)
             room.chosen.update(victim.run.run_id for victim in victims)
+            self._count_preemptions(victims, 1)
             assignments.append(Assignment(room, victims))
             self._push(ranked, room, step)
         if len(assignments) == group:
@@ -625,9 +649,14 @@
             assignment.room.chosen.difference_update(
                 victim.run.run_id for victim in assignment.victims
             )
+            self._count_preemptions(assignment.victims, -1)
         return []
 
-    def _push(self, ranked: list, room: WorkerRoom, step: StepState) -> None:
+    def _count_preemptions(self, victims: Iterable[Victim], sign: int) -> None:
+        for victim in victims:
+            self._planner._job_preemptions[victim.task.task_id.job_id] += sign
+
+    def _push(self, ranked: list[tuple], room: WorkerRoom, step: StepState) -> None:
         victims = self._choose_victims(room, step)
         if victims is None:
             return
@@ -662,7 +691,6 @@
                 task_id = victim.task.task_id
                 planner._ordered.add(victim.run.run_id)
                 planner._stopped_tasks.add(task_id)
-                planner._job_preemptions[task_id.job_id] += 1
                 self._budget -= 1
                 yield Preemption(victim.run, step)
 
@@ -737,6 +765,7 @@
             and (victim.rank is not VictimRank.HAS_SLACK or victim.slack_s >= delay_s)
         ]
         victims.sort(key=lambda victim: _victim_key(victim, missing[0]))
+        victims = self._limit_by_job(victims)
         several = _cover(victims, missing)
         if several is None:
             return None
@@ -745,6 +774,18 @@
             return several
         return min(several, (single,), key=_stop_cost)
 
+    def _limit_by_job(self, victims: list[Victim]) -> list[Victim]:
+        """Return the first victims of each job that its limit allows."""
+        counts = Counter()
+        allowed = []
+        for victim in victims:
+            job_id = victim.task.task_id.job_id
+            counts[job_id] += 1
+            preempted = self._planner._job_preemptions[job_id]
+            if preempted + counts[job_id] <= JOB_PREEMPTIONS_MAX:
+                allowed.append(victim)
+        return allowed
+
 
 def _stop_cost(victims: tuple[Victim, ...]) -> tuple:
     """Return the cost of stopping some runs of one worker."""
