Preemption: examine the workers with the most free cores first

Cause: a decision examined all runs for each blocked step: 34 ms at 176 workers with nine runs each and 20 blocked urgent steps, 66 ms at 270. Change: ends are read once, victims in batches of 32 workers, and sizes for which no room becomes free are not tried again; nothing is examined if no further stop is allowed. Measured on one idle core: 12 ms at 176 workers, 17 ms at 270, 0.6 ms if no stop is allowed, 0.01 ms without a blocked urgent step; tests.test_preemption, 24 passed.

--- a/dogwoodlever/_preemption.py
+++ b/dogwoodlever/_preemption.py
@@ -44,6 +44,10 @@
 HOLD_MARGIN_S = 0.3
 # Blocked steps considered in one decision, which bounds its duration.
 STEPS_PER_DECISION = 8
+# Workers whose runs are examined at a time, those with the most free cores first; more
+# are examined if these do not suffice. A decision over all runs of 176 workers took
+# 34 ms.
+WORKERS_PER_BATCH = 32
 # Jobs whose slack differs by less than this count as equally suited to wait.
 SLACK_GRANULARITY_S = 1.0
 # Jobs and tasks remembered beyond those that are active, before they are cleaned up.
@@ -245,8 +249,8 @@
     ----------
     ends : list of (float, Run, Step)
         Runs that reserve capacity, and when they are expected to end.
-    victims : list of Victim
-        Runs that may be stopped.
+    victims : list of Victim or None
+        Runs that may be stopped; None before first use.
     chosen : set of RunId
         Runs to stop that this decision has chosen.
     claims : list of StepState
@@ -255,10 +259,15 @@
 
     capacity: WorkerCapacity
     ends: list[tuple[float, Run, Step]]
-    victims: list[Victim]
+    victims: list[Victim] | None = None
     chosen: set[RunId] = field(default_factory=set)
     claims: list[StepState] = field(default_factory=list)
 
+    def unclaimed_milli(self) -> int:
+        """Return the free cores that are not assigned yet, in thousandths."""
+        claimed_milli = sum(step.spec.cores_milli for step in self.claims)
+        return self.capacity.cores_free - claimed_milli
+
 
 @dataclass(slots=True, frozen=True)
 class Assignment:
@@ -445,6 +454,7 @@
         "_planner",
         "_registry",
         "_rooms",
+        "_unclaimable",
     )
 
     def __init__(
@@ -467,7 +477,9 @@
         self._note_stopping()
         stops_max = max(1, int(len(planner._capacities) * STOPPING_SHARE))
         self._budget = stops_max - len(planner._ordered)
-        self._rooms = {id(c): self._survey(c) for c in planner._capacities}
+        self._rooms: dict[int, WorkerRoom] = {}
+        # Steps for which no room becomes free by itself, with the time considered.
+        self._unclaimable: list[tuple[StepState, float]] = []
 
     def _note_stopping(self) -> None:
         """Note which runs are being stopped, and since when."""
@@ -485,9 +497,9 @@
         planner._ordered.intersection_update(stopping)
 
     def _survey(self, capacity: WorkerCapacity) -> WorkerRoom:
-        """Return when the runs of a worker end, and which of them may be stopped."""
+        """Return when the runs of a worker are expected to end."""
         planner = self._planner
-        ends, victims = [], []
+        ends = []
         for run, spec in capacity.runs.values():
             if spec.standing and run.phase is not RunPhase.STOPPING:
                 continue
@@ -501,10 +513,16 @@
             else:
                 remaining_s = planner._remaining_s(run, spec, self._now_s)
             ends.append((remaining_s, run, spec))
-            victim = self._to_victim(run, spec, remaining_s)
-            if victim is not None:
-                victims.append(victim)
-        return WorkerRoom(capacity, ends, victims)
+        return WorkerRoom(capacity, ends)
+
+    def _victims(self, room: WorkerRoom) -> list[Victim]:
+        if room.victims is None:
+            victims = (
+                self._to_victim(run, spec, remaining_s)
+                for remaining_s, run, spec in room.ends
+            )
+            room.victims = [victim for victim in victims if victim is not None]
+        return room.victims
 
     def _to_victim(self, run: Run, spec: Step, remaining_s: float) -> Victim | None:
         """Return a run as a victim, None if it must not be stopped."""
@@ -559,10 +577,9 @@
                 break
             step = waiting.step
             rooms = [
-                self._rooms[id(capacity)]
+                self._room(capacity)
                 for capacity in waiting.candidates
-                if id(capacity) in self._rooms
-                and self._is_allowed(capacity, step, self._now_s)
+                if self._is_allowed(capacity, step, self._now_s)
             ]
             if step.spec.gang:
                 if not self._claim(step, rooms, waiting.tasks, slack_s):
@@ -572,14 +589,20 @@
             tasks = waiting.tasks
             while tasks and self._claim(step, rooms, 1, slack_s):
                 tasks -= 1
-            ranked = self._rank(step, rooms) if tasks else []
+            options = _Options(rooms)
             for _ in range(tasks):
-                assignments = self._assign(step, ranked, 1)
+                assignments = self._assign(step, options, 1)
                 if not assignments:
                     break
                 preemptions.extend(self._record(step, assignments))
         return preemptions
 
+    def _room(self, capacity: WorkerCapacity) -> WorkerRoom:
+        room = self._rooms.get(id(capacity))
+        if room is None:
+            room = self._rooms[id(capacity)] = self._survey(capacity)
+        return room
+
     def _claim(
         self, step: StepState, rooms: list[WorkerRoom], group: int, slack_s: float
     ) -> bool:
@@ -592,6 +615,11 @@
         """
         stop_s = self._planner._stop_timeout_s
         window_s = max(stop_s, slack_s - stop_s) if slack_s < float("inf") else stop_s
+        if any(
+            window_s <= failed_window_s and _needs_as_much(step, failed)
+            for failed, failed_window_s in self._unclaimable
+        ):
+            return False
         claimed: list[WorkerRoom] = []
         for room in rooms:
             while len(claimed) < group and self._fits(room, step, window_s):
@@ -601,6 +629,8 @@
                 return True
         for room in claimed:
             room.claims.remove(step)
+        if group == 1 and not step.spec.worker_tasks_max:
+            self._unclaimable.append((step, window_s))
         return False
 
     def _assign_gang(
@@ -610,25 +640,26 @@
         if step.spec.same_rack:
             for rack in sorted({room.capacity.entry.rack for room in rooms}):
                 in_rack = [room for room in rooms if room.capacity.entry.rack == rack]
-                assignments = self._assign(step, self._rank(step, in_rack), group)
+                assignments = self._assign(step, _Options(in_rack), group)
                 if assignments:
                     return assignments
-        return self._assign(step, self._rank(step, rooms), group)
-
-    def _rank(self, step: StepState, rooms: list[WorkerRoom]) -> list[tuple]:
-        """Return a heap of the rooms for one more task, by the cost of the stops."""
-        ranked: list[tuple] = []
-        for room in rooms:
-            self._push(ranked, room, step)
-        return ranked
+        return self._assign(step, _Options(rooms), group)
 
     def _assign(
-        self, step: StepState, ranked: list[tuple], group: int
+        self, step: StepState, options: "_Options", group: int
     ) -> list[Assignment]:
         """Assign rooms to some tasks of a step; none if not all of them get one."""
         assignments: list[Assignment] = []
         stops = 0
-        while ranked and len(assignments) < group:
+        ranked = options.ranked
+        while len(assignments) < group:
+            if not ranked:
+                batch = options.next_batch()
+                if not batch:
+                    break
+                for room in batch:
+                    self._push(ranked, room, step)
+                continue
             _, _, room, victims = heapq.heappop(ranked)
             if self._choose_victims(room, step) != victims:
                 # A job among them has reached its limit since.
@@ -759,7 +790,7 @@
         )
         victims = [
             victim
-            for victim in room.victims
+            for victim in self._victims(room)
             if victim.priority > priority
             and victim.run.run_id not in room.chosen
             and (victim.rank is not VictimRank.HAS_SLACK or victim.slack_s >= delay_s)
@@ -787,6 +818,40 @@
         return allowed
 
 
+class _Options:
+    """Rooms for the tasks of a step, examined in batches.
+
+    Attributes
+    ----------
+    ranked : list of tuple
+        Heap of the rooms examined so far, by the cost of the stops.
+    """
+
+    __slots__ = ("_pending", "ranked")
+
+    def __init__(self, rooms: list[WorkerRoom]) -> None:
+        self._pending = sorted(rooms, key=WorkerRoom.unclaimed_milli)
+        self.ranked: list[tuple] = []
+
+    def next_batch(self) -> list[WorkerRoom]:
+        """Return the rooms to examine next, those with the most free cores."""
+        batch = self._pending[-WORKERS_PER_BATCH:]
+        del self._pending[-WORKERS_PER_BATCH:]
+        return batch
+
+
+def _needs_as_much(step: StepState, other: StepState) -> bool:
+    """Return whether a step fits nowhere where another one does not."""
+    spec, least = step.spec, other.spec
+    return (
+        step.job.queue.service == other.job.queue.service
+        and spec.label == least.label
+        and spec.cores_milli >= least.cores_milli
+        and spec.memory_mb >= least.memory_mb
+        and spec.accelerators >= least.accelerators
+    )
+
+
 def _stop_cost(victims: tuple[Victim, ...]) -> tuple:
     """Return the cost of stopping some runs of one worker."""
     return (
