Spread Retry-After of rejected callers

Cause: callers that are rejected together got the same 1 s or 2 s and returned together; counts of pending jobs and calls before the first configuration always got 1 s. Change: 1 s to 3 s, drawn by a generator seeded with the member id; the weights move to longer waits in longer outages. 3 s is given only once the store has been down for 1 s.

--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -1,5 +1,6 @@
 """Operations for callers of a daemon: submit, read, cancel and count jobs."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
@@ -31,10 +32,18 @@
 STORE_RETRY_S = 0.05
 # Part of a caller's deadline that is reserved for sending the response.
 RESPONSE_MARGIN_S = 0.15
-# Typical duration of a store outage or a change of leader.
+# Time after which rejected callers retry, unless another one is chosen: the typical
+# duration of a store outage or a change of leader.
 RETRY_AFTER_S = 1
-# For longer outages, since callers retry a few times only.
-RETRY_AFTER_LONG_S = 2
+# Weights of 1 s, 2 s and 3 s after which rejected callers retry, by how long the store
+# has been down at most. The times are spread, since callers that are rejected together
+# would return together, and are longer in longer outages, since callers with a deadline
+# of 3 s retry only about four times.
+RETRY_AFTER_WEIGHTS = (
+    (1.0, (2, 1, 0)),
+    (3.0, (1, 2, 1)),
+    (float("inf"), (0, 1, 1)),
+)
 # How long to call the leader before the store is read.
 LEADER_WAIT_S = 0.8
 
@@ -126,6 +135,7 @@
         self._get_leader = get_leader
         self._own_member = own_member
         self._handlers = handlers
+        self._random = random.Random(own_member)
 
     @inlineCallbacks
     def submit(self, job: SubmittedJob, deadline_s: float):
@@ -244,13 +254,19 @@
             return CallOutcome.UNKNOWN
         return CallOutcome.DONE
 
+    def rejection(self) -> CallResult:
+        """Return the result of a call that is rejected without effect."""
+        return self._build_result(CallOutcome.NOT_DONE)
+
     def _build_result(self, outcome: CallOutcome) -> CallResult:
+        return CallResult(outcome, retry_after_s=self._choose_retry_after_s())
+
+    def _choose_retry_after_s(self) -> int:
         down_s = self._store.down_for_s() or 0.0
-        is_long_outage = down_s > RETRY_AFTER_S
-        return CallResult(
-            outcome,
-            retry_after_s=RETRY_AFTER_LONG_S if is_long_outage else RETRY_AFTER_S,
+        weights = next(
+            weights for until_s, weights in RETRY_AFTER_WEIGHTS if down_s <= until_s
         )
+        return self._random.choices((1, 2, 3), weights)[0]
 
     def _must_stop_retrying(self, deadline_s: float) -> bool:
         """Return whether another attempt to reach the store is useless."""
@@ -300,7 +316,7 @@
         until_s = deadline_s - LEADER_WAIT_S
         reply = yield self._call_leader(PENDING_METHOD, queue, max(until_s, 0.0))
         if reply is None:
-            return CallResult(CallOutcome.NOT_DONE)
+            return self.rejection()
         return CallResult(CallOutcome.DONE, pending=reply.pending)
 
     @inlineCallbacks
--- a/dogwoodlever/platform/_callers_resource.py
+++ b/dogwoodlever/platform/_callers_resource.py
@@ -88,7 +88,7 @@
     def _serve(self, request):
         configuration = self._get_configuration()
         if configuration is None:
-            self._respond(request, CallResult(CallOutcome.NOT_DONE))
+            self._respond(request, self._frontend.rejection())
             return
         host = (request.getHeader(b"host") or b"").decode("latin-1").partition(":")[0]
         path = request.path.decode("latin-1")
--- a/tests/test_fleet_callers_resource.py
+++ b/tests/test_fleet_callers_resource.py
@@ -28,6 +28,9 @@
 
     submit = cancel = read = count_pending = _reply
 
+    def rejection(self):
+        return CallResult(CallOutcome.NOT_DONE, retry_after_s=3)
+
 
 class Request(DummyRequest):
     is_open = True
@@ -89,6 +92,8 @@
         request = Request(b"GET", f"/q/{JOB}")
         self.serve(request, None, configured=False)
         self.assertEqual(request.responseCode, 503)
+        retry_after = request.responseHeaders.getRawHeaders("retry-after")
+        self.assertEqual(retry_after, ["3"])
 
     def test_bodies(self):
         for path, result, expected in (
