--- a/dogwoodlever/_preemption.py
+++ b/dogwoodlever/_preemption.py
@@ -506,7 +506,7 @@
             if run.phase is RunPhase.STOPPING:
                 since_s = planner._stopping_since_s[run.run_id]
                 # A stop that takes longer than allowed may take any time.
-                is_overdue = self._now_s - since_s > (
+                is_overdue = self._now_s - since_s >= (
                     planner._stop_timeout_s + HOLD_MARGIN_S
                 )
                 remaining_s = float("inf") if is_overdue else 0.0
@@ -721,6 +721,7 @@
             for victim in assignment.victims:
                 task_id = victim.task.task_id
                 planner._ordered.add(victim.run.run_id)
+                planner._stopping_since_s[victim.run.run_id] = self._now_s
                 planner._stopped_tasks.add(task_id)
                 self._budget -= 1
                 yield Preemption(victim.run, step)
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -206,6 +206,15 @@
         self.assertEqual(len(stopped), 3)
         self.assertEqual(len({run.worker_id for run in stopped}), 1)
 
+    def test_several_tasks_on_one_worker(self):
+        fixture = PreemptionFixture(workers=16, cores=16)
+        for worker in range(16):
+            for _ in range(2):
+                fixture.run_batch(worker, batch_step(checkpoints=worker == 3))
+        fixture.add("quote", [step(2, cores=8.0)])
+        stopped = fixture.rounds()
+        self.assertEqual([run.worker_id for run in stopped], ["w3", "w3"])
+
     WORKERS = [
         # name, change of the fixture, stops
         ("usable", lambda fixture: None, 1),
@@ -400,6 +409,73 @@
                 event(fixture)
                 self.assertEqual(fixture.round(0.01)[0], placed)
 
+    def test_urgent_step_is_placed_although_lower_priority_does_not_fit(self):
+        # The held room is closed to batch work only; late work of the highest priority
+        # comes after it.
+        fixture, run = self.start()
+        fixture.queues["first"] = replace(
+            fixture.queues["urgent"], name="first", priority=-1
+        )
+        fixture.add("batch", [batch_step()], "batch")
+        fixture.add("rival", [batch_step()], "first", age_s=16.0)
+        fixture.registry.jobs["quote"].arrived_s -= 90.0
+        fixture.end(run)
+        self.assertEqual(fixture.round(0.01)[0], ["rival"])
+
+    def test_placement_uses_up_the_held_room(self):
+        # Room must not stay held for a task that has got it.
+        fixture = PreemptionFixture(cores=16)
+        runs = [fixture.run_batch(0, batch_step(cores=8.0)) for _ in range(2)]
+        fixture.add("quote", [step(2, cores=7.0)])
+        (stopped,) = fixture.rounds(2)
+        self.assertIn(stopped, runs)
+        fixture.end(stopped)
+        self.assertEqual(fixture.round(0.01)[0], ["quote"])
+        fixture.add("small", [batch_step(cores=1.0)], "batch")
+        self.assertEqual(fixture.round(0.01)[0], ["small"])
+
+    def test_gang_counts_what_fits_beside_the_held_room(self):
+        # Four tasks fit the worker, but only one beside the room that is held.
+        fixture = PreemptionFixture(workers=2, cores=8)
+        run = fixture.run_batch(0, batch_step(cores=8.0))
+        fixture.run_batch(1, batch_step(cores=8.0, checkpoints=False))
+        fixture.add("quote", [step(cores=6.0)])
+        self.assertEqual(fixture.rounds(2), [run])
+        fixture.end(run)
+        gang = fixture.add("gang", [step(4, cores=2.0, gang=True)], "batch")
+        steps = gang.occurrences[0].steps
+        with patch.object(RunRegistry, "active_steps", return_value=steps):
+            self.assertEqual(fixture.round(0.01)[0], [])
+
+    def test_room_on_a_worker_that_takes_no_tasks_is_released(self):
+        # The step gets room elsewhere before the hold would expire.
+        fixture = PreemptionFixture(workers=16)
+        for worker in range(16):
+            fixture.run_batch(worker, batch_step())
+        fixture.add("quote", [self.URGENT])
+        (first,) = fixture.rounds(2)
+        fixture.capacities = [
+            capacity
+            for capacity in fixture.capacities
+            if capacity.entry.worker_id != first.worker_id
+        ]
+        (second,) = fixture.rounds(2)
+        self.assertNotEqual(first.worker_id, second.worker_id)
+
+    def test_overdue_stop_is_not_waited_for(self):
+        # A stop is not answered, and the task would wait for its end until it is late.
+        fixture = PreemptionFixture(workers=16)
+        for worker in range(16):
+            fixture.run_batch(worker, batch_step())
+        state = fixture.add("quote", [self.URGENT])
+        (first,) = fixture.rounds(2)
+        later = []
+        for _ in range(8):
+            state.arrived_s = fixture.now_s
+            later += fixture.round()[1]
+        self.assertEqual(len(later), 1)
+        self.assertNotEqual(first.worker_id, later[0].worker_id)
+
     def test_other_workers_are_not_held(self):
         fixture, _ = self.start()
         fixture.capacities.append(type(fixture.capacities[0])(worker_entry(1, 4)))
@@ -588,6 +664,19 @@
         starts = self.starts_of(fleet, BATCH_JOB)
         self.assertEqual(len(starts), 7)
 
+    def test_no_preemption_before_all_workers_are_polled(self):
+        # A new leader knows the room of the workers that it has polled only.
+        fleet = self.start_fleet()
+        self.submit_batch(fleet, 3)
+        unpolled = fleet.nodes[fleet.leader()].leader.workers.unpolled_workers
+        unpolled.add("w9")
+        self.submit_urgent(fleet)
+        fleet.run_for(0.6)
+        self.assertEqual(self.starts_of(fleet, URGENT_JOB), [])
+        unpolled.discard("w9")
+        fleet.run_for(0.6)
+        self.assertEqual(len(self.starts_of(fleet, URGENT_JOB)), 1)
+
     def test_failures_while_a_run_is_being_stopped(self):
         table = (
             # name, event 0.25 s after the urgent job arrives
