--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -212,7 +212,7 @@
             for _ in range(2):
                 fixture.run_batch(worker, batch_step(checkpoints=worker == 3))
         fixture.add("quote", [step(2, cores=8.0)])
-        stopped = fixture.rounds()
+        stopped = fixture.rounds(2)
         self.assertEqual([run.worker_id for run in stopped], ["w3", "w3"])
 
     WORKERS = [
@@ -273,6 +273,23 @@
                 placed, _ = fixture.round(0.01)
                 self.assertEqual(placed.count("gang"), tasks if stops else 0)
 
+    def test_gang_that_fits_no_rack_gets_room_in_several(self):
+        # What was chosen in one rack and given up must not count for the next.
+        entries = [
+            replace(worker_entry(n, 8), labels=("a", f"r{min(n, 3)}"))
+            for n in range(24)
+        ]
+        fixture = PreemptionFixture(entries=entries)
+        state = fixture.add("batch", [batch_step(3)], "batch")
+        for worker in range(24):
+            if worker < 3:
+                fixture.run_batch(worker, batch_step(3), job=state)
+            else:
+                fixture.run_batch(worker, batch_step(checkpoints=False))
+        fixture.add("gang", [step(3, cores=7.3, gang=True, same_rack=True)])
+        stopped = fixture.rounds(2)
+        self.assertEqual({run.worker_id for run in stopped}, {"w0", "w1", "w2"})
+
     def test_stops_are_bounded(self):
         workers = 40
         fixture = PreemptionFixture(workers=workers)
