--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -106,10 +106,6 @@
         Time for which the state of an ended job must remain readable.
     target_violation_max_s : float
         Time for which co-located work may keep a standing task above its target.
-    stop_timeout_s : float
-        Maximum time from an order to stop a run to its end.
-    checkpoint_interval_s : float
-        Work after which a run writes another checkpoint.
     workspace_rate_window_s : float
         Time over which the jobs of a workspace count against its rate.
     """
@@ -117,8 +113,6 @@
     run_lease_max_s: float
     job_state_kept_s: float
     target_violation_max_s: float
-    stop_timeout_s: float = 0.4
-    checkpoint_interval_s: float = 1.0
     workspace_rate_window_s: float = 5.0
 
 
--- a/dogwoodlever/platform/_node_file.py
+++ b/dogwoodlever/platform/_node_file.py
@@ -25,10 +25,6 @@
     status_s: float = 120
     # Time for which co-located work may keep a standing task above its target.
     harm_ms: int = 4_000
-    # Maximum time from an order to stop a run to its end.
-    stop_timeout_ms: int = 400
-    # Work after which a run writes another checkpoint.
-    checkpoint_s: float = 1
     # Whether a withdrawn key must be refused in time on every VM, and the time.
     strict_revoke: bool = False
     revoke_ms: int = 5_000
@@ -89,10 +85,6 @@
         Time for which the state of an ended job must remain readable.
     harm_s : float
         Time for which co-located work may keep a standing task above its target.
-    stop_timeout_s : float
-        Maximum time from an order to stop a run to its end.
-    checkpoint_interval_s : float
-        Work after which a run writes another checkpoint.
     key_withdrawal_s : float or None
         Time within which every VM must refuse a withdrawn key; None for no such limit.
     workspace_rate_window_s : float
@@ -113,8 +105,6 @@
     grace_s: float
     job_state_kept_s: float
     harm_s: float
-    stop_timeout_s: float = 0.4
-    checkpoint_interval_s: float = 1.0
     key_withdrawal_s: float | None = None
     workspace_rate_window_s: float = 5.0
 
@@ -153,8 +143,6 @@
         grace_s=bounds.grace_s,
         job_state_kept_s=bounds.status_s,
         harm_s=bounds.harm_ms / 1000,
-        stop_timeout_s=bounds.stop_timeout_ms / 1000,
-        checkpoint_interval_s=bounds.checkpoint_s,
         key_withdrawal_s=bounds.revoke_ms / 1000 if bounds.strict_revoke else None,
         workspace_rate_window_s=bounds.quota_window_s,
     )
