Log and count the evidence on which a run is dropped

Change: a drop without a listed end carries its evidence and the time of it. The counter dropped_runs_total{evidence} counts it, run.lost and run.refused log evidence and evidence_age_s, and run.restarted names the dropped run, its worker, the evidence and its age when the task starts again. run.lost has evidence in place of why; `why JOB` reads both. No decision changes. drop_lost_runs needs a cause now, so three calls in tests/test_worker_resize.py pass one; their checks are the same.

--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from dogwoodlever._drop_evidence import DroppedRun
 from dogwoodlever._fleet_types import (
     Queue,
     RunId,
@@ -123,6 +124,8 @@
         Runs in a row that were lost in a crash after their probation.
     lost_runs : dict of int to LostRun
         Runs in a row that were lost in a crash, by number.
+    dropped_run : DroppedRun or None
+        The last run, if it was dropped without a listed end.
     """
 
     task_id: TaskId
@@ -137,6 +140,7 @@
     unanswered_crashes: set[int] = field(default_factory=set)
     late_crashes: set[int] = field(default_factory=set)
     lost_runs: dict[int, LostRun] = field(default_factory=dict)
+    dropped_run: DroppedRun | None = None
 
     @property
     def accountable(self) -> "Task":
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -42,6 +42,9 @@
             WAIT_BUCKETS_S,
         )
         self.run_ends = self._counter("run_ends", "Runs that ended", "how")
+        self.dropped_runs = self._counter(
+            "dropped_runs", "Runs dropped without a listed end", "evidence"
+        )
         self.run_moves = self._counter("run_moves", "Runs stopped to go on", "why")
         self.throttle_orders = self._counter("paces", "Orders of a pace")
         self.worker_events = self._counter(
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Container
 
 from dogwoodlever._crash_attribution import CrashAttribution
+from dogwoodlever._drop_evidence import DropCause, DropEvidence, DroppedRun
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_interfaces import RefusalReason
 from dogwoodlever._fleet_job import JobPhase, JobState, Run, RunPhase, StepState, Task
@@ -92,6 +93,7 @@
         task = placement.task
         capacity = placement.capacity
         worker_id = capacity.entry.worker_id
+        former = task.dropped_run
         run = self._registry.begin_run(task, worker_id, now_s, placement.number)
         capacity.add(run, task.step.spec)
         self._crashes.add_run(run, task)
@@ -104,11 +106,24 @@
             waited_s=now_s - job.arrived_s,
             free_milli=capacity.cores_free,
         )
+        if former is not None:
+            self._log_restarted(run, former)
         order = StartOrder(
             run.run_id, job.job.payload, task.checkpoint, placement.ticket
         )
         self._links[worker_id].start(run, order)
 
+    def _log_restarted(self, run: Run, former: DroppedRun) -> None:
+        log_event(
+            "run.restarted",
+            run=_format_run(run),
+            worker=run.worker_id,
+            former=former.number,
+            former_worker=former.worker_id,
+            evidence=former.cause.evidence,
+            evidence_age_s=former.cause.age_s(self._clock.seconds()),
+        )
+
     def throttled_tasks(self, now_s: float) -> list[tuple]:
         """Return (task, capacity) of throttled runs that should move."""
         tasks = []
@@ -195,7 +210,8 @@
                 or run.run_id in listed
             ):
                 continue
-            self._drop_lost(capacity, run, "not listed")
+            cause = DropCause(DropEvidence.NOT_LISTED, link.responded_s)
+            self.drop_lost(capacity, run, cause)
             if self._usage is not None:
                 self._usage.release(capacity.entry.worker_id, run.run_id)
 
@@ -339,15 +355,22 @@
             self._links[worker_id].stop(run)
 
     def drop_lost_runs(
-        self, capacity: WorkerCapacity, kept: Container[RunId] = ()
+        self,
+        capacity: WorkerCapacity,
+        cause: DropCause,
+        kept: Container[RunId] = (),
     ) -> None:
         """Drop the runs of a lost worker, except those in `kept`."""
         for run, _ in list(capacity.runs.values()):
             if run.run_id not in kept:
-                self._drop_lost(capacity, run, "worker lost")
+                self.drop_lost(capacity, run, cause)
 
     def drop_crashed_runs(
-        self, capacity: WorkerCapacity, ended_s: float, kept: Container[RunId] = ()
+        self,
+        capacity: WorkerCapacity,
+        ended_s: float,
+        cause: DropCause,
+        kept: Container[RunId] = (),
     ) -> None:
         """Drop the runs of a worker whose process ended, except those in `kept`.
 
@@ -376,7 +399,7 @@
                     crashes=len(task.crashes),
                     worker=worker_id,
                 )
-        self.drop_lost_runs(capacity, kept)
+        self.drop_lost_runs(capacity, cause, kept)
 
     def _clear(self, task: Task) -> None:
         """Clear a task whose run has ended without a crash of its worker."""
@@ -407,7 +430,8 @@
             self.stop_all(self._registry.end_job(state, JobPhase.FAILED))
             self._log_job_ended(state, now_s)
 
-    def _drop_lost(self, capacity: WorkerCapacity, run: Run, why: str) -> None:
+    def drop_lost(self, capacity: WorkerCapacity, run: Run, cause: DropCause) -> None:
+        """Drop a run that has ended for certain although its end was not listed."""
         capacity.remove(run.run_id)
         self._crashes.remove_run(run)
         link = self._links.get(capacity.entry.worker_id)
@@ -416,9 +440,15 @@
         if self._is_registered(run):
             task = self._registry.find(run.run_id.task)
             self._registry.drop_run(task, run.run_id.number)
+            task.dropped_run = DroppedRun(run.run_id.number, run.worker_id, cause)
         self._metrics.run_ends.labels("lost").inc()
+        self._metrics.dropped_runs.labels(cause.evidence).inc()
         log_event(
-            "run.lost", run=_format_run(run), worker=capacity.entry.worker_id, why=why
+            "run.lost",
+            run=_format_run(run),
+            worker=capacity.entry.worker_id,
+            evidence=cause.evidence,
+            evidence_age_s=cause.age_s(self._clock.seconds()),
         )
 
     def on_started(self, run: Run) -> None:
@@ -432,18 +462,29 @@
         """Handle a worker's refusal to start a run."""
         worker_id = run.worker_id
         capacity = self._capacities.get(worker_id)
+        now_s = self._clock.seconds()
+        cause = DropCause(DropEvidence.of_refusal(reason), now_s)
         self._metrics.starts.labels(reason).inc()
-        log_event("run.refused", run=_format_run(run), worker=worker_id, reason=reason)
+        self._metrics.dropped_runs.labels(cause.evidence).inc()
+        log_event(
+            "run.refused",
+            run=_format_run(run),
+            worker=worker_id,
+            reason=reason,
+            evidence=cause.evidence,
+            evidence_age_s=cause.age_s(now_s),
+        )
         if capacity is not None:
             capacity.remove(run.run_id)
             self._crashes.remove_run(run)
             pause_s = REFUSED_BACKOFF_S
             if reason is RefusalReason.UNHEALTHY:
                 pause_s = UNHEALTHY_BACKOFF_S
-            capacity.refused_until_s = self._clock.seconds() + pause_s
+            capacity.refused_until_s = now_s + pause_s
         task = self._registry.find(run.run_id.task)
         if task is not None:
-            self._registry.drop_run(task, run.run_id.number)
+            if self._registry.drop_run(task, run.run_id.number) is not None:
+                task.dropped_run = DroppedRun(run.run_id.number, worker_id, cause)
             if reason is RefusalReason.NO_TICKET and capacity is not None:
                 self._on_ticket_rejected(task.step, capacity)
 
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -7,6 +7,7 @@
 from twisted.internet.task import deferLater
 
 from dogwoodlever._crash_attribution import PROBATION_MS, CrashAttribution
+from dogwoodlever._drop_evidence import DropCause, DropEvidence
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_desired_state import DesiredState, try_decode_worker
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
@@ -358,7 +359,12 @@
                 else:
                     log_event("worker.entry-outdated", worker=worker_id)
                 return
-            self._drop_incarnation(worker_id, "restarted", is_member=True)
+            self._drop_incarnation(
+                worker_id,
+                DropEvidence.INCARNATION_REPLACED,
+                "restarted",
+                is_member=True,
+            )
         if started_at_ms in (0, entry.started_at_ms):
             self._add_worker(entry)
 
@@ -396,15 +402,17 @@
     def _drop_incarnation(
         self,
         worker_id: str,
+        evidence: DropEvidence,
         why: str,
         is_member: bool = False,
         may_return: bool = True,
     ) -> None:
         """Drop an incarnation of a worker, whose runs have all ended.
 
-        A copy of a start without a response may still reach a later incarnation, if
-        the worker may return to its address. Its run counts until then. `is_member`
-        keeps the worker in the membership for its next incarnation.
+        The evidence was received just now. A copy of a start without a response may
+        still reach a later incarnation, if the worker may return to its address. Its
+        run counts until then. `is_member` keeps the worker in the membership for its
+        next incarnation.
         """
         capacity = self.capacities.pop(worker_id)
         link = self._links.pop(worker_id)
@@ -413,7 +421,8 @@
             "worker.life-over", worker=worker_id, why=why, runs=len(capacity.runs)
         )
         starts_in_flight = link.starts_in_flight() if may_return else {}
-        self.runs.drop_crashed_runs(capacity, link.broken_s, starts_in_flight)
+        cause = DropCause(evidence, self._clock.seconds())
+        self.runs.drop_crashed_runs(capacity, link.broken_s, cause, starts_in_flight)
         self._keep_starts_in_flight(capacity, starts_in_flight, link.late_grants_end_s)
         if not capacity.runs and not is_member:
             self._remove_worker(worker_id)
@@ -485,7 +494,7 @@
                 if start.may_be_carried_out(now_s)
             }
             if not in_flight.issuperset(previous.capacity.runs):
-                self.runs.drop_lost_runs(previous.capacity, kept=in_flight)
+                self._drop_expired_starts(previous, in_flight)
                 self._on_change()
                 if not previous.capacity.runs:
                     self._remove_worker(worker_id)
@@ -493,6 +502,15 @@
             if now_s >= kept_until_s and not in_flight:
                 del self._ended_incarnations[worker_id]
 
+    def _drop_expired_starts(
+        self, previous: EndedIncarnation, in_flight: set[RunId]
+    ) -> None:
+        for run, _ in list(previous.capacity.runs.values()):
+            if run.run_id not in in_flight:
+                start = previous.starts_in_flight[run.run_id]
+                cause = DropCause(DropEvidence.ORDER_EXPIRED, start.expires_s)
+                self.runs.drop_lost(previous.capacity, run, cause)
+
     def _is_schedulable(self, capacity: WorkerCapacity) -> bool:
         """Return whether new tasks may start on a worker."""
         link = self._links[capacity.entry.worker_id]
@@ -581,11 +599,12 @@
         log_event("worker.lapsed", worker=worker_id, runs=len(capacity.runs))
         link.last_response_s.clear()
         self._hold_usage(capacity, link.starts_in_flight())
+        cause = DropCause(DropEvidence.LEASES_EXPIRED, link.lease_expiry_s)
         if link.is_refused:
             # Most likely its process has ended.
-            self.runs.drop_crashed_runs(capacity, link.broken_s)
+            self.runs.drop_crashed_runs(capacity, link.broken_s, cause)
         else:
-            self.runs.drop_lost_runs(capacity)
+            self.runs.drop_lost_runs(capacity, cause)
         self.unpolled_workers.discard(worker_id)
         capacity.is_synced = False
         if not capacity.is_listed:
@@ -633,10 +652,19 @@
             del self.capacities[worker_id], self._links[worker_id]
             self._probe(self._membership.entry_of(worker_id))
             return
-        self._drop_incarnation(worker_id, "another worker answers", may_return=False)
+        self._drop_incarnation(
+            worker_id,
+            DropEvidence.ADDRESS_TAKEN,
+            "another worker answers",
+            may_return=False,
+        )
 
     def on_replaced(self, link: WorkerLink) -> None:
         """Drop the incarnation; the new one is added with its entry."""
         worker_id = link.entry.worker_id
         if self._links.get(worker_id) is link:
-            self._drop_incarnation(worker_id, "another incarnation answers")
+            self._drop_incarnation(
+                worker_id,
+                DropEvidence.INCARNATION_REPLACED,
+                "another incarnation answers",
+            )
--- a/dogwoodlever/_job_timeline.py
+++ b/dogwoodlever/_job_timeline.py
@@ -181,7 +181,14 @@
         case "run.moved":
             return f"stopped on {worker} to go on elsewhere: slowed by its pace"
         case "run.evicted" | "run.lost":
-            return f"{event.name[4:]} on {worker}: {fields.get('why')}"
+            # Earlier builds logged the evidence of a lost run as `why`.
+            why = fields.get("why", fields.get("evidence"))
+            return f"{event.name[4:]} on {worker}: {why}"
+        case "run.restarted":
+            return (
+                f"replaces run {fields.get('former')} on {fields.get('former_worker')}:"
+                f" {fields.get('evidence')}, {fields.get('evidence_age_s')} s before"
+            )
         case "run.stalled":
             return f"stopped on {worker}: no progress at {fields.get('percent')} %"
         case "run.refused":
--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -140,6 +140,7 @@
     def _attach(self, task: Task, run: Run) -> None:
         task.last_run = max(task.last_run, run.run_id.number)
         task.runs[run.run_id.number] = run
+        task.dropped_run = None
         step = task.step
         step.worker_tasks[run.worker_id] = step.worker_tasks.get(run.worker_id, 0) + 1
         step.job.has_started = True
@@ -167,6 +168,7 @@
         if task is None:
             return EndOutcome(None)
         self.drop_run(task, end.run.number)
+        task.dropped_run = None
         task.last_run = max(task.last_run, end.run.number)
         job = task.step.job
         if job.has_ended or task.is_done:
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -241,6 +241,11 @@
             end_s = max(end_s, self._clock.seconds() + LATE_ORDER_MAX_S)
         return end_s
 
+    @property
+    def responded_s(self) -> float:
+        """Time at which the last response to a poll was received."""
+        return self._clock_read_s
+
     def limit_inherited_expiry(self, lease_expiry_s: float) -> None:
         """Lower the expiry of leases from a former leader."""
         if not self._granted_ms:
--- a/tests/test_job_timeline.py
+++ b/tests/test_job_timeline.py
@@ -13,6 +13,10 @@
     (6.2, f"event=run.placed run={JOB}.0.0.0#1002 worker=w2 waited_s=1.2"),
     (6.3, f"event=run.lost run={JOB}.0.0.0#1002 worker=w2 why="
           '"worker lost"'),
+    (6.5, f"event=run.restarted run={JOB}.0.0.0#1003 worker=w1 former=1002 "
+          "former_worker=w2 evidence=leases-expired evidence_age_s=0.2"),
+    (6.6, f"event=run.lost run={JOB}.0.0.0#1003 worker=w1 evidence=not-listed "
+          "evidence_age_s=0"),
     (7.0, f"event=run.placed run={'b' * 16}.0.0.0#1 worker=w2 waited_s=1.2"),
     (7.1, "event=worker.read worker=w2 running=4"),
 ]  # fmt: skip
@@ -36,13 +40,16 @@
                 "    22:04:06.000 run 1 failed on w1 after 0.9 s",
                 "    22:04:06.200 run 1002 placed on w2, 1.200 s after the job arrived",
                 "    22:04:06.300 run 1002 lost on w2: worker lost",
+                "    22:04:06.500 run 1003 replaces run 1002 on w2: leases-expired, "
+                "0.2 s before",
+                "    22:04:06.600 run 1003 lost on w1: not-listed",
             ],
         )
 
     def test_document(self):
         document = read_job_timeline(JOB, text_lines()).document()
         runs = document["tasks"][f"{JOB}.0.0.0"]
-        self.assertEqual(sorted(runs), ["1", "1002"])
+        self.assertEqual(sorted(runs), ["1", "1002", "1003"])
         self.assertEqual(runs["1002"][1]["why"], "worker lost")
         self.assertEqual(document["events"][0]["steps"], "2x1m 3x1m")
 
--- a/tests/test_worker_resize.py
+++ b/tests/test_worker_resize.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.task import Clock
 
+from dogwoodlever._drop_evidence import DropCause, DropEvidence
 from dogwoodlever._fleet_headroom import Headroom
 from dogwoodlever._fleet_job import JobPhase, RunPhase
 from dogwoodlever._fleet_metrics import FleetMetrics
@@ -37,6 +38,7 @@
 HARMLESS_MS = 10
 # The platform tolerates starts on a worker that has shrunk for 3 s and a heartbeat.
 SHRINK_NOTICE_S = 3.0
+LEASES_EXPIRED = DropCause(DropEvidence.LEASES_EXPIRED, NOW_S)
 
 
 class PlannerOnResizedWorkersTest(unittest.TestCase):
@@ -210,16 +212,16 @@
         link.stop.assert_not_called()
 
     def test_loss_of_the_copy_is_no_loss_of_the_run(self):
-        self.runs.drop_lost_runs(self.copy_on)
+        self.runs.drop_lost_runs(self.copy_on, LEASES_EXPIRED)
         self.assertEqual(self.copy_on.cores_used, 0)
         self.assertEqual(self.task.runs, {self.run.run_id.number: self.run})
 
     def test_copy_that_is_adopted_is_lost_with_its_worker(self):
-        self.runs.drop_lost_runs(self.task_on)
+        self.runs.drop_lost_runs(self.task_on, LEASES_EXPIRED)
         self.list_copy()
         self.assertEqual(len(self.task.runs), 1)
         self.assertEqual(self.copy_on.cores_used, 3000)
-        self.runs.drop_lost_runs(self.copy_on)
+        self.runs.drop_lost_runs(self.copy_on, LEASES_EXPIRED)
         self.assertEqual(self.task.runs, {})
 
 
