Serve the counters of decisions before all other metrics

Histograms of calls came first, so run_ends, worker_events and run_moves of the leader were cut off in each of the 90 responses, and dropped_runs would be.

Change: order only. leads, dropped_runs, run_ends, worker_events and starts come first.

--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -16,6 +16,26 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        # Decisions come first, since collectors may keep only the start of a response.
+        self.leads = Gauge(
+            "leads",
+            "Whether this daemon leads",
+            namespace=PREFIX,
+            registry=self.registry,
+        )
+        self.dropped_runs = self._counter(
+            "dropped_runs", "Runs dropped without a listed end", "evidence"
+        )
+        self.run_ends = self._counter("run_ends", "Runs that ended", "how")
+        self.worker_events = self._counter(
+            "worker_events", "Events of workers", "event"
+        )
+        self.starts = self._counter("starts", "Orders to start, by answer", "answer")
+        self.run_moves = self._counter("run_moves", "Runs stopped to go on", "why")
+        self.throttle_orders = self._counter("paces", "Orders of a pace")
+        self.suspect_events = self._counter(
+            "suspect_events", "Events of tasks that may crash workers", "event"
+        )
         self.caller_calls = self._counter(
             "caller_calls", "Callers' calls", "call", "outcome"
         )
@@ -26,13 +46,6 @@
         self.store_write_s = self._histogram(
             "store_write_seconds", "Time of a write to the store", CALL_BUCKETS_S
         )
-        self.leads = Gauge(
-            "leads",
-            "Whether this daemon leads",
-            namespace=PREFIX,
-            registry=self.registry,
-        )
-        self.starts = self._counter("starts", "Orders to start, by answer", "answer")
         self.start_s = self._histogram(
             "start_seconds", "From a decision to the worker's answer", CALL_BUCKETS_S
         )
@@ -41,18 +54,6 @@
             "From a job's arrival to a task's start",
             WAIT_BUCKETS_S,
         )
-        self.run_ends = self._counter("run_ends", "Runs that ended", "how")
-        self.dropped_runs = self._counter(
-            "dropped_runs", "Runs dropped without a listed end", "evidence"
-        )
-        self.run_moves = self._counter("run_moves", "Runs stopped to go on", "why")
-        self.throttle_orders = self._counter("paces", "Orders of a pace")
-        self.worker_events = self._counter(
-            "worker_events", "Events of workers", "event"
-        )
-        self.suspect_events = self._counter(
-            "suspect_events", "Events of tasks that may crash workers", "event"
-        )
         self.workspace_cores = self._gauge(
             "workspace_cores", "Cores requested by a workspace's runs", "workspace"
         )
--- a/tests/test_run_restarts.py
+++ b/tests/test_run_restarts.py
@@ -3,8 +3,11 @@
 import unittest
 from unittest.mock import patch
 
+from prometheus_client.exposition import generate_latest
+
 from dogwoodlever._drop_evidence import DropEvidence
 from dogwoodlever._fleet_interfaces import RefusalReason
+from dogwoodlever._fleet_metrics import FleetMetrics
 from dogwoodlever._fleet_types import TaskId
 from dogwoodlever._worker_link import LATE_ORDER_MAX_S
 from dogwoodlever.platform_errors import OrderRefusedError
@@ -12,6 +15,8 @@
 from tests.fleet_simulation import JOB, FleetSimulation, job, worker_entry
 
 TASK = f"{JOB}.0.0.0"
+# Of each response of the metrics address, as far as a collector may keep it.
+KEPT_BYTES = 4_000
 # Interval at which the leader checks whether orders have expired.
 EXPIRY_CHECK_MAX_S = 0.25
 # From the expiry of leases to the leader's next contact with the store.
@@ -152,6 +157,25 @@
                 evidence = DropEvidence.of_refusal(reason)
                 self.assertEqual(evidence, f"start-refused-{reason}")
 
+    # Guards against counters of decisions that a collector which keeps the first 4,000
+    # bytes of a response never sees, as in the first run of the incident of issue 30.
+    def test_decisions_are_counted_at_the_start_of_a_response(self):
+        metrics = FleetMetrics()
+        expected = []
+        for evidence in DropEvidence:
+            metrics.dropped_runs.labels(evidence).inc()
+            expected.append(f'dropped_runs_total{{evidence="{evidence}"}} 1.0')
+        for how in ("done", "failed", "stopped", "lapsed", "lost"):
+            metrics.run_ends.labels(how).inc()
+            expected.append(f'run_ends_total{{how="{how}"}} 1.0')
+        for event in ("lapsed", "quarantined"):
+            metrics.worker_events.labels(event).inc()
+            expected.append(f'worker_events_total{{event="{event}"}} 1.0')
+        kept = generate_latest(metrics.registry)[:KEPT_BYTES].decode()
+        for line in expected:
+            with self.subTest(line):
+                self.assertIn(line, kept)
+
     # Guards against a restart that is attributed to a run which ended as listed.
     def test_start_after_a_listed_end_is_no_restart(self):
         fleet = self.start_fleet()
