--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -207,6 +207,8 @@
 
     def __init__(self, records: FleetRecords, clock) -> None:
         self.silent_prefixes: set[str] = set()
+        self._cut_error: type[StoreUnavailableError] | None = None
+        self._open_calls: set[Deferred] = set()
         self._records = records
         self._clock = clock
         self.is_down = False
@@ -216,8 +218,31 @@
         self.commits = 0
         self.watches = 0
 
-    def _call(self, action: Callable[[], object]) -> Deferred:
+    def cut_off(self, error: type[StoreUnavailableError]) -> None:
+        """Cut this daemon off: open calls are reset, new ones fail with `error`."""
+        self._cut_error = error
+        for response in list(self._open_calls):
+            if not response.called:
+                response.errback(StoreUnavailableError("connection reset"))
+
+    def reconnect(self) -> None:
+        """End a cut."""
+        self._cut_error = None
+
+    def _open_call(self) -> Deferred:
         response: Deferred = Deferred()
+        self._open_calls.add(response)
+
+        def close(result):
+            self._open_calls.discard(response)
+            return result
+
+        return response.addBoth(close)
+
+    def _call(self, action: Callable[[], object]) -> Deferred:
+        if self._cut_error is not None:
+            return fail(self._cut_error("store is cut off"))
+        response = self._open_call()
         if self.is_down:
             self._clock.callLater(STORE_TIMEOUT_S, self._time_out, response)
             return response
@@ -232,9 +257,13 @@
     @staticmethod
     def _run(action, response: Deferred) -> None:
         try:
-            response.callback(action())
+            result = action()
         except LeaseEndedError as error:
-            response.errback(error)
+            if not response.called:
+                response.errback(error)
+            return
+        if not response.called:
+            response.callback(result)
 
     def read(self, key: str) -> Deferred:
         """Read a record."""
@@ -249,7 +278,9 @@
     def watch(self, prefix: str, revision: int, wait_ms: int) -> Deferred:
         """Wait up to `wait_ms` for changes after a revision."""
         self.watches += 1
-        response: Deferred = Deferred()
+        if self._cut_error is not None:
+            return fail(self._cut_error("store is cut off"))
+        response = self._open_call()
         until_s = self._clock.seconds() + wait_ms / 1000
 
         def respond_when_changed() -> None:
@@ -404,6 +435,9 @@
         From the start of such a task to the crash; 0 if the start gets no answer.
     crashes : list of str
         Workers whose processes ended, in order.
+    reruns : list of RunId
+        Those of `duplicate_starts` for which the lease of the worker expired between
+        the end of the earlier run and its acknowledgement, so that it does not count.
     """
 
     def __init__(self, clock) -> None:
@@ -424,6 +458,8 @@
         self.starts: list[tuple[RunId, str]] = []
         self.duplicate_starts: list[RunId] = []
         self.done: set = set()
+        self.reruns: list[RunId] = []
+        self._expired_ends: set[TaskId] = set()
         self.polls = 0
         self.orders_to_lose = 0
 
@@ -447,6 +483,7 @@
         """End the runs of one worker that are due."""
         now_s = self.clock.seconds()
         if worker.clock_ms(now_s) > worker.until_ms > 0:
+            self._expired_ends.update(end.run.task for end in worker.ended)
             for run in list(worker.running.values()):
                 self.end(worker, run, "lapsed")
         for run in list(worker.running.values()):
@@ -500,6 +537,8 @@
         )
         if is_running_elsewhere or order.run.task in self.done:
             self.duplicate_starts.append(order.run)
+            if not is_running_elsewhere and order.run.task in self._expired_ends:
+                self.reruns.append(order.run)
         worker.latest_numbers[order.run.task] = order.run.number
         worker.running[order.run] = FakeRun(
             order.run,
@@ -556,9 +595,47 @@
 
     def __init__(self, workers: FakeWorkers, clock) -> None:
         self.unreachable: set[str] = set()
+        self._cut_errors: dict[str, type[WorkerUnreachableError]] = {}
+        self._open_calls: dict[Deferred, str] = {}
+        self._loses_requests = False
         self._workers = workers
         self._clock = clock
 
+    def cut_off(
+        self,
+        worker_ids: set[str],
+        error: type[WorkerUnreachableError],
+        loses_requests: bool = False,
+    ) -> None:
+        """Cut this daemon off from workers, which run on.
+
+        Open calls are reset and new ones fail with `error`. Unless `loses_requests`
+        is set, orders under way are carried out.
+        """
+        self._cut_errors = dict.fromkeys(worker_ids, error)
+        self._loses_requests = loses_requests
+        for response, worker_id in list(self._open_calls.items()):
+            if worker_id in worker_ids and not response.called:
+                response.errback(WorkerUnreachableError("connection reset"))
+
+    def reconnect(self) -> None:
+        """End a cut."""
+        self._cut_errors.clear()
+
+    def count_open_calls(self, worker_ids: set[str]) -> int:
+        """Return the number of calls to workers that are not answered yet."""
+        return sum(worker_id in worker_ids for worker_id in self._open_calls.values())
+
+    def _open_call(self, worker_id: str) -> Deferred:
+        response: Deferred = Deferred()
+        self._open_calls[response] = worker_id
+
+        def close(result):
+            del self._open_calls[response]
+            return result
+
+        return response.addBoth(close)
+
     def _call(
         self,
         entry: WorkerEntry,
@@ -567,6 +644,8 @@
         sends_response: bool = True,
     ):
         worker = self._workers.workers.get(entry.worker_id)
+        if entry.worker_id in self._cut_errors:
+            return fail(self._cut_errors[entry.worker_id]("worker is cut off"))
         if entry.worker_id in self._workers.replaced:
             return fail(WrongIncarnationError("another worker answers"))
         if worker is not None and worker.refuses_connections:
@@ -576,34 +655,41 @@
             if any(w.address == address for w in self._workers.workers.values()):
                 return fail(WrongIncarnationError("another worker answers"))
             return fail(ConnectionRefusedByWorkerError("no worker at the address"))
-        response: Deferred = Deferred()
+        response = self._open_call(entry.worker_id)
         is_cut = entry.worker_id in self.unreachable
         if worker is None or is_cut or not worker.is_reachable:
             self._clock.callLater(WORKER_TIMEOUT_S, self._time_out, response)
             return response
 
         def deliver() -> None:
+            if response.called and self._loses_requests:
+                return
             self._workers.advance_worker(worker)
             if fencing_token < worker.fencing_token:
-                response.errback(OrderRefusedError(RefusalReason.FENCED))
+                respond(response.errback, OrderRefusedError(RefusalReason.FENCED))
                 return
             worker.fencing_token = fencing_token
             try:
                 result = action(worker)
             except (OrderRefusedError, WorkerUnreachableError) as error:
-                response.errback(error)
+                respond(response.errback, error)
                 return
             if sends_response:
-                response.callback(result)
+                respond(response.callback, result)
             else:
                 self._clock.callLater(WORKER_TIMEOUT_S, self._time_out, response)
 
+        def respond(fire, result) -> None:
+            if not response.called:
+                fire(result)
+
         self._clock.callLater(WORKER_DELAY_S, deliver)
         return response
 
     @staticmethod
     def _time_out(response: Deferred) -> None:
-        response.errback(WorkerUnreachableError("worker did not respond"))
+        if not response.called:
+            response.errback(WorkerUnreachableError("worker did not respond"))
 
     def start(
         self, worker, order: StartOrder, until_ms: int, fencing_token: int
@@ -671,7 +757,7 @@
     def poll(self, worker, fencing_token, acknowledged, until_ms, wait_ms) -> Deferred:
         """Read the running and ended runs; wait up to `wait_ms` for an ended run."""
         self._workers.polls += 1
-        response: Deferred = Deferred()
+        response = self._open_call(worker.worker_id)
         until_s = self._clock.seconds() + wait_ms / 1000
 
         def poll_worker(target: FakeWorker) -> PollResult:
@@ -689,10 +775,17 @@
             return PollResult(target.clock_ms(now_s), started_at_ms, running, ended)
 
         def send_poll() -> None:
-            call = self._call(worker, fencing_token, poll_worker)
-            call.addCallbacks(respond_or_repeat, response.errback)
+            if not response.called:
+                call = self._call(worker, fencing_token, poll_worker)
+                call.addCallbacks(respond_or_repeat, fail_poll)
+
+        def fail_poll(failure) -> None:
+            if not response.called:
+                response.errback(failure)
 
         def respond_or_repeat(poll: PollResult) -> None:
+            if response.called:
+                return
             if poll.ended or self._clock.seconds() >= until_s:
                 response.callback(poll)
             else:
