Tests of stops, cancellations and requests that a cut interrupts

Suspected: a stop that is refused, or whose answer a reset takes away, frees its task while the run goes on; a cancellation is lost in a cut; a request on a kept connection that is reset is repeated or reported as not sent.

--- a/tests/test_cut_evidence.py
+++ b/tests/test_cut_evidence.py
@@ -3,7 +3,12 @@
 import unittest
 from dataclasses import replace
 
+from twisted.internet.error import ConnectionLost
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
+
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
+from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
 from dogwoodlever.platform_errors import (
     ConnectionRefusedByWorkerError,
     StoreRefusedError,
@@ -11,7 +16,14 @@
     WorkerUnreachableError,
 )
 from standins.fleet import server_record
-from tests.fleet_simulation import JOB, FleetSimulation, job, worker_entry
+from tests.fleet_simulation import (
+    JOB,
+    FleetSimulation,
+    StandingWorkTest,
+    job,
+    worker_entry,
+)
+from tests.test_http_client import OK, URL, FakeTransport
 
 CUT_DATA_CENTRE = "south"
 # Errors of new connections to workers and to the store while a link is cut.
@@ -146,5 +158,107 @@
             self.assertEqual(len(set(running)), TASKS)
 
 
+class CutOrdersTest(StandingWorkTest):
+    """Orders that a cut prevents, or whose answers it takes away."""
+
+    def cut_off(self, fleet, worker_id, how, loses_requests=False):
+        for client in fleet.worker_clients:
+            client.cut_off({worker_id}, CUTS[how][0], loses_requests)
+
+    def reconnect(self, fleet):
+        for client in fleet.worker_clients:
+            client.reconnect()
+
+    # Guards against work that starts elsewhere after a stop that a cut has prevented,
+    # or whose answer it has taken away, while the run goes on.
+    def test_stop_of_a_draining_workers_run_during_a_cut(self):
+        for how in CUTS:
+            for is_under_way in (False, True):
+                for loses_requests in (False, True):
+                    for cut_s in (0.3, 1.0, 3.0, 9.0):
+                        with self.subTest(
+                            how=how,
+                            is_under_way=is_under_way,
+                            loses_requests=loses_requests,
+                            cut_s=cut_s,
+                        ):
+                            self.check_stop(how, is_under_way, loses_requests, cut_s)
+
+    def check_stop(self, how, is_under_way, loses_requests, cut_s):
+        fleet = self.start_fleet(workers=3)
+        assigned = self.start_standing_job(fleet, 4)
+        fleet.workers.stop_s = 0.2
+        entry = fleet.workers.workers[assigned].entry
+        client = fleet.worker_clients[fleet.leader()]
+        open_calls = client.count_open_calls({assigned})
+        fleet.records.write(
+            f"servers/{assigned}", server_record(entry, state="draining")
+        )
+        while is_under_way and client.count_open_calls({assigned}) < open_calls + 2:
+            fleet.clock.advance(0.001)
+        self.cut_off(fleet, assigned, how, loses_requests)
+        fleet.run_for(cut_s)
+        self.reconnect(fleet)
+        fleet.run_for(WORKER_LEASES_MAX_S)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(self.count_running(fleet), 4)
+        self.assertEqual(len(fleet.workers.workers[assigned].running), 0)
+
+    # Guards against runs of a cancelled job that go on after a cut.
+    def test_cancellation_during_a_cut_stops_the_run(self):
+        for how in CUTS:
+            for cut_s in (0.3, 1.0, 3.0, 9.0):
+                with self.subTest(how=how, cut_s=cut_s):
+                    fleet = self.start_fleet(workers=3)
+                    self.cut_off(fleet, self.start_standing_job(fleet, 4), how)
+                    fleet.await_result(
+                        fleet.nodes[0].frontend.cancel(JOB, fleet.clock.seconds() + 3),
+                        0.2,
+                    )
+                    fleet.run_for(cut_s)
+                    self.reconnect(fleet)
+                    fleet.run_for(1.0)
+                    self.assertEqual(self.count_running(fleet), 0)
+                    self.assertEqual(len(fleet.workers.starts), 4)
+
+
+class CutConnectionTest(unittest.TestCase):
+    """Requests on a connection that is reset."""
+
+    # name, bytes that the socket takes, part of the answer
+    RESETS = [
+        ("before the request", -1, b""),
+        ("within the request", 10, b""),
+        ("after the request", 1 << 20, b""),
+        ("within the answer", 1 << 20, OK + b"o"),
+    ]
+
+    # Guards against a request that is repeated, or reported as not sent, although the
+    # reset of a connection kept from earlier calls may have followed its delivery.
+    def test_reset_of_a_kept_connection(self):
+        for name, takes_bytes, answer in self.RESETS:
+            with self.subTest(name):
+                reactor = MemoryReactorClock()
+                client = HttpClient(reactor, 5.0)
+                client.fetch(b"POST", URL, b"{}")
+                protocol = reactor.tcpClients[-1][2].buildProtocol(None)
+                transport = FakeTransport()
+                protocol.makeConnection(transport)
+                protocol.dataReceived(OK + b"ok")
+                transport.clear()
+                transport.takes_bytes = takes_bytes
+                results = []
+                client.fetch(b"POST", URL, b"{}").addBoth(results.append)
+                if answer:
+                    protocol.dataReceived(answer)
+                protocol.connectionLost(Failure(ConnectionLost()))
+                reactor.advance(10.0)
+                self.assertEqual(len(results), 1)
+                self.assertIsInstance(results[0].value, ConnectionLost)
+                self.assertNotIsInstance(results[0].value, NOT_SENT_ERRORS)
+                self.assertEqual(len(reactor.tcpClients), 1)
+                self.assertEqual(transport.value().count(b"POST"), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
