Failing test: a refused start is forgotten when its worker's lease expires unconfirmed

Cause: WorkerLink.start gives up a start once the worker's lease has expired, and leaves the run to on_lease_expired. If the store is away, the leader does not drop the runs yet, and if the worker answers before it does, the run stays `STARTING`: never sent, never listed, without a time of response by which _drop_unlisted would drop it. The task never runs.

--- a/tests/test_cut_evidence.py
+++ b/tests/test_cut_evidence.py
@@ -9,6 +9,7 @@
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
+from dogwoodlever._worker_link import LATE_ORDER_MAX_S
 from dogwoodlever.platform_errors import (
     ConnectionRefusedByWorkerError,
     StoreRefusedError,
@@ -169,6 +170,27 @@
         for client in fleet.worker_clients:
             client.reconnect()
 
+    # Guards against a start that is neither repeated nor dropped after its worker's
+    # lease has expired, unconfirmed by the store, and the worker answers again.
+    def test_start_refused_by_a_worker_that_returns_with_the_store(self):
+        for how in CUTS:
+            for returns_after_s in (4.5, 5.5, 6.3):
+                with self.subTest(how=how, returns_after_s=returns_after_s):
+                    fleet = self.start_fleet(workers=1)
+                    fleet.records.is_lease_expiry_paused = True
+                    self.cut_off(fleet, "w0", how)
+                    fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=0.1)
+                    for store in fleet.stores:
+                        store.is_down = True
+                    fleet.run_for(returns_after_s - 0.1)
+                    self.reconnect(fleet)
+                    fleet.run_for(0.2)
+                    for store in fleet.stores:
+                        store.is_down = False
+                    fleet.run_for(LATE_ORDER_MAX_S + 5.0)
+                    self.assertEqual(self.count_running(fleet), 1)
+                    self.assertEqual(fleet.workers.duplicate_starts, [])
+
     # Guards against work that starts elsewhere after a stop that a cut has prevented,
     # or whose answer it has taken away, while the run goes on.
     def test_stop_of_a_draining_workers_run_during_a_cut(self):
