Failing test: workers that are cut off one by one count as crashed

Cause: FleetWorkers._drop_expired takes the last refused poll for the end of the worker's process and records a crash against the runs that it had. Two workers that refuse connections by a partition, each within 0.5 s of a start of the same task, make it the only suspect with two crashes, so its job is shown as failed although no run has failed.

--- a/tests/test_cut_evidence.py
+++ b/tests/test_cut_evidence.py
@@ -8,6 +8,7 @@
 from twisted.python.failure import Failure
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
+from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
 from dogwoodlever._worker_link import LATE_ORDER_MAX_S
 from dogwoodlever.platform_errors import (
@@ -243,6 +244,34 @@
                     self.assertEqual(self.count_running(fleet), 0)
                     self.assertEqual(len(fleet.workers.starts), 4)
 
+    # Guards against a job that is given up because the workers of its task, which run
+    # on, were cut off one by one with refused connections.
+    def test_workers_that_are_cut_off_one_by_one_have_not_crashed(self):
+        for how in CUTS:
+            for cuts in (2, 3):
+                with self.subTest(how=how, cuts=cuts):
+                    fleet = self.start_fleet(workers=4)
+                    fleet.submit(0, job(JOB, tasks=1, standing=True))
+                    for started in range(1, cuts + 1):
+                        self.await_starts(fleet, started)
+                        fleet.run_for(0.1)
+                        for client in fleet.worker_clients:
+                            names = {name for _, name in fleet.workers.starts}
+                            client.cut_off(names, CUTS[how][0])
+                    fleet.run_for(14.0)
+                    self.reconnect(fleet)
+                    fleet.run_for(2.0)
+                    self.assertEqual(fleet.workers.crashes, [])
+                    self.assertEqual(fleet.read_phase(0, JOB), JobPhase.RUNNING)
+                    self.assertEqual(self.count_running(fleet), 1)
+
+    def await_starts(self, fleet, count):
+        for _ in range(1500):
+            if len(fleet.workers.starts) >= count:
+                return
+            fleet.run_for(0.01)
+        self.fail(f"no start {count}; the job is {fleet.read_phase(0, JOB)}")
+
 
 class CutConnectionTest(unittest.TestCase):
     """Requests on a connection that is reset."""
