Failing test: an unknown status of a worker counts as a rejection

Cause: _decode_reason takes each status other than 200, 400, 409 and 421 for that of an unhealthy worker, which has done nothing; the platform says so of 429 and 503 only. The leader then drops the run of a start that may have been carried out. By reading: no other status is documented, so nothing is known to cause it.

--- a/tests/test_cut_evidence.py
+++ b/tests/test_cut_evidence.py
@@ -2,15 +2,19 @@
 
 import unittest
 from dataclasses import replace
+from unittest import mock
 
+from twisted.internet.defer import succeed
 from twisted.internet.error import ConnectionLost
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_job import JobPhase
+from dogwoodlever._fleet_types import RunId, StartOrder, TaskId
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
 from dogwoodlever._worker_link import LATE_ORDER_MAX_S
+from dogwoodlever.platform import HttpFleetWorkerClient
 from dogwoodlever.platform_errors import (
     ConnectionRefusedByWorkerError,
     StoreRefusedError,
@@ -311,5 +315,21 @@
                 self.assertEqual(transport.value().count(b"POST"), 1)
 
 
+class UnknownStatusTest(unittest.TestCase):
+    # Guards against a start that counts as rejected on a status that does not say that
+    # the worker has done nothing.
+    def test_start_with_another_status_may_be_carried_out(self):
+        order = StartOrder(RunId(TaskId(JOB, 0, 0, 0), 1), "text")
+        for status in (202, 500, 502, 504):
+            with self.subTest(status=status):
+                http_client = mock.Mock()
+                http_client.fetch.return_value = succeed((status, b"{}"))
+                worker_client = HttpFleetWorkerClient(http_client)
+                results = []
+                call = worker_client.start(worker_entry(0), order, 5, 7)
+                call.addBoth(results.append)
+                self.assertIs(results[0].type, WorkerUnreachableError)
+
+
 if __name__ == "__main__":
     unittest.main()
