An unexpected status of a worker counts as no answer

Callers could see a task run twice: each status but 200, 400, 409 and 421 counted as that of an unhealthy worker, which has done nothing, so a start that may have been carried out was dropped and its task started elsewhere. The platform says so of 429 and 503 only. No other status is documented, so no trigger is known.

Change: only 400, 409, 429 and 503 refuse a call; with any other one it counts as not answered, is repeated, and may be carried out late. A status such as 404 is repeated until the lease ends.

--- a/dogwoodlever/platform/_http_workers.py
+++ b/dogwoodlever/platform/_http_workers.py
@@ -27,6 +27,8 @@
 ORDER_TIMEOUT_S = 0.6
 # Added to the time that the worker may wait for an end.
 POLL_MARGIN_S = 0.9
+# Statuses of a call that has changed nothing.
+REFUSAL_STATUSES = frozenset({400, 409, 429, 503})
 
 _REASONS = {
     "fence": RefusalReason.FENCED,
@@ -94,6 +96,11 @@
             raise WrongIncarnationError(
                 f"worker {worker.worker_id}: another incarnation responded"
             )
+        if status not in REFUSAL_STATUSES:
+            # Whether the call was carried out is unknown, as without a response.
+            raise WorkerUnreachableError(
+                f"worker {worker.worker_id}: unexpected status {status}"
+            )
         raise OrderRefusedError(_decode_reason(status, content))
 
     def _send_order(self, worker: WorkerEntry, path: str, document):
