Move clock and lease bookkeeping of a worker into WorkerEvidence

The expiry of leases, late grants and clock readings were fields of WorkerLink that its constructor handed on. WorkerEvidence keeps them without I/O; WorkerLink reports events to it.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -21,12 +21,11 @@
     WorkerEntry,
 )
 from dogwoodlever._logs import log_event
+from dogwoodlever._run_evidence import NEVER_S, WorkerEvidence, lease_bound_s
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
 from dogwoodlever._worker_capacity import WorkerCapacity
 from dogwoodlever._worker_link import (
-    CLOCK_SLOWNESS,
-    LEASE_EXPIRY_MARGIN_S,
     POLL_RETRY_S,
     POLL_WAIT_MS,
     RUN_LEASE_TARGET_S,
@@ -159,15 +158,9 @@
         self._on_ended = on_ended
         self._on_fenced = on_fenced
         self._lease_s = min(RUN_LEASE_TARGET_S, run_lease_max_s)
-        # Longest lease on a slow clock, plus the delay of a late timer.
-        self._lease_bound_s = (
-            self._lease_s * (1 + CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
-        )
-        # The clock of the next incarnation starts anew, so a call for the former one
-        # grants the longest lease there.
-        self._misdirected_lease_bound_s = (
-            run_lease_max_s * (1 + CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
-        )
+        self._lease_max_s = run_lease_max_s
+        self._lease_bound_s = lease_bound_s(self._lease_s)
+        self._misdirected_lease_bound_s = lease_bound_s(run_lease_max_s)
         self.capacities: dict[str, WorkerCapacity] = {}
         self._links: dict[str, WorkerLink] = {}
         self._get_contact_s = get_contact_s
@@ -212,7 +205,7 @@
         )
         self._former_leases_expire_s = min(self._former_leases_expire_s, expire_s)
         for link in self._links.values():
-            link.limit_inherited_expiry(self._former_leases_expire_s)
+            link.evidence.limit_former_leases(self._former_leases_expire_s)
 
     def expire_unpolled_workers(self) -> None:
         """Stop waiting for workers whose leases from a former leader have expired."""
@@ -374,7 +367,7 @@
         capacity = WorkerCapacity(entry, self._usage)
         self.capacities[worker_id] = capacity
         starts_in_flight = {}
-        misdirected_expiry_s = late_grants_end_s = float("-inf")
+        misdirected_expiry_s = late_grants_end_s = NEVER_S
         previous = self._ended_incarnations.pop(worker_id, None)
         if previous is not None:
             starts_in_flight = previous.starts_in_flight
@@ -382,18 +375,21 @@
             late_grants_end_s = previous.late_grants_end_s
             for run, step in previous.capacity.runs.values():
                 capacity.add(run, step)
+        evidence = WorkerEvidence(
+            self._lease_s,
+            self._lease_max_s,
+            self._former_leases_expire_s,
+            misdirected_expiry_s,
+            late_grants_end_s,
+        )
         link = WorkerLink(
             entry,
             self._worker_client,
             self._clock,
             self._get_fencing_token,
             self,
-            self._former_leases_expire_s,
-            misdirected_expiry_s,
-            late_grants_end_s,
+            evidence,
             starts_in_flight,
-            self._lease_s,
-            self._misdirected_lease_bound_s,
             self._get_leases_end_s,
         )
         self._links[worker_id] = link
@@ -582,7 +578,7 @@
         renewed the lease. The runs then count until that is ruled out; the lease of the
         leader's record does not, since the store may take the record away.
         """
-        if self._get_contact_s() < link.lease_expiry_s:
+        if self._get_contact_s() < link.evidence.lease_expiry_s:
             if not link.is_closed:
                 self._clock.callLater(CONFIRM_RETRY_S, self._recheck_expiry, link)
             return
@@ -590,7 +586,7 @@
 
     def _recheck_expiry(self, link: WorkerLink) -> None:
         """Handle an unconfirmed expiry again, unless the worker responded since."""
-        if link.has_lease_expired and not link.is_closed:
+        if link.evidence.has_lease_expired and not link.is_closed:
             self.on_lease_expired(link)
 
     def _drop_expired(self, link: WorkerLink) -> None:
@@ -600,7 +596,7 @@
         log_event("worker.lapsed", worker=worker_id, runs=len(capacity.runs))
         link.last_response_s.clear()
         self._hold_usage(capacity, link.starts_in_flight())
-        cause = DropCause(DropEvidence.LEASES_EXPIRED, link.lease_expiry_s)
+        cause = DropCause(DropEvidence.LEASES_EXPIRED, link.evidence.lease_expiry_s)
         if link.is_refused:
             # Most likely its process has ended.
             self.runs.drop_crashed_runs(capacity, link.broken_s, cause)
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -11,6 +11,7 @@
 from dogwoodlever._fleet_job import Run, RunPhase
 from dogwoodlever._fleet_types import PollResult, RunId, StartOrder, WorkerEntry
 from dogwoodlever._logs import log_event
+from dogwoodlever._run_evidence import LATE_ORDER_MAX_S, WorkerEvidence
 from dogwoodlever.platform_errors import (
     ConnectionRefusedByWorkerError,
     OrderRefusedError,
@@ -31,18 +32,9 @@
 # until they are stored, or for this long.
 ACKNOWLEDGE_WAIT_S = 0.25
 ORDER_RETRY_S = 0.1
-# Fraction by which a worker's clock may be slow.
-CLOCK_SLOWNESS = 0.02
-# Covers the rounding of the worker's and the scheduler's clocks.
-CLOCK_MARGIN_MS = 50
-# Covers a late timer of the worker.
-LEASE_EXPIRY_MARGIN_S = 0.25
 # Starts refused for an expired lease are retried, since the next poll updates the
 # worker's clock.
 EXPIRED_STARTS_MAX = 3
-# How long after its sending an order without an answer may still be carried out. A copy
-# that reaches the next incarnation of a worker is not recognised as a repetition there.
-LATE_ORDER_MAX_S = 12.5
 # Refusals of a stop after which a start in flight may still be carried out.
 STOP_RETRY_REASONS = frozenset({RefusalReason.FENCED, RefusalReason.UNHEALTHY})
 
@@ -125,20 +117,10 @@
         Returns the leader's fencing token.
     listener : LinkListener
         Receives the events.
-    inherited_expiry_s : float
-        When all leases from a former leader have expired.
-    misdirected_expiry_s : float
-        When the leases have expired that calls for a former incarnation may have
-        granted.
-    late_grants_end_s : float
-        Until when calls for earlier incarnations may still grant leases.
+    evidence : WorkerEvidence
+        What is known of the incarnation.
     starts_in_flight : dict of RunId to StartInFlight
         Starts sent to earlier incarnations that may still be carried out.
-    lease_s : float
-        Length of granted leases.
-    late_lease_bound_s : float
-        Longest time from a late call for a former incarnation to the expiry of the
-        lease that it grants.
     get_leases_end_s : callable
         Returns the time beyond which no lease may be granted.
     """
@@ -150,12 +132,8 @@
         clock,
         get_fencing_token,
         listener: LinkListener,
-        inherited_expiry_s: float,
-        misdirected_expiry_s: float,
-        late_grants_end_s: float,
+        evidence: WorkerEvidence,
         starts_in_flight: dict[RunId, StartInFlight],
-        lease_s: float,
-        late_lease_bound_s: float,
         get_leases_end_s: Callable[[], float],
     ) -> None:
         self.entry = entry
@@ -163,21 +141,9 @@
         self._clock = clock
         self._get_fencing_token = get_fencing_token
         self._listener = listener
-        self._lease_s = lease_s
-        self._late_lease_bound_s = late_lease_bound_s
-        self._inherited_late_grants_end_s = late_grants_end_s
-        # Until when calls of this link without an answer may grant leases.
-        self._own_late_grants_end_s = float("-inf")
-        self._is_grant_under_way = False
+        self.evidence = evidence
         self._get_leases_end_s = get_leases_end_s
-        self._clock_ms = 0
-        self._clock_read_s = 0.0
-        self._granted_ms = 0
-        self._misdirected_expiry_s = misdirected_expiry_s
-        self.lease_expiry_s = max(inherited_expiry_s, misdirected_expiry_s)
-        self.has_lease_expired = False
         self._poll_wait_ms = POLL_WAIT_MS
-        self._failed_polls = 0
         # Whether the connection of the last poll was refused.
         self.is_refused = False
         # When the connection of the first poll without an answer ended, or when that
@@ -189,9 +155,7 @@
         }
         # Starts of which a copy got no answer, whether or not another copy did.
         self._unanswered_copies = dict(starts_in_flight)
-        # No lease is granted until these runs can no longer start: a worker carries
-        # out a late order with an expired lease if it holds a newer lease by then.
-        self._lease_blockers = set(self.unanswered_starts)
+        evidence.lease_blockers = set(self.unanswered_starts)
         self._is_stopping_unanswered = False
         self.is_closed = False
         # A worker gets no start before it may get a lease.
@@ -236,22 +200,14 @@
     @property
     def late_grants_end_s(self) -> float:
         """Time until which calls without an answer may grant the next one leases."""
-        end_s = max(self._inherited_late_grants_end_s, self._own_late_grants_end_s)
-        if self._is_grant_under_way or self.unanswered_starts:
-            end_s = max(end_s, self._clock.seconds() + LATE_ORDER_MAX_S)
-        return end_s
+        return self.evidence.late_grants_end_s(
+            self._clock.seconds(), bool(self.unanswered_starts)
+        )
 
     @property
     def responded_s(self) -> float:
         """Time at which the last response to a poll was received."""
-        return self._clock_read_s
-
-    def limit_inherited_expiry(self, lease_expiry_s: float) -> None:
-        """Lower the expiry of leases from a former leader."""
-        if not self._granted_ms:
-            self.lease_expiry_s = max(
-                min(self.lease_expiry_s, lease_expiry_s), self._misdirected_expiry_s
-            )
+        return self.evidence.responded_s
 
     def set_poll_wait(self, wait_ms: int) -> None:
         """Set how long polls may wait for an end."""
@@ -266,62 +222,19 @@
             self._poll_call.cancel()
             self._schedule_poll(0.0)
 
-    def _lease_until_ms(self) -> int:
-        """Return the expiry of a lease that is granted now, on the worker's clock.
-
-        A call without a response may still renew the lease, so none is extended until
-        the worker responds again; otherwise the lease would never expire.
-        """
-        if not self._clock_ms:
-            return 0
-        if self._failed_polls or self._lease_blockers:
-            return self._granted_ms
-        until_s = min(self._clock.seconds() + self._lease_s, self._get_leases_end_s())
-        until_ms = self._clock_ms + int((until_s - self._clock_read_s) * 1000)
-        self._granted_ms = max(self._granted_ms, until_ms)
-        return self._granted_ms
-
-    def _clock_lower_bound_ms(self) -> int:
-        """Return the least value of the clock of the polled incarnation now."""
-        if not self._clock_ms:
-            return 0
-        elapsed_s = self._clock.seconds() - self._clock_read_s
-        elapsed_ms = int(elapsed_s * 1000 * (1 - CLOCK_SLOWNESS))
-        return self._clock_ms + elapsed_ms - CLOCK_MARGIN_MS
-
-    def _update_clock(self, clock_ms: int) -> None:
-        self._clock_ms = clock_ms
-        self._clock_read_s = self._clock.seconds()
-        self.has_lease_expired = False
-        self._update_lease_expiry()
-
-    def _update_lease_expiry(self) -> None:
-        if self._granted_ms:
-            lease_left_s = (self._granted_ms - self._clock_ms) / 1000
-            lease_left_s = lease_left_s / (1 - CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
-            expiry_s = max(
-                self._clock_read_s + lease_left_s, self._misdirected_expiry_s
-            )
-            # A late call extends only a lease that has not expired.
-            granted_late_s = min(self._inherited_late_grants_end_s, expiry_s)
-            self.lease_expiry_s = max(
-                expiry_s, granted_late_s + self._late_lease_bound_s
-            )
-
     def _watch_lease_expiry(self) -> None:
         """Notify the listener when the leases of an unreachable worker expire."""
-        if self.has_lease_expired or self.is_closed or not self._failed_polls:
+        evidence = self.evidence
+        if evidence.has_lease_expired or self.is_closed or not evidence.failed_polls:
             return
-        self._update_lease_expiry()
-        lease_left_s = self.lease_expiry_s - self._clock.seconds()
-        if lease_left_s <= 0:
-            self.has_lease_expired = True
-            self._lease_blockers = set(self.unanswered_starts)
+        now_s = self._clock.seconds()
+        if evidence.expire_leases(now_s):
+            evidence.lease_blockers = set(self.unanswered_starts)
             self._listener.on_lease_expired(self)
             return
         if self._expiry_call is None or not self._expiry_call.active():
             self._expiry_call = self._clock.callLater(
-                lease_left_s, self._watch_lease_expiry
+                evidence.lease_expiry_s - now_s, self._watch_lease_expiry
             )
 
     @inlineCallbacks
@@ -330,46 +243,40 @@
             return
         sent_s = self._clock.seconds()
         fencing_token = self._get_fencing_token()
-        acknowledged, until_ms, wait_ms = 0, 0, 0
-        if not self._failed_polls:
-            acknowledged = self._acknowledged
-            until_ms = self._lease_until_ms()
-            wait_ms = self._poll_wait_ms if self._clock_ms else 0
-        self._is_grant_under_way = until_ms > 0
-        # After a failure, another incarnation may answer, for which neither the number
-        # of the acknowledged end nor the time of the lease is valid.
+        # After a failure, another incarnation may answer, for which the number of the
+        # acknowledged end is not valid.
+        acknowledged = 0 if self.evidence.failed_polls else self._acknowledged
+        wait_ms = self._poll_wait_ms if self.evidence.is_answering else 0
+        until_ms = self.evidence.begin_poll(sent_s, self._get_leases_end_s())
         try:
             result = yield self._worker_client.poll(
                 self.entry, fencing_token, acknowledged, until_ms, wait_ms
             )
         except PlatformError as error:
             if not self.is_closed:
-                if self._is_grant_under_way:
-                    self._record_late_grant(error)
-                self._is_grant_under_way = False
-                if not self._failed_polls:
-                    now_s = self._clock.seconds()
+                now_s = self._clock.seconds()
+                self.evidence.end_poll(now_s, _may_be_carried_out(error))
+                if not self.evidence.failed_polls:
                     is_early = now_s - sent_s <= wait_ms / 1000
                     self.broken_s = now_s if is_early else sent_s
                 self._poll_failed(error, fencing_token)
             return
         if self.is_closed:
             return
-        self._is_grant_under_way = False
+        self.evidence.end_poll(self._clock.seconds())
         if (
             self.entry.started_at_ms
             and result.started_at_ms
             and result.started_at_ms != self.entry.started_at_ms
         ):
-            if self._clock_ms:
+            if self.evidence.is_polled:
                 self._listener.on_replaced(self)
                 return
             self._listener.on_identified(self, result.started_at_ms)
-        self._failed_polls = 0
         self.is_refused = False
         self.broken_s = float("-inf")
-        self._update_clock(result.clock_ms)
-        if self._lease_blockers:
+        self.evidence.record_clock(self._clock.seconds(), result.clock_ms)
+        if self.evidence.lease_blockers:
             self._stop_unanswered()
         elif not self.is_reachable:
             self.is_reachable = True
@@ -384,12 +291,6 @@
         has_unacknowledged = self.last_end_number > self._acknowledged
         self._schedule_poll(ACKNOWLEDGE_WAIT_S if has_unacknowledged else 0.0)
 
-    def _record_late_grant(self, error: PlatformError) -> None:
-        """Record that a call that grants a lease may be carried out late."""
-        is_unanswered = isinstance(error, WorkerUnreachableError)
-        if is_unanswered and not isinstance(error, ConnectionRefusedByWorkerError):
-            self._own_late_grants_end_s = self._clock.seconds() + LATE_ORDER_MAX_S
-
     def _poll_failed(self, error: PlatformError, fencing_token: int) -> None:
         if isinstance(error, OrderRefusedError):
             if error.reason is RefusalReason.FENCED:
@@ -398,13 +299,16 @@
             self._listener.on_address_taken(self)
             return
         self.is_refused = isinstance(error, ConnectionRefusedByWorkerError)
-        self._failed_polls += 1
-        if self.is_reachable and self._failed_polls >= POLL_FAILURES_UNREACHABLE:
+        self.evidence.failed_polls += 1
+        if (
+            self.is_reachable
+            and self.evidence.failed_polls >= POLL_FAILURES_UNREACHABLE
+        ):
             self.is_reachable = False
             log_event(
                 "worker.lost",
                 worker=self.entry.worker_id,
-                waits_s=max(0.0, self.lease_expiry_s - self._clock.seconds()),
+                waits_s=max(0.0, self.evidence.lease_expiry_s - self._clock.seconds()),
                 why=str(error)[:160],
             )
         self._watch_lease_expiry()
@@ -435,15 +339,17 @@
             is_retry = True
             refusal = None
             fencing_token = self._get_fencing_token()
-            clock_min_ms = self._clock_lower_bound_ms()
+            now_s = self._clock.seconds()
+            clock_min_ms = self.evidence.clock_lower_bound_ms(now_s)
+            until_ms = self.evidence.lease_until_ms(now_s, self._get_leases_end_s())
             try:
                 clock_ms = yield self._worker_client.start(
-                    self.entry, order, self._lease_until_ms(), fencing_token
+                    self.entry, order, until_ms, fencing_token
                 )
             except WorkerUnreachableError as error:
-                if not isinstance(error, ConnectionRefusedByWorkerError):
+                if _may_be_carried_out(error):
                     may_be_accepted = True
-                    self._record_late_grant(error)
+                    self.evidence.record_late_grant(self._clock.seconds())
                     self._record_unanswered_copy(run)
                 run.may_have_started = may_be_accepted
                 yield self._pause(ORDER_RETRY_S)
@@ -495,7 +401,7 @@
 
     def _may_retry(self) -> bool:
         """Return whether an order without a response may be retried."""
-        return not self.is_closed and not self.has_lease_expired
+        return not self.is_closed and not self.evidence.has_lease_expired
 
     def _report_fenced(self, fencing_token: int) -> None:
         """Report a later leader, unless it is this one with a new fencing token."""
@@ -514,14 +420,14 @@
         if self._is_stopping_unanswered:
             return
         self._is_stopping_unanswered = True
-        for run_id in list(self._lease_blockers):
+        for run_id in list(self.evidence.lease_blockers):
             if run_id in self.unanswered_starts:
                 if not (yield self._stop_until_answered(run_id)):
                     # The next successful poll starts over.
                     break
                 log_event("run.ruled-out", worker=self.entry.worker_id, run=run_id)
                 self._release_later(run_id)
-            self._lease_blockers.discard(run_id)
+            self.evidence.lease_blockers.discard(run_id)
         self._is_stopping_unanswered = False
 
     def _release_later(self, run_id: RunId) -> None:
@@ -593,3 +499,9 @@
             # The limit in force is unknown; -1 makes the next decision send one.
             run.speed_limit_percent = -1
             log_event("pace.failed", worker=self.entry.worker_id, why=str(error)[:160])
+
+
+def _may_be_carried_out(error: PlatformError) -> bool:
+    """Return whether a call that failed may be carried out, now or later."""
+    is_unanswered = isinstance(error, WorkerUnreachableError)
+    return is_unanswered and not isinstance(error, ConnectionRefusedByWorkerError)
