Move starts in flight and listings into WorkerEvidence

Unanswered starts, their copies, what blocks a lease and the responses after which a run has to be listed are kept beside the leases. A run that a stop has ruled out is dropped by the first poll sent after its copies have expired, without a timer.

tests.test_worker_resize gave the links of a test a dict of responses; they have the evidence that now holds it. tests.test_workspace_caps and tests.test_run_restarts import LATE_ORDER_MAX_S from its new place. All three test the same as before.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -28,8 +28,6 @@
 # After a refusal for lack of capacity, the leader's view of the worker is stale for a
 # while.
 REFUSED_BACKOFF_S = 0.3
-# Most ends in one response of a worker; the others follow once these are acknowledged.
-ENDS_LISTED_MAX = 500
 # An unhealthy worker refuses all orders.
 UNHEALTHY_BACKOFF_S = 1.0
 # Ends that a task reaches by itself, on a worker that still reports them.
@@ -201,28 +199,18 @@
         sent_s: float,
     ) -> None:
         """Drop unlisted runs with an order that was answered before the poll."""
-        if len(result.ended) >= ENDS_LISTED_MAX:
-            return
-        listed = {listed_run.run for listed_run in result.running}
-        for run, _ in list(capacity.runs.values()):
-            last_response_s = link.last_response_s.get(run.run_id)
-            if (
-                last_response_s is None
-                or last_response_s >= sent_s
-                or run.run_id in listed
-            ):
-                continue
-            cause = DropCause(DropEvidence.NOT_LISTED, link.responded_s)
-            self.drop_lost(capacity, run, cause)
+        cause = DropCause(DropEvidence.NOT_LISTED, link.evidence.responded_s)
+        for run_id in link.evidence.unlisted_runs(capacity.runs, result, sent_s):
+            self.drop_lost(capacity, capacity.runs[run_id][0], cause)
             if self._usage is not None:
-                self._usage.release(capacity.entry.worker_id, run.run_id)
+                self._usage.release(capacity.entry.worker_id, run_id)
 
     def _apply_end(
         self, capacity: WorkerCapacity, link: WorkerLink, end: EndedRun
     ) -> None:
         pair = capacity.runs.get(end.run)
         capacity.remove(end.run)
-        link.last_response_s.pop(end.run, None)
+        link.evidence.forget_run(end.run)
         if pair is not None:
             self._crashes.remove_run(pair[0])
         outcome = self._registry.end_run(end)
@@ -306,7 +294,7 @@
             capacity.remove(run.run_id)
             capacity.add(run, task.step.spec)
             self._crashes.add_run(run, task)
-            link.last_response_s[run.run_id] = now_s
+            link.evidence.expect_listed(run.run_id, now_s)
             run.percent = listed_run.percent
             run.progressed_s = now_s
             log_event(
@@ -432,7 +420,7 @@
         self._crashes.remove_run(run)
         link = self._links.get(capacity.entry.worker_id)
         if link is not None:
-            link.last_response_s.pop(run.run_id, None)
+            link.evidence.forget_run(run.run_id)
         if self._is_registered(run):
             task = self._registry.find(run.run_id.task)
             self._registry.drop_run(task, run.run_id.number)
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -30,7 +30,6 @@
     POLL_WAIT_MS,
     RUN_LEASE_TARGET_S,
     LinkListener,
-    StartInFlight,
     WorkerLink,
 )
 from dogwoodlever._worker_membership import WorkerMembership
@@ -58,8 +57,9 @@
     ----------
     capacity : WorkerCapacity
         Counts the runs of starts without an answer.
-    starts_in_flight : dict of RunId to StartInFlight
-        These starts, and those sent to earlier incarnations.
+    starts_in_flight : dict of RunId to float
+        Until when these starts, and those sent to earlier incarnations, may be carried
+        out.
     leases_expire_s : float
         When the leases have expired that its calls may have granted to the next one.
     late_grants_end_s : float
@@ -67,7 +67,7 @@
     """
 
     capacity: WorkerCapacity
-    starts_in_flight: dict[RunId, StartInFlight]
+    starts_in_flight: dict[RunId, float]
     leases_expire_s: float
     late_grants_end_s: float
 
@@ -366,7 +366,7 @@
         worker_id = entry.worker_id
         capacity = WorkerCapacity(entry, self._usage)
         self.capacities[worker_id] = capacity
-        starts_in_flight = {}
+        starts_in_flight: dict[RunId, float] = {}
         misdirected_expiry_s = late_grants_end_s = NEVER_S
         previous = self._ended_incarnations.pop(worker_id, None)
         if previous is not None:
@@ -381,6 +381,7 @@
             self._former_leases_expire_s,
             misdirected_expiry_s,
             late_grants_end_s,
+            starts_in_flight,
         )
         link = WorkerLink(
             entry,
@@ -389,7 +390,6 @@
             self._get_fencing_token,
             self,
             evidence,
-            starts_in_flight,
             self._get_leases_end_s,
         )
         self._links[worker_id] = link
@@ -417,10 +417,13 @@
         log_event(
             "worker.life-over", worker=worker_id, why=why, runs=len(capacity.runs)
         )
-        starts_in_flight = link.starts_in_flight() if may_return else {}
-        cause = DropCause(evidence, self._clock.seconds())
+        now_s = self._clock.seconds()
+        starts_in_flight = link.evidence.starts_in_flight(now_s) if may_return else {}
+        cause = DropCause(evidence, now_s)
         self.runs.drop_crashed_runs(capacity, link.broken_s, cause, starts_in_flight)
-        self._keep_starts_in_flight(capacity, starts_in_flight, link.late_grants_end_s)
+        self._keep_starts_in_flight(
+            capacity, starts_in_flight, link.evidence.late_grants_end_s(now_s)
+        )
         if not capacity.runs and not is_member:
             self._remove_worker(worker_id)
         self.unpolled_workers.discard(worker_id)
@@ -429,7 +432,7 @@
     def _keep_starts_in_flight(
         self,
         capacity: WorkerCapacity,
-        starts_in_flight: dict[RunId, StartInFlight],
+        starts_in_flight: dict[RunId, float],
         late_grants_end_s: float,
     ) -> None:
         """Keep what calls to a dropped worker may still do at its next incarnation."""
@@ -443,11 +446,11 @@
         )
 
     def _hold_usage(
-        self, capacity: WorkerCapacity, starts_in_flight: dict[RunId, StartInFlight]
+        self, capacity: WorkerCapacity, starts_in_flight: dict[RunId, float]
     ) -> None:
         """Count starts that may be carried out late until their leases would end."""
-        for run_id, start in starts_in_flight.items():
-            until_s = start.expires_s + self._misdirected_lease_bound_s
+        for run_id, expires_s in starts_in_flight.items():
+            until_s = expires_s + self._misdirected_lease_bound_s
             self._usage.hold(capacity.entry, run_id, until_s)
 
     def refresh_usage(self) -> None:
@@ -474,8 +477,11 @@
             return
         link.close()
         del self.capacities[worker_id], self._links[worker_id]
+        now_s = self._clock.seconds()
         self._keep_starts_in_flight(
-            capacity, link.starts_in_flight(), link.late_grants_end_s
+            capacity,
+            link.evidence.starts_in_flight(now_s),
+            link.evidence.late_grants_end_s(now_s),
         )
         self._remove_worker(worker_id)
 
@@ -487,8 +493,8 @@
         for worker_id, previous in list(self._ended_incarnations.items()):
             in_flight = {
                 run_id
-                for run_id, start in previous.starts_in_flight.items()
-                if start.may_be_carried_out(now_s)
+                for run_id, expires_s in previous.starts_in_flight.items()
+                if now_s < expires_s
             }
             if not in_flight.issuperset(previous.capacity.runs):
                 self._drop_expired_starts(previous, in_flight)
@@ -504,8 +510,8 @@
     ) -> None:
         for run, _ in list(previous.capacity.runs.values()):
             if run.run_id not in in_flight:
-                start = previous.starts_in_flight[run.run_id]
-                cause = DropCause(DropEvidence.ORDER_EXPIRED, start.expires_s)
+                expired_s = previous.starts_in_flight[run.run_id]
+                cause = DropCause(DropEvidence.ORDER_EXPIRED, expired_s)
                 self.runs.drop_lost(previous.capacity, run, cause)
 
     def _is_schedulable(self, capacity: WorkerCapacity) -> bool:
@@ -578,7 +584,7 @@
         renewed the lease. The runs then count until that is ruled out; the lease of the
         leader's record does not, since the store may take the record away.
         """
-        if self._get_contact_s() < link.evidence.lease_expiry_s:
+        if not link.evidence.confirm_expiry(self._get_contact_s()):
             if not link.is_closed:
                 self._clock.callLater(CONFIRM_RETRY_S, self._recheck_expiry, link)
             return
@@ -594,8 +600,8 @@
         capacity = self.capacities[worker_id]
         self._metrics.worker_events.labels("lapsed").inc()
         log_event("worker.lapsed", worker=worker_id, runs=len(capacity.runs))
-        link.last_response_s.clear()
-        self._hold_usage(capacity, link.starts_in_flight())
+        now_s = self._clock.seconds()
+        self._hold_usage(capacity, link.evidence.starts_in_flight(now_s))
         cause = DropCause(DropEvidence.LEASES_EXPIRED, link.evidence.lease_expiry_s)
         if link.is_refused:
             # Most likely its process has ended.
@@ -608,7 +614,9 @@
             link.close()
             del self.capacities[worker_id], self._links[worker_id]
             self._keep_starts_in_flight(
-                capacity, link.starts_in_flight(), link.late_grants_end_s
+                capacity,
+                link.evidence.starts_in_flight(now_s),
+                link.evidence.late_grants_end_s(now_s),
             )
             self._remove_worker(worker_id)
         self._on_change()
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -1,6 +1,8 @@
 """What the leader knows of one incarnation of a worker, and what that proves."""
 
-from dogwoodlever._fleet_types import RunId
+from collections.abc import Iterable
+
+from dogwoodlever._fleet_types import PollResult, RunId
 
 # Fraction by which a worker's clock may be slow.
 CLOCK_SLOWNESS = 0.02
@@ -11,6 +13,8 @@
 # How long after its sending an order without an answer may still be carried out. A copy
 # that reaches the next incarnation of a worker is not recognised as a repetition there.
 LATE_ORDER_MAX_S = 12.5
+# Most ends in one response of a worker; the others follow once these are acknowledged.
+ENDS_LISTED_MAX = 500
 
 NEVER_S = float("-inf")
 
@@ -40,6 +44,8 @@
         granted.
     late_grants_end_s : float
         Until when calls for earlier incarnations may still grant leases.
+    starts_in_flight : dict of RunId to float
+        Starts sent to earlier incarnations, and until when they may be carried out.
 
     Attributes
     ----------
@@ -58,13 +64,16 @@
 
     __slots__ = (
         "_clock_ms",
+        "_copies_expire_s",
         "_former_late_grants_end_s",
         "_granted_ms",
         "_is_grant_under_way",
         "_late_grants_end_s",
         "_late_lease_s",
         "_lease_s",
+        "_listed_from_s",
         "_misdirected_expiry_s",
+        "_unanswered_starts",
         "failed_polls",
         "has_lease_expired",
         "lease_blockers",
@@ -79,6 +88,7 @@
         former_leases_expire_s: float = NEVER_S,
         misdirected_expiry_s: float = NEVER_S,
         late_grants_end_s: float = NEVER_S,
+        starts_in_flight: dict[RunId, float] | None = None,
     ) -> None:
         self._lease_s = lease_s
         self._late_lease_s = lease_bound_s(lease_max_s)
@@ -92,7 +102,14 @@
         self.responded_s = 0.0
         self._granted_ms = 0
         self.failed_polls = 0
-        self.lease_blockers: set[RunId] = set()
+        # Runs whose start was neither answered nor prevented by a confirmed stop.
+        self._unanswered_starts = dict.fromkeys(starts_in_flight or ())
+        # Until when a copy of a start that got no answer may be carried out, by this or
+        # a later incarnation, whether or not another copy was answered.
+        self._copies_expire_s = dict(starts_in_flight or ())
+        # From when on a run that still counts has to be listed.
+        self._listed_from_s: dict[RunId, float] = {}
+        self.lease_blockers = set(self._unanswered_starts)
         self.lease_expiry_s = max(former_leases_expire_s, misdirected_expiry_s)
         self.has_lease_expired = False
 
@@ -150,16 +167,29 @@
             return False
         self._update_lease_expiry()
         self.has_lease_expired = now_s >= self.lease_expiry_s
+        if self.has_lease_expired:
+            self.lease_blockers = set(self._unanswered_starts)
         return self.has_lease_expired
 
-    def record_late_grant(self, now_s: float) -> None:
-        """Record that a call that grants a lease got no answer."""
-        self._late_grants_end_s = now_s + LATE_ORDER_MAX_S
+    def confirm_expiry(self, contact_s: float) -> bool:
+        """Return whether the runs of an expired worker may start elsewhere.
+
+        If another daemon may have led by then, it may have renewed the leases.
+
+        Parameters
+        ----------
+        contact_s : float
+            Time of the last contact with the store that showed no successor.
+        """
+        if contact_s < self.lease_expiry_s:
+            return False
+        self._listed_from_s.clear()
+        return True
 
-    def late_grants_end_s(self, now_s: float, has_starts: bool) -> float:
+    def late_grants_end_s(self, now_s: float) -> float:
         """Return until when calls without an answer may grant the next one leases."""
         end_s = max(self._former_late_grants_end_s, self._late_grants_end_s)
-        if self._is_grant_under_way or has_starts:
+        if self._is_grant_under_way or self._unanswered_starts:
             end_s = max(end_s, now_s + LATE_ORDER_MAX_S)
         return end_s
 
@@ -189,7 +219,7 @@
     def end_poll(self, now_s: float, is_unanswered: bool = False) -> None:
         """Record that the poll under way was answered, or that it got no answer."""
         if self._is_grant_under_way and is_unanswered:
-            self.record_late_grant(now_s)
+            self._late_grants_end_s = now_s + LATE_ORDER_MAX_S
         self._is_grant_under_way = False
 
     def record_clock(self, now_s: float, clock_ms: int) -> None:
@@ -199,3 +229,92 @@
         self.responded_s = now_s
         self.has_lease_expired = False
         self._update_lease_expiry()
+
+    # Starts
+
+    def begin_start(self, run_id: RunId) -> None:
+        """Record that a start is about to be sent."""
+        self._unanswered_starts[run_id] = None
+
+    def record_unanswered_copy(self, run_id: RunId, now_s: float) -> None:
+        """Record that a copy of a start, which grants a lease, got no answer."""
+        for other, expires_s in list(self._copies_expire_s.items()):
+            if now_s >= expires_s:
+                del self._copies_expire_s[other]
+        self._copies_expire_s[run_id] = now_s + LATE_ORDER_MAX_S
+        self._late_grants_end_s = now_s + LATE_ORDER_MAX_S
+
+    def is_unanswered(self, run_id: RunId) -> bool:
+        """Return whether a start was neither answered nor prevented."""
+        return run_id in self._unanswered_starts
+
+    def settle_start(self, run_id: RunId) -> None:
+        """Record that a start was answered, or prevented by a confirmed stop."""
+        self._unanswered_starts.pop(run_id, None)
+
+    @property
+    def has_unanswered_starts(self) -> bool:
+        """Whether a start was neither answered nor prevented."""
+        return bool(self._unanswered_starts)
+
+    def starts_in_flight(self, now_s: float) -> dict[RunId, float]:
+        """Return until when starts may be carried out by the next incarnation."""
+        starts = {
+            run_id: expires_s
+            for run_id, expires_s in self._copies_expire_s.items()
+            if now_s < expires_s
+        }
+        for run_id in self._unanswered_starts:
+            starts.setdefault(run_id, now_s + LATE_ORDER_MAX_S)
+        return starts
+
+    def late_runs(self, now_s: float) -> dict[RunId, float]:
+        """Return until when runs may exist that starts in flight may still start."""
+        return {
+            run_id: expires_s + self._late_lease_s
+            for run_id, expires_s in self.starts_in_flight(now_s).items()
+        }
+
+    def unblock_leases(self, run_id: RunId, now_s: float) -> None:
+        """Record a confirmed stop of a run that may start.
+
+        The stop holds for this incarnation only, so the run counts until no copy of its
+        start is in flight.
+        """
+        copy_expires_s = self._copies_expire_s.get(run_id, NEVER_S)
+        self.expect_listed(run_id, max(now_s, copy_expires_s))
+
+    # Listings
+
+    def expect_listed(self, run_id: RunId, from_s: float) -> None:
+        """Record that each poll sent after `from_s` lists a run until it has ended."""
+        previous_s = self._listed_from_s.get(run_id, NEVER_S)
+        self._listed_from_s[run_id] = max(previous_s, from_s)
+
+    def forget_run(self, run_id: RunId) -> None:
+        """Forget a run that no longer counts."""
+        self._listed_from_s.pop(run_id, None)
+
+    def unlisted_runs(
+        self, run_ids: Iterable[RunId], result: PollResult, sent_s: float
+    ) -> list[RunId]:
+        """Return which of the runs have ended, or cannot start, by a poll's answer.
+
+        Parameters
+        ----------
+        run_ids : iterable of RunId
+            Runs that count.
+        result : PollResult
+            The answer.
+        sent_s : float
+            When the poll was sent. It may have overtaken an order that was answered
+            later.
+        """
+        if len(result.ended) >= ENDS_LISTED_MAX:
+            return []
+        listed = {listed_run.run for listed_run in result.running}
+        return [
+            run_id
+            for run_id in run_ids
+            if self._listed_from_s.get(run_id, sent_s) < sent_s and run_id not in listed
+        ]
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -2,7 +2,6 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
@@ -11,7 +10,7 @@
 from dogwoodlever._fleet_job import Run, RunPhase
 from dogwoodlever._fleet_types import PollResult, RunId, StartOrder, WorkerEntry
 from dogwoodlever._logs import log_event
-from dogwoodlever._run_evidence import LATE_ORDER_MAX_S, WorkerEvidence
+from dogwoodlever._run_evidence import WorkerEvidence
 from dogwoodlever.platform_errors import (
     ConnectionRefusedByWorkerError,
     OrderRefusedError,
@@ -79,29 +78,6 @@
         """Handle a response from another incarnation of the worker."""
 
 
-@dataclass(slots=True, frozen=True)
-class StartInFlight:
-    """A start of which a copy may still be carried out, by any later incarnation.
-
-    Attributes
-    ----------
-    sent_s : float
-        When the last copy without an answer was sent.
-    """
-
-    run: Run
-    sent_s: float
-
-    @property
-    def expires_s(self) -> float:
-        """Time from which the copy is not carried out any more."""
-        return self.sent_s + LATE_ORDER_MAX_S
-
-    def may_be_carried_out(self, now_s: float) -> bool:
-        """Return whether the copy may still reach the worker."""
-        return now_s < self.expires_s
-
-
 class WorkerLink:
     """Polls a worker continuously and retries orders until they are answered.
 
@@ -119,8 +95,6 @@
         Receives the events.
     evidence : WorkerEvidence
         What is known of the incarnation.
-    starts_in_flight : dict of RunId to StartInFlight
-        Starts sent to earlier incarnations that may still be carried out.
     get_leases_end_s : callable
         Returns the time beyond which no lease may be granted.
     """
@@ -133,7 +107,6 @@
         get_fencing_token,
         listener: LinkListener,
         evidence: WorkerEvidence,
-        starts_in_flight: dict[RunId, StartInFlight],
         get_leases_end_s: Callable[[], float],
     ) -> None:
         self.entry = entry
@@ -149,23 +122,14 @@
         # When the connection of the first poll without an answer ended, or when that
         # poll was sent if it timed out; infinitely early if the last one was answered.
         self.broken_s = float("-inf")
-        # Runs whose start was neither answered nor prevented by a confirmed stop.
-        self.unanswered_starts = {
-            run_id: start.run for run_id, start in starts_in_flight.items()
-        }
-        # Starts of which a copy got no answer, whether or not another copy did.
-        self._unanswered_copies = dict(starts_in_flight)
-        evidence.lease_blockers = set(self.unanswered_starts)
         self._is_stopping_unanswered = False
         self.is_closed = False
         # A worker gets no start before it may get a lease.
-        self.is_reachable = not starts_in_flight
+        self.is_reachable = not evidence.lease_blockers
         # The worker may drop ends up to this number, as they are stored.
         self._acknowledged = 0
         # Highest number of an end that was applied.
         self.last_end_number = 0
-        # Time of the last response to an order, by run that still counts.
-        self.last_response_s: dict[RunId, float] = {}
         self._poll_call = None
         self._expiry_call = None
 
@@ -183,31 +147,8 @@
     @property
     def is_settled(self) -> bool:
         """Whether no start is unanswered and every listed end is acknowledged."""
-        return not self.unanswered_starts and self.last_end_number <= self._acknowledged
-
-    def starts_in_flight(self) -> dict[RunId, StartInFlight]:
-        """Return the starts that the next incarnation may still carry out."""
-        now_s = self._clock.seconds()
-        starts = {
-            run_id: start
-            for run_id, start in self._unanswered_copies.items()
-            if start.may_be_carried_out(now_s)
-        }
-        for run_id, run in self.unanswered_starts.items():
-            starts.setdefault(run_id, StartInFlight(run, now_s))
-        return starts
-
-    @property
-    def late_grants_end_s(self) -> float:
-        """Time until which calls without an answer may grant the next one leases."""
-        return self.evidence.late_grants_end_s(
-            self._clock.seconds(), bool(self.unanswered_starts)
-        )
-
-    @property
-    def responded_s(self) -> float:
-        """Time at which the last response to a poll was received."""
-        return self.evidence.responded_s
+        has_ends = self.last_end_number > self._acknowledged
+        return not has_ends and not self.evidence.has_unanswered_starts
 
     def set_poll_wait(self, wait_ms: int) -> None:
         """Set how long polls may wait for an end."""
@@ -229,7 +170,6 @@
             return
         now_s = self._clock.seconds()
         if evidence.expire_leases(now_s):
-            evidence.lease_blockers = set(self.unanswered_starts)
             self._listener.on_lease_expired(self)
             return
         if self._expiry_call is None or not self._expiry_call.active():
@@ -331,7 +271,7 @@
         may_be_accepted = False
         is_retry = False
         expired_count = 0
-        self.unanswered_starts[run.run_id] = run
+        self.evidence.begin_start(run.run_id)
         while self._may_retry() and run.phase is not RunPhase.STOPPING:
             if is_retry and not self._listener.may_retry_start(run):
                 yield self.stop(run)
@@ -349,15 +289,16 @@
             except WorkerUnreachableError as error:
                 if _may_be_carried_out(error):
                     may_be_accepted = True
-                    self.evidence.record_late_grant(self._clock.seconds())
-                    self._record_unanswered_copy(run)
+                    self.evidence.record_unanswered_copy(
+                        run.run_id, self._clock.seconds()
+                    )
                 run.may_have_started = may_be_accepted
                 yield self._pause(ORDER_RETRY_S)
                 continue
             except WrongIncarnationError:
                 # The poll reports it; the addressed incarnation runs nothing now.
                 if not may_be_accepted:
-                    self.unanswered_starts.pop(run.run_id, None)
+                    self.evidence.settle_start(run.run_id)
                 return
             except OrderRefusedError as error:
                 refusal = error.reason
@@ -384,18 +325,11 @@
                 self._refuse(run, refusal)
             return
         if not may_be_accepted:
-            self.unanswered_starts.pop(run.run_id, None)
-
-    def _record_unanswered_copy(self, run: Run) -> None:
-        now_s = self._clock.seconds()
-        for run_id, start in list(self._unanswered_copies.items()):
-            if not start.may_be_carried_out(now_s):
-                del self._unanswered_copies[run_id]
-        self._unanswered_copies[run.run_id] = StartInFlight(run, now_s)
+            self.evidence.settle_start(run.run_id)
 
     def _refuse(self, run: Run, refusal: RefusalReason) -> None:
         """Handle a refusal of a start that has no other copy in flight."""
-        self.unanswered_starts.pop(run.run_id, None)
+        self.evidence.settle_start(run.run_id)
         if not self.is_closed:
             self._listener.on_refused(self, run, refusal)
 
@@ -421,34 +355,19 @@
             return
         self._is_stopping_unanswered = True
         for run_id in list(self.evidence.lease_blockers):
-            if run_id in self.unanswered_starts:
+            if self.evidence.is_unanswered(run_id):
                 if not (yield self._stop_until_answered(run_id)):
                     # The next successful poll starts over.
                     break
                 log_event("run.ruled-out", worker=self.entry.worker_id, run=run_id)
-                self._release_later(run_id)
+                self.evidence.unblock_leases(run_id, self._clock.seconds())
             self.evidence.lease_blockers.discard(run_id)
         self._is_stopping_unanswered = False
 
-    def _release_later(self, run_id: RunId) -> None:
-        """Let a stopped run be dropped once no copy of its start is in flight.
-
-        The stop holds for this incarnation only.
-        """
-        start = self._unanswered_copies.get(run_id)
-        delay_s = 0.0
-        if start is not None:
-            delay_s = max(0.0, start.expires_s - self._clock.seconds())
-        self._clock.callLater(delay_s, self._release, run_id)
-
-    def _release(self, run_id: RunId) -> None:
-        if not self.is_closed:
-            self.last_response_s[run_id] = self._clock.seconds()
-
     def _confirm_start(self, run: Run) -> None:
-        self.unanswered_starts.pop(run.run_id, None)
+        self.evidence.settle_start(run.run_id)
         if self._may_retry():
-            self.last_response_s[run.run_id] = self._clock.seconds()
+            self.evidence.expect_listed(run.run_id, self._clock.seconds())
             self._listener.on_started(self, run)
 
     @inlineCallbacks
@@ -456,7 +375,7 @@
         """Order a stop and retry it until it is answered."""
         run.phase = RunPhase.STOPPING
         if (yield self._stop_until_answered(run.run_id)):
-            self.last_response_s[run.run_id] = self._clock.seconds()
+            self.evidence.expect_listed(run.run_id, self._clock.seconds())
 
     @inlineCallbacks
     def _stop_until_answered(self, run_id: RunId):
@@ -482,7 +401,7 @@
                     task=run_id.task,
                     reason=error.reason,
                 )
-            self.unanswered_starts.pop(run_id, None)
+            self.evidence.settle_start(run_id)
             return True
         return False
 
--- a/tests/test_cut_evidence.py
+++ b/tests/test_cut_evidence.py
@@ -13,7 +13,7 @@
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_types import RunId, StartOrder, TaskId
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
-from dogwoodlever._worker_link import LATE_ORDER_MAX_S
+from dogwoodlever._run_evidence import LATE_ORDER_MAX_S
 from dogwoodlever.platform import HttpFleetWorkerClient
 from dogwoodlever.platform_errors import (
     ConnectionRefusedByWorkerError,
--- a/tests/test_run_restarts.py
+++ b/tests/test_run_restarts.py
@@ -9,7 +9,7 @@
 from dogwoodlever._fleet_interfaces import RefusalReason
 from dogwoodlever._fleet_metrics import FleetMetrics
 from dogwoodlever._fleet_types import TaskId
-from dogwoodlever._worker_link import LATE_ORDER_MAX_S
+from dogwoodlever._run_evidence import LATE_ORDER_MAX_S
 from dogwoodlever.platform_errors import OrderRefusedError
 from standins.fleet import WORKER_TIMEOUT_S, server_record
 from tests.fleet_simulation import JOB, FleetSimulation, job, worker_entry
--- a/tests/test_worker_resize.py
+++ b/tests/test_worker_resize.py
@@ -19,6 +19,7 @@
     Step,
     SubmittedJob,
 )
+from dogwoodlever._run_evidence import WorkerEvidence
 from dogwoodlever._run_throttler import RunThrottler
 from dogwoodlever._worker_capacity import REFERENCE_CORES_MILLI, WorkerCapacity
 from standins.fleet import server_record
@@ -158,7 +159,7 @@
         self.task = fixture.registry.find(self.run.run_id.task)
         capacities = {c.entry.worker_id: c for c in fixture.capacities}
         self.links = {
-            worker_id: Mock(last_response_s={}, last_end_number=0)
+            worker_id: Mock(evidence=WorkerEvidence(5.0, 10.0), last_end_number=0)
             for worker_id in capacities
         }
         self.runs = FleetRuns(
--- a/tests/test_workspace_caps.py
+++ b/tests/test_workspace_caps.py
@@ -8,7 +8,7 @@
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_types import ResourceAmounts, Step, SubmittedJob
-from dogwoodlever._worker_link import LATE_ORDER_MAX_S
+from dogwoodlever._run_evidence import LATE_ORDER_MAX_S
 from standins.fleet import LEASE_MAX_MS, server_record
 from tests.fleet_simulation import (
     CONFIGURATION,
