Decide on answers of polls and orders in WorkerEvidence

PollVerdict and OrderVerdict name what an answer or a failure proves. WorkerLink sends calls, hands in their results and acts on the verdicts; the conditions that were spread over its callbacks are in one module without I/O. Numbers of ends move along, since they decide what a poll may acknowledge.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -180,8 +180,7 @@
     ) -> None:
         """Apply the result of a poll that was sent at `sent_s`."""
         for end in result.ended:
-            if end.number > link.last_end_number:
-                link.last_end_number = end.number
+            if link.evidence.read_end(end.number):
                 self._apply_end(capacity, link, end)
         for listed_run in result.running:
             self._apply_running(capacity, link, listed_run, result.clock_ms)
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -265,7 +265,7 @@
 
     def last_end_numbers(self) -> dict[WorkerLink, int]:
         """Return the highest end number that was applied, by link."""
-        return {link: link.last_end_number for link in self._links.values()}
+        return {link: link.evidence.last_end_number for link in self._links.values()}
 
     def acknowledge_ends(self, last_end_numbers: dict[WorkerLink, int]) -> None:
         """Let workers drop the ends that are stored."""
@@ -420,7 +420,9 @@
         now_s = self._clock.seconds()
         starts_in_flight = link.evidence.starts_in_flight(now_s) if may_return else {}
         cause = DropCause(evidence, now_s)
-        self.runs.drop_crashed_runs(capacity, link.broken_s, cause, starts_in_flight)
+        self.runs.drop_crashed_runs(
+            capacity, link.evidence.broken_s, cause, starts_in_flight
+        )
         self._keep_starts_in_flight(
             capacity, starts_in_flight, link.evidence.late_grants_end_s(now_s)
         )
@@ -473,7 +475,7 @@
         """Remove a worker without an entry on which nothing runs or may start."""
         worker_id = capacity.entry.worker_id
         link = self._links[worker_id]
-        if not capacity.is_synced or capacity.runs or not link.is_settled:
+        if not capacity.is_synced or capacity.runs or not link.evidence.is_settled:
             return
         link.close()
         del self.capacities[worker_id], self._links[worker_id]
@@ -522,7 +524,7 @@
             and capacity.is_listed
             and capacity.entry.worker_id not in self._announced
             and self._membership.is_stored(capacity.entry.worker_id)
-            and link.is_reachable
+            and link.evidence.is_reachable
             and not capacity.entry.is_draining
             and capacity.entry.data_centre not in self._desired_state.data_centres_out
         )
@@ -603,9 +605,9 @@
         now_s = self._clock.seconds()
         self._hold_usage(capacity, link.evidence.starts_in_flight(now_s))
         cause = DropCause(DropEvidence.LEASES_EXPIRED, link.evidence.lease_expiry_s)
-        if link.is_refused:
+        if link.evidence.is_refused:
             # Most likely its process has ended.
-            self.runs.drop_crashed_runs(capacity, link.broken_s, cause)
+            self.runs.drop_crashed_runs(capacity, link.evidence.broken_s, cause)
         else:
             self.runs.drop_lost_runs(capacity, cause)
         self.unpolled_workers.discard(worker_id)
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -1,8 +1,18 @@
 """What the leader knows of one incarnation of a worker, and what that proves."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum, auto
 
+from dogwoodlever._fleet_interfaces import RefusalReason
 from dogwoodlever._fleet_types import PollResult, RunId
+from dogwoodlever.platform_errors import (
+    ConnectionRefusedByWorkerError,
+    OrderRefusedError,
+    PlatformError,
+    WorkerUnreachableError,
+    WrongIncarnationError,
+)
 
 # Fraction by which a worker's clock may be slow.
 CLOCK_SLOWNESS = 0.02
@@ -13,6 +23,13 @@
 # How long after its sending an order without an answer may still be carried out. A copy
 # that reaches the next incarnation of a worker is not recognised as a repetition there.
 LATE_ORDER_MAX_S = 12.5
+# A single failure may be a lost response or a pause of this process.
+POLL_FAILURES_UNREACHABLE = 2
+# Starts refused for an expired lease are retried, since the next poll updates the
+# worker's clock.
+EXPIRED_STARTS_MAX = 3
+# Refusals of a stop after which a start in flight may still be carried out.
+STOP_RETRY_REASONS = frozenset({RefusalReason.FENCED, RefusalReason.UNHEALTHY})
 # Most ends in one response of a worker; the others follow once these are acknowledged.
 ENDS_LISTED_MAX = 500
 
@@ -27,6 +44,59 @@
     return lease_s * (1 + CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
 
 
+class PollVerdict(Enum):
+    """What the answer to a poll, or its failure, proves of the incarnation."""
+
+    ALIVE = auto()
+    # It is alive, and its entry names another incarnation.
+    MISNAMED = auto()
+    # Another incarnation of the worker answered.
+    REPLACED = auto()
+    # A worker with another id answered.
+    ADDRESS_TAKEN = auto()
+    UNKNOWN = auto()
+
+
+class OrderVerdict(Enum):
+    """What the answer to an order, or its failure, proves of the order."""
+
+    CARRIED_OUT = auto()
+    # No copy of it was or will be carried out.
+    REFUSED = auto()
+    # This copy was refused; an earlier one may be carried out.
+    IN_DOUBT = auto()
+    # It may be carried out, or on the next try.
+    RETRY = auto()
+    # Another process answered.
+    INCARNATION_ENDED = auto()
+
+
+@dataclass(slots=True)
+class StartAttempts:
+    """The copies of a start that were sent to one incarnation.
+
+    Attributes
+    ----------
+    may_be_carried_out : bool
+        Whether a copy got no answer.
+    expired_count : int
+        How often a copy was refused for an expired lease.
+    clock_min_ms : int
+        Least value of the incarnation's clock when the last copy was sent.
+    """
+
+    run_id: RunId
+    may_be_carried_out: bool = False
+    expired_count: int = 0
+    clock_min_ms: int = 0
+
+
+def may_be_carried_out(error: PlatformError) -> bool:
+    """Return whether a call that failed may be carried out, now or later."""
+    is_unanswered = isinstance(error, WorkerUnreachableError)
+    return is_unanswered and not isinstance(error, ConnectionRefusedByWorkerError)
+
+
 class WorkerEvidence:
     """Concludes from the events of a worker's incarnation what may run on it.
 
@@ -53,18 +123,27 @@
         When all leases of the worker have expired.
     has_lease_expired : bool
         Whether they have, without an answer since.
-    failed_polls : int
-        Polls in a row without an answer.
+    is_reachable : bool
+        Whether the worker may get starts. It gets none before it may get a lease.
+    is_refused : bool
+        Whether the connection of the last poll was refused.
+    broken_s : float
+        When the connection of the first poll without an answer ended, or when that
+        poll was sent if it timed out; infinitely early if the last one was answered.
     responded_s : float
         When the last poll was answered.
     lease_blockers : set of RunId
         Runs that may still start. No lease is granted before that is prevented: a
         worker carries out a late order with an expired lease if it holds a newer one.
+    last_end_number : int
+        Highest number of an end that was read.
     """
 
     __slots__ = (
+        "_acknowledged_number",
         "_clock_ms",
         "_copies_expire_s",
+        "_failed_polls",
         "_former_late_grants_end_s",
         "_granted_ms",
         "_is_grant_under_way",
@@ -74,8 +153,11 @@
         "_listed_from_s",
         "_misdirected_expiry_s",
         "_unanswered_starts",
-        "failed_polls",
+        "broken_s",
         "has_lease_expired",
+        "is_reachable",
+        "is_refused",
+        "last_end_number",
         "lease_blockers",
         "lease_expiry_s",
         "responded_s",
@@ -101,7 +183,7 @@
         self._clock_ms = 0
         self.responded_s = 0.0
         self._granted_ms = 0
-        self.failed_polls = 0
+        self._failed_polls = 0
         # Runs whose start was neither answered nor prevented by a confirmed stop.
         self._unanswered_starts = dict.fromkeys(starts_in_flight or ())
         # Until when a copy of a start that got no answer may be carried out, by this or
@@ -112,19 +194,15 @@
         self.lease_blockers = set(self._unanswered_starts)
         self.lease_expiry_s = max(former_leases_expire_s, misdirected_expiry_s)
         self.has_lease_expired = False
+        self.is_reachable = not self.lease_blockers
+        self.is_refused = False
+        self.broken_s = NEVER_S
+        # The worker may drop ends up to this number, as they are stored.
+        self._acknowledged_number = 0
+        self.last_end_number = 0
 
     # Leases
 
-    @property
-    def is_polled(self) -> bool:
-        """Whether this incarnation has answered a poll."""
-        return self._clock_ms > 0
-
-    @property
-    def is_answering(self) -> bool:
-        """Whether the last poll was answered."""
-        return self.is_polled and not self.failed_polls
-
     def lease_until_ms(self, now_s: float, leases_end_s: float) -> int:
         """Return the expiry of a lease that is granted now, on the worker's clock.
 
@@ -140,20 +218,13 @@
         """
         if not self._clock_ms:
             return 0
-        if self.failed_polls or self.lease_blockers:
+        if self._failed_polls or self.lease_blockers:
             return self._granted_ms
         until_s = min(now_s + self._lease_s, leases_end_s)
         until_ms = self._clock_ms + int((until_s - self.responded_s) * 1000)
         self._granted_ms = max(self._granted_ms, until_ms)
         return self._granted_ms
 
-    def clock_lower_bound_ms(self, now_s: float) -> int:
-        """Return the least value of the clock of the polled incarnation now."""
-        if not self._clock_ms:
-            return 0
-        elapsed_ms = int((now_s - self.responded_s) * 1000 * (1 - CLOCK_SLOWNESS))
-        return self._clock_ms + elapsed_ms - CLOCK_MARGIN_MS
-
     def limit_former_leases(self, expire_s: float) -> None:
         """Lower the expiry of leases from a former leader."""
         if not self._granted_ms:
@@ -161,9 +232,14 @@
                 min(self.lease_expiry_s, expire_s), self._misdirected_expiry_s
             )
 
+    @property
+    def awaits_expiry(self) -> bool:
+        """Whether the worker does not answer and its leases have not expired."""
+        return self._failed_polls > 0 and not self.has_lease_expired
+
     def expire_leases(self, now_s: float) -> bool:
         """Return whether the leases of a worker that does not answer expire now."""
-        if self.has_lease_expired or not self.failed_polls:
+        if not self.awaits_expiry:
             return False
         self._update_lease_expiry()
         self.has_lease_expired = now_s >= self.lease_expiry_s
@@ -204,40 +280,186 @@
 
     # Polls
 
-    def begin_poll(self, now_s: float, leases_end_s: float) -> int:
-        """Return the expiry of the lease that a poll grants, 0 for none.
+    @property
+    def is_answering(self) -> bool:
+        """Whether the last poll was answered."""
+        return self._clock_ms > 0 and not self._failed_polls
+
+    def begin_poll(self, now_s: float, leases_end_s: float) -> tuple[int, int]:
+        """Return what a poll that is sent now may say.
 
-        After a failure, another incarnation may answer, for which the time of the
-        lease is not valid.
+        After a failure, another incarnation may answer, for which neither value is
+        valid.
+
+        Returns
+        -------
+        acknowledged_number : int
+            Up to which number the worker may drop ends.
+        until_ms : int
+            Expiry of the lease that the poll grants, 0 for none.
         """
-        until_ms = 0
-        if not self.failed_polls:
-            until_ms = self.lease_until_ms(now_s, leases_end_s)
+        if self._failed_polls:
+            return 0, 0
+        until_ms = self.lease_until_ms(now_s, leases_end_s)
         self._is_grant_under_way = until_ms > 0
-        return until_ms
+        return self._acknowledged_number, until_ms
 
-    def end_poll(self, now_s: float, is_unanswered: bool = False) -> None:
-        """Record that the poll under way was answered, or that it got no answer."""
-        if self._is_grant_under_way and is_unanswered:
-            self._late_grants_end_s = now_s + LATE_ORDER_MAX_S
-        self._is_grant_under_way = False
+    def judge_poll(
+        self, result: PollResult, entry_started_at_ms: int, now_s: float
+    ) -> PollVerdict:
+        """Judge the answer to a poll.
 
-    def record_clock(self, now_s: float, clock_ms: int) -> None:
-        """Record the answer of this incarnation to a poll."""
-        self.failed_polls = 0
-        self._clock_ms = clock_ms
+        Parameters
+        ----------
+        result : PollResult
+            The answer.
+        entry_started_at_ms : int
+            Start of the incarnation that the worker's entry names, 0 if not known.
+        now_s : float
+            Current time.
+        """
+        self._is_grant_under_way = False
+        is_other = (
+            entry_started_at_ms
+            and result.started_at_ms
+            and result.started_at_ms != entry_started_at_ms
+        )
+        if is_other and self._clock_ms:
+            return PollVerdict.REPLACED
+        self._failed_polls = 0
+        self.is_refused = False
+        self.broken_s = NEVER_S
+        self._clock_ms = result.clock_ms
         self.responded_s = now_s
         self.has_lease_expired = False
         self._update_lease_expiry()
+        self.is_reachable = self.is_reachable or not self.lease_blockers
+        return PollVerdict.MISNAMED if is_other else PollVerdict.ALIVE
+
+    def judge_failed_poll(
+        self, error: PlatformError, sent_s: float, wait_s: float, now_s: float
+    ) -> PollVerdict:
+        """Judge the failure of a poll that the worker might delay by `wait_s`."""
+        if self._is_grant_under_way and may_be_carried_out(error):
+            self._late_grants_end_s = now_s + LATE_ORDER_MAX_S
+        self._is_grant_under_way = False
+        if not self._failed_polls:
+            self.broken_s = now_s if now_s - sent_s <= wait_s else sent_s
+        if isinstance(error, WrongIncarnationError):
+            return PollVerdict.ADDRESS_TAKEN
+        self.is_refused = isinstance(error, ConnectionRefusedByWorkerError)
+        self._failed_polls += 1
+        if self._failed_polls >= POLL_FAILURES_UNREACHABLE:
+            self.is_reachable = False
+        return PollVerdict.UNKNOWN
+
+    # Ends
+
+    def read_end(self, number: int) -> bool:
+        """Record a listed end; return whether it is listed for the first time."""
+        if number <= self.last_end_number:
+            return False
+        self.last_end_number = number
+        return True
+
+    def acknowledge(self, number: int) -> bool:
+        """Record that the ends up to `number` are stored; return whether any is new."""
+        if number <= self._acknowledged_number:
+            return False
+        self._acknowledged_number = number
+        return True
+
+    @property
+    def has_unstored_ends(self) -> bool:
+        """Whether a listed end may not be acknowledged yet."""
+        return self.last_end_number > self._acknowledged_number
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no start is unanswered and every listed end is acknowledged."""
+        return not self._unanswered_starts and not self.has_unstored_ends
 
     # Starts
 
-    def begin_start(self, run_id: RunId) -> None:
+    def begin_start(self, run_id: RunId) -> StartAttempts:
         """Record that a start is about to be sent."""
         self._unanswered_starts[run_id] = None
-
-    def record_unanswered_copy(self, run_id: RunId, now_s: float) -> None:
-        """Record that a copy of a start, which grants a lease, got no answer."""
+        return StartAttempts(run_id)
+
+    def begin_attempt(
+        self, attempts: StartAttempts, now_s: float, leases_end_s: float
+    ) -> int:
+        """Return the expiry of the lease that a copy sent now grants."""
+        attempts.clock_min_ms = 0
+        if self._clock_ms:
+            elapsed_s = now_s - self.responded_s
+            elapsed_ms = int(elapsed_s * 1000 * (1 - CLOCK_SLOWNESS))
+            attempts.clock_min_ms = self._clock_ms + elapsed_ms - CLOCK_MARGIN_MS
+        return self.lease_until_ms(now_s, leases_end_s)
+
+    def judge_start(
+        self, attempts: StartAttempts, clock_ms: int, now_s: float
+    ) -> OrderVerdict:
+        """Judge the answer to a start, with the worker's clock."""
+        if clock_ms < attempts.clock_min_ms:
+            # The next incarnation carries out the order.
+            return OrderVerdict.INCARNATION_ENDED
+        self._confirm_start(attempts.run_id, now_s)
+        return OrderVerdict.CARRIED_OUT
+
+    def judge_failed_start(
+        self, attempts: StartAttempts, error: PlatformError, now_s: float
+    ) -> OrderVerdict:
+        """Judge the failure or refusal of a copy of a start."""
+        if isinstance(error, WorkerUnreachableError):
+            if may_be_carried_out(error):
+                attempts.may_be_carried_out = True
+                self._record_unanswered_copy(attempts.run_id, now_s)
+            return OrderVerdict.RETRY
+        if isinstance(error, WrongIncarnationError):
+            self.abandon_start(attempts)
+            return OrderVerdict.INCARNATION_ENDED
+        reason = error.reason if isinstance(error, OrderRefusedError) else None
+        if attempts.may_be_carried_out and reason is RefusalReason.SUPERSEDED:
+            self._confirm_start(attempts.run_id, now_s)
+            return OrderVerdict.CARRIED_OUT
+        attempts.expired_count += reason is RefusalReason.EXPIRED
+        if reason is RefusalReason.FENCED or (
+            reason is RefusalReason.EXPIRED
+            and attempts.expired_count < EXPIRED_STARTS_MAX
+        ):
+            return OrderVerdict.RETRY
+        self.abandon_start(attempts)
+        if attempts.may_be_carried_out:
+            return OrderVerdict.IN_DOUBT
+        return OrderVerdict.REFUSED
+
+    def abandon_start(self, attempts: StartAttempts) -> None:
+        """Record that no further copy of a start is sent."""
+        if not attempts.may_be_carried_out:
+            self.settle_start(attempts.run_id)
+
+    @staticmethod
+    def judge_failed_stop(error: PlatformError) -> OrderVerdict:
+        """Judge the failure or refusal of a stop.
+
+        After another refusal than those that are retried, no earlier order can start
+        the run.
+        """
+        if isinstance(error, WorkerUnreachableError):
+            return OrderVerdict.RETRY
+        if isinstance(error, WrongIncarnationError):
+            return OrderVerdict.INCARNATION_ENDED
+        if isinstance(error, OrderRefusedError) and error.reason in STOP_RETRY_REASONS:
+            return OrderVerdict.RETRY
+        return OrderVerdict.CARRIED_OUT
+
+    def _confirm_start(self, run_id: RunId, now_s: float) -> None:
+        self.settle_start(run_id)
+        if not self.has_lease_expired:
+            self.expect_listed(run_id, now_s)
+
+    def _record_unanswered_copy(self, run_id: RunId, now_s: float) -> None:
         for other, expires_s in list(self._copies_expire_s.items()):
             if now_s >= expires_s:
                 del self._copies_expire_s[other]
@@ -252,11 +474,6 @@
         """Record that a start was answered, or prevented by a confirmed stop."""
         self._unanswered_starts.pop(run_id, None)
 
-    @property
-    def has_unanswered_starts(self) -> bool:
-        """Whether a start was neither answered nor prevented."""
-        return bool(self._unanswered_starts)
-
     def starts_in_flight(self, now_s: float) -> dict[RunId, float]:
         """Return until when starts may be carried out by the next incarnation."""
         starts = {
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -397,7 +397,7 @@
         worker.is_reachable = True
         fleet.run_for(0.4)
         leader = fleet.nodes[fleet.leader()].leader
-        self.assertTrue(leader.workers._links["w0"].is_reachable)
+        self.assertTrue(leader.workers._links["w0"].evidence.is_reachable)
         fleet.run_for(3.0)
         self.assertEqual(len(fleet.workers.starts), 2)
 
