Carry evidence over to the next incarnation of a worker

WorkerEvidence.carry_over returns what calls for an ended incarnation may still do at the next one; EndedIncarnation, which repeated four of its fields, is removed. Evidence for a drop comes as a DropCause from the module that concludes it. Late answers to calls for a former incarnation change only its own object.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -198,8 +198,8 @@
         sent_s: float,
     ) -> None:
         """Drop unlisted runs with an order that was answered before the poll."""
-        cause = DropCause(DropEvidence.NOT_LISTED, link.evidence.responded_s)
-        for run_id in link.evidence.unlisted_runs(capacity.runs, result, sent_s):
+        unlisted = link.evidence.unlisted_runs(capacity.runs, result, sent_s)
+        for run_id, cause in unlisted.items():
             self.drop_lost(capacity, capacity.runs[run_id][0], cause)
             if self._usage is not None:
                 self._usage.release(capacity.entry.worker_id, run_id)
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -1,7 +1,7 @@
 """The leader's view of the workers: capacities, links, incarnations and leases."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
@@ -17,11 +17,10 @@
 from dogwoodlever._fleet_runs import FleetRuns
 from dogwoodlever._fleet_types import (
     PollResult,
-    RunId,
     WorkerEntry,
 )
 from dogwoodlever._logs import log_event
-from dogwoodlever._run_evidence import NEVER_S, WorkerEvidence, lease_bound_s
+from dogwoodlever._run_evidence import WorkerEvidence, lease_bound_s
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
 from dogwoodlever._worker_capacity import WorkerCapacity
@@ -49,29 +48,6 @@
 WORKERS_AT_FULL_POLL_RATE = 100
 
 
-@dataclass(slots=True, frozen=True)
-class EndedIncarnation:
-    """An ended incarnation of a worker, whose calls may have reached the next one.
-
-    Attributes
-    ----------
-    capacity : WorkerCapacity
-        Counts the runs of starts without an answer.
-    starts_in_flight : dict of RunId to float
-        Until when these starts, and those sent to earlier incarnations, may be carried
-        out.
-    leases_expire_s : float
-        When the leases have expired that its calls may have granted to the next one.
-    late_grants_end_s : float
-        Until when its calls without an answer may still grant leases.
-    """
-
-    capacity: WorkerCapacity
-    starts_in_flight: dict[RunId, float]
-    leases_expire_s: float
-    late_grants_end_s: float
-
-
 class FleetWorkers(LinkListener):
     """Keeps a capacity and a link for each worker and handles the links' events.
 
@@ -160,11 +136,12 @@
         self._lease_s = min(RUN_LEASE_TARGET_S, run_lease_max_s)
         self._lease_max_s = run_lease_max_s
         self._lease_bound_s = lease_bound_s(self._lease_s)
-        self._misdirected_lease_bound_s = lease_bound_s(run_lease_max_s)
         self.capacities: dict[str, WorkerCapacity] = {}
         self._links: dict[str, WorkerLink] = {}
         self._get_contact_s = get_contact_s
-        self._ended_incarnations: dict[str, EndedIncarnation] = {}
+        # Runs of starts without an answer, and what else calls for ended incarnations
+        # may still do at the next ones, by worker id.
+        self._ended_incarnations: dict[str, tuple[WorkerCapacity, WorkerEvidence]] = {}
         # Entries that name another incarnation than the known one, by worker id.
         self._announced: dict[str, WorkerEntry] = {}
         self.unpolled_workers: set[str] = set()
@@ -366,23 +343,12 @@
         worker_id = entry.worker_id
         capacity = WorkerCapacity(entry, self._usage)
         self.capacities[worker_id] = capacity
-        starts_in_flight: dict[RunId, float] = {}
-        misdirected_expiry_s = late_grants_end_s = NEVER_S
-        previous = self._ended_incarnations.pop(worker_id, None)
-        if previous is not None:
-            starts_in_flight = previous.starts_in_flight
-            misdirected_expiry_s = previous.leases_expire_s
-            late_grants_end_s = previous.late_grants_end_s
-            for run, step in previous.capacity.runs.values():
+        evidence = WorkerEvidence(self._lease_s, self._lease_max_s)
+        if worker_id in self._ended_incarnations:
+            ended, evidence = self._ended_incarnations.pop(worker_id)
+            for run, step in ended.runs.values():
                 capacity.add(run, step)
-        evidence = WorkerEvidence(
-            self._lease_s,
-            self._lease_max_s,
-            self._former_leases_expire_s,
-            misdirected_expiry_s,
-            late_grants_end_s,
-            starts_in_flight,
-        )
+        evidence.begin_incarnation(self._former_leases_expire_s)
         link = WorkerLink(
             entry,
             self._worker_client,
@@ -418,41 +384,28 @@
             "worker.life-over", worker=worker_id, why=why, runs=len(capacity.runs)
         )
         now_s = self._clock.seconds()
-        starts_in_flight = link.evidence.starts_in_flight(now_s) if may_return else {}
-        cause = DropCause(evidence, now_s)
+        carried = link.evidence.carry_over(now_s, may_return)
         self.runs.drop_crashed_runs(
-            capacity, link.evidence.broken_s, cause, starts_in_flight
-        )
-        self._keep_starts_in_flight(
-            capacity, starts_in_flight, link.evidence.late_grants_end_s(now_s)
+            capacity,
+            link.evidence.broken_s,
+            DropCause(evidence, now_s),
+            carried.starts_in_flight(now_s),
         )
+        self._keep_evidence(capacity, carried)
         if not capacity.runs and not is_member:
             self._remove_worker(worker_id)
         self.unpolled_workers.discard(worker_id)
         self._on_change()
 
-    def _keep_starts_in_flight(
-        self,
-        capacity: WorkerCapacity,
-        starts_in_flight: dict[RunId, float],
-        late_grants_end_s: float,
-    ) -> None:
+    def _keep_evidence(self, capacity: WorkerCapacity, carried: WorkerEvidence) -> None:
         """Keep what calls to a dropped worker may still do at its next incarnation."""
-        now_s = self._clock.seconds()
-        self._hold_usage(capacity, starts_in_flight)
-        self._ended_incarnations[capacity.entry.worker_id] = EndedIncarnation(
-            capacity,
-            starts_in_flight,
-            now_s + self._misdirected_lease_bound_s,
-            late_grants_end_s,
-        )
+        self._hold_usage(capacity, carried)
+        self._ended_incarnations[capacity.entry.worker_id] = capacity, carried
 
-    def _hold_usage(
-        self, capacity: WorkerCapacity, starts_in_flight: dict[RunId, float]
-    ) -> None:
+    def _hold_usage(self, capacity: WorkerCapacity, evidence: WorkerEvidence) -> None:
         """Count starts that may be carried out late until their leases would end."""
-        for run_id, expires_s in starts_in_flight.items():
-            until_s = expires_s + self._misdirected_lease_bound_s
+        late_runs = evidence.late_runs(self._clock.seconds())
+        for run_id, until_s in late_runs.items():
             self._usage.hold(capacity.entry, run_id, until_s)
 
     def refresh_usage(self) -> None:
@@ -461,7 +414,7 @@
         if configuration is None or not configuration.workspaces:
             return
         if not self._usage.is_counting:
-            ended = (found.capacity for found in self._ended_incarnations.values())
+            ended = (capacity for capacity, _ in self._ended_incarnations.values())
             self._usage.start(
                 (capacity.entry, capacity.runs.values())
                 for capacity in (*self.capacities.values(), *ended)
@@ -477,14 +430,15 @@
         link = self._links[worker_id]
         if not capacity.is_synced or capacity.runs or not link.evidence.is_settled:
             return
+        self._drop_unlisted(capacity)
+
+    def _drop_unlisted(self, capacity: WorkerCapacity) -> None:
+        """Drop a worker without an entry whose runs have all ended."""
+        worker_id = capacity.entry.worker_id
+        link = self._links.pop(worker_id)
         link.close()
-        del self.capacities[worker_id], self._links[worker_id]
-        now_s = self._clock.seconds()
-        self._keep_starts_in_flight(
-            capacity,
-            link.evidence.starts_in_flight(now_s),
-            link.evidence.late_grants_end_s(now_s),
-        )
+        del self.capacities[worker_id]
+        self._keep_evidence(capacity, link.evidence.carry_over(self._clock.seconds()))
         self._remove_worker(worker_id)
 
     def expire_ended_incarnations(self) -> None:
@@ -492,30 +446,18 @@
         now_s = self._clock.seconds()
         if self._usage.expire_holds(now_s):
             self._on_change()
-        for worker_id, previous in list(self._ended_incarnations.items()):
-            in_flight = {
-                run_id
-                for run_id, expires_s in previous.starts_in_flight.items()
-                if now_s < expires_s
-            }
-            if not in_flight.issuperset(previous.capacity.runs):
-                self._drop_expired_starts(previous, in_flight)
+        for worker_id, ended in list(self._ended_incarnations.items()):
+            capacity, evidence = ended
+            expired = evidence.expired_starts(capacity.runs, now_s)
+            for run_id, cause in expired.items():
+                self.runs.drop_lost(capacity, capacity.runs[run_id][0], cause)
+            if expired:
                 self._on_change()
-                if not previous.capacity.runs:
+                if not capacity.runs:
                     self._remove_worker(worker_id)
-            kept_until_s = max(previous.leases_expire_s, previous.late_grants_end_s)
-            if now_s >= kept_until_s and not in_flight:
+            if evidence.is_spent(now_s):
                 del self._ended_incarnations[worker_id]
 
-    def _drop_expired_starts(
-        self, previous: EndedIncarnation, in_flight: set[RunId]
-    ) -> None:
-        for run, _ in list(previous.capacity.runs.values()):
-            if run.run_id not in in_flight:
-                expired_s = previous.starts_in_flight[run.run_id]
-                cause = DropCause(DropEvidence.ORDER_EXPIRED, expired_s)
-                self.runs.drop_lost(previous.capacity, run, cause)
-
     def _is_schedulable(self, capacity: WorkerCapacity) -> bool:
         """Return whether new tasks may start on a worker."""
         link = self._links[capacity.entry.worker_id]
@@ -586,25 +528,23 @@
         renewed the lease. The runs then count until that is ruled out; the lease of the
         leader's record does not, since the store may take the record away.
         """
-        if not link.evidence.confirm_expiry(self._get_contact_s()):
-            if not link.is_closed:
-                self._clock.callLater(CONFIRM_RETRY_S, self._recheck_expiry, link)
-            return
-        self._drop_expired(link)
+        cause = link.evidence.confirm_expiry(self._get_contact_s())
+        if cause is not None:
+            self._drop_expired(link, cause)
+        elif not link.is_closed:
+            self._clock.callLater(CONFIRM_RETRY_S, self._recheck_expiry, link)
 
     def _recheck_expiry(self, link: WorkerLink) -> None:
         """Handle an unconfirmed expiry again, unless the worker responded since."""
         if link.evidence.has_lease_expired and not link.is_closed:
             self.on_lease_expired(link)
 
-    def _drop_expired(self, link: WorkerLink) -> None:
+    def _drop_expired(self, link: WorkerLink, cause: DropCause) -> None:
         worker_id = link.entry.worker_id
         capacity = self.capacities[worker_id]
         self._metrics.worker_events.labels("lapsed").inc()
         log_event("worker.lapsed", worker=worker_id, runs=len(capacity.runs))
-        now_s = self._clock.seconds()
-        self._hold_usage(capacity, link.evidence.starts_in_flight(now_s))
-        cause = DropCause(DropEvidence.LEASES_EXPIRED, link.evidence.lease_expiry_s)
+        self._hold_usage(capacity, link.evidence)
         if link.evidence.is_refused:
             # Most likely its process has ended.
             self.runs.drop_crashed_runs(capacity, link.evidence.broken_s, cause)
@@ -613,14 +553,7 @@
         self.unpolled_workers.discard(worker_id)
         capacity.is_synced = False
         if not capacity.is_listed:
-            link.close()
-            del self.capacities[worker_id], self._links[worker_id]
-            self._keep_starts_in_flight(
-                capacity,
-                link.evidence.starts_in_flight(now_s),
-                link.evidence.late_grants_end_s(now_s),
-            )
-            self._remove_worker(worker_id)
+            self._drop_unlisted(capacity)
         self._on_change()
 
     def _remove_worker(self, worker_id: str) -> None:
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from dogwoodlever._drop_evidence import DropCause, DropEvidence
 from dogwoodlever._fleet_interfaces import RefusalReason
 from dogwoodlever._fleet_types import PollResult, RunId
 from dogwoodlever.platform_errors import (
@@ -100,6 +101,9 @@
 class WorkerEvidence:
     """Concludes from the events of a worker's incarnation what may run on it.
 
+    Each incarnation has its own object, so late answers to calls for a former one
+    change nothing. What these calls may still do is carried over to the next.
+
     Parameters
     ----------
     lease_s : float
@@ -107,15 +111,6 @@
     lease_max_s : float
         Longest lease that the worker grants. The clock of the next incarnation starts
         anew, so a call for the former one grants this lease there.
-    former_leases_expire_s : float
-        When all leases from a former leader have expired.
-    misdirected_expiry_s : float
-        When the leases have expired that calls for a former incarnation may have
-        granted.
-    late_grants_end_s : float
-        Until when calls for earlier incarnations may still grant leases.
-    starts_in_flight : dict of RunId to float
-        Starts sent to earlier incarnations, and until when they may be carried out.
 
     Attributes
     ----------
@@ -149,6 +144,7 @@
         "_is_grant_under_way",
         "_late_grants_end_s",
         "_late_lease_s",
+        "_lease_max_s",
         "_lease_s",
         "_listed_from_s",
         "_misdirected_expiry_s",
@@ -163,19 +159,14 @@
         "responded_s",
     )
 
-    def __init__(
-        self,
-        lease_s: float,
-        lease_max_s: float,
-        former_leases_expire_s: float = NEVER_S,
-        misdirected_expiry_s: float = NEVER_S,
-        late_grants_end_s: float = NEVER_S,
-        starts_in_flight: dict[RunId, float] | None = None,
-    ) -> None:
+    def __init__(self, lease_s: float, lease_max_s: float) -> None:
         self._lease_s = lease_s
+        self._lease_max_s = lease_max_s
         self._late_lease_s = lease_bound_s(lease_max_s)
-        self._misdirected_expiry_s = misdirected_expiry_s
-        self._former_late_grants_end_s = late_grants_end_s
+        # When the leases have expired that calls for a former incarnation may have
+        # granted, and until when such calls may grant leases.
+        self._misdirected_expiry_s = NEVER_S
+        self._former_late_grants_end_s = NEVER_S
         # Until when calls for this incarnation without an answer may grant leases.
         self._late_grants_end_s = NEVER_S
         self._is_grant_under_way = False
@@ -185,22 +176,62 @@
         self._granted_ms = 0
         self._failed_polls = 0
         # Runs whose start was neither answered nor prevented by a confirmed stop.
-        self._unanswered_starts = dict.fromkeys(starts_in_flight or ())
+        self._unanswered_starts: dict[RunId, None] = {}
         # Until when a copy of a start that got no answer may be carried out, by this or
         # a later incarnation, whether or not another copy was answered.
-        self._copies_expire_s = dict(starts_in_flight or ())
+        self._copies_expire_s: dict[RunId, float] = {}
         # From when on a run that still counts has to be listed.
         self._listed_from_s: dict[RunId, float] = {}
-        self.lease_blockers = set(self._unanswered_starts)
-        self.lease_expiry_s = max(former_leases_expire_s, misdirected_expiry_s)
+        self.lease_blockers: set[RunId] = set()
+        self.lease_expiry_s = NEVER_S
         self.has_lease_expired = False
-        self.is_reachable = not self.lease_blockers
+        self.is_reachable = True
         self.is_refused = False
         self.broken_s = NEVER_S
         # The worker may drop ends up to this number, as they are stored.
         self._acknowledged_number = 0
         self.last_end_number = 0
 
+    # Incarnations
+
+    def begin_incarnation(self, former_leases_expire_s: float) -> None:
+        """Start to collect evidence on an incarnation of the worker.
+
+        Parameters
+        ----------
+        former_leases_expire_s : float
+            When all leases from a former leader have expired.
+        """
+        self._unanswered_starts = dict.fromkeys(self._copies_expire_s)
+        self.lease_blockers = set(self._unanswered_starts)
+        self.is_reachable = not self.lease_blockers
+        self.lease_expiry_s = max(former_leases_expire_s, self._misdirected_expiry_s)
+
+    def carry_over(self, now_s: float, may_return: bool = True) -> "WorkerEvidence":
+        """Return what is known of the worker's next incarnation as this one ends.
+
+        Calls for this one may be carried out late by the next, whose clock starts anew,
+        so they grant the longest lease there.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time.
+        may_return : bool
+            Whether the worker may return to its address.
+        """
+        carried = WorkerEvidence(self._lease_s, self._lease_max_s)
+        if may_return:
+            carried._copies_expire_s = self.starts_in_flight(now_s)
+        carried._misdirected_expiry_s = now_s + self._late_lease_s
+        carried._former_late_grants_end_s = self._late_grants_end_now_s(now_s)
+        return carried
+
+    def is_spent(self, now_s: float) -> bool:
+        """Return whether no call for former incarnations can have any effect."""
+        kept_until_s = max(self._misdirected_expiry_s, self._former_late_grants_end_s)
+        return now_s >= kept_until_s and not self.starts_in_flight(now_s)
+
     # Leases
 
     def lease_until_ms(self, now_s: float, leases_end_s: float) -> int:
@@ -247,8 +278,8 @@
             self.lease_blockers = set(self._unanswered_starts)
         return self.has_lease_expired
 
-    def confirm_expiry(self, contact_s: float) -> bool:
-        """Return whether the runs of an expired worker may start elsewhere.
+    def confirm_expiry(self, contact_s: float) -> DropCause | None:
+        """Return why the runs of an expired worker may start elsewhere, if they may.
 
         If another daemon may have led by then, it may have renewed the leases.
 
@@ -258,11 +289,11 @@
             Time of the last contact with the store that showed no successor.
         """
         if contact_s < self.lease_expiry_s:
-            return False
+            return None
         self._listed_from_s.clear()
-        return True
+        return DropCause(DropEvidence.LEASES_EXPIRED, self.lease_expiry_s)
 
-    def late_grants_end_s(self, now_s: float) -> float:
+    def _late_grants_end_now_s(self, now_s: float) -> float:
         """Return until when calls without an answer may grant the next one leases."""
         end_s = max(self._former_late_grants_end_s, self._late_grants_end_s)
         if self._is_grant_under_way or self._unanswered_starts:
@@ -485,6 +516,17 @@
             starts.setdefault(run_id, now_s + LATE_ORDER_MAX_S)
         return starts
 
+    def expired_starts(
+        self, run_ids: Iterable[RunId], now_s: float
+    ) -> dict[RunId, DropCause]:
+        """Return which starts without an answer cannot be carried out any more."""
+        in_flight = self.starts_in_flight(now_s)
+        return {
+            run_id: DropCause(DropEvidence.ORDER_EXPIRED, self._copies_expire_s[run_id])
+            for run_id in run_ids
+            if run_id not in in_flight
+        }
+
     def late_runs(self, now_s: float) -> dict[RunId, float]:
         """Return until when runs may exist that starts in flight may still start."""
         return {
@@ -498,6 +540,7 @@
         The stop holds for this incarnation only, so the run counts until no copy of its
         start is in flight.
         """
+        self.lease_blockers.discard(run_id)
         copy_expires_s = self._copies_expire_s.get(run_id, NEVER_S)
         self.expect_listed(run_id, max(now_s, copy_expires_s))
 
@@ -514,8 +557,8 @@
 
     def unlisted_runs(
         self, run_ids: Iterable[RunId], result: PollResult, sent_s: float
-    ) -> list[RunId]:
-        """Return which of the runs have ended, or cannot start, by a poll's answer.
+    ) -> dict[RunId, DropCause]:
+        """Return which of the runs have ended, or cannot start, by the last answer.
 
         Parameters
         ----------
@@ -528,10 +571,11 @@
             later.
         """
         if len(result.ended) >= ENDS_LISTED_MAX:
-            return []
+            return {}
         listed = {listed_run.run for listed_run in result.running}
-        return [
-            run_id
+        cause = DropCause(DropEvidence.NOT_LISTED, self.responded_s)
+        return {
+            run_id: cause
             for run_id in run_ids
             if self._listed_from_s.get(run_id, sent_s) < sent_s and run_id not in listed
-        ]
+        }
--- a/tests/test_workspace_caps.py
+++ b/tests/test_workspace_caps.py
@@ -140,7 +140,7 @@
             usage, workers = leader._usage, leader.workers
             if not usage.is_counting:
                 continue
-            ended = (found.capacity for found in workers._ended_incarnations.values())
+            ended = (found[0] for found in workers._ended_incarnations.values())
             expected = {
                 (capacity.entry.worker_id, run_id)
                 for capacity in (*workers.capacities.values(), *ended)
