--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -49,12 +49,13 @@
     """What the answer to a poll, or its failure, proves of the incarnation."""
 
     ALIVE = auto()
-    # It is alive, and its entry names another incarnation.
+    # It is alive; its entry names another incarnation.
     MISNAMED = auto()
     # Another incarnation of the worker answered.
     REPLACED = auto()
     # A worker with another id answered.
     ADDRESS_TAKEN = auto()
+    # No answer that proves anything.
     UNKNOWN = auto()
 
 
@@ -66,7 +67,7 @@
     REFUSED = auto()
     # This copy was refused; an earlier one may be carried out.
     IN_DOUBT = auto()
-    # It may be carried out, or on the next try.
+    # Nothing is proven, or a further copy may be accepted.
     RETRY = auto()
     # Another process answered.
     INCARNATION_ENDED = auto()
@@ -92,8 +93,8 @@
     clock_min_ms: int = 0
 
 
-def may_be_carried_out(error: PlatformError) -> bool:
-    """Return whether a call that failed may be carried out, now or later."""
+def _may_be_in_flight(error: PlatformError) -> bool:
+    """Return whether a call that failed may have been, or be, carried out."""
     is_unanswered = isinstance(error, WorkerUnreachableError)
     return is_unanswered and not isinstance(error, ConnectionRefusedByWorkerError)
 
@@ -224,7 +225,7 @@
         if may_return:
             carried._copies_expire_s = self.starts_in_flight(now_s)
         carried._misdirected_expiry_s = now_s + self._late_lease_s
-        carried._former_late_grants_end_s = self._late_grants_end_now_s(now_s)
+        carried._former_late_grants_end_s = self._find_late_grants_end_s(now_s)
         return carried
 
     def is_spent(self, now_s: float) -> bool:
@@ -293,7 +294,7 @@
         self._listed_from_s.clear()
         return DropCause(DropEvidence.LEASES_EXPIRED, self.lease_expiry_s)
 
-    def _late_grants_end_now_s(self, now_s: float) -> float:
+    def _find_late_grants_end_s(self, now_s: float) -> float:
         """Return until when calls without an answer may grant the next one leases."""
         end_s = max(self._former_late_grants_end_s, self._late_grants_end_s)
         if self._is_grant_under_way or self._unanswered_starts:
@@ -371,7 +372,7 @@
         self, error: PlatformError, sent_s: float, wait_s: float, now_s: float
     ) -> PollVerdict:
         """Judge the failure of a poll that the worker might delay by `wait_s`."""
-        if self._is_grant_under_way and may_be_carried_out(error):
+        if self._is_grant_under_way and _may_be_in_flight(error):
             self._late_grants_end_s = now_s + LATE_ORDER_MAX_S
         self._is_grant_under_way = False
         if not self._failed_polls:
@@ -443,7 +444,7 @@
     ) -> OrderVerdict:
         """Judge the failure or refusal of a copy of a start."""
         if isinstance(error, WorkerUnreachableError):
-            if may_be_carried_out(error):
+            if _may_be_in_flight(error):
                 attempts.may_be_carried_out = True
                 self._record_unanswered_copy(attempts.run_id, now_s)
             return OrderVerdict.RETRY
@@ -506,7 +507,7 @@
         self._unanswered_starts.pop(run_id, None)
 
     def starts_in_flight(self, now_s: float) -> dict[RunId, float]:
-        """Return until when starts may be carried out by the next incarnation."""
+        """Return until when starts may be carried out, also by a later incarnation."""
         starts = {
             run_id: expires_s
             for run_id, expires_s in self._copies_expire_s.items()
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -297,13 +297,14 @@
             return
         self._is_stopping_unanswered = True
         for run_id in list(self.evidence.lease_blockers):
-            if self.evidence.is_unanswered(run_id):
-                if not (yield self._stop_until_answered(run_id)):
-                    # The next successful poll starts over.
-                    break
-                log_event("run.ruled-out", worker=self.entry.worker_id, run=run_id)
-                self.evidence.unblock_leases(run_id, self._clock.seconds())
-            self.evidence.lease_blockers.discard(run_id)
+            if not self.evidence.is_unanswered(run_id):
+                self.evidence.lease_blockers.discard(run_id)
+                continue
+            if not (yield self._stop_until_answered(run_id)):
+                # The next successful poll starts over.
+                break
+            log_event("run.ruled-out", worker=self.entry.worker_id, run=run_id)
+            self.evidence.unblock_leases(run_id, self._clock.seconds())
         self._is_stopping_unanswered = False
 
     @inlineCallbacks
