--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -1,7 +1,7 @@
 """The leader's view of the workers: capacities, links, incarnations and leases."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
@@ -17,21 +17,18 @@
 from dogwoodlever._fleet_runs import FleetRuns
 from dogwoodlever._fleet_types import (
     PollResult,
-    RunId,
     WorkerEntry,
 )
 from dogwoodlever._logs import log_event
+from dogwoodlever._run_evidence import WorkerEvidence, lease_bound_s
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
 from dogwoodlever._worker_capacity import WorkerCapacity
 from dogwoodlever._worker_link import (
-    CLOCK_SLOWNESS,
-    LEASE_EXPIRY_MARGIN_S,
     POLL_RETRY_S,
     POLL_WAIT_MS,
     RUN_LEASE_TARGET_S,
     LinkListener,
-    StartInFlight,
     WorkerLink,
 )
 from dogwoodlever._worker_membership import WorkerMembership
@@ -51,28 +48,6 @@
 WORKERS_AT_FULL_POLL_RATE = 100
 
 
-@dataclass(slots=True, frozen=True)
-class EndedIncarnation:
-    """An ended incarnation of a worker, whose calls may have reached the next one.
-
-    Attributes
-    ----------
-    capacity : WorkerCapacity
-        Counts the runs of starts without an answer.
-    starts_in_flight : dict of RunId to StartInFlight
-        These starts, and those sent to earlier incarnations.
-    leases_expire_s : float
-        When the leases have expired that its calls may have granted to the next one.
-    late_grants_end_s : float
-        Until when its calls without an answer may still grant leases.
-    """
-
-    capacity: WorkerCapacity
-    starts_in_flight: dict[RunId, StartInFlight]
-    leases_expire_s: float
-    late_grants_end_s: float
-
-
 class FleetWorkers(LinkListener):
     """Keeps a capacity and a link for each worker and handles the links' events.
 
@@ -159,19 +134,14 @@
         self._on_ended = on_ended
         self._on_fenced = on_fenced
         self._lease_s = min(RUN_LEASE_TARGET_S, run_lease_max_s)
-        # Longest lease on a slow clock, plus the delay of a late timer.
-        self._lease_bound_s = (
-            self._lease_s * (1 + CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
-        )
-        # The clock of the next incarnation starts anew, so a call for the former one
-        # grants the longest lease there.
-        self._misdirected_lease_bound_s = (
-            run_lease_max_s * (1 + CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
-        )
+        self._lease_max_s = run_lease_max_s
+        self._lease_bound_s = lease_bound_s(self._lease_s)
         self.capacities: dict[str, WorkerCapacity] = {}
         self._links: dict[str, WorkerLink] = {}
         self._get_contact_s = get_contact_s
-        self._ended_incarnations: dict[str, EndedIncarnation] = {}
+        # Runs of starts without an answer, and what else calls for ended incarnations
+        # may still do at the next ones, by worker id.
+        self._ended_incarnations: dict[str, tuple[WorkerCapacity, WorkerEvidence]] = {}
         # Entries that name another incarnation than the known one, by worker id.
         self._announced: dict[str, WorkerEntry] = {}
         self.unpolled_workers: set[str] = set()
@@ -212,7 +182,7 @@
         )
         self._former_leases_expire_s = min(self._former_leases_expire_s, expire_s)
         for link in self._links.values():
-            link.limit_inherited_expiry(self._former_leases_expire_s)
+            link.evidence.limit_former_leases(self._former_leases_expire_s)
 
     def expire_unpolled_workers(self) -> None:
         """Stop waiting for workers whose leases from a former leader have expired."""
@@ -272,7 +242,7 @@
 
     def last_end_numbers(self) -> dict[WorkerLink, int]:
         """Return the highest end number that was applied, by link."""
-        return {link: link.last_end_number for link in self._links.values()}
+        return {link: link.evidence.last_end_number for link in self._links.values()}
 
     def acknowledge_ends(self, last_end_numbers: dict[WorkerLink, int]) -> None:
         """Let workers drop the ends that are stored."""
@@ -373,27 +343,19 @@
         worker_id = entry.worker_id
         capacity = WorkerCapacity(entry, self._usage)
         self.capacities[worker_id] = capacity
-        starts_in_flight = {}
-        misdirected_expiry_s = late_grants_end_s = float("-inf")
-        previous = self._ended_incarnations.pop(worker_id, None)
-        if previous is not None:
-            starts_in_flight = previous.starts_in_flight
-            misdirected_expiry_s = previous.leases_expire_s
-            late_grants_end_s = previous.late_grants_end_s
-            for run, step in previous.capacity.runs.values():
+        evidence = WorkerEvidence(self._lease_s, self._lease_max_s)
+        if worker_id in self._ended_incarnations:
+            ended, evidence = self._ended_incarnations.pop(worker_id)
+            for run, step in ended.runs.values():
                 capacity.add(run, step)
+        evidence.begin_incarnation(self._former_leases_expire_s)
         link = WorkerLink(
             entry,
             self._worker_client,
             self._clock,
             self._get_fencing_token,
             self,
-            self._former_leases_expire_s,
-            misdirected_expiry_s,
-            late_grants_end_s,
-            starts_in_flight,
-            self._lease_s,
-            self._misdirected_lease_bound_s,
+            evidence,
             self._get_leases_end_s,
         )
         self._links[worker_id] = link
@@ -421,37 +383,29 @@
         log_event(
             "worker.life-over", worker=worker_id, why=why, runs=len(capacity.runs)
         )
-        starts_in_flight = link.starts_in_flight() if may_return else {}
-        cause = DropCause(evidence, self._clock.seconds())
-        self.runs.drop_crashed_runs(capacity, link.broken_s, cause, starts_in_flight)
-        self._keep_starts_in_flight(capacity, starts_in_flight, link.late_grants_end_s)
+        now_s = self._clock.seconds()
+        carried = link.evidence.carry_over(now_s, may_return)
+        self.runs.drop_crashed_runs(
+            capacity,
+            link.evidence.broken_s,
+            DropCause(evidence, now_s),
+            carried.starts_in_flight(now_s),
+        )
+        self._keep_evidence(capacity, carried)
         if not capacity.runs and not is_member:
             self._remove_worker(worker_id)
         self.unpolled_workers.discard(worker_id)
         self._on_change()
 
-    def _keep_starts_in_flight(
-        self,
-        capacity: WorkerCapacity,
-        starts_in_flight: dict[RunId, StartInFlight],
-        late_grants_end_s: float,
-    ) -> None:
+    def _keep_evidence(self, capacity: WorkerCapacity, carried: WorkerEvidence) -> None:
         """Keep what calls to a dropped worker may still do at its next incarnation."""
-        now_s = self._clock.seconds()
-        self._hold_usage(capacity, starts_in_flight)
-        self._ended_incarnations[capacity.entry.worker_id] = EndedIncarnation(
-            capacity,
-            starts_in_flight,
-            now_s + self._misdirected_lease_bound_s,
-            late_grants_end_s,
-        )
+        self._hold_usage(capacity, carried)
+        self._ended_incarnations[capacity.entry.worker_id] = capacity, carried
 
-    def _hold_usage(
-        self, capacity: WorkerCapacity, starts_in_flight: dict[RunId, StartInFlight]
-    ) -> None:
+    def _hold_usage(self, capacity: WorkerCapacity, evidence: WorkerEvidence) -> None:
         """Count starts that may be carried out late until their leases would end."""
-        for run_id, start in starts_in_flight.items():
-            until_s = start.expires_s + self._misdirected_lease_bound_s
+        late_runs = evidence.late_runs(self._clock.seconds())
+        for run_id, until_s in late_runs.items():
             self._usage.hold(capacity.entry, run_id, until_s)
 
     def refresh_usage(self) -> None:
@@ -460,7 +414,7 @@
         if configuration is None or not configuration.workspaces:
             return
         if not self._usage.is_counting:
-            ended = (found.capacity for found in self._ended_incarnations.values())
+            ended = (capacity for capacity, _ in self._ended_incarnations.values())
             self._usage.start(
                 (capacity.entry, capacity.runs.values())
                 for capacity in (*self.capacities.values(), *ended)
@@ -474,13 +428,17 @@
         """Remove a worker without an entry on which nothing runs or may start."""
         worker_id = capacity.entry.worker_id
         link = self._links[worker_id]
-        if not capacity.is_synced or capacity.runs or not link.is_settled:
+        if not capacity.is_synced or capacity.runs or not link.evidence.is_settled:
             return
+        self._drop_unlisted(capacity)
+
+    def _drop_unlisted(self, capacity: WorkerCapacity) -> None:
+        """Drop a worker without an entry whose runs have all ended."""
+        worker_id = capacity.entry.worker_id
+        link = self._links.pop(worker_id)
         link.close()
-        del self.capacities[worker_id], self._links[worker_id]
-        self._keep_starts_in_flight(
-            capacity, link.starts_in_flight(), link.late_grants_end_s
-        )
+        del self.capacities[worker_id]
+        self._keep_evidence(capacity, link.evidence.carry_over(self._clock.seconds()))
         self._remove_worker(worker_id)
 
     def expire_ended_incarnations(self) -> None:
@@ -488,30 +446,18 @@
         now_s = self._clock.seconds()
         if self._usage.expire_holds(now_s):
             self._on_change()
-        for worker_id, previous in list(self._ended_incarnations.items()):
-            in_flight = {
-                run_id
-                for run_id, start in previous.starts_in_flight.items()
-                if start.may_be_carried_out(now_s)
-            }
-            if not in_flight.issuperset(previous.capacity.runs):
-                self._drop_expired_starts(previous, in_flight)
+        for worker_id, ended in list(self._ended_incarnations.items()):
+            capacity, evidence = ended
+            expired = evidence.expired_starts(capacity.runs, now_s)
+            for run_id, cause in expired.items():
+                self.runs.drop_lost(capacity, capacity.runs[run_id][0], cause)
+            if expired:
                 self._on_change()
-                if not previous.capacity.runs:
+                if not capacity.runs:
                     self._remove_worker(worker_id)
-            kept_until_s = max(previous.leases_expire_s, previous.late_grants_end_s)
-            if now_s >= kept_until_s and not in_flight:
+            if evidence.is_spent(now_s):
                 del self._ended_incarnations[worker_id]
 
-    def _drop_expired_starts(
-        self, previous: EndedIncarnation, in_flight: set[RunId]
-    ) -> None:
-        for run, _ in list(previous.capacity.runs.values()):
-            if run.run_id not in in_flight:
-                start = previous.starts_in_flight[run.run_id]
-                cause = DropCause(DropEvidence.ORDER_EXPIRED, start.expires_s)
-                self.runs.drop_lost(previous.capacity, run, cause)
-
     def _is_schedulable(self, capacity: WorkerCapacity) -> bool:
         """Return whether new tasks may start on a worker."""
         link = self._links[capacity.entry.worker_id]
@@ -520,7 +466,7 @@
             and capacity.is_listed
             and capacity.entry.worker_id not in self._announced
             and self._membership.is_stored(capacity.entry.worker_id)
-            and link.is_reachable
+            and link.evidence.is_reachable
             and not capacity.entry.is_draining
             and capacity.entry.data_centre not in self._desired_state.data_centres_out
         )
@@ -582,39 +528,32 @@
         renewed the lease. The runs then count until that is ruled out; the lease of the
         leader's record does not, since the store may take the record away.
         """
-        if self._get_contact_s() < link.lease_expiry_s:
-            if not link.is_closed:
-                self._clock.callLater(CONFIRM_RETRY_S, self._recheck_expiry, link)
-            return
-        self._drop_expired(link)
+        cause = link.evidence.confirm_expiry(self._get_contact_s())
+        if cause is not None:
+            self._drop_expired(link, cause)
+        elif not link.is_closed:
+            self._clock.callLater(CONFIRM_RETRY_S, self._recheck_expiry, link)
 
     def _recheck_expiry(self, link: WorkerLink) -> None:
         """Handle an unconfirmed expiry again, unless the worker responded since."""
-        if link.has_lease_expired and not link.is_closed:
+        if link.evidence.has_lease_expired and not link.is_closed:
             self.on_lease_expired(link)
 
-    def _drop_expired(self, link: WorkerLink) -> None:
+    def _drop_expired(self, link: WorkerLink, cause: DropCause) -> None:
         worker_id = link.entry.worker_id
         capacity = self.capacities[worker_id]
         self._metrics.worker_events.labels("lapsed").inc()
         log_event("worker.lapsed", worker=worker_id, runs=len(capacity.runs))
-        link.last_response_s.clear()
-        self._hold_usage(capacity, link.starts_in_flight())
-        cause = DropCause(DropEvidence.LEASES_EXPIRED, link.lease_expiry_s)
-        if link.is_refused:
+        self._hold_usage(capacity, link.evidence)
+        if link.evidence.is_refused:
             # Most likely its process has ended.
-            self.runs.drop_crashed_runs(capacity, link.broken_s, cause)
+            self.runs.drop_crashed_runs(capacity, link.evidence.broken_s, cause)
         else:
             self.runs.drop_lost_runs(capacity, cause)
         self.unpolled_workers.discard(worker_id)
         capacity.is_synced = False
         if not capacity.is_listed:
-            link.close()
-            del self.capacities[worker_id], self._links[worker_id]
-            self._keep_starts_in_flight(
-                capacity, link.starts_in_flight(), link.late_grants_end_s
-            )
-            self._remove_worker(worker_id)
+            self._drop_unlisted(capacity)
         self._on_change()
 
     def _remove_worker(self, worker_id: str) -> None:
--- /dev/null
+++ b/dogwoodlever/_run_evidence.py
@@ -0,0 +1,582 @@
+"""What the leader knows of one incarnation of a worker, and what that proves."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from dogwoodlever._drop_evidence import DropCause, DropEvidence
+from dogwoodlever._fleet_interfaces import RefusalReason
+from dogwoodlever._fleet_types import PollResult, RunId
+from dogwoodlever.platform_errors import (
+    ConnectionRefusedByWorkerError,
+    OrderRefusedError,
+    PlatformError,
+    WorkerUnreachableError,
+    WrongIncarnationError,
+)
+
+# Fraction by which a worker's clock may be slow.
+CLOCK_SLOWNESS = 0.02
+# Covers the rounding of the worker's and the scheduler's clocks.
+CLOCK_MARGIN_MS = 50
+# Covers a late timer of the worker.
+LEASE_EXPIRY_MARGIN_S = 0.25
+# How long after its sending an order without an answer may still be carried out. A copy
+# that reaches the next incarnation of a worker is not recognised as a repetition there.
+LATE_ORDER_MAX_S = 12.5
+# A single failure may be a lost response or a pause of this process.
+POLL_FAILURES_UNREACHABLE = 2
+# Starts refused for an expired lease are retried, since the next poll updates the
+# worker's clock.
+EXPIRED_STARTS_MAX = 3
+# Refusals of a stop after which a start in flight may still be carried out.
+STOP_RETRY_REASONS = frozenset({RefusalReason.FENCED, RefusalReason.UNHEALTHY})
+# Most ends in one response of a worker; the others follow once these are acknowledged.
+ENDS_LISTED_MAX = 500
+
+NEVER_S = float("-inf")
+
+
+def lease_bound_s(lease_s: float) -> float:
+    """Return the longest time from the grant of a lease to its expiry.
+
+    The worker's clock may be slow and its timer late.
+    """
+    return lease_s * (1 + CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
+
+
+class PollVerdict(Enum):
+    """What the answer to a poll, or its failure, proves of the incarnation."""
+
+    ALIVE = auto()
+    # It is alive; its entry names another incarnation.
+    MISNAMED = auto()
+    # Another incarnation of the worker answered.
+    REPLACED = auto()
+    # A worker with another id answered.
+    ADDRESS_TAKEN = auto()
+    # No answer that proves anything.
+    UNKNOWN = auto()
+
+
+class OrderVerdict(Enum):
+    """What the answer to an order, or its failure, proves of the order."""
+
+    CARRIED_OUT = auto()
+    # No copy of it was or will be carried out.
+    REFUSED = auto()
+    # This copy was refused; an earlier one may be carried out.
+    IN_DOUBT = auto()
+    # Nothing is proven, or a further copy may be accepted.
+    RETRY = auto()
+    # Another process answered.
+    INCARNATION_ENDED = auto()
+
+
+@dataclass(slots=True)
+class StartAttempts:
+    """The copies of a start that were sent to one incarnation.
+
+    Attributes
+    ----------
+    may_be_carried_out : bool
+        Whether a copy got no answer.
+    expired_count : int
+        How often a copy was refused for an expired lease.
+    clock_min_ms : int
+        Least value of the incarnation's clock when the last copy was sent.
+    """
+
+    run_id: RunId
+    may_be_carried_out: bool = False
+    expired_count: int = 0
+    clock_min_ms: int = 0
+
+
+def _may_be_in_flight(error: PlatformError) -> bool:
+    """Return whether a call that failed may have been, or be, carried out."""
+    is_unanswered = isinstance(error, WorkerUnreachableError)
+    return is_unanswered and not isinstance(error, ConnectionRefusedByWorkerError)
+
+
+class WorkerEvidence:
+    """Concludes from the events of a worker's incarnation what may run on it.
+
+    Each incarnation has its own object, so late answers to calls for a former one
+    change nothing. What these calls may still do is carried over to the next.
+
+    Parameters
+    ----------
+    lease_s : float
+        Length of granted leases.
+    lease_max_s : float
+        Longest lease that the worker grants. The clock of the next incarnation starts
+        anew, so a call for the former one grants this lease there.
+
+    Attributes
+    ----------
+    lease_expiry_s : float
+        When all leases of the worker have expired.
+    has_lease_expired : bool
+        Whether they have, without an answer since.
+    is_reachable : bool
+        Whether the worker may get starts. It gets none before it may get a lease.
+    is_refused : bool
+        Whether the connection of the last poll was refused.
+    broken_s : float
+        When the connection of the first poll without an answer ended, or when that
+        poll was sent if it timed out; infinitely early if the last one was answered.
+    responded_s : float
+        When the last poll was answered.
+    lease_blockers : set of RunId
+        Runs that may still start. No lease is granted before that is prevented: a
+        worker carries out a late order with an expired lease if it holds a newer one.
+    last_end_number : int
+        Highest number of an end that was read.
+    """
+
+    __slots__ = (
+        "_acknowledged_number",
+        "_clock_ms",
+        "_copies_expire_s",
+        "_failed_polls",
+        "_former_late_grants_end_s",
+        "_granted_ms",
+        "_is_grant_under_way",
+        "_late_grants_end_s",
+        "_late_lease_s",
+        "_lease_max_s",
+        "_lease_s",
+        "_listed_from_s",
+        "_misdirected_expiry_s",
+        "_unanswered_starts",
+        "broken_s",
+        "has_lease_expired",
+        "is_reachable",
+        "is_refused",
+        "last_end_number",
+        "lease_blockers",
+        "lease_expiry_s",
+        "responded_s",
+    )
+
+    def __init__(self, lease_s: float, lease_max_s: float) -> None:
+        self._lease_s = lease_s
+        self._lease_max_s = lease_max_s
+        self._late_lease_s = lease_bound_s(lease_max_s)
+        # When the leases have expired that calls for a former incarnation may have
+        # granted, and until when such calls may grant leases.
+        self._misdirected_expiry_s = NEVER_S
+        self._former_late_grants_end_s = NEVER_S
+        # Until when calls for this incarnation without an answer may grant leases.
+        self._late_grants_end_s = NEVER_S
+        self._is_grant_under_way = False
+        # The worker's clock at the last answer, 0 before the first one.
+        self._clock_ms = 0
+        self.responded_s = 0.0
+        self._granted_ms = 0
+        self._failed_polls = 0
+        # Runs whose start was neither answered nor prevented by a confirmed stop.
+        self._unanswered_starts: dict[RunId, None] = {}
+        # Until when a copy of a start that got no answer may be carried out, by this or
+        # a later incarnation, whether or not another copy was answered.
+        self._copies_expire_s: dict[RunId, float] = {}
+        # From when on a run that still counts has to be listed.
+        self._listed_from_s: dict[RunId, float] = {}
+        self.lease_blockers: set[RunId] = set()
+        self.lease_expiry_s = NEVER_S
+        self.has_lease_expired = False
+        self.is_reachable = True
+        self.is_refused = False
+        self.broken_s = NEVER_S
+        # The worker may drop ends up to this number, as they are stored.
+        self._acknowledged_number = 0
+        self.last_end_number = 0
+
+    # Incarnations
+
+    def begin_incarnation(self, former_leases_expire_s: float) -> None:
+        """Start to collect evidence on an incarnation of the worker.
+
+        Parameters
+        ----------
+        former_leases_expire_s : float
+            When all leases from a former leader have expired.
+        """
+        self._unanswered_starts = dict.fromkeys(self._copies_expire_s)
+        self.lease_blockers = set(self._unanswered_starts)
+        self.is_reachable = not self.lease_blockers
+        self.lease_expiry_s = max(former_leases_expire_s, self._misdirected_expiry_s)
+
+    def carry_over(self, now_s: float, may_return: bool = True) -> "WorkerEvidence":
+        """Return what is known of the worker's next incarnation as this one ends.
+
+        Calls for this one may be carried out late by the next, whose clock starts anew,
+        so they grant the longest lease there.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time.
+        may_return : bool
+            Whether the worker may return to its address.
+        """
+        carried = WorkerEvidence(self._lease_s, self._lease_max_s)
+        if may_return:
+            carried._copies_expire_s = self.starts_in_flight(now_s)
+        carried._misdirected_expiry_s = now_s + self._late_lease_s
+        carried._former_late_grants_end_s = self._find_late_grants_end_s(now_s)
+        return carried
+
+    def is_spent(self, now_s: float) -> bool:
+        """Return whether no call for former incarnations can have any effect."""
+        kept_until_s = max(self._misdirected_expiry_s, self._former_late_grants_end_s)
+        return now_s >= kept_until_s and not self.starts_in_flight(now_s)
+
+    # Leases
+
+    def lease_until_ms(self, now_s: float, leases_end_s: float) -> int:
+        """Return the expiry of a lease that is granted now, on the worker's clock.
+
+        A call without a response may still renew the lease, so none is extended until
+        the worker responds again; otherwise the lease would never expire.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time.
+        leases_end_s : float
+            Time beyond which no lease may be granted.
+        """
+        if not self._clock_ms:
+            return 0
+        if self._failed_polls or self.lease_blockers:
+            return self._granted_ms
+        until_s = min(now_s + self._lease_s, leases_end_s)
+        until_ms = self._clock_ms + int((until_s - self.responded_s) * 1000)
+        self._granted_ms = max(self._granted_ms, until_ms)
+        return self._granted_ms
+
+    def limit_former_leases(self, expire_s: float) -> None:
+        """Lower the expiry of leases from a former leader."""
+        if not self._granted_ms:
+            self.lease_expiry_s = max(
+                min(self.lease_expiry_s, expire_s), self._misdirected_expiry_s
+            )
+
+    @property
+    def awaits_expiry(self) -> bool:
+        """Whether the worker does not answer and its leases have not expired."""
+        return self._failed_polls > 0 and not self.has_lease_expired
+
+    def expire_leases(self, now_s: float) -> bool:
+        """Return whether the leases of a worker that does not answer expire now."""
+        if not self.awaits_expiry:
+            return False
+        self._update_lease_expiry()
+        self.has_lease_expired = now_s >= self.lease_expiry_s
+        if self.has_lease_expired:
+            self.lease_blockers = set(self._unanswered_starts)
+        return self.has_lease_expired
+
+    def confirm_expiry(self, contact_s: float) -> DropCause | None:
+        """Return why the runs of an expired worker may start elsewhere, if they may.
+
+        If another daemon may have led by then, it may have renewed the leases.
+
+        Parameters
+        ----------
+        contact_s : float
+            Time of the last contact with the store that showed no successor.
+        """
+        if contact_s < self.lease_expiry_s:
+            return None
+        self._listed_from_s.clear()
+        return DropCause(DropEvidence.LEASES_EXPIRED, self.lease_expiry_s)
+
+    def _find_late_grants_end_s(self, now_s: float) -> float:
+        """Return until when calls without an answer may grant the next one leases."""
+        end_s = max(self._former_late_grants_end_s, self._late_grants_end_s)
+        if self._is_grant_under_way or self._unanswered_starts:
+            end_s = max(end_s, now_s + LATE_ORDER_MAX_S)
+        return end_s
+
+    def _update_lease_expiry(self) -> None:
+        if self._granted_ms:
+            lease_left_s = (self._granted_ms - self._clock_ms) / 1000
+            lease_left_s = lease_left_s / (1 - CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
+            expiry_s = max(self.responded_s + lease_left_s, self._misdirected_expiry_s)
+            # A late call extends only a lease that has not expired.
+            granted_late_s = min(self._former_late_grants_end_s, expiry_s)
+            self.lease_expiry_s = max(expiry_s, granted_late_s + self._late_lease_s)
+
+    # Polls
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether the last poll was answered."""
+        return self._clock_ms > 0 and not self._failed_polls
+
+    def begin_poll(self, now_s: float, leases_end_s: float) -> tuple[int, int]:
+        """Return what a poll that is sent now may say.
+
+        After a failure, another incarnation may answer, for which neither value is
+        valid.
+
+        Returns
+        -------
+        acknowledged_number : int
+            Up to which number the worker may drop ends.
+        until_ms : int
+            Expiry of the lease that the poll grants, 0 for none.
+        """
+        if self._failed_polls:
+            return 0, 0
+        until_ms = self.lease_until_ms(now_s, leases_end_s)
+        self._is_grant_under_way = until_ms > 0
+        return self._acknowledged_number, until_ms
+
+    def judge_poll(
+        self, result: PollResult, entry_started_at_ms: int, now_s: float
+    ) -> PollVerdict:
+        """Judge the answer to a poll.
+
+        Parameters
+        ----------
+        result : PollResult
+            The answer.
+        entry_started_at_ms : int
+            Start of the incarnation that the worker's entry names, 0 if not known.
+        now_s : float
+            Current time.
+        """
+        self._is_grant_under_way = False
+        is_other = (
+            entry_started_at_ms
+            and result.started_at_ms
+            and result.started_at_ms != entry_started_at_ms
+        )
+        if is_other and self._clock_ms:
+            return PollVerdict.REPLACED
+        self._failed_polls = 0
+        self.is_refused = False
+        self.broken_s = NEVER_S
+        self._clock_ms = result.clock_ms
+        self.responded_s = now_s
+        self.has_lease_expired = False
+        self._update_lease_expiry()
+        self.is_reachable = self.is_reachable or not self.lease_blockers
+        return PollVerdict.MISNAMED if is_other else PollVerdict.ALIVE
+
+    def judge_failed_poll(
+        self, error: PlatformError, sent_s: float, wait_s: float, now_s: float
+    ) -> PollVerdict:
+        """Judge the failure of a poll that the worker might delay by `wait_s`."""
+        if self._is_grant_under_way and _may_be_in_flight(error):
+            self._late_grants_end_s = now_s + LATE_ORDER_MAX_S
+        self._is_grant_under_way = False
+        if not self._failed_polls:
+            self.broken_s = now_s if now_s - sent_s <= wait_s else sent_s
+        if isinstance(error, WrongIncarnationError):
+            return PollVerdict.ADDRESS_TAKEN
+        self.is_refused = isinstance(error, ConnectionRefusedByWorkerError)
+        self._failed_polls += 1
+        if self._failed_polls >= POLL_FAILURES_UNREACHABLE:
+            self.is_reachable = False
+        return PollVerdict.UNKNOWN
+
+    # Ends
+
+    def read_end(self, number: int) -> bool:
+        """Record a listed end; return whether it is listed for the first time."""
+        if number <= self.last_end_number:
+            return False
+        self.last_end_number = number
+        return True
+
+    def acknowledge(self, number: int) -> bool:
+        """Record that the ends up to `number` are stored; return whether any is new."""
+        if number <= self._acknowledged_number:
+            return False
+        self._acknowledged_number = number
+        return True
+
+    @property
+    def has_unstored_ends(self) -> bool:
+        """Whether a listed end may not be acknowledged yet."""
+        return self.last_end_number > self._acknowledged_number
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no start is unanswered and every listed end is acknowledged."""
+        return not self._unanswered_starts and not self.has_unstored_ends
+
+    # Starts
+
+    def begin_start(self, run_id: RunId) -> StartAttempts:
+        """Record that a start is about to be sent."""
+        self._unanswered_starts[run_id] = None
+        return StartAttempts(run_id)
+
+    def begin_attempt(
+        self, attempts: StartAttempts, now_s: float, leases_end_s: float
+    ) -> int:
+        """Return the expiry of the lease that a copy sent now grants."""
+        attempts.clock_min_ms = 0
+        if self._clock_ms:
+            elapsed_s = now_s - self.responded_s
+            elapsed_ms = int(elapsed_s * 1000 * (1 - CLOCK_SLOWNESS))
+            attempts.clock_min_ms = self._clock_ms + elapsed_ms - CLOCK_MARGIN_MS
+        return self.lease_until_ms(now_s, leases_end_s)
+
+    def judge_start(
+        self, attempts: StartAttempts, clock_ms: int, now_s: float
+    ) -> OrderVerdict:
+        """Judge the answer to a start, with the worker's clock."""
+        if clock_ms < attempts.clock_min_ms:
+            # The next incarnation carries out the order.
+            return OrderVerdict.INCARNATION_ENDED
+        self._confirm_start(attempts.run_id, now_s)
+        return OrderVerdict.CARRIED_OUT
+
+    def judge_failed_start(
+        self, attempts: StartAttempts, error: PlatformError, now_s: float
+    ) -> OrderVerdict:
+        """Judge the failure or refusal of a copy of a start."""
+        if isinstance(error, WorkerUnreachableError):
+            if _may_be_in_flight(error):
+                attempts.may_be_carried_out = True
+                self._record_unanswered_copy(attempts.run_id, now_s)
+            return OrderVerdict.RETRY
+        if isinstance(error, WrongIncarnationError):
+            self.abandon_start(attempts)
+            return OrderVerdict.INCARNATION_ENDED
+        reason = error.reason if isinstance(error, OrderRefusedError) else None
+        if attempts.may_be_carried_out and reason is RefusalReason.SUPERSEDED:
+            self._confirm_start(attempts.run_id, now_s)
+            return OrderVerdict.CARRIED_OUT
+        attempts.expired_count += reason is RefusalReason.EXPIRED
+        if reason is RefusalReason.FENCED or (
+            reason is RefusalReason.EXPIRED
+            and attempts.expired_count < EXPIRED_STARTS_MAX
+        ):
+            return OrderVerdict.RETRY
+        self.abandon_start(attempts)
+        if attempts.may_be_carried_out:
+            return OrderVerdict.IN_DOUBT
+        return OrderVerdict.REFUSED
+
+    def abandon_start(self, attempts: StartAttempts) -> None:
+        """Record that no further copy of a start is sent."""
+        if not attempts.may_be_carried_out:
+            self.settle_start(attempts.run_id)
+
+    @staticmethod
+    def judge_failed_stop(error: PlatformError) -> OrderVerdict:
+        """Judge the failure or refusal of a stop.
+
+        After another refusal than those that are retried, no earlier order can start
+        the run.
+        """
+        if isinstance(error, WorkerUnreachableError):
+            return OrderVerdict.RETRY
+        if isinstance(error, WrongIncarnationError):
+            return OrderVerdict.INCARNATION_ENDED
+        if isinstance(error, OrderRefusedError) and error.reason in STOP_RETRY_REASONS:
+            return OrderVerdict.RETRY
+        return OrderVerdict.CARRIED_OUT
+
+    def _confirm_start(self, run_id: RunId, now_s: float) -> None:
+        self.settle_start(run_id)
+        if not self.has_lease_expired:
+            self.expect_listed(run_id, now_s)
+
+    def _record_unanswered_copy(self, run_id: RunId, now_s: float) -> None:
+        for other, expires_s in list(self._copies_expire_s.items()):
+            if now_s >= expires_s:
+                del self._copies_expire_s[other]
+        self._copies_expire_s[run_id] = now_s + LATE_ORDER_MAX_S
+        self._late_grants_end_s = now_s + LATE_ORDER_MAX_S
+
+    def is_unanswered(self, run_id: RunId) -> bool:
+        """Return whether a start was neither answered nor prevented."""
+        return run_id in self._unanswered_starts
+
+    def settle_start(self, run_id: RunId) -> None:
+        """Record that a start was answered, or prevented by a confirmed stop."""
+        self._unanswered_starts.pop(run_id, None)
+
+    def starts_in_flight(self, now_s: float) -> dict[RunId, float]:
+        """Return until when starts may be carried out, also by a later incarnation."""
+        starts = {
+            run_id: expires_s
+            for run_id, expires_s in self._copies_expire_s.items()
+            if now_s < expires_s
+        }
+        for run_id in self._unanswered_starts:
+            starts.setdefault(run_id, now_s + LATE_ORDER_MAX_S)
+        return starts
+
+    def expired_starts(
+        self, run_ids: Iterable[RunId], now_s: float
+    ) -> dict[RunId, DropCause]:
+        """Return which starts without an answer cannot be carried out any more."""
+        in_flight = self.starts_in_flight(now_s)
+        return {
+            run_id: DropCause(DropEvidence.ORDER_EXPIRED, self._copies_expire_s[run_id])
+            for run_id in run_ids
+            if run_id not in in_flight
+        }
+
+    def late_runs(self, now_s: float) -> dict[RunId, float]:
+        """Return until when runs may exist that starts in flight may still start."""
+        return {
+            run_id: expires_s + self._late_lease_s
+            for run_id, expires_s in self.starts_in_flight(now_s).items()
+        }
+
+    def unblock_leases(self, run_id: RunId, now_s: float) -> None:
+        """Record a confirmed stop of a run that may start.
+
+        The stop holds for this incarnation only, so the run counts until no copy of its
+        start is in flight.
+        """
+        self.lease_blockers.discard(run_id)
+        copy_expires_s = self._copies_expire_s.get(run_id, NEVER_S)
+        self.expect_listed(run_id, max(now_s, copy_expires_s))
+
+    # Listings
+
+    def expect_listed(self, run_id: RunId, from_s: float) -> None:
+        """Record that each poll sent after `from_s` lists a run until it has ended."""
+        previous_s = self._listed_from_s.get(run_id, NEVER_S)
+        self._listed_from_s[run_id] = max(previous_s, from_s)
+
+    def forget_run(self, run_id: RunId) -> None:
+        """Forget a run that no longer counts."""
+        self._listed_from_s.pop(run_id, None)
+
+    def unlisted_runs(
+        self, run_ids: Iterable[RunId], result: PollResult, sent_s: float
+    ) -> dict[RunId, DropCause]:
+        """Return which of the runs have ended, or cannot start, by the last answer.
+
+        Parameters
+        ----------
+        run_ids : iterable of RunId
+            Runs that count.
+        result : PollResult
+            The answer.
+        sent_s : float
+            When the poll was sent. It may have overtaken an order that was answered
+            later.
+        """
+        if len(result.ended) >= ENDS_LISTED_MAX:
+            return {}
+        listed = {listed_run.run for listed_run in result.running}
+        cause = DropCause(DropEvidence.NOT_LISTED, self.responded_s)
+        return {
+            run_id: cause
+            for run_id in run_ids
+            if self._listed_from_s.get(run_id, sent_s) < sent_s and run_id not in listed
+        }
--- a/tests/test_workspace_caps.py
+++ b/tests/test_workspace_caps.py
@@ -8,7 +8,7 @@
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_types import ResourceAmounts, Step, SubmittedJob
-from dogwoodlever._worker_link import LATE_ORDER_MAX_S
+from dogwoodlever._run_evidence import LATE_ORDER_MAX_S
 from standins.fleet import LEASE_MAX_MS, server_record
 from tests.fleet_simulation import (
     CONFIGURATION,
@@ -140,7 +140,7 @@
             usage, workers = leader._usage, leader.workers
             if not usage.is_counting:
                 continue
-            ended = (found.capacity for found in workers._ended_incarnations.values())
+            ended = (found[0] for found in workers._ended_incarnations.values())
             expected = {
                 (capacity.entry.worker_id, run_id)
                 for capacity in (*workers.capacities.values(), *ended)
