A refused start is not forgotten when its worker's lease expires

Callers saw a task that never ran: a start whose connections are refused until the lease of its worker expires is given up, and its run is left to the confirmed expiry. If the store is away, the expiry is not confirmed, and if the worker answers before it is, the run is neither sent again nor dropped.

Cause: a start that was given up and never sent has no time from which a poll has to list its run, so no poll proves that it does not exist.

Change: from the moment at which such a start is given up, polls have to list it.

--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -449,7 +449,8 @@
                 self._record_unanswered_copy(attempts.run_id, now_s)
             return OrderVerdict.RETRY
         if isinstance(error, WrongIncarnationError):
-            self.abandon_start(attempts)
+            if not attempts.may_be_carried_out:
+                self.settle_start(attempts.run_id)
             return OrderVerdict.INCARNATION_ENDED
         reason = error.reason if isinstance(error, OrderRefusedError) else None
         if attempts.may_be_carried_out and reason is RefusalReason.SUPERSEDED:
@@ -461,15 +462,16 @@
             and attempts.expired_count < EXPIRED_STARTS_MAX
         ):
             return OrderVerdict.RETRY
-        self.abandon_start(attempts)
         if attempts.may_be_carried_out:
             return OrderVerdict.IN_DOUBT
+        self.settle_start(attempts.run_id)
         return OrderVerdict.REFUSED
 
-    def abandon_start(self, attempts: StartAttempts) -> None:
+    def abandon_start(self, attempts: StartAttempts, now_s: float) -> None:
         """Record that no further copy of a start is sent."""
         if not attempts.may_be_carried_out:
             self.settle_start(attempts.run_id)
+            self.expect_listed(attempts.run_id, now_s)
 
     @staticmethod
     def judge_failed_stop(error: PlatformError) -> OrderVerdict:
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -239,7 +239,7 @@
             if (yield self._attempt_start(run, order, attempts)):
                 return
             yield self._pause(ORDER_RETRY_S)
-        self.evidence.abandon_start(attempts)
+        self.evidence.abandon_start(attempts, self._clock.seconds())
 
     @inlineCallbacks
     def _attempt_start(self, run: Run, order: StartOrder, attempts: StartAttempts):
