Crashes that a lost leader could not store are counted by its successor

Cause: a leader that is lost just after a crash of a worker has stored neither the crash nor the start, so two leaders in series hide two crashes, and a task that crashes its workers late starts six times (test_leader_killed_after_each_late_crash).

Change: the number, worker and incarnation of a start are stored with the job's progress if the task has lost runs in crashes, or if its job is inherited and a worker of the former leader has ended, since the first crash may be unknown then. A successor counts a stored start as a late crash (as a crash in its probation for suspects) if the worker is gone or answers as another incarnation; ends, listings and drained workers are none. No start waits. The record is dropped once a run ends by itself or is listed after 4 s.

--- a/dogwoodlever/_crash_attribution.py
+++ b/dogwoodlever/_crash_attribution.py
@@ -31,9 +31,9 @@
 A start without an answer counts too, as the crash often comes before the answer. One
 of them is not counted towards giving up, as it may not have been carried out.
 
-A crash is hidden if the leader is lost before it has stored it. With one hidden crash,
-a task starts at most five times, even if many workers ended at the moment of each other
-crash.
+A crash is hidden if the leader is lost before it has stored it, unless the start of
+the run was stored (`StartRecords`). With one hidden crash, a task starts at most five
+times, even if many workers ended at the moment of each other crash.
 """
 
 import math
@@ -199,12 +199,19 @@
         """
         late_crashes = set() if task is None else task.accountable.late_crashes
         lost_runs = {} if task is None else task.accountable.lost_runs
-        if run.is_proven and not late_crashes and not lost_runs:
+        is_recorded = task is not None and (
+            task.is_inherited or task.start_record is not None
+        )
+        if run.is_proven and not late_crashes and not lost_runs and not is_recorded:
             run.is_watched = False
             return False
         if run.seen_clock_ms < 0:
             run.seen_clock_ms = clock_ms
         age_ms = clock_ms - run.seen_clock_ms
+        if is_recorded and age_ms >= LATE_PROBATION_MS:
+            task.is_inherited = False
+            if task.drop_start_record(run.run_id.number):
+                self._changed_jobs.add(task.task_id.job_id)
         # Another member of the gang that crashed proves nothing.
         last_number = max(late_crashes, default=0)
         if age_ms >= LATE_PROBATION_MS and run.run_id.number > last_number > 0:
@@ -221,6 +228,7 @@
 
     def clear(self, task: Task) -> bool:
         """Drop the evidence against a task; return whether it was a suspect."""
+        task.is_inherited = False
         self._clear_late_crashes(task)
         self._clear_lost_runs(task)
         return self._clear_crashes(task)
@@ -244,7 +252,7 @@
             self._changed_jobs.add(owner.task_id.job_id)
 
     def pop_changed_jobs(self) -> set[str]:
-        """Return the jobs whose lost runs have changed since the last call."""
+        """Return the jobs whose evidence has changed since the last call."""
         changed, self._changed_jobs = self._changed_jobs, set()
         return changed
 
@@ -264,6 +272,7 @@
         ended_s: float,
         now_s: float,
         workers: int,
+        is_observed: bool = True,
     ) -> list[Task]:
         """Record that a worker's process ended; return the tasks that may have done it.
 
@@ -279,6 +288,8 @@
             Current time.
         workers : int
             Number of workers.
+        is_observed : bool
+            Whether the ages of the runs are known, and which other runs were there.
         """
         crashed_s = now_s if math.isinf(ended_s) else ended_s
         young = []
@@ -287,7 +298,11 @@
         for run, task in runs:
             owner = task.accountable
             age_ms = max(0, int((crashed_s - run.started_s) * 1000))
-            if age_ms < LOST_RUN_MAX_MS and run.phase is not RunPhase.STARTING:
+            if (
+                is_observed
+                and age_ms < LOST_RUN_MAX_MS
+                and run.phase is not RunPhase.STARTING
+            ):
                 owner.lost_runs[run.run_id.number] = LostRun(age_ms, worker_id)
                 owner.failed_on.add(worker_id)
                 lost[owner.task_id] = (run, owner)
@@ -318,7 +333,9 @@
             if run.phase is RunPhase.STARTING:
                 owner.unanswered_crashes.add(run.run_id.number)
         for task_id, owner in owners.items():
-            is_certain = len(owners) == 1 and not _is_late_suspect(owner)
+            is_certain = (
+                is_observed and len(owners) == 1 and not _is_late_suspect(owner)
+            )
             threshold = CRASHES_ALONE if is_certain else CRASHES_AS_ONLY_SUSPECT
             crashes = len(owner.crashes)
             counted = crashes - bool(owner.unanswered_crashes)
--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -41,6 +41,22 @@
     worker_id: str
 
 
+class StartRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A stored start of a task.
+
+    Attributes
+    ----------
+    number : int
+        Number of the run.
+    worker_started_at_ms : int
+        Start of the worker's incarnation, in Unix milliseconds; 0 if unknown.
+    """
+
+    number: int
+    worker_id: str
+    worker_started_at_ms: int
+
+
 class RunPhase(StrEnum):
     """State of a run as known to the scheduler."""
 
@@ -123,6 +139,11 @@
         Runs in a row that were lost in a crash after their probation.
     lost_runs : dict of int to LostRun
         Runs in a row that were lost in a crash, by number.
+    is_inherited : bool
+        Whether a former leader may have started it, and no run has ended by itself or
+        outlived the late probation since.
+    start_record : StartRecord or None
+        Its last start, to be stored, while that may still end in a crash.
     """
 
     task_id: TaskId
@@ -137,6 +158,8 @@
     unanswered_crashes: set[int] = field(default_factory=set)
     late_crashes: set[int] = field(default_factory=set)
     lost_runs: dict[int, LostRun] = field(default_factory=dict)
+    is_inherited: bool = False
+    start_record: StartRecord | None = None
 
     @property
     def accountable(self) -> "Task":
@@ -148,6 +171,13 @@
         """Whether the task is neither done nor running."""
         return not self.is_done and not self.runs
 
+    def drop_start_record(self, number: int) -> bool:
+        """Drop the record of a start whose outcome is known; return whether it was."""
+        if self.start_record is None or self.start_record.number != number:
+            return False
+        self.start_record = None
+        return True
+
 
 class StepState:
     """Tasks of one step of one occurrence.
@@ -252,6 +282,8 @@
         of those that were lost in a crash after their probation.
     lost_runs : dict
         Runs in a row that were lost in a crash, by index of the task and by number.
+    starts : dict of int to StartRecord
+        Last starts of tasks that may crash their workers, by index of the task.
     """
 
     done: str = "0"
@@ -260,6 +292,7 @@
     crashes: dict[int, tuple[int, ...]] = {}
     late_crashes: dict[int, tuple[int, ...]] = {}
     lost_runs: dict[int, dict[int, LostRun]] = {}
+    starts: dict[int, StartRecord] = {}
 
 
 class JobProgress(msgspec.Struct, omit_defaults=True):
@@ -302,9 +335,21 @@
             index: {**first.lost_runs.get(index, {}), **other.lost_runs.get(index, {})}
             for index in sorted({*first.lost_runs, *other.lost_runs})
         },
+        _merge_starts(first.starts, other.starts),
     )
 
 
+def _merge_starts(
+    first: dict[int, StartRecord], other: dict[int, StartRecord]
+) -> dict[int, StartRecord]:
+    merged = dict(first)
+    for index, record in other.items():
+        known = merged.get(index)
+        if known is None or known.number < record.number:
+            merged[index] = record
+    return merged
+
+
 def _merge_runs(
     first: dict[int, tuple[int, ...]], other: dict[int, tuple[int, ...]]
 ) -> dict[int, tuple[int, ...]]:
@@ -499,6 +544,7 @@
     crashes = {}
     late_crashes = {}
     lost_runs = {}
+    starts = {}
     for index, task in enumerate(step.tasks):
         if task.is_done:
             done |= 1 << index
@@ -513,8 +559,10 @@
             failures[index] = tuple(sorted(task.failed_runs))
         if task.checkpoint:
             checkpoints[index] = task.checkpoint
+        if task.start_record is not None:
+            starts[index] = task.start_record
     return StepProgress(
-        f"{done:x}", failures, checkpoints, crashes, late_crashes, lost_runs
+        f"{done:x}", failures, checkpoints, crashes, late_crashes, lost_runs, starts
     )
 
 
@@ -527,10 +575,13 @@
         task.late_crashes = set(stored.late_crashes.get(index, ()))
         task.lost_runs = dict(stored.lost_runs.get(index, {}))
         task.failed_on.update(run.worker_id for run in task.lost_runs.values())
+        task.start_record = stored.starts.get(index)
         task.last_run = max(
             (*task.failed_runs, *task.crashes, *task.late_crashes, *task.lost_runs),
             default=0,
         )
+        if task.start_record is not None:
+            task.last_run = max(task.last_run, task.start_record.number)
         task.checkpoint = stored.checkpoints.get(index, "")
         step.refresh(task)
     step.done = done.bit_count()
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -367,6 +367,8 @@
             self.registry.dirty.add(job.job_id)
             self._progress_writer.schedule_flush()
         state.open_due(now_ms)
+        if is_inherited:
+            self.workers.runs.start_records.add_job(state)
         if job.job_id in self._cancelled:
             self._cancel(state)
         self.plan_soon()
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -19,6 +19,7 @@
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_registry import ENDED_DONE, ENDED_FAILED, RunRegistry
 from dogwoodlever._run_throttler import RunThrottler, stalled_runs
+from dogwoodlever._start_records import RECENT_START_MS, StartRecords
 from dogwoodlever._worker_capacity import WorkerCapacity
 from dogwoodlever._worker_link import WorkerLink
 from dogwoodlever._workspace_usage import WorkspaceUsage
@@ -79,6 +80,7 @@
         self._throttler = throttler
         self._faults = faults
         self._crashes = crashes
+        self.start_records = StartRecords()
         self._usage = usage
         self._metrics = metrics
         self._capacities = capacities
@@ -96,6 +98,8 @@
         capacity.add(run, task.step.spec)
         self._crashes.add_run(run, task)
         job = task.step.job
+        if self.start_records.record(run, task, capacity.entry):
+            self._registry.dirty.add(job.job.job_id)
         self._metrics.task_wait_s.observe(now_s - job.arrived_s)
         log_event(
             "run.placed",
@@ -364,20 +368,60 @@
                 is_open = task is not None and not task.step.job.has_ended
                 if is_open and run.may_have_started:
                     lost.append((run, task))
-            suspects = self._crashes.record_crash(
-                worker_id, lost, ended_s, self._clock.seconds(), len(self._capacities)
-            )
-            for task in suspects:
-                self._registry.dirty.add(task.task_id.job_id)
-                self._metrics.suspect_events.labels("suspected").inc()
-                log_event(
-                    "task.suspected",
-                    task=_format_task_id(task.task_id),
-                    crashes=len(task.crashes),
-                    worker=worker_id,
-                )
+            self._record_crash(worker_id, lost, ended_s)
         self.drop_lost_runs(capacity, kept)
 
+    def _record_crash(
+        self,
+        worker_id: str,
+        lost: list[tuple[Run, Task]],
+        ended_s: float,
+        is_observed: bool = True,
+    ) -> None:
+        suspects = self._crashes.record_crash(
+            worker_id,
+            lost,
+            ended_s,
+            self._clock.seconds(),
+            len(self._capacities),
+            is_observed,
+        )
+        for task in suspects:
+            self._registry.dirty.add(task.task_id.job_id)
+            self._metrics.suspect_events.labels("suspected").inc()
+            log_event(
+                "task.suspected",
+                task=_format_task_id(task.task_id),
+                crashes=len(task.crashes),
+                worker=worker_id,
+            )
+
+    def apply_first_poll(self, worker_id: str, result: PollResult) -> None:
+        """Find out how the stored starts by a former leader ended on a worker."""
+        if result.clock_ms < RECENT_START_MS:
+            self.start_records.has_ended_workers = True
+        self._record_unobserved_crash(worker_id, result.started_at_ms)
+
+    def record_former_end(self, worker_id: str, has_crashed: bool) -> None:
+        """Record that a worker is gone on which a former leader may have run tasks."""
+        self.start_records.has_ended_workers = True
+        if has_crashed:
+            self._record_unobserved_crash(worker_id, None)
+        else:
+            self.start_records.discard(worker_id)
+
+    def _record_unobserved_crash(
+        self, worker_id: str, started_at_ms: int | None
+    ) -> None:
+        now_s = self._clock.seconds()
+        lost = self.start_records.pop_lost(worker_id, started_at_ms, now_s)
+        for run, _ in lost:
+            log_event(
+                "run.lost", run=_format_run(run), worker=worker_id, why="unobserved"
+            )
+        if lost:
+            self._record_crash(worker_id, lost, now_s, is_observed=False)
+
     def _clear(self, task: Task) -> None:
         """Clear a task whose run has ended without a crash of its worker."""
         if self._crashes.clear(task):
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -37,6 +37,7 @@
 from dogwoodlever._workspace_usage import WorkspaceUsage
 from dogwoodlever.platform import WORKERS_PREFIX
 from dogwoodlever.platform_errors import (
+    ConnectionRefusedByWorkerError,
     PlatformError,
     WrongIncarnationError,
 )
@@ -174,6 +175,8 @@
         # Entries that name another incarnation than the known one, by worker id.
         self._announced: dict[str, WorkerEntry] = {}
         self.unpolled_workers: set[str] = set()
+        # Those without an entry whose last probe was refused.
+        self._refused_probes: set[str] = set()
         self._is_closed = False
         self.runs = FleetRuns(
             clock,
@@ -222,6 +225,9 @@
             return
         log_event("workers.given-up", count=len(self.unpolled_workers))
         for worker_id in list(self.unpolled_workers):
+            link = self._links.get(worker_id)
+            is_refused = link.is_refused if link else worker_id in self._refused_probes
+            self.runs.record_former_end(worker_id, is_refused)
             self._remove_worker(worker_id)
 
     def probe_unlisted_workers(self) -> None:
@@ -242,20 +248,36 @@
                 result = yield self._worker_client.poll(
                     entry, self._get_fencing_token(), 0, 0, 0
                 )
-                has_ended = not result.running and not result.ended
+                if not result.running and not result.ended:
+                    self._on_probed_ended(worker_id, result)
+                    return
             except WrongIncarnationError:
-                has_ended = True
-            except PlatformError:
-                has_ended = False
-            if has_ended:
                 self._on_probed_ended(worker_id)
                 return
+            except PlatformError as error:
+                self._refused_probes.discard(worker_id)
+                if isinstance(error, ConnectionRefusedByWorkerError):
+                    self._refused_probes.add(worker_id)
             yield deferLater(self._clock, POLL_RETRY_S)
 
-    def _on_probed_ended(self, worker_id: str) -> None:
-        """Stop waiting for a worker, unless it has got an entry since."""
+    def _on_probed_ended(
+        self, worker_id: str, result: PollResult | None = None
+    ) -> None:
+        """Stop waiting for a worker, unless it has got an entry since.
+
+        Parameters
+        ----------
+        worker_id : str
+            The worker.
+        result : PollResult or None
+            Its empty answer; None if another worker answers at its address.
+        """
         if self._is_closed or worker_id in self.capacities:
             return
+        if result is None:
+            self.runs.record_former_end(worker_id, has_crashed=True)
+        else:
+            self.runs.apply_first_poll(worker_id, result)
         log_event("worker.gone", worker=worker_id)
         self._remove_worker(worker_id)
         self._on_change()
@@ -414,6 +436,8 @@
         )
         starts_in_flight = link.starts_in_flight() if may_return else {}
         self.runs.drop_crashed_runs(capacity, link.broken_s, starts_in_flight)
+        if worker_id in self.unpolled_workers:
+            self.runs.record_former_end(worker_id, not capacity.entry.is_draining)
         self._keep_starts_in_flight(capacity, starts_in_flight, link.late_grants_end_s)
         if not capacity.runs and not is_member:
             self._remove_worker(worker_id)
@@ -513,6 +537,8 @@
         worker_id = link.entry.worker_id
         capacity = self.capacities[worker_id]
         self.runs.apply_poll(capacity, link, result, sent_s)
+        if worker_id in self.unpolled_workers:
+            self.runs.apply_first_poll(worker_id, result)
         link.set_poll_wait(self._poll_wait_ms(capacity))
         is_usable_now = not capacity.is_synced or worker_id in self.unpolled_workers
         if not capacity.is_synced:
@@ -586,6 +612,8 @@
             self.runs.drop_crashed_runs(capacity, link.broken_s)
         else:
             self.runs.drop_lost_runs(capacity)
+        if worker_id in self.unpolled_workers:
+            self.runs.record_former_end(worker_id, link.is_refused)
         self.unpolled_workers.discard(worker_id)
         capacity.is_synced = False
         if not capacity.is_listed:
--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -149,6 +149,7 @@
 
     def drop_run(self, task: Task, number: int) -> Run | None:
         """Remove a run that has ended for certain or never started."""
+        task.drop_start_record(number)
         run = task.runs.pop(number, None)
         if run is None:
             return None
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -17,12 +17,19 @@
     JobProgress,
     LostRun,
     RunPhase,
+    StartRecord,
     StepProgress,
     merge_progress,
 )
-from dogwoodlever._fleet_records import decode_progress, encode, progress_key
-from dogwoodlever._fleet_types import Queue, TaskId
+from dogwoodlever._fleet_records import (
+    PROGRESS_PREFIX,
+    decode_progress,
+    encode,
+    progress_key,
+)
+from dogwoodlever._fleet_types import Queue, Step, SubmittedJob, TaskId
 from dogwoodlever._run_registry import RunRegistry
+from dogwoodlever._start_records import RECENT_START_MS
 from tests.fleet_simulation import QUEUE, FleetSimulation, job, worker_entry
 
 CRASHING_JOB = "d" * 16
@@ -169,6 +176,95 @@
         self.assertEqual(self.phase(fleet), JobPhase.FAILED)
         self.assertLessEqual(len(fleet.workers.crashes), STARTS_MAX)
 
+    STANDING, ONCE, BEST_EFFORT = {"standing": True}, {}, {"uses_leftover": True}
+    # Crash after the start, kills after the crash, leaders killed, outage of the store
+    # from the crash on, fields of the job.
+    HIDDEN_CRASHES = [
+        (0.5, 0.0, 2, 0.0, STANDING),
+        (0.6, 0.3, 3, 4.0, ONCE),
+        (1.0, 0.15, 2, 0.0, BEST_EFFORT),
+        (1.5, 0.0, 1, 0.0, ONCE),
+        (1.5, 0.05, 3, 1.0, STANDING),
+        (2.0, 0.3, 2, 0.0, STANDING),
+        (3.0, 0.05, 2, 0.0, ONCE),
+        (3.5, 0.15, 3, 0.0, STANDING),
+        (3.5, 0.3, 2, 4.0, STANDING),
+    ]
+
+    def test_hidden_crashes_of_several_leaders(self):
+        for crash_delay_s, kill_s, leaders, outage_s, fields in self.HIDDEN_CRASHES:
+            with self.subTest(
+                crash_delay_s=crash_delay_s, kill_s=kill_s, leaders=leaders
+            ):
+                fleet = self.start_fleet(daemons=5, run_s=0.0)
+                fleet.workers.crash_delay_s = crash_delay_s
+                self.submit_crashing(fleet, **fields)
+                for _ in range(leaders):
+                    self.kill_leader_after_crash(fleet, kill_s, outage_s)
+                self.run_fleet(fleet, DECISION_MAX_S)
+                self.assertEqual(self.phase(fleet), JobPhase.FAILED)
+                self.assertLessEqual(len(fleet.workers.crashes), STARTS_MAX)
+
+    def kill_leader_after_crash(self, fleet, kill_s, outage_s):
+        crashes = len(fleet.workers.crashes)
+        while len(fleet.workers.crashes) == crashes:
+            self.run_fleet(fleet, 0.05)
+        leader = fleet.leader()
+        for store in fleet.stores:
+            store.is_down = outage_s > 0
+        self.run_fleet(fleet, kill_s)
+        fleet.kill(leader)
+        self.run_fleet(fleet, outage_s)
+        for store in fleet.stores:
+            store.is_down = False
+
+    # Guards against starts that are stored although no crash can be unknown.
+    def test_starts_are_stored_only_after_a_loss_of_leader_and_worker(self):
+        for crashes, expected in ((0, 0), (1, 1)):
+            with self.subTest(crashes=crashes):
+                fleet = self.start_fleet(workers=2, run_s=1.0)
+                self.run_fleet(fleet, RECENT_START_MS / 1000)
+                step = Step(1, 8_000, 100, 0, 1000)
+                for number in range(8):
+                    made = SubmittedJob(ordinary_id(number), QUEUE, "", (step,))
+                    fleet.submit(0, made, wait_s=0.05)
+                for worker_id in sorted(fleet.workers.workers)[:crashes]:
+                    fleet.workers.crash(worker_id)
+                fleet.kill(fleet.leader())
+                while fleet.leader() is None:
+                    self.run_fleet(fleet, 0.1)
+                has_record = False
+                for _ in range(150):
+                    self.run_fleet(fleet, 0.1)
+                    has_record |= any(self.stored_starts(fleet))
+                self.assertEqual(has_record, expected)
+                self.assert_completed(fleet, 8)
+                self.assertFalse(any(self.stored_starts(fleet)))
+
+    @staticmethod
+    def stored_starts(fleet):
+        for key, record in fleet.records.records.items():
+            if key.startswith(PROGRESS_PREFIX):
+                for steps in decode_progress(record.value).occurrences.values():
+                    yield from (step.starts for step in steps)
+
+    # Guards against counting a stored start as a crash whose run has not crashed.
+    def test_stored_start_of_a_run_that_lasts_is_no_crash(self):
+        fleet = self.start_fleet(daemons=5, workers=4, run_s=0.0)
+        fields = {"standing": True, "worker_tasks_max": 1}
+        fleet.submit(0, job(ordinary_id(0), tasks=2, **fields))
+        self.run_fleet(fleet, 1.5)
+        fleet.workers.crash(fleet.workers.starts[0][1])
+        fleet.kill(fleet.leader())
+        while len(fleet.workers.starts) < 3:
+            self.run_fleet(fleet, 0.05)
+        self.run_fleet(fleet, 0.5)
+        self.assertEqual(len(self.stored(fleet).starts), 1)
+        fleet.kill(fleet.leader())
+        self.run_fleet(fleet, 12.0)
+        self.assertEqual(len(fleet.workers.starts), 3)
+        self.assertEqual(self.stored(fleet), StepProgress())
+
     # Guards against a task that crashes its workers later still, without end.
     def test_task_that_crashes_its_workers_after_the_late_probation(self):
         fleet = self.start_fleet(run_s=0.0)
@@ -596,6 +692,7 @@
             crashes={1: (3, 1004)},
             late_crashes={1: (2, 3)},
             lost_runs={1: {3: LostRun(4_500, "w1")}},
+            starts={1: StartRecord(1005, "w2", 7)},
         )
         stored = JobProgress("running", 0, {0: [step]})
         stored = decode_progress(encode(stored))
@@ -605,7 +702,8 @@
         self.assertEqual(task.late_crashes, {2, 3})
         self.assertEqual(task.lost_runs, {3: LostRun(4_500, "w1")})
         self.assertEqual(task.failed_on, {"w1"})
-        self.assertEqual(task.last_run, 1004)
+        self.assertEqual(task.start_record, StartRecord(1005, "w2", 7))
+        self.assertEqual(task.last_run, 1005)
         self.assertEqual(state.progress(), stored)
 
     def test_merged_records_have_all_crashes(self):
