Late polls of a former incarnation acknowledge no ends of the next one

Cause: a poll without an answer may be carried out seconds later by the next incarnation of the worker under the same id. Its last_seen counts the ends of the former incarnation, so unread ends of the next one are forgotten, and done tasks are started again.

Ruled out: acknowledging only by calls that are answered at once (the same call may still be late), giving the next incarnation no work for 12.5 s, and never restarting an unlisted run (a forgotten end is not told from a lost run, and a lost one must restart).

Change: each link to a worker has a fencing token of its own, the term's token times a million plus the number of the link in the term. A worker does nothing for a lower token than it has seen, and gets its first start only after it has answered the new link, so calls of earlier links are refused before any end exists. A closed link reports no refusal, so the leader does not step down. Terms keep their order. Costs no call.

Test: the former test acknowledged ends without a call, so no fencing token was checked. It now carries out the polls that the leader has really sent without an answer, checks that one of them carries the number, and demands also that the job completes with 10 starts. It fails as before if all links of a term share one token (a task runs again), and passes now.

Compatibility: workers refuse a leader of an earlier build once they have seen a token of this one.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
@@ -42,6 +43,9 @@
     WrongIncarnationError,
 )
 
+# Fencing tokens of one term. Each link has one of its own, so that a worker that has
+# answered it refuses late calls of earlier links.
+LINKS_PER_TERM_MAX = 1_000_000
 # Interval at which a leader that may have a successor checks again.
 CONFIRM_RETRY_S = 0.1
 # Longest wait of a poll of a worker that runs standing and best-effort tasks; a
@@ -170,6 +174,7 @@
         )
         self.capacities: dict[str, WorkerCapacity] = {}
         self._links: dict[str, WorkerLink] = {}
+        self._link_count = 0
         self._get_contact_s = get_contact_s
         self._ended_incarnations: dict[str, EndedIncarnation] = {}
         # Entries that name another incarnation than the known one, by worker id.
@@ -203,6 +208,10 @@
         for link in self._links.values():
             link.close()
 
+    def _fencing_token(self, link_number: int) -> int:
+        """Return the fencing token of a link, lower than those of later terms."""
+        return self._get_fencing_token() * LINKS_PER_TERM_MAX + link_number
+
     def on_former_leader_stopped(self, elected_s: float) -> None:
         """Record that the former leader, elected by `elected_s`, has stopped.
 
@@ -246,7 +255,7 @@
         while not self._is_closed and worker_id in self.unpolled_workers:
             try:
                 result = yield self._worker_client.poll(
-                    entry, self._get_fencing_token(), 0, 0, 0
+                    entry, self._fencing_token(self._link_count), 0, 0, 0
                 )
                 if not result.running and not result.ended:
                     self._on_probed_ended(worker_id, result)
@@ -347,8 +356,9 @@
                 self._add_worker(entry)
                 return
             try:
+                # A higher fencing token would shut out the link of the known one.
                 result = yield self._worker_client.poll(
-                    entry, self._get_fencing_token(), 0, 0, 0
+                    entry, self._links[worker_id].get_fencing_token(), 0, 0, 0
                 )
             except WrongIncarnationError:
                 # Another worker has the announced address.
@@ -397,11 +407,12 @@
             late_grants_end_s = previous.late_grants_end_s
             for run, step in previous.capacity.runs.values():
                 capacity.add(run, step)
+        self._link_count += 1
         link = WorkerLink(
             entry,
             self._worker_client,
             self._clock,
-            self._get_fencing_token,
+            partial(self._fencing_token, self._link_count),
             self,
             self._former_leases_expire_s,
             misdirected_expiry_s,
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -122,7 +122,7 @@
     clock : IReactorTime
         Reactor clock.
     get_fencing_token : callable
-        Returns the leader's fencing token.
+        Returns the fencing token of this link.
     listener : LinkListener
         Receives the events.
     inherited_expiry_s : float
@@ -161,7 +161,7 @@
         self.entry = entry
         self._worker_client = worker_client
         self._clock = clock
-        self._get_fencing_token = get_fencing_token
+        self.get_fencing_token = get_fencing_token
         self._listener = listener
         self._lease_s = lease_s
         self._late_lease_bound_s = late_lease_bound_s
@@ -324,7 +324,7 @@
         if self.is_closed:
             return
         sent_s = self._clock.seconds()
-        fencing_token = self._get_fencing_token()
+        fencing_token = self.get_fencing_token()
         acknowledged, until_ms, wait_ms = 0, 0, 0
         if not self._failed_polls:
             acknowledged = self._acknowledged
@@ -429,7 +429,7 @@
                 return
             is_retry = True
             refusal = None
-            fencing_token = self._get_fencing_token()
+            fencing_token = self.get_fencing_token()
             clock_min_ms = self._clock_lower_bound_ms()
             try:
                 clock_ms = yield self._worker_client.start(
@@ -494,7 +494,7 @@
 
     def _report_fenced(self, fencing_token: int) -> None:
         """Report a later leader, unless it is this one with a new fencing token."""
-        if fencing_token == self._get_fencing_token():
+        if fencing_token == self.get_fencing_token() and not self.is_closed:
             self._listener.on_fenced(self)
 
     def _is_transient(self, refusal: RefusalReason, expired_count: int) -> bool:
@@ -551,7 +551,7 @@
     def _stop_until_answered(self, run_id: RunId):
         """Retry a stop; the result is True once no earlier order can start the run."""
         while self._may_retry():
-            fencing_token = self._get_fencing_token()
+            fencing_token = self.get_fencing_token()
             try:
                 yield self._worker_client.stop(self.entry, run_id, fencing_token)
             except WorkerUnreachableError:
@@ -582,7 +582,7 @@
         run.throttled_s = self._clock.seconds()
         try:
             yield self._worker_client.throttle(
-                self.entry, run.run_id, percent, self._get_fencing_token()
+                self.entry, run.run_id, percent, self.get_fencing_token()
             )
         except PlatformError as error:
             # The limit in force is unknown; -1 makes the next decision send one.
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -369,6 +369,15 @@
         return "failed" if self.fails else "done"
 
 
+@dataclass(slots=True, frozen=True)
+class FakePoll:
+    """A poll that got no response."""
+
+    fencing_token: int
+    acknowledged: int
+    until_ms: int
+
+
 class FakeWorkers:
     """All workers; records violations of the run guarantees.
 
@@ -404,6 +413,8 @@
         From the start of such a task to the crash; 0 if the start gets no answer.
     crashes : list of str
         Workers whose processes ended, in order.
+    unanswered_polls : dict of str to list of FakePoll
+        Polls without a response that may be carried out late, by worker id.
     """
 
     def __init__(self, clock) -> None:
@@ -425,6 +436,7 @@
         self.duplicate_starts: list[RunId] = []
         self.done: set = set()
         self.polls = 0
+        self.unanswered_polls: dict[str, list[FakePoll]] = {}
         self.orders_to_lose = 0
 
     def add(self, entry: WorkerEntry, run_s: float = 1.0) -> FakeWorker:
@@ -482,6 +494,14 @@
         worker.ended = [end for end in worker.ended if end.number > number]
         worker.acknowledged_number = max(worker.acknowledged_number, number)
 
+    def carry_out_late_polls(self, worker: FakeWorker) -> None:
+        """Carry out the polls of an earlier incarnation that got no response."""
+        for poll in self.unanswered_polls.pop(worker.entry.worker_id, ()):
+            if poll.fencing_token >= worker.fencing_token:
+                worker.fencing_token = poll.fencing_token
+                self.renew(worker, poll.until_ms)
+                self.acknowledge(worker, poll.acknowledged)
+
     def renew(self, worker: FakeWorker, until_ms: int) -> None:
         """Renew a worker's lease, up to `LEASE_MAX_MS` ahead."""
         limit_ms = worker.clock_ms(self.clock.seconds()) + LEASE_MAX_MS
@@ -690,7 +710,14 @@
 
         def send_poll() -> None:
             call = self._call(worker, fencing_token, poll_worker)
-            call.addCallbacks(respond_or_repeat, response.errback)
+            call.addCallbacks(respond_or_repeat, record_failure)
+
+        def record_failure(failure) -> None:
+            if failure.type is WorkerUnreachableError:
+                polls = self._workers.unanswered_polls
+                poll = FakePoll(fencing_token, acknowledged, until_ms)
+                polls.setdefault(worker.worker_id, []).append(poll)
+            response.errback(failure)
 
         def respond_or_repeat(poll: PollResult) -> None:
             if poll.ended or self._clock.seconds() >= until_s:
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -7,6 +7,7 @@
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_records import INBOX_PREFIX
 from dogwoodlever._fleet_types import StartOrder, Step, SubmittedJob
+from dogwoodlever._fleet_workers import LINKS_PER_TERM_MAX
 from standins.fleet import LEASE_MAX_MS, server_record
 from tests.fleet_simulation import (
     JOB,
@@ -165,9 +166,30 @@
         fleet.workers.end(worker, first, "done")
         fleet.run_for(0.05)
         fleet.workers.end(worker, second, "done")
-        fleet.workers.acknowledge(worker, acknowledged)
+        late_polls = fleet.workers.unanswered_polls["w0"]
+        self.assertIn(acknowledged, [poll.acknowledged for poll in late_polls])
+        fleet.workers.carry_out_late_polls(worker)
         fleet.run_for(5.0)
         self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(fleet.read_phase(0, JOB), JobPhase.COMPLETED)
+        self.assertEqual(len(fleet.workers.starts), 10)
+
+    # Guards against a leader that steps down as a worker refuses a call of an earlier
+    # link, and against links of one term that outrank the next term.
+    def test_links_of_one_worker_have_rising_fencing_tokens(self):
+        fleet = self.start_fleet(workers=2)
+        leader = fleet.leader()
+        first = fleet.workers.workers["w0"]
+        fleet.workers.crash("w0")
+        fleet.run_for(0.5)
+        second = self.restart(fleet, "w0")
+        fleet.run_for(3.0)
+        self.assertGreater(second.fencing_token, first.fencing_token)
+        self.assertEqual(fleet.leader(), leader)
+        fleet.kill(leader)
+        fleet.run_for(6.0)
+        term_tokens = second.fencing_token // LINKS_PER_TERM_MAX
+        self.assertEqual(term_tokens, fleet.nodes[fleet.leader()].leader.fencing_token)
 
     # Guards against runs that are started elsewhere because another worker answers at
     # the address that their worker had as a former incarnation.
