--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
@@ -35,10 +36,14 @@
 from dogwoodlever._workspace_usage import WorkspaceUsage
 from dogwoodlever.platform import WORKERS_PREFIX
 from dogwoodlever.platform_errors import (
+    ConnectionRefusedByWorkerError,
     PlatformError,
     WrongIncarnationError,
 )
 
+# Fencing tokens of one term. Each link has one of its own, so that a worker that has
+# answered it refuses late calls of earlier links.
+LINKS_PER_TERM_MAX = 1_000_000
 # Interval at which a leader that may have a successor checks again.
 CONFIRM_RETRY_S = 0.1
 # Longest wait of a poll of a worker that runs standing and best-effort tasks; a
@@ -138,6 +143,7 @@
         self._lease_bound_s = lease_bound_s(self._lease_s)
         self.capacities: dict[str, WorkerCapacity] = {}
         self._links: dict[str, WorkerLink] = {}
+        self._link_count = 0
         self._get_contact_s = get_contact_s
         # Runs of starts without an answer, and what else calls for ended incarnations
         # may still do at the next ones, by worker id.
@@ -145,6 +151,8 @@
         # Entries that name another incarnation than the known one, by worker id.
         self._announced: dict[str, WorkerEntry] = {}
         self.unpolled_workers: set[str] = set()
+        # Those without an entry whose last probe was refused.
+        self._refused_probes: set[str] = set()
         self._is_closed = False
         self.runs = FleetRuns(
             clock,
@@ -172,6 +180,10 @@
             link.close()
         self.runs.close()
 
+    def _fencing_token(self, link_number: int) -> int:
+        """Return the fencing token of a link, lower than those of later terms."""
+        return self._get_fencing_token() * LINKS_PER_TERM_MAX + link_number
+
     def on_former_leader_stopped(self, elected_s: float) -> None:
         """Record that the former leader, elected by `elected_s`, has stopped.
 
@@ -194,6 +206,11 @@
             return
         log_event("workers.given-up", count=len(self.unpolled_workers))
         for worker_id in list(self.unpolled_workers):
+            link = self._links.get(worker_id)
+            is_refused = (
+                link.evidence.is_refused if link else worker_id in self._refused_probes
+            )
+            self.runs.record_former_end(worker_id, is_refused)
             self._remove_worker(worker_id)
 
     def probe_unlisted_workers(self) -> None:
@@ -212,22 +229,38 @@
         while not self._is_closed and worker_id in self.unpolled_workers:
             try:
                 result = yield self._worker_client.poll(
-                    entry, self._get_fencing_token(), 0, 0, 0
+                    entry, self._fencing_token(self._link_count), 0, 0, 0
                 )
-                has_ended = not result.running and not result.ended
+                if not result.running and not result.ended:
+                    self._on_probed_ended(worker_id, result)
+                    return
             except WrongIncarnationError:
-                has_ended = True
-            except PlatformError:
-                has_ended = False
-            if has_ended:
                 self._on_probed_ended(worker_id)
                 return
+            except PlatformError as error:
+                self._refused_probes.discard(worker_id)
+                if isinstance(error, ConnectionRefusedByWorkerError):
+                    self._refused_probes.add(worker_id)
             yield deferLater(self._clock, POLL_RETRY_S)
 
-    def _on_probed_ended(self, worker_id: str) -> None:
-        """Stop waiting for a worker, unless it has got an entry since."""
+    def _on_probed_ended(
+        self, worker_id: str, result: PollResult | None = None
+    ) -> None:
+        """Stop waiting for a worker, unless it has got an entry since.
+
+        Parameters
+        ----------
+        worker_id : str
+            The worker.
+        result : PollResult or None
+            Its empty answer; None if another worker answers at its address.
+        """
         if self._is_closed or worker_id in self.capacities:
             return
+        if result is None:
+            self.runs.record_former_end(worker_id, has_crashed=True)
+        else:
+            self.runs.apply_first_poll(worker_id, result)
         log_event("worker.gone", worker=worker_id)
         self._remove_worker(worker_id)
         self._on_change()
@@ -297,8 +330,9 @@
                 self._add_worker(entry)
                 return
             try:
+                # A higher fencing token would shut out the link of the known one.
                 result = yield self._worker_client.poll(
-                    entry, self._get_fencing_token(), 0, 0, 0
+                    entry, self._links[worker_id].get_fencing_token(), 0, 0, 0
                 )
             except WrongIncarnationError:
                 # Another worker has the announced address.
@@ -349,11 +383,12 @@
             for run, step in ended.runs.values():
                 capacity.add(run, step)
         evidence.begin_incarnation(self._former_leases_expire_s)
+        self._link_count += 1
         link = WorkerLink(
             entry,
             self._worker_client,
             self._clock,
-            self._get_fencing_token,
+            partial(self._fencing_token, self._link_count),
             self,
             evidence,
             self._get_leases_end_s,
@@ -391,6 +426,8 @@
             DropCause(evidence, now_s),
             carried.starts_in_flight(now_s),
         )
+        if worker_id in self.unpolled_workers:
+            self.runs.record_former_end(worker_id, not capacity.entry.is_draining)
         self._keep_evidence(capacity, carried)
         if not capacity.runs and not is_member:
             self._remove_worker(worker_id)
@@ -478,6 +515,8 @@
         worker_id = link.entry.worker_id
         capacity = self.capacities[worker_id]
         self.runs.apply_poll(capacity, link, result, sent_s)
+        if worker_id in self.unpolled_workers:
+            self.runs.apply_first_poll(worker_id, result)
         link.set_poll_wait(self._poll_wait_ms(capacity))
         is_usable_now = not capacity.is_synced or worker_id in self.unpolled_workers
         if not capacity.is_synced:
@@ -550,6 +589,8 @@
             self.runs.drop_crashed_runs(capacity, link.evidence.broken_s, cause)
         else:
             self.runs.drop_lost_runs(capacity, cause)
+        if worker_id in self.unpolled_workers:
+            self.runs.record_former_end(worker_id, link.evidence.is_refused)
         self.unpolled_workers.discard(worker_id)
         capacity.is_synced = False
         if not capacity.is_listed:
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -88,7 +88,7 @@
     clock : IReactorTime
         Reactor clock.
     get_fencing_token : callable
-        Returns the leader's fencing token.
+        Returns the fencing token of this link.
     listener : LinkListener
         Receives the events.
     evidence : WorkerEvidence
@@ -110,7 +110,7 @@
         self.entry = entry
         self._worker_client = worker_client
         self._clock = clock
-        self._get_fencing_token = get_fencing_token
+        self.get_fencing_token = get_fencing_token
         self._listener = listener
         self.evidence = evidence
         self._get_leases_end_s = get_leases_end_s
@@ -159,7 +159,7 @@
         if self.is_closed:
             return
         sent_s = self._clock.seconds()
-        fencing_token = self._get_fencing_token()
+        fencing_token = self.get_fencing_token()
         wait_ms = self._poll_wait_ms if self.evidence.is_answering else 0
         acknowledged_number, until_ms = self.evidence.begin_poll(
             sent_s, self._get_leases_end_s()
@@ -244,7 +244,7 @@
     @inlineCallbacks
     def _attempt_start(self, run: Run, order: StartOrder, attempts: StartAttempts):
         """Send one copy of a start; the result is False if it has to be sent again."""
-        fencing_token = self._get_fencing_token()
+        fencing_token = self.get_fencing_token()
         until_ms = self.evidence.begin_attempt(
             attempts, self._clock.seconds(), self._get_leases_end_s()
         )
@@ -287,7 +287,8 @@
             isinstance(error, OrderRefusedError)
             and error.reason is RefusalReason.FENCED
         )
-        if is_fenced and fencing_token == self._get_fencing_token():
+        is_current = fencing_token == self.get_fencing_token() and not self.is_closed
+        if is_fenced and is_current:
             self._listener.on_fenced(self)
 
     @inlineCallbacks
@@ -318,7 +319,7 @@
     def _stop_until_answered(self, run_id: RunId):
         """Retry a stop; the result is True once no earlier order can start the run."""
         while self._may_retry():
-            fencing_token = self._get_fencing_token()
+            fencing_token = self.get_fencing_token()
             try:
                 yield self._worker_client.stop(self.entry, run_id, fencing_token)
             except ORDER_ERRORS as error:
@@ -346,7 +347,7 @@
         run.throttled_s = self._clock.seconds()
         try:
             yield self._worker_client.throttle(
-                self.entry, run.run_id, percent, self._get_fencing_token()
+                self.entry, run.run_id, percent, self.get_fencing_token()
             )
         except PlatformError as error:
             # The limit in force is unknown; -1 makes the next decision send one.
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -400,6 +400,15 @@
         return "failed" if self.fails else "done"
 
 
+@dataclass(slots=True, frozen=True)
+class FakePoll:
+    """A poll that got no response."""
+
+    fencing_token: int
+    acknowledged: int
+    until_ms: int
+
+
 class FakeWorkers:
     """All workers; records violations of the run guarantees.
 
@@ -438,6 +447,8 @@
     reruns : list of RunId
         Those of `duplicate_starts` for which the lease of the worker expired between
         the end of the earlier run and its acknowledgement, so that it does not count.
+    unanswered_polls : dict of str to list of FakePoll
+        Polls without a response that may be carried out late, by worker id.
     """
 
     def __init__(self, clock) -> None:
@@ -461,6 +472,7 @@
         self.reruns: list[RunId] = []
         self._expired_ends: set[TaskId] = set()
         self.polls = 0
+        self.unanswered_polls: dict[str, list[FakePoll]] = {}
         self.orders_to_lose = 0
 
     def add(self, entry: WorkerEntry, run_s: float = 1.0) -> FakeWorker:
@@ -519,6 +531,14 @@
         worker.ended = [end for end in worker.ended if end.number > number]
         worker.acknowledged_number = max(worker.acknowledged_number, number)
 
+    def carry_out_late_polls(self, worker: FakeWorker) -> None:
+        """Carry out the polls of an earlier incarnation that got no response."""
+        for poll in self.unanswered_polls.pop(worker.entry.worker_id, ()):
+            if poll.fencing_token >= worker.fencing_token:
+                worker.fencing_token = poll.fencing_token
+                self.renew(worker, poll.until_ms)
+                self.acknowledge(worker, poll.acknowledged)
+
     def renew(self, worker: FakeWorker, until_ms: int) -> None:
         """Renew a worker's lease, up to `LEASE_MAX_MS` ahead."""
         limit_ms = worker.clock_ms(self.clock.seconds()) + LEASE_MAX_MS
@@ -780,6 +800,10 @@
                 call.addCallbacks(respond_or_repeat, fail_poll)
 
         def fail_poll(failure) -> None:
+            if failure.type is WorkerUnreachableError:
+                polls = self._workers.unanswered_polls
+                poll = FakePoll(fencing_token, acknowledged, until_ms)
+                polls.setdefault(worker.worker_id, []).append(poll)
             if not response.called:
                 response.errback(failure)
 
