Workers that are cut off with refused connections no longer count as crashed

Callers saw a job shown as failed although no run had failed and every worker ran on: two workers of one task refused connections until their leases expired, each within 0.5 s of a start, so the task counted as the only suspect of two crashes.

Change: after such an expiry the address is asked for up to 30 s. A crash is recorded, with the runs that were there, once another worker or incarnation answers. Starts that a former leader recorded need the same proof. The runs themselves are dropped with the leases, as before.

Ruled out: counting no crash after an expiry, which would not find tasks whose crashed workers come back later than their leases end.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -365,25 +365,31 @@
         refused. A draining worker ends as announced, whatever runs there. Of one that
         was never polled, it is not known what ran there.
         """
-        worker_id = capacity.entry.worker_id
         if capacity.is_synced and not capacity.entry.is_draining:
-            lost = []
-            for run, _ in capacity.runs.values():
-                self._crashes.remove_run(run)
-                task = self._registry.find(run.run_id.task)
-                is_open = task is not None and not task.step.job.has_ended
-                if is_open and run.may_have_started:
-                    lost.append((run, task))
-            self._record_crash(worker_id, lost, ended_s)
+            self.record_crash(
+                capacity.entry.worker_id, self.find_open_runs(capacity), ended_s
+            )
         self.drop_lost_runs(capacity, cause, kept)
 
-    def _record_crash(
+    def find_open_runs(self, capacity: WorkerCapacity) -> list[tuple[Run, Task]]:
+        """Return the runs on a worker that may have crashed it, with their tasks."""
+        runs = []
+        for run, _ in capacity.runs.values():
+            self._crashes.remove_run(run)
+            task = self._registry.find(run.run_id.task)
+            if task is not None and run.may_have_started:
+                runs.append((run, task))
+        return runs
+
+    def record_crash(
         self,
         worker_id: str,
-        lost: list[tuple[Run, Task]],
+        runs: list[tuple[Run, Task]],
         ended_s: float,
         is_observed: bool = True,
     ) -> None:
+        """Record that the process of a worker with these runs has ended."""
+        lost = [(run, task) for run, task in runs if not task.step.job.has_ended]
         suspects = self._crashes.record_crash(
             worker_id,
             lost,
@@ -429,7 +435,7 @@
                 evidence="unobserved",
             )
         if lost:
-            self._record_crash(worker_id, lost, now_s, is_observed=False)
+            self.record_crash(worker_id, lost, now_s, is_observed=False)
 
     def _clear(self, task: Task) -> None:
         """Clear a task whose run has ended without a crash of its worker."""
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -36,7 +36,6 @@
 from dogwoodlever._workspace_usage import WorkspaceUsage
 from dogwoodlever.platform import WORKERS_PREFIX
 from dogwoodlever.platform_errors import (
-    ConnectionRefusedByWorkerError,
     PlatformError,
     WrongIncarnationError,
 )
@@ -44,6 +43,8 @@
 # Fencing tokens of one term. Each link has one of its own, so that a worker that has
 # answered it refuses late calls of earlier links.
 LINKS_PER_TERM_MAX = 1_000_000
+# How long after its loss a worker is asked whether its process has ended.
+CRASH_PROOF_WAIT_S = 30.0
 # Interval at which a leader that may have a successor checks again.
 CONFIRM_RETRY_S = 0.1
 # Longest wait of a poll of a worker that runs standing and best-effort tasks; a
@@ -152,7 +153,6 @@
         self._announced: dict[str, WorkerEntry] = {}
         self.unpolled_workers: set[str] = set()
         # Those without an entry whose last probe was refused.
-        self._refused_probes: set[str] = set()
         self._is_closed = False
         self.runs = FleetRuns(
             clock,
@@ -206,11 +206,7 @@
             return
         log_event("workers.given-up", count=len(self.unpolled_workers))
         for worker_id in list(self.unpolled_workers):
-            link = self._links.get(worker_id)
-            is_refused = (
-                link.evidence.is_refused if link else worker_id in self._refused_probes
-            )
-            self.runs.record_former_end(worker_id, is_refused)
+            self.runs.record_former_end(worker_id, has_crashed=False)
             self._remove_worker(worker_id)
 
     def probe_unlisted_workers(self) -> None:
@@ -237,10 +233,8 @@
             except WrongIncarnationError:
                 self._on_probed_ended(worker_id)
                 return
-            except PlatformError as error:
-                self._refused_probes.discard(worker_id)
-                if isinstance(error, ConnectionRefusedByWorkerError):
-                    self._refused_probes.add(worker_id)
+            except PlatformError:
+                pass
             yield deferLater(self._clock, POLL_RETRY_S)
 
     def _on_probed_ended(
@@ -584,19 +578,50 @@
         self._metrics.worker_events.labels("lapsed").inc()
         log_event("worker.lapsed", worker=worker_id, runs=len(capacity.runs))
         self._hold_usage(capacity, link.evidence)
-        if link.evidence.is_refused:
-            # Most likely its process has ended.
-            self.runs.drop_crashed_runs(capacity, link.evidence.broken_s, cause)
-        else:
-            self.runs.drop_lost_runs(capacity, cause)
+        if link.evidence.is_refused and capacity.is_synced:
+            self._await_proof_of_crash(capacity, link)
+        self.runs.drop_lost_runs(capacity, cause)
         if worker_id in self.unpolled_workers:
-            self.runs.record_former_end(worker_id, link.evidence.is_refused)
+            self.runs.record_former_end(worker_id, has_crashed=False)
         self.unpolled_workers.discard(worker_id)
         capacity.is_synced = False
         if not capacity.is_listed:
             self._drop_unlisted(capacity)
         self._on_change()
 
+    @inlineCallbacks
+    def _await_proof_of_crash(self, capacity: WorkerCapacity, link: WorkerLink):
+        """Record a crash of a worker once another process answers at its address.
+
+        A refused connection proves none: a partition may reject connections to a worker
+        that runs on, whose runs end with its leases.
+        """
+        entry = link.entry
+        runs = self.runs.find_open_runs(capacity)
+        if entry.is_draining or not runs:
+            return
+        broken_s = link.evidence.broken_s
+        while not self._is_closed and (
+            self._clock.seconds() - broken_s < CRASH_PROOF_WAIT_S
+        ):
+            yield deferLater(self._clock, POLL_RETRY_S)
+            known_link = self._links.get(entry.worker_id)
+            token = self._fencing_token(self._link_count)
+            if known_link is not None:
+                # A higher fencing token would shut out the link.
+                token = known_link.get_fencing_token()
+            try:
+                result = yield self._worker_client.poll(entry, token, 0, 0, 0)
+            except WrongIncarnationError:
+                has_crashed = True
+            except PlatformError:
+                continue
+            else:
+                has_crashed = result.started_at_ms not in (0, entry.started_at_ms)
+            if has_crashed and not self._is_closed:
+                self.runs.record_crash(entry.worker_id, runs, broken_s)
+            return
+
     def _remove_worker(self, worker_id: str) -> None:
         """Remove a worker that is gone for good from the membership."""
         self.unpolled_workers.discard(worker_id)
