Probes do not outrank the link of a worker that has got an entry since

Cause: since each link has a fencing token of its own, a probe with the newest token can reach a worker before the link that the worker got with its entry. The worker then refuses the link, and the leader steps down.

Change: a probe of a worker with a link carries the link's token. The test failed before (no leader after the worker returned) and passes now.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -212,6 +212,13 @@
         """Return the fencing token of a link, lower than those of later terms."""
         return self._get_fencing_token() * LINKS_PER_TERM_MAX + link_number
 
+    def _probe_token(self, worker_id: str) -> int:
+        """Return a fencing token that does not shut out the link of a worker."""
+        link = self._links.get(worker_id)
+        if link is not None:
+            return link.get_fencing_token()
+        return self._fencing_token(self._link_count)
+
     def on_former_leader_stopped(self, elected_s: float) -> None:
         """Record that the former leader, elected by `elected_s`, has stopped.
 
@@ -255,7 +262,7 @@
         while not self._is_closed and worker_id in self.unpolled_workers:
             try:
                 result = yield self._worker_client.poll(
-                    entry, self._fencing_token(self._link_count), 0, 0, 0
+                    entry, self._probe_token(worker_id), 0, 0, 0
                 )
                 if not result.running and not result.ended:
                     self._on_probed_ended(worker_id, result)
@@ -356,9 +363,8 @@
                 self._add_worker(entry)
                 return
             try:
-                # A higher fencing token would shut out the link of the known one.
                 result = yield self._worker_client.poll(
-                    entry, self._links[worker_id].get_fencing_token(), 0, 0, 0
+                    entry, self._probe_token(worker_id), 0, 0, 0
                 )
             except WrongIncarnationError:
                 # Another worker has the announced address.
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -191,6 +191,27 @@
         term_tokens = second.fencing_token // LINKS_PER_TERM_MAX
         self.assertEqual(term_tokens, fleet.nodes[fleet.leader()].leader.fencing_token)
 
+    # Guards against a leader that steps down as its own probe of a worker without an
+    # entry outranks the link that the worker gets with its entry.
+    def test_probe_does_not_outrank_the_link_of_its_worker(self):
+        fleet = self.start_fleet(workers=2)
+        worker = fleet.workers.workers["w0"]
+        worker.is_reachable = False
+        fleet.records.remove("servers/w0")
+        fleet.kill(fleet.leader())
+        while fleet.leader() is None:
+            fleet.run_for(0.01)
+        leader = fleet.leader()
+        fleet.run_for(0.5)
+        fleet.records.write("servers/w0", server_record(worker.entry))
+        fleet.run_for(0.5)
+        for number in range(2, 6):
+            fleet.add_worker(worker_entry(number))
+        fleet.run_for(2.0)
+        worker.is_reachable = True
+        fleet.run_for(3.0)
+        self.assertEqual(fleet.leader(), leader)
+
     # Guards against runs that are started elsewhere because another worker answers at
     # the address that their worker had as a former incarnation.
     def test_successor_knows_the_address_of_the_newest_incarnation(self):
