--- a/tests/exploration.py
+++ b/tests/exploration.py
@@ -27,8 +27,8 @@
         Number of runs and of distinct states at choice points.
     depth : int
         Most choice points of a run.
-    traces : dict of str to tuple of str
-        Shortest trace by violation.
+    traces : dict of tuple to tuple of str
+        Shortest trace by violation and kinds of faults.
     is_complete : bool
         Whether all runs within the bound were explored.
     """
@@ -36,7 +36,7 @@
     runs: int = 0
     states: int = 0
     depth: int = 0
-    traces: dict[str, Trace] = field(default_factory=dict)
+    traces: dict[tuple, Trace] = field(default_factory=dict)
     is_complete: bool = True
 
 
@@ -124,7 +124,8 @@
         result.runs += 1
         result.depth = max(result.depth, run.depth)
         for violation in violations:
-            result.traces.setdefault(violation, trace)
+            kinds = tuple(item.split(": ")[1] for item in trace)
+            result.traces.setdefault((violation, kinds), trace)
         if violations:
             if stops_at_first:
                 break
@@ -156,7 +157,7 @@
         f"runs={result.runs} states={result.states} depth={result.depth} "
         f"complete={result.is_complete} seconds={took_s:.1f}"
     )
-    for violation, trace in result.traces.items():
+    for (violation, _), trace in result.traces.items():
         print(violation)
         print(f"    {trace!r},")
 
--- a/tests/exploration_model.py
+++ b/tests/exploration_model.py
@@ -52,6 +52,9 @@
 SMALL_CORES_MILLI = 500
 # Slowest clock that a worker may have.
 CLOCK_RATE = 0.98
+START_S = 1000.0
+# Leaves time for faults before the task is placed.
+JOB_ARRIVAL_S = START_S + 1.0
 # Far enough that a lease on the clock of one incarnation is the longest one on the next.
 WORKER_AGE_S = 100.0
 # Longer than the delay of a plan, so that a leader decides before it hears more.
@@ -109,7 +112,7 @@
         self.on_end: Callable = lambda worker: None
 
     def check_capacity(self, worker, order) -> None:
-        """Check an order that was sent to the process that carries it out."""
+        """Check an order whose sender knew the incarnation that carries it out."""
         if self.find_refusal(worker, order) is not None:
             self._add_violation("LIMIT", f"{order.run} at {worker.entry.worker_id}")
 
@@ -237,7 +240,8 @@
 
     def _plan(self) -> None:
         task = self.registry.find(TASK)
-        if self.is_closed or task is None or task.is_done or task.runs:
+        is_waiting = task is not None and not task.is_done and not task.runs
+        if self.is_closed or not is_waiting or self._clock.seconds() < JOB_ARRIVAL_S:
             return
         if task.step.job.is_inherited and self.workers.unpolled_workers:
             return
@@ -290,7 +294,7 @@
         self._on_choice = on_choice
         self._has_known_faults = has_known_faults
         self.clock = Clock()
-        self.clock.advance(1000.0)
+        self.clock.advance(START_S)
         self.records = FleetRecords(self.clock)
         self.progress = None
         self.workers = ModelWorkers(self.clock)
@@ -309,7 +313,7 @@
         self.outcomes: dict[tuple, Counter] = {}
         self._numbers: Counter = Counter()
         self._error: Exception | None = None
-        self.disturbed_until_s = self.clock.seconds()
+        self.disturbed_until_s = JOB_ARRIVAL_S
         self.leaders: list[ModelLeader] = []
         for number in range(2):
             self.start_process(worker_entry(number), self.clock.seconds())
@@ -420,7 +424,8 @@
             return OrderRefusedError(RefusalReason.FENCED)
         target.fencing_token = call.token
         try:
-            return call.execute(target, target is call.sent_to)
+            is_own = call.entry.started_at_ms == target.entry.started_at_ms
+            return call.execute(target, is_own)
         except OrderRefusedError as error:
             return error
 
