A start accepted by the next incarnation holds the longest lease

Callers could see a task run twice: a worker crashes as a start is sent and is back at once under its id, the repeated start is accepted by the next incarnation, whose clock starts anew, with a lease of 10 s, and the worker is cut off before a poll is answered. The run was taken for lost when the leases of the former incarnation had expired, after 5.35 s.

Cause: the answer's clock shows another incarnation, but the lease that it grants was not recorded.

Change: such an answer counts as a grant of the longest lease.

--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -434,7 +434,8 @@
     ) -> OrderVerdict:
         """Judge the answer to a start, with the worker's clock."""
         if clock_ms < attempts.clock_min_ms:
-            # The next incarnation carries out the order.
+            # The next incarnation carries out the order, with the longest lease.
+            self._misdirected_expiry_s = now_s + self._late_lease_s
             return OrderVerdict.INCARNATION_ENDED
         self._confirm_start(attempts.run_id, now_s)
         return OrderVerdict.CARRIED_OUT
