Probes for a crash each second, with the token of the worker's link

A probe each 0.25 s beside the link's own polls doubled the calls to a lost worker; a name told of a search where runs are taken out of the watched ones.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -367,12 +367,12 @@
         """
         if capacity.is_synced and not capacity.entry.is_draining:
             self.record_crash(
-                capacity.entry.worker_id, self.find_open_runs(capacity), ended_s
+                capacity.entry.worker_id, self.stop_watching_runs(capacity), ended_s
             )
         self.drop_lost_runs(capacity, cause, kept)
 
-    def find_open_runs(self, capacity: WorkerCapacity) -> list[tuple[Run, Task]]:
-        """Return the runs on a worker that may have crashed it, with their tasks."""
+    def stop_watching_runs(self, capacity: WorkerCapacity) -> list[tuple[Run, Task]]:
+        """Stop watching a worker's runs; return those that may have crashed it."""
         runs = []
         for run, _ in capacity.runs.values():
             self._crashes.remove_run(run)
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -43,8 +43,10 @@
 # Fencing tokens of one term. Each link has one of its own, so that a worker that has
 # answered it refuses late calls of earlier links.
 LINKS_PER_TERM_MAX = 1_000_000
-# How long after its loss a worker is asked whether its process has ended.
+# How long after its loss, and how often, a worker is asked whether its process has
+# ended.
 CRASH_PROOF_WAIT_S = 30.0
+CRASH_PROOF_INTERVAL_S = 1.0
 # Interval at which a leader that may have a successor checks again.
 CONFIRM_RETRY_S = 0.1
 # Longest wait of a poll of a worker that runs standing and best-effort tasks; a
@@ -152,7 +154,6 @@
         # Entries that name another incarnation than the known one, by worker id.
         self._announced: dict[str, WorkerEntry] = {}
         self.unpolled_workers: set[str] = set()
-        # Those without an entry whose last probe was refused.
         self._is_closed = False
         self.runs = FleetRuns(
             clock,
@@ -603,21 +604,18 @@
         that runs on, whose runs end with its leases.
         """
         entry = link.entry
-        runs = self.runs.find_open_runs(capacity)
+        runs = self.runs.stop_watching_runs(capacity)
         if entry.is_draining or not runs:
             return
         broken_s = link.evidence.broken_s
         while not self._is_closed and (
             self._clock.seconds() - broken_s < CRASH_PROOF_WAIT_S
         ):
-            yield deferLater(self._clock, POLL_RETRY_S)
-            known_link = self._links.get(entry.worker_id)
-            token = self._fencing_token(self._link_count)
-            if known_link is not None:
-                # A higher fencing token would shut out the link.
-                token = known_link.get_fencing_token()
+            yield deferLater(self._clock, CRASH_PROOF_INTERVAL_S)
             try:
-                result = yield self._worker_client.poll(entry, token, 0, 0, 0)
+                result = yield self._worker_client.poll(
+                    entry, self._probe_token(entry.worker_id), 0, 0, 0
+                )
             except WrongIncarnationError:
                 has_crashed = True
             except PlatformError:
