--- a/tests/exploration_model.py
+++ b/tests/exploration_model.py
@@ -441,10 +441,9 @@
         target = self.listening.get(call.entry.port)
         if target is None or target.entry.worker_id != call.entry.worker_id:
             return
-        if target is not call.sent_to and not self._has_known_faults:
-            if call.kind == "start" and self._is_after_leases(call):
-                return
-            if call.kind == "poll" and call.details[0]:
+        is_next = target is not call.sent_to
+        if is_next and call.kind == "start" and self._is_after_leases(call):
+            if not self._has_known_faults:
                 return
         self.carry_out(call, target)
 
