--- a/tests/exploration_model.py
+++ b/tests/exploration_model.py
@@ -441,11 +441,13 @@
         target = self.listening.get(call.entry.port)
         if target is None or target.entry.worker_id != call.entry.worker_id:
             return
-        is_next = target is not call.sent_to
-        if is_next and call.kind == "start" and self._is_after_leases(call):
-            if not self._has_known_faults:
-                return
-        self.carry_out(call, target)
+        is_known_fault = (
+            target is not call.sent_to
+            and call.kind == "start"
+            and self._is_after_leases(call)
+        )
+        if not is_known_fault or self._has_known_faults:
+            self.carry_out(call, target)
 
     def _is_after_leases(self, call: Call) -> bool:
         crashed_s = self.crashed_s.get(call.entry.worker_id, self.clock.seconds())
