--- a/review/rig.py
+++ b/review/rig.py
@@ -11,6 +11,7 @@
 import os
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -689,6 +690,18 @@
             await port.close()
 
 
+def find_free_ports(host: str, count: int) -> list[int]:
+    """Return free TCP ports of a loopback address."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for found in sockets:
+            found.bind((host, 0))
+        return [found.getsockname()[1] for found in sockets]
+    finally:
+        for found in sockets:
+            found.close()
+
+
 class Daemon:
     """A daemon process on a loopback address of its own."""
 
@@ -702,7 +715,7 @@
         self.advice_port = 0
         self.link_mbps = 1000.0
         self.cpu_share, self.cores = 0.537, 2
-        self.front, self.ready, self.peer = 8161, 8167, 7720
+        self.front, self.ready, self.peer = find_free_ports(self.host, 3)
         self.file = site.folder / f"{self.name}.toml"
         self.log = open(site.folder / f"{self.name}.log", "ab")  # noqa: SIM115
 
@@ -717,7 +730,7 @@
 ip = "{self.host}"
 zone = "north"
 region = "home"
-port_range = [{self.peer}, {self.peer + 15}]
+port_range = [{self.peer}, {self.peer}]
 seeds = []
 bootstrap = true
 loss_counts = false
