Measure and log late timers of the event loop

Cause: a daemon that is starved or paused leaves nothing in its log, so a decision that was acted on late cannot be told from one that was made late. Change: each daemon checks every 0.2 s how late a timer fires: histogram loop_lateness_seconds, and a line loop.late above 0.2 s, at most one a second.

--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -9,6 +9,8 @@
 CALL_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0)
 # From a task that starts immediately to one beyond its job's objective.
 WAIT_BUCKETS_S = (0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
+# From the resolution of a timer to a pause in which all leases expire.
+LATENESS_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 
 
 class FleetMetrics:
@@ -54,6 +56,11 @@
             "From a job's arrival to a task's start",
             WAIT_BUCKETS_S,
         )
+        self.loop_lateness_s = self._histogram(
+            "loop_lateness_seconds",
+            "How late the event loop runs a timer",
+            LATENESS_BUCKETS_S,
+        )
         self.workspace_cores = self._gauge(
             "workspace_cores", "Cores requested by a workspace's runs", "workspace"
         )
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -29,6 +29,7 @@
 from dogwoodlever._fleet_types import PlatformLimits
 from dogwoodlever._fleet_watcher import WATCH_WAIT_MS, PrefixWatcher
 from dogwoodlever._logs import log_event
+from dogwoodlever._loop_monitor import LoopMonitor
 from dogwoodlever._workspace_keys import KeyChecker
 from dogwoodlever.platform import (
     CONFIGURATION_KEY,
@@ -82,6 +83,7 @@
     ) -> None:
         self.settings = settings
         self.metrics = FleetMetrics()
+        self._loop_monitor = LoopMonitor(clock, self.metrics.loop_lateness_s)
         store = ObservedStore(store, clock, self.metrics)
         self._store = store
         self._worker_client = worker_client
@@ -151,6 +153,7 @@
     def open(self) -> None:
         """Start watching the store."""
         log_event("daemon.start", vm=self.settings.vm, member=self.member)
+        self._loop_monitor.open()
         for watcher in self._watchers:
             watcher.open()
 
@@ -179,6 +182,7 @@
             yield deferLater(self._clock, STOP_POLL_S)
         for watcher in self._watchers:
             watcher.close()
+        self._loop_monitor.close()
         self.on_stopped()
 
     @inlineCallbacks
