Log starts that were answered more than 1 s after the decision

Cause: a start that waits for its connection, or whose answer lies in a socket's buffer while the daemon is paused, looks like any other in the log. Change: run.answered-late with the time since the decision and since the last copy was sent, also after the link was closed. The names of tasks and runs move to _run_log, for the link to use.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -15,10 +15,9 @@
     RunId,
     RunningRun,
     StartOrder,
-    TaskId,
 )
 from dogwoodlever._logs import log_event
-from dogwoodlever._run_log import RunLog
+from dogwoodlever._run_log import RunLog, format_run_id, format_task_id
 from dogwoodlever._run_registry import ENDED_DONE, ENDED_FAILED, RunRegistry
 from dogwoodlever._run_throttler import RunThrottler, stalled_runs
 from dogwoodlever._start_records import RECENT_START_MS, StartRecords
@@ -301,10 +300,10 @@
             run.percent = listed_run.percent
             run.progressed_s = now_s
             log_event(
-                "run.adopted", run=_format_run_id(listed_run.run), worker=worker_id
+                "run.adopted", run=format_run_id(listed_run.run), worker=worker_id
             )
             return
-        log_event("run.unwanted", run=_format_run_id(listed_run.run), worker=worker_id)
+        log_event("run.unwanted", run=format_run_id(listed_run.run), worker=worker_id)
         unwanted = Run(listed_run.run, worker_id, RunPhase.STOPPING, now_s)
         step = self._registry.find_step(listed_run.run.task)
         if step is not None:
@@ -403,7 +402,7 @@
             self._metrics.suspect_events.labels("suspected").inc()
             log_event(
                 "task.suspected",
-                task=_format_task_id(task.task_id),
+                task=format_task_id(task.task_id),
                 crashes=len(task.crashes),
                 worker=worker_id,
             )
@@ -445,7 +444,7 @@
     def _report_cleared(self, task: Task) -> None:
         self._registry.dirty.add(task.task_id.job_id)
         self._metrics.suspect_events.labels("cleared").inc()
-        log_event("task.cleared", task=_format_task_id(task.task_id))
+        log_event("task.cleared", task=format_task_id(task.task_id))
 
     def give_up_crashing(self, now_s: float) -> None:
         """End the jobs of tasks that crash their workers, and store the evidence."""
@@ -459,7 +458,7 @@
             self._metrics.suspect_events.labels("given_up").inc()
             log_event(
                 "task.given-up",
-                task=_format_task_id(task.task_id),
+                task=format_task_id(task.task_id),
                 crashes=len(task.crashes),
                 workers=",".join(filter(None, task.crashes.values())),
             )
@@ -525,13 +524,5 @@
                 self._on_ticket_rejected(task.step, capacity)
 
 
-def _format_task_id(task: TaskId) -> str:
-    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
-
-
-def _format_run_id(run_id: RunId) -> str:
-    return f"{_format_task_id(run_id.task)}#{run_id.number}"
-
-
 def _format_run(run: Run) -> str:
-    return _format_run_id(run.run_id)
+    return format_run_id(run.run_id)
--- a/dogwoodlever/_job_timeline.py
+++ b/dogwoodlever/_job_timeline.py
@@ -215,6 +215,8 @@
                 f"replaces run {fields.get('former')} on {fields.get('former_worker')}:"
                 f" {fields.get('evidence')}, {fields.get('evidence_age_s')} s before"
             )
+        case "run.answered-late":
+            return f"answered by {worker} {fields.get('took_s')} s after the decision"
         case "run.stalled":
             return f"stopped on {worker}: no progress at {fields.get('percent')} %"
         case "run.refused":
--- a/dogwoodlever/_run_log.py
+++ b/dogwoodlever/_run_log.py
@@ -83,6 +83,16 @@
             log_event(f"runs.{kind}", runs=_GROUP_SEPARATOR.join(texts))
 
 
+def format_task_id(task: TaskId) -> str:
+    """Return a task's name in log lines."""
+    return f"{_format_step(task)}.{task.index}"
+
+
+def format_run_id(run_id: RunId) -> str:
+    """Return a run's name in log lines."""
+    return f"{format_task_id(run_id.task)}#{run_id.number}"
+
+
 def _to_ms(duration_s: float) -> int:
     return max(0, round(duration_s * 1000))
 
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -16,6 +16,7 @@
     StartAttempts,
     WorkerEvidence,
 )
+from dogwoodlever._run_log import format_run_id
 from dogwoodlever.platform_errors import (
     OrderRefusedError,
     PlatformError,
@@ -33,6 +34,8 @@
 # until they are stored, or for this long.
 ACKNOWLEDGE_WAIT_S = 0.25
 ORDER_RETRY_S = 0.1
+# Longer waits of a start for its answer are logged. An order is given up after less.
+LATE_ANSWER_S = 1.0
 ORDER_ERRORS = (WorkerUnreachableError, WrongIncarnationError, OrderRefusedError)
 
 
@@ -245,8 +248,9 @@
     def _attempt_start(self, run: Run, order: StartOrder, attempts: StartAttempts):
         """Send one copy of a start; the result is False if it has to be sent again."""
         fencing_token = self.get_fencing_token()
+        sent_s = self._clock.seconds()
         until_ms = self.evidence.begin_attempt(
-            attempts, self._clock.seconds(), self._get_leases_end_s()
+            attempts, sent_s, self._get_leases_end_s()
         )
         reason = None
         try:
@@ -268,6 +272,8 @@
             )
             if verdict is OrderVerdict.CARRIED_OUT:
                 run.seen_clock_ms = clock_ms
+        if verdict is not OrderVerdict.RETRY:
+            self._log_late_answer(run, verdict, sent_s)
         match verdict:
             case OrderVerdict.CARRIED_OUT if self._may_retry():
                 self._listener.on_started(self, run)
@@ -277,6 +283,19 @@
                 yield self.stop(run)
         return verdict is not OrderVerdict.RETRY
 
+    def _log_late_answer(self, run: Run, verdict: OrderVerdict, sent_s: float) -> None:
+        """Log a start whose last copy, sent at `sent_s`, was answered late."""
+        now_s = self._clock.seconds()
+        if now_s - run.started_s > LATE_ANSWER_S:
+            log_event(
+                "run.answered-late",
+                run=format_run_id(run.run_id),
+                worker=run.worker_id,
+                took_s=now_s - run.started_s,
+                call_s=now_s - sent_s,
+                answer=verdict.name.lower(),
+            )
+
     def _may_retry(self) -> bool:
         """Return whether an order without a response may be retried."""
         return not self.is_closed and not self.evidence.has_lease_expired
