Log and measure runs that a worker lists beyond its lease

Cause: the leader takes the runs of a worker that does not answer for ended once its leases have expired. A worker that ends them later shows that in its next answer, but nothing recorded it. Change: the first poll that lists runs as running although the worker's own clock has passed the lease gives a line worker.lease-overrun with up to ten runs, and an entry of the histogram lease_overrun_seconds. Leases that calls for former incarnations may have granted are left out. Measured: in the simulation, a worker that keeps its runs through a silence of 7 s or 9 s gives one line; one that ends them in time, or is silent for 3 s, gives none.

--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -11,6 +11,8 @@
 WAIT_BUCKETS_S = (0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
 # From the resolution of a timer to a pause in which all leases expire.
 LATENESS_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+# From a late timer of a worker to a lease of another length.
+OVERRUN_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0)
 
 
 class FleetMetrics:
@@ -61,6 +63,11 @@
             "How late the event loop runs a timer",
             LATENESS_BUCKETS_S,
         )
+        self.lease_overrun_s = self._histogram(
+            "lease_overrun_seconds",
+            "By how much workers ran tasks beyond their leases",
+            OVERRUN_BUCKETS_S,
+        )
         self.workspace_cores = self._gauge(
             "workspace_cores", "Cores requested by a workspace's runs", "workspace"
         )
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -22,6 +22,7 @@
 )
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_evidence import WorkerEvidence, lease_bound_s
+from dogwoodlever._run_log import format_run_id
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
 from dogwoodlever._worker_capacity import WorkerCapacity
@@ -54,6 +55,8 @@
 THROTTLED_POLL_WAIT_MS = 300
 # With more workers than this, each is polled less often, so that the leader keeps up.
 WORKERS_AT_FULL_POLL_RATE = 100
+# Runs named in one log line.
+LOGGED_RUNS_MAX = 10
 
 
 class FleetWorkers(LinkListener):
@@ -515,6 +518,7 @@
         """Apply the result of a poll."""
         worker_id = link.entry.worker_id
         capacity = self.capacities[worker_id]
+        self._report_overrun(link, result)
         self.runs.apply_poll(capacity, link, result, sent_s)
         if worker_id in self.unpolled_workers:
             self.runs.apply_first_poll(worker_id, result)
@@ -531,6 +535,21 @@
         if result.ended or is_usable_now:
             self._on_change()
 
+    def _report_overrun(self, link: WorkerLink, result: PollResult) -> None:
+        """Log, once, that a worker lists runs as running beyond its lease."""
+        overrun_ms = link.evidence.lease_overrun_ms if result.running else 0
+        if overrun_ms and not link.is_overrun_reported:
+            self._metrics.lease_overrun_s.observe(overrun_ms / 1000)
+            run_ids = [listed.run for listed in result.running[:LOGGED_RUNS_MAX]]
+            log_event(
+                "worker.lease-overrun",
+                worker=link.entry.worker_id,
+                overrun_ms=overrun_ms,
+                count=len(result.running),
+                runs=",".join(map(format_run_id, run_ids)),
+            )
+        link.is_overrun_reported = overrun_ms > 0
+
     def _poll_wait_ms(self, capacity: WorkerCapacity) -> int:
         """Return how long the next poll may wait for an end."""
         if capacity.serving_count and capacity.best_effort_milli:
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -264,6 +264,18 @@
                 min(self.lease_expiry_s, expire_s), self._misdirected_expiry_s
             )
 
+    @property
+    def lease_overrun_ms(self) -> int:
+        """By how much the worker's clock has passed the leases granted to it.
+
+        0 if calls for former incarnations may have granted longer ones.
+        """
+        late_grants_expire_s = self._former_late_grants_end_s + self._late_lease_s
+        others_expire_s = max(self._misdirected_expiry_s, late_grants_expire_s)
+        if not self._granted_ms or self.responded_s < others_expire_s:
+            return 0
+        return max(0, self._clock_ms - self._granted_ms)
+
     @property
     def awaits_expiry(self) -> bool:
         """Whether the worker does not answer and its leases have not expired."""
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -98,6 +98,11 @@
         What is known of the incarnation.
     get_leases_end_s : callable
         Returns the time beyond which no lease may be granted.
+
+    Attributes
+    ----------
+    is_overrun_reported : bool
+        Whether the last poll listed runs beyond the lease, which is then known.
     """
 
     def __init__(
@@ -120,6 +125,7 @@
         self._poll_wait_ms = POLL_WAIT_MS
         self._is_stopping_unanswered = False
         self.is_closed = False
+        self.is_overrun_reported = False
         self._poll_call = None
         self._expiry_call = None
 
--- a/tests/test_fleet_observability.py
+++ b/tests/test_fleet_observability.py
@@ -67,6 +67,39 @@
         fleet.run_for(pause_s)
         fleet.clocks[number].thaw()
 
+    # Guards against runs that outlive their lease, by which the leader takes them for
+    # ended, without a trace.
+    def test_runs_beyond_their_lease(self):
+        for silent_s in (3.0, 7.0, 9.0):
+            for keeps_runs in (False, True):
+                with self.subTest(silent_s=silent_s, keeps_runs=keeps_runs):
+                    self.check_overrun(silent_s, keeps_runs)
+
+    def check_overrun(self, silent_s, keeps_runs):
+        fleet = self.start_fleet(workers=1)
+        fleet.submit(0, job(JOB, tasks=2, standing=True), wait_s=2.0)
+        worker = fleet.workers.workers["w0"]
+        if keeps_runs:
+            fleet.workers.advance_worker = lambda worker: None
+        worker.is_reachable = False
+        fleet.run_for(silent_s)
+        worker.is_reachable = True
+        fleet.run_for(3.0)
+        lines = self.find_events("worker.lease-overrun")
+        registry = fleet.nodes[fleet.leader()].metrics.registry
+        observed = registry.get_sample_value("dogwoodlever_lease_overrun_seconds_sum")
+        if silent_s < 5.0 or not keeps_runs:
+            self.assertEqual(lines, [])
+            self.assertEqual(observed, 0.0)
+            return
+        (line,) = lines
+        self.assertEqual((line["worker"], line["count"]), ("w0", 2))
+        self.assertEqual(line["runs"], f"{JOB}.0.0.0#1,{JOB}.0.0.1#1")
+        self.assertEqual(observed, line["overrun_ms"] / 1000)
+        # The lease was granted up to a poll's wait before the silence.
+        self.assertGreater(line["overrun_ms"], (silent_s - 5.0) * 1000)
+        self.assertLess(line["overrun_ms"], (silent_s - 5.0 + 3.0) * 1000)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -132,6 +132,27 @@
                 self.assertIs(cause.evidence, DropEvidence.LEASES_EXPIRED)
                 self.assertAlmostEqual(cause.since_s, expiry_s, 2)
 
+    def test_lease_overruns(self):
+        table = (
+            # worker; polls from 2 s on; what its clock reads beyond the lease at last
+            (polled_worker(), [KNOWN], 0),
+            (polled_worker(), [SILENT] * 5 + [KNOWN], 0),
+            (polled_worker(), [SILENT] * 7 + [KNOWN], 2_000),
+            (polled_worker(), [SILENT] * 7 + [KNOWN] * 2, 0),
+            # Until 11.45 s, calls for its former incarnation may have granted leases.
+            (polled_worker().carry_over(1.0), [KNOWN] * 2 + [SILENT] * 7 + [KNOWN], 0),
+            (
+                polled_worker().carry_over(1.0),
+                [KNOWN] * 2 + [SILENT] * 8 + [KNOWN],
+                3_000,
+            ),
+        )
+        for row, (evidence, outcomes, overrun_ms) in enumerate(table):
+            with self.subTest(row=row):
+                for number, outcome in enumerate(outcomes):
+                    poll(evidence, number + 2.0, outcome)
+                self.assertEqual(evidence.lease_overrun_ms, overrun_ms)
+
     def test_starts(self):
         done, refused = OrderVerdict.CARRIED_OUT, OrderVerdict.REFUSED
         in_doubt, retry = OrderVerdict.IN_DOUBT, OrderVerdict.RETRY
