Name the evidence of dropped runs that a worker reports later

Cause: the log of a run that is stopped as unwanted, or whose end is listed after its drop, does not tell why the run had been dropped, so that a duplicate cannot be told from a run that a former leader had started. A run that is known to be unwanted is not logged again at each poll. Measured: in the simulation, a run that outlives its lease gives run.unwanted with leases-expired and the same incarnation; a late order gives it with the next incarnation.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -4,6 +4,7 @@
 
 from dogwoodlever._crash_attribution import CrashAttribution
 from dogwoodlever._drop_evidence import DropCause, DropEvidence, DroppedRun
+from dogwoodlever._dropped_runs import DroppedRuns
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_interfaces import RefusalReason
 from dogwoodlever._fleet_job import JobPhase, JobState, Run, RunPhase, StepState, Task
@@ -86,6 +87,7 @@
         self._links = links
         self._on_ticket_rejected = on_ticket_rejected
         self._log = RunLog(clock)
+        self._dropped = DroppedRuns()
 
     def close(self) -> None:
         """Log the events of runs that are not logged yet."""
@@ -184,9 +186,10 @@
         """Apply the result of a poll that was sent at `sent_s`."""
         for end in result.ended:
             if link.evidence.read_end(end.number):
+                self._log_end_after_drop(capacity, result.started_at_ms, end)
                 self._apply_end(capacity, link, end)
         for listed_run in result.running:
-            self._apply_running(capacity, link, listed_run, result.clock_ms)
+            self._apply_running(capacity, link, listed_run, result)
         self._drop_unlisted(capacity, link, result, sent_s)
         for order in self._throttler.decide(capacity, self._clock.seconds()):
             self._metrics.throttle_orders.inc()
@@ -207,6 +210,21 @@
             if self._usage is not None:
                 self._usage.release(capacity.entry.worker_id, run_id)
 
+    def _log_end_after_drop(
+        self, capacity: WorkerCapacity, started_at_ms: int, end: EndedRun
+    ) -> None:
+        """Log the end of a run that was dropped before an incarnation listed it."""
+        dropped_as = self._dropped.log_fields(end.run, self._clock.seconds())
+        if dropped_as:
+            log_event(
+                "run.ended-after-drop",
+                run=format_run_id(end.run),
+                worker=capacity.entry.worker_id,
+                incarnation=started_at_ms,
+                how=end.outcome,
+                **dropped_as,
+            )
+
     def _apply_end(
         self, capacity: WorkerCapacity, link: WorkerLink, end: EndedRun
     ) -> None:
@@ -253,17 +271,17 @@
         capacity: WorkerCapacity,
         link: WorkerLink,
         listed_run: RunningRun,
-        clock_ms: int,
+        result: PollResult,
     ) -> None:
         pair = capacity.runs.get(listed_run.run)
         now_s = self._clock.seconds()
         if pair is None or self._is_unwanted(pair[0]):
-            self._adopt(capacity, link, listed_run, now_s)
+            self._adopt(capacity, link, listed_run, result.started_at_ms)
             return
         run, step = pair
         if run.is_watched:
             task = self._registry.find(listed_run.run.task)
-            if self._crashes.record_listed(run, task, clock_ms):
+            if self._crashes.record_listed(run, task, result.clock_ms):
                 self._report_cleared(task)
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
@@ -284,9 +302,12 @@
         capacity: WorkerCapacity,
         link: WorkerLink,
         listed_run: RunningRun,
-        now_s: float,
+        started_at_ms: int,
     ) -> None:
+        """Adopt a run that is listed by an incarnation of a worker, or stop it."""
         worker_id = capacity.entry.worker_id
+        now_s = self._clock.seconds()
+        dropped_as = self._dropped.log_fields(listed_run.run, now_s)
         run = self._registry.adopt_run(
             listed_run.run, worker_id, listed_run.checkpoint, now_s
         )
@@ -300,10 +321,21 @@
             run.percent = listed_run.percent
             run.progressed_s = now_s
             log_event(
-                "run.adopted", run=format_run_id(listed_run.run), worker=worker_id
+                "run.adopted",
+                run=format_run_id(listed_run.run),
+                worker=worker_id,
+                incarnation=started_at_ms,
+                **dropped_as,
             )
             return
-        log_event("run.unwanted", run=format_run_id(listed_run.run), worker=worker_id)
+        if listed_run.run not in capacity.runs:
+            log_event(
+                "run.unwanted",
+                run=format_run_id(listed_run.run),
+                worker=worker_id,
+                incarnation=started_at_ms,
+                **dropped_as,
+            )
         unwanted = Run(listed_run.run, worker_id, RunPhase.STOPPING, now_s)
         step = self._registry.find_step(listed_run.run.task)
         if step is not None:
@@ -476,6 +508,7 @@
             task = self._registry.find(run.run_id.task)
             self._registry.drop_run(task, run.run_id.number)
             task.dropped_run = DroppedRun(run.run_id.number, run.worker_id, cause)
+        self._dropped.add(run.run_id, capacity.entry, cause, self._clock.seconds())
         self._metrics.run_ends.labels("lost").inc()
         self._metrics.dropped_runs.labels(cause.evidence).inc()
         log_event(
@@ -510,6 +543,7 @@
             evidence_age_s=cause.age_s(now_s),
         )
         if capacity is not None:
+            self._dropped.add(run.run_id, capacity.entry, cause, now_s)
             capacity.remove(run.run_id)
             self._crashes.remove_run(run)
             pause_s = REFUSED_BACKOFF_S
--- a/dogwoodlever/_job_timeline.py
+++ b/dogwoodlever/_job_timeline.py
@@ -219,6 +219,11 @@
             return f"answered by {worker} {fields.get('took_s')} s after the decision"
         case "run.stalled":
             return f"stopped on {worker}: no progress at {fields.get('percent')} %"
+        case "run.ended-after-drop":
+            return (
+                f"{fields.get('how')} on {worker} after it was dropped: "
+                f"{fields.get('evidence')}, {fields.get('evidence_age_s')} s before"
+            )
         case "run.refused":
             return f"refused by {worker}: {fields.get('reason')}"
         case "run.adopted":
--- a/tests/test_fleet_observability.py
+++ b/tests/test_fleet_observability.py
@@ -1,9 +1,10 @@
 """Log lines and metrics that show late answers, leases and duplicates."""
 
 import unittest
+from dataclasses import replace
 from unittest.mock import patch
 
-from standins.fleet import WORKER_DELAY_S, WORKER_TIMEOUT_S
+from standins.fleet import WORKER_DELAY_S, WORKER_TIMEOUT_S, server_record
 from tests.fleet_simulation import JOB, FleetSimulation, job
 
 TASK = f"{JOB}.0.0.0"
@@ -100,6 +101,62 @@
         self.assertGreater(line["overrun_ms"], (silent_s - 5.0) * 1000)
         self.assertLess(line["overrun_ms"], (silent_s - 5.0 + 3.0) * 1000)
 
+    # Guards against a duplicate that its leader's log does not show.
+    def test_reports_of_dropped_runs_name_the_evidence(self):
+        table = (
+            # how the run outlives its drop, evidence, line, incarnation that lists it
+            (self.keep_run, "leases-expired", "run.unwanted", 1),
+            (self.end_run_at_last, "leases-expired", "run.ended-after-drop", 1),
+            (self.start_late, "leases-expired", "run.unwanted", 2),
+        )
+        for outlive, evidence, event, incarnation in table:
+            with self.subTest(outlive.__name__):
+                fleet = self.start_fleet()
+                affected = outlive(fleet)
+                fleet.run_for(2.0)
+                (line,) = self.find_events(event)
+                (dropped,) = self.find_events("run.lost")
+                self.assertEqual(line["run"], f"{TASK}#1")
+                self.assertEqual(line["worker"], affected)
+                self.assertEqual(line["incarnation"], incarnation)
+                self.assertEqual(line["dropped_worker"], affected)
+                self.assertEqual(line["dropped_incarnation"], 1)
+                self.assertEqual(line["evidence"], evidence)
+                self.assertGreater(line["evidence_age_s"], dropped["evidence_age_s"])
+
+    def start_standing_task(self, fleet):
+        fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=2.0)
+        return fleet.workers.starts[0][1]
+
+    def silence_beyond_lease(self, fleet, worker_id):
+        worker = fleet.workers.workers[worker_id]
+        worker.is_reachable = False
+        fleet.run_for(8.0)
+        worker.is_reachable = True
+
+    def keep_run(self, fleet):
+        affected = self.start_standing_task(fleet)
+        fleet.workers.advance_worker = lambda worker: None
+        self.silence_beyond_lease(fleet, affected)
+        return affected
+
+    def end_run_at_last(self, fleet):
+        affected = self.start_standing_task(fleet)
+        self.silence_beyond_lease(fleet, affected)
+        return affected
+
+    def start_late(self, fleet):
+        fleet.workers.delays_start_to_next_incarnation = True
+        fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=0.5)
+        (affected,) = fleet.workers._for_next_incarnation
+        fleet.run_for(1.0)
+        fleet.workers.crash(affected)
+        fleet.run_for(7.0)
+        entry = replace(fleet.workers.workers[affected].entry, started_at_ms=2)
+        fleet.workers.add(entry, 0.0)
+        fleet.records.write(f"servers/{affected}", server_record(entry))
+        return affected
+
 
 if __name__ == "__main__":
     unittest.main()
