Reproduce two runs after a lease whose runs end slowly

Cause: the leader takes the runs of a worker that does not answer for ended 0.25 s after the expiry of its lease, for a late timer. The platform states that a stop takes up to stop_timeout_ms, and does not state that the end of a run by its lease takes less.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -345,7 +345,13 @@
 
 @dataclass(slots=True)
 class FakeRun:
-    """A run on a worker."""
+    """A run on a worker.
+
+    Attributes
+    ----------
+    is_lapsing : bool
+        Whether it is being killed since the lease has expired.
+    """
 
     run: RunId
     payload: str
@@ -353,6 +359,7 @@
     started_s: float
     duration_s: float = 0.0
     percent: int = 0
+    is_lapsing: bool = False
 
 
 @dataclass(slots=True)
@@ -432,6 +439,9 @@
         the worker holds a lease by then.
     stop_s : float
         Duration of a stop; the run is listed as running until then.
+    lapse_s : float
+        From the expiry of a lease to the end of its runs, which are listed as running
+        until then. A later lease does not save them.
     run_cores_milli : int
         Cores of each run, for `overcommitted_starts`.
     invalid_starts : list of RunId
@@ -454,6 +464,7 @@
     def __init__(self, clock) -> None:
         self.start_delay_s: float | None = None
         self.stop_s = 0.0
+        self.lapse_s = 0.0
         self.run_cores_milli = 0
         self.overcommitted_starts: list[tuple[RunId, str]] = []
         self.invalid_starts: list[RunId] = []
@@ -497,11 +508,21 @@
         if worker.clock_ms(now_s) > worker.until_ms > 0:
             self._expired_ends.update(end.run.task for end in worker.ended)
             for run in list(worker.running.values()):
-                self.end(worker, run, "lapsed")
+                self._lapse(worker, run)
         for run in list(worker.running.values()):
             if run.duration_s and now_s - run.started_s >= run.duration_s:
                 self.end(worker, run, worker.outcome(run))
 
+    def _lapse(self, worker: FakeWorker, run: FakeRun) -> None:
+        """End a run whose lease has expired, after `lapse_s`."""
+        if not self.lapse_s:
+            self.end(worker, run, "lapsed")
+        elif not run.is_lapsing:
+            run.is_lapsing = True
+            self.clock.callLater(
+                self.lapse_s, self._end_if_running, worker, run.run, "lapsed"
+            )
+
     def end(self, worker: FakeWorker, run: FakeRun, outcome: str) -> None:
         """End a run and add it to the ended list."""
         del worker.running[run.run]
@@ -590,11 +611,13 @@
         if run_id in worker.running and not self.stop_s:
             self.end(worker, worker.running[run_id], "stopped")
         elif run_id in worker.running:
-            self.clock.callLater(self.stop_s, self._end_stopped, worker, run_id)
+            self.clock.callLater(
+                self.stop_s, self._end_if_running, worker, run_id, "stopped"
+            )
 
-    def _end_stopped(self, worker: FakeWorker, run_id: RunId) -> None:
+    def _end_if_running(self, worker: FakeWorker, run_id: RunId, how: str) -> None:
         if run_id in worker.running:
-            self.end(worker, worker.running[run_id], "stopped")
+            self.end(worker, worker.running[run_id], how)
 
 
 class FakeFleetWorkerClient(FleetWorkerClient):
