Failing test: a leader without its record relies on the renewal of its lease

Cause: `Election.contact_s` counts an answered renewal as a contact that showed no successor. The answer proves that the lease exists, not that the record does. If the store removes the record alone, only the watch of the record shows the successor.

Test: the record is removed, the lease can be renewed, and the answers to the former leader's watch are late by a given time.

Whether a store removes a record and keeps its lease is not said by the protocol; it says only that the keys of a lease are removed when it ends.

--- /dev/null
+++ b/tests/test_stale_leaders.py
@@ -0,0 +1,106 @@
+"""Leaders that act on knowledge from before a successor was elected."""
+
+import unittest
+
+from twisted.internet.defer import Deferred
+
+from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
+from dogwoodlever._fleet_records import LEADER_KEY
+from tests.fleet_simulation import JOB, StandingWorkTest, job
+
+# Covers an election, the leases of unreachable workers and the work started afterwards.
+RECOVERY_S = WORKER_LEASES_MAX_S + 5.0
+
+
+class RemovedRecordTest(StandingWorkTest):
+    """The leader's record is removed, while the lease bound to it can be renewed."""
+
+    def delay_watch(self, fleet, number, delay_s):
+        """Delay the answers to a daemon's watch of the leader's record."""
+        store = fleet.stores[number]
+        watch = store.watch
+
+        def watch_late(prefix, revision, wait_ms):
+            call = watch(prefix, revision, wait_ms)
+            if prefix != LEADER_KEY:
+                return call
+            late = Deferred()
+
+            def deliver_late(result):
+                fleet.clocks[number].callLater(delay_s, late.callback, result)
+
+            call.addBoth(deliver_late)
+            return late
+
+        store.watch = watch_late
+
+    def split_workers(self, fleet, former, reached):
+        """Let the former leader reach one of two workers, the others the other one."""
+        others = set(fleet.workers.workers) - {reached}
+        for number, client in enumerate(fleet.worker_clients):
+            client.unreachable = others if number == former else {reached}
+
+    def remove_record(self, fleet, former):
+        fleet.nodes[former].mesh.is_down = True
+        lease_id = fleet.nodes[former].election._lease_id
+        fleet.records.remove(LEADER_KEY)
+        fleet.records.renew(lease_id)
+
+    # Guards against runs that a leader drops although its successor has adopted them,
+    # because it takes the renewal of its lease for proof that it has no successor.
+    def test_former_leader_drops_no_runs_that_its_successor_has_adopted(self):
+        for removed_after_s in (3.4, 4.0, 4.4, 4.6, 5.0):
+            for delay_s in (0.0, 0.5, 1.5, 2.0):
+                with self.subTest(removed_after_s=removed_after_s, delay_s=delay_s):
+                    fleet = self.start_fleet(workers=2)
+                    fleet.submit(0, job(JOB, tasks=1, standing=True))
+                    fleet.run_for(1.0)
+                    assigned = fleet.workers.starts[0][1]
+                    former = fleet.leader()
+                    self.delay_watch(fleet, former, delay_s)
+                    fleet.run_for(3.0)
+                    (other,) = set(fleet.workers.workers) - {assigned}
+                    self.split_workers(fleet, former, other)
+                    fleet.run_for(removed_after_s)
+                    self.remove_record(fleet, former)
+                    fleet.run_for(RECOVERY_S)
+                    self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    # Guards against a job that a leader starts although its successor, elected after
+    # its record was removed, has accepted and started it.
+    def test_former_leader_starts_no_job_of_its_successor(self):
+        for delay_s in (0.0, 0.1, 0.3, 0.5, 1.0, 2.0):
+            for accepted_after_s in (0.1, 0.2, 0.5, 1.0):
+                with self.subTest(delay_s=delay_s, accepted_after_s=accepted_after_s):
+                    fleet = self.start_fleet(workers=2)
+                    former = fleet.leader()
+                    self.delay_watch(fleet, former, delay_s)
+                    self.split_workers(fleet, former, "w1")
+                    fleet.run_for(4.0)
+                    self.remove_record(fleet, former)
+                    fleet.run_for(accepted_after_s)
+                    other = next(n for n in range(3) if n != former)
+                    fleet.submit(other, job(JOB, tasks=1, standing=True))
+                    fleet.run_for(RECOVERY_S)
+                    self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    # Guards against leases that a leader extends for longer than its successor waits
+    # for a worker that it does not reach.
+    def test_former_leader_extends_no_leases(self):
+        for delay_s in (2.0, 6.0, 12.0):
+            with self.subTest(delay_s=delay_s):
+                fleet = self.start_fleet(workers=2)
+                fleet.submit(0, job(JOB, tasks=1, standing=True))
+                fleet.run_for(1.0)
+                assigned = fleet.workers.starts[0][1]
+                former = fleet.leader()
+                self.delay_watch(fleet, former, delay_s)
+                fleet.run_for(max(3.0, delay_s))
+                self.split_workers(fleet, former, assigned)
+                self.remove_record(fleet, former)
+                fleet.run_for(RECOVERY_S + delay_s)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
