A candidate ends the lease of the last term before it writes its record

Cause: a renewal of the leader's lease was counted as a contact that showed no successor, but proved only that the lease existed. If the store removes the record alone, the former leader went on as before until its watch showed the successor.

Ruled out: a read of the record for each confirmation, which needs no help from the successor. 14 jobs a second cause 13 confirmations a second (261 in 20 s, in process), and a read costs ten renewals; the leader's other reads are 15 a second. Writes that are conditional on the term's record as the only confirmation: they come each 0.1 s, so a job would wait longer than for one call.

Change: the term's record names the lease of the leader's record. A candidate ends that lease before its own write, which is conditional on the term's record being unchanged, so at each write of the term's record no lease of an earlier term exists. An answered renewal then proves that no successor had been elected when it was sent. The candidate does so only if the record was removed at a revision after the term's record, or is absent in a read sent after the term's record was read; otherwise it would end the lease of a leader whose election it has not seen yet. Records of earlier builds name no lease; then renewals prove as much as before.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from contextlib import suppress
 
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
@@ -48,6 +49,10 @@
     the leader. Workers accept the highest token only, so a successor need not
     prove that the former leader has stopped.
 
+    A candidate ends the lease of the last term before it writes its record, so the
+    answer to a renewal proves that there was no successor when it was sent, even if
+    the store has removed the record alone.
+
     Parameters
     ----------
     store : FleetStore
@@ -98,6 +103,8 @@
         self._leader_revision = 0
         self._term_revision = 0
         self._own_term_revision = 0
+        # Revision of the store at which the leader's record was last seen removed.
+        self._removed_revision = 0
         self._timer = None
         self._is_closed = False
         self._is_campaigning = False
@@ -159,6 +166,8 @@
     def apply_record(self, record: Record) -> None:
         """Apply a change of the leader's record."""
         self._leader_revision = record.revision if record.value is not None else 0
+        if record.value is None:
+            self._removed_revision = record.revision
         self.leader = None if record.value is None else decode_leader(record.value)
         if self.leader is not None:
             self._record_seen_s = self._clock.seconds()
@@ -226,6 +235,8 @@
             yield deferLater(self._clock, self._weak_vm_delay_s(previous.core_share))
             if self.leader is not None:
                 return
+        if previous.lease_id and not (yield self._end_former_lease(previous.lease_id)):
+            return
         is_continued = self.leads and self._term_revision == self._own_term_revision
         lease_id = yield self._store.open_lease(self._ttl_ms)
         term = previous.term if is_continued else previous.term + 1
@@ -245,6 +256,7 @@
                             self._record.member,
                             previous.peer_key,
                             strongest_cores,
+                            lease_id,
                         )
                     ),
                 ),
@@ -260,6 +272,18 @@
             )
         self._on_won(term, result.revision, lease_id, sent_s, is_continued)
 
+    @inlineCallbacks
+    def _end_former_lease(self, lease_id: int):
+        """End the lease of the last term; the result is False if its record exists."""
+        if self._removed_revision < self._term_revision:
+            record = yield self._store.read(LEADER_KEY)
+            if record is not None:
+                self._on_lost((record,))
+                return False
+        with suppress(LeaseEndedError):
+            yield self._store.end_lease(lease_id)
+        return True
+
     def _weak_vm_delay_s(self, strongest_cores: float) -> float:
         """Return the delay that lets stronger daemons lead."""
         return WEAK_VM_DELAY_MAX_S * max(0.0, 1 - self._core_share / strongest_cores)
--- a/dogwoodlever/_fleet_records.py
+++ b/dogwoodlever/_fleet_records.py
@@ -46,12 +46,15 @@
         Shared key of connections between daemons, kept from the first term on.
     core_share : float
         CPU share of the strongest daemon that has led, in cores.
+    lease_id : int
+        Lease of the leader's record, 0 if it is not known.
     """
 
     term: int
     member: str
     peer_key: str
     core_share: float
+    lease_id: int = 0
 
 
 class WorkerMembershipRecord(msgspec.Struct, frozen=True):
--- a/tests/test_stale_leaders.py
+++ b/tests/test_stale_leaders.py
@@ -101,6 +101,27 @@
                 fleet.run_for(RECOVERY_S + delay_s)
                 self.assertEqual(fleet.workers.duplicate_starts, [])
 
+    # Guards against a candidate that ends the lease of a leader whose election it has
+    # not seen yet, instead of the lease of the former one.
+    def test_late_candidate_ends_no_lease_of_the_leader(self):
+        for delay_s in (0.1, 0.2, 0.5, 1.0):
+            for seen_before in (False, True):
+                with self.subTest(delay_s=delay_s, seen_before=seen_before):
+                    fleet = self.start_fleet(workers=1)
+                    former = fleet.leader()
+                    late = (former + 1) % 3
+                    if not seen_before:
+                        late = len(fleet.nodes)
+                        fleet.add_daemon("late")
+                    self.delay_watch(fleet, late, delay_s)
+                    fleet.run_for(3.0)
+                    fleet.kill(former)
+                    fleet.records.remove(LEADER_KEY)
+                    fleet.run_for(5.0)
+                    leader = fleet.nodes[fleet.leader()].leader
+                    self.assertEqual(leader.term, 2)
+                    self.assertNotEqual(fleet.leader(), late)
+
 
 if __name__ == "__main__":
     unittest.main()
