Failing test: a cut-off leader gives up a worker that its successor reaches

Cause: `expire_unpolled_workers` takes the leases of a former leader for expired 8.35 s after the election, whether or not this daemon still leads. A leader that lost the store later than 1 s after its election still leads then (it steps down 7 s after its last contact, at the next failed renewal), and starts the tasks of the worker elsewhere, while its successor has adopted them.

Test: the leader is killed, a second one is elected that does not reach a worker, and is cut off from the store and the daemons; a third one reaches that worker.

--- a/tests/test_stale_leaders.py
+++ b/tests/test_stale_leaders.py
@@ -6,6 +6,7 @@
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_records import LEADER_KEY
+from dogwoodlever.platform_errors import StoreRefusedError
 from tests.fleet_simulation import JOB, StandingWorkTest, job
 
 # Covers an election, the leases of unreachable workers and the work started afterwards.
@@ -123,5 +124,50 @@
                     self.assertNotEqual(fleet.leader(), late)
 
 
+class UnpolledWorkersTest(StandingWorkTest):
+    """Workers that a new leader does not reach before it is cut off itself."""
+
+    def elect_another(self, fleet, former):
+        fleet.records.end_lease(fleet.records.lease_of(LEADER_KEY))
+        for _ in range(100):
+            fleet.run_for(0.01)
+            for number, node in enumerate(fleet.nodes):
+                if number not in former and node.leader and node.leader.is_loaded:
+                    return number
+        return self.fail("no daemon was elected")
+
+    # Guards against tasks that a leader without contact with the store starts anew,
+    # although its successor has extended the leases of the worker that runs them.
+    def test_cut_off_leader_gives_up_no_worker_of_its_successor(self):
+        for is_refused in (False, True):
+            for cut_after_s in (0.1, 0.5, 1.0, 1.2, 1.5, 2.0, 2.5):
+                with self.subTest(is_refused=is_refused, cut_after_s=cut_after_s):
+                    self.check_cut(is_refused, cut_after_s)
+
+    def check_cut(self, is_refused, cut_after_s):
+        fleet = self.start_fleet(workers=2)
+        fleet.submit(0, job(JOB, tasks=1, standing=True))
+        fleet.run_for(1.0)
+        assigned = fleet.workers.starts[0][1]
+        (other,) = set(fleet.workers.workers) - {assigned}
+        first = fleet.leader()
+        for client in fleet.worker_clients:
+            client.unreachable = {assigned}
+        fleet.kill(first)
+        second = self.elect_another(fleet, {first})
+        (third,) = {0, 1, 2} - {first, second}
+        fleet.worker_clients[third].unreachable = {other}
+        fleet.run_for(cut_after_s)
+        fleet.nodes[second].mesh.is_down = True
+        if is_refused:
+            fleet.stores[second].cut_off(StoreRefusedError)
+        else:
+            fleet.stores[second].is_down = True
+        self.elect_another(fleet, {first, second})
+        fleet.run_for(RECOVERY_S)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(self.count_running(fleet), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
