A leader without contact with the store gives up no worker that it never reached

Cause: the wait for the leases of a former leader ended by the clock alone. A leader that was cut off from the store meanwhile may have a successor, which extends these leases.

Ruled out: stepping down earlier than 7 s after the last contact, which outages of the store need; the same rule on the wait of a worker's link, which has it already (`confirm_expiry`).

Change: a worker that was not reached is given up after a contact with the store that was sent when the leases had expired and showed no successor, as for other workers. That is up to 0.5 s later than before, the interval of the renewals.

Conclusion: shown in process only. Nobody paused is needed, only a second change of leader within 8 s and a partition between workers.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -205,11 +205,14 @@
             link.evidence.limit_former_leases(self._former_leases_expire_s)
 
     def expire_unpolled_workers(self) -> None:
-        """Stop waiting for workers whose leases from a former leader have expired."""
+        """Stop waiting for workers whose leases from a former leader have expired.
+
+        If another daemon may have led by then, it may have renewed them.
+        """
         # A worker without an entry has no link that would detect the expiry.
         if (
             not self.unpolled_workers
-            or self._clock.seconds() < self._former_leases_expire_s
+            or self._get_contact_s() < self._former_leases_expire_s
         ):
             return
         log_event("workers.given-up", count=len(self.unpolled_workers))
