Failing test: a request is sent after its deadline when its process resumes

Cause: a call that waits for its connection is bounded by a timer. A reactor that resumes after a pause handles the events of sockets before the timers that came due meanwhile, so the connection is established, the request is sent and only then given up.

Test: real sockets on loopback under a reactor whose clock the test sets. The server receives the request after pauses of 1.1, 5 and 20 s (time-out 1 s), not after 0.9 s.

Conclusion: the call fails with `TimeoutError` after it was sent, so an order counts as one that may be carried out, for 12.5 s from then. Whether a task runs twice is not shown here.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,8 +1,11 @@
 import unittest
 
 from twisted.internet.defer import TimeoutError
-from twisted.internet.error import ConnectError, ConnectionLost
+from twisted.internet.error import ConnectError, ConnectionDone, ConnectionLost
+from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.selectreactor import SelectReactor
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
 
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
 from dogwoodlever._http_connection import HttpConnection, InvalidResponseError
@@ -33,6 +36,16 @@
         self.is_aborted = True
 
 
+class Receiver(Protocol):
+    """Server that keeps what it receives and answers nothing."""
+
+    def __init__(self, received):
+        self._received = received
+
+    def dataReceived(self, data):
+        self._received.append(data)
+
+
 class HttpClientTest(unittest.TestCase):
     def setUp(self):
         self.reactor = MemoryReactorClock()
@@ -210,5 +223,59 @@
         self.assertTrue(transport.is_aborted)
 
 
+class PausedProcessTest(unittest.TestCase):
+    """Calls of a process that is paused while its sockets go on, on loopback."""
+
+    def setUp(self):
+        self.now_s = 100.0
+        self.reactor = SelectReactor()
+        self.reactor.seconds = lambda: self.now_s
+        self.received = []
+        factory = Factory()
+        factory.buildProtocol = lambda _: Receiver(self.received)
+        port = self.reactor.listenTCP(0, factory, interface="127.0.0.1")
+        self.address = f"127.0.0.1:{port.getHost().port}"
+        self.client = HttpClient(self.reactor, 5.0)
+        self.addCleanup(self.close)
+
+    def close(self):
+        self.reactor.disconnectAll()
+        self.run_events(3)
+        for reader in self.reactor.removeAll():
+            reader.connectionLost(Failure(ConnectionDone()))
+
+    def run_events(self, rounds=10):
+        """Handle the events of sockets, then the timers that are due, as a reactor."""
+        for _ in range(rounds):
+            self.reactor.doIteration(0.01)
+            self.reactor.runUntilCurrent()
+
+    def fetch(self):
+        results = []
+        call = self.client.fetch(b"POST", f"http://{self.address}/x", b"{}", TIMEOUT_S)
+        call.addBoth(results.append)
+        # Dials, which takes a timer of its own.
+        self.reactor.runUntilCurrent()
+        return results
+
+    # Guards against an order that is sent when its connection is established after the
+    # process resumes, although its caller has given it up.
+    def test_request_is_not_sent_after_its_deadline(self):
+        for pause_s in (0.0, 0.9, 1.1, 5.0, 20.0):
+            with self.subTest(pause_s=pause_s):
+                self.received.clear()
+                self.client = HttpClient(self.reactor, 5.0)
+                results = self.fetch()
+                self.now_s += pause_s
+                self.run_events()
+                is_in_time = pause_s < TIMEOUT_S
+                self.assertEqual(bool(self.received), is_in_time)
+                self.now_s += TIMEOUT_S
+                self.run_events()
+                self.assertEqual(len(results), 1)
+                error = TimeoutError if is_in_time else NOT_SENT_ERRORS
+                self.assertIsInstance(results[0].value, error)
+
+
 if __name__ == "__main__":
     unittest.main()
