A request is not sent after its deadline

Cause: only a timer bounded the wait for a connection, and a reactor that resumes after a pause of its process handles sockets first.

Ruled out: calls on open connections, which are sent in the same turn as the deadline is set; a process that stops between the check and the system call cannot be excluded here, and is covered by the order's own lease and fencing token.

Change: once connected, a call whose deadline has passed fails as not sent, and the connection is kept for the next one.

--- a/dogwoodlever/_http_client.py
+++ b/dogwoodlever/_http_client.py
@@ -104,6 +104,10 @@
         timer = self._call_at(deadline_s, connecting.cancel)
         connecting.addBoth(_cancel_timer, timer)
         yield connecting
+        if self._reactor.seconds() >= deadline_s:
+            # After a pause of the process, sockets are handled before timers.
+            self._keep(address, connection)
+            raise internet_errors.TimeoutError(f"connected to {address} too late")
         result = yield self._send(address, connection, request, deadline_s)
         return result
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -231,13 +231,18 @@
         self.reactor = SelectReactor()
         self.reactor.seconds = lambda: self.now_s
         self.received = []
+        self.connections = 0
         factory = Factory()
-        factory.buildProtocol = lambda _: Receiver(self.received)
+        factory.buildProtocol = self.accept
         port = self.reactor.listenTCP(0, factory, interface="127.0.0.1")
         self.address = f"127.0.0.1:{port.getHost().port}"
         self.client = HttpClient(self.reactor, 5.0)
         self.addCleanup(self.close)
 
+    def accept(self, _address):
+        self.connections += 1
+        return Receiver(self.received)
+
     def close(self):
         self.reactor.disconnectAll()
         self.run_events(3)
@@ -276,6 +281,16 @@
                 error = TimeoutError if is_in_time else NOT_SENT_ERRORS
                 self.assertIsInstance(results[0].value, error)
 
+    # Guards against new connections after each pause.
+    def test_connection_established_too_late_carries_the_next_request(self):
+        self.fetch()
+        self.now_s += 5.0
+        self.run_events()
+        self.fetch()
+        self.run_events()
+        self.assertEqual(len(self.received), 1)
+        self.assertEqual(self.connections, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
