Count the runs of an expired lease for the time of a stop

Cause: the leader took the runs of a worker that does not answer for ended 0.25 s after the expiry of its lease, which covers a late timer only. The platform bounds the time of a stop (stop_timeout_ms, 0.2 to 0.9 s on the sites), not that of an end by the lease, and the daemons did not read the setting. Change: the setting is read (1 s if it is missing, above all sites) and added wherever the end of runs follows from the expiry of leases, by one function: the leases of the link, those of a former leader, and those that late calls may have granted to a next incarnation. The contact with the store that rules out a successor need only follow the expiry of the lease, since a renewal during the end of a run does not keep it. The function divides by the slowest rate of a clock, as the link did; it multiplied before (4 ms in 10 s). Ruled out: a shorter lease, since no bound of the recovery is passed; a lower allowance for late timers, of which no measurement is known. The test of the expiry moves by the time of a stop, as strict as before.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -173,6 +173,7 @@
             on_fenced,
             self._tickets.reject,
             platform_limits.run_lease_max_s,
+            platform_limits.stop_timeout_s,
             get_contact_s,
             get_leases_end_s,
         )
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -242,6 +242,7 @@
                 self.settings.run_lease_max_s,
                 self.settings.job_state_kept_s,
                 self.settings.harm_s,
+                self.settings.stop_timeout_s,
                 self.settings.workspace_rate_window_s,
             ),
             self.election.confirm_soon,
--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -106,6 +106,8 @@
         Time for which the state of an ended job must remain readable.
     target_violation_max_s : float
         Time for which co-located work may keep a standing task above its target.
+    stop_timeout_s : float
+        Longest time in which a worker ends a run, by an order or as its lease expires.
     workspace_rate_window_s : float
         Time over which the jobs of a workspace count against its rate.
     """
@@ -113,6 +115,7 @@
     run_lease_max_s: float
     job_state_kept_s: float
     target_violation_max_s: float
+    stop_timeout_s: float
     workspace_rate_window_s: float = 5.0
 
 
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -96,6 +96,8 @@
         Called with a step and the capacity of a worker that rejected its ticket.
     run_lease_max_s : float
         Longest lease of a run that workers grant.
+    stop_timeout_s : float
+        Longest time in which a worker ends a run.
     get_contact_s : callable
         Returns the time of the last contact with the store that showed no successor.
     get_leases_end_s : callable
@@ -130,6 +132,7 @@
         on_fenced: Callable[[str], None],
         on_ticket_rejected: Callable[[StepState, WorkerCapacity], None],
         run_lease_max_s: float,
+        stop_timeout_s: float,
         get_contact_s: Callable[[], float],
         get_leases_end_s: Callable[[], float],
     ) -> None:
@@ -146,7 +149,8 @@
         self._on_fenced = on_fenced
         self._lease_s = min(RUN_LEASE_TARGET_S, run_lease_max_s)
         self._lease_max_s = run_lease_max_s
-        self._lease_bound_s = lease_bound_s(self._lease_s)
+        self._stop_timeout_s = stop_timeout_s
+        self._lease_bound_s = lease_bound_s(self._lease_s, stop_timeout_s)
         self.capacities: dict[str, WorkerCapacity] = {}
         self._links: dict[str, WorkerLink] = {}
         self._link_count = 0
@@ -172,7 +176,7 @@
         )
         self._get_leases_end_s = get_leases_end_s
         # When the leases from a former leader have expired at every worker, whose
-        # clocks may be slow for the length of one lease.
+        # clocks may be slow for the length of one lease, and their runs have ended.
         self._former_leases_expire_s = (
             clock.seconds() + WORKER_LEASES_MAX_S + self._lease_bound_s - self._lease_s
         )
@@ -381,7 +385,9 @@
         worker_id = entry.worker_id
         capacity = WorkerCapacity(entry, self._usage)
         self.capacities[worker_id] = capacity
-        evidence = WorkerEvidence(self._lease_s, self._lease_max_s)
+        evidence = WorkerEvidence(
+            self._lease_s, self._lease_max_s, self._stop_timeout_s
+        )
         if worker_id in self._ended_incarnations:
             ended, evidence = self._ended_incarnations.pop(worker_id)
             for run, step in ended.runs.values():
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -37,12 +37,13 @@
 NEVER_S = float("-inf")
 
 
-def lease_bound_s(lease_s: float) -> float:
-    """Return the longest time from the grant of a lease to its expiry.
+def lease_bound_s(lease_s: float, stop_timeout_s: float) -> float:
+    """Return the longest time from the grant of a lease to the end of its runs.
 
-    The worker's clock may be slow and its timer late.
+    The worker's clock may be slow and its timer late, and the end of a run may take as
+    long as a stop.
     """
-    return lease_s * (1 + CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
+    return lease_s / (1 - CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S + stop_timeout_s
 
 
 class PollVerdict(Enum):
@@ -112,11 +113,13 @@
     lease_max_s : float
         Longest lease that the worker grants. The clock of the next incarnation starts
         anew, so a call for the former one grants this lease there.
+    stop_timeout_s : float
+        Longest time in which the worker ends a run, also one whose lease has expired.
 
     Attributes
     ----------
     lease_expiry_s : float
-        When all leases of the worker have expired.
+        When all leases of the worker have expired and their runs have ended.
     has_lease_expired : bool
         Whether they have, without an answer since.
     is_reachable : bool
@@ -149,6 +152,7 @@
         "_lease_s",
         "_listed_from_s",
         "_misdirected_expiry_s",
+        "_stop_timeout_s",
         "_unanswered_starts",
         "broken_s",
         "has_lease_expired",
@@ -160,10 +164,13 @@
         "responded_s",
     )
 
-    def __init__(self, lease_s: float, lease_max_s: float) -> None:
+    def __init__(
+        self, lease_s: float, lease_max_s: float, stop_timeout_s: float
+    ) -> None:
         self._lease_s = lease_s
         self._lease_max_s = lease_max_s
-        self._late_lease_s = lease_bound_s(lease_max_s)
+        self._stop_timeout_s = stop_timeout_s
+        self._late_lease_s = lease_bound_s(lease_max_s, stop_timeout_s)
         # When the leases have expired that calls for a former incarnation may have
         # granted, and until when such calls may grant leases.
         self._misdirected_expiry_s = NEVER_S
@@ -221,7 +228,7 @@
         may_return : bool
             Whether the worker may return to its address.
         """
-        carried = WorkerEvidence(self._lease_s, self._lease_max_s)
+        carried = WorkerEvidence(self._lease_s, self._lease_max_s, self._stop_timeout_s)
         if may_return:
             carried._copies_expire_s = self.starts_in_flight(now_s)
         carried._misdirected_expiry_s = now_s + self._late_lease_s
@@ -294,14 +301,15 @@
     def confirm_expiry(self, contact_s: float) -> DropCause | None:
         """Return why the runs of an expired worker may start elsewhere, if they may.
 
-        If another daemon may have led by then, it may have renewed the leases.
+        If another daemon may have led before the leases expired, it may have renewed
+        them. A later renewal keeps no run whose lease has expired.
 
         Parameters
         ----------
         contact_s : float
             Time of the last contact with the store that showed no successor.
         """
-        if contact_s < self.lease_expiry_s:
+        if contact_s < self.lease_expiry_s - self._stop_timeout_s:
             return None
         self._listed_from_s.clear()
         return DropCause(DropEvidence.LEASES_EXPIRED, self.lease_expiry_s)
@@ -316,8 +324,10 @@
     def _update_lease_expiry(self) -> None:
         if self._granted_ms:
             lease_left_s = (self._granted_ms - self._clock_ms) / 1000
-            lease_left_s = lease_left_s / (1 - CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
-            expiry_s = max(self.responded_s + lease_left_s, self._misdirected_expiry_s)
+            expiry_s = max(
+                self.responded_s + lease_bound_s(lease_left_s, self._stop_timeout_s),
+                self._misdirected_expiry_s,
+            )
             # A late call extends only a lease that has not expired.
             granted_late_s = min(self._former_late_grants_end_s, expiry_s)
             self.lease_expiry_s = max(expiry_s, granted_late_s + self._late_lease_s)
--- a/dogwoodlever/platform/_node_file.py
+++ b/dogwoodlever/platform/_node_file.py
@@ -2,6 +2,7 @@
 
 import tomllib
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -19,6 +20,8 @@
 class _Bounds(msgspec.Struct, frozen=True):
     # Maximum lease of a run on a worker.
     hold_max_ms: int = 10_000
+    # Longest time in which a worker ends a run. The default is above that of any site.
+    stop_timeout_ms: Annotated[int, msgspec.Meta(ge=0)] = 1_000
     # Time a process has between SIGTERM and SIGKILL.
     grace_s: float = 6
     # Time for which the state of an ended job must remain readable.
@@ -85,6 +88,8 @@
         Time for which the state of an ended job must remain readable.
     harm_s : float
         Time for which co-located work may keep a standing task above its target.
+    stop_timeout_s : float
+        Longest time in which a worker ends a run.
     key_withdrawal_s : float or None
         Time within which every VM must refuse a withdrawn key; None for no such limit.
     workspace_rate_window_s : float
@@ -105,6 +110,7 @@
     grace_s: float
     job_state_kept_s: float
     harm_s: float
+    stop_timeout_s: float
     key_withdrawal_s: float | None = None
     workspace_rate_window_s: float = 5.0
 
@@ -143,6 +149,7 @@
         grace_s=bounds.grace_s,
         job_state_kept_s=bounds.status_s,
         harm_s=bounds.harm_ms / 1000,
+        stop_timeout_s=bounds.stop_timeout_ms / 1000,
         key_withdrawal_s=bounds.revoke_ms / 1000 if bounds.strict_revoke else None,
         workspace_rate_window_s=bounds.quota_window_s,
     )
--- a/tests/exploration_model.py
+++ b/tests/exploration_model.py
@@ -31,8 +31,10 @@
 )
 from dogwoodlever._fleet_workers import FleetWorkers
 from dogwoodlever._interference_model import InterferenceModel
+from dogwoodlever._run_evidence import lease_bound_s
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
+from dogwoodlever._worker_link import RUN_LEASE_TARGET_S
 from dogwoodlever._worker_membership import WorkerMembership
 from dogwoodlever._workspace_usage import WorkspaceUsage
 from dogwoodlever.platform_errors import (
@@ -42,7 +44,7 @@
     WrongIncarnationError,
 )
 from standins.fleet import LEASE_MAX_MS, FakeFleetStore, FleetRecords, server_record
-from tests.fleet_simulation import worker_entry
+from tests.fleet_simulation import STOP_S, worker_entry
 from tests.soak_checker import SoakChecker, SoakJob, SoakStep, SoakWorker
 
 JOB = "a" * 16
@@ -71,8 +73,8 @@
 ELECTION_S = 1.5
 # Longest wait of `docs/PLATFORM.md`, for a worker that is lost again after its return.
 RECOVERY_S = 21.0
-# Leases of an incarnation have expired this long after its end.
-LEASES_EXPIRE_S = 5.35
+# Leases of an incarnation count for this long after its end.
+LEASES_EXPIRE_S = lease_bound_s(RUN_LEASE_TARGET_S, STOP_S)
 
 
 @dataclass(slots=True)
@@ -201,6 +203,7 @@
             lambda worker_id: self.close(),
             lambda step, capacity: None,
             LEASE_MAX_MS / 1000,
+            STOP_S,
             self._last_contact_s,
             lambda: self._last_contact_s() + WORKER_LEASES_MAX_S,
         )
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -21,6 +21,8 @@
 from standins.in_process import ProcessClock
 
 STEP_S = 0.01
+# Longest time in which a worker ends a run.
+STOP_S = 0.4
 QUEUE = "quotes"
 JOB = "a" * 16
 CONFIGURATION = {
@@ -43,7 +45,7 @@
 def node_file(vm, **settings):
     return NodeFile(
         vm, "north", ("127.0.0.1", 1), ("127.0.0.1", 2), "127.0.0.1", 3, "", "",
-        1.0, 1000, 10.0, 6.0, 120.0, 4.0, **settings,
+        1.0, 1000, 10.0, 6.0, 120.0, 4.0, STOP_S, **settings,
     )  # fmt: skip
 
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -70,6 +70,7 @@
 [bounds]
 grace_s = 6
 harm_ms = 4500
+stop_timeout_ms = 200
 [platform]
 address = "10.200.1.7:8169"
 """
@@ -372,6 +373,23 @@
         self.assertEqual(settings.callers, ("10.1.0.13", 8161))
         self.assertEqual((settings.peer_port, settings.core_share), (7720, 1.0))
         self.assertEqual(settings.harm_s, 4.5)
+        self.assertEqual(settings.stop_timeout_s, 0.2)
+
+    def test_time_of_a_stop(self):
+        # setting, value in seconds or None if it is rejected
+        for line, stop_s in (
+            ("stop_timeout_ms = 900", 0.9),
+            ("stop_timeout_ms = 0", 0.0),
+            ("", 1.0),
+            ("stop_timeout_ms = -1", None),
+            ('stop_timeout_ms = "soon"', None),
+        ):
+            with self.subTest(line):
+                loaded = self.read(NODE_FILE.replace("stop_timeout_ms = 200", line))
+                if stop_s is None:
+                    self.assertIn("stop_timeout_ms", str(loaded.failure()))
+                else:
+                    self.assertEqual(loaded.unwrap().stop_timeout_s, stop_s)
 
     def test_faults_name_the_field(self):
         for changed, named in (
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -20,7 +20,7 @@
     WrongIncarnationError,
 )
 
-LEASE_S, LEASE_MAX_S = 5.0, 10.0
+LEASE_S, LEASE_MAX_S, STOP_S = 5.0, 10.0, 0.4
 FOREVER_S = 1e9
 RUN = RunId(TaskId("a" * 16, 0, 0, 0), 1)
 SILENT = WorkerUnreachableError()
@@ -59,7 +59,7 @@
 
 def polled_worker():
     """Return the evidence on a worker that has got a lease at 1 s."""
-    evidence = WorkerEvidence(LEASE_S, LEASE_MAX_S)
+    evidence = WorkerEvidence(LEASE_S, LEASE_MAX_S, STOP_S)
     evidence.begin_incarnation(former_leases_expire_s=0.0)
     poll(evidence, 0.0)
     poll(evidence, 1.0)
@@ -93,7 +93,7 @@
 
     def test_answers_of_other_processes(self):
         # At the first poll, the entry may be outdated.
-        new = WorkerEvidence(LEASE_S, LEASE_MAX_S)
+        new = WorkerEvidence(LEASE_S, LEASE_MAX_S, STOP_S)
         new.begin_incarnation(former_leases_expire_s=8.0)
         table = (
             (new, NEXT, PollVerdict.MISNAMED),
@@ -107,7 +107,7 @@
     def test_expiry_of_leases(self):
         # The lease granted at 3 s, by the clock that was read at 1 s or 2 s.
         def slow_s(read_s):
-            return read_s + (8 - read_s) / 0.98 + 0.25
+            return read_s + (8 - read_s) / 0.98 + 0.25 + STOP_S
 
         table = (
             # outcomes of polls at 2 s and 3 s, expiry
@@ -127,8 +127,10 @@
                     continue
                 self.assertFalse(evidence.expire_leases(expiry_s - 0.01))
                 self.assertTrue(evidence.expire_leases(expiry_s + 0.01))
-                self.assertIsNone(evidence.confirm_expiry(expiry_s - 0.01))
-                cause = evidence.confirm_expiry(expiry_s + 0.01)
+                # A lease that is granted later keeps no run.
+                contact_s = expiry_s - STOP_S
+                self.assertIsNone(evidence.confirm_expiry(contact_s - 0.01))
+                cause = evidence.confirm_expiry(contact_s + 0.01)
                 self.assertIs(cause.evidence, DropEvidence.LEASES_EXPIRED)
                 self.assertAlmostEqual(cause.since_s, expiry_s, 2)
 
@@ -225,7 +227,7 @@
         self.assertEqual(evidence.expired_starts([RUN], expires_s - 0.1), {})
         cause = DropCause(DropEvidence.ORDER_EXPIRED, expires_s)
         self.assertEqual(evidence.expired_starts([RUN], expires_s), {RUN: cause})
-        late_lease_s = lease_bound_s(LEASE_MAX_S)
+        late_lease_s = lease_bound_s(LEASE_MAX_S, STOP_S)
         self.assertEqual(evidence.late_runs(3.0), {RUN: expires_s + late_lease_s})
         # A late answer to the former incarnation's order changes nothing.
         former.judge_start(attempts, result(4.0).clock_ms, 4.0)
@@ -243,7 +245,7 @@
             self.assertEqual(RUN in unlisted, has_ended)
 
     def test_what_is_carried_over_ends(self):
-        for sends_start, spent_s in ((False, 13.45), (True, 15.5)):
+        for sends_start, spent_s in ((False, 13.85), (True, 15.5)):
             with self.subTest(sends_start=sends_start):
                 former = polled_worker()
                 if sends_start:
@@ -255,7 +257,7 @@
         self.assertEqual(carried.starts_in_flight(3.0), {})
 
     def test_late_grants_lengthen_leases_of_the_next_incarnation(self):
-        late_lease_s = lease_bound_s(LEASE_MAX_S)
+        late_lease_s = lease_bound_s(LEASE_MAX_S, STOP_S)
         table = (
             # what happens to a poll or a start of the former incarnation, expiry
             (lambda former: poll(former, 2.0), 3.0 + late_lease_s),
--- a/tests/test_worker_resize.py
+++ b/tests/test_worker_resize.py
@@ -159,7 +159,7 @@
         self.task = fixture.registry.find(self.run.run_id.task)
         capacities = {c.entry.worker_id: c for c in fixture.capacities}
         self.links = {
-            worker_id: Mock(evidence=WorkerEvidence(5.0, 10.0))
+            worker_id: Mock(evidence=WorkerEvidence(5.0, 10.0, 0.4))
             for worker_id in capacities
         }
         self.runs = FleetRuns(
