Reproduce a live incarnation that is dropped by a late answer of its predecessor

Cause: while the entry of a second incarnation is being confirmed, the link's own poll may drop the first one, and the entry of the third one adds it without ending the confirmation. The answer of the second, read after that, then drops the third. Change: a test with two restarts while the answer of the confirmation is late or lost. No task runs twice, since a worker gets no work while an entry is being confirmed.

--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -3,7 +3,10 @@
 import unittest
 from dataclasses import replace
 
+from twisted.internet.defer import Deferred
+
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
+from dogwoodlever._fleet_interfaces import Record
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_records import INBOX_PREFIX
 from dogwoodlever._fleet_types import StartOrder, Step, SubmittedJob
@@ -234,6 +237,64 @@
         fleet.run_for(WORKER_LEASES_MAX_S + 4.0)
         self.assertEqual(fleet.workers.duplicate_starts, [])
 
+    # Guards against a live incarnation that is dropped, or gets no work, since its
+    # predecessor's entry was being confirmed when that one ended.
+    def test_incarnation_that_ends_while_its_entry_is_being_confirmed(self):
+        for answer_delay_s in (None, 0.5, 0.8):
+            for lives_s in (0.05, 0.3):
+                with self.subTest(answer_delay_s=answer_delay_s, lives_s=lives_s):
+                    self.check_unconfirmed(answer_delay_s, lives_s)
+
+    def check_unconfirmed(self, answer_delay_s, lives_s):
+        fleet = self.start_fleet(workers=1)
+        self.start_standing_job(fleet, 2)
+        workers = fleet.nodes[fleet.leader()].leader.workers
+        self.delay_first_answer(fleet, 2, answer_delay_s)
+        fleet.workers.crash("w0")
+        fleet.run_for(0.05)
+        self.return_with_entry(fleet, workers, 2)
+        fleet.run_for(lives_s)
+        fleet.workers.crash("w0")
+        fleet.run_for(0.02)
+        third = self.return_with_entry(fleet, workers, 3)
+        known = set()
+        for _ in range(60):
+            fleet.run_for(0.05)
+            capacity = workers.capacities.get("w0")
+            if capacity is not None and capacity.entry.started_at_ms == 3:
+                known.add(id(capacity))
+        self.assertEqual(known, {id(capacity)})
+        self.assertEqual(len(third.running), 2)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    def delay_first_answer(self, fleet, started_at_ms, delay_s):
+        """Delay the first answer to a poll for an incarnation; None for no answer."""
+        client = fleet.worker_clients[fleet.leader()]
+        poll = client.poll
+
+        def delay_poll(entry, *arguments):
+            answer = poll(entry, *arguments)
+            if entry.started_at_ms != started_at_ms:
+                return answer
+            client.poll = poll
+            late = Deferred()
+            if delay_s is None:
+                fleet.clock.callLater(0.8, client._time_out, late)
+            else:
+                answer.addCallback(
+                    lambda result: fleet.clock.callLater(delay_s, late.callback, result)
+                )
+            return late
+
+        client.poll = delay_poll
+
+    def return_with_entry(self, fleet, workers, started_at_ms):
+        """Start the next incarnation; the leader reads its entry at once."""
+        entry = worker_entry(0, started_at_ms=started_at_ms)
+        worker = fleet.workers.add(entry, 0.0)
+        workers.apply_entry(Record("servers/w0", server_record(entry), started_at_ms))
+        return worker
+
     # Guards against a run that is started elsewhere although a copy of its first order
     # may still reach the next incarnation of its worker.
     def test_late_copy_of_a_start_after_a_long_crash(self):
