Drop no incarnation by an answer to an earlier question

Cause: the answer of the second incarnation was applied to whichever incarnation was known when it was read. Change: the answer of an announced incarnation counts for the one that was known when the poll was sent, and adding an incarnation ends the confirmation of another one, for which the worker got no work until its next heartbeat.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -334,8 +334,8 @@
         """
         while not self._is_closed and worker_id in self._announced:
             entry = self._announced[worker_id]
-            if worker_id not in self.capacities:
-                del self._announced[worker_id]
+            known = self.capacities.get(worker_id)
+            if known is None:
                 self._add_worker(entry)
                 return
             try:
@@ -349,40 +349,46 @@
             except PlatformError:
                 yield deferLater(self._clock, POLL_RETRY_S)
             else:
-                if not self._is_closed and self._announced.get(worker_id) is entry:
-                    self._apply_announcement(entry, result.started_at_ms)
-
-    def _apply_announcement(self, entry: WorkerEntry, started_at_ms: int) -> None:
+                if self._is_closed or self._announced.get(worker_id) is not entry:
+                    continue
+                # The answer proves nothing of an incarnation that was added since.
+                if self.capacities.get(worker_id) is known:
+                    self._apply_announcement(entry, known, result.started_at_ms)
+
+    def _apply_announcement(
+        self, entry: WorkerEntry, known: WorkerCapacity, started_at_ms: int
+    ) -> None:
         """Apply the answer at the address of an announced incarnation.
 
         Parameters
         ----------
         entry : WorkerEntry
             The announced incarnation.
+        known : WorkerCapacity
+            The known one.
         started_at_ms : int
             Start of the incarnation that answered, 0 if it is not known.
         """
         worker_id = entry.worker_id
         del self._announced[worker_id]
-        capacity = self.capacities.get(worker_id)
-        if capacity is not None:
-            if started_at_ms == capacity.entry.started_at_ms:
-                if entry.started_at_ms == started_at_ms:
-                    self._update_entry(capacity, entry)
-                else:
-                    log_event("worker.entry-outdated", worker=worker_id)
-                return
-            self._drop_incarnation(
-                worker_id,
-                DropEvidence.INCARNATION_REPLACED,
-                "restarted",
-                is_member=True,
-            )
+        if started_at_ms == known.entry.started_at_ms:
+            if entry.started_at_ms == started_at_ms:
+                self._update_entry(known, entry)
+            else:
+                log_event("worker.entry-outdated", worker=worker_id)
+            return
+        self._drop_incarnation(
+            worker_id,
+            DropEvidence.INCARNATION_REPLACED,
+            "restarted",
+            is_member=True,
+        )
         if started_at_ms in (0, entry.started_at_ms):
             self._add_worker(entry)
 
     def _add_worker(self, entry: WorkerEntry) -> None:
         worker_id = entry.worker_id
+        self._announced.pop(worker_id, None)
         capacity = WorkerCapacity(entry, self._usage)
         self.capacities[worker_id] = capacity
         evidence = WorkerEvidence(
