Failing test: a leader that resumes starts a task on a worker that has returned

Cause: timers that came due during a pause are run before the leader learns from the store of its successor. Workers that the successor has polled refuse its orders, but one that has returned under its id knows no fencing token, and takes a time on its former clock for a long lease. The pause is not bounded, so `LATE_ORDER_MAX_S` does not cover such an order, and the successor knows nothing of it.

Test: `SocketBuffers` lets other processes carry out and answer the calls of a frozen daemon meanwhile; the answers are read when it resumes. The leader is frozen between accepting a job and planning it; a successor starts the task; its worker crashes and returns 0.3 s later; the former leader resumes before the successor's first poll there. The daemons do not reach each other: a connected successor asks the former leader to stop, which it reads before its timers run.

--- a/standins/in_process.py
+++ b/standins/in_process.py
@@ -105,6 +105,10 @@
         """Return the delayed calls of all processes."""
         return self._clock.getDelayedCalls()
 
+    def run(self, function, *arguments) -> None:
+        """Make a call now, or when the process resumes if it is frozen."""
+        self._run_or_hold(ProcessCall(lambda: function(*arguments)))
+
     def _run_or_hold(self, call: ProcessCall) -> None:
         if self._dead:
             return
@@ -134,6 +138,37 @@
         return not self._dead
 
 
+class SocketBuffers:
+    """Client of a process whose answers wait in its sockets while it is frozen.
+
+    Other processes carry out its calls meanwhile.
+
+    Parameters
+    ----------
+    client : object
+        Client whose methods return Deferreds, on the clock that the test advances.
+    clock : ProcessClock
+        Clock of the process.
+    """
+
+    def __init__(self, client, clock: ProcessClock) -> None:
+        self._client = client
+        self._clock = clock
+
+    def __getattr__(self, name: str):
+        """Return a method of the client."""
+        method = getattr(self._client, name)
+
+        def call(*arguments) -> Deferred:
+            answer: Deferred = Deferred()
+            method(*arguments).addBoth(
+                lambda result: self._clock.run(answer.callback, result)
+            )
+            return answer
+
+        return call
+
+
 class FakeStore(Store):
     """Store client of one process over shared values.
 
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -18,7 +18,7 @@
     FleetRecords,
     server_record,
 )
-from standins.in_process import ProcessClock
+from standins.in_process import ProcessClock, SocketBuffers
 
 STEP_S = 0.01
 QUEUE = "quotes"
@@ -71,6 +71,8 @@
         Operators' configuration.
     settings : dict
         Fields of the daemons' `NodeFile` that differ from the usual ones.
+    has_socket_buffers : bool
+        Whether the calls of a frozen daemon are carried out and answered meanwhile.
     """
 
     def __init__(
@@ -80,8 +82,10 @@
         run_s=1.0,
         configuration=CONFIGURATION,
         settings=None,
+        has_socket_buffers=False,
     ):
         self.settings = settings or {}
+        self.has_socket_buffers = has_socket_buffers
         self.clock = Clock()
         self.clock.advance(100.0)
         self.records = FleetRecords(self.clock)
@@ -109,14 +113,17 @@
 
     def add_daemon(self, vm):
         clock = ProcessClock(self.clock)
-        store = FakeFleetStore(self.records, clock)
-        worker_client = FakeFleetWorkerClient(self.workers, clock)
+        clients_clock = self.clock if self.has_socket_buffers else clock
+        store = FakeFleetStore(self.records, clients_clock)
+        worker_client = FakeFleetWorkerClient(self.workers, clients_clock)
+        clients = store, worker_client
+        if self.has_socket_buffers:
+            clients = [SocketBuffers(client, clock) for client in clients]
         node = FleetNode(
             node_file(vm, **self.settings),
             str(len(self.nodes)),
             "key",
-            store,
-            worker_client,
+            *clients,
             self.advice,
             lambda member, key: FakePeerTransport(self.members, clock, member),
             clock,
--- a/tests/test_stale_leaders.py
+++ b/tests/test_stale_leaders.py
@@ -1,12 +1,14 @@
 """Leaders that act on knowledge from before a successor was elected."""
 
 import unittest
+from dataclasses import replace
 
 from twisted.internet.defer import Deferred
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_records import LEADER_KEY
 from dogwoodlever.platform_errors import StoreRefusedError
+from standins.fleet import server_record
 from tests.fleet_simulation import JOB, StandingWorkTest, job
 
 # Covers an election, the leases of unreachable workers and the work started afterwards.
@@ -169,5 +171,51 @@
         self.assertEqual(self.count_running(fleet), 1)
 
 
+class PausedLeaderTest(StandingWorkTest):
+    """A leader that is paused, while its calls are carried out and answered."""
+
+    def run_until(self, fleet, is_reached, limit_s=4.0):
+        until_s = fleet.clock.seconds() + limit_s
+        while not is_reached():
+            self.assertLess(fleet.clock.seconds(), until_s)
+            fleet.clock.advance(0.001)
+            fleet.workers.advance()
+
+    # Guards against a start that a leader decided on before a pause, or decides on
+    # before it learns of its successor, and that a worker carries out which has
+    # returned under its id and does not know the successor's fencing token.
+    def test_leader_that_resumes_starts_nothing_on_a_worker_that_returned(self):
+        for pause_s in (3.0, 5.0, 8.0, 12.0):
+            for resumes_after_s in (0.0, 0.05, 0.1, 0.2):
+                with self.subTest(pause_s=pause_s, resumes_after_s=resumes_after_s):
+                    self.check_returned_worker(pause_s, resumes_after_s)
+
+    def check_returned_worker(self, pause_s, resumes_after_s):
+        fleet = self.start_fleet(workers=2, has_socket_buffers=True)
+        paused = fleet.leader()
+        node = fleet.nodes[paused]
+        frontend = fleet.nodes[(paused + 1) % 3].frontend
+        submitted = job(JOB, tasks=1, standing=True)
+        frontend.submit(submitted, fleet.clock.seconds() + 3.0)
+        self.run_until(fleet, lambda: JOB in node.leader.registry.jobs)
+        fleet.clocks[paused].freeze()
+        node.mesh.is_down = True
+        paused_s = fleet.clock.seconds()
+        self.run_until(fleet, lambda: fleet.workers.starts)
+        assigned = fleet.workers.starts[0][1]
+        fleet.run_for(paused_s + pause_s - 0.5 - fleet.clock.seconds())
+        fleet.workers.crash(assigned)
+        fleet.run_for(0.3)
+        entry = replace(fleet.workers.workers[assigned].entry, started_at_ms=2)
+        fleet.workers.add(entry, 0.0)
+        fleet.run_for(resumes_after_s)
+        fleet.clocks[paused].thaw()
+        fleet.run_for(0.5)
+        fleet.records.write(f"servers/{assigned}", server_record(entry))
+        fleet.run_for(RECOVERY_S)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(self.count_running(fleet), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
