A leader that resumes after a pause sends no start before a contact with the store

Cause: `worker.start` was sent on what was known before the pause. Fencing tokens and leases stop such a start, except at a worker that has returned under its id.

Ruled out: a bound on the age of the last contact, since a leader goes on for 7 s in an outage of the store; holding polls too, which find out first about a successor's token and extend no lease beyond 8 s after the last contact.

Change: the leader notes when its checks (each tick, and before each start) come more than 0.5 s after the last one, requests a contact, and holds starts until one that was sent later is answered. In an outage of the store that is until its end, but only after a pause. What remains: pauses of less than 0.5 s, after which only the removal of the record gives a successor, and a process that stops between the check and the system call.

Without a successor, a start follows 0.15 s after the pause at the latest (`test_leader_that_resumes_without_a_successor_goes_on`).

Conclusion: shown in process only, with daemons that do not reach each other.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -64,6 +64,9 @@
 STARTS_PER_ROUND = 64
 # Interval of the checks for due occurrences and slow runs.
 TICK_INTERVAL_S = 0.1
+# A process that checks this late was paused. Far below the time after which a successor
+# may be elected, above the usual delays of a busy leader.
+PAUSE_MIN_S = 0.5
 # Interval of the searches for throttled runs to move, each of which reads all runs; a
 # run moves after 0.35 s at a low speed.
 MOVE_INTERVAL_S = 0.25
@@ -175,6 +178,7 @@
             platform_limits.run_lease_max_s,
             get_contact_s,
             get_leases_end_s,
+            self._may_start,
         )
         self._progress_writer = ProgressWriter(
             store,
@@ -206,6 +210,9 @@
         self._plan_call = None
         self._tick_call = None
         self._started_s = clock.seconds()
+        self._checked_s = clock.seconds()
+        # When this process last resumed after a pause.
+        self._resumed_s = float("-inf")
         self.is_former_leader_stopped = False
         self.is_loaded = False
         self.is_closed = False
@@ -283,6 +290,7 @@
         if self.is_loaded:
             return
         self.is_loaded = True
+        self._checked_s = self._clock.seconds()
         self._progress.clear()
         self._rates.decide_inherited(
             self.registry.jobs.values(),
@@ -422,6 +430,24 @@
     def _on_runs_ended(self) -> None:
         self._progress_writer.schedule_flush()
 
+    def _may_start(self) -> bool:
+        """Return whether no successor was elected during a pause of this process.
+
+        After a pause, timers may run before the answers that tell of a successor are
+        read, and a worker that has returned does not know its fencing token.
+        """
+        self._check_for_pause()
+        return self._get_contact_s() >= self._resumed_s
+
+    def _check_for_pause(self) -> None:
+        """Request a contact with the store if this process has just resumed."""
+        now_s = self._clock.seconds()
+        pause_s, self._checked_s = now_s - self._checked_s, now_s
+        if pause_s > PAUSE_MIN_S:
+            self._resumed_s = now_s
+            log_event("leader.resumed", pause_s=pause_s)
+            self._confirm_soon()
+
     # Planning
 
     def plan_soon(self) -> None:
@@ -435,6 +461,7 @@
         if self.is_closed:
             return
         self._tick_call = self._clock.callLater(TICK_INTERVAL_S, self._tick)
+        self._check_for_pause()
         self.accept_confirmed_jobs()
         self.registry.open_due(self._unix_s() * 1000)
         self.workers.expire_unpolled_workers()
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -97,6 +97,8 @@
         Returns the time of the last contact with the store that showed no successor.
     get_leases_end_s : callable
         Returns the time beyond which no lease may be granted.
+    may_start : callable
+        Returns whether starts may be sent now.
 
     Attributes
     ----------
@@ -129,6 +131,7 @@
         run_lease_max_s: float,
         get_contact_s: Callable[[], float],
         get_leases_end_s: Callable[[], float],
+        may_start: Callable[[], bool],
     ) -> None:
         self._worker_client = worker_client
         self._clock = clock
@@ -168,6 +171,7 @@
             usage,
         )
         self._get_leases_end_s = get_leases_end_s
+        self._may_start = may_start
         # When the leases from a former leader have expired at every worker, whose
         # clocks may be slow for the length of one lease.
         self._former_leases_expire_s = (
@@ -396,6 +400,7 @@
             self,
             evidence,
             self._get_leases_end_s,
+            self._may_start,
         )
         self._links[worker_id] = link
         self._membership.add(worker_id, entry.address)
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -95,6 +95,8 @@
         What is known of the incarnation.
     get_leases_end_s : callable
         Returns the time beyond which no lease may be granted.
+    may_start : callable
+        Returns whether starts may be sent now.
     """
 
     def __init__(
@@ -106,6 +108,7 @@
         listener: LinkListener,
         evidence: WorkerEvidence,
         get_leases_end_s: Callable[[], float],
+        may_start: Callable[[], bool],
     ) -> None:
         self.entry = entry
         self._worker_client = worker_client
@@ -114,6 +117,7 @@
         self._listener = listener
         self.evidence = evidence
         self._get_leases_end_s = get_leases_end_s
+        self._may_start = may_start
         self._poll_wait_ms = POLL_WAIT_MS
         self._is_stopping_unanswered = False
         self.is_closed = False
@@ -232,6 +236,9 @@
         attempts = self.evidence.begin_start(run.run_id)
         is_retry = False
         while self._may_retry() and run.phase is not RunPhase.STOPPING:
+            if not self._may_start():
+                yield self._pause(ORDER_RETRY_S)
+                continue
             if is_retry and not self._listener.may_retry_start(run):
                 yield self.stop(run)
                 return
--- a/tests/test_stale_leaders.py
+++ b/tests/test_stale_leaders.py
@@ -181,6 +181,18 @@
             fleet.clock.advance(0.001)
             fleet.workers.advance()
 
+    def freeze_before_planning(self, fleet):
+        """Freeze the leader when it has accepted a job; return its number."""
+        number = fleet.leader()
+        node = fleet.nodes[number]
+        frontend = fleet.nodes[(number + 1) % 3].frontend
+        submitted = job(JOB, tasks=1, standing=True)
+        frontend.submit(submitted, fleet.clock.seconds() + 3.0)
+        self.run_until(fleet, lambda: JOB in node.leader.registry.jobs)
+        self.assertEqual(fleet.workers.starts, [])
+        fleet.clocks[number].freeze()
+        return number
+
     # Guards against a start that a leader decided on before a pause, or decides on
     # before it learns of its successor, and that a worker carries out which has
     # returned under its id and does not know the successor's fencing token.
@@ -192,14 +204,8 @@
 
     def check_returned_worker(self, pause_s, resumes_after_s):
         fleet = self.start_fleet(workers=2, has_socket_buffers=True)
-        paused = fleet.leader()
-        node = fleet.nodes[paused]
-        frontend = fleet.nodes[(paused + 1) % 3].frontend
-        submitted = job(JOB, tasks=1, standing=True)
-        frontend.submit(submitted, fleet.clock.seconds() + 3.0)
-        self.run_until(fleet, lambda: JOB in node.leader.registry.jobs)
-        fleet.clocks[paused].freeze()
-        node.mesh.is_down = True
+        paused = self.freeze_before_planning(fleet)
+        fleet.nodes[paused].mesh.is_down = True
         paused_s = fleet.clock.seconds()
         self.run_until(fleet, lambda: fleet.workers.starts)
         assigned = fleet.workers.starts[0][1]
@@ -216,6 +222,21 @@
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 1)
 
+    # Guards against starts that wait after a pause that no successor has used.
+    def test_leader_that_resumes_without_a_successor_goes_on(self):
+        for pause_s in (0.3, 0.6, 1.0):
+            with self.subTest(pause_s=pause_s):
+                fleet = self.start_fleet(workers=2, has_socket_buffers=True)
+                paused = fleet.leader()
+                fencing_token = fleet.nodes[paused].leader.fencing_token
+                self.freeze_before_planning(fleet)
+                fleet.run_for(pause_s)
+                fleet.clocks[paused].thaw()
+                fleet.run_for(0.15)
+                self.assertEqual(self.count_running(fleet), 1)
+                node = fleet.nodes[paused]
+                self.assertEqual(node.leader.fencing_token, fencing_token)
+
 
 if __name__ == "__main__":
     unittest.main()
