Failing test: a job runs again after its caller was told that it is completed

Cause: a leader answers from its memory that a job is completed. It stores that up to 0.1 s later, or not at all while it is cut off from the store. If its successor cannot read the end from the worker either, it starts the tasks anew, more than a second after the answer.

--- /dev/null
+++ b/tests/test_completed_jobs.py
@@ -0,0 +1,77 @@
+"""Jobs that callers were told are completed, although that is not stored yet."""
+
+import unittest
+
+from dogwoodlever._fleet_job import JobPhase
+from tests.fleet_simulation import JOB, StandingWorkTest, job
+
+# A start this long after the answer repeats a job that its caller takes for done.
+ANSWER_MAX_AGE_S = 1.0
+# Covers an election, the leases of unreachable workers and a run.
+RECOVERY_S = 18.0
+READ_WAIT_S = 0.05
+
+
+class CompletedJobsTest(StandingWorkTest):
+    def start_job(self, fleet):
+        fleet.submit(0, job(JOB, tasks=1))
+        self.assertEqual(len(fleet.workers.starts), 1)
+        return fleet.workers.starts[0][1]
+
+    def await_completed(self, fleet, reader):
+        """Let a caller read the job until it is completed; return when it was told."""
+        for _ in range(40):
+            phase = fleet.read_phase(reader, JOB, wait_s=READ_WAIT_S)
+            if phase == JobPhase.COMPLETED:
+                return fleet.clock.seconds()
+        return None
+
+    def check_not_repeated(self, fleet, told_s):
+        fleet.run_for(ANSWER_MAX_AGE_S)
+        before = len(fleet.workers.starts)
+        fleet.run_for(RECOVERY_S)
+        self.assertEqual(len(fleet.workers.starts), before, f"told at {told_s}")
+
+    # Guards against a job that runs again after its caller was told that it is
+    # completed, because its leader and its worker were lost before that was stored.
+    def test_leader_and_worker_lost_right_after_the_answer(self):
+        for is_cut_off in (False, True):
+            for lost_after_s in (0.0, 0.02, 0.05, 0.5, 1.5):
+                with self.subTest(is_cut_off=is_cut_off, lost_after_s=lost_after_s):
+                    self.check_loss(is_cut_off, lost_after_s)
+
+    def check_loss(self, is_cut_off, lost_after_s):
+        fleet = self.start_fleet(workers=2, run_s=1.0)
+        leader = fleet.leader()
+        worker_id = self.start_job(fleet)
+        fleet.run_for(0.8)
+        fleet.stores[leader].is_down = is_cut_off
+        told_s = self.await_completed(fleet, (leader + 1) % 3)
+        fleet.run_for(lost_after_s)
+        fleet.kill(leader)
+        fleet.workers.crash(worker_id)
+        fleet.records.remove(f"servers/{worker_id}")
+        if told_s is not None:
+            self.check_not_repeated(fleet, told_s)
+
+    # Guards against the same where a data centre is cut off with the leader, the worker
+    # and the caller, and a successor on the other side starts its work anew.
+    def test_data_centre_cut_off_with_leader_worker_and_caller(self):
+        for cut_before_end_s in (0.1, 0.5, 0.8):
+            with self.subTest(cut_before_end_s=cut_before_end_s):
+                fleet = self.start_fleet(workers=2, run_s=1.0)
+                leader = fleet.leader()
+                worker_id = self.start_job(fleet)
+                fleet.run_for(0.9 - cut_before_end_s)
+                for number, client in enumerate(fleet.worker_clients):
+                    others = set(fleet.workers.workers) - {worker_id}
+                    client.unreachable = others if number == leader else {worker_id}
+                fleet.stores[leader].is_down = True
+                fleet.nodes[leader].mesh.is_down = True
+                told_s = self.await_completed(fleet, leader)
+                if told_s is not None:
+                    self.check_not_repeated(fleet, told_s)
+
+
+if __name__ == "__main__":
+    unittest.main()
