A job is shown as completed or failed only once that is stored

Cause: the leader answered from its memory. A successor that finds neither the stored end nor the worker starts the tasks anew, after callers were told that the job is completed.

Ruled out: a read of the store for each answer, which costs a call each and shows the same; answers from memory once peers have the progress, as a cut-off leader reaches only those that are cut off with it.

Change: a job that has completed or failed counts as running for callers while its progress waits to be stored. A task that is cleared of crashes no longer causes a write of a job that has ended, which would show it as running once more.

During an outage of the store, jobs that end are shown as running until it is back.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -70,6 +70,8 @@
 # Quarantine of a worker whose runs fail or stall. The platform expects all capacity
 # to be in use 7 s after a disturbance, and probing a worker takes 1 s.
 QUARANTINE_S = 4.0
+# Phases in which a job ends by the ends of its tasks.
+TASKS_ENDED_PHASES = frozenset({JobPhase.COMPLETED, JobPhase.FAILED})
 # A successor resumes from interference estimates that are at most this old.
 INTERFERENCE_STORE_INTERVAL_S = 4.0
 
@@ -413,9 +415,18 @@
             self._unstored_progress.pop(job_id, None)
 
     def job_phase(self, job_id: str) -> JobPhase | None:
-        """Return a job's phase, or None if the job is unknown."""
+        """Return a job's phase, or None if the job is unknown.
+
+        A job whose end is not stored yet is running: a successor may not learn of the
+        end, and then starts the tasks anew. A cancellation is stored before it is
+        accepted.
+        """
         state = self.registry.jobs.get(job_id)
-        return None if state is None else state.phase
+        if state is None:
+            return None
+        if state.phase in TASKS_ENDED_PHASES and not self._is_stored(job_id):
+            return JobPhase.RUNNING
+        return state.phase
 
     def _is_stored(self, job_id: str) -> bool:
         return self._progress_writer.is_stored(job_id)
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -474,7 +474,8 @@
             self._report_cleared(task)
 
     def _report_cleared(self, task: Task) -> None:
-        self._registry.dirty.add(task.task_id.job_id)
+        if not task.step.job.has_ended:
+            self._registry.dirty.add(task.task_id.job_id)
         self._metrics.suspect_events.labels("cleared").inc()
         log_event("task.cleared", task=format_task_id(task.task_id))
 
