Failing test: a successor takes its former leader's earlier term for the last one

Cause: when the former leader answers that it has stopped, its successor waits for the leases of the leaders before it, which end 8 s after its election at the latest. The time of that election is that of the last record seen of the same daemon, also if that record was of an earlier term and another daemon led in between. The wait is then too short.

Test: one daemon leads, a second one follows, is cut off from the store with a worker, and the first one leads again for up to 2 s; a third one, which was cut off all the while and finds no history in the store, follows.

It needs three changes of leader within 10 s.

--- a/tests/test_stale_leaders.py
+++ b/tests/test_stale_leaders.py
@@ -2,11 +2,11 @@
 
 import unittest
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_records import LEADER_KEY
-from dogwoodlever.platform_errors import StoreRefusedError
+from dogwoodlever.platform_errors import HistoryGoneError, StoreRefusedError
 from tests.fleet_simulation import JOB, StandingWorkTest, job
 
 # Covers an election, the leases of unreachable workers and the work started afterwards.
@@ -169,5 +169,72 @@
         self.assertEqual(self.count_running(fleet), 1)
 
 
+class RepeatedLeaderTest(StandingWorkTest):
+    """A daemon leads, another one follows it, and it leads again for a short time."""
+
+    def await_leader(self, fleet, number):
+        for _ in range(400):
+            fleet.run_for(0.01)
+            leader = fleet.nodes[number].leader
+            if leader and leader.is_loaded:
+                return
+        self.fail(f"daemon {number} was not elected")
+
+    def end_term(self, fleet):
+        fleet.records.end_lease(fleet.records.lease_of(LEADER_KEY))
+
+    def return_without_history(self, fleet, number):
+        """Let a daemon reach the store again, which has dropped its history."""
+        store = fleet.stores[number]
+        watch = store.watch
+
+        def watch_once(prefix, revision, wait_ms):
+            if prefix != LEADER_KEY:
+                return watch(prefix, revision, wait_ms)
+            store.watch = watch
+            return fail(HistoryGoneError("no history"))
+
+        store.watch = watch_once
+        store.is_down = False
+
+    # Guards against tasks that a successor starts while a leader before the last one
+    # extends their lease, since it takes the last leader's former term for its last.
+    def test_former_leader_that_was_seen_in_an_earlier_term_only(self):
+        for led_s in (0.0, 0.5, 1.0, 2.0):
+            with self.subTest(led_s=led_s):
+                self.check_repeated_leader(led_s)
+
+    def check_repeated_leader(self, led_s):
+        fleet = self.start_fleet(workers=2)
+        fleet.submit(0, job(JOB, tasks=1, standing=True))
+        fleet.run_for(1.0)
+        assigned = fleet.workers.starts[0][1]
+        (other,) = set(fleet.workers.workers) - {assigned}
+        first = fleet.leader()
+        second, absent = {0, 1, 2} - {first}
+        fleet.stores[absent].is_down = True
+        fleet.run_for(2.0)
+        fleet.stores[first].is_down = True
+        self.end_term(fleet)
+        self.await_leader(fleet, second)
+        fleet.stores[first].is_down = False
+        fleet.run_for(2.0)
+        # The second leader is cut off with the worker.
+        fleet.stores[second].is_down = True
+        fleet.nodes[second].mesh.is_down = True
+        for number, client in enumerate(fleet.worker_clients):
+            client.unreachable = {other} if number == second else {assigned}
+        self.end_term(fleet)
+        self.await_leader(fleet, first)
+        fleet.run_for(led_s)
+        fleet.nodes[first].stop()
+        fleet.run_for(0.05)
+        self.return_without_history(fleet, absent)
+        self.await_leader(fleet, absent)
+        fleet.run_for(RECOVERY_S)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(self.count_running(fleet), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
