A former leader counts as seen only by the record of its last term

Cause: a successor compared the member of the last record it saw with that of the term's record. A daemon that leads again has the same member, so the time of its earlier election was taken for the last one.

Change: the revisions are compared, as the leader's record and the term's are written together. Without the record, the time of the successor's own write counts, as before for a member that was never seen.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -117,7 +117,7 @@
         self.former_leader = ""
         self.former_elected_s = float("-inf")
         self._record_seen_s = float("-inf")
-        self._seen_member = ""
+        self._seen_revision = 0
         self.leader: LeaderRecord | None = None
         self.fencing_token = 0
         self.leads = False
@@ -171,7 +171,7 @@
         self.leader = None if record.value is None else decode_leader(record.value)
         if self.leader is not None:
             self._record_seen_s = self._clock.seconds()
-            self._seen_member = self.leader.member
+            self._seen_revision = record.revision
         if self.leader is None or self.leader.member == self._record.member:
             self._schedule_campaign()
         elif self.leads and record.revision > self.fencing_token:
@@ -267,9 +267,9 @@
             return
         if not is_continued:
             self.former_leader = previous.member
-            self.former_elected_s = (
-                self._record_seen_s if self._seen_member == previous.member else sent_s
-            )
+            # The record is written together with that of the term.
+            is_seen = self._seen_revision >= self._term_revision
+            self.former_elected_s = self._record_seen_s if is_seen else sent_s
         self._on_won(term, result.revision, lease_id, sent_s, is_continued)
 
     @inlineCallbacks
@@ -301,7 +301,7 @@
     def _on_won(self, term, revision, lease_id, sent_s, is_continued) -> None:
         self.leader = self._record
         self._record_seen_s = self._clock.seconds()
-        self._seen_member = self._record.member
+        self._seen_revision = revision
         self._leader_revision = revision
         self._own_term_revision = revision
         self._lease_id = lease_id
