Keep a run that the next incarnation has started from a late order

Cause: a start whose answer is missing counts until the next incarnation has stopped its run. Change: a run that is listed has been started, so no copy can start it again there, and its worker may get a lease. It goes on if its task wants it, and is stopped as before if the job was cancelled or another run counts. Ruled out: waiting for all copies after a stop (up to 12.5 s for each move).

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -343,6 +343,10 @@
             capacity.add(unwanted, step)
         link.stop(unwanted)
 
+    def is_wanted(self, run: Run) -> bool:
+        """Return whether a run is its task's and need not stop."""
+        return run.phase is not RunPhase.STOPPING and self._is_registered(run)
+
     def _is_unwanted(self, run: Run) -> bool:
         """Return whether a run counts until it has stopped, but is no task's."""
         return run.phase is RunPhase.STOPPING and not self._is_registered(run)
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -18,6 +18,7 @@
 from dogwoodlever._fleet_runs import FleetRuns
 from dogwoodlever._fleet_types import (
     PollResult,
+    RunId,
     WorkerEntry,
 )
 from dogwoodlever._logs import log_event
@@ -587,6 +588,11 @@
             or not capacity.is_overcommitted
         )
 
+    def is_wanted(self, link: WorkerLink, run_id: RunId) -> bool:
+        """Return whether a run that a worker lists counts for its task."""
+        pair = self.capacities[link.entry.worker_id].runs.get(run_id)
+        return pair is not None and self.runs.is_wanted(pair[0])
+
     def on_refused(self, link: WorkerLink, run: Run, reason: RefusalReason) -> None:
         """Handle a worker's refusal to start a run."""
         self.runs.on_refused(run, reason)
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -572,6 +572,15 @@
 
     # Listings
 
+    def confirm_listed(self, run_id: RunId, now_s: float) -> None:
+        """Record that a run is listed whose start had no answer.
+
+        No copy can start it again at this incarnation.
+        """
+        self.lease_blockers.discard(run_id)
+        self.settle_start(run_id)
+        self.expect_listed(run_id, now_s)
+
     def expect_listed(self, run_id: RunId, from_s: float) -> None:
         """Record that each poll sent after `from_s` lists a run until it has ended."""
         previous_s = self._listed_from_s.get(run_id, NEVER_S)
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -54,6 +54,10 @@
     def may_retry_start(self, run: Run) -> bool:
         """Return whether a start without an answer may be ordered again."""
 
+    @abstractmethod
+    def is_wanted(self, link: "WorkerLink", run_id: RunId) -> bool:
+        """Return whether a run that the worker lists counts for its task."""
+
     @abstractmethod
     def on_refused(self, link: "WorkerLink", run: Run, reason: RefusalReason) -> None:
         """Handle a final refusal of the worker to start a run."""
@@ -193,6 +197,7 @@
             return
         if verdict is PollVerdict.MISNAMED:
             self._listener.on_identified(self, result.started_at_ms)
+        self._confirm_listed(result)
         if self.evidence.lease_blockers:
             self._stop_unanswered()
         elif not was_reachable:
@@ -316,6 +321,19 @@
         if is_fenced and is_current:
             self._listener.on_fenced(self)
 
+    def _confirm_listed(self, result: PollResult) -> None:
+        """Confirm the starts without an answer of runs that the worker lists.
+
+        If such a run were stopped, another copy of its order might start it at the
+        incarnation after this one, while its task runs elsewhere.
+        """
+        for listed in result.running:
+            run_id = listed.run
+            if run_id in self.evidence.lease_blockers and (
+                self._listener.is_wanted(self, run_id)
+            ):
+                self.evidence.confirm_listed(run_id, self._clock.seconds())
+
     @inlineCallbacks
     def _stop_unanswered(self):
         """Stop runs that may still start, before the worker gets a lease again."""
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -292,6 +292,21 @@
         granted = [evidence.lease_until_ms(now_s, FOREVER_S) for now_s in (21.0, 22.0)]
         self.assertEqual(granted[0], granted[1])
 
+    def test_listed_run_of_a_start_without_an_answer_blocks_no_lease(self):
+        former = polled_worker()
+        attempts = former.begin_start(RUN)
+        self.attempt(former, attempts, 2.0, SILENT)
+        evidence = former.carry_over(3.0)
+        evidence.begin_incarnation(former_leases_expire_s=0.0)
+        poll(evidence, 4.0)
+        evidence.confirm_listed(RUN, 4.0)
+        poll(evidence, 5.0)
+        self.assertTrue(evidence.is_reachable)
+        self.assertGreater(evidence.begin_poll(6.0, FOREVER_S)[1], 0)
+        self.assertIn(RUN, evidence.unlisted_runs([RUN], result(6.0), 5.0))
+        # A copy may still reach the incarnation after this one.
+        self.assertEqual(evidence.starts_in_flight(6.0), {RUN: 2.0 + LATE_ORDER_MAX_S})
+
     def test_stops(self):
         table = (
             (SILENT, OrderVerdict.RETRY),
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -312,6 +312,31 @@
                 self.assertEqual(fleet.workers.duplicate_starts, [])
                 self.assertEqual(self.count_running(fleet), 1)
 
+    # Guards against a run that is stopped although it is its task's only one, and one
+    # that goes on after its job was cancelled.
+    def test_run_that_a_late_copy_has_started_at_the_next_incarnation(self):
+        for is_cancelled in (False, True):
+            for returns_after_s in (0.3, 2.0):
+                with self.subTest(
+                    is_cancelled=is_cancelled, returns_after_s=returns_after_s
+                ):
+                    self.check_late_start(is_cancelled, returns_after_s)
+
+    def check_late_start(self, is_cancelled, returns_after_s):
+        fleet = self.start_fleet(workers=2)
+        fleet.workers.delays_start_to_next_incarnation = True
+        fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=0.1)
+        (affected,) = fleet.workers._for_next_incarnation
+        fleet.workers.crash(affected)
+        fleet.run_for(returns_after_s)
+        if is_cancelled:
+            deadline_s = fleet.clock.seconds() + 1.0
+            fleet.nodes[0].frontend.cancel(JOB, deadline_s)
+        worker = self.restart(fleet, affected)
+        fleet.run_for(10.0)
+        self.assertEqual(len(fleet.workers.starts), 1)
+        self.assertEqual(len(worker.running), not is_cancelled)
+
     # Guards against a task that runs again after its end, by a late copy of an order to
     # a worker whose entry was removed meanwhile.
     def test_late_copy_of_a_start_reaches_a_worker_that_was_unlisted(self):
