--- a/tests/test_stale_leaders.py
+++ b/tests/test_stale_leaders.py
@@ -219,6 +219,21 @@
         fleet.run_for(0.5)
         fleet.records.write(f"servers/{assigned}", server_record(entry))
 
+    # Guards against starts that wait after a pause that no successor has used.
+    def test_leader_that_resumes_without_a_successor_goes_on(self):
+        for pause_s in (0.3, 0.6, 1.0):
+            with self.subTest(pause_s=pause_s):
+                fleet = self.start_fleet(workers=2, has_socket_buffers=True)
+                paused = fleet.leader()
+                fencing_token = fleet.nodes[paused].leader.fencing_token
+                self.freeze_before_planning(fleet)
+                fleet.run_for(pause_s)
+                fleet.clocks[paused].thaw()
+                fleet.run_for(0.15)
+                self.assertEqual(self.count_running(fleet), 1)
+                node = fleet.nodes[paused]
+                self.assertEqual(node.leader.fencing_token, fencing_token)
+
 
 class RepeatedLeaderTest(StandingWorkTest):
     """A daemon leads, another one follows it, and it leads again for a short time."""
@@ -286,21 +301,6 @@
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 1)
 
-    # Guards against starts that wait after a pause that no successor has used.
-    def test_leader_that_resumes_without_a_successor_goes_on(self):
-        for pause_s in (0.3, 0.6, 1.0):
-            with self.subTest(pause_s=pause_s):
-                fleet = self.start_fleet(workers=2, has_socket_buffers=True)
-                paused = fleet.leader()
-                fencing_token = fleet.nodes[paused].leader.fencing_token
-                self.freeze_before_planning(fleet)
-                fleet.run_for(pause_s)
-                fleet.clocks[paused].thaw()
-                fleet.run_for(0.15)
-                self.assertEqual(self.count_running(fleet), 1)
-                node = fleet.nodes[paused]
-                self.assertEqual(node.leader.fencing_token, fencing_token)
-
 
 if __name__ == "__main__":
     unittest.main()
