End a job of which two leaders' records leave nothing to run

Cause: a successor merges the stored progress with what the former leader could not store. A job is ended by the end of a run only, and none is left if both records together hold all tasks, or all attempts of one.

Change: a job whose restored progress leaves nothing to run is completed, or failed if a task has used the attempts of its queue; the latter only if the queue is configured.

--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -75,10 +75,25 @@
         self.jobs[job.job_id] = state
         if progress is not None:
             state.restore(progress)
-        if not state.has_ended:
-            self.active[job.job_id] = state
+        if state.has_ended:
+            return state
+        self.active[job.job_id] = state
+        if progress is not None:
+            self._end_restored(state)
         return state
 
+    def _end_restored(self, state: JobState) -> None:
+        """End a job of which the records of two leaders together leave nothing to run.
+
+        No end of a run would be left to end it.
+        """
+        state.close_finished()
+        # The attempts of a queue that is not configured are not known.
+        if state.queue.service and any(map(_has_used_attempts, state.tasks())):
+            self.end_job(state, JobPhase.FAILED)
+        elif state.has_ended:
+            self._close(state)
+
     def open_due(self, now_ms: float) -> None:
         """Open the occurrences that are due."""
         for state in self.active.values():
@@ -240,3 +255,13 @@
         """Yield the steps that have tasks to start."""
         for state in self.active.values():
             yield from state.active_steps()
+
+
+def _has_used_attempts(task: Task) -> bool:
+    """Return whether a task has failed as often as its queue allows."""
+    step = task.step
+    return (
+        not task.is_done
+        and not step.spec.standing
+        and len(task.failed_runs) >= step.job.queue.attempts_max
+    )
--- a/tests/test_merged_progress.py
+++ b/tests/test_merged_progress.py
@@ -13,6 +13,11 @@
     return JobProgress("running", 0, {0: [StepProgress(bits) for bits in done]})
 
 
+def failing(*runs):
+    """Return the progress of a running job whose first task has failed runs."""
+    return JobProgress("running", 0, {0: [StepProgress("0", failures={0: runs})]})
+
+
 class MergedProgressTest(unittest.TestCase):
     # Guards against jobs that run for ever: no further end of a run completes them.
     def test_job_that_is_done_by_two_leaders_records_completes(self):
@@ -32,6 +37,24 @@
                 self.assertNotIn("a" * 16, registry.active)
                 self.assertIn("a" * 16, registry.dirty)
 
+    # Guards against an attempt beyond those of the queue, as each record holds fewer.
+    def test_job_that_failed_by_two_leaders_records_fails(self):
+        cases = (
+            # failed runs that were stored and that could not be, phase
+            ((1, 2), (1001,), JobPhase.FAILED),
+            ((1, 2), (2,), JobPhase.RUNNING),
+        )
+        for stored, unstored, phase in cases:
+            with self.subTest(stored=stored, unstored=unstored):
+                registry = RunRegistry(2)
+                queue = Queue(QUEUE, "", "/", "desk", attempts_max=3)
+                progress = merge_progress(failing(*stored), failing(*unstored))
+                state = registry.add_job(
+                    job("a" * 16, tasks=4), queue, 1, 0.0, progress
+                )
+                self.assertIs(state.phase, phase)
+                self.assertEqual("a" * 16 in registry.active, phase is JobPhase.RUNNING)
+
     def test_job_with_a_task_left_goes_on(self):
         registry = RunRegistry(2)
         queue = Queue(QUEUE, "", "/", "desk")
