Failing test: a successor numbers a gang's runs as its former leader did

Cause: `_place_gang` takes the highest known number of the gang and adds one, without the base of the term. A successor that never reached the workers of the gang starts with 1 again. `RunRegistry.end_run` knows a run by its number alone, so the end of the former leader's run ends the one that runs on another worker.

Test: the workers of two tasks are silent until a successor has started them elsewhere, and then list their ends.

--- a/tests/test_stale_leaders.py
+++ b/tests/test_stale_leaders.py
@@ -238,5 +238,45 @@
                 self.assertEqual(node.leader.fencing_token, fencing_token)
 
 
+class RunNumbersTest(StandingWorkTest):
+    """Numbers of the runs that a successor starts without knowing earlier ones."""
+
+    RUN_S = 60.0
+    # name, fields of the step
+    STEPS = (
+        ("single tasks", {}),
+        ("speculative copies", {"speculative": True}),
+        ("gang", {"gang": True}),
+    )
+
+    def run_with_progress(self, fleet, duration_s):
+        for _ in range(round(duration_s / 0.1)):
+            fleet.run_for(0.1)
+            for worker in fleet.workers.workers.values():
+                for run in worker.running.values():
+                    age_s = fleet.clock.seconds() - run.started_s
+                    run.percent = int(100 * age_s / self.RUN_S)
+
+    # Guards against a run that is taken for ended since another worker lists the end of
+    # a former leader's run with the same number.
+    def test_end_of_a_former_leaders_run_ends_no_other_run(self):
+        for name, fields in self.STEPS:
+            with self.subTest(name):
+                fleet = self.start_fleet(run_s=self.RUN_S, workers=4)
+                fleet.submit(0, job(JOB, tasks=2, **fields))
+                self.run_with_progress(fleet, 0.5)
+                former = {name for _, name in fleet.workers.starts}
+                for worker_id in former:
+                    fleet.workers.workers[worker_id].is_reachable = False
+                fleet.kill(fleet.leader())
+                self.run_with_progress(fleet, 2.0 + RECOVERY_S)
+                numbers = [run.number for run, _ in fleet.workers.starts]
+                for worker_id in former:
+                    fleet.workers.workers[worker_id].is_reachable = True
+                self.run_with_progress(fleet, 5.0)
+                self.assertEqual(len(fleet.workers.starts), len(numbers))
+                self.assertGreater(min(numbers[2:]), max(numbers[:2]))
+
+
 if __name__ == "__main__":
     unittest.main()
