The runs of a gang are numbered from the term's base

Cause: `_place_gang` numbered them from the highest known number alone, so a successor that knew none of them repeated the former leader's numbers.

Ruled out: matching ends by the worker as well; `end_run` may keep the number as the key as long as numbers are unique. They are for single tasks and copies below 1,000 runs of a task in one term.

Change: `begin_run` takes the higher one of the gang's number and the next number of the task in this term. It is the same for all members, as they share the base.

--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -108,8 +108,11 @@
             state.open_reported(task_id.occurrence)
 
     def begin_run(self, task: Task, worker_id: str, now_s: float, number=0) -> Run:
-        """Record the start of a task and return the new run."""
-        number = number or self.next_run_number(task)
+        """Record the start of a task and return the new run.
+
+        The members of a gang share `number`, or the term's first one if it is higher.
+        """
+        number = max(number, self.next_run_number(task))
         run = Run(RunId(task.task_id, number), worker_id, RunPhase.STARTING, now_s)
         self._attach(task, run)
         return run
