Failing test: a successor plans before it has polled a worker's next incarnation

Cause: jobs of a former leader wait until each worker has been polled. If a worker that has not been polled is announced under another start and answers so, it counts as ended and no worker is waited for, although a late order of the former leader may have started a run at the next incarnation, whose first poll is under way. Planning follows 4 ms later.

Test: the order of a start reaches the next incarnation of its worker, which returns under its id 0.1 to 2 s after a successor was elected; answers of workers take 2, 4 and 8 ms.

--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -2,6 +2,7 @@
 
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_job import JobPhase
@@ -277,6 +278,35 @@
         fleet.run_for(8.0)
         self.assertEqual(len(fleet.workers.starts), 1)
 
+    # Guards against a run that a successor starts elsewhere between the end of a worker
+    # that it has not polled and its first poll of the next incarnation, which lists it.
+    def test_successor_waits_for_its_first_poll_of_the_next_incarnation(self):
+        for worker_delay_s in (0.002, 0.004, 0.008):
+            for returns_after_s in (0.1, 0.3, 0.5, 1.0, 2.0):
+                with (
+                    self.subTest(
+                        worker_delay_s=worker_delay_s, returns_after_s=returns_after_s
+                    ),
+                    patch("standins.fleet.WORKER_DELAY_S", worker_delay_s),
+                ):
+                    self.check_first_poll(returns_after_s)
+
+    def check_first_poll(self, returns_after_s):
+        fleet = self.start_fleet(workers=2)
+        fleet.workers.delays_start_to_next_incarnation = True
+        fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=0.05)
+        affected = next(iter(fleet.workers._for_next_incarnation))
+        former = fleet.leader()
+        fleet.kill(former)
+        fleet.workers.crash(affected)
+        while fleet.leader() is None:
+            fleet.run_for(0.01)
+        fleet.run_for(returns_after_s)
+        self.restart(fleet, affected)
+        fleet.run_for(14.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(self.count_running(fleet), 1)
+
     # Guards against a run that is started by a late copy of its order at the second of
     # two next incarnations, after the first has confirmed that it is stopped.
     def test_late_copy_of_a_start_reaches_the_second_next_incarnation(self):
