A worker counts as unpolled until its next incarnation has been polled

Cause: a worker that a successor had not polled left the unpolled ones with its end, although the next incarnation may run what late orders of the former leader have started there.

Change: if the end is known from an announced incarnation only, the worker stays unpolled until the first poll of the next one, or until the leases of the former leader have expired.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -375,12 +375,16 @@
                 else:
                     log_event("worker.entry-outdated", worker=worker_id)
                 return
+            is_unpolled = worker_id in self.unpolled_workers
             self._drop_incarnation(
                 worker_id,
                 DropEvidence.INCARNATION_REPLACED,
                 "restarted",
                 is_member=True,
             )
+            if is_unpolled:
+                # Late orders of a former leader may have reached the next incarnation.
+                self.unpolled_workers.add(worker_id)
         if started_at_ms in (0, entry.started_at_ms):
             self._add_worker(entry)
 
