Failing test: a late copy runs at a next incarnation whose entry is late

Cause: the run of a start without an answer to an incarnation that has ended is dropped once no copy can be carried out any more, 12.5 s later. A copy that a next incarnation has carried out before that runs there for the longest lease. The leader does not poll the next incarnation before its entry is written.

Test: the copy arrives 1 to 11 s after the return of the worker, the entry 0.5 to 12 s after the copy.

The worker has to return under its id and to be cut off from the store.

--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -278,6 +278,37 @@
         fleet.run_for(8.0)
         self.assertEqual(len(fleet.workers.starts), 1)
 
+    # Guards against a run that is started elsewhere once no late copy of its order can
+    # arrive, while a copy that has arrived runs at a next incarnation whose entry is
+    # late.
+    def test_late_copy_runs_at_a_next_incarnation_without_an_entry(self):
+        for arrives_after_s in (1.0, 5.0, 9.0, 11.0):
+            for announced_after_s in (0.5, 3.0, 6.0, 12.0):
+                with self.subTest(
+                    arrives_after_s=arrives_after_s, announced_after_s=announced_after_s
+                ):
+                    self.check_late_entry(arrives_after_s, announced_after_s)
+
+    def check_late_entry(self, arrives_after_s, announced_after_s):
+        fleet = self.start_fleet(workers=2)
+        fleet.workers.delays_start_to_next_incarnation = True
+        fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=0.05)
+        affected = next(iter(fleet.workers._for_next_incarnation))
+        order = fleet.workers._for_next_incarnation.pop(affected)
+        fleet.workers.crash(affected)
+        fleet.run_for(0.5)
+        entry = replace(fleet.workers.workers[affected].entry, started_at_ms=2)
+        worker = fleet.workers.add(entry, 0.0)
+        fleet.run_for(arrives_after_s)
+        # The order's time is on the clock of the former incarnation, far ahead.
+        fleet.workers.renew(worker, FORMER_CLOCK_MS)
+        fleet.workers.start(worker, order)
+        fleet.run_for(announced_after_s)
+        fleet.records.write(f"servers/{affected}", server_record(entry))
+        fleet.run_for(2 * LEASE_MAX_MS / 1000)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(self.count_running(fleet), 1)
+
     # Guards against a run that a successor starts elsewhere between the end of a worker
     # that it has not polled and its first poll of the next incarnation, which lists it.
     def test_successor_waits_for_its_first_poll_of_the_next_incarnation(self):
