Reproduce two runs after a late first answer of a worker that restarts

Cause: the answer to a start names the incarnation by its clock alone, which is compared with that of the last poll, read when the answer is read. If a young worker restarts while its first answer is late, the clock of the next incarnation is not earlier. Its runs count for the former one and are dropped as soon as the next one answers a poll. Change: a test with three delays of the answer and three absences of the worker.

--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -267,6 +267,32 @@
         self.assertEqual(len(third.running), 2)
         self.assertEqual(fleet.workers.duplicate_starts, [])
 
+    # Guards against runs that are started elsewhere because the next incarnation, which
+    # has started them, could not be told from the known one by its clock.
+    def test_start_by_the_next_incarnation_of_a_young_worker(self):
+        for answer_delay_s in (0.2, 0.5, 0.8):
+            for absent_s in (0.02, 0.1, 0.3):
+                with self.subTest(answer_delay_s=answer_delay_s, absent_s=absent_s):
+                    self.check_young_worker(answer_delay_s, absent_s)
+
+    def check_young_worker(self, answer_delay_s, absent_s):
+        fleet = self.start_fleet(workers=2)
+        workers = fleet.nodes[fleet.leader()].leader.workers
+        self.delay_first_answer(fleet, 2, answer_delay_s)
+        self.return_with_entry(fleet, workers, 2, number=7)
+        fleet.run_for(0.05)
+        fleet.workers.crash("w7")
+        fleet.run_for(absent_s)
+        third = fleet.workers.add(worker_entry(7, started_at_ms=3), 0.0)
+        fleet.run_for(max(0.0, answer_delay_s - absent_s - 0.05))
+        fleet.submit(0, job(JOB, tasks=6, standing=True, worker_tasks_max=2), 0.5)
+        fleet.add_worker(worker_entry(8), 0.0)
+        fleet.run_for(1.5)
+        fleet.records.write("servers/w7", server_record(third.entry))
+        fleet.run_for(16.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(self.count_running(fleet), 6)
+
     def delay_first_answer(self, fleet, started_at_ms, delay_s):
         """Delay the first answer to a poll for an incarnation; None for no answer."""
         client = fleet.worker_clients[fleet.leader()]
@@ -288,11 +314,12 @@
 
         client.poll = delay_poll
 
-    def return_with_entry(self, fleet, workers, started_at_ms):
+    def return_with_entry(self, fleet, workers, started_at_ms, number=0):
         """Start the next incarnation; the leader reads its entry at once."""
-        entry = worker_entry(0, started_at_ms=started_at_ms)
+        entry = worker_entry(number, started_at_ms=started_at_ms)
         worker = fleet.workers.add(entry, 0.0)
-        workers.apply_entry(Record("servers/w0", server_record(entry), started_at_ms))
+        key = f"servers/w{number}"
+        workers.apply_entry(Record(key, server_record(entry), started_at_ms))
         return worker
 
     # Guards against a run that is started elsewhere although a copy of its first order
