Tell a young worker from its next incarnation by when it was polled

Cause: the answer to a start was taken for the known incarnation's if its clock was not earlier than expected. The clock of the next incarnation reaches that value if the known one was younger than the answer to its last poll was late. Change: the next incarnation starts after the last answered poll was sent, which bounds its clock. A start that is answered with a clock that both may have counts as in flight too: if another incarnation answers, the run counts until that one lists it or has stopped it. Ruled out: comparing starts of incarnations, which the answers to orders do not carry.

--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -152,6 +152,8 @@
         "_lease_s",
         "_listed_from_s",
         "_misdirected_expiry_s",
+        "_next_started_after_s",
+        "_poll_sent_s",
         "_stop_timeout_s",
         "_unanswered_starts",
         "broken_s",
@@ -180,6 +182,9 @@
         self._is_grant_under_way = False
         # The worker's clock at the last answer, 0 before the first one.
         self._clock_ms = 0
+        # The next incarnation starts after the last answered poll was sent.
+        self._poll_sent_s = NEVER_S
+        self._next_started_after_s = NEVER_S
         self.responded_s = 0.0
         self._granted_ms = 0
         self._failed_polls = 0
@@ -352,6 +357,7 @@
         until_ms : int
             Expiry of the lease that the poll grants, 0 for none.
         """
+        self._poll_sent_s = now_s
         if self._failed_polls:
             return 0, 0
         until_ms = self.lease_until_ms(now_s, leases_end_s)
@@ -384,6 +390,7 @@
         self.is_refused = False
         self.broken_s = NEVER_S
         self._clock_ms = result.clock_ms
+        self._next_started_after_s = self._poll_sent_s
         self.responded_s = now_s
         self.has_lease_expired = False
         self._update_lease_expiry()
@@ -459,6 +466,9 @@
             # The next incarnation carries out the order, with the longest lease.
             self._misdirected_expiry_s = now_s + self._late_lease_s
             return OrderVerdict.INCARNATION_ENDED
+        if clock_ms <= (now_s - self._next_started_after_s) * 1000 + CLOCK_MARGIN_MS:
+            # The next incarnation may have answered, as the worker has just started.
+            self._record_unanswered_copy(attempts.run_id, now_s)
         self._confirm_start(attempts.run_id, now_s)
         return OrderVerdict.CARRIED_OUT
 
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -200,6 +200,29 @@
         clock_ms = 50 if outcome is NEXT_CLOCK else result(now_s).clock_ms
         return evidence.judge_start(attempts, clock_ms, now_s)
 
+    def test_starts_of_a_young_worker(self):
+        table = (
+            # clock at the answer to a poll, sent at 2 s; when that was read; clock at
+            # the answer to a start, 10 ms later; verdict; whether it stays in flight
+            (100, 2.002, 112, OrderVerdict.CARRIED_OUT, False),
+            (30, 2.002, 42, OrderVerdict.CARRIED_OUT, True),
+            (100, 2.9, 112, OrderVerdict.CARRIED_OUT, True),
+            (5_000, 2.9, 5_012, OrderVerdict.CARRIED_OUT, False),
+            (5_000, 2.9, 800, OrderVerdict.INCARNATION_ENDED, True),
+        )
+        for row, (poll_ms, read_s, start_ms, verdict, stays) in enumerate(table):
+            with self.subTest(row=row):
+                evidence = WorkerEvidence(LEASE_S, LEASE_MAX_S, STOP_S)
+                evidence.begin_incarnation(former_leases_expire_s=0.0)
+                evidence.begin_poll(2.0, FOREVER_S)
+                evidence.judge_poll(PollResult(poll_ms, KNOWN, (), ()), KNOWN, read_s)
+                attempts = evidence.begin_start(RUN)
+                evidence.begin_attempt(attempts, read_s, FOREVER_S)
+                found = evidence.judge_start(attempts, start_ms, read_s + 0.01)
+                self.assertIs(found, verdict)
+                carried = evidence.carry_over(3.0)
+                self.assertEqual(RUN in carried.starts_in_flight(3.0), stays)
+
     def test_listings(self):
         table = (
             # response to a poll that was sent at a time, whether the run has ended
