Runs of the tests of crashing tasks report their progress

test_task_that_crashes_its_workers_late failed since (a job of 12 still ran after 60 s): its runs of 4 s reported no progress, so each of them counted as stalled after 2.2 s and was stopped, and only the times of the polls decided whether one ended before. The platform's workers report a percentage. The check and its bounds are unchanged.

--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -60,6 +60,7 @@
         while fleet.clock.seconds() < end_s:
             fleet.run_for(0.05)
             now_s = fleet.clock.seconds()
+            self.report_progress(fleet)
             for worker_id, worker in list(fleet.workers.workers.items()):
                 if not worker.refuses_connections:
                     continue
@@ -69,6 +70,15 @@
                     entry = worker_entry(int(worker_id[1:]), started_at_ms=int(now_s))
                     fleet.add_worker(entry, worker.run_s)
 
+    @staticmethod
+    def report_progress(fleet):
+        """Let the runs report their progress, without which they count as stalled."""
+        now_s = fleet.clock.seconds()
+        for worker in fleet.workers.workers.values():
+            for run in worker.running.values():
+                if run.duration_s:
+                    run.percent = int(100 * (now_s - run.started_s) / run.duration_s)
+
     def submit_ordinary(self, fleet, count, first=0, **fields):
         for number in range(first, first + count):
             fleet.submit(self.alive(fleet), job(ordinary_id(number), tasks=4, **fields))
