Failing test: a successor ignores the ends that a worker without an entry lists

Cause: a successor polls a worker of the former leader that has no entry until it lists neither runs nor ends. Ends are not read, so a worker on which tasks have ended is given up 8.8 s after the election, and these tasks start again.

Test: the entry is removed and the leader killed while four tasks of 0.5 to 4 s run.

Conclusion: work is lost.

--- a/tests/test_worker_recovery.py
+++ b/tests/test_worker_recovery.py
@@ -258,6 +258,21 @@
                 self.assertEqual(len(fleet.workers.starts), 4)
                 self.assertEqual(self.count_running(fleet), 4)
 
+    # Guards against tasks that run again although their worker, which has no entry in
+    # the store, lists to a new leader that they are done.
+    def test_successor_reads_the_ends_of_a_worker_without_an_entry(self):
+        for run_s in (0.5, 1.0, 2.5, 4.0):
+            with self.subTest(run_s=run_s):
+                fleet = self.start_fleet(workers=2, run_s=run_s)
+                fleet.submit(0, job(JOB, tasks=4, worker_tasks_max=2))
+                fleet.run_for(0.1)
+                fleet.records.remove(f"servers/{fleet.workers.starts[0][1]}")
+                fleet.kill(fleet.leader())
+                fleet.run_for(16.0)
+                self.assertEqual(len(fleet.workers.starts), 4)
+                phase = fleet.read_phase(fleet.leader(), JOB)
+                self.assertEqual(phase, JobPhase.COMPLETED)
+
     def stored_workers(self, fleet):
         record = fleet.records.records[WORKER_MEMBERSHIP_KEY]
         return set(decode_worker_membership(record.value).workers)
