A successor applies the ends that a worker without an entry lists

Cause: such a worker was polled until it listed nothing at all, which it does only once its ends have been acknowledged, and no link acknowledges them.

Change: once it lists nothing as running, and all its ends, these are applied and the worker is gone, without waiting for its leases. The ends are stored with the jobs' progress; a worker that gets its entry back lists them again, which changes nothing.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -445,6 +445,22 @@
             self.start_records.has_ended_workers = True
         self._record_unobserved_crash(worker_id, result.started_at_ms)
 
+    def apply_former_ends(self, worker_id: str, result: PollResult) -> None:
+        """Apply the ends of a former leader's runs on a worker that gets no link.
+
+        The worker keeps them, and may list them again once it has an entry.
+        """
+        now_s = self._clock.seconds()
+        for end in result.ended:
+            outcome = self._registry.end_run(end)
+            self._metrics.run_ends.labels(end.outcome).inc()
+            self._log.add_ended(end.run, worker_id, end.outcome, 0.0)
+            if outcome.task is not None and end.outcome in PROVEN_OUTCOMES:
+                self._clear(outcome.task)
+            if outcome.job_ended:
+                self._log_job_ended(outcome.task.step.job, now_s)
+            self.stop_all(outcome.obsolete)
+
     def record_former_end(self, worker_id: str, has_crashed: bool) -> None:
         """Record that a worker is gone on which a former leader may have run tasks."""
         self.start_records.has_ended_workers = True
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -21,7 +21,11 @@
     WorkerEntry,
 )
 from dogwoodlever._logs import log_event
-from dogwoodlever._run_evidence import WorkerEvidence, lease_bound_s
+from dogwoodlever._run_evidence import (
+    ENDS_LISTED_MAX,
+    WorkerEvidence,
+    lease_bound_s,
+)
 from dogwoodlever._run_log import format_run_id
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
@@ -231,8 +235,8 @@
         """Find out which unpolled workers without an entry have ended.
 
         Work need not wait for the leases of a worker if another process answers at
-        its address, or if it has nothing to report. A refused connection proves
-        nothing: a partition may reject connections to a worker that runs on.
+        its address, or if it lists all ends and nothing runs. A refused connection
+        proves nothing: a partition may reject connections to a worker that runs on.
         """
         for worker_id in sorted(self.unpolled_workers - set(self.capacities)):
             self._probe(self._membership.entry_of(worker_id))
@@ -245,7 +249,7 @@
                 result = yield self._worker_client.poll(
                     entry, self._probe_token(worker_id), 0, 0, 0
                 )
-                if not result.running and not result.ended:
+                if not result.running and len(result.ended) < ENDS_LISTED_MAX:
                     self._on_probed_ended(worker_id, result)
                     return
             except WrongIncarnationError:
@@ -265,7 +269,7 @@
         worker_id : str
             The worker.
         result : PollResult or None
-            Its empty answer; None if another worker answers at its address.
+            Its answer, with all ends; None if another worker answers at its address.
         """
         if self._is_closed or worker_id in self.capacities:
             return
@@ -273,6 +277,8 @@
             self.runs.record_former_end(worker_id, has_crashed=True)
         else:
             self.runs.apply_first_poll(worker_id, result)
+            self.runs.apply_former_ends(worker_id, result)
+            self._on_ended()
         log_event("worker.gone", worker=worker_id)
         self._remove_worker(worker_id)
         self._on_change()
