Failing test: a leader that reads the removal of its former record late steps down

Cause: `Election.apply_record` applies each record that the watch delivers. A leader whose lease was ended learns of it from its next renewal and writes a new record. If the watch is later than that, it delivers the removal of the former record, the leader campaigns once more, is refused by its own record, and steps down. Its new lease has to expire before anybody can lead.

--- a/tests/test_stale_leaders.py
+++ b/tests/test_stale_leaders.py
@@ -125,6 +125,25 @@
                     self.assertEqual(leader.term, 2)
                     self.assertNotEqual(fleet.leader(), late)
 
+    # Guards against a leader that steps down as it reads the removal of a former record
+    # of its own after it has written a new one.
+    def test_late_removal_of_a_former_record_changes_nothing(self):
+        for delay_s in (0.0, 0.4, 0.5, 0.6, 0.8, 1.0, 1.5):
+            with self.subTest(delay_s=delay_s):
+                fleet = self.start_fleet(workers=1)
+                number = fleet.leader()
+                leader = fleet.nodes[number].leader
+                self.delay_watch(fleet, number, delay_s)
+                fleet.run_for(3.0)
+                for other in {0, 1, 2} - {number}:
+                    fleet.stores[other].silent_prefixes.add(LEADER_KEY)
+                fleet.records.end_lease(fleet.records.lease_of(LEADER_KEY))
+                fleet.run_for(1.0)
+                fencing_token = leader.fencing_token
+                fleet.run_for(4.0)
+                self.assertIs(fleet.nodes[number].leader, leader)
+                self.assertEqual(leader.fencing_token, fencing_token)
+
 
 class UnpolledWorkersTest(StandingWorkTest):
     """Workers that a new leader does not reach before it is cut off itself."""
