--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -164,8 +164,10 @@
                 log_event("leader.resign-failed", why=str(error)[:160])
 
     def apply_record(self, record: Record) -> None:
-        """Apply a change of the leader's record."""
-        self._leader_revision = record.revision if record.value is not None else 0
+        """Apply a change of the leader's record, unless a newer one is known."""
+        if record.revision < self._leader_revision:
+            return
+        self._leader_revision = record.revision
         if record.value is None:
             self._removed_revision = record.revision
         self.leader = None if record.value is None else decode_leader(record.value)
