Failing test: a cut-off leader drops a start that its successor has adopted

Cause: `expire_ended_incarnations` takes a start without an answer for void 12.5 s after its last copy, whether or not this daemon still leads. If the next incarnation has carried it out meanwhile, a successor may have adopted the run.

Test: the start reaches the next incarnation, whose entry the leader does not see before it is cut off from the store, the daemons and the worker, 1 to 9 s later. Entries are usually seen within 2 s, so this takes a store that is silent to the leader for 4 s or more first.

--- a/tests/test_stale_leaders.py
+++ b/tests/test_stale_leaders.py
@@ -7,6 +7,7 @@
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_records import LEADER_KEY
+from dogwoodlever._run_evidence import LATE_ORDER_MAX_S
 from dogwoodlever.platform_errors import StoreRefusedError
 from standins.fleet import server_record
 from tests.fleet_simulation import JOB, StandingWorkTest, job
@@ -189,6 +190,33 @@
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 1)
 
+    # Guards against a task that a leader without contact with the store starts anew as
+    # its order has expired, although the next incarnation of the worker has carried the
+    # order out and a successor has adopted the run.
+    def test_cut_off_leader_drops_no_start_that_its_successor_has_adopted(self):
+        for cut_after_s in (1.0, 4.0, 6.0, 8.0, 9.0):
+            with self.subTest(cut_after_s=cut_after_s):
+                fleet = self.start_fleet(workers=2)
+                fleet.workers.delays_start_to_next_incarnation = True
+                fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=0.3)
+                assigned = next(iter(fleet.workers._for_next_incarnation))
+                (other,) = set(fleet.workers.workers) - {assigned}
+                former = fleet.leader()
+                fleet.workers.crash(assigned)
+                fleet.run_for(0.5)
+                entry = replace(fleet.workers.workers[assigned].entry, started_at_ms=2)
+                fleet.workers.add(entry, 0.0)
+                fleet.run_for(cut_after_s)
+                fleet.nodes[former].mesh.is_down = True
+                fleet.stores[former].is_down = True
+                for number, client in enumerate(fleet.worker_clients):
+                    client.unreachable = {assigned if number == former else other}
+                self.elect_another(fleet, {former})
+                fleet.records.write(f"servers/{assigned}", server_record(entry))
+                fleet.run_for(LATE_ORDER_MAX_S + 5.0)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+                self.assertEqual(self.count_running(fleet), 1)
+
 
 class PausedLeaderTest(StandingWorkTest):
     """A leader that is paused, while its calls are carried out and answered."""
