A start without an answer counts until a contact with the store after its expiry

Cause: the 12.5 s after which no copy of a start is carried out were measured by the clock alone. A leader that was cut off meanwhile may have a successor, which has adopted the run.

Change: such a run is dropped, and what calls to the worker may still do is forgotten, when a contact with the store that was sent after the expiry shows no successor. It is requested at the expiry, so the restart comes one call later.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -179,6 +179,7 @@
             get_contact_s,
             get_leases_end_s,
             self._may_start,
+            confirm_soon,
         )
         self._progress_writer = ProgressWriter(
             store,
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -99,6 +99,8 @@
         Returns the time beyond which no lease may be granted.
     may_start : callable
         Returns whether starts may be sent now.
+    confirm_soon : callable
+        Requests a contact with the store, to learn whether there is a successor.
 
     Attributes
     ----------
@@ -132,6 +134,7 @@
         get_contact_s: Callable[[], float],
         get_leases_end_s: Callable[[], float],
         may_start: Callable[[], bool],
+        confirm_soon: Callable[[], None],
     ) -> None:
         self._worker_client = worker_client
         self._clock = clock
@@ -172,6 +175,7 @@
         )
         self._get_leases_end_s = get_leases_end_s
         self._may_start = may_start
+        self._confirm_soon = confirm_soon
         # When the leases from a former leader have expired at every worker, whose
         # clocks may be slow for the length of one lease.
         self._former_leases_expire_s = (
@@ -488,20 +492,27 @@
         self._remove_worker(worker_id)
 
     def expire_ended_incarnations(self) -> None:
-        """Drop the runs of ended incarnations of which no start is in flight."""
+        """Drop the runs of ended incarnations of which no start is in flight.
+
+        If another daemon may have led by then, it may have adopted runs that such
+        starts began.
+        """
         now_s = self._clock.seconds()
+        contact_s = self._get_contact_s()
         if self._usage.expire_holds(now_s):
             self._on_change()
         for worker_id, ended in list(self._ended_incarnations.items()):
             capacity, evidence = ended
-            expired = evidence.expired_starts(capacity.runs, now_s)
+            expired = evidence.expired_starts(capacity.runs, contact_s)
+            if len(expired) < len(evidence.expired_starts(capacity.runs, now_s)):
+                self._confirm_soon()
             for run_id, cause in expired.items():
                 self.runs.drop_lost(capacity, capacity.runs[run_id][0], cause)
             if expired:
                 self._on_change()
                 if not capacity.runs:
                     self._remove_worker(worker_id)
-            if evidence.is_spent(now_s):
+            if evidence.is_spent(contact_s):
                 del self._ended_incarnations[worker_id]
 
     def _is_schedulable(self, capacity: WorkerCapacity) -> bool:
--- a/tests/exploration_model.py
+++ b/tests/exploration_model.py
@@ -204,6 +204,7 @@
             self._last_contact_s,
             lambda: self._last_contact_s() + WORKER_LEASES_MAX_S,
             lambda: True,
+            lambda: None,
         )
         queue = Queue("quotes", "", "", "desk", attempts_max=3)
         steps = (Step(1, TASK_CORES_MILLI, 100, 0, 1000),)
