Reject worker entries whose numbers cannot be used

An entry with a capacity beyond the range of floats was accepted. Each planning round then failed with OverflowError at that worker, so that nothing was started on any worker, under any leader, until the entry was removed. A start time beyond 64 bits fails later, where it is stored with a job's progress, and negative amounts count as capacity.

Amounts and the start time are now 0 to 2**63 - 1, and the two durations at most that, where the entry is decoded; the worker is then treated as one without an entry.

Before: 8 of 12 rows of test_odd_number_leaves_the_other_workers_their_work fail, 2 of them with no start at all. After: all rows pass.

--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -15,7 +15,12 @@
 )
 from dogwoodlever.platform_errors import PlatformError
 
-_Amount = Annotated[int, msgspec.Meta(ge=0)]
+# The largest number that every use of it accepts: stored records hold 64 bits, and the
+# arithmetic of placement is partly on floats.
+INT64_MAX = 2**63 - 1
+
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=INT64_MAX)]
+_Int64 = Annotated[int, msgspec.Meta(ge=-INT64_MAX, le=INT64_MAX)]
 
 READY = "ready"
 DRAINING = "draining"
@@ -48,9 +53,9 @@
 
 class _Capacity(msgspec.Struct, frozen=True):
     # Thousandths of a core.
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: _Amount
+    mem_mb: _Amount
+    gpu: _Amount = 0
 
 
 class _Cap(msgspec.Struct, frozen=True):
@@ -83,10 +88,10 @@
     # The worker's kind, then its rack.
     labels: tuple[str, ...] = ()
     # Unix milliseconds of the start of this incarnation.
-    born: int = 0
-    cold_remaining_ms: int = 0
+    born: _Amount = 0
+    cold_remaining_ms: _Int64 = 0
     # Minimum time until the worker leaves, while it drains.
-    remaining_ms: int = 0
+    remaining_ms: _Int64 = 0
 
 
 def decode_configuration(value: bytes, revision: int = 0) -> FleetConfiguration:
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,98 @@
+"""A record that cannot be used costs nothing but what it describes."""
+
+import unittest
+
+import msgspec
+
+from dogwoodlever._fleet_job import JobPhase
+from dogwoodlever.platform import decode_worker
+from dogwoodlever.platform_errors import PlatformError
+from standins.fleet import server_record
+from tests.fleet_simulation import FleetSimulation, job
+
+JOB = "a" * 16
+DRAINING = "draining"
+
+
+def entry_document(entry, state="ready", **changed):
+    """Return the record of a worker with some fields replaced."""
+    document = msgspec.json.decode(server_record(entry, state))
+    return msgspec.json.encode(document | changed)
+
+
+def number(digits):
+    """Return a number that the encoder of msgspec refuses."""
+    return msgspec.Raw(str(digits).encode())
+
+
+def capacity(**amounts):
+    return {"capacity": {"cpu": 8000, "mem_mb": 64_000, "gpu": 0} | amounts}
+
+
+# Fields of a worker's entry, by where their values are used later.
+ODD_NUMBERS = [
+    ("cores beyond the range of floats", capacity(cpu=number(10**400))),
+    ("cores beyond 64 bits", capacity(cpu=number(2**64))),
+    ("cores below 0", capacity(cpu=-1)),
+    ("memory beyond the range of floats", capacity(mem_mb=number(10**400))),
+    ("memory below 0", capacity(mem_mb=-1)),
+    ("accelerators beyond the range of floats", capacity(gpu=number(10**400))),
+    ("accelerators below 0", capacity(gpu=-1)),
+    ("start beyond 64 bits", {"born": number(2**64)}),
+    ("start beyond the range of floats", {"born": number(10**400)}),
+    ("start below 0", {"born": -1}),
+    ("warm-up beyond the range of floats", {"cold_remaining_ms": number(10**400)}),
+    ("drain time beyond the range of floats", {"remaining_ms": number(10**400)}),
+]
+
+
+class WorkerEntryTest(unittest.TestCase):
+    ENTRY = FleetSimulation(daemons=0, workers=1).workers.workers["w0"].entry
+
+    # An odd number was read, and failed where the leader calculated with it.
+    def test_odd_number_is_malformed(self):
+        for name, changed in ODD_NUMBERS:
+            field = next(iter(changed))
+            with self.subTest(name), self.assertRaisesRegex(PlatformError, field):
+                decode_worker("w0", entry_document(self.ENTRY, **changed))
+
+    def test_largest_numbers_are_read(self):
+        large = capacity(cpu=2**63 - 1, mem_mb=2**63 - 1, gpu=2**63 - 1)
+        value = entry_document(self.ENTRY, born=2**63 - 1, **large)
+        self.assertEqual(decode_worker("w0", value).cores_milli, 2**63 - 1)
+
+
+class OddEntryTest(unittest.TestCase):
+    """The fleet with one entry that cannot be used among those of good workers."""
+
+    def start_fleet(self, **sizes):
+        fleet = FleetSimulation(**sizes)
+        fleet.run_for(1.0)
+        self.assertIsNotNone(fleet.leader())
+        return fleet
+
+    def assert_work_goes_to(self, fleet, worker_ids, job_id=JOB):
+        """Assert that a job with tasks for all these workers runs on each of them."""
+        before = len(fleet.workers.starts)
+        reader = next(n for n, clock in enumerate(fleet.clocks) if clock.is_alive)
+        tasks = 2 * len(worker_ids)
+        fleet.submit(reader, job(job_id, tasks=tasks, worker_tasks_max=2))
+        fleet.run_for(2.0)
+        starts = fleet.workers.starts[before:]
+        self.assertEqual({worker for _, worker in starts}, set(worker_ids))
+        self.assertEqual(fleet.read_phase(reader, job_id), JobPhase.COMPLETED)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    # One worker's capacity ended each planning round, so that nothing was started.
+    def test_odd_number_leaves_the_other_workers_their_work(self):
+        for name, changed in ODD_NUMBERS:
+            with self.subTest(name):
+                fleet = self.start_fleet(workers=4)
+                entry = fleet.workers.workers["w0"].entry
+                fleet.records.write("servers/w0", entry_document(entry, **changed))
+                fleet.run_for(0.5)
+                self.assert_work_goes_to(fleet, ["w1", "w2", "w3"])
+
+
+if __name__ == "__main__":
+    unittest.main()
