Reject worker entries whose address cannot be connected to

An address was accepted with any text as its host and any number as its port, read by int(): out of range, signed, with spaces, underscores or other digits. The leader then polled it for ever, looked up its host as a name on a thread (the platform has no name look-ups), and stored it with the workers that a successor waits for: nothing can answer there, so each change of leader held the jobs until all leases of the former leader had expired.

The host is now an IPv4 address and the port is 1 to 65535 in decimal digits, where the entry is decoded.

--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -13,6 +13,7 @@
     WorkerEntry,
     Workspace,
 )
+from dogwoodlever.platform._wire_address import parse_address
 from dogwoodlever.platform_errors import PlatformError
 
 # The largest number that every use of it accepts: stored records hold 64 bits, and the
@@ -156,14 +157,14 @@
     """
     try:
         entry = msgspec.json.decode(value, type=_Server)
-        host, _, port = entry.address.rpartition(":")
-        if entry.state not in (READY, DRAINING) or not host:
-            raise ValueError(f"state {entry.state!r} at {entry.address!r}")
+        host, port = parse_address(entry.address)
+        if entry.state not in (READY, DRAINING):
+            raise ValueError(f"state {entry.state[:80]!r}")
         return WorkerEntry(
             worker_id,
             entry.service,
             host,
-            int(port),
+            port,
             entry.zone,
             entry.born,
             entry.state == DRAINING,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,10 +5,14 @@
 import msgspec
 
 from dogwoodlever._fleet_job import JobPhase
+from dogwoodlever._fleet_records import (
+    WORKER_MEMBERSHIP_KEY,
+    decode_worker_membership,
+)
 from dogwoodlever.platform import decode_worker
 from dogwoodlever.platform_errors import PlatformError
 from standins.fleet import server_record
-from tests.fleet_simulation import FleetSimulation, job
+from tests.fleet_simulation import FleetSimulation, job, worker_entry
 
 JOB = "a" * 16
 DRAINING = "draining"
@@ -45,6 +49,39 @@
     ("drain time beyond the range of floats", {"remaining_ms": number(10**400)}),
 ]
 
+# Addresses that no connection can be made to, or only after a look-up of a name.
+ODD_ADDRESSES = [
+    "127.0.0.1:0",
+    "127.0.0.1:-1",
+    "127.0.0.1:65536",
+    "127.0.0.1:70000",
+    "127.0.0.1:1" + "0" * 400,
+    "127.0.0.1:1" + "0" * 5000,
+    "127.0.0.1:+9009",
+    "127.0.0.1: 9009",
+    "127.0.0.1:9009\n",
+    "127.0.0.1:9_009",
+    "127.0.0.1:\u0669\u0660\u0660\u0669",
+    "127.0.0.1:9009.0",
+    "127.0.0.1:",
+    "127.0.0.1",
+    ":9009",
+    "",
+    "desk.example:9009",
+    "localhost:9009",
+    "[::1]:9009",
+    "::1:9009",
+    "127.1:9009",
+    "127.0.0.1:1:9009",
+    "127.0.0.1/x:9009",
+    "127.0.0.1\r\nHost: x:9009",
+    " 127.0.0.1:9009",
+    "127.0.0.1\x00:9009",
+    "\u0661\u0662\u0667.0.0.1:9009",
+    "0177.0.0.1:9009",
+    "a" * 300 + ":9009",
+]
+
 
 class WorkerEntryTest(unittest.TestCase):
     ENTRY = FleetSimulation(daemons=0, workers=1).workers.workers["w0"].entry
@@ -56,6 +93,21 @@
             with self.subTest(name), self.assertRaisesRegex(PlatformError, field):
                 decode_worker("w0", entry_document(self.ENTRY, **changed))
 
+    # A port that is out of range, or a host that is no address, was polled for ever.
+    def test_odd_address_is_malformed(self):
+        for address in ODD_ADDRESSES:
+            with (
+                self.subTest(address[:40]),
+                self.assertRaisesRegex(PlatformError, "address"),
+            ):
+                decode_worker("w0", entry_document(self.ENTRY, address=address))
+
+    def test_any_port_of_the_protocol_is_read(self):
+        for port in (1, 80, 65535):
+            value = entry_document(self.ENTRY, address=f"10.128.0.9:{port}")
+            entry = decode_worker("w0", value)
+            self.assertEqual((entry.host, entry.port), ("10.128.0.9", port))
+
     def test_largest_numbers_are_read(self):
         large = capacity(cpu=2**63 - 1, mem_mb=2**63 - 1, gpu=2**63 - 1)
         value = entry_document(self.ENTRY, born=2**63 - 1, **large)
@@ -93,6 +145,21 @@
                 fleet.run_for(0.5)
                 self.assert_work_goes_to(fleet, ["w1", "w2", "w3"])
 
+    # A successor waited for the leases of an entry at which nothing can answer.
+    def test_odd_address_is_not_kept_for_a_successor(self):
+        for address in ODD_ADDRESSES:
+            with self.subTest(address[:40]):
+                fleet = self.start_fleet(daemons=1)
+                entry = worker_entry(9)
+                value = entry_document(entry, address=address)
+                fleet.records.write("servers/w9", value)
+                fleet.run_for(0.5)
+                leader = fleet.nodes[0].leader
+                self.assertNotIn("w9", leader.workers.capacities)
+                stored = fleet.records.read(WORKER_MEMBERSHIP_KEY).value
+                kept = decode_worker_membership(stored).workers
+                self.assertEqual(sorted(kept), ["w0", "w1", "w2"])
+
 
 if __name__ == "__main__":
     unittest.main()
