Reject worker entries whose id cannot be the value of a header

Calls name their worker in the header Target-Instance. A key such as "servers/ w1" gave the id " w1", and servers strip the spaces around a header's value, so the worker w1 answered for both ids. Its two links have fencing tokens of one leader, the one with the higher token fences the other, and a leader that is fenced resigns. An id with a line break ended the header and added lines of its own to the request.

An id is now visible ASCII, with spaces only inside, where the entry is decoded. The stand-ins treat the header as HTTP does: they strip the value and answer 421 to another id.

--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -1,6 +1,7 @@
 """Decoding of records that operators and workers write to the store."""
 
 import hashlib
+import re
 from typing import Annotated
 
 import msgspec
@@ -23,6 +24,10 @@
 _Amount = Annotated[int, msgspec.Meta(ge=0, le=INT64_MAX)]
 _Int64 = Annotated[int, msgspec.Meta(ge=-INT64_MAX, le=INT64_MAX)]
 
+# Calls name the worker in a header. Servers strip spaces around its value, so that an
+# id with such spaces would name another worker.
+_WORKER_ID_PATTERN = re.compile(r"[!-~](?:[ -~]*[!-~])?")
+
 READY = "ready"
 DRAINING = "draining"
 
@@ -156,6 +161,8 @@
         If it was not written by a worker or is malformed.
     """
     try:
+        if not _WORKER_ID_PATTERN.fullmatch(worker_id):
+            raise ValueError("its id cannot be the value of a header")
         entry = msgspec.json.decode(value, type=_Server)
         host, port = parse_address(entry.address)
         if entry.state not in (READY, DRAINING):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -663,7 +663,8 @@
         action,
         sends_response: bool = True,
     ):
-        worker = self._workers.workers.get(entry.worker_id)
+        # The id is the value of a header, around which spaces do not count.
+        worker = self._workers.workers.get(entry.worker_id.strip())
         if entry.worker_id in self._cut_errors:
             return fail(self._cut_errors[entry.worker_id]("worker is cut off"))
         if entry.worker_id in self._workers.replaced:
--- a/standins/fleet_http.py
+++ b/standins/fleet_http.py
@@ -234,6 +234,9 @@
     def serve(self, request, path: str, document: dict) -> None:
         """Handle one order or poll."""
         worker = self._workers.workers[self._worker_id]
+        if request.getHeader("target-instance") != self._worker_id:
+            self.respond(request, 421)
+            return
         method = path.removeprefix("/-/")
         if method == "run-start" and self.start_delays_s:
             delay_s = self.start_delays_s.pop()
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -82,6 +82,22 @@
     "a" * 300 + ":9009",
 ]
 
+# Ids that no header names, or that name another worker once they are in one.
+ODD_WORKER_IDS = [
+    "",
+    " ",
+    " w0",
+    "w0 ",
+    "w0\t",
+    "w0\x00",
+    "w0\n",
+    "w0\r\nContent-Length: 0",
+    "w0\x7f",
+    "w\u0660",
+    "\u00a0w0",
+    "\ud800",
+]
+
 
 class WorkerEntryTest(unittest.TestCase):
     ENTRY = FleetSimulation(daemons=0, workers=1).workers.workers["w0"].entry
@@ -108,6 +124,19 @@
             entry = decode_worker("w0", value)
             self.assertEqual((entry.host, entry.port), ("10.128.0.9", port))
 
+    # An id ended the header that names it, or named another worker there.
+    def test_odd_id_is_malformed(self):
+        for worker_id in ODD_WORKER_IDS:
+            with (
+                self.subTest(repr(worker_id)),
+                self.assertRaisesRegex(PlatformError, "id"),
+            ):
+                decode_worker(worker_id, entry_document(self.ENTRY))
+        for worker_id in ("w0", "a/b", "i-1:2", "w 0", "w" * 192):
+            with self.subTest(worker_id):
+                entry = decode_worker(worker_id, entry_document(self.ENTRY))
+                self.assertEqual(entry.worker_id, worker_id)
+
     def test_largest_numbers_are_read(self):
         large = capacity(cpu=2**63 - 1, mem_mb=2**63 - 1, gpu=2**63 - 1)
         value = entry_document(self.ENTRY, born=2**63 - 1, **large)
@@ -160,6 +189,18 @@
                 kept = decode_worker_membership(stored).workers
                 self.assertEqual(sorted(kept), ["w0", "w1", "w2"])
 
+    # The two links to one worker fenced each other, so that no leader led for long.
+    def test_id_that_names_another_worker_gets_no_link(self):
+        for worker_id in (" w0", "w0 ", "w0\t"):
+            with self.subTest(repr(worker_id)):
+                fleet = self.start_fleet()
+                elected = fleet.nodes[fleet.leader()].leader
+                entry = fleet.workers.workers["w0"].entry
+                fleet.records.write(f"servers/{worker_id}", server_record(entry))
+                fleet.run_for(1.0)
+                self.assert_work_goes_to(fleet, ["w0", "w1", "w2"])
+                self.assertIs(fleet.nodes[fleet.leader()].leader, elected)
+
 
 if __name__ == "__main__":
     unittest.main()
