Treat documents that are nested too deeply as malformed

The decoders raised RecursionError, which is no ValueError, so it passed the layer that decodes and ended what was waiting for the document: the watch of a prefix and the polls of a worker for good, the requests for a step's tickets, the reading of the settings. A worker whose entry became unreadable in this way kept its former entry in force, and got starts by it. After such a version of the configuration, writes that depend on the newest record failed until a usable version came.

All documents of the platform are decoded by one function, which reports this as malformed like any other fault. Layers above see the error of the layer that decodes.

--- a/dogwoodlever/platform/_http_advice.py
+++ b/dogwoodlever/platform/_http_advice.py
@@ -6,6 +6,7 @@
 from dogwoodlever._fleet_interfaces import AdviceService
 from dogwoodlever._fleet_types import StepId
 from dogwoodlever._http_client import HttpClient
+from dogwoodlever.platform._wire_json import decode_json
 from dogwoodlever.platform_errors import AdviceError
 
 # The service handles the calls of a VM one at a time; the configuration states how
@@ -40,6 +41,6 @@
         if status != 200:
             raise AdviceError(f"advice on {name}: status {status}")
         try:
-            return dict(msgspec.json.decode(content, type=_Advice).good)
+            return dict(decode_json(content, _Advice).good)
         except ValueError as error:
             raise AdviceError(f"advice on {name}: {error}") from error
--- a/dogwoodlever/platform/_http_store.py
+++ b/dogwoodlever/platform/_http_store.py
@@ -14,6 +14,7 @@
     Record,
 )
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
+from dogwoodlever.platform._wire_json import decode_json
 from dogwoodlever.platform_errors import (
     HistoryGoneError,
     LeaseEndedError,
@@ -199,6 +200,6 @@
     if status != 200:
         raise PlatformError(f"store: status {status}: {content[:200]!r}")
     try:
-        return msgspec.json.decode(content, type=response_type)
+        return decode_json(content, response_type)
     except ValueError as error:
         raise PlatformError(f"store: {error}") from error
--- a/dogwoodlever/platform/_http_workers.py
+++ b/dogwoodlever/platform/_http_workers.py
@@ -15,6 +15,7 @@
     WorkerEntry,
 )
 from dogwoodlever._http_client import HttpClient
+from dogwoodlever.platform._wire_json import decode_json
 from dogwoodlever.platform_errors import (
     ConnectionRefusedByWorkerError,
     OrderRefusedError,
@@ -124,7 +125,7 @@
             document["ticket"] = order.ticket
         content = yield self._send_order(worker, "/-/run-start", document)
         try:
-            return msgspec.json.decode(content, type=_OrderResponse).clock_ms
+            return decode_json(content, _OrderResponse).clock_ms
         except ValueError as error:
             # Whether the run was started is unknown, as without a response.
             raise WorkerUnreachableError(
@@ -182,14 +183,14 @@
     if status != 409:
         return RefusalReason.UNHEALTHY
     try:
-        response = msgspec.json.decode(content, type=_OrderResponse)
+        response = decode_json(content, _OrderResponse)
     except ValueError:
         return RefusalReason.UNHEALTHY
     return _REASONS.get(response.reason, RefusalReason.UNHEALTHY)
 
 
 def _decode_poll(content: bytes) -> PollResult:
-    response = msgspec.json.decode(content, type=_PollResponse)
+    response = decode_json(content, _PollResponse)
     running = tuple(
         RunningRun(
             RunId(decode_task(row[0]), row[1]),
--- a/dogwoodlever/platform/_node_file.py
+++ b/dogwoodlever/platform/_node_file.py
@@ -121,8 +121,9 @@
             tomllib.loads(path.read_text()), _NodeDocument, strict=False
         )
         return Success(_to_node_file(document))
-    except (OSError, ValueError) as error:
-        # msgspec's and tomllib's errors are ValueErrors that name the key.
+    except (OSError, ValueError, RecursionError) as error:
+        # msgspec's and tomllib's errors are ValueErrors that name the key, except for
+        # values that are nested too deeply.
         return Failure(SettingsError([Fault(str(path), str(error))]))
 
 
--- a/dogwoodlever/platform/_wire_job.py
+++ b/dogwoodlever/platform/_wire_job.py
@@ -4,6 +4,7 @@
 
 from dogwoodlever._fleet_types import Step, SubmittedJob
 from dogwoodlever.fleet_errors import SubmissionError
+from dogwoodlever.platform._wire_json import decode_json
 
 PAYLOAD_BYTES_MAX = 4_000
 STEPS_MAX = 1_000
@@ -56,7 +57,7 @@
         If it is malformed; the message names the field.
     """
     try:
-        job = msgspec.json.decode(body, type=_Job)
+        job = decode_json(body, _Job)
     except ValueError as error:
         raise SubmissionError(f"job {job_id}: {error}") from error
     if len(job.spec.encode()) > PAYLOAD_BYTES_MAX:
--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -15,6 +15,7 @@
     Workspace,
 )
 from dogwoodlever.platform._wire_address import parse_address
+from dogwoodlever.platform._wire_json import decode_json
 from dogwoodlever.platform_errors import PlatformError
 
 # The largest number that every use of it accepts: stored records hold 64 bits, and the
@@ -109,7 +110,7 @@
         If it is malformed; the message names the field.
     """
     try:
-        document = msgspec.json.decode(value, type=_Configuration)
+        document = decode_json(value, _Configuration)
     except ValueError as error:
         raise PlatformError(f"configuration: {error}") from error
     queues = {
@@ -163,7 +164,7 @@
     try:
         if not _WORKER_ID_PATTERN.fullmatch(worker_id):
             raise ValueError("its id cannot be the value of a header")
-        entry = msgspec.json.decode(value, type=_Server)
+        entry = decode_json(value, _Server)
         host, port = parse_address(entry.address)
         if entry.state not in (READY, DRAINING):
             raise ValueError(f"state {entry.state[:80]!r}")
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,18 +1,47 @@
 """A record that cannot be used costs nothing but what it describes."""
 
 import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import msgspec
+import returns.result
+from twisted.internet.defer import succeed
+from twisted.python.failure import Failure
 
+from dogwoodlever._fleet_desired_state import DesiredState
+from dogwoodlever._fleet_interfaces import Record
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_records import (
     WORKER_MEMBERSHIP_KEY,
     decode_worker_membership,
 )
-from dogwoodlever.platform import decode_worker
-from dogwoodlever.platform_errors import PlatformError
+from dogwoodlever._fleet_types import RunId, StartOrder, StepId, TaskId
+from dogwoodlever.fleet_errors import SubmissionError
+from dogwoodlever.platform import (
+    CONFIGURATION_KEY,
+    HttpAdviceService,
+    HttpFleetStore,
+    HttpFleetWorkerClient,
+    decode_configuration,
+    decode_worker,
+    read_node_file,
+)
+from dogwoodlever.platform._wire_job import decode_job
+from dogwoodlever.platform_errors import (
+    AdviceError,
+    OrderRefusedError,
+    PlatformError,
+    WorkerUnreachableError,
+)
 from standins.fleet import server_record
-from tests.fleet_simulation import FleetSimulation, job, worker_entry
+from tests.fleet_simulation import (
+    CONFIGURATION,
+    QUEUE,
+    FleetSimulation,
+    job,
+    worker_entry,
+)
 
 JOB = "a" * 16
 DRAINING = "draining"
@@ -98,6 +127,122 @@
     "\ud800",
 ]
 
+# Arrays and objects in a field that is ignored; the parser is recursive.
+NESTED = [
+    ("arrays", b"[" * 5_000 + b"]" * 5_000),
+    ("objects", b'{"a":' * 5_000 + b"1" + b"}" * 5_000),
+    ("arrays that are not closed", b"[" * 500_000),
+]
+
+
+def nest(document, nested):
+    """Add a nested field to an encoded object."""
+    return (
+        document[:-1] + (b"," if len(document) > 2 else b"") + b'"x":' + nested + b"}"
+    )
+
+
+class FakeHttpClient:
+    """Responds to each call with one status and body."""
+
+    def __init__(self, status, content):
+        self.response = status, content
+
+    def fetch(self, method, url, body=b"", timeout_s=0.0, headers=()):
+        return succeed(self.response)
+
+
+def result(deferred):
+    """Return the result of a Deferred that has fired; raise its error."""
+    results = []
+    deferred.addBoth(results.append)
+    if isinstance(results[0], Failure):
+        results[0].raiseException()
+    return results[0]
+
+
+class NestedDocumentTest(unittest.TestCase):
+    """The layer that decodes a document reports the error of that layer."""
+
+    WORKER = worker_entry(0)
+    RUN = RunId(TaskId(JOB, 0, 0, 0), 1)
+    # Status of the response, call and expected error.
+    CALLS = [
+        ("read", 200, lambda c: HttpFleetStore(c, "").read("k"), PlatformError),
+        ("list", 200, lambda c: HttpFleetStore(c, "").list("k"), PlatformError),
+        ("watch", 200, lambda c: HttpFleetStore(c, "").watch("k", 1, 0), PlatformError),
+        ("commit", 200, lambda c: HttpFleetStore(c, "").commit({}, ()), PlatformError),
+        ("refusal", 412, lambda c: HttpFleetStore(c, "").commit({}, ()), PlatformError),
+        ("lease", 200, lambda c: HttpFleetStore(c, "").open_lease(1), PlatformError),
+        (
+            "start",
+            200,
+            lambda c: HttpFleetWorkerClient(c).start(
+                NestedDocumentTest.WORKER, StartOrder(NestedDocumentTest.RUN, ""), 1, 1
+            ),
+            WorkerUnreachableError,
+        ),
+        (
+            "stop",
+            409,
+            lambda c: HttpFleetWorkerClient(c).stop(
+                NestedDocumentTest.WORKER, NestedDocumentTest.RUN, 1
+            ),
+            OrderRefusedError,
+        ),
+        (
+            "poll",
+            200,
+            lambda c: HttpFleetWorkerClient(c).poll(
+                NestedDocumentTest.WORKER, 1, 0, 0, 0
+            ),
+            PlatformError,
+        ),
+        (
+            "advice",
+            200,
+            lambda c: HttpAdviceService(c, "").advise(StepId(JOB, 0, 0), ["w0"]),
+            AdviceError,
+        ),
+    ]
+
+    # RecursionError passed all layers: polls, watches and requests for advice ended.
+    def test_response(self):
+        for name, status, call, expected in self.CALLS:
+            for kind, nested in NESTED:
+                with self.subTest(name, kind=kind), self.assertRaises(expected):
+                    result(call(FakeHttpClient(status, nest(b"{}", nested))))
+
+    def test_record_and_submission(self):
+        entry = entry_document(self.WORKER)
+        configuration = msgspec.json.encode(CONFIGURATION)
+        for kind, nested in NESTED:
+            with self.subTest("entry", kind=kind), self.assertRaises(PlatformError):
+                decode_worker("w0", nest(entry, nested))
+            with self.subTest("version", kind=kind), self.assertRaises(PlatformError):
+                decode_configuration(nest(configuration, nested))
+            with self.subTest("job", kind=kind), self.assertRaises(SubmissionError):
+                decode_job(JOB, QUEUE, 1, nest(b'{"spec":"","steps":[{}]}', nested))
+
+    def test_settings_file(self):
+        for kind, opening, closing in (("arrays", "[", "]"), ("tables", "{a=", "}")):
+            with self.subTest(kind), TemporaryDirectory() as folder:
+                path = Path(folder, "node.toml")
+                path.write_text(f"x = {opening * 5_000}1{closing * 5_000}")
+                self.assertIsInstance(read_node_file(path), returns.result.Failure)
+
+    # Writes that depend on the newest record failed until a usable version came.
+    def test_configuration_that_is_in_force_stays(self):
+        state = DesiredState(lambda: None)
+        configuration = msgspec.json.encode(CONFIGURATION)
+        state.apply_record(Record(CONFIGURATION_KEY, configuration, 5))
+        for revision, (kind, nested) in enumerate(NESTED, 6):
+            with self.subTest(kind):
+                value = nest(configuration, nested)
+                state.apply_record(Record(CONFIGURATION_KEY, value, revision))
+                self.assertEqual(state.configuration.version, 1)
+                self.assertEqual(state.configuration.revision, revision)
+
 
 class WorkerEntryTest(unittest.TestCase):
     ENTRY = FleetSimulation(daemons=0, workers=1).workers.workers["w0"].entry
@@ -201,6 +346,17 @@
                 self.assert_work_goes_to(fleet, ["w0", "w1", "w2"])
                 self.assertIs(fleet.nodes[fleet.leader()].leader, elected)
 
+    # The former entry stayed in force, so that starts went on by it.
+    def test_nested_entry_names_no_worker(self):
+        for kind, nested in NESTED:
+            with self.subTest(kind):
+                fleet = self.start_fleet()
+                entry = entry_document(fleet.workers.workers["w0"].entry)
+                fleet.records.write("servers/w0", nest(entry, nested))
+                fleet.records.write("servers/w9", nested)
+                fleet.run_for(0.5)
+                self.assert_work_goes_to(fleet, ["w1", "w2"])
+
 
 if __name__ == "__main__":
     unittest.main()
