Check the numbers and names in what workers answer

Rows of a poll were read untyped, and names of tasks by int(), which takes signs, spaces, underscores and other digits. A clock beyond the range of floats ended the polls of its worker for good, so that its runs counted for ever and were started nowhere else. A start time that cannot be one stood for another incarnation, whose runs start elsewhere while they go on. A checkpoint that is no text was stored, and its job's record was unreadable to a successor. A task "-1" was taken for the last of its step.

The rows have types, numbers are 0 to 2**63 - 1 and the numbers of a task are ASCII digits; an answer with another one counts as no usable answer, so that the leases of its worker expire. Progress and load are rough figures and are brought within their bounds instead.

--- a/dogwoodlever/platform/_http_workers.py
+++ b/dogwoodlever/platform/_http_workers.py
@@ -1,5 +1,7 @@
 """HTTP client of the workers."""
 
+from typing import Annotated
+
 import msgspec
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.error import ConnectionRefusedError
@@ -15,7 +17,7 @@
     WorkerEntry,
 )
 from dogwoodlever._http_client import HttpClient
-from dogwoodlever.platform._wire_json import decode_json
+from dogwoodlever.platform._wire_json import INT64_MAX, Amount, decode_json
 from dogwoodlever.platform_errors import (
     ConnectionRefusedByWorkerError,
     OrderRefusedError,
@@ -42,19 +44,38 @@
 }
 
 
+# Rough figures, which are kept within the protocol's bounds rather than rejected.
+_Figure = Annotated[float, msgspec.Meta(ge=-INT64_MAX, le=INT64_MAX)]
+
+
 class _OrderResponse(msgspec.Struct):
-    clock_ms: int = 0
+    clock_ms: Amount = 0
     reason: str = ""
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: Amount
+    checkpoint: str
+    percent: _Figure
+    # Over the last half second.
+    load: _Figure = 0
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    number: Amount
+    task: str
+    run: Amount
+    outcome: str
+    checkpoint: str
+
+
 class _PollResponse(msgspec.Struct):
-    clock_ms: int
-    # Rows: task, run, checkpoint, percent, load over the last half second.
-    running: list[list[str | int | float]] = []
-    # Rows: number, task, run, outcome, checkpoint.
-    ended: list[list[str | int | float]] = []
+    clock_ms: Amount
+    running: list[_RunningRow] = []
+    ended: list[_EndedRow] = []
     # Unix milliseconds of the start of this incarnation.
-    born: int = 0
+    born: Amount = 0
 
 
 def encode_task(task: TaskId) -> str:
@@ -65,6 +86,11 @@
 def decode_task(name: str) -> TaskId:
     """Return the task of a name on the wire; raise `ValueError` if malformed."""
     job_id, occurrence, step, index = name.rsplit(".", 3)
+    # `int` alone accepts signs, spaces, underscores and other digits.
+    if not (
+        name.isascii() and occurrence.isdigit() and step.isdigit() and index.isdigit()
+    ):
+        raise ValueError(f"task {name[:80]!r}: not of the form ID.K.STEP.INDEX")
     return TaskId(job_id, int(occurrence), int(step), int(index))
 
 
@@ -165,7 +191,7 @@
         content = yield self._call(worker, "/-/hold", document, limit_s)
         try:
             return _decode_poll(content)
-        except (ValueError, IndexError, TypeError, AttributeError) as error:
+        except ValueError as error:
             raise PlatformError(f"worker {worker.worker_id}: {error}") from error
 
 
@@ -193,15 +219,20 @@
     response = decode_json(content, _PollResponse)
     running = tuple(
         RunningRun(
-            RunId(decode_task(row[0]), row[1]),
-            row[2],
-            int(row[3]),
-            int(row[4]) if len(row) > 4 else 0,
+            RunId(decode_task(row.task), row.run),
+            row.checkpoint,
+            int(min(max(row.percent, 0), 100)),
+            int(max(row.load, 0)),
         )
         for row in response.running
     )
     ended = tuple(
-        EndedRun(row[0], RunId(decode_task(row[1]), row[2]), row[3], row[4])
+        EndedRun(
+            row.number,
+            RunId(decode_task(row.task), row.run),
+            row.outcome,
+            row.checkpoint,
+        )
         for row in response.ended
     )
     return PollResult(response.clock_ms, response.born, running, ended)
--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -15,16 +15,9 @@
     Workspace,
 )
 from dogwoodlever.platform._wire_address import parse_address
-from dogwoodlever.platform._wire_json import decode_json
+from dogwoodlever.platform._wire_json import Amount, Int64, decode_json
 from dogwoodlever.platform_errors import PlatformError
 
-# The largest number that every use of it accepts: stored records hold 64 bits, and the
-# arithmetic of placement is partly on floats.
-INT64_MAX = 2**63 - 1
-
-_Amount = Annotated[int, msgspec.Meta(ge=0, le=INT64_MAX)]
-_Int64 = Annotated[int, msgspec.Meta(ge=-INT64_MAX, le=INT64_MAX)]
-
 # Calls name the worker in a header. Servers strip spaces around its value, so that an
 # id with such spaces would name another worker.
 _WORKER_ID_PATTERN = re.compile(r"[!-~](?:[ -~]*[!-~])?")
@@ -60,16 +53,16 @@
 
 class _Capacity(msgspec.Struct, frozen=True):
     # Thousandths of a core.
-    cpu: _Amount
-    mem_mb: _Amount
-    gpu: _Amount = 0
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount = 0
 
 
 class _Cap(msgspec.Struct, frozen=True):
     # Thousandths of a core; 0 for no limit, as below.
-    cpu: _Amount = 0
-    mem_mb: _Amount = 0
-    gpu: _Amount = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
 
 class _Tenant(msgspec.Struct, frozen=True):
@@ -95,10 +88,10 @@
     # The worker's kind, then its rack.
     labels: tuple[str, ...] = ()
     # Unix milliseconds of the start of this incarnation.
-    born: _Amount = 0
-    cold_remaining_ms: _Int64 = 0
+    born: Amount = 0
+    cold_remaining_ms: Int64 = 0
     # Minimum time until the worker leaves, while it drains.
-    remaining_ms: _Int64 = 0
+    remaining_ms: Int64 = 0
 
 
 def decode_configuration(value: bytes, revision: int = 0) -> FleetConfiguration:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -288,6 +288,97 @@
         self.assertEqual(decode_worker("w0", value).cores_milli, 2**63 - 1)
 
 
+class WorkerAnswerTest(unittest.TestCase):
+    """An answer of a worker that cannot be used counts as none."""
+
+    WORKER = worker_entry(0)
+    RUNNING = [f"{JOB}.0.1.2", 3, "00ab", 41, 350]
+    ENDED = [7, f"{JOB}.0.1.2", 3, "done", ""]
+    NUMBERS = [
+        ("beyond the range of floats", number(10**400)),
+        ("beyond 64 bits", number(2**64)),
+        ("below 0", -1),
+        ("text", "5"),
+        ("true", True),
+        ("missing", None),
+    ]
+    TASKS = [
+        "",
+        JOB,
+        f"{JOB}.0.1",
+        f"{JOB}.0.1.-1",
+        f"{JOB}.0.1.+2",
+        f"{JOB}.0.1. 2",
+        f"{JOB}.0.1.2\n",
+        f"{JOB}.0.1.0_2",
+        f"{JOB}.0.1.\u0662",
+        f"{JOB}.0.1.2.0x",
+        f"{JOB}.0.1." + "1" * 5_000,
+        5,
+    ]
+
+    def poll(self, running=(), ended=(), **fields):
+        document = {"clock_ms": 5, "running": running, "ended": ended} | fields
+        client = FakeHttpClient(200, msgspec.json.encode(document))
+        worker_client = HttpFleetWorkerClient(client)
+        return result(worker_client.poll(self.WORKER, 1, 0, 0, 0))
+
+    def rows(self):
+        """Yield a name and the parts of an answer, one of which is odd."""
+        for name, value in self.NUMBERS:
+            for field in ("clock_ms", "born"):
+                yield f"{field} {name}", {field: value}
+            for column in (1, 3, 4):
+                if name != "below 0" or column < 3:
+                    row = [*self.RUNNING[:column], value, *self.RUNNING[column + 1 :]]
+                    yield f"running[{column}] {name}", {"running": [row]}
+            for column in (0, 2):
+                row = [*self.ENDED[:column], value, *self.ENDED[column + 1 :]]
+                yield f"ended[{column}] {name}", {"ended": [row]}
+        for task in self.TASKS:
+            yield f"running {task!r:.40}", {"running": [[task, *self.RUNNING[1:]]]}
+            yield f"ended {task!r:.40}", {"ended": [[7, task, *self.ENDED[2:]]]}
+        for value in (5, None, ["a"]):
+            yield f"checkpoint {value!r}", {"running": [[*self.RUNNING[:2], value, 1]]}
+            yield f"outcome {value!r}", {"ended": [[*self.ENDED[:3], value, ""]]}
+            yield (
+                f"checkpoint {value!r} of an end",
+                {"ended": [[*self.ENDED[:4], value]]},
+            )
+        yield "short row of a run", {"running": [self.RUNNING[:3]]}
+        yield "short row of an end", {"ended": [self.ENDED[:4]]}
+        yield "no row of a run", {"running": [5]}
+
+    # An odd clock ended the polls, an odd start time stood for another incarnation,
+    # whose runs started elsewhere, and an odd load failed in later calculations.
+    def test_odd_poll_is_malformed(self):
+        for name, parts in self.rows():
+            with self.subTest(name), self.assertRaises(PlatformError):
+                self.poll(**parts)
+
+    def test_poll(self):
+        polled = self.poll([self.RUNNING, self.RUNNING[:4]], [self.ENDED], born=9)
+        run = RunId(TaskId(JOB, 0, 1, 2), 3)
+        self.assertEqual(polled.started_at_ms, 9)
+        self.assertEqual([row.load for row in polled.running], [350, 0])
+        self.assertEqual({row.run for row in (*polled.running, *polled.ended)}, {run})
+        for figures, expected in (
+            ([41.5, 0.4], (41, 0)),
+            ([101, -1], (100, 0)),
+            ([-1, 2**62], (0, 2**62)),
+        ):
+            listed = self.poll([[*self.RUNNING[:3], *figures]]).running[0]
+            self.assertEqual((listed.percent, listed.load), expected)
+
+    def test_odd_clock_of_a_start_is_no_answer(self):
+        for name, value in self.NUMBERS:
+            content = msgspec.json.encode({"clock_ms": value})
+            worker_client = HttpFleetWorkerClient(FakeHttpClient(200, content))
+            order = StartOrder(RunId(TaskId(JOB, 0, 0, 0), 1), "")
+            with self.subTest(name), self.assertRaises(WorkerUnreachableError):
+                result(worker_client.start(self.WORKER, order, 1, 1))
+
+
 class OddEntryTest(unittest.TestCase):
     """The fleet with one entry that cannot be used among those of good workers."""
 
