Name a worker's unreadable entry once

An entry that cannot be used was logged each time that it was written, about once a second per entry, and so was a worker's loss of its entry while its entry stayed unreadable. Writing logs takes processor time.

The entry is named once until it is removed. It is not named again after a readable one in between, since the worker may write its entry beside another writer.

After: 3 lines in the test, one for each time that an entry became unreadable anew.

--- a/dogwoodlever/_fleet_desired_state.py
+++ b/dogwoodlever/_fleet_desired_state.py
@@ -86,12 +86,25 @@
         self._on_change()
 
 
-def try_decode_worker(worker_id: str, record: Record) -> WorkerEntry | None:
-    """Return the worker of an entry, None if it was removed or is malformed."""
-    if record.value is None:
-        return None
-    try:
-        return decode_worker(worker_id, record.value)
-    except PlatformError as error:
-        log_event("worker.unreadable", worker=worker_id, why=str(error)[:200])
-        return None
+class WorkerEntries:
+    """Reads the workers' entries, and names each that cannot be used once.
+
+    A worker writes its entry about every second, and so may another writer.
+    """
+
+    def __init__(self) -> None:
+        # Ids whose entry was named and has not been removed since.
+        self._named: set[str] = set()
+
+    def decode(self, worker_id: str, record: Record) -> WorkerEntry | None:
+        """Return the worker of an entry, None if it was removed or is malformed."""
+        if record.value is None:
+            self._named.discard(worker_id)
+            return None
+        try:
+            return decode_worker(worker_id, record.value)
+        except PlatformError as error:
+            if worker_id not in self._named:
+                self._named.add(worker_id)
+                log_event("worker.unreadable", worker=worker_id, why=str(error)[:200])
+            return None
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -10,7 +10,7 @@
 from dogwoodlever._crash_attribution import PROBATION_MS, CrashAttribution
 from dogwoodlever._drop_evidence import DropCause, DropEvidence
 from dogwoodlever._fault_attribution import FaultAttribution
-from dogwoodlever._fleet_desired_state import DesiredState, try_decode_worker
+from dogwoodlever._fleet_desired_state import DesiredState, WorkerEntries
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_interfaces import FleetWorkerClient, Record, RefusalReason
 from dogwoodlever._fleet_job import Run, RunPhase, StepState
@@ -151,6 +151,7 @@
         # Runs of starts without an answer, and what else calls for ended incarnations
         # may still do at the next ones, by worker id.
         self._ended_incarnations: dict[str, tuple[WorkerCapacity, WorkerEvidence]] = {}
+        self._entries = WorkerEntries()
         # Entries that name another incarnation than the known one, by worker id.
         self._announced: dict[str, WorkerEntry] = {}
         self.unpolled_workers: set[str] = set()
@@ -288,13 +289,14 @@
     def apply_entry(self, record: Record) -> None:
         """Apply a change of a worker's entry."""
         worker_id = record.key[len(WORKERS_PREFIX) :]
-        entry = try_decode_worker(worker_id, record)
+        entry = self._entries.decode(worker_id, record)
         capacity = self.capacities.get(worker_id)
         if entry is None:
             self._announced.pop(worker_id, None)
             if capacity is not None:
+                if capacity.is_listed:
+                    log_event("worker.unlisted", worker=worker_id)
                 capacity.is_listed = False
-                log_event("worker.unlisted", worker=worker_id)
                 self._remove_if_empty(capacity)
             return
         if capacity is None:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -3,12 +3,14 @@
 import unittest
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from unittest.mock import patch
 
 import msgspec
 import returns.result
 from twisted.internet.defer import succeed
 from twisted.python.failure import Failure
 
+from dogwoodlever import _fleet_desired_state, _fleet_workers
 from dogwoodlever._fleet_desired_state import DesiredState
 from dogwoodlever._fleet_interfaces import Record
 from dogwoodlever._fleet_job import JobPhase
@@ -448,6 +450,34 @@
                 fleet.run_for(0.5)
                 self.assert_work_goes_to(fleet, ["w1", "w2"])
 
+    # Each writing of an entry that stayed unreadable added a line to the log.
+    def test_unreadable_entry_is_named_once(self):
+        fleet = self.start_fleet(daemons=1)
+        fleet.submit(0, job(JOB, tasks=1, standing=True))
+        fleet.run_for(0.5)
+        busy = fleet.workers.starts[0][1]
+        good = server_record(fleet.workers.workers[busy].entry)
+        with (
+            patch.object(_fleet_desired_state, "log_event") as named,
+            patch.object(_fleet_workers, "log_event") as logged,
+        ):
+            for beat in range(5):
+                fleet.records.write("servers/odd", f"[{beat}".encode())
+                fleet.records.write(f"servers/{busy}", f"[{beat}".encode())
+                fleet.run_for(1.0)
+            # Beside an odd writer, the worker writes on.
+            for value in (good, b"[", good, b"["):
+                fleet.records.write(f"servers/{busy}", value)
+                fleet.run_for(1.0)
+            fleet.records.remove("servers/odd")
+            fleet.run_for(1.0)
+            fleet.records.write("servers/odd", b"[")
+            fleet.run_for(1.0)
+        names = [call.kwargs["worker"] for call in named.call_args_list]
+        self.assertEqual(sorted(names), sorted(["odd", "odd", busy]))
+        events = [call.args[0] for call in logged.call_args_list]
+        self.assertEqual(events.count("worker.unlisted"), 3)
+
 
 if __name__ == "__main__":
     unittest.main()
