Leave out store items that cannot be decoded

A page of the store was decoded as a whole. A value that is not base64 raised binascii.Error, which no layer expected, and ended the watch of the prefix for good. A key that is not UTF-8, or any other malformed item, made its page malformed, and the page was requested for ever: the daemon followed no change under that prefix.

A page that cannot be decoded as a whole is decoded item by item. An item without a usable key and revision is left out and named in one log line; a value that is not base64 gives an empty record, which the layer above names like any other that it cannot read. Pages without such items are decoded as before.

--- a/dogwoodlever/platform/_http_store.py
+++ b/dogwoodlever/platform/_http_store.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's store."""
 
+import json
 from base64 import b64decode, b64encode
 from urllib.parse import quote
 
@@ -14,6 +15,7 @@
     Record,
 )
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
+from dogwoodlever._logs import log_event
 from dogwoodlever.platform._wire_json import decode_json
 from dogwoodlever.platform_errors import (
     HistoryGoneError,
@@ -27,6 +29,8 @@
 CALL_TIMEOUT_S = 0.8
 # Added to the time that the store may wait for a change.
 WATCH_MARGIN_S = 0.6
+# Malformed items that are named in the log.
+NAMED_ITEMS_MAX = 100
 
 
 class _Item(msgspec.Struct):
@@ -63,10 +67,26 @@
 
 
 def _to_record(item: _Item) -> Record:
-    value = None if item.tombstone or not item.revision else b64decode(item.value)
+    if item.tombstone or not item.revision:
+        return Record(item.key, None, item.revision)
+    try:
+        value = b64decode(item.value)
+    except ValueError as error:
+        raise PlatformError(f"store: value of {item.key}: {error}") from error
     return Record(item.key, value, item.revision)
 
 
+def _to_records(items: list[_Item]) -> tuple[Record, ...]:
+    """Return the records of a listing; one that cannot be read is empty."""
+    records = []
+    for item in items:
+        try:
+            records.append(_to_record(item))
+        except PlatformError:
+            records.append(Record(item.key, b"", item.revision))
+    return tuple(records)
+
+
 class HttpFleetStore(FleetStore):
     """HTTP client of the platform's store.
 
@@ -82,6 +102,8 @@
         self._client = client
         self._url = f"http://{address}"
         self.calls = 0
+        # Malformed items that have been logged.
+        self._named: set[str] = set()
 
     @inlineCallbacks
     def _call(self, method, path, document=None, timeout_s=CALL_TIMEOUT_S):
@@ -119,14 +141,41 @@
             if after:
                 path += f"&after={quote(after)}"
             status, content = yield self._call(b"GET", path)
-            page = _decode(content, _Page, status)
-            records.extend(_to_record(item) for item in page.items)
+            page = self._decode_page(content, _Page, status)
+            records.extend(_to_records(page.items))
             # Pages are not a snapshot; a watch from the first one misses no change.
             revision = revision or page.current_rev
             if not page.has_more or not page.items:
                 return Listing(tuple(records), revision)
             after = page.items[-1].key
 
+    def _decode_page(self, content: bytes, page_type, status: int):
+        """Decode items that others have written, without those that are malformed."""
+        try:
+            return _decode(content, page_type, status)
+        except PlatformError:
+            if status != 200:
+                raise
+        try:
+            document = json.loads(content.decode(errors="surrogateescape"))
+            for field in {"items", "events"} & set(document):
+                document[field] = list(filter(self._is_usable, document[field]))
+            return msgspec.convert(document, page_type)
+        except (ValueError, TypeError, RecursionError) as error:
+            raise PlatformError(f"store: {error}") from error
+
+    def _is_usable(self, item) -> bool:
+        """Return whether an item can be decoded; if not, name it once."""
+        try:
+            msgspec.convert(item, _Item).key.encode()
+        except ValueError as error:
+            name = ascii(item)[:200]
+            if name not in self._named and len(self._named) < NAMED_ITEMS_MAX:
+                self._named.add(name)
+                log_event("store.item-unreadable", item=name, why=str(error)[:160])
+            return False
+        return True
+
     @inlineCallbacks
     def watch(self, prefix: str, revision: int, wait_ms: int):
         """Wait for changes under `prefix` after `revision`."""
@@ -135,10 +184,8 @@
         status, content = yield self._call(b"GET", path, timeout_s=limit_s)
         if status == 410:
             raise HistoryGoneError(f"no history of {prefix} after {revision}")
-        events = _decode(content, _Events, status)
-        return Listing(
-            tuple(_to_record(item) for item in events.events), events.current_rev
-        )
+        events = self._decode_page(content, _Events, status)
+        return Listing(_to_records(events.events), events.current_rev)
 
     @inlineCallbacks
     def commit(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,6 +8,7 @@
 import msgspec
 import returns.result
 from twisted.internet.defer import succeed
+from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
 from dogwoodlever import _fleet_desired_state, _fleet_workers
@@ -19,12 +20,14 @@
     decode_worker_membership,
 )
 from dogwoodlever._fleet_types import RunId, StartOrder, StepId, TaskId
+from dogwoodlever._fleet_watcher import PrefixWatcher
 from dogwoodlever.fleet_errors import SubmissionError
 from dogwoodlever.platform import (
     CONFIGURATION_KEY,
     HttpAdviceService,
     HttpFleetStore,
     HttpFleetWorkerClient,
+    _http_store,
     decode_configuration,
     decode_worker,
     read_node_file,
@@ -145,13 +148,15 @@
 
 
 class FakeHttpClient:
-    """Responds to each call with one status and body."""
+    """Responds to each call with the next body, and to later ones with the last."""
 
-    def __init__(self, status, content):
-        self.response = status, content
+    def __init__(self, status, *contents):
+        self.responses = [(status, content) for content in contents]
+        self.urls = []
 
     def fetch(self, method, url, body=b"", timeout_s=0.0, headers=()):
-        return succeed(self.response)
+        self.urls.append(url)
+        return succeed(self.responses[min(len(self.urls), len(self.responses)) - 1])
 
 
 def result(deferred):
@@ -290,6 +295,108 @@
         self.assertEqual(decode_worker("w0", value).cores_milli, 2**63 - 1)
 
 
+class StorePageTest(unittest.TestCase):
+    """An item of a page that cannot be decoded is left out, and named once."""
+
+    GOOD = b'{"key":"servers/w1","revision":7,"value":"YQ=="}'
+    RECORD = Record("servers/w1", b"a", 7)
+    # Items, and the records that they give.
+    ITEMS = [
+        (b'{"key":"servers/w0","revision":6,"value":"YQ="}', True),
+        (b'{"key":"servers/w0","revision":6,"value":"a"}', True),
+        (b'{"key":"servers/w0","revision":6,"value":"\xc3\xa9"}', True),
+        (b'{"key":"\xff","revision":6,"value":"YQ=="}', False),
+        (b'{"key":"\\ud800","revision":6,"value":"YQ=="}', False),
+        (b'{"key":"\\udc80","revision":6,"value":"YQ=="}', False),
+        (b'{"key":5,"revision":6,"value":"YQ=="}', False),
+        (b'{"key":"servers/w0","revision":"6","value":"YQ=="}', False),
+        (b'{"key":"servers/w0","revision":6,"value":5}', False),
+        (b'{"key":"servers/w0","value":"YQ=="}', False),
+        (b'{"revision":6}', False),
+        (b'{"key":null,"revision":6}', False),
+        (b"[]", False),
+        (b"5", False),
+        (b"null", False),
+    ]
+    MALFORMED = [b"", b"[]", b"5", b"{", b'{"items":5}', b'{"current_rev":"a"}']
+
+    def pages(self):
+        """Yield pages with an odd item, and the expected records."""
+        for item, is_record in self.ITEMS:
+            odd = (Record("servers/w0", b"", 6),) if is_record else ()
+            for items in ([item, self.GOOD], [self.GOOD, item]):
+                expected = (self.RECORD, *odd)
+                if items[0] is item:
+                    expected = (*odd, self.RECORD)
+                yield item, b",".join(items), expected
+
+    # One item ended the watch of a prefix, or its page was requested for ever.
+    def test_odd_item_costs_nothing_but_itself(self):
+        for item, items, expected in self.pages():
+            for field, call in (
+                (b"items", lambda store: store.list("servers/")),
+                (b"events", lambda store: store.watch("servers/", 1, 0)),
+            ):
+                with self.subTest(item, field=field):
+                    content = b'{"current_rev":9,"%s":[%s]}' % (field, items)
+                    listing = result(
+                        call(HttpFleetStore(FakeHttpClient(200, content), ""))
+                    )
+                    self.assertEqual(listing.records, expected)
+                    self.assertEqual(listing.revision, 9)
+
+    def test_next_page_begins_after_a_usable_key(self):
+        page = b'{"current_rev":9,"has_more":true,"items":[%s,{"key":"\\ud800"}]}'
+        client = FakeHttpClient(200, page % self.GOOD, b'{"current_rev":9,"items":[]}')
+        result(HttpFleetStore(client, "").list("servers/"))
+        self.assertTrue(client.urls[1].endswith("&after=servers/w1"))
+
+    def test_malformed_page_is_an_error_of_the_store(self):
+        for content in self.MALFORMED:
+            store = HttpFleetStore(FakeHttpClient(200, content), "")
+            with self.subTest(content), self.assertRaises(PlatformError):
+                result(store.list("servers/"))
+
+    def test_unreadable_value_of_one_record_is_an_error_of_the_store(self):
+        content = b'{"key":"k","revision":6,"value":"YQ="}'
+        with self.assertRaises(PlatformError):
+            result(HttpFleetStore(FakeHttpClient(200, content), "").read("k"))
+
+    def test_odd_item_is_named_once(self):
+        content = b'{"current_rev":9,"items":[%s,{"key":5}]}' % self.GOOD
+        store = HttpFleetStore(FakeHttpClient(200, content), "")
+        with patch.object(_http_store, "log_event") as logged:
+            for _ in range(3):
+                result(store.list("servers/"))
+        self.assertEqual(logged.call_count, 1)
+        self.assertIn("key", logged.call_args.kwargs["item"])
+
+    def test_watch_goes_on_after_any_page(self):
+        contents = [
+            b'{"current_rev":9,"%s":[%s]}' % (field, items)
+            for _, items, _ in self.pages()
+            for field in (b"items", b"events")
+        ]
+        last = b'{"current_rev":11,"%s":[{"key":"servers/w2","revision":10}]}'
+        for content in (*contents, *self.MALFORMED):
+            with self.subTest(content):
+                clock = Clock()
+                clock.advance(100.0)
+                client = FakeHttpClient(200, content, last % b"items", last % b"events")
+                watcher = PrefixWatcher(
+                    HttpFleetStore(client, ""),
+                    clock,
+                    "servers/",
+                    lambda record: None,
+                    pause_s=0.1,
+                )
+                watcher.open()
+                clock.pump([0.2] * 5)
+                self.assertGreater(len(client.urls), 3)
+                self.assertEqual(watcher._revision, 11)
+                watcher.close()
+
+
 class WorkerAnswerTest(unittest.TestCase):
     """An answer of a worker that cannot be used counts as none."""
 
