--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -17,7 +17,9 @@
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_records import (
     WORKER_MEMBERSHIP_KEY,
+    decode_submission,
     decode_worker_membership,
+    encode,
 )
 from dogwoodlever._fleet_types import RunId, StartOrder, StepId, TaskId
 from dogwoodlever._fleet_watcher import PrefixWatcher
@@ -63,6 +65,10 @@
     return msgspec.Raw(str(digits).encode())
 
 
+# No record holds them, or no float.
+LARGE_NUMBERS = (2**64, 10**30, 10**400)
+
+
 def capacity(**amounts):
     return {"capacity": {"cpu": 8000, "mem_mb": 64_000, "gpu": 0} | amounts}
 
@@ -397,6 +403,80 @@
                 watcher.close()
 
 
+class SubmissionTest(unittest.TestCase):
+    """A submission that cannot be stored or held in memory is malformed."""
+
+    NOW_MS = 1_767_000_000_000
+    # Fields of a job, and what the message names.
+    ODD = [
+        *(
+            ({"steps": [{field: number(value)}]}, field)
+            for field in (
+                "cpu",
+                "mem_mb",
+                "gpu",
+                "est_runtime_ms",
+                "max_per_server",
+                "target_ms",
+                "may_miss",
+            )
+            for value in LARGE_NUMBERS
+        ),
+        *(
+            ({field: number(value)}, field)
+            for field in ("repeat_count", "first_run_ms", "interval_ms")
+            for value in LARGE_NUMBERS
+        ),
+        ({"repeat_count": -1}, "repeat_count"),
+        ({"repeat_count": 5, "interval_ms": -1}, "interval_ms"),
+        ({"steps": [{"max_per_server": -1}]}, "max_per_server"),
+        ({"steps": [{"may_miss": -1}]}, "may_miss"),
+        ({"steps": [{"est_runtime_ms": number("1e300")}]}, "est_runtime_ms"),
+        ({"steps": [{"count": 100_000}] * 2}, "tasks"),
+        ({"steps": [{"count": 100_000}] * 1_000}, "tasks"),
+        ({"repeat_count": 10**12}, "tasks"),
+        ({"repeat_count": 10**12, "first_run_ms": NOW_MS + 10**6}, "tasks"),
+        ({"repeat_count": 10**12, "interval_ms": 1}, "tasks"),
+        (
+            {
+                "repeat_count": 10**6,
+                "interval_ms": 1_000,
+                "first_run_ms": NOW_MS - 10**8,
+                "steps": [{}, {}],
+            },
+            "tasks",
+        ),
+    ]
+    ACCEPTED = [
+        {"steps": [{"count": 100_000}]},
+        {"steps": [{"count": 50_000}] * 2},
+        {"steps": [{"cpu": 2**63 - 1, "est_runtime_ms": number("1e18")}]},
+        {"repeat_count": 10**6, "interval_ms": 1_000, "first_run_ms": NOW_MS},
+        {"repeat_count": 10**6, "interval_ms": 1_000, "first_run_ms": NOW_MS + 10**9},
+        {"repeat_count": 2, "first_run_ms": NOW_MS},
+    ]
+
+    def decode(self, fields):
+        document = {"spec": "", "steps": [{}]} | fields
+        return decode_job(JOB, QUEUE, self.NOW_MS, msgspec.json.encode(document))
+
+    # A number that no record holds failed as an error of the daemon, and the tasks of
+    # one job exceeded the memory of each leader in turn.
+    def test_odd_submission_is_malformed(self):
+        for fields, named in self.ODD:
+            with (
+                self.subTest(f"{fields!r:.70}"),
+                self.assertRaisesRegex(SubmissionError, named),
+            ):
+                self.decode(fields)
+
+    def test_largest_submissions_are_stored(self):
+        for fields in self.ACCEPTED:
+            with self.subTest(f"{fields!r:.70}"):
+                submitted = self.decode(fields)
+                self.assertEqual(decode_submission(encode(submitted)), submitted)
+
+
 class WorkerAnswerTest(unittest.TestCase):
     """An answer of a worker that cannot be used counts as none."""
 
