Lead without interference models that cannot be read

The decoders of stored records raised the codec's errors, which no layer above expects. A leader that could not read the interference models failed while it loaded and led on: it renewed its lease, and nothing was started by it or by its successors. A model whose lists do not belong together, or with a value that is not finite, failed later, in planning.

The decoders raise StoredRecordError, a PlatformError. Models that cannot be read or used are named in a log line and learned anew.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -48,7 +48,7 @@
 from dogwoodlever._workspace_shares import WorkspaceRates, WorkspaceShares
 from dogwoodlever._workspace_usage import WorkspaceUsage
 from dogwoodlever.platform import WORKERS_PREFIX
-from dogwoodlever.platform_errors import PlatformError
+from dogwoodlever.platform_errors import PlatformError, StoredRecordError
 
 LOAD_RETRY_S = 0.2
 # A job that waits for a contact with the store for longer than this is logged.
@@ -268,10 +268,19 @@
             self._progress_writer.set_revision(job_id, record.revision)
         self.workers.unpolled_workers = self._membership.load(membership)
         if interference is not None and interference.value is not None:
-            models = decode_interference(interference.value).models
-            self._interference.restore(models)
+            self._restore_interference(interference.value)
         self._follow(INBOX_PREFIX, self._apply_inbox_record, self._on_inbox_listed)
 
+    def _restore_interference(self, value: bytes) -> None:
+        """Restore the stored models; those that cannot be used are learned anew."""
+        try:
+            unusable = self._interference.restore(decode_interference(value).models)
+        except StoredRecordError as error:
+            log_event("interference.unreadable", why=str(error)[:160])
+            return
+        if unusable:
+            log_event("interference.unusable", images=",".join(unusable)[:160])
+
     def _follow(self, prefix, on_change, on_listed, pause_s=0.0) -> None:
         watcher = PrefixWatcher(
             self._store, self._clock, prefix, on_change, on_listed, pause_s
--- a/dogwoodlever/_fleet_records.py
+++ b/dogwoodlever/_fleet_records.py
@@ -5,6 +5,7 @@
 from dogwoodlever._fleet_job import JobProgress
 from dogwoodlever._fleet_types import SubmittedJob
 from dogwoodlever._slowdown import ModelState
+from dogwoodlever.platform_errors import StoredRecordError
 
 PREFIX = "dogwoodlever/"
 # Written by every daemon, watched by the leader.
@@ -86,31 +87,40 @@
     return msgspec.msgpack.encode(record)
 
 
+def _decode(value: bytes, record_type):
+    """Decode a record; raises `StoredRecordError` if it is malformed."""
+    try:
+        return msgspec.msgpack.decode(value, type=record_type)
+    except (ValueError, RecursionError) as error:
+        # RecursionError: nested too deeply.
+        raise StoredRecordError(f"{record_type.__name__}: {error}") from error
+
+
 def decode_submission(value: bytes) -> SubmittedJob:
     """Decode a submitted job."""
-    return msgspec.msgpack.decode(value, type=SubmittedJob)
+    return _decode(value, SubmittedJob)
 
 
 def decode_progress(value: bytes) -> JobProgress:
     """Decode a job's progress."""
-    return msgspec.msgpack.decode(value, type=JobProgress)
+    return _decode(value, JobProgress)
 
 
 def decode_leader(value: bytes) -> LeaderRecord:
     """Decode the leader's record."""
-    return msgspec.msgpack.decode(value, type=LeaderRecord)
+    return _decode(value, LeaderRecord)
 
 
 def decode_term(value: bytes) -> TermRecord:
     """Decode the term's record."""
-    return msgspec.msgpack.decode(value, type=TermRecord)
+    return _decode(value, TermRecord)
 
 
 def decode_interference(value: bytes) -> InterferenceRecord:
     """Decode the interference models."""
-    return msgspec.msgpack.decode(value, type=InterferenceRecord)
+    return _decode(value, InterferenceRecord)
 
 
 def decode_worker_membership(value: bytes) -> WorkerMembershipRecord:
     """Decode the worker membership."""
-    return msgspec.msgpack.decode(value, type=WorkerMembershipRecord)
+    return _decode(value, WorkerMembershipRecord)
--- a/dogwoodlever/_interference_model.py
+++ b/dogwoodlever/_interference_model.py
@@ -84,9 +84,9 @@
         """Return the learned state, to be stored."""
         return self._estimator.states()
 
-    def restore(self, states: dict[str, ModelState]) -> None:
-        """Restore the state that a former leader stored."""
-        self._estimator.restore(states)
+    def restore(self, states: dict[str, ModelState]) -> list[str]:
+        """Restore the state that a former leader stored; return unusable images."""
+        return self._estimator.restore(states)
 
     def load(self, job_id: str, when_s: float) -> float:
         """Return a job's expected load at a time, 1 before the first sample."""
--- a/dogwoodlever/_slowdown.py
+++ b/dogwoodlever/_slowdown.py
@@ -1,5 +1,6 @@
 """Estimation of how much batch work slows a service on the same worker."""
 
+import math
 from dataclasses import dataclass
 
 import msgspec
@@ -49,6 +50,20 @@
     mean: list[float]
     covariance: list[list[float]]
 
+    @property
+    def is_consistent(self) -> bool:
+        """Whether its lists belong together and all values are finite."""
+        size = len(self.inputs)
+        values = [self.scale_s, *self.mean]
+        for row in self.covariance:
+            values.extend(row)
+        return (
+            len({IDLE, LOAD, *self.inputs}) == size == len(self.mean)
+            and [len(row) for row in self.covariance] == [size] * size
+            and self.scale_s > 0
+            and all(map(math.isfinite, values))
+        )
+
 
 class LatencyModel:
     """Linear model of one service's tail latency, fitted by a Kalman filter.
@@ -192,10 +207,15 @@
         """Return the learned state, by service."""
         return {service: model.state() for service, model in self._models.items()}
 
-    def restore(self, states: dict[str, ModelState]) -> None:
-        """Restore the state of an earlier estimator."""
+    def restore(self, states: dict[str, ModelState]) -> list[str]:
+        """Restore the state of an earlier estimator; return the unusable ones."""
+        unusable = []
         for service, state in states.items():
-            self._models[service] = LatencyModel.restored(state)
+            if state.is_consistent:
+                self._models[service] = LatencyModel.restored(state)
+            else:
+                unusable.append(service)
+        return unusable
 
     def observe(
         self, service: str, latency_s: float, load: float, class_cores: dict[str, float]
--- a/dogwoodlever/platform_errors.py
+++ b/dogwoodlever/platform_errors.py
@@ -31,6 +31,10 @@
     """The store refused the call or was not reached, and did nothing."""
 
 
+class StoredRecordError(PlatformError):
+    """A record that a daemon has stored cannot be read."""
+
+
 class HistoryGoneError(PlatformError):
     """The store no longer has the history that a watch requested."""
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,5 +1,6 @@
 """A record that cannot be used costs nothing but what it describes."""
 
+import math
 import unittest
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -16,13 +17,20 @@
 from dogwoodlever._fleet_interfaces import Record
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_records import (
+    INTERFERENCE_KEY,
     WORKER_MEMBERSHIP_KEY,
+    decode_interference,
+    decode_leader,
+    decode_progress,
     decode_submission,
+    decode_term,
     decode_worker_membership,
     encode,
 )
 from dogwoodlever._fleet_types import RunId, StartOrder, StepId, TaskId
 from dogwoodlever._fleet_watcher import PrefixWatcher
+from dogwoodlever._interference_model import InterferenceModel
+from dogwoodlever._slowdown import ModelState
 from dogwoodlever.fleet_errors import SubmissionError
 from dogwoodlever.platform import (
     CONFIGURATION_KEY,
@@ -39,6 +47,7 @@
     AdviceError,
     OrderRefusedError,
     PlatformError,
+    StoredRecordError,
     WorkerUnreachableError,
 )
 from standins.fleet import server_record
@@ -666,5 +675,88 @@
         self.assertEqual(events.count("worker.unlisted"), 3)
 
 
+class StoredRecordTest(unittest.TestCase):
+    """A record of daemons that cannot be read costs nothing but what it says."""
+
+    MALFORMED = [
+        ("empty", b""),
+        ("no record", b"\xff"),
+        ("cut short", b"\x81\xa7"),
+        ("of another type", b"\x01"),
+        ("nested", b"\x81\xa1x" + b"\x91" * 5_000 + b"\x90"),
+    ]
+    MODEL = {
+        "scale_s": 2.2,
+        "inputs": ["idle", "load"],
+        "mean": [1.0, 1.0],
+        "covariance": [[1.0, 0.0], [0.0, 1.0]],
+    }
+    INCONSISTENT = [
+        {"scale_s": 0.0},
+        {"scale_s": float("nan")},
+        {"inputs": []},
+        {"inputs": ["idle", "x"]},
+        {"inputs": ["idle", "load", "load"]},
+        {"mean": [1.0]},
+        {"mean": [1.0, float("inf")]},
+        {"covariance": []},
+        {"covariance": [[1.0, 0.0], [1.0]]},
+        {"covariance": [[1.0, 0.0], [0.0, float("nan")]]},
+    ]
+
+    def start_fleet(self, records, daemons=2):
+        """Start daemons that find these records, and submit a job."""
+        fleet = FleetSimulation(daemons=0)
+        for key, value in records.items():
+            fleet.records.write(key, value)
+        for number in range(daemons):
+            fleet.add_daemon(f"vm{number}")
+        fleet.submit(0, job(JOB, tasks=6, worker_tasks_max=2))
+        return fleet
+
+    def assert_completes(self, fleet, within_s):
+        fleet.run_for(within_s)
+        self.assertEqual(fleet.read_phase(0, JOB), JobPhase.COMPLETED)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    def test_malformed_record_is_an_error_of_the_layer(self):
+        for name, value in self.MALFORMED:
+            for decode in (
+                decode_interference,
+                decode_leader,
+                decode_progress,
+                decode_submission,
+                decode_term,
+                decode_worker_membership,
+            ):
+                with (
+                    self.subTest(name, decode=decode.__name__),
+                    self.assertRaises(StoredRecordError),
+                ):
+                    decode(value)
+
+    # A leader that could not read the models loaded nothing, and led on.
+    def test_interference_is_learned_anew(self):
+        for name, value in self.MALFORMED:
+            with self.subTest(name):
+                self.assert_completes(self.start_fleet({INTERFERENCE_KEY: value}), 3.0)
+
+    # A model without its inputs ended each planning round that used it.
+    def test_inconsistent_model_is_learned_anew(self):
+        for changed in ({}, *self.INCONSISTENT):
+            with self.subTest(changed):
+                states = {
+                    "good": ModelState(**self.MODEL),
+                    "odd": ModelState(**self.MODEL | changed),
+                }
+                model = InterferenceModel()
+                unusable = model.restore(states)
+                self.assertEqual(unusable, ["odd"] if changed else [])
+                self.assertEqual("odd" in model.states(), not changed)
+                self.assertIn("good", model.states())
+                self.assertTrue(math.isfinite(model.baseline("odd", 1.0)))
+                model.observe(JOB, "odd", 300, 200, {"other": 1.0}, 5.0)
+
+
 if __name__ == "__main__":
     unittest.main()
