Lead although the stored workers cannot be read or called

A successor read the workers of the former leader's record and expected each to have a host and a port. One without a port ended the watch of the workers, a record that could not be read the loading of the leader, which led on without starting anything. An id that names another worker, stored by an earlier version, was polled with a token that fenced the link of that worker, so that each leader resigned in turn.

Workers that cannot be called are left out and named in one line, and so is a record that cannot be read. Since runs may go on at workers that are not known, inherited jobs wait until the former leader's leases have expired, as for a worker that does not answer.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -226,7 +226,9 @@
         nothing: a partition may reject connections to a worker that runs on.
         """
         for worker_id in sorted(self.unpolled_workers - set(self.capacities)):
-            self._probe(self._membership.entry_of(worker_id))
+            # Workers of a membership that cannot be read have no address.
+            if self._membership.is_stored(worker_id):
+                self._probe(self._membership.entry_of(worker_id))
 
     @inlineCallbacks
     def _probe(self, entry: WorkerEntry):
--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -15,8 +15,11 @@
 )
 from dogwoodlever._fleet_types import WorkerEntry
 from dogwoodlever._logs import log_event
-from dogwoodlever.platform_errors import PlatformError
+from dogwoodlever.platform import is_callable_worker
+from dogwoodlever.platform_errors import PlatformError, StoredRecordError
 
+# Id that no worker has; stands for workers that are not known.
+UNKNOWN_WORKERS = ""
 RETRY_S = 0.2
 CONFLICT_RETRY_S = 0.05
 
@@ -58,12 +61,30 @@
         self._is_closed = True
 
     def load(self, record: Record | None) -> set[str]:
-        """Load the stored membership and return its worker ids."""
-        if record is not None and record.value is not None:
-            self._addresses = dict(decode_worker_membership(record.value).workers)
-            self._stored_ids = frozenset(self._addresses)
-            self._revision = record.revision
-        return set(self._addresses)
+        """Load the stored membership and return its worker ids.
+
+        `UNKNOWN_WORKERS` is among them if the membership, or a worker in it, cannot be
+        used: a leader of another version may have started runs there.
+        """
+        if record is None or record.value is None:
+            return set()
+        self._revision = record.revision
+        try:
+            workers = decode_worker_membership(record.value).workers
+        except StoredRecordError as error:
+            log_event("roster.unreadable", why=str(error)[:160])
+            return {UNKNOWN_WORKERS}
+        self._addresses = {
+            worker_id: address
+            for worker_id, address in workers.items()
+            if is_callable_worker(worker_id, address)
+        }
+        self._stored_ids = frozenset(self._addresses)
+        if len(self._addresses) == len(workers):
+            return set(self._addresses)
+        unusable = sorted(set(workers) - set(self._addresses))
+        log_event("roster.unusable", workers=",".join(unusable)[:160])
+        return {UNKNOWN_WORKERS, *self._addresses}
 
     def is_stored(self, worker_id: str) -> bool:
         """Return whether a worker is stored, so that a successor would find it."""
--- a/dogwoodlever/platform/__init__.py
+++ b/dogwoodlever/platform/__init__.py
@@ -16,7 +16,11 @@
     read_node_file,
 )
 from dogwoodlever.platform._readiness_resource import ReadinessResource
-from dogwoodlever.platform._wire_records import decode_configuration, decode_worker
+from dogwoodlever.platform._wire_records import (
+    decode_configuration,
+    decode_worker,
+    is_callable_worker,
+)
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -32,5 +36,6 @@
     "ReadinessResource",
     "decode_configuration",
     "decode_worker",
+    "is_callable_worker",
     "read_node_file",
 ]
--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -146,6 +146,22 @@
     return AdviceTiming(advice.decision_ms, advice.period_ms, advice.valid_ms)
 
 
+def is_callable_worker(worker_id: str, address: str) -> bool:
+    """Return whether a call can be sent to a worker."""
+    try:
+        _parse_worker(worker_id, address)
+    except ValueError:
+        return False
+    return True
+
+
+def _parse_worker(worker_id: str, address: str) -> tuple[str, int]:
+    """Check a worker's id and return its host and port; raises `ValueError`."""
+    if not _WORKER_ID_PATTERN.fullmatch(worker_id):
+        raise ValueError("its id cannot be the value of a header")
+    return parse_address(address)
+
+
 def decode_worker(worker_id: str, value: bytes) -> WorkerEntry:
     """Decode a worker's entry.
 
@@ -155,10 +171,8 @@
         If it was not written by a worker or is malformed.
     """
     try:
-        if not _WORKER_ID_PATTERN.fullmatch(worker_id):
-            raise ValueError("its id cannot be the value of a header")
         entry = decode_json(value, _Server)
-        host, port = parse_address(entry.address)
+        host, port = _parse_worker(worker_id, entry.address)
         if entry.state not in (READY, DRAINING):
             raise ValueError(f"state {entry.state[:80]!r}")
         return WorkerEntry(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -18,7 +18,9 @@
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_records import (
     INTERFERENCE_KEY,
+    TERM_KEY,
     WORKER_MEMBERSHIP_KEY,
+    WorkerMembershipRecord,
     decode_interference,
     decode_leader,
     decode_progress,
@@ -60,6 +62,7 @@
 )
 
 JOB = "a" * 16
+OTHER_JOB = "b" * 16
 DRAINING = "draining"
 
 
@@ -757,6 +760,43 @@
                 self.assertTrue(math.isfinite(model.baseline("odd", 1.0)))
                 model.observe(JOB, "odd", 300, 200, {"other": 1.0}, 5.0)
 
+    # A leader that could not read the stored workers loaded nothing, and led on.
+    def test_unknown_workers_are_waited_for(self):
+        for name, value in self.MALFORMED:
+            with self.subTest(name):
+                fleet = self.start_fleet({WORKER_MEMBERSHIP_KEY: value}, daemons=1)
+                fleet.run_for(1.0)
+                # The leases from a former leader may not have expired.
+                self.assertEqual(fleet.workers.starts, [])
+                self.assert_completes(fleet, 15.0)
+                stored = fleet.records.read(WORKER_MEMBERSHIP_KEY).value
+                kept = decode_worker_membership(stored).workers
+                self.assertEqual(sorted(kept), ["w0", "w1", "w2"])
+
+    # Stored workers that cannot be called were waited for or fenced the real ones.
+    def test_workers_that_cannot_be_called_are_left_out(self):
+        odd = dict.fromkeys(ODD_WORKER_IDS[:-1], "127.0.0.1:9000")
+        odd |= {f"x{n}": address for n, address in enumerate(ODD_ADDRESSES)}
+        for worker_id, address in odd.items():
+            with self.subTest(worker_id, address=address[:40]):
+                record = WorkerMembershipRecord({worker_id: address})
+                records = {WORKER_MEMBERSHIP_KEY: encode(record)}
+                fleet = self.start_fleet(records, daemons=1)
+                fleet.run_for(1.0)
+                unpolled = fleet.nodes[0].leader.workers.unpolled_workers
+                self.assertNotIn(worker_id or " ", unpolled)
+                term = fleet.records.read(TERM_KEY)
+                self.assert_completes(fleet, 14.0)
+                self.assertEqual(fleet.records.read(TERM_KEY), term)
+                # A later leader need not wait.
+                fleet.kill(0)
+                fleet.add_daemon("vm1")
+                fleet.submit(1, job(OTHER_JOB, tasks=6, worker_tasks_max=2))
+                fleet.run_for(6.0)
+                self.assertEqual(fleet.read_phase(1, OTHER_JOB), JobPhase.COMPLETED)
+                stored = fleet.records.read(WORKER_MEMBERSHIP_KEY).value
+                self.assertNotIn(worker_id, decode_worker_membership(stored).workers)
+
 
 if __name__ == "__main__":
     unittest.main()
