Elect a leader after one with a core share of 0

The term's record has the core share of the strongest daemon that has led, by which weaker ones delay their candidacy. A share of 0, which the settings allow, ended the only campaign of each daemon with ZeroDivisionError, so that none led again.

A daemon that is as strong as the record says does not delay. A test also covers records of the election that cannot be read: the campaigns go on since these are errors of the platform's layer, and succeed once the records can be read.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -262,7 +262,10 @@
 
     def _weak_vm_delay_s(self, strongest_cores: float) -> float:
         """Return the delay that lets stronger daemons lead."""
-        return WEAK_VM_DELAY_MAX_S * max(0.0, 1 - self._core_share / strongest_cores)
+        own_cores = max(0.0, self._core_share)
+        if not strongest_cores > own_cores:
+            return 0.0
+        return WEAK_VM_DELAY_MAX_S * (1 - own_cores / strongest_cores)
 
     def _on_lost(self, current: tuple[Record, ...]) -> None:
         for record in current:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -18,8 +18,10 @@
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_records import (
     INTERFERENCE_KEY,
+    LEADER_KEY,
     TERM_KEY,
     WORKER_MEMBERSHIP_KEY,
+    TermRecord,
     WorkerMembershipRecord,
     decode_interference,
     decode_leader,
@@ -797,6 +799,25 @@
                 stored = fleet.records.read(WORKER_MEMBERSHIP_KEY).value
                 self.assertNotIn(worker_id, decode_worker_membership(stored).workers)
 
+    # A core share of 0 ended the only campaign of each daemon with ZeroDivisionError.
+    def test_odd_core_share_delays_no_election(self):
+        for core_share in (0.0, -1.0, 1e-300, float("nan"), float("inf"), 1e300):
+            with self.subTest(core_share):
+                term = TermRecord(3, "vm9@127.0.0.1:3#1", "key", core_share)
+                fleet = self.start_fleet({TERM_KEY: encode(term)})
+                self.assert_completes(fleet, 3.0)
+
+    # A record that could not be read ended the only campaign of each daemon.
+    def test_election_goes_on_once_its_records_can_be_read(self):
+        for key in (LEADER_KEY, TERM_KEY):
+            for name, value in self.MALFORMED:
+                with self.subTest(name, key=key):
+                    fleet = self.start_fleet({key: value})
+                    fleet.run_for(1.0)
+                    self.assertIsNone(fleet.leader())
+                    fleet.records.remove(key)
+                    self.assert_completes(fleet, 3.0)
+
 
 if __name__ == "__main__":
     unittest.main()
