Store a worker for successors once it has answered

A worker was added to the stored membership with its entry, before any call. An entry at which nobody answers, such as one of another writer, was then waited for by each successor until all leases of the former leader had expired, although no leader can have started a run there: a worker gets starts only after it has answered a poll and is stored.

A worker is now stored with its first answered poll, as its address was already; it still gets no start before that is stored.

Before: test_worker_that_never_answered_is_not_kept_for_a_successor fails.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -399,7 +399,6 @@
             self._get_leases_end_s,
         )
         self._links[worker_id] = link
-        self._membership.add(worker_id, entry.address)
         link.open()
 
     def _drop_incarnation(
--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -99,12 +99,6 @@
         host, _, port = self._addresses[worker_id].rpartition(":")
         return WorkerEntry(worker_id, "", host, int(port), "", 0, False, 0, 0, 0, ())
 
-    def add(self, worker_id: str, address: str) -> None:
-        """Add a worker."""
-        self._addresses.setdefault(worker_id, address)
-        if worker_id not in self._stored_ids:
-            self._write()
-
     def set_address(self, worker_id: str, address: str) -> None:
         """Set the address at which a worker has answered.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -640,6 +640,27 @@
                 self.assert_work_goes_to(fleet, ["w0", "w1", "w2"])
                 self.assertIs(fleet.nodes[fleet.leader()].leader, elected)
 
+    # A successor waited for the leases of any entry, also of one at which no worker had
+    # ever answered.
+    def test_worker_that_never_answered_is_not_kept_for_a_successor(self):
+        fleet = self.start_fleet(daemons=1)
+        fleet.records.write("servers/w9", server_record(worker_entry(9)))
+        fleet.run_for(1.0)
+        for number in (1, 2):
+            fleet.submit(number - 1, job(f"{number:016x}", tasks=6))
+            fleet.kill(number - 1)
+            fleet.add_daemon(f"vm{number}")
+            fleet.run_for(6.0)
+            phase = fleet.read_phase(number, f"{number:016x}")
+            self.assertEqual(phase, JobPhase.COMPLETED)
+            stored = fleet.records.read(WORKER_MEMBERSHIP_KEY).value
+            kept = decode_worker_membership(stored).workers
+            self.assertEqual(sorted(kept), ["w0", "w1", "w2"])
+        fleet.workers.add(worker_entry(9))
+        fleet.run_for(3.0)
+        stored = fleet.records.read(WORKER_MEMBERSHIP_KEY).value
+        self.assertIn("w9", decode_worker_membership(stored).workers)
+
     # The former entry stayed in force, so that starts went on by it.
     def test_nested_entry_names_no_worker(self):
         for kind, nested in NESTED:
