Test generated odd records

Drawn entries, versions of the configuration, keys and records of daemons are either usable or malformed, and no set of them keeps the other workers from their work, before and after a change of leader, or leaves an error that nobody handles.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,15 +1,22 @@
 """A record that cannot be used costs nothing but what it describes."""
 
+import copy
+import gc
+import json
 import math
 import unittest
+from ipaddress import IPv4Address
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from unittest.mock import patch
 
 import msgspec
 import returns.result
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
+from twisted.logger import globalLogPublisher
 from twisted.python.failure import Failure
 
 from dogwoodlever import _fleet_desired_state, _fleet_workers
@@ -17,8 +24,11 @@
 from dogwoodlever._fleet_interfaces import Record
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_records import (
+    CANCELS_PREFIX,
     INTERFERENCE_KEY,
+    JOBS_PREFIX,
     LEADER_KEY,
+    PROGRESS_PREFIX,
     TERM_KEY,
     WORKER_MEMBERSHIP_KEY,
     TermRecord,
@@ -701,6 +711,131 @@
         self.assertEqual(events.count("worker.unlisted"), 3)
 
 
+ODD_NUMBER_VALUES = st.sampled_from(
+    [0, -1, 1, 65_535, 65_536, 2**31, 2**53, 2**63 - 1, 2**63, 2**64, 10**30, 10**400]
+    + [-(2**63), -(10**400), 0.5, -0.0, 1e18, 1e308, math.inf, -math.inf, math.nan]
+)
+# Includes surrogates, which JSON text may name.
+ODD_TEXTS = st.one_of(
+    st.sampled_from([*ODD_ADDRESSES, *ODD_WORKER_IDS, "ready", "draining", "north"]),
+    st.text(st.characters(exclude_categories=[]), max_size=20),
+)
+ODD_VALUES = st.recursive(
+    st.one_of(st.none(), st.booleans(), ODD_NUMBER_VALUES, ODD_TEXTS),
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=4), st.dictionaries(ODD_TEXTS, inner, max_size=4)
+    ),
+    max_leaves=8,
+)
+
+
+@st.composite
+def odd_documents(draw, document):
+    """Draw the bytes of a document with odd parts, or of none at all."""
+    kind = draw(st.sampled_from(("fields", "fields", "value", "bytes", "cut", "deep")))
+    if kind == "bytes":
+        return draw(st.binary(max_size=40))
+    if kind == "value":
+        return json.dumps(draw(ODD_VALUES)).encode()
+    changed = copy.deepcopy(document)
+    for _ in range(draw(st.integers(1, 3))):
+        target = changed
+        while True:
+            field = draw(st.sampled_from(sorted(target)))
+            inner = target[field]
+            if isinstance(inner, list) and inner:
+                inner = inner[0]
+            if not isinstance(inner, dict) or not inner or draw(st.booleans()):
+                break
+            target = inner
+        if draw(st.booleans()):
+            target[field] = draw(ODD_VALUES)
+        else:
+            target.pop(field)
+            if not target:
+                break
+    encoded = json.dumps(changed).encode()
+    if kind == "cut":
+        return encoded[: draw(st.integers(0, len(encoded)))]
+    if kind == "deep":
+        return nest(encoded, draw(st.sampled_from(NESTED))[1])
+    return encoded
+
+
+ENTRY_DOCUMENT = json.loads(entry_document(worker_entry(9), remaining_ms=5))
+ODD_RECORDS = st.one_of(
+    st.tuples(ODD_TEXTS.map("servers/x{}".format), odd_documents(ENTRY_DOCUMENT)),
+    st.tuples(st.just(CONFIGURATION_KEY), odd_documents({"version": 1, "routes": 5})),
+    st.tuples(ODD_TEXTS.map("op/evacuate/x{}".format), st.binary(max_size=9)),
+    st.tuples(ODD_TEXTS.map("op/{}".format), st.binary(max_size=9)),
+    st.tuples(ODD_TEXTS.map(f"{JOBS_PREFIX}{{}}".format), st.binary(max_size=40)),
+    st.tuples(ODD_TEXTS.map(f"{CANCELS_PREFIX}{{}}".format), st.binary(max_size=9)),
+    st.tuples(ODD_TEXTS.map(f"{PROGRESS_PREFIX}{{}}".format), st.binary(max_size=40)),
+    st.tuples(st.just(INTERFERENCE_KEY), st.binary(max_size=40)),
+)
+
+
+class GeneratedRecordTest(unittest.TestCase):
+    """No record that others write ends the following of the other records."""
+
+    GENERATED = settings(derandomize=True, deadline=None, database=None)
+
+    @settings(GENERATED, max_examples=400)
+    @given(st.one_of(st.just("w9"), ODD_TEXTS), odd_documents(ENTRY_DOCUMENT))
+    def test_entry_is_usable_or_malformed(self, worker_id, value):
+        try:
+            entry = decode_worker(worker_id, value)
+        except PlatformError:
+            return
+        self.assertTrue(0 < entry.port <= 65_535)
+        self.assertEqual(str(IPv4Address(entry.host)), entry.host)
+        self.assertTrue(worker_id.isascii() and worker_id.isprintable())
+        for amount in (
+            entry.cores_milli,
+            entry.memory_mb,
+            entry.accelerators,
+            entry.started_at_ms,
+        ):
+            self.assertTrue(0 <= amount < 2**63)
+        msgspec.msgpack.encode(entry)
+
+    @settings(GENERATED, max_examples=200)
+    @given(odd_documents(CONFIGURATION))
+    def test_configuration_is_usable_or_malformed(self, value):
+        try:
+            configuration = decode_configuration(value, 7)
+        except PlatformError:
+            return
+        self.assertEqual(configuration.revision, 7)
+        configuration.find_queue("desk.example", "/quotes/x")
+
+    @settings(GENERATED, max_examples=20)
+    @given(st.lists(ODD_RECORDS, min_size=1, max_size=6))
+    def test_the_other_workers_get_their_work(self, records):
+        errors = []
+        globalLogPublisher.addObserver(errors.append)
+        try:
+            fleet = FleetSimulation()
+            fleet.run_for(1.0)
+            for key, value in records:
+                fleet.records.write(key, value)
+            fleet.run_for(0.5)
+            self.assert_completes(fleet, fleet.leader(), JOB)
+            fleet.kill(fleet.leader())
+            fleet.run_for(4.0)
+            self.assert_completes(fleet, fleet.leader(), OTHER_JOB)
+            gc.collect()
+        finally:
+            globalLogPublisher.removeObserver(errors.append)
+        failures = [error for error in errors if error.get("log_failure")]
+        self.assertEqual(failures, [])
+
+    def assert_completes(self, fleet, number, job_id):
+        fleet.submit(number, job(job_id, tasks=6, worker_tasks_max=2))
+        fleet.run_for(2.5)
+        self.assertEqual(fleet.read_phase(number, job_id), JobPhase.COMPLETED)
+
+
 class StoredRecordTest(unittest.TestCase):
     """A record of daemons that cannot be read costs nothing but what it says."""
 
