Accept a job whose progress a peer has sent in an odd message

Leaders send their peers the progress that they cannot store. A successor that could not read what it had been sent, or not merge it with the stored progress, did not accept the job, which never ran.

Such progress is named in a log line, and the stored progress is used, as if the message had been lost.

Before: all 8 rows of test_odd_progress_of_a_peer_is_left_out fail. After: all pass.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -384,17 +384,18 @@
 
     def _merged_progress(self, job_id: str) -> JobProgress | None:
         """Return stored progress merged with what a former leader could not store."""
-        records = [
-            decode_progress(value)
-            for value in (
-                self._progress.get(job_id),
-                self._unstored_progress.get(job_id),
-            )
-            if value is not None
-        ]
-        if len(records) < 2:
-            return records[0] if records else None
-        return merge_progress(*records)
+        stored = self._progress.get(job_id)
+        progress = None if stored is None else decode_progress(stored)
+        unstored = self._unstored_progress.get(job_id)
+        if unstored is None:
+            return progress
+        try:
+            other = decode_progress(unstored)
+            return other if progress is None else merge_progress(progress, other)
+        except (StoredRecordError, ValueError) as error:
+            # ValueError: the two do not belong to the same steps.
+            log_event("progress.unusable", job=job_id, why=str(error)[:160])
+            return progress
 
     def _accept_cancel(self, job_id: str) -> None:
         self._cancelled.add(job_id)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -22,7 +22,7 @@
 from dogwoodlever import _fleet_desired_state, _fleet_workers
 from dogwoodlever._fleet_desired_state import DesiredState
 from dogwoodlever._fleet_interfaces import Record
-from dogwoodlever._fleet_job import JobPhase
+from dogwoodlever._fleet_job import JobPhase, JobProgress, StepProgress
 from dogwoodlever._fleet_records import (
     CANCELS_PREFIX,
     INTERFERENCE_KEY,
@@ -40,10 +40,13 @@
     decode_term,
     decode_worker_membership,
     encode,
+    progress_key,
 )
+from dogwoodlever._fleet_rpc import UNSTORED_METHOD
 from dogwoodlever._fleet_types import RunId, StartOrder, StepId, TaskId
 from dogwoodlever._fleet_watcher import PrefixWatcher
 from dogwoodlever._interference_model import InterferenceModel
+from dogwoodlever._messages import RpcRequest
 from dogwoodlever._slowdown import ModelState
 from dogwoodlever.fleet_errors import SubmissionError
 from dogwoodlever.platform import (
@@ -955,6 +958,26 @@
                 stored = fleet.records.read(WORKER_MEMBERSHIP_KEY).value
                 self.assertNotIn(worker_id, decode_worker_membership(stored).workers)
 
+    # A job whose progress a peer had sent in an odd message was never run.
+    def test_odd_progress_of_a_peer_is_left_out(self):
+        rows = [
+            *self.MALFORMED,
+            ("unknown phase", encode(JobProgress("asleep"))),
+            ("other steps", encode(JobProgress(occurrences={0: []}))),
+            ("no bit set", encode(JobProgress(occurrences={0: [StepProgress("x")]}))),
+        ]
+        progress = encode(JobProgress(occurrences={0: [StepProgress("3")]}))
+        for name, value in rows:
+            with self.subTest(name):
+                fleet = self.start_fleet({progress_key(JOB): progress}, daemons=1)
+                message = RpcRequest(
+                    1, UNSTORED_METHOD, msgspec.msgpack.encode({JOB: value})
+                )
+                fleet.nodes[0].rpc._on_message("vm9@127.0.0.1:3#1", message)
+                self.assert_completes(fleet, 3.0)
+                started = {run.task.index for run, _ in fleet.workers.starts}
+                self.assertEqual(started, {2, 3, 4, 5})
+
     # A core share of 0 ended the only campaign of each daemon with ZeroDivisionError.
     def test_odd_core_share_delays_no_election(self):
         for core_share in (0.0, -1.0, 1e-300, float("nan"), float("inf"), 1e300):
