Count a reply that is nested too deeply as none

A reply of a peer that cannot be decoded counts as none, except that RecursionError passed: the caller got status 500 instead of the answer from the store.

Before: the nested row of test_malformed_reply_counts_as_none fails. After: it passes.

--- a/dogwoodlever/_fleet_rpc.py
+++ b/dogwoodlever/_fleet_rpc.py
@@ -192,7 +192,8 @@
         return None
     try:
         return msgspec.msgpack.decode(reply, type=reply_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
+        # RecursionError: nested too deeply.
         log_event("rpc.unreadable", member=member, why=str(error)[:200])
         return None
 
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -52,7 +52,13 @@
 
 
 class FleetTest(unittest.TestCase):
-    MALFORMED = (b"", b"\xff\xfe", b"\x93\x01", b"x" * 100)
+    MALFORMED = (
+        b"",
+        b"\xff\xfe",
+        b"\x93\x01",
+        b"x" * 100,
+        b"\x81\xa1x" + b"\x91" * 5_000 + b"\x90",
+    )
 
     def start_fleet(self, **sizes):
         fleet = FleetSimulation(**sizes)
