Count unknown outcomes of runs under one label

Each outcome that a worker lists has a counter of its own, which is never removed, so that a worker with other outcomes than those of the protocol grew the metrics with each end. Those are now "unknown", which is no failure of the task, as before.

Before: test_outcomes_beside_those_of_the_protocol_are_one fails. After: it passes.

--- a/dogwoodlever/platform/_http_workers.py
+++ b/dogwoodlever/platform/_http_workers.py
@@ -44,6 +44,10 @@
 }
 
 
+_OUTCOMES = frozenset({"done", "failed", "stopped", "lapsed", "broken", "alone"})
+# Stands for any other outcome, of which there may be any number.
+OUTCOME_UNKNOWN = "unknown"
+
 # Rough figures, which are kept within the protocol's bounds rather than rejected.
 _Figure = Annotated[float, msgspec.Meta(ge=-INT64_MAX, le=INT64_MAX)]
 
@@ -230,7 +234,7 @@
         EndedRun(
             row.number,
             RunId(decode_task(row.task), row.run),
-            row.outcome,
+            row.outcome if row.outcome in _OUTCOMES else OUTCOME_UNKNOWN,
             row.checkpoint,
         )
         for row in response.ended
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -586,6 +586,18 @@
             listed = self.poll([[*self.RUNNING[:3], *figures]]).running[0]
             self.assertEqual((listed.percent, listed.load), expected)
 
+    # Each outcome has a counter of its own, which is never removed.
+    def test_outcomes_beside_those_of_the_protocol_are_one(self):
+        for outcome, expected in (
+            ("done", "done"),
+            ("alone", "alone"),
+            ("", "unknown"),
+            ("DONE", "unknown"),
+            ("x" * 10_000, "unknown"),
+        ):
+            polled = self.poll(ended=[[*self.ENDED[:3], outcome, ""]])
+            self.assertEqual(polled.ended[0].outcome, expected)
+
     def test_odd_clock_of_a_start_is_no_answer(self):
         for name, value in self.NUMBERS:
             content = msgspec.json.encode({"clock_ms": value})
