Show that one record too large for the store holds the others back

A worker that lists a checkpoint of 1 MB makes the progress of its job larger than a value of the store may be. The write of its batch is refused and repeated, later batches are never tried, and no ends are acknowledged.

The test fails: the other job's progress is not stored.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -14,7 +14,7 @@
 import returns.result
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from twisted.internet.defer import succeed
+from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
 from twisted.logger import globalLogPublisher
 from twisted.python.failure import Failure
@@ -726,6 +726,48 @@
         self.assertEqual(events.count("worker.unlisted"), 3)
 
 
+class LargeProgressTest(unittest.TestCase):
+    """A job's progress that the store does not take."""
+
+    VALUE_BYTES_MAX = 1_048_576
+
+    def limit_values(self, store):
+        """Let a store refuse values over the platform's limit, with status 400."""
+        commit = store.commit
+
+        def limited(expected, puts, deletes=()):
+            if any(len(put.value) > self.VALUE_BYTES_MAX for put in puts):
+                return fail(PlatformError("store: status 400"))
+            return commit(expected, puts, deletes)
+
+        store.commit = limited
+
+    # The jobs written with it, and those that sort after them, were never stored, and
+    # no worker's ends were acknowledged.
+    def test_other_jobs_are_stored_beside_a_record_that_is_too_large(self):
+        fleet = FleetSimulation(daemons=1)
+        self.limit_values(fleet.stores[0])
+        fleet.run_for(1.0)
+        fleet.submit(0, job(JOB, tasks=1, checkpoints=True))
+        fleet.run_for(0.3)
+        worker = fleet.workers.workers[fleet.workers.starts[0][1]]
+        worker.fails = True
+        for run in worker.running.values():
+            run.checkpoint = "x" * self.VALUE_BYTES_MAX
+        # The run that resumes from it goes on while the other job runs.
+        for other in fleet.workers.workers.values():
+            other.run_s = 60.0
+        fleet.run_for(1.5)
+        self.assertEqual(len(fleet.workers.starts), 2)
+        for other in fleet.workers.workers.values():
+            other.run_s = 1.0
+        fleet.submit(0, job(OTHER_JOB, tasks=2))
+        fleet.run_for(3.0)
+        stored = fleet.records.read(progress_key(OTHER_JOB))
+        self.assertIsNotNone(stored)
+        self.assertEqual(decode_progress(stored.value).phase, JobPhase.COMPLETED)
+
+
 ODD_NUMBER_VALUES = st.sampled_from(
     [0, -1, 1, 65_535, 65_536, 2**31, 2**53, 2**63 - 1, 2**63, 2**64, 10**30, 10**400]
     + [-(2**63), -(10**400), 0.5, -0.0, 1e18, 1e308, math.inf, -math.inf, math.nan]
