Store a job's progress without the checkpoints that are too large

The store refuses a record over its limit on values.

Progress that is too large is written without its longest checkpoints, named once per job. A task without one starts anew after a change of leader, while its ends and failures are stored. The limit is read from the settings (value_bytes). Progress can still be too large by its other parts, which are not reduced.

--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -306,6 +306,22 @@
     finished: int = 0
     occurrences: dict[int, list[StepProgress]] = {}
 
+    def leave_out_checkpoints(self, excess_bytes: int) -> int:
+        """Remove the longest checkpoints to save space; return how many."""
+        checkpoints = [
+            (len(checkpoint), step, index)
+            for steps in self.occurrences.values()
+            for step in steps
+            for index, checkpoint in step.checkpoints.items()
+        ]
+        checkpoints.sort(key=lambda row: row[0], reverse=True)
+        for count, (size_bytes, step, index) in enumerate(checkpoints):
+            if excess_bytes <= 0:
+                return count
+            del step.checkpoints[index]
+            excess_bytes -= size_bytes
+        return len(checkpoints)
+
 
 def merge_progress(first: JobProgress, other: JobProgress) -> JobProgress:
     """Return the union of two records, both of which only grow over time."""
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -184,6 +184,7 @@
             self.workers.last_end_numbers,
             self.workers.acknowledge_ends,
             on_unstored,
+            platform_limits.record_bytes_max,
         )
         self._retention = Retention(
             store,
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -239,6 +239,7 @@
                 self.settings.job_state_kept_s,
                 self.settings.harm_s,
                 self.settings.workspace_rate_window_s,
+                self.settings.record_bytes_max,
             ),
             self.election.confirm_soon,
             lambda: self.election.contact_s,
--- a/dogwoodlever/_fleet_progress_writer.py
+++ b/dogwoodlever/_fleet_progress_writer.py
@@ -51,6 +51,8 @@
         Called with these numbers once every change up to them is stored.
     on_unstored : callable
         Called with changed progress by job while it cannot be stored.
+    record_bytes_max : int
+        Largest value of a record in the store.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         get_last_end_numbers: Callable[[], dict],
         on_stored: Callable[[dict], None],
         on_unstored: Callable[[dict[str, bytes]], None],
+        record_bytes_max: int,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -70,6 +73,9 @@
         self._get_last_end_numbers = get_last_end_numbers
         self._on_stored = on_stored
         self._on_unstored = on_unstored
+        self._record_bytes_max = record_bytes_max
+        # Jobs that were logged since not all of their checkpoints are stored.
+        self._reduced_jobs: set[str] = set()
         self._reported: dict[str, bytes] = {}
         self._timer = None
         self._is_writing = False
@@ -86,6 +92,7 @@
     def drop_job(self, job_id: str) -> None:
         """Drop the revision of a job whose records are removed."""
         self._revisions.pop(job_id, None)
+        self._reduced_jobs.discard(job_id)
 
     def is_stored(self, job_id: str) -> bool:
         """Return whether all progress of a job is stored."""
@@ -128,7 +135,7 @@
         """Report the progress that changed since the last report."""
         changed = {}
         for job_id in self._registry.dirty:
-            progress = encode(self._registry.jobs[job_id].progress())
+            progress = self._encode(job_id)
             if self._reported.get(job_id) != progress:
                 changed[job_id] = progress
         if changed and not self._is_closed:
@@ -178,6 +185,24 @@
             job_id = record.key[len(PROGRESS_PREFIX) :]
             self._revisions[job_id] = record.revision
 
+    def _encode(self, job_id: str) -> bytes:
+        """Encode a job's progress, without checkpoints for which there is no room.
+
+        A task without one starts anew, while the store would refuse the whole record.
+        """
+        progress = self._registry.jobs[job_id].progress()
+        encoded = encode(progress)
+        excess_bytes = len(encoded) - self._record_bytes_max
+        if excess_bytes <= 0:
+            return encoded
+        left_out = progress.leave_out_checkpoints(excess_bytes)
+        if job_id not in self._reduced_jobs:
+            self._reduced_jobs.add(job_id)
+            log_event(
+                "journal.reduced", job=job_id, bytes=len(encoded), left_out=left_out
+            )
+        return encode(progress)
+
     def _commit(self, batch: list[str]):
         self.write_count += 1
         expected = {TERM_KEY: self._get_term_revision()}
@@ -185,5 +210,5 @@
         for job_id in batch:
             key = progress_key(job_id)
             expected[key] = self._revisions.get(job_id, 0)
-            puts.append(Put(key, encode(self._registry.jobs[job_id].progress())))
+            puts.append(Put(key, self._encode(job_id)))
         return self._store.commit(expected, tuple(puts))
--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -96,7 +96,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PlatformLimits:
-    """Time limits set by the platform.
+    """Limits set by the platform.
 
     Attributes
     ----------
@@ -108,12 +108,15 @@
         Time for which co-located work may keep a standing task above its target.
     workspace_rate_window_s : float
         Time over which the jobs of a workspace count against its rate.
+    record_bytes_max : int
+        Largest value of a record in the store.
     """
 
     run_lease_max_s: float
     job_state_kept_s: float
     target_violation_max_s: float
     workspace_rate_window_s: float = 5.0
+    record_bytes_max: int = 1_048_576
 
 
 # Workers per advice call; the platform grants each step the time of one such call.
--- a/dogwoodlever/platform/_node_file.py
+++ b/dogwoodlever/platform/_node_file.py
@@ -35,6 +35,8 @@
 class _Store(msgspec.Struct, frozen=True):
     address: str
     ttl_min_ms: int = 1_000
+    # Largest value of a record.
+    value_bytes: int = 1_048_576
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -89,6 +91,8 @@
         Time within which every VM must refuse a withdrawn key; None for no such limit.
     workspace_rate_window_s : float
         Time over which the jobs of a workspace count against its rate.
+    record_bytes_max : int
+        Largest value of a record in the store.
     """
 
     vm: str
@@ -107,6 +111,7 @@
     harm_s: float
     key_withdrawal_s: float | None = None
     workspace_rate_window_s: float = 5.0
+    record_bytes_max: int = 1_048_576
 
 
 def _parse_address(text: str) -> tuple[str, int]:
@@ -146,4 +151,5 @@
         harm_s=bounds.harm_ms / 1000,
         key_withdrawal_s=bounds.revoke_ms / 1000 if bounds.strict_revoke else None,
         workspace_rate_window_s=bounds.quota_window_s,
+        record_bytes_max=document.platform.value_bytes,
     )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -767,6 +767,23 @@
         self.assertIsNotNone(stored)
         self.assertEqual(decode_progress(stored.value).phase, JobPhase.COMPLETED)
 
+    # The longest checkpoints make room for the others.
+    def test_checkpoints_that_are_left_out(self):
+        for sizes, excess_bytes, kept in (
+            ([5, 900, 7], 1, [5, 7]),
+            ([5, 900, 7], 900, [5, 7]),
+            ([5, 900, 7], 901, [5]),
+            ([5, 900, 7], 10_000, []),
+            ([], 10, []),
+        ):
+            with self.subTest(sizes, excess_bytes=excess_bytes):
+                checkpoints = {n: "x" * size for n, size in enumerate(sizes)}
+                step = StepProgress("1", checkpoints=checkpoints)
+                progress = JobProgress(occurrences={3: [step]})
+                left_out = progress.leave_out_checkpoints(excess_bytes)
+                self.assertEqual(left_out, len(sizes) - len(kept))
+                self.assertEqual([len(c) for c in step.checkpoints.values()], kept)
+
 
 ODD_NUMBER_VALUES = st.sampled_from(
     [0, -1, 1, 65_535, 65_536, 2**31, 2**53, 2**63 - 1, 2**63, 2**64, 10**30, 10**400]
