Reject store pages without a list or without a key to go on from

Decoding a page item by item took text or an object in the place of the list for no items, and a page of only malformed items before further pages for the last page. An empty listing stands for the removal of all records under the prefix.

Before: 3 rows of test_malformed_page_is_an_error_of_the_store fail. After: all pass.

--- a/dogwoodlever/platform/_http_store.py
+++ b/dogwoodlever/platform/_http_store.py
@@ -159,7 +159,10 @@
         try:
             document = json.loads(content.decode(errors="surrogateescape"))
             for field in {"items", "events"} & set(document):
-                document[field] = list(filter(self._is_usable, document[field]))
+                items = msgspec.convert(document[field], list)
+                document[field] = list(filter(self._is_usable, items))
+                if items and not document[field] and document.get("has_more"):
+                    raise PlatformError("store: no usable key on a page before others")
             return msgspec.convert(document, page_type)
         except (ValueError, TypeError, RecursionError) as error:
             raise PlatformError(f"store: {error}") from error
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -351,7 +351,19 @@
         (b"5", False),
         (b"null", False),
     ]
-    MALFORMED = [b"", b"[]", b"5", b"{", b'{"items":5}', b'{"current_rev":"a"}']
+    # An empty listing would stand for the removal of all records.
+    MALFORMED = [
+        b"",
+        b"[]",
+        b"5",
+        b"{",
+        b'{"items":5}',
+        b'{"current_rev":"a"}',
+        b'{"current_rev":9,"items":"a"}',
+        b'{"current_rev":9,"items":{"a":1}}',
+        b'{"current_rev":9,"items":null}',
+        b'{"current_rev":9,"items":[{"key":5}],"has_more":true}',
+    ]
 
     def pages(self):
         """Yield pages with an odd item, and the expected records."""
