--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -244,6 +244,7 @@
                 self.settings.harm_s,
                 self.settings.stop_timeout_s,
                 self.settings.workspace_rate_window_s,
+                self.settings.record_bytes_max,
             ),
             self.election.confirm_soon,
             lambda: self.election.contact_s,
--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -96,7 +96,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PlatformLimits:
-    """Time limits set by the platform.
+    """Limits set by the platform.
 
     Attributes
     ----------
@@ -110,6 +110,8 @@
         Longest time in which a worker ends a run, by an order or as its lease expires.
     workspace_rate_window_s : float
         Time over which the jobs of a workspace count against its rate.
+    record_bytes_max : int
+        Largest value of a record in the store.
     """
 
     run_lease_max_s: float
@@ -117,6 +119,7 @@
     target_violation_max_s: float
     stop_timeout_s: float
     workspace_rate_window_s: float = 5.0
+    record_bytes_max: int = 1_048_576
 
 
 # Workers per advice call; the platform grants each step the time of one such call.
--- a/dogwoodlever/platform/_node_file.py
+++ b/dogwoodlever/platform/_node_file.py
@@ -38,6 +38,8 @@
 class _Store(msgspec.Struct, frozen=True):
     address: str
     ttl_min_ms: int = 1_000
+    # Largest value of a record.
+    value_bytes: int = 1_048_576
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -94,6 +96,8 @@
         Time within which every VM must refuse a withdrawn key; None for no such limit.
     workspace_rate_window_s : float
         Time over which the jobs of a workspace count against its rate.
+    record_bytes_max : int
+        Largest value of a record in the store.
     """
 
     vm: str
@@ -113,6 +117,7 @@
     stop_timeout_s: float
     key_withdrawal_s: float | None = None
     workspace_rate_window_s: float = 5.0
+    record_bytes_max: int = 1_048_576
 
 
 def _parse_address(text: str) -> tuple[str, int]:
@@ -127,8 +132,9 @@
             tomllib.loads(path.read_text()), _NodeDocument, strict=False
         )
         return Success(_to_node_file(document))
-    except (OSError, ValueError) as error:
-        # msgspec's and tomllib's errors are ValueErrors that name the key.
+    except (OSError, ValueError, RecursionError) as error:
+        # msgspec's and tomllib's errors are ValueErrors that name the key, except for
+        # values that are nested too deeply.
         return Failure(SettingsError([Fault(str(path), str(error))]))
 
 
@@ -152,4 +158,5 @@
         stop_timeout_s=bounds.stop_timeout_ms / 1000,
         key_withdrawal_s=bounds.revoke_ms / 1000 if bounds.strict_revoke else None,
         workspace_rate_window_s=bounds.quota_window_s,
+        record_bytes_max=document.platform.value_bytes,
     )
--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -1,6 +1,7 @@
 """Decoding of records that operators and workers write to the store."""
 
 import hashlib
+import re
 from typing import Annotated
 
 import msgspec
@@ -13,9 +14,13 @@
     WorkerEntry,
     Workspace,
 )
+from dogwoodlever.platform._wire_address import parse_address
+from dogwoodlever.platform._wire_json import Amount, Int64, decode_json
 from dogwoodlever.platform_errors import PlatformError
 
-_Amount = Annotated[int, msgspec.Meta(ge=0)]
+# Calls name the worker in a header. Servers strip spaces around its value, so that an
+# id with such spaces would name another worker.
+_WORKER_ID_PATTERN = re.compile(r"[!-~](?:[ -~]*[!-~])?")
 
 READY = "ready"
 DRAINING = "draining"
@@ -48,16 +53,16 @@
 
 class _Capacity(msgspec.Struct, frozen=True):
     # Thousandths of a core.
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount = 0
 
 
 class _Cap(msgspec.Struct, frozen=True):
     # Thousandths of a core; 0 for no limit, as below.
-    cpu: _Amount = 0
-    mem_mb: _Amount = 0
-    gpu: _Amount = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
 
 class _Tenant(msgspec.Struct, frozen=True):
@@ -83,10 +88,10 @@
     # The worker's kind, then its rack.
     labels: tuple[str, ...] = ()
     # Unix milliseconds of the start of this incarnation.
-    born: int = 0
-    cold_remaining_ms: int = 0
+    born: Amount = 0
+    cold_remaining_ms: Int64 = 0
     # Minimum time until the worker leaves, while it drains.
-    remaining_ms: int = 0
+    remaining_ms: Int64 = 0
 
 
 def decode_configuration(value: bytes, revision: int = 0) -> FleetConfiguration:
@@ -98,7 +103,7 @@
         If it is malformed; the message names the field.
     """
     try:
-        document = msgspec.json.decode(value, type=_Configuration)
+        document = decode_json(value, _Configuration)
     except ValueError as error:
         raise PlatformError(f"configuration: {error}") from error
     queues = {
@@ -141,6 +146,22 @@
     return AdviceTiming(advice.decision_ms, advice.period_ms, advice.valid_ms)
 
 
+def is_callable_worker(worker_id: str, address: str) -> bool:
+    """Return whether a call can be sent to a worker."""
+    try:
+        _parse_worker(worker_id, address)
+    except ValueError:
+        return False
+    return True
+
+
+def _parse_worker(worker_id: str, address: str) -> tuple[str, int]:
+    """Check a worker's id and return its host and port; raises `ValueError`."""
+    if not _WORKER_ID_PATTERN.fullmatch(worker_id):
+        raise ValueError("its id cannot be the value of a header")
+    return parse_address(address)
+
+
 def decode_worker(worker_id: str, value: bytes) -> WorkerEntry:
     """Decode a worker's entry.
 
@@ -150,15 +171,15 @@
         If it was not written by a worker or is malformed.
     """
     try:
-        entry = msgspec.json.decode(value, type=_Server)
-        host, _, port = entry.address.rpartition(":")
-        if entry.state not in (READY, DRAINING) or not host:
-            raise ValueError(f"state {entry.state!r} at {entry.address!r}")
+        entry = decode_json(value, _Server)
+        host, port = _parse_worker(worker_id, entry.address)
+        if entry.state not in (READY, DRAINING):
+            raise ValueError(f"state {entry.state[:80]!r}")
         return WorkerEntry(
             worker_id,
             entry.service,
             host,
-            int(port),
+            port,
             entry.zone,
             entry.born,
             entry.state == DRAINING,
