Failing test: reports from before a pause show runs as stalled

Cause: a run counts as stalled if its progress has not changed for 2.2 s on the leader's clock. After a pause of the leader, that time includes the pause, while the report may have been made before it.

Test: a report that the worker made 0.1 s or 2.5 s and more after the one before is applied after pauses of 1, 2.5 and 5 s.

--- a/tests/test_worker_recovery.py
+++ b/tests/test_worker_recovery.py
@@ -3,8 +3,9 @@
 import unittest
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
-from dogwoodlever._fleet_job import JobPhase
+from dogwoodlever._fleet_job import JobPhase, RunPhase
 from dogwoodlever._fleet_records import WORKER_MEMBERSHIP_KEY, decode_worker_membership
+from dogwoodlever._fleet_types import PollResult, RunningRun
 from standins.fleet import server_record
 from tests.fleet_simulation import (
     JOB,
@@ -273,6 +274,42 @@
                 phase = fleet.read_phase(fleet.leader(), JOB)
                 self.assertEqual(phase, JobPhase.COMPLETED)
 
+    # Guards against runs that a leader stops for lack of progress when it resumes after
+    # a pause, by a report that was made before the pause.
+    def test_report_from_before_a_pause_shows_no_stalled_run(self):
+        table = (
+            # pause, time from one report to the next on the worker's clock, is stalled
+            (1.0, 100, False),
+            (2.5, 100, False),
+            (5.0, 100, False),
+            (2.5, 2_500, True),
+            (5.0, 5_000, True),
+        )
+        for pause_s, reported_after_ms, is_stalled in table:
+            with self.subTest(pause_s=pause_s, reported_after_ms=reported_after_ms):
+                phase = self.resume_with_report(pause_s, reported_after_ms)
+                self.assertEqual(phase is RunPhase.STOPPING, is_stalled)
+
+    def resume_with_report(self, pause_s, reported_after_ms):
+        """Return the phase of a run after a report of its unchanged progress.
+
+        The leader is paused after the report before, and the worker makes the new one
+        `reported_after_ms` after that.
+        """
+        fleet = self.start_fleet(workers=1, run_s=30.0)
+        fleet.submit(0, job(JOB, tasks=1), wait_s=2.0)
+        workers = fleet.nodes[fleet.leader()].leader.workers
+        (capacity,) = workers.capacities.values()
+        ((run, _),) = capacity.runs.values()
+        clock_ms = fleet.workers.workers["w0"].clock_ms(run.progressed_s)
+        listed = RunningRun(run.run_id, "", run.percent, 0)
+        fleet.clocks[fleet.leader()].freeze()
+        fleet.run_for(pause_s)
+        result = PollResult(clock_ms + reported_after_ms, 1, (listed,), ())
+        link = workers._links["w0"]
+        workers.runs.apply_poll(capacity, link, result, run.progressed_s)
+        return run.phase
+
     def stored_workers(self, fleet):
         record = fleet.records.records[WORKER_MEMBERSHIP_KEY]
         return set(decode_worker_membership(record.value).workers)
