A run is stalled only if the worker's clock shows it too

Cause: the time without progress was measured from report to report on the leader's clock, which runs on while the leader is paused and a report waits to be read.

Change: it also has to pass on the worker's clock, as read in the reports of the last change and of the same progress, less 2 % for a slow clock.

Ruled out: the time at which the last poll was sent, which finds hung runs up to 1.5 s later.

The table of test_run_throttler has a column more. The exploration ignores the new field, as it ignores the progress itself.

--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -78,6 +78,8 @@
         Progress as last reported; -1 before the first report.
     progressed_s : float
         When the progress last changed.
+    progressed_clock_ms : int
+        The worker's clock in the report of that change.
     load : int
         Value reported with the progress: tail latency in ms of a serving run, else
         usage in thousandths of a core.
@@ -109,6 +111,7 @@
     started_s: float
     percent: int = -1
     progressed_s: float = 0.0
+    progressed_clock_ms: int = 0
     load: int = 0
     speed_limit_percent: int = 100
     throttled_s: float = float("-inf")
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -194,7 +194,7 @@
         for order in self._throttler.decide(capacity, self._clock.seconds()):
             self._metrics.throttle_orders.inc()
             link.throttle(order.run, order.percent)
-        self._stop_stalled(capacity)
+        self._stop_stalled(capacity, result.clock_ms)
 
     def _drop_unlisted(
         self,
@@ -276,7 +276,7 @@
         pair = capacity.runs.get(listed_run.run)
         now_s = self._clock.seconds()
         if pair is None or self._is_unwanted(pair[0]):
-            self._adopt(capacity, link, listed_run, result.started_at_ms)
+            self._adopt(capacity, link, listed_run, result)
             return
         run, step = pair
         if run.is_watched:
@@ -291,6 +291,7 @@
                 self._faults.record_success(run.worker_id, listed_run.run.task.job_id)
             run.percent = listed_run.percent
             run.progressed_s = now_s
+            run.progressed_clock_ms = result.clock_ms
         run.load = listed_run.load
         if listed_run.checkpoint:
             task = self._registry.find(listed_run.run.task)
@@ -302,7 +303,7 @@
         capacity: WorkerCapacity,
         link: WorkerLink,
         listed_run: RunningRun,
-        started_at_ms: int,
+        result: PollResult,
     ) -> None:
         """Adopt a run that is listed by an incarnation of a worker, or stop it."""
         worker_id = capacity.entry.worker_id
@@ -320,11 +321,12 @@
             link.evidence.expect_listed(run.run_id, now_s)
             run.percent = listed_run.percent
             run.progressed_s = now_s
+            run.progressed_clock_ms = result.clock_ms
             log_event(
                 "run.adopted",
                 run=format_run_id(listed_run.run),
                 worker=worker_id,
-                incarnation=started_at_ms,
+                incarnation=result.started_at_ms,
                 **dropped_as,
             )
             return
@@ -333,7 +335,7 @@
                 "run.unwanted",
                 run=format_run_id(listed_run.run),
                 worker=worker_id,
-                incarnation=started_at_ms,
+                incarnation=result.started_at_ms,
                 **dropped_as,
             )
         unwanted = Run(listed_run.run, worker_id, RunPhase.STOPPING, now_s)
@@ -352,11 +354,11 @@
         task = self._registry.find(run.run_id.task)
         return task is not None and task.runs.get(run.run_id.number) is run
 
-    def _stop_stalled(self, capacity: WorkerCapacity) -> None:
+    def _stop_stalled(self, capacity: WorkerCapacity, clock_ms: int) -> None:
         """Stop runs that make no progress, so that they restart elsewhere."""
         now_s = self._clock.seconds()
         worker_id = capacity.entry.worker_id
-        for run in stalled_runs(capacity, now_s):
+        for run in stalled_runs(capacity, now_s, clock_ms):
             if self._faults.record_stall(worker_id, now_s, len(self._capacities)):
                 self._metrics.worker_events.labels("quarantined").inc()
                 log_event("worker.quarantined", worker=worker_id, why="stalled")
--- a/dogwoodlever/_run_throttler.py
+++ b/dogwoodlever/_run_throttler.py
@@ -10,6 +10,7 @@
 from dogwoodlever._fleet_job import Run, RunPhase
 from dogwoodlever._fleet_types import Step
 from dogwoodlever._interference_model import InterferenceModel
+from dogwoodlever._run_evidence import CLOCK_SLOWNESS
 from dogwoodlever._worker_capacity import WorkerCapacity, is_serving
 
 # A reported latency covers the last 0.5 s; an earlier sample repeats the previous one.
@@ -206,11 +207,21 @@
             remaining = 0.0
 
 
-def stalled_runs(capacity: WorkerCapacity, now_s: float) -> list[Run]:
+def stalled_runs(capacity: WorkerCapacity, now_s: float, clock_ms: int) -> list[Run]:
     """Return the runs that make no progress although their speed limit allows it.
 
     Detects workers on which tasks hang while health checks pass.
+
+    Parameters
+    ----------
+    capacity : WorkerCapacity
+        The worker and its runs.
+    now_s : float
+        Current time.
+    clock_ms : int
+        The worker's clock in its last report, which may be older than `now_s`.
     """
+    stall_ms = STALL_S * 1000 * (1 - CLOCK_SLOWNESS)
     return [
         run
         for run, step in capacity.runs.values()
@@ -220,6 +231,7 @@
         and 0 <= run.percent < 100
         and run.speed_limit_percent >= STALL_SPEED_LIMIT_PERCENT
         and now_s - max(run.progressed_s, run.throttled_s) >= STALL_S
+        and clock_ms - run.progressed_clock_ms >= stall_ms
     ]
 
 
--- a/tests/exploration_state.py
+++ b/tests/exploration_state.py
@@ -24,7 +24,7 @@
         "arrived_s", "percent", "progressed_s", "started_s", "version", "broken_s",
         "seen_clock_ms", "is_watched", "is_proven", "colocated_updated_s", "queue",
         "crashes", "lost_runs", "failed_on", "submitted_ms", "due_ms", "dirty",
-        "_dropped",
+        "_dropped", "progressed_clock_ms",
     }
 )  # fmt: skip
 TIMERS_IGNORED = frozenset({"_tick", "advance", "_answer_poll", "_choose_waiting"})
--- a/tests/test_run_throttler.py
+++ b/tests/test_run_throttler.py
@@ -92,19 +92,29 @@
 
     def test_stalled_runs_are_found(self):
         cases = [
-            # percent, speed limit, seconds since progress, is stalled
-            (10, 100, 3.0, True),
-            (10, 100, 1.0, False),
-            (10, 0, 3.0, False),
-            (100, 100, 3.0, False),
+            # percent, speed limit, seconds since progress, the same on the worker's
+            # clock, is stalled
+            (10, 100, 3.0, 3.0, True),
+            (10, 100, 3.0, 2.94, True),
+            (10, 100, 3.0, 1.0, False),
+            (10, 100, 1.0, 1.0, False),
+            (10, 0, 3.0, 3.0, False),
+            (100, 100, 3.0, 3.0, False),
         ]
-        for percent, limit, stalled_s, expected in cases:
-            with self.subTest(percent=percent, limit=limit, stalled_s=stalled_s):
+        for percent, limit, stalled_s, reported_s, expected in cases:
+            with self.subTest(
+                percent=percent,
+                limit=limit,
+                stalled_s=stalled_s,
+                reported_s=reported_s,
+            ):
                 scene = Scene(best_effort_runs=1)
                 run = scene.best_effort_runs[0]
                 run.percent, run.speed_limit_percent = percent, limit
                 run.progressed_s = NOW_S - stalled_s
-                stalled = stalled_runs(scene.capacity, NOW_S)
+                run.progressed_clock_ms = 5_000
+                clock_ms = 5_000 + int(reported_s * 1000)
+                stalled = stalled_runs(scene.capacity, NOW_S, clock_ms)
                 self.assertEqual(stalled == [run], expected)
 
     def test_throttled_runs_move_after_a_delay(self):
