Reproduce two runs by a late order whose run was stopped

Cause: a start of which one copy has no answer and the next one is refused is stopped, and its task starts elsewhere once the worker does not list the run. The stop holds for that incarnation only; the first copy may reach the next one. Change: a test; no mend, since a wait for the copies would delay each such task by up to 12.5 s, also where no worker restarts.

--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -6,11 +6,12 @@
 from twisted.internet.defer import Deferred
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
-from dogwoodlever._fleet_interfaces import Record
+from dogwoodlever._fleet_interfaces import Record, RefusalReason
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_records import INBOX_PREFIX
 from dogwoodlever._fleet_types import StartOrder, Step, SubmittedJob
 from dogwoodlever._fleet_workers import LINKS_PER_TERM_MAX
+from dogwoodlever.platform_errors import OrderRefusedError
 from standins.fleet import LEASE_MAX_MS, server_record
 from tests.fleet_simulation import (
     JOB,
@@ -339,6 +340,37 @@
                 self.assertEqual(fleet.workers.duplicate_starts, [])
                 self.assertEqual(self.count_running(fleet), 1)
 
+    # Guards against a run that is started elsewhere, since its worker has confirmed its
+    # stop, although a copy of its order may still reach the next incarnation.
+    def test_late_copy_of_a_start_that_was_stopped(self):
+        for crashes_after_s in (0.5, 3.0, 6.0):
+            with self.subTest(crashes_after_s=crashes_after_s):
+                fleet = self.start_fleet(workers=2)
+                fleet.workers.delays_start_to_next_incarnation = True
+                self.refuse_runs_at_first_worker(fleet)
+                fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=2.0)
+                (affected,) = fleet.workers._for_next_incarnation
+                fleet.run_for(crashes_after_s)
+                fleet.workers.crash(affected)
+                fleet.run_for(0.1)
+                self.restart(fleet, affected)
+                fleet.run_for(14.0)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+                self.assertEqual(self.count_running(fleet), 1)
+
+    def refuse_runs_at_first_worker(self, fleet):
+        """Let the first worker that gets a start refuse all, until it restarts."""
+        start = fleet.workers.start
+        refusing = []
+
+        def start_unless_refused(worker, order):
+            refusing.append(worker)
+            if worker is refusing[0] and worker.entry.started_at_ms == 1:
+                raise OrderRefusedError(RefusalReason.NO_ROOM)
+            start(worker, order)
+
+        fleet.workers.start = start_unless_refused
+
     # Guards against a run that is stopped although it is its task's only one, and one
     # that goes on after its job was cancelled.
     def test_run_that_a_late_copy_has_started_at_the_next_incarnation(self):
