--- /dev/null
+++ b/tests/scale_callers.py
@@ -0,0 +1,165 @@
+"""Callers' process of a scale soak: ``python -m tests.scale_callers LOG OPTIONS``."""
+
+import json
+import random
+import time
+
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
+from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
+from tests.scale_process import EventLog, report, run_process
+
+CALL_TIMEOUT_S = 3.0
+ATTEMPTS = 5
+READ_INTERVAL_S = (0.7, 2.5)
+# Jobs a second; means of steps, tasks a step, milliseconds and thousandths of a core a
+# task; shares of runs that fail, of steps with copies and of steps that save progress.
+KINDS = {
+    "price": (8.02, 1.6, 10, 540, 3_700, 0.02, 0.3, 0.0),
+    "month": (5.46, 2.0, 20, 2_300, 3_500, 0.005, 0.0, 0.85),
+    "watch": (0.286, 1.0, 14, 0, 6_400, 0.03, 0.0, 0.0),
+}
+STAY_S = (8.0, 40.0)
+ENDED = ("completed", "failed", "cancelled")
+
+
+class ScaleCallers:
+    """Callers that submit the jobs of the customer's sheet at random daemons."""
+
+    def __init__(self, log: EventLog, options: dict) -> None:
+        self._log = log
+        self._random = random.Random(f"callers/{options['seed']}/{options['number']}")
+        self._load = options["load"]
+        self._urls = options["urls"]
+        self._client = HttpClient(reactor, CALL_TIMEOUT_S, 2)
+        self._until_s = time.monotonic() + options["duration_s"]
+        self._factors = dict.fromkeys(KINDS, 1.0)
+        self._gives_up_share = 0.0
+        self._open: dict[str, str] = {}
+        for kind in KINDS:
+            self._submit_next(kind)
+
+    # Commands
+
+    def burst(self, kind: str, factor: float) -> None:
+        """Multiply the rate of a kind of job."""
+        self._factors[kind] = factor
+
+    def give_up(self, share: float) -> None:
+        """Cancel a share of the new jobs soon after their submission."""
+        self._gives_up_share = share
+
+    def count(self) -> None:
+        """Report how many accepted jobs have not ended."""
+        jobs = [job for job, kind in self._open.items() if kind != "watch"]
+        report("open", jobs=sorted(jobs))
+
+    def _submit_next(self, kind: str) -> None:
+        if time.monotonic() > self._until_s:
+            return
+        self._run_job(kind)
+        rate = KINDS[kind][0] * self._load * self._factors[kind]
+        reactor.callLater(self._random.expovariate(rate), self._submit_next, kind)
+
+    def _draw_steps(self, kind: str) -> list[dict]:
+        _, steps, count, run_ms, cores, _, copies, saves = KINDS[kind]
+        rng = self._random
+        drawn = []
+        for number in range(int(steps) + (rng.random() < steps % 1)):
+            step = {
+                "count": max(1, round(count * rng.uniform(0.4, 1.6))),
+                "cpu": round(cores * rng.uniform(0.6, 1.4)),
+                "mem_mb": 6_400,
+                "est_runtime_ms": int(run_ms * rng.uniform(0.6, 1.6)) or 500,
+            }
+            if not run_ms:
+                step["persistent"] = True
+            if number:
+                step["after"] = [number - 1]
+            if rng.random() < copies:
+                step["speculative"] = True
+            if rng.random() < saves:
+                step["saves_progress"] = True
+            if kind != "month" and rng.random() < 0.15:
+                step["max_per_server"] = 2
+            drawn.append(step)
+        return drawn
+
+    @inlineCallbacks
+    def _run_job(self, kind: str):
+        job = f"{self._random.getrandbits(64):016x}"
+        steps = self._draw_steps(kind)
+        run_ms = KINDS[kind][3]
+        is_hopeless = kind == "month" and self._random.random() < 0.01
+        fails = 1.0 if is_hopeless else KINDS[kind][5]
+        spec = json.dumps(
+            [{"cpu": step["cpu"], "ms": run_ms, "fail": fails} for step in steps]
+        )
+        gives_up = self._random.random() < self._gives_up_share + 0.01
+        self._log.write(
+            "submit", job=job, kind=kind, counts=[step["count"] for step in steps],
+            copies=[n for n, step in enumerate(steps) if step.get("speculative")],
+        )  # fmt: skip
+        body = json.dumps({"spec": spec, "steps": steps}).encode()
+        for _ in range(ATTEMPTS):
+            status, _ = yield self._call(b"POST", f"/{kind}/{job}", body)
+            if status == 200:
+                break
+            yield deferLater(reactor, self._random.uniform(0.1, 0.6))
+        self._log.write("submitted", job=job, status=status)
+        if status != 200:
+            return
+        self._open[job] = kind
+        if kind == "watch" or gives_up:
+            longest_s = (2.0,) if gives_up else STAY_S
+            yield deferLater(reactor, self._random.uniform(0.1, longest_s[-1]))
+            yield self._cancel(kind, job)
+            return
+        while self._open.get(job):
+            yield deferLater(reactor, self._random.uniform(*READ_INTERVAL_S))
+            yield self._read(kind, job)
+
+    @inlineCallbacks
+    def _cancel(self, kind: str, job: str):
+        self._log.write("cancel", job=job)
+        while True:
+            status, _ = yield self._call(b"DELETE", f"/{kind}/{job}")
+            if status in (200, 410):
+                break
+            yield deferLater(reactor, 0.3)
+        self._log.write("cancelled", job=job)
+        self._open.pop(job, None)
+
+    @inlineCallbacks
+    def _read(self, kind: str, job: str):
+        status, content = yield self._call(b"GET", f"/{kind}/{job}")
+        if status == 410:
+            self._log.write("absent", job=job)
+        if status != 200:
+            return
+        state = json.loads(content)["state"]
+        if state in ENDED:
+            self._log.write("state", job=job, state=state)
+            self._open.pop(job, None)
+
+    @inlineCallbacks
+    def _call(self, method: bytes, path: str, body: bytes = b""):
+        """Call a random daemon; the status is 0 without a response, -1 if not sent."""
+        url = self._random.choice(self._urls) + path
+        headers = ((b"host", b"desk.example"),)
+        try:
+            response = yield self._client.fetch(
+                method, url, body, CALL_TIMEOUT_S, headers
+            )
+        except NOT_SENT_ERRORS:
+            return -1, b""
+        except Exception:  # noqa: BLE001
+            # Twisted's network errors share no base class other than Exception.
+            return 0, b""
+        return response
+
+
+if __name__ == "__main__":
+    run_process(ScaleCallers)
--- /dev/null
+++ b/tests/scale_checker.py
@@ -0,0 +1,235 @@
+"""Checks of the logs of a scale soak: ``python -m tests.scale_checker FOLDER``."""
+
+import sys
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+# Lags and faults within this time before a second start are part of its finding.
+NEAR_S = 15.0
+LAG_NEAR_S = 7.0
+# A stand-in that is late by less does not explain a finding.
+LAG_MIN_S = 0.1
+LINKS_PER_TERM_MAX = 1_000_000
+# Differences of this size are below the resolution of the logs.
+OVERLAP_MIN_S = 0.001
+
+
+@dataclass(slots=True)
+class LoggedRun:
+    """A run in the logs of the workers; it has not ended while `end_s` is infinite."""
+
+    worker: str
+    born: int
+    number: int
+    start_s: float
+    token: int
+    is_late: bool
+    process: str
+    end_s: float = float("inf")
+    outcome: str = ""
+    end_number: int = 0
+    is_acknowledged: bool = False
+
+    def __str__(self) -> str:
+        late = " by a late order" if self.is_late else ""
+        noted = " (acknowledged)" if self.is_acknowledged else ""
+        return (
+            f"run {self.number} at {self.worker}/{self.born} of {self.process} with "
+            f"token {self.token}: {self.start_s:.3f}{late} to {self.end_s:.3f} "
+            f"{self.outcome}{noted}"
+        )
+
+
+@dataclass(slots=True)
+class CheckResult:
+    """Findings and counts of the logs of one run."""
+
+    findings: list[str] = field(default_factory=list)
+    summary: str = ""
+
+
+def read_rows(folder: Path, pattern: str) -> list[tuple[float, str, dict, str]]:
+    """Return the rows of all logs of a pattern by time, with the log's name."""
+    decode = msgspec.json.Decoder().decode
+    rows = []
+    for path in sorted(folder.glob(pattern)):
+        for line in path.read_bytes().splitlines():
+            try:
+                rows.append((*decode(line), path.stem))
+            except msgspec.DecodeError:
+                # The last line of a process that was ended.
+                continue
+    return sorted(rows, key=lambda row: row[0])
+
+
+class ScaleChecker:
+    """Finds the tasks that ran twice in the logs of a run.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of the logs.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.rows = read_rows(folder, "*.jsonl")
+        self.runs: dict[str, list[LoggedRun]] = defaultdict(list)
+        self.counts: Counter = Counter()
+        self._copied: set[tuple[str, int]] = set()
+        self._kinds: dict[str, str] = {}
+        self.leaders = [(0.0, 0, "")]
+        self.completed_s: dict[str, float] = {}
+        self._job_counts: dict[str, list[int]] = {}
+
+    def check(self) -> CheckResult:
+        """Return the findings."""
+        self._read()
+        findings = []
+        for task, runs in self.runs.items():
+            job, _, step, _ = task.rsplit(".", 3)
+            if (job, int(step)) not in self._copied:
+                findings.extend(self._check_task(task, runs))
+        findings.extend(self._check_completed())
+        summary = " ".join(
+            f"{name}={self.counts[name]}" for name in sorted(self.counts)
+        )
+        return CheckResult(findings, f"{summary} {self._lags()}")
+
+    def _read(self) -> None:
+        open_runs: dict[tuple, LoggedRun] = {}
+        by_life: dict[tuple, dict[int, LoggedRun]] = defaultdict(dict)
+        for time_s, event, fields, process in self.rows:
+            life = fields.get("worker"), fields.get("born")
+            if event == "start":
+                run = LoggedRun(
+                    *life, fields["run"], time_s, fields["token"], fields["late"],
+                    process,
+                )  # fmt: skip
+                self.runs[fields["task"]].append(run)
+                open_runs[(*life, fields["task"], run.number)] = run
+                self.counts["starts"] += 1
+                self.counts["late_starts"] += run.is_late
+            elif event == "end":
+                run = open_runs.pop((*life, fields["task"], fields["run"]))
+                run.end_s, run.outcome = time_s, fields["outcome"]
+                run.end_number = fields["number"]
+                by_life[life][run.end_number] = run
+                self.counts[f"ended_{run.outcome}"] += 1
+            elif event == "ack":
+                ended = by_life[life]
+                for number in [n for n in ended if n <= fields["number"]]:
+                    ended.pop(number).is_acknowledged = True
+            elif event == "lapse":
+                # Ends that are acknowledged after a lapse do not count.
+                by_life[life].clear()
+            elif event == "down":
+                by_life.pop(life, None)
+                for key in [key for key in open_runs if key[:2] == life]:
+                    run = open_runs.pop(key)
+                    run.end_s, run.outcome = time_s, "crashed"
+            elif event == "leader":
+                self.leaders.append((time_s, fields["revision"], fields["member"]))
+            elif event == "submit":
+                self._copied.update((fields["job"], step) for step in fields["copies"])
+                self._job_counts[fields["job"]] = fields["counts"]
+                self.counts["jobs"] += 1
+            elif event == "submitted":
+                self.counts["accepted"] += fields["status"] == 200
+            elif event == "state":
+                self.counts[fields["state"]] += 1
+                if fields["state"] == "completed":
+                    self.completed_s[fields["job"]] = time_s
+            elif event == "ended-by-itself":
+                self.counts["ended_by_itself"] += 1
+
+    def _check_task(self, task: str, runs: list[LoggedRun]) -> list[str]:
+        findings = []
+        for index, run in enumerate(runs):
+            for former in runs[:index]:
+                overlap_s = min(run.end_s, former.end_s) - run.start_s
+                is_done = former.outcome == "done" and former.is_acknowledged
+                if overlap_s > OVERLAP_MIN_S:
+                    what = f"two runs for {overlap_s:.3f} s"
+                elif former.end_s <= run.start_s and is_done:
+                    what = f"start {run.start_s - former.end_s:.3f} s after its end"
+                else:
+                    continue
+                findings.append(self._describe(task, what, former, run))
+        return findings
+
+    def _check_completed(self) -> list[str]:
+        findings = []
+        for job, time_s in self.completed_s.items():
+            for step, count in enumerate(self._job_counts[job]):
+                done = sum(
+                    any(
+                        run.outcome == "done" and run.end_s <= time_s
+                        for run in self.runs.get(f"{job}.0.{step}.{index}", ())
+                    )
+                    for index in range(count)
+                )
+                if done < count:
+                    findings.append(f"MIXED: {job} completed, step {step}: {done} done")
+        return findings
+
+    def _describe(self, task, what, former: LoggedRun, run: LoggedRun) -> str:
+        lines = [f"TWICE: {task}: {what}"]
+        for each in (former, run):
+            lines.append(f"    {each}; leader {self._leader_of(each.token)}")
+        lines.extend(self._find_context(task, former, run))
+        return "\n".join(lines)
+
+    def _leader_of(self, token: int) -> str:
+        for _, revision, member in self.leaders:
+            if member and revision in (token, token // LINKS_PER_TERM_MAX):
+                return member.partition("@")[0]
+        return "unknown"
+
+    def _find_context(self, task: str, former: LoggedRun, run: LoggedRun) -> list[str]:
+        lines = []
+        ids = (former.worker, run.worker)
+        slots = {int(worker[1:4]) for worker in ids}
+        first_s = min(former.start_s, run.start_s - NEAR_S)
+        for time_s, event, fields, process in self.rows:
+            if not first_s <= time_s <= run.start_s + 1.0:
+                continue
+            is_own_task = fields.get("task") == task
+            is_own_worker = fields.get("worker") in ids and event in (
+                "up", "down", "lapse", "token",
+            )  # fmt: skip
+            is_late = event == "lag" and fields["late_s"] > LAG_MIN_S
+            targets = fields.get("workers")
+            is_fault = event == "fault" and (
+                not isinstance(targets, list) or slots & set(targets)
+            )
+            if is_late and time_s < run.start_s - LAG_NEAR_S:
+                continue
+            if is_own_task or is_own_worker or is_late or is_fault or event == "leader":
+                if isinstance(targets, list):
+                    fields = fields | {"workers": sorted(slots & set(targets))}
+                lines.append(f"    {time_s:.3f} {process} {event} {fields}"[:240])
+        return lines
+
+    def _lags(self) -> str:
+        lags: dict[str, list[float]] = defaultdict(list)
+        for _, event, fields, process in self.rows:
+            if event == "lag":
+                lags[process].append(fields["late_s"])
+        return " ".join(
+            f"lag[{process}]=max {max(values):.2f},"
+            f"over0.1:{sum(value > LAG_MIN_S for value in values)}"
+            for process, values in sorted(lags.items())
+        )
+
+
+def check_logs(folder: Path) -> CheckResult:
+    """Check the logs of one run."""
+    return ScaleChecker(folder).check()
+
+
+if __name__ == "__main__":
+    checked = check_logs(Path(sys.argv[1]))
+    print("\n".join([*checked.findings, checked.summary]))
--- /dev/null
+++ b/tests/scale_faults.py
@@ -0,0 +1,389 @@
+"""Faults of a scale soak: those of the customer's page, drawn from a seed."""
+
+import random
+import signal
+from collections.abc import Callable
+
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
+from standins.faulty_proxy import LinkFault
+
+PAUSE_S = (0.2, 1.2)
+EXIT_POLL_S = 0.1
+SHUN_FAULTS = (LinkFault.SILENT, LinkFault.ANSWERS_LOST, LinkFault.RESET)
+LINK_FAULTS = (*SHUN_FAULTS, LinkFault.OPEN_SILENT, LinkFault.REFUSED)
+STORE_FAULTS = (*LINK_FAULTS, "busy")
+
+
+class ScaleFaults:
+    """Injects random faults; each heals by itself and several may be active at once.
+
+    Parameters
+    ----------
+    site : ScaleSite
+        Site to inject the faults into.
+    seed : int
+        Seed of the faults, their targets and times.
+    names : tuple of str
+        Faults to inject, all if empty; ``-NAME`` leaves one out.
+    same_id_share : float
+        Share of the workers that return under their former id.
+    """
+
+    def __init__(self, site, seed: int, names: tuple, same_id_share: float) -> None:
+        self._site = site
+        self._random = random.Random(f"faults/{seed}")
+        self._same_id_share = same_id_share
+        self._active_count = 0
+        self._reserved: set = set()
+        self.counts: dict[str, int] = {}
+        every = {
+            name: (getattr(self, f"_{name}"), weight) for name, weight in FAULTS.items()
+        }
+        left_out = {name[1:] for name in names if name.startswith("-")}
+        chosen = {name for name in names if not name.startswith("-")} or set(every)
+        self._faults: dict[str, tuple[Callable, int]] = {
+            name: every[name] for name in every if name in chosen - left_out
+        }
+
+    @inlineCallbacks
+    def run(self, duration_s: float):
+        """Inject faults for `duration_s`, then wait until all have healed."""
+        until_s = reactor.seconds() + duration_s
+        names = list(self._faults)
+        weights = [weight for _, weight in self._faults.values()]
+        while names and reactor.seconds() < until_s:
+            name = self._random.choices(names, weights)[0]
+            self._inject(name)
+            yield self._pause(*PAUSE_S)
+        if not names:
+            yield deferLater(reactor, duration_s)
+        while self._active_count:
+            yield deferLater(reactor, EXIT_POLL_S)
+
+    @inlineCallbacks
+    def _inject(self, name: str):
+        self._active_count += 1
+        self.counts[name] = self.counts.get(name, 0) + 1
+        try:
+            yield self._faults[name][0]()
+        finally:
+            self._active_count -= 1
+
+    def _note(self, fault: str, **fields) -> None:
+        self._site.log.write("fault", fault=fault, **fields)
+
+    def _pause(self, least_s: float, most_s: float):
+        return deferLater(reactor, self._random.uniform(least_s, most_s))
+
+    def _draw(self, kind: str, names, share: float) -> list:
+        """Return a random share of the names that no fault has reserved, one at least.
+
+        They are reserved as targets of that kind of fault until they are released.
+        """
+        free = [name for name in names if (kind, name) not in self._reserved]
+        count = min(len(free), max(1, round(share * len(names))))
+        drawn = self._random.sample(free, count)
+        self._reserved.update((kind, name) for name in drawn)
+        return drawn
+
+    def _release(self, kind: str, names) -> None:
+        self._reserved.difference_update((kind, name) for name in names)
+
+    def _draw_daemons(self, share: float) -> list[int]:
+        return self._draw("process", range(len(self._site.daemons)), share)
+
+    def _leader(self) -> list[int]:
+        leader = self._site.leader_number()
+        if leader is None or ("process", leader) in self._reserved:
+            return []
+        self._reserved.add(("process", leader))
+        return [leader]
+
+    # Processes
+
+    def _kill_leader(self):
+        return self._kill(self._leader(), 3.5)
+
+    def _kill_some(self):
+        return self._kill(self._draw_daemons(self._random.uniform(0.0, 0.16)), 3.5)
+
+    def _kill_all(self):
+        return self._kill(self._draw_daemons(1.0), 1.4)
+
+    @inlineCallbacks
+    def _kill(self, numbers, down_max_s: float):
+        self._note("kill", daemons=numbers)
+        for number in numbers:
+            self._site.daemons[number].signal(signal.SIGKILL)
+        yield self._pause(0.1, down_max_s)
+        for number in numbers:
+            self._site.daemons[number].start()
+        self._release("process", numbers)
+
+    def _freeze_leader(self):
+        return self._freeze(self._leader())
+
+    def _freeze_some(self):
+        return self._freeze(self._draw_daemons(self._random.uniform(0.0, 0.16)))
+
+    @inlineCallbacks
+    def _freeze(self, numbers):
+        self._note("freeze", daemons=numbers)
+        for number in numbers:
+            self._site.daemons[number].signal(signal.SIGSTOP)
+        longest_s = self._random.choice((0.8, 3.0, 9.0))
+        yield self._pause(0.1, longest_s)
+        self._note("thaw", daemons=numbers)
+        for number in numbers:
+            self._site.daemons[number].signal(signal.SIGCONT)
+        self._release("process", numbers)
+
+    @inlineCallbacks
+    def _roll(self):
+        numbers = self._draw_daemons(self._random.uniform(0.0, 0.3))
+        for number in numbers:
+            self._note("terminate", daemons=[number])
+            daemon = self._site.daemons[number]
+            daemon.signal(signal.SIGTERM)
+            for _ in range(int(6.0 / EXIT_POLL_S)):
+                if not daemon.is_running:
+                    break
+                yield deferLater(reactor, EXIT_POLL_S)
+            daemon.signal(signal.SIGKILL)
+            yield self._pause(0.1, 0.5)
+            daemon.start()
+            self._release("process", [number])
+
+    def _hup(self) -> None:
+        numbers = self._draw_daemons(0.6)
+        self._note("hup", daemons=numbers)
+        for number in numbers:
+            self._site.daemons[number].signal(signal.SIGHUP)
+        self._release("process", numbers)
+
+    @inlineCallbacks
+    def _pause_workers(self):
+        processes = self._draw("pause", range(len(self._site.workers)), 0.0)
+        self._note("pause-workers", processes=processes)
+        for number in processes:
+            self._site.workers[number].signal("STOP")
+        yield self._pause(0.3, 3.0)
+        for number in processes:
+            self._site.workers[number].signal("CONT")
+        self._note("resume-workers", processes=processes)
+        self._release("pause", processes)
+
+    # The store
+
+    @inlineCallbacks
+    def _cut_from_store(self, numbers, longest_s: float, faults=STORE_FAULTS):
+        kind = "store"
+        numbers = [n for n in numbers if (kind, n) not in self._reserved]
+        self._reserved.update((kind, n) for n in numbers)
+        fault = self._random.choice(faults)
+        self._note("cut-store", daemons=numbers, how=fault)
+        self._site.store.send("cut", daemons=numbers, fault=fault)
+        yield self._pause(0.3, longest_s)
+        self._site.store.send("cut", daemons=numbers, fault=LinkFault.NONE)
+        self._note("cut-store-over", daemons=numbers)
+        self._release(kind, numbers)
+
+    def _cut_leader_from_store(self):
+        leader = self._site.leader_number()
+        return self._cut_from_store([] if leader is None else [leader], 9.0)
+
+    def _cut_some_from_store(self):
+        daemons = range(len(self._site.daemons))
+        numbers = self._random.sample(daemons, max(1, round(0.33 * len(daemons))))
+        return self._cut_from_store(numbers, 9.0)
+
+    @inlineCallbacks
+    def _store_down(self):
+        is_paused = self._random.random() < 0.5
+        self._site.store.send("pause_leases", paused=is_paused)
+        self._note("store-down", paused=is_paused)
+        yield self._cut_from_store(range(len(self._site.daemons)), 5.1)
+        self._site.store.send("pause_leases", paused=False)
+
+    @inlineCallbacks
+    def _store_slow(self):
+        delay_s = self._random.uniform(0.05, 0.5)
+        self._note("store-slow", delay_s=delay_s)
+        self._site.store.send("set_delay", delay_s=delay_s)
+        yield self._pause(1.0, 4.5)
+        self._site.store.send("set_delay", delay_s=0.0)
+
+    @inlineCallbacks
+    def _store_lost(self):
+        share = self._random.uniform(0.1, 0.6)
+        self._note("store-lost", share=share)
+        self._site.store.send("lose", share=share, delay_s=5.0)
+        yield self._pause(1.0, 4.5)
+        self._site.store.send("lose", share=0.0, delay_s=0.0)
+
+    def _compact(self) -> None:
+        self._note("compact")
+        self._site.store.send("compact")
+
+    def _remove_leader(self) -> None:
+        self._note("remove-leader-record")
+        self._site.store.send("remove_leader")
+
+    # Workers
+
+    def _targets(self, kind: str, share: float) -> list[int]:
+        return self._draw(kind, range(self._site.worker_count), share)
+
+    @inlineCallbacks
+    def _cut_leader_from_workers(self):
+        yield self._shun(self._site.leader_revision, 9.0)
+
+    @inlineCallbacks
+    def _cut_leader_off(self):
+        leader = self._site.leader_number()
+        if leader is not None:
+            self._cut_from_store([leader], 9.0, LINK_FAULTS)
+            yield self._shun(self._site.leader_revision, 9.0)
+
+    @inlineCallbacks
+    def _shun(self, revision: int, longest_s: float):
+        fault = self._random.choice(SHUN_FAULTS)
+        processes = self._random.sample(
+            self._site.workers, self._random.randint(1, len(self._site.workers))
+        )
+        self._note("shun", revision=revision, how=fault, processes=len(processes))
+        for process in processes:
+            process.send("shun", token=revision, fault=fault)
+        yield self._pause(0.3, longest_s)
+        for process in processes:
+            process.send("shun", token=revision, fault=LinkFault.NONE)
+        self._note("shun-over", revision=revision)
+
+    @inlineCallbacks
+    def _cut_workers(self):
+        numbers = self._targets("cut", self._random.uniform(0.0, 0.17))
+        fault = self._random.choice(LINK_FAULTS)
+        self._note("cut-workers", workers=numbers, how=fault)
+        self._site.send_workers("cut", numbers, fault=fault)
+        yield self._pause(0.5, 10.0)
+        self._site.send_workers("cut", numbers, fault=LinkFault.NONE)
+        self._note("cut-workers-over", workers=numbers)
+        self._release("cut", numbers)
+
+    @inlineCallbacks
+    def _flap(self):
+        numbers = self._targets("life", self._random.uniform(0.0, 0.1))
+        for _ in range(self._random.randint(1, 3)):
+            self._note("flap", workers=numbers)
+            self._site.send_workers("stop", numbers)
+            yield self._pause(0.2, self._random.choice((1.5, 8.0)))
+            kept = [n for n in numbers if self._random.random() < self._same_id_share]
+            self._site.send_workers("start", kept, keeps_id=True)
+            others = sorted(set(numbers) - set(kept))
+            self._site.send_workers("start", others, keeps_id=False)
+            yield self._pause(0.3, 3.0)
+        self._release("life", numbers)
+
+    @inlineCallbacks
+    def _drain(self):
+        numbers = self._targets("life", self._random.uniform(0.0, 0.065))
+        self._note("drain", workers=numbers)
+        self._site.send_workers("drain", numbers)
+        yield self._pause(3.0, 5.0)
+        self._site.send_workers("remove", numbers)
+        yield self._pause(0.5, 4.0)
+        self._site.send_workers("start", numbers, keeps_id=False)
+        self._release("life", numbers)
+
+    @inlineCallbacks
+    def _disturb(self, name: str, most: float, share: float):
+        numbers = self._targets(name, share)
+        value = self._random.uniform(0.02, most)
+        self._note("disturb", workers=len(numbers), how=name, share=value)
+        self._site.send_workers("disturb", numbers, **{name: value})
+        yield self._pause(2.0, 6.5)
+        self._site.send_workers("disturb", numbers, **{name: 0.0})
+        self._note("disturb-over", how=name)
+        self._release(name, numbers)
+
+    def _late(self):
+        return self._disturb("late_share", 0.5, self._random.uniform(0.0, 1.0))
+
+    def _hang(self):
+        return self._disturb("hang_share", 0.6, self._random.uniform(0.0, 0.14))
+
+    def _reset(self):
+        return self._disturb("reset_share", 0.6, self._random.uniform(0.0, 0.14))
+
+    def _fail(self):
+        return self._disturb("fails", 1.0, self._random.uniform(0.0, 0.08))
+
+    # Operators and callers
+
+    def _configure(self) -> None:
+        self._site.version += self._random.randint(1, 7)
+        extra = self._random.randint(0, 3)
+        self._note("configure", version=self._site.version)
+        self._site.store.send("configure", version=self._site.version, extra=extra)
+
+    @inlineCallbacks
+    def _evacuate(self):
+        key = f"op/evacuate/z{self._random.randrange(3)}"
+        self._note("evacuate", key=key)
+        self._site.store.send("write", key=key, value="{}")
+        yield self._pause(2.0, 8.0)
+        self._site.store.send("write", key=key, value="")
+
+    @inlineCallbacks
+    def _burst(self):
+        self._note("burst")
+        for callers in self._site.callers:
+            callers.send("burst", kind="month", factor=1.5)
+        yield self._pause(2.0, 4.0)
+        for callers in self._site.callers:
+            callers.send("burst", kind="month", factor=1.0)
+
+    @inlineCallbacks
+    def _give_up(self):
+        self._note("give-up")
+        for callers in self._site.callers:
+            callers.send("give_up", share=0.25)
+        yield self._pause(2.0, 5.5)
+        for callers in self._site.callers:
+            callers.send("give_up", share=0.0)
+
+
+# Weights of the faults.
+FAULTS = {
+    "kill_leader": 3,
+    "kill_some": 2,
+    "kill_all": 1,
+    "freeze_leader": 4,
+    "freeze_some": 1,
+    "roll": 1,
+    "hup": 1,
+    "pause_workers": 3,
+    "cut_leader_from_store": 3,
+    "cut_some_from_store": 2,
+    "store_down": 2,
+    "store_slow": 2,
+    "store_lost": 2,
+    "compact": 1,
+    "remove_leader": 2,
+    "cut_leader_from_workers": 2,
+    "cut_leader_off": 2,
+    "cut_workers": 4,
+    "flap": 4,
+    "drain": 1,
+    "late": 4,
+    "hang": 1,
+    "reset": 1,
+    "fail": 1,
+    "configure": 1,
+    "evacuate": 1,
+    "burst": 1,
+    "give_up": 1,
+}
--- /dev/null
+++ b/tests/scale_process.py
@@ -0,0 +1,229 @@
+"""What the processes of a scale soak share: event logs, commands and HTTP servers.
+
+Times in logs are seconds of the host's monotonic clock, the same for all processes.
+"""
+
+import json
+import os
+import socket
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from urllib.parse import parse_qs
+
+import msgspec
+from twisted.internet import reactor, stdio
+from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.task import LoopingCall
+from twisted.protocols.basic import LineReceiver
+
+from standins.faulty_proxy import LinkFault
+
+LAG_INTERVAL_S = 0.05
+# Shorter lags are not logged.
+LAG_MIN_S = 0.03
+FLUSH_INTERVAL_S = 0.5
+LINE_BYTES_MAX = 1 << 22
+
+
+class EventLog:
+    """Log of one process, one JSON row [time, event, fields] a line."""
+
+    def __init__(self, path: Path) -> None:
+        self._file = open(path, "wb", buffering=1 << 16)  # noqa: SIM115
+        self._encode = msgspec.json.Encoder().encode
+        self._expected_s = 0.0
+        LoopingCall(self._file.flush).start(FLUSH_INTERVAL_S)
+        self._measure_lag()
+
+    def write(self, event: str, **fields) -> None:
+        """Write one event."""
+        self._file.write(self._encode([time.monotonic(), event, fields]) + b"\n")
+
+    def flush(self) -> None:
+        """Write out all events."""
+        self._file.flush()
+
+    def _measure_lag(self) -> None:
+        now_s = time.monotonic()
+        late_s = now_s - self._expected_s if self._expected_s else 0.0
+        if late_s > LAG_MIN_S:
+            self.write("lag", late_s=late_s)
+        self._expected_s = now_s + LAG_INTERVAL_S
+        reactor.callLater(LAG_INTERVAL_S, self._measure_lag)
+
+
+class _Commands(LineReceiver):
+    delimiter = b"\n"
+    MAX_LENGTH = LINE_BYTES_MAX
+
+    def __init__(self, target, log: EventLog) -> None:
+        self._target = target
+        self._log = log
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        name, arguments = json.loads(line)
+        getattr(self._target, name)(**arguments)
+
+    def connectionLost(self, _reason=None) -> None:  # noqa: N802
+        self._log.flush()
+        os._exit(0)
+
+
+def report(name: str, **fields) -> None:
+    """Send a report to the process that started this one."""
+    sys.stdout.write(json.dumps([name, fields]) + "\n")
+    sys.stdout.flush()
+
+
+def run_process(make_target: Callable[[EventLog, dict], object]) -> None:
+    """Run a stand-in process until its standard input is closed.
+
+    The first argument is the path of its log, the second one a JSON document of its
+    options. Each line of the standard input is a row of the name of a method of the
+    stand-in and its arguments.
+    """
+    log = EventLog(Path(sys.argv[1]))
+    target = make_target(log, json.loads(sys.argv[2]))
+    stdio.StandardIO(_Commands(target, log))
+    reactor.run(installSignalHandlers=False)
+
+
+class HttpPort(Factory):
+    """A loopback port that is kept while no process listens on it.
+
+    Parameters
+    ----------
+    serve : callable
+        Called with each `Exchange`.
+    port : int
+        Port, 0 for a free one.
+    """
+
+    noisy = False
+
+    def __init__(self, serve: Callable[["Exchange"], None], port: int = 0) -> None:
+        self.serve = serve
+        self.fault = LinkFault.NONE
+        self.connections: set[_Connection] = set()
+        # Binds the port without listening, so that connections are refused.
+        self._reservation = socket.socket()
+        self._reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reservation.bind(("127.0.0.1", port))
+        self.port = self._reservation.getsockname()[1]
+        self._listening = None
+        self.listen()
+
+    def buildProtocol(self, _address):  # noqa: N802
+        """Return the protocol of a new connection."""
+        return _Connection(self)
+
+    def listen(self) -> None:
+        """Accept connections."""
+        if self._listening is None:
+            self._listening = reactor.listenTCP(
+                self.port, self, backlog=512, interface="127.0.0.1"
+            )
+
+    def refuse(self) -> None:
+        """Reset all connections and refuse new ones."""
+        if self._listening is not None:
+            # Closes the socket at once, unlike stopListening.
+            self._listening.connectionLost(None)
+            self._listening = None
+        self.reset()
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for connection in list(self.connections):
+            connection.transport.abortConnection()
+
+    def inject(self, fault: LinkFault) -> None:
+        """Inject a fault into all connections; `NONE` ends the current one."""
+        if fault is LinkFault.REFUSED:
+            self.refuse()
+        else:
+            self.listen()
+        self.fault = fault
+        if fault is LinkFault.RESET:
+            self.reset()
+        if fault is LinkFault.OPEN_SILENT:
+            for connection in self.connections:
+                connection.is_silent = True
+            self.fault = LinkFault.NONE
+
+
+class _Connection(Protocol):
+    def __init__(self, port: HttpPort) -> None:
+        self.port = port
+        self.is_silent = False
+        self._buffer = b""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        if self.port.fault is LinkFault.RESET:
+            self.transport.abortConnection()
+            return
+        self.transport.setTcpNoDelay(True)
+        self.port.connections.add(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.port.fault is LinkFault.SILENT:
+            self.is_silent = True
+        if self.is_silent:
+            return
+        self._buffer += data
+        head, separator, rest = self._buffer.partition(b"\r\n\r\n")
+        if not separator:
+            return
+        first, *lines = head.split(b"\r\n")
+        headers = dict(line.lower().split(b": ", 1) for line in lines)
+        size = int(headers.get(b"content-length", 0))
+        if len(rest) < size:
+            return
+        self._buffer = rest[size:]
+        method, target, _ = first.decode().split(" ", 2)
+        self.port.serve(Exchange(self, method, target, headers, rest[:size]))
+
+    def connectionLost(self, _reason=None) -> None:  # noqa: N802
+        self.port.connections.discard(self)
+        self.is_silent = True
+
+
+class Exchange:
+    """A request and its response."""
+
+    __slots__ = ("_connection", "body", "headers", "method", "path", "query")
+
+    def __init__(self, connection, method, target, headers, body) -> None:
+        self._connection = connection
+        self.method = method
+        self.path, _, query = target.partition("?")
+        self.query = {name: rows[0] for name, rows in parse_qs(query).items()}
+        self.headers = headers
+        self.body = json.loads(body) if body else {}
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a response can reach the client."""
+        return not self._connection.is_silent
+
+    def drop(self) -> None:
+        """Never respond, nor to later requests on the connection."""
+        self._connection.is_silent = True
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        self._connection.transport.abortConnection()
+
+    def respond(self, status: int, document: dict | None = None) -> None:
+        """Respond, unless the link loses answers or the client has gone."""
+        if self._connection.port.fault in (LinkFault.ANSWERS_LOST, LinkFault.SILENT):
+            self.drop()
+        if self._connection.is_silent:
+            return
+        content = msgspec.json.encode(document or {})
+        self._connection.transport.write(
+            b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (status, len(content), content)
+        )
--- /dev/null
+++ b/tests/scale_soak.py
@@ -0,0 +1,363 @@
+"""Soak at the customer's size and load: ``python -m tests.scale_soak``.
+
+The daemons, the store, the workers and the callers run in processes of their own, on
+the host's clock. `tests.scale_checker` reads all their logs after the run.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import cyclopts
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.protocol import ProcessProtocol
+from twisted.internet.task import LoopingCall, deferLater
+
+from tests.scale_checker import check_logs
+from tests.scale_faults import ScaleFaults
+from tests.scale_process import EventLog
+from tests.soak_site import CALLERS, PEERS, READINESS, ROOT, SoakDaemon
+
+LOG_FOLDER = ROOT / "target" / "scale"
+START_TIMEOUT_S = 40.0
+SETTLE_TIMEOUT_S = 60.0
+# CPU shares of the VMs, in cores; one in seven is strong.
+CORES = ((0.717, 3),) + ((0.297, 1),) * 6
+
+
+class StandIn(ProcessProtocol):
+    """A process of the rig, which takes commands and sends reports."""
+
+    def __init__(self, module: str, log: Path, options: dict, on_report=None) -> None:
+        self.reports: dict[str, dict] = {}
+        self.listening: Deferred = Deferred()
+        self.name = log.stem
+        self._on_report = on_report
+        self._buffer = b""
+        self._errors = open(log.with_suffix(".err"), "ab")  # noqa: SIM115
+        arguments = [sys.executable, "-m", module, str(log), json.dumps(options)]
+        reactor.spawnProcess(
+            self, sys.executable, arguments, env=os.environ, path=str(ROOT)
+        )
+
+    def send(self, name: str, **arguments) -> None:
+        """Call a method of the stand-in."""
+        self.transport.write(json.dumps([name, arguments]).encode() + b"\n")
+
+    def signal(self, name: str) -> None:
+        """Send a signal to the process."""
+        self.transport.signalProcess(name)
+
+    def outReceived(self, data: bytes) -> None:  # noqa: N802
+        """Store the reports of the process."""
+        *lines, self._buffer = (self._buffer + data).split(b"\n")
+        for line in lines:
+            name, fields = json.loads(line)
+            self.reports[name] = fields
+            if name == "listening":
+                self.listening.callback(fields)
+            elif self._on_report is not None:
+                self._on_report(name, fields)
+
+    def errReceived(self, data: bytes) -> None:  # noqa: N802
+        """Keep what the process writes to its standard error."""
+        self._errors.write(data)
+        self._errors.flush()
+
+    def cpu_s(self) -> float:
+        """Return the processor time used so far."""
+        return read_cpu_s(self.transport.pid)
+
+
+class ScaleDaemon(SoakDaemon):
+    """A daemon of any checkout, with the settings of the customer's site."""
+
+    def __init__(self, number, host, store_port, folder, checkout: Path) -> None:
+        self._checkout = checkout
+        self._number = number
+        super().__init__(f"vm{number}", host, store_port, folder)
+
+    def _settings(self, store_port: int) -> str:
+        cpu_share, cores = CORES[self._number % len(CORES)]
+        return f"""
+node = "{self.name}"
+ip = "{self.host}"
+zone = "z{self._number % 3}"
+port_range = [{self.ports[PEERS]}, {self.ports[PEERS]}]
+[listen]
+front = "{self.host}:{self.ports[CALLERS]}"
+readiness = "{self.host}:{self.ports[READINESS]}"
+[platform]
+address = "127.0.0.1:{store_port}"
+[limits]
+cpu_share = {cpu_share}
+cores = {cores}
+[bounds]
+hold_max_ms = 6000
+stop_timeout_ms = 400
+gang_timeout_ms = 4000
+cancel_ms = 4000
+grace_s = 6
+status_s = 120
+harm_ms = 4500
+"""
+
+    def start(self) -> None:
+        """Start the process unless it is running."""
+        if self.is_running:
+            return
+        self.is_ending = False
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "dogwoodlever.fleet_daemon"],
+            cwd=self._checkout,
+            env=os.environ | {"DOGWOODLEVER_NODE_FILE": str(self._file)},
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+
+class ScaleSite:
+    """The processes of a scale soak.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for settings and logs.
+    options : dict
+        Options of the command line.
+    """
+
+    def __init__(self, folder: Path, options: dict) -> None:
+        self._folder = folder
+        self._options = options
+        self.log = EventLog(folder / "site.jsonl")
+        self.version = 1
+        self.worker_count = options["workers"]
+        self.store: StandIn | None = None
+        self.workers: list[StandIn] = []
+        self.callers: list[StandIn] = []
+        self.daemons: list[ScaleDaemon] = []
+        self.leader_member = ""
+        self.leader_revision = 0
+
+    def _spawn(self, role: str, index: int, on_report=None, **options) -> StandIn:
+        log = self._folder / f"{role}-{index}.jsonl"
+        options["seed"] = self._options["seed"]
+        return StandIn(f"tests.scale_{role}", log, options, on_report)
+
+    @inlineCallbacks
+    def start(self):
+        """Start the store, the workers and the daemons."""
+        options = self._options
+        self.store = self._spawn(
+            "store", 0, self._on_store_report, daemons=options["daemons"]
+        )
+        listening = yield self.store.listening
+        count = options["worker_processes"]
+        for number in range(count):
+            process = self._spawn(
+                "workers", number, beats=listening["beats"],
+                numbers=list(range(number, self.worker_count, count)),
+                lapse_max_s=options["lapse_max_ms"] / 1000,
+            )  # fmt: skip
+            self.workers.append(process)
+        for process in self.workers:
+            yield process.listening
+        for number, port in enumerate(listening["ports"]):
+            # All daemons use the same metrics port, so each gets its own address.
+            pid = os.getpid()
+            host = f"127.{1 + pid % 200}.{pid // 200 % 250}.{number + 2}"
+            daemon = ScaleDaemon(number, host, port, self._folder, options["checkout"])
+            self.daemons.append(daemon)
+            daemon.start()
+
+    def start_callers(self, duration_s: float) -> None:
+        """Start to submit jobs."""
+        count = self._options["caller_processes"]
+        for number in range(count):
+            process = self._spawn(
+                "callers", number, number=number, duration_s=duration_s,
+                load=self._options["load"] / count,
+                urls=[daemon.url for daemon in self.daemons],
+            )  # fmt: skip
+            self.callers.append(process)
+
+    def _on_store_report(self, name: str, fields: dict) -> None:
+        if name == "leader":
+            self.leader_member = fields["member"]
+            self.leader_revision = fields["revision"] if fields["member"] else 0
+
+    def leader_number(self) -> int | None:
+        """Return the number of the leader's daemon."""
+        name = self.leader_member.partition("@")[0]
+        return int(name[2:]) if name else None
+
+    def send_workers(self, name: str, numbers: list[int], **arguments) -> None:
+        """Call a method of the processes of some workers."""
+        count = len(self.workers)
+        for index, process in enumerate(self.workers):
+            own = [number for number in numbers if number % count == index]
+            if own:
+                process.send(name, numbers=own, **arguments)
+
+    def watch_processes(self) -> None:
+        """Log and start again the daemons that have ended by themselves."""
+        for daemon in self.daemons:
+            if daemon.ended_by_itself():
+                self.log.write("ended-by-itself", daemon=daemon.name)
+                daemon.start()
+
+    def usage(self) -> dict[str, float]:
+        """Return the processor time of the stand-ins and of the daemons, in seconds."""
+        stand_ins = [self.store, *self.workers, *self.callers]
+        used = {stand_in.name: stand_in.cpu_s() for stand_in in stand_ins}
+        running = [daemon for daemon in self.daemons if daemon.is_running]
+        daemons = sorted((read_cpu_s(d.process.pid) for d in running), reverse=True)
+        return used | {"daemons": sum(daemons), "busiest-daemon": daemons[0]}
+
+    def close(self) -> None:
+        """End all processes."""
+        for daemon in self.daemons:
+            daemon.close()
+        for process in (self.store, *self.workers, *self.callers):
+            if process is not None and process.transport.pid:
+                process.signal("CONT")
+                process.transport.closeStdin()
+        self.log.flush()
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return 0.0
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+class ScaleSoak:
+    """A soak of one seed."""
+
+    def __init__(self, folder: Path, options: dict) -> None:
+        self.site = ScaleSite(folder, options)
+        self._options = options
+        self.faults = ScaleFaults(
+            self.site, options["seed"], options["faults"], options["same_id_share"]
+        )
+        self.usage: dict[str, float] = {}
+        self.failures: list[str] = []
+
+    @inlineCallbacks
+    def run(self):
+        """Run to the end."""
+        duration_s = self._options["duration_s"]
+        yield self.site.start()
+        until_s = reactor.seconds() + START_TIMEOUT_S
+        while not self.site.leader_member and reactor.seconds() < until_s:
+            yield deferLater(reactor, 0.1)
+        # Until all daemons have started and the leader has read the workers.
+        yield deferLater(reactor, self._options["warm_up_s"])
+        watching = LoopingCall(self.site.watch_processes)
+        watching.start(0.2)
+        self.site.start_callers(duration_s)
+        self.site.log.write("begin", load=os.getloadavg()[0])
+        before = self.site.usage()
+        begun_s = reactor.seconds()
+        yield self.faults.run(duration_s)
+        after = self.site.usage()
+        spent_s = reactor.seconds() - begun_s
+        self.usage = {
+            name: (used - before.get(name, 0.0)) / spent_s
+            for name, used in after.items()
+        }
+        self.site.log.write("faults-over", load=os.getloadavg()[0], usage=self.usage)
+        yield self._await_settled()
+        watching.stop()
+
+    @inlineCallbacks
+    def _await_settled(self):
+        until_s = reactor.seconds() + SETTLE_TIMEOUT_S
+        while reactor.seconds() < until_s:
+            for process in self.site.callers:
+                process.send("count")
+            yield deferLater(reactor, 0.5)
+            if not any(p.reports["open"]["jobs"] for p in self.site.callers):
+                return
+        for process in self.site.callers:
+            jobs = process.reports["open"]["jobs"]
+            self.failures.extend(f"OWED: {job} has not ended" for job in jobs)
+
+
+def main(
+    seed: int = 1,
+    duration_s: float = 45.0,
+    daemons: int = 42,
+    workers: int = 176,
+    load: float = 1.0,
+    worker_processes: int = 4,
+    caller_processes: int = 1,
+    checkout: Path = ROOT,
+    folder: Path | None = None,
+    faults: tuple[str, ...] = (),
+    same_id_share: float = 0.5,
+    lapse_max_ms: int = 0,
+    warm_up_s: float = 4.0,
+) -> int:
+    """Run one soak; return the exit status.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the faults and the jobs.
+    duration_s : float
+        Time during which jobs are submitted and faults injected.
+    daemons, workers : int
+        Number of daemons and of workers.
+    load : float
+        Jobs a second, as a share of those in the customer's sheet.
+    worker_processes, caller_processes : int
+        Number of processes that serve the workers and that submit jobs.
+    checkout : Path
+        Checkout whose daemons run.
+    folder : Path
+        Folder for settings and logs; a new one under `LOG_FOLDER` by default.
+    faults : tuple of str
+        Faults to inject, all by default; ``-NAME`` leaves one out, ``none`` all.
+    same_id_share : float
+        Share of the workers that return under their former id.
+    lapse_max_ms : int
+        Longest time from the expiry of a lease to the end of a run.
+    warm_up_s : float
+        Time from the first election to the first job.
+    """
+    options = dict(locals())
+    options["checkout"] = checkout.resolve()
+    if folder is None:
+        LOG_FOLDER.mkdir(parents=True, exist_ok=True)
+        folder = Path(tempfile.mkdtemp(prefix=f"seed-{seed}-", dir=LOG_FOLDER))
+    folder.mkdir(parents=True, exist_ok=True)
+    soak = ScaleSoak(folder, options)
+    running = soak.run()
+    running.addErrback(lambda failure: soak.failures.append(str(failure)))
+    running.addBoth(lambda _result: soak.site.close())
+    running.addBoth(lambda _result: reactor.callLater(1.0, reactor.stop))
+    reactor.run()
+    signal.signal(signal.SIGCHLD, signal.SIG_DFL)
+    result = check_logs(folder)
+    failures = [*result.findings, *soak.failures]
+    for failure in failures:
+        print(f"fault: {failure}", file=sys.stderr)
+    usage = " ".join(f"{name}={share:.2f}" for name, share in soak.usage.items())
+    print(f"cores: {usage}")
+    print(f"faults: {soak.faults.counts}")
+    print(f"seed={seed} broken={len(failures)} {result.summary} logs={folder}")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    cyclopts.run(main)
--- /dev/null
+++ b/tests/scale_store.py
@@ -0,0 +1,276 @@
+"""Store process of a scale soak: ``python -m tests.scale_store LOG OPTIONS``."""
+
+import bisect
+import json
+import random
+import time
+from base64 import b64decode, b64encode
+
+from twisted.internet import reactor
+from twisted.internet.task import LoopingCall
+
+from dogwoodlever._fleet_interfaces import Listing, Put, Record
+from dogwoodlever._fleet_records import LEADER_KEY, decode_leader
+from dogwoodlever.platform_errors import LeaseEndedError
+from standins.faulty_proxy import LinkFault
+from standins.fleet import FleetRecords
+from tests.scale_process import EventLog, Exchange, HttpPort, report, run_process
+
+ANSWER_S = 0.004
+EXPIRY_INTERVAL_S = 0.05
+BEAT_LAPSE_S = 4.5
+PAGE_ITEMS = 500
+
+
+class ScaleRecords(FleetRecords):
+    """Records whose changes are found without reading the whole history."""
+
+    def list_changes(self, prefix: str, revision: int) -> Listing:
+        """Return the changes under a prefix after a revision."""
+        first = bisect.bisect_right(self.history, revision, key=lambda r: r.revision)
+        found = [r for r in self.history[first:] if r.key.startswith(prefix)]
+        return Listing(tuple(found), self.revision)
+
+    def list(self, prefix: str) -> Listing:
+        """Return all records under a prefix."""
+        keys = sorted(key for key in self.records if key.startswith(prefix))
+        return Listing(tuple(self.records[key] for key in keys), self.revision)
+
+
+class ScaleStore:
+    """The platform's store, with a port for each daemon and one for workers."""
+
+    def __init__(self, log: EventLog, options: dict) -> None:
+        self._log = log
+        self._random = random.Random(f"store/{options['seed']}")
+        self.records = ScaleRecords(reactor)
+        self._ports = [
+            HttpPort(lambda exchange, n=number: self._serve(n, exchange))
+            for number in range(options["daemons"])
+        ]
+        self._beats_port = HttpPort(self._accept_beat)
+        self._busy: set[int] = set()
+        self._delay_s = 0.0
+        self._loss_share = 0.0
+        self._loss_delay_s = 0.0
+        self._compacted = 0
+        self._beats: dict[str, float] = {}
+        self._waiting: list[tuple[str, int, Exchange]] = []
+        self._leader_revision = -1
+        self._write_configuration(1, 0)
+        LoopingCall(self._expire).start(EXPIRY_INTERVAL_S)
+        self._watch_changes()
+        report(
+            "listening",
+            ports=[port.port for port in self._ports],
+            beats=self._beats_port.port,
+        )
+
+    # Commands
+
+    def configure(self, version: int, extra: int) -> None:
+        """Write a version of the configuration with `extra` further queues."""
+        self._write_configuration(version, extra)
+
+    def write(self, key: str, value: str) -> None:
+        """Write a record as an operator does; an empty value removes it."""
+        if value:
+            self.records.write(key, value.encode())
+        else:
+            self.records.remove(key)
+
+    def cut(self, daemons: list[int], fault: str) -> None:
+        """Set the fault of the daemons' links to the store; `busy` means status 503."""
+        for number in daemons:
+            self._busy.discard(number)
+            if fault == "busy":
+                self._busy.add(number)
+            else:
+                self._ports[number].inject(LinkFault(fault))
+
+    def set_delay(self, delay_s: float) -> None:
+        """Set the additional delay of all calls."""
+        self._delay_s = delay_s
+
+    def lose(self, share: float, delay_s: float) -> None:
+        """Lose a share of the answers; lost writes take effect up to `delay_s` late."""
+        self._loss_share, self._loss_delay_s = share, delay_s
+
+    def pause_leases(self, paused: bool) -> None:
+        """Pause the expiry of leases, or let it go on."""
+        self.records.is_lease_expiry_paused = paused
+
+    def compact(self) -> None:
+        """Drop the history."""
+        self._compacted = self.records.revision
+        self.records.history.clear()
+
+    def remove_leader(self) -> None:
+        """Remove the leader's record; its lease goes on."""
+        self.records.remove(LEADER_KEY)
+
+    # Entries of workers
+
+    def _accept_beat(self, exchange: Exchange) -> None:
+        for worker_id, entry in exchange.body.items():
+            key = f"servers/{worker_id}"
+            if entry is None:
+                self._beats.pop(worker_id, None)
+                self.records.remove(key)
+                continue
+            self._beats[worker_id] = time.monotonic()
+            value = json.dumps(entry).encode()
+            known = self.records.read(key)
+            if known is None or known.value != value:
+                self.records.write(key, value)
+        exchange.respond(200)
+
+    def _expire(self) -> None:
+        self.records.expire()
+        now_s = time.monotonic()
+        for worker_id, beat_s in list(self._beats.items()):
+            if now_s - beat_s > BEAT_LAPSE_S:
+                del self._beats[worker_id]
+                self.records.remove(f"servers/{worker_id}")
+
+    def _write_configuration(self, version: int, extra: int) -> None:
+        queues = [("price", 0, 1.5, 250, 3), ("month", 2, 2.0, 1000, 3)]
+        queues.append(("watch", 0, 2.2, 2500, 4))
+        queues.extend((f"extra{number}", 1, 2.0, 500, 3) for number in range(extra))
+        routes = [
+            {
+                "name": name, "host": "desk.example", "prefix": f"/{name}/",
+                "service": "desk", "priority": priority, "stretch": stretch,
+                "slo_ms": slo_ms, "max_attempts": attempts,
+            }
+            for name, priority, stretch, slo_ms, attempts in queues
+        ]  # fmt: skip
+        services = [{"name": "desk", "enforces_capacity": True}]
+        document = {"version": version, "routes": routes, "services": services}
+        self.records.write("op/config", json.dumps(document).encode())
+
+    # Calls of daemons
+
+    def _watch_changes(self) -> None:
+        self.records.notify_on_change(self._on_change)
+
+    def _on_change(self) -> None:
+        self._watch_changes()
+        changed = self.records.history[-1]
+        if changed.key == LEADER_KEY:
+            value = changed.value
+            member = "" if value is None else decode_leader(value).member
+            self._log.write("leader", revision=changed.revision, member=member)
+            report("leader", member=member, revision=changed.revision)
+        waiting = self._waiting
+        self._waiting = [row for row in waiting if not changed.key.startswith(row[0])]
+        for prefix, after, exchange in waiting:
+            if changed.key.startswith(prefix):
+                reactor.callLater(ANSWER_S, self._send_events, prefix, after, exchange)
+
+    def _serve(self, number: int, exchange: Exchange) -> None:
+        if number in self._busy:
+            exchange.respond(503)
+            return
+        is_write = exchange.path == "/-/kv-txn"
+        if self._loss_share and self._random.random() < self._loss_share:
+            exchange.drop()
+            if is_write and self._random.random() < 0.5:
+                delay_s = self._random.uniform(0.0, self._loss_delay_s)
+                reactor.callLater(delay_s, self._route, exchange)
+                return
+        reactor.callLater(ANSWER_S + self._delay_s, self._route, exchange)
+
+    def _route(self, exchange: Exchange) -> None:
+        name, _, argument = exchange.path.removeprefix("/-/").partition("/")
+        serve = {
+            "kv-key": self._read,
+            "kv-range": self._list,
+            "kv-watch": self._watch,
+            "kv-txn": self._commit,
+            "kv-lease": self._open_lease,
+            "kv-keep": self._renew,
+            "kv-lease-end": self._end_lease,
+        }[name]
+        try:
+            serve(exchange, argument)
+        except LeaseEndedError:
+            exchange.respond(404)
+
+    def _read(self, exchange: Exchange, _argument: str) -> None:
+        record = self.records.read(exchange.query["key"])
+        exchange.respond(*((404, {}) if record is None else (200, _item(record))))
+
+    def _list(self, exchange: Exchange, _argument: str) -> None:
+        listing = self.records.list(exchange.query["prefix"])
+        after = exchange.query.get("after", "")
+        remaining = [record for record in listing.records if record.key > after]
+        page = {
+            "current_rev": listing.revision,
+            "items": [_item(record) for record in remaining[:PAGE_ITEMS]],
+            "has_more": len(remaining) > PAGE_ITEMS,
+        }
+        exchange.respond(200, page)
+
+    def _watch(self, exchange: Exchange, _argument: str) -> None:
+        prefix, after = exchange.query["prefix"], int(exchange.query["after"])
+        if after < self._compacted:
+            exchange.respond(410)
+        elif self.records.list_changes(prefix, after).records:
+            self._send_events(prefix, after, exchange)
+        else:
+            row = (prefix, after, exchange)
+            self._waiting.append(row)
+            wait_s = int(exchange.query.get("wait_ms", "0")) / 1000
+            reactor.callLater(wait_s, self._end_watch, row)
+
+    def _end_watch(self, row) -> None:
+        if row in self._waiting:
+            self._waiting.remove(row)
+            self._send_events(*row)
+
+    def _send_events(self, prefix: str, after: int, exchange: Exchange) -> None:
+        if after < self._compacted:
+            exchange.respond(410)
+            return
+        listing = self.records.list_changes(prefix, after)
+        events = [_item(record) for record in listing.records]
+        document = {"current_rev": listing.revision, "events": events}
+        exchange.respond(200, document)
+
+    def _commit(self, exchange: Exchange, _argument: str) -> None:
+        document = exchange.body
+        expected = {row["key"]: row["revision"] for row in document["expect"]}
+        puts = tuple(
+            Put(row["key"], b64decode(row["value"]), row.get("lease", 0))
+            for row in document["puts"]
+        )
+        result = self.records.commit(expected, puts, document["deletes"])
+        if result.revision:
+            exchange.respond(200, {"revision": result.revision})
+        else:
+            exchange.respond(412, {"items": [_item(r) for r in result.current]})
+
+    def _open_lease(self, exchange: Exchange, _argument: str) -> None:
+        ttl_ms = exchange.body["ttl_ms"]
+        lease = self.records.open_lease(ttl_ms)
+        exchange.respond(200, {"lease": lease, "ttl_ms": ttl_ms})
+
+    def _renew(self, exchange: Exchange, lease: str) -> None:
+        self.records.renew(int(lease))
+        exchange.respond(200)
+
+    def _end_lease(self, exchange: Exchange, lease: str) -> None:
+        self.records.end_lease(int(lease))
+        exchange.respond(200)
+
+
+def _item(record: Record) -> dict:
+    if record.value is None:
+        return {"key": record.key, "revision": record.revision, "tombstone": True}
+    value = b64encode(record.value).decode()
+    return {"key": record.key, "revision": record.revision, "value": value}
+
+
+if __name__ == "__main__":
+    run_process(ScaleStore)
