--- a/tests/scale_callers.py
+++ b/tests/scale_callers.py
@@ -38,6 +38,7 @@
         self._factors = dict.fromkeys(KINDS, 1.0)
         self._gives_up_share = 0.0
         self._open: dict[str, str] = {}
+        self._states: dict[str, str] = {}
         for kind in KINDS:
             self._submit_next(kind)
 
@@ -52,9 +53,13 @@
         self._gives_up_share = share
 
     def count(self) -> None:
-        """Report how many accepted jobs have not ended."""
-        jobs = [job for job, kind in self._open.items() if kind != "watch"]
-        report("open", jobs=sorted(jobs))
+        """Report the accepted jobs that have not ended, with their states."""
+        jobs = {
+            job: self._states.get(job, "unread")
+            for job, kind in self._open.items()
+            if kind != "watch"
+        }
+        report("open", jobs=jobs)
 
     def _submit_next(self, kind: str) -> None:
         if time.monotonic() > self._until_s:
@@ -135,11 +140,10 @@
     @inlineCallbacks
     def _read(self, kind: str, job: str):
         status, content = yield self._call(b"GET", f"/{kind}/{job}")
-        if status == 410:
-            self._log.write("absent", job=job)
         if status != 200:
+            self._states[job] = f"status {status}"
             return
-        state = json.loads(content)["state"]
+        state = self._states[job] = json.loads(content)["state"]
         if state in ENDED:
             self._log.write("state", job=job, state=state)
             self._open.pop(job, None)
--- a/tests/scale_faults.py
+++ b/tests/scale_faults.py
@@ -111,16 +111,18 @@
         return self._kill(self._draw_daemons(self._random.uniform(0.0, 0.16)), 3.5)
 
     def _kill_all(self):
-        return self._kill(self._draw_daemons(1.0), 1.4)
+        return self._kill(self._draw_daemons(1.0), 1.4, 0.1)
 
     @inlineCallbacks
-    def _kill(self, numbers, down_max_s: float):
+    def _kill(self, numbers, down_max_s: float, interval_s: float = 0.0):
         self._note("kill", daemons=numbers)
         for number in numbers:
             self._site.daemons[number].signal(signal.SIGKILL)
         yield self._pause(0.1, down_max_s)
         for number in numbers:
             self._site.daemons[number].start()
+            if interval_s:
+                yield deferLater(reactor, interval_s)
         self._release("process", numbers)
 
     def _freeze_leader(self):
@@ -169,10 +171,10 @@
         processes = self._draw("pause", range(len(self._site.workers)), 0.0)
         self._note("pause-workers", processes=processes)
         for number in processes:
-            self._site.workers[number].signal("STOP")
+            self._site.workers[number].signal(signal.SIGSTOP)
         yield self._pause(0.3, 3.0)
         for number in processes:
-            self._site.workers[number].signal("CONT")
+            self._site.workers[number].signal(signal.SIGCONT)
         self._note("resume-workers", processes=processes)
         self._release("pause", processes)
 
--- a/tests/scale_soak.py
+++ b/tests/scale_soak.py
@@ -25,7 +25,10 @@
 
 LOG_FOLDER = ROOT / "target" / "scale"
 START_TIMEOUT_S = 40.0
+# A start takes 0.7 s of a core, so that the daemons take two cores to start.
+START_INTERVAL_S = 0.35
 SETTLE_TIMEOUT_S = 60.0
+FINDINGS_SHOWN_MAX = 5
 # CPU shares of the VMs, in cores; one in seven is strong.
 CORES = ((0.717, 3),) + ((0.297, 1),) * 6
 
@@ -49,9 +52,9 @@
         """Call a method of the stand-in."""
         self.transport.write(json.dumps([name, arguments]).encode() + b"\n")
 
-    def signal(self, name: str) -> None:
+    def signal(self, number: int) -> None:
         """Send a signal to the process."""
-        self.transport.signalProcess(name)
+        self.transport.signalProcess(number)
 
     def outReceived(self, data: bytes) -> None:  # noqa: N802
         """Store the reports of the process."""
@@ -175,6 +178,7 @@
             daemon = ScaleDaemon(number, host, port, self._folder, options["checkout"])
             self.daemons.append(daemon)
             daemon.start()
+            yield deferLater(reactor, START_INTERVAL_S)
 
     def start_callers(self, duration_s: float) -> None:
         """Start to submit jobs."""
@@ -226,7 +230,7 @@
             daemon.close()
         for process in (self.store, *self.workers, *self.callers):
             if process is not None and process.transport.pid:
-                process.signal("CONT")
+                process.signal(signal.SIGCONT)
                 process.transport.closeStdin()
         self.log.flush()
 
@@ -286,11 +290,13 @@
             for process in self.site.callers:
                 process.send("count")
             yield deferLater(reactor, 0.5)
-            if not any(p.reports["open"]["jobs"] for p in self.site.callers):
+            reported = [p.reports.get("open", {"jobs": "?"}) for p in self.site.callers]
+            if not any(fields["jobs"] for fields in reported):
                 return
         for process in self.site.callers:
             jobs = process.reports["open"]["jobs"]
-            self.failures.extend(f"OWED: {job} has not ended" for job in jobs)
+            self.site.store.send("dump", jobs=list(jobs))
+            self.failures.extend(f"OWED: {job} is {jobs[job]}" for job in jobs)
 
 
 def main(
@@ -336,6 +342,8 @@
         Time from the first election to the first job.
     """
     options = dict(locals())
+    # Inherited by the daemons, which ignore it only once their interpreter has started.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     options["checkout"] = checkout.resolve()
     if folder is None:
         LOG_FOLDER.mkdir(parents=True, exist_ok=True)
@@ -350,8 +358,9 @@
     signal.signal(signal.SIGCHLD, signal.SIG_DFL)
     result = check_logs(folder)
     failures = [*result.findings, *soak.failures]
-    for failure in failures:
-        print(f"fault: {failure}", file=sys.stderr)
+    (folder / "findings.txt").write_text("\n".join(failures))
+    for failure in failures[:FINDINGS_SHOWN_MAX]:
+        print("fault: " + "\n".join(failure.split("\n")[:3]), file=sys.stderr)
     usage = " ".join(f"{name}={share:.2f}" for name, share in soak.usage.items())
     print(f"cores: {usage}")
     print(f"faults: {soak.faults.counts}")
--- a/tests/scale_store.py
+++ b/tests/scale_store.py
@@ -109,6 +109,13 @@
         """Remove the leader's record; its lease goes on."""
         self.records.remove(LEADER_KEY)
 
+    def dump(self, jobs: list[str]) -> None:
+        """Log the records of some jobs."""
+        for key, record in self.records.records.items():
+            if any(job in key for job in jobs):
+                value = b64encode(record.value).decode()
+                self._log.write("record", key=key, value=value)
+
     # Entries of workers
 
     def _accept_beat(self, exchange: Exchange) -> None:
