--- a/tests/scale_faults.py
+++ b/tests/scale_faults.py
@@ -30,10 +30,20 @@
         Faults to inject, all if empty; ``-NAME`` leaves one out.
     same_id_share : float
         Share of the workers that return under their former id.
+    worker_cuts : tuple of LinkFault
+        Faults of the links of workers that are cut off and run on.
     """
 
-    def __init__(self, site, seed: int, names: tuple, same_id_share: float) -> None:
+    def __init__(
+        self,
+        site,
+        seed: int,
+        names: tuple[str, ...],
+        same_id_share: float,
+        worker_cuts: tuple[LinkFault, ...] = LINK_FAULTS,
+    ) -> None:
         self._site = site
+        self._worker_cuts = worker_cuts
         self._random = random.Random(f"faults/{seed}")
         self._same_id_share = same_id_share
         self._active_count = 0
@@ -267,7 +277,7 @@
     @inlineCallbacks
     def _cut_workers(self):
         numbers = self._targets("cut", self._random.uniform(0.0, 0.17))
-        fault = self._random.choice(LINK_FAULTS)
+        fault = self._random.choice(self._worker_cuts)
         self._note("cut-workers", workers=numbers, how=fault)
         self._site.send_workers("cut", numbers, fault=fault)
         yield self._pause(0.5, 10.0)
--- a/tests/scale_soak.py
+++ b/tests/scale_soak.py
@@ -18,8 +18,9 @@
 from twisted.internet.protocol import ProcessProtocol
 from twisted.internet.task import LoopingCall, deferLater
 
+from standins.faulty_proxy import LinkFault
 from tests.scale_checker import check_logs
-from tests.scale_faults import ScaleFaults
+from tests.scale_faults import LINK_FAULTS, ScaleFaults
 from tests.scale_process import EventLog
 from tests.soak_site import CALLERS, PEERS, READINESS, ROOT, SoakDaemon
 
@@ -251,8 +252,9 @@
         self.site = ScaleSite(folder, options)
         self._options = options
         self.faults = ScaleFaults(
-            self.site, options["seed"], options["faults"], options["same_id_share"]
-        )
+            self.site, options["seed"], options["faults"], options["same_id_share"],
+            options["worker_cuts"],
+        )  # fmt: skip
         self.usage: dict[str, float] = {}
         self.failures: list[str] = []
 
@@ -311,6 +313,7 @@
     folder: Path | None = None,
     faults: tuple[str, ...] = (),
     same_id_share: float = 0.5,
+    worker_cuts: tuple[LinkFault, ...] = LINK_FAULTS,
     lapse_max_ms: int = 0,
     warm_up_s: float = 4.0,
 ) -> int:
@@ -336,6 +339,8 @@
         Faults to inject, all by default; ``-NAME`` leaves one out, ``none`` all.
     same_id_share : float
         Share of the workers that return under their former id.
+    worker_cuts : tuple of LinkFault
+        Faults of the links of workers that are cut off and run on.
     lapse_max_ms : int
         Longest time from the expiry of a lease to the end of a run.
     warm_up_s : float
