--- a/tests/scale_checker.py
+++ b/tests/scale_checker.py
@@ -1,5 +1,6 @@
 """Checks of the logs of a scale soak: ``python -m tests.scale_checker FOLDER``."""
 
+import itertools
 import sys
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
@@ -93,10 +94,19 @@
             if (job, int(step)) not in self._copied:
                 findings.extend(self._check_task(task, runs))
         findings.extend(self._check_completed())
-        summary = " ".join(
-            f"{name}={self.counts[name]}" for name in sorted(self.counts)
-        )
-        return CheckResult(findings, f"{summary} {self._lags()}")
+        counts = " ".join(f"{name}={self.counts[name]}" for name in sorted(self.counts))
+        summary = f"{counts} lapsed_gap={self._least_gap_s():.3f} {self._lags()}"
+        return CheckResult(findings, summary)
+
+    def _least_gap_s(self) -> float:
+        """Return the least time from a run that lapsed to its task's next start."""
+        gaps = [
+            run.start_s - former.end_s
+            for runs in self.runs.values()
+            for former, run in itertools.pairwise(runs)
+            if former.outcome == "lapsed"
+        ]
+        return min(gaps, default=float("inf"))
 
     def _read(self) -> None:
         open_runs: dict[tuple, LoggedRun] = {}
