--- /dev/null
+++ b/tests/test_scale_checker.py
@@ -0,0 +1,90 @@
+"""Tests of the checker of the scale soak: which logs show a task that ran twice."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from tests.scale_checker import check_logs
+
+TASK = "00000000000000aa.0.0.0"
+
+
+def start(time_s, worker, run, born=1):
+    """Return the row of a start."""
+    fields = {"task": TASK, "run": run, "token": 5_000_001, "late": False}
+    return [time_s, "start", {"worker": worker, "born": born, **fields}]
+
+
+def end(time_s, worker, run, outcome="done", number=1):
+    """Return the row of an end."""
+    fields = {"task": TASK, "run": run, "outcome": outcome, "number": number}
+    return [time_s, "end", {"worker": worker, "born": 1, **fields}]
+
+
+def event(time_s, name, worker, **fields):
+    """Return the row of an event of a worker's incarnation."""
+    return [time_s, name, {"worker": worker, "born": 1, **fields}]
+
+
+def submit(copies=(), count=1):
+    """Return the row of the submission of the task's job."""
+    fields = {"job": TASK[:16], "counts": [count], "copies": list(copies)}
+    return [0.0, "submit", fields]
+
+
+FIRST = start(1.0, "w001-1", 1)
+# Two runs of one task that overlap for a second.
+OVERLAP = (FIRST, start(2.0, "w002-1", 2), end(3.0, "w001-1", 1))
+# A start after the end of a run that was done.
+AGAIN = (FIRST, end(2.0, "w001-1", 1), start(3.0, "w002-1", 2))
+ACKNOWLEDGED = event(4.0, "ack", "w001-1", number=1)
+
+
+class ScaleCheckerTest(unittest.TestCase):
+    def check(self, rows):
+        with tempfile.TemporaryDirectory() as folder:
+            lines = "\n".join(json.dumps(row) for row in rows)
+            # The last line of a process that was ended may be incomplete.
+            Path(folder, "workers-0.jsonl").write_text(lines + '\n[9.0, "sta')
+            return check_logs(Path(folder)).findings
+
+    def test_findings(self):
+        cases = (
+            ("one run after a failed one", 0, (
+                FIRST, end(2.0, "w001-1", 1, "failed"), ACKNOWLEDGED,
+                start(3.0, "w002-1", 2),
+            )),
+            ("two runs at one time", 1, (submit(), *OVERLAP)),
+            ("the first run has no end", 1, (submit(), *OVERLAP[:2])),
+            ("the worker of the first run has crashed", 0, (
+                FIRST, event(1.5, "down", "w001-1"), start(2.0, "w002-1", 2),
+            )),
+            ("the same run at the next incarnation", 0, (
+                FIRST, event(1.5, "down", "w001-1"), start(2.0, "w001-1", 1, born=2),
+            )),
+            ("two runs of a step with copies", 0, (submit(copies=[0]), *OVERLAP)),
+            ("an end that is never acknowledged", 0, AGAIN),
+            ("an end that is acknowledged later", 1, (*AGAIN, ACKNOWLEDGED)),
+            ("an end that is acknowledged after a lapse", 0, (
+                *AGAIN, event(3.5, "lapse", "w001-1"), ACKNOWLEDGED,
+            )),
+            ("a lapse before the end", 1, (
+                *AGAIN, event(1.5, "lapse", "w001-1"), ACKNOWLEDGED,
+            )),
+            ("completed with all tasks done", 0, (
+                submit(), *AGAIN[:2],
+                [5.0, "state", {"job": TASK[:16], "state": "completed"}],
+            )),
+            ("completed without a task", 1, (
+                submit(count=2), *AGAIN[:2],
+                [5.0, "state", {"job": TASK[:16], "state": "completed"}],
+            )),
+        )  # fmt: skip
+        for name, count, rows in cases:
+            with self.subTest(name):
+                self.assertEqual(len(self.check(rows)), count)
+
+
+if __name__ == "__main__":
+    unittest.main()
