Scale soak: reports go through the event loop

A report of over 4 KB was cut at the size of the pipe's write, which ended the connection to the callers' process: 361 jobs of seed 42 were never read as ended, although the store held 360 of them as completed.

--- a/tests/scale_callers.py
+++ b/tests/scale_callers.py
@@ -9,7 +9,7 @@
 from twisted.internet.task import deferLater
 
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
-from tests.scale_process import EventLog, report, run_process
+from tests.scale_process import EventLog, run_process
 
 CALL_TIMEOUT_S = 3.0
 ATTEMPTS = 5
@@ -28,8 +28,9 @@
 class ScaleCallers:
     """Callers that submit the jobs of the customer's sheet at random daemons."""
 
-    def __init__(self, log: EventLog, options: dict) -> None:
+    def __init__(self, log: EventLog, report, options: dict) -> None:
         self._log = log
+        self._report = report
         self._random = random.Random(f"callers/{options['seed']}/{options['number']}")
         self._load = options["load"]
         self._urls = options["urls"]
@@ -59,7 +60,7 @@
             for job, kind in self._open.items()
             if kind != "watch"
         }
-        report("open", jobs=jobs)
+        self._report("open", jobs=jobs)
 
     def _submit_next(self, kind: str) -> None:
         if time.monotonic() > self._until_s:
--- a/tests/scale_process.py
+++ b/tests/scale_process.py
@@ -54,39 +54,54 @@
         reactor.callLater(LAG_INTERVAL_S, self._measure_lag)
 
 
-class _Commands(LineReceiver):
+class Controller(LineReceiver):
+    """Passes the commands of the process that started this one to a stand-in.
+
+    Each line of the standard input is a row of the name of a method of the stand-in and
+    its arguments; reports are written to the standard output in the same way.
+
+    Parameters
+    ----------
+    log : EventLog
+        Log of this process.
+    """
+
     delimiter = b"\n"
     MAX_LENGTH = LINE_BYTES_MAX
 
-    def __init__(self, target, log: EventLog) -> None:
-        self._target = target
+    def __init__(self, log: EventLog) -> None:
         self._log = log
+        self.target: object = None
+
+    def report(self, name: str, **fields) -> None:
+        """Send a report."""
+        self.sendLine(json.dumps([name, fields]).encode())
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Carry out a command."""
         name, arguments = json.loads(line)
-        getattr(self._target, name)(**arguments)
+        getattr(self.target, name)(**arguments)
 
     def connectionLost(self, _reason=None) -> None:  # noqa: N802
+        """End this process with the one that started it."""
         self._log.flush()
         os._exit(0)
 
 
-def report(name: str, **fields) -> None:
-    """Send a report to the process that started this one."""
-    sys.stdout.write(json.dumps([name, fields]) + "\n")
-    sys.stdout.flush()
-
-
-def run_process(make_target: Callable[[EventLog, dict], object]) -> None:
+def run_process(
+    make_target: Callable[[EventLog, Callable[..., None], dict], object],
+) -> None:
     """Run a stand-in process until its standard input is closed.
 
     The first argument is the path of its log, the second one a JSON document of its
-    options. Each line of the standard input is a row of the name of a method of the
-    stand-in and its arguments.
+    options. `make_target` is called with the log, a function that sends reports, and
+    the options.
     """
     log = EventLog(Path(sys.argv[1]))
-    target = make_target(log, json.loads(sys.argv[2]))
-    stdio.StandardIO(_Commands(target, log))
+    controller = Controller(log)
+    # Does not block, unlike a write to the standard output itself.
+    stdio.StandardIO(controller)
+    controller.target = make_target(log, controller.report, json.loads(sys.argv[2]))
     reactor.run(installSignalHandlers=False)
 
 
--- a/tests/scale_store.py
+++ b/tests/scale_store.py
@@ -14,7 +14,7 @@
 from dogwoodlever.platform_errors import LeaseEndedError
 from standins.faulty_proxy import LinkFault
 from standins.fleet import FleetRecords
-from tests.scale_process import EventLog, Exchange, HttpPort, report, run_process
+from tests.scale_process import EventLog, Exchange, HttpPort, run_process
 
 ANSWER_S = 0.004
 EXPIRY_INTERVAL_S = 0.05
@@ -40,8 +40,9 @@
 class ScaleStore:
     """The platform's store, with a port for each daemon and one for workers."""
 
-    def __init__(self, log: EventLog, options: dict) -> None:
+    def __init__(self, log: EventLog, report, options: dict) -> None:
         self._log = log
+        self._report = report
         self._random = random.Random(f"store/{options['seed']}")
         self.records = ScaleRecords(reactor)
         self._ports = [
@@ -168,7 +169,7 @@
             value = changed.value
             member = "" if value is None else decode_leader(value).member
             self._log.write("leader", revision=changed.revision, member=member)
-            report("leader", member=member, revision=changed.revision)
+            self._report("leader", member=member, revision=changed.revision)
         waiting = self._waiting
         self._waiting = [row for row in waiting if not changed.key.startswith(row[0])]
         for prefix, after, exchange in waiting:
--- a/tests/scale_workers.py
+++ b/tests/scale_workers.py
@@ -11,7 +11,7 @@
 
 from dogwoodlever._http_client import HttpClient
 from standins.faulty_proxy import LinkFault
-from tests.scale_process import EventLog, Exchange, HttpPort, report, run_process
+from tests.scale_process import EventLog, Exchange, HttpPort, run_process
 
 BEAT_S = 1.5
 LEASE_MAX_MS = 6_000
@@ -351,7 +351,7 @@
 class ScaleWorkers:
     """The workers of one process."""
 
-    def __init__(self, log: EventLog, options: dict) -> None:
+    def __init__(self, log: EventLog, report, options: dict) -> None:
         self.log = log
         self.seed = options["seed"]
         self.lapse_s = options["lapse_s"]
