The soak at the customer's size is a package of its own, emulator

It emulates a site with its load and faults and is run by hand at any landing; the test in tests/ is a short run of it.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Fixes the iteration order of sets and so the order in which messages are sent.
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test lint format bench soak soak-cells soak-scale clean
+.PHONY: demo test lint format bench soak soak-cells emulate clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -42,9 +42,9 @@
 soak-cells: $(STAMP)
 	$(BIN)/python -m tests.soak_cells
 
-# The customer's size and load; `make soak-scale SCALE_OPTIONS="--seed 2"`.
-soak-scale: $(STAMP)
-	$(BIN)/python -m tests.scale_soak $(SCALE_OPTIONS)
+# A site of 42 daemons and 176 workers at its load; `make emulate EMULATOR_OPTIONS="--seed 2"`.
+emulate: $(STAMP)
+	$(BIN)/python -m emulator $(EMULATOR_OPTIONS)
 
 clean:
 	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulator of a site: its processes, load and faults on the host's clock."""
--- a/tests/scale_soak.py
+++ b/emulator/__main__.py
@@ -1,13 +1,12 @@
-"""Soak at the customer's size and load: ``python -m tests.scale_soak``.
+"""Emulator of a site at its size and load: ``python -m emulator``.
 
 The daemons, the store, the workers and the callers run in processes of their own, on
-the host's clock. `tests.scale_checker` reads all their logs after the run.
+the host's clock. `emulator.checker` reads all their logs after the run.
 """
 
 import json
 import os
 import signal
-import subprocess
 import sys
 import tempfile
 from pathlib import Path
@@ -18,13 +17,13 @@
 from twisted.internet.protocol import ProcessProtocol
 from twisted.internet.task import LoopingCall, deferLater
 
+from emulator.checker import check_logs
+from emulator.faults import LINK_FAULTS, SiteFaults
+from emulator.process import EventLog
+from standins.daemon_process import CALLERS, PEERS, READINESS, ROOT, DaemonProcess
 from standins.faulty_proxy import LinkFault
-from tests.scale_checker import check_logs
-from tests.scale_faults import LINK_FAULTS, ScaleFaults
-from tests.scale_process import EventLog
-from tests.soak_site import CALLERS, PEERS, READINESS, ROOT, SoakDaemon
 
-LOG_FOLDER = ROOT / "target" / "scale"
+LOG_FOLDER = ROOT / "target" / "emulator"
 START_TIMEOUT_S = 40.0
 # A start takes 0.7 s of a core, so that the daemons take two cores to start.
 START_INTERVAL_S = 0.35
@@ -78,13 +77,12 @@
         return read_cpu_s(self.transport.pid)
 
 
-class ScaleDaemon(SoakDaemon):
+class EmulatedDaemon(DaemonProcess):
     """A daemon of any checkout, with the settings of the customer's site."""
 
     def __init__(self, number, host, store_port, folder, checkout: Path) -> None:
-        self._checkout = checkout
         self._number = number
-        super().__init__(f"vm{number}", host, store_port, folder)
+        super().__init__(f"vm{number}", host, store_port, folder, checkout)
 
     def _settings(self, store_port: int) -> str:
         cpu_share, cores = CORES[self._number % len(CORES)]
@@ -111,22 +109,9 @@
 harm_ms = 4500
 """
 
-    def start(self) -> None:
-        """Start the process unless it is running."""
-        if self.is_running:
-            return
-        self.is_ending = False
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "dogwoodlever.fleet_daemon"],
-            cwd=self._checkout,
-            env=os.environ | {"DOGWOODLEVER_NODE_FILE": str(self._file)},
-            stdout=self._log,
-            stderr=self._log,
-        )
-
 
-class ScaleSite:
-    """The processes of a scale soak.
+class EmulatedSite:
+    """The processes of an emulated site.
 
     Parameters
     ----------
@@ -145,14 +130,14 @@
         self.store: StandIn | None = None
         self.workers: list[StandIn] = []
         self.callers: list[StandIn] = []
-        self.daemons: list[ScaleDaemon] = []
+        self.daemons: list[EmulatedDaemon] = []
         self.leader_member = ""
         self.leader_revision = 0
 
     def _spawn(self, role: str, index: int, on_report=None, **options) -> StandIn:
         log = self._folder / f"{role}-{index}.jsonl"
         options["seed"] = self._options["seed"]
-        return StandIn(f"tests.scale_{role}", log, options, on_report)
+        return StandIn(f"emulator.{role}", log, options, on_report)
 
     @inlineCallbacks
     def start(self):
@@ -176,7 +161,9 @@
             # All daemons use the same metrics port, so each gets its own address.
             pid = os.getpid()
             host = f"127.{1 + pid % 200}.{pid // 200 % 250}.{number + 2}"
-            daemon = ScaleDaemon(number, host, port, self._folder, options["checkout"])
+            daemon = EmulatedDaemon(
+                number, host, port, self._folder, options["checkout"]
+            )
             self.daemons.append(daemon)
             daemon.start()
             yield deferLater(reactor, START_INTERVAL_S)
@@ -245,13 +232,13 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-class ScaleSoak:
+class Emulation:
     """A soak of one seed."""
 
     def __init__(self, folder: Path, options: dict) -> None:
-        self.site = ScaleSite(folder, options)
+        self.site = EmulatedSite(folder, options)
         self._options = options
-        self.faults = ScaleFaults(
+        self.faults = SiteFaults(
             self.site, options["seed"], options["faults"], options["same_id_share"],
             options["worker_cuts"],
         )  # fmt: skip
@@ -355,7 +342,7 @@
         LOG_FOLDER.mkdir(parents=True, exist_ok=True)
         folder = Path(tempfile.mkdtemp(prefix=f"seed-{seed}-", dir=LOG_FOLDER))
     folder.mkdir(parents=True, exist_ok=True)
-    soak = ScaleSoak(folder, options)
+    soak = Emulation(folder, options)
     running = soak.run()
     running.addErrback(lambda failure: soak.failures.append(str(failure)))
     running.addBoth(lambda _result: soak.site.close())
--- a/tests/scale_callers.py
+++ b/emulator/callers.py
@@ -1,4 +1,4 @@
-"""Callers' process of a scale soak: ``python -m tests.scale_callers LOG OPTIONS``."""
+"""Callers' process of an emulation: ``python -m emulator.callers LOG OPTIONS``."""
 
 import json
 import random
@@ -9,7 +9,7 @@
 from twisted.internet.task import deferLater
 
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
-from tests.scale_process import EventLog, run_process
+from emulator.process import EventLog, run_process
 
 CALL_TIMEOUT_S = 3.0
 ATTEMPTS = 5
@@ -25,7 +25,7 @@
 ENDED = ("completed", "failed", "cancelled")
 
 
-class ScaleCallers:
+class EmulatedCallers:
     """Callers that submit the jobs of the customer's sheet at random daemons."""
 
     def __init__(self, log: EventLog, report, options: dict) -> None:
@@ -167,4 +167,4 @@
 
 
 if __name__ == "__main__":
-    run_process(ScaleCallers)
+    run_process(EmulatedCallers)
--- a/tests/scale_checker.py
+++ b/emulator/checker.py
@@ -1,4 +1,4 @@
-"""Checks of the logs of a scale soak: ``python -m tests.scale_checker FOLDER``."""
+"""Checks of the logs of an emulation: ``python -m emulator.checker FOLDER``."""
 
 import itertools
 import sys
@@ -66,7 +66,7 @@
     return sorted(rows, key=lambda row: row[0])
 
 
-class ScaleChecker:
+class EmulatedChecker:
     """Finds the tasks that ran twice in the logs of a run.
 
     Parameters
@@ -241,7 +241,7 @@
 
 def check_logs(folder: Path) -> CheckResult:
     """Check the logs of one run."""
-    return ScaleChecker(folder).check()
+    return EmulatedChecker(folder).check()
 
 
 if __name__ == "__main__":
--- a/tests/scale_faults.py
+++ b/emulator/faults.py
@@ -1,4 +1,4 @@
-"""Faults of a scale soak: those of the customer's page, drawn from a seed."""
+"""Faults of an emulation: those of the customer's page, drawn from a seed."""
 
 import random
 import signal
@@ -17,12 +17,12 @@
 STORE_FAULTS = (*LINK_FAULTS, "busy")
 
 
-class ScaleFaults:
+class SiteFaults:
     """Injects random faults; each heals by itself and several may be active at once.
 
     Parameters
     ----------
-    site : ScaleSite
+    site : EmulatedSite
         Site to inject the faults into.
     seed : int
         Seed of the faults, their targets and times.
--- a/tests/scale_process.py
+++ b/emulator/process.py
@@ -1,4 +1,4 @@
-"""What the processes of a scale soak share: event logs, commands and HTTP servers.
+"""What the processes of an emulation share: event logs, commands and HTTP servers.
 
 Times in logs are seconds of the host's monotonic clock, the same for all processes.
 """
--- a/tests/scale_store.py
+++ b/emulator/store.py
@@ -1,4 +1,4 @@
-"""Store process of a scale soak: ``python -m tests.scale_store LOG OPTIONS``."""
+"""Store process of an emulation: ``python -m emulator.store LOG OPTIONS``."""
 
 import bisect
 import json
@@ -12,9 +12,9 @@
 from dogwoodlever._fleet_interfaces import Listing, Put, Record
 from dogwoodlever._fleet_records import LEADER_KEY, decode_leader
 from dogwoodlever.platform_errors import LeaseEndedError
+from emulator.process import EventLog, Exchange, HttpPort, run_process
 from standins.faulty_proxy import LinkFault
 from standins.fleet import FleetRecords
-from tests.scale_process import EventLog, Exchange, HttpPort, run_process
 
 ANSWER_S = 0.004
 EXPIRY_INTERVAL_S = 0.05
@@ -22,7 +22,7 @@
 PAGE_ITEMS = 500
 
 
-class ScaleRecords(FleetRecords):
+class EmulatedRecords(FleetRecords):
     """Records whose changes are found without reading the whole history."""
 
     def list_changes(self, prefix: str, revision: int) -> Listing:
@@ -37,14 +37,14 @@
         return Listing(tuple(self.records[key] for key in keys), self.revision)
 
 
-class ScaleStore:
+class EmulatedStore:
     """The platform's store, with a port for each daemon and one for workers."""
 
     def __init__(self, log: EventLog, report, options: dict) -> None:
         self._log = log
         self._report = report
         self._random = random.Random(f"store/{options['seed']}")
-        self.records = ScaleRecords(reactor)
+        self.records = EmulatedRecords(reactor)
         self._ports = [
             HttpPort(lambda exchange, n=number: self._serve(n, exchange))
             for number in range(options["daemons"])
@@ -281,4 +281,4 @@
 
 
 if __name__ == "__main__":
-    run_process(ScaleStore)
+    run_process(EmulatedStore)
--- a/tests/scale_workers.py
+++ b/emulator/workers.py
@@ -1,4 +1,4 @@
-"""Workers of a scale soak: ``python -m tests.scale_workers LOG OPTIONS``."""
+"""Workers of an emulation: ``python -m emulator.workers LOG OPTIONS``."""
 
 import json
 import random
@@ -10,8 +10,8 @@
 from twisted.internet.task import LoopingCall
 
 from dogwoodlever._http_client import HttpClient
+from emulator.process import EventLog, Exchange, HttpPort, run_process
 from standins.faulty_proxy import LinkFault
-from tests.scale_process import EventLog, Exchange, HttpPort, run_process
 
 BEAT_S = 1.5
 LEASE_MAX_MS = 6_000
@@ -26,7 +26,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class ScaleRun:
+class EmulatedRun:
     """A run on a worker; `total_ms` is 0 for a task that lasts."""
 
     task: str
@@ -41,7 +41,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class ScaleWorker:
+class EmulatedWorker:
     """One incarnation of a worker."""
 
     worker_id: str
@@ -51,7 +51,7 @@
     token: int = 0
     until_ms: int = 0
     is_up: bool = True
-    runs: dict[str, dict[int, ScaleRun]] = field(default_factory=dict)
+    runs: dict[str, dict[int, EmulatedRun]] = field(default_factory=dict)
     ends: list[list] = field(default_factory=list)
     last_number: int = 0
     highest: dict[str, int] = field(default_factory=dict)
@@ -67,13 +67,13 @@
 class WorkerSlot:
     """A machine with an address, on which one incarnation after the other runs."""
 
-    def __init__(self, process: "ScaleWorkers", number: int) -> None:
+    def __init__(self, process: "EmulatedWorkers", number: int) -> None:
         self._process = process
         self._random = random.Random(f"worker/{process.seed}/{number}")
         self._log = process.log
         self.number = number
         self.port = HttpPort(self._serve)
-        self.worker: ScaleWorker | None = None
+        self.worker: EmulatedWorker | None = None
         self._lives = 0
         self.is_cut = False
         self.is_draining = False
@@ -93,7 +93,7 @@
         born = int(time.time() * 1000)
         rate = CLOCK_RATES[self.number % 2]
         worker_id = f"w{self.number:03d}-{self._lives}"
-        self.worker = ScaleWorker(worker_id, born, time.monotonic(), rate)
+        self.worker = EmulatedWorker(worker_id, born, time.monotonic(), rate)
         self.is_draining = False
         self._log.write("up", worker=worker_id, born=born, kept=keeps_id)
         self.port.inject(self.port.fault)
@@ -189,7 +189,7 @@
         document = {"clock_ms": self.worker.clock_ms(), "reason": reason}
         exchange.respond(409, document)
 
-    def _start_run(self, worker: ScaleWorker, exchange: Exchange, is_late) -> None:
+    def _start_run(self, worker: EmulatedWorker, exchange: Exchange, is_late) -> None:
         body = exchange.body
         task, number = body["task"], body["run"]
         if body["until_ms"] <= worker.clock_ms():
@@ -208,13 +208,13 @@
             self._begin(worker, body, step, is_late)
             exchange.respond(200, {"clock_ms": worker.clock_ms()})
 
-    def _begin(self, worker: ScaleWorker, body: dict, step: dict, is_late) -> None:
+    def _begin(self, worker: EmulatedWorker, body: dict, step: dict, is_late) -> None:
         task, number = body["task"], body["run"]
         draw = random.Random(zlib.crc32(f"{task}#{number}".encode()))
         total_ms = int(step["ms"] * draw.uniform(0.5, 1.5))
         saved_ms = int(body.get("last_checkpoint") or "0", 16)
         fails = self.fails or draw.random() < step["fail"]
-        run = ScaleRun(
+        run = EmulatedRun(
             task, number, time.monotonic(), step["cpu"], total_ms, saved_ms,
             "failed" if fails else "done",
         )  # fmt: skip
@@ -233,7 +233,7 @@
             until_ms=body["until_ms"], lease_ms=worker.until_ms,
         )  # fmt: skip
 
-    def _end(self, worker: ScaleWorker, run: ScaleRun, outcome: str = "") -> None:
+    def _end(self, worker: EmulatedWorker, run: EmulatedRun, outcome: str = "") -> None:
         if not worker.is_up or run.number not in worker.runs.get(run.task, ()):
             return
         _cancel(run.end_call)
@@ -252,14 +252,14 @@
             exchange.respond(200, self._listing(worker))
 
     @staticmethod
-    def _saved(run: ScaleRun) -> str:
+    def _saved(run: EmulatedRun) -> str:
         if not run.total_ms:
             return ""
         worked_ms = run.saved_ms + (time.monotonic() - run.started_s) * 1000
         saved_ms = int(worked_ms // CHECKPOINT_MS * CHECKPOINT_MS)
         return f"{max(saved_ms, run.saved_ms):08x}"
 
-    def _stop_run(self, worker: ScaleWorker, exchange: Exchange) -> None:
+    def _stop_run(self, worker: EmulatedWorker, exchange: Exchange) -> None:
         task, number = exchange.body["task"], exchange.body["run"]
         worker.highest[task] = max(worker.highest.get(task, 0), number)
         run = worker.runs.get(task, {}).get(number)
@@ -269,7 +269,7 @@
             reactor.callLater(delay_s, self._end, worker, run, "stopped")
         exchange.respond(200, {"clock_ms": worker.clock_ms()})
 
-    def _hold(self, worker: ScaleWorker, exchange: Exchange) -> None:
+    def _hold(self, worker: EmulatedWorker, exchange: Exchange) -> None:
         body = exchange.body
         if "until_ms" in body:
             self._renew(worker, body["until_ms"])
@@ -285,12 +285,12 @@
         worker.polls.append(exchange)
         reactor.callLater(body["wait_ms"] / 1000, self._end_poll, worker, exchange)
 
-    def _end_poll(self, worker: ScaleWorker, exchange: Exchange) -> None:
+    def _end_poll(self, worker: EmulatedWorker, exchange: Exchange) -> None:
         if worker.is_up and exchange in worker.polls:
             worker.polls.remove(exchange)
             exchange.respond(200, self._listing(worker))
 
-    def _listing(self, worker: ScaleWorker) -> dict:
+    def _listing(self, worker: EmulatedWorker) -> dict:
         running = [
             [run.task, run.number, self._saved(run), self._percent(run), 0]
             for runs in worker.runs.values()
@@ -304,7 +304,7 @@
         }
 
     @staticmethod
-    def _percent(run: ScaleRun) -> int:
+    def _percent(run: EmulatedRun) -> int:
         if not run.total_ms:
             return 100
         worked_ms = run.saved_ms + (time.monotonic() - run.started_s) * 1000
@@ -312,7 +312,7 @@
 
     # Leases
 
-    def _renew(self, worker: ScaleWorker, until_ms: int) -> None:
+    def _renew(self, worker: EmulatedWorker, until_ms: int) -> None:
         limit_ms = worker.clock_ms() + LEASE_MAX_MS
         worker.until_ms = max(worker.until_ms, min(until_ms, limit_ms))
         # A time that has passed grants nothing, so that no second lapse follows.
@@ -320,7 +320,7 @@
             worker.has_lapse_call = True
             self._check_lease(worker)
 
-    def _check_lease(self, worker: ScaleWorker) -> None:
+    def _check_lease(self, worker: EmulatedWorker) -> None:
         left_ms = worker.until_ms - worker.clock_ms()
         if left_ms >= 0:
             reactor.callLater(
@@ -337,7 +337,7 @@
             for run in list(runs.values()):
                 self._kill(worker, run)
 
-    def _kill(self, worker: ScaleWorker, run: ScaleRun) -> None:
+    def _kill(self, worker: EmulatedWorker, run: EmulatedRun) -> None:
         lapse_s = self._process.lapse_s
         if not lapse_s[1]:
             self._end(worker, run, "lapsed")
@@ -348,7 +348,7 @@
             reactor.callLater(delay_s, self._end, worker, run, "lapsed")
 
 
-class ScaleWorkers:
+class EmulatedWorkers:
     """The workers of one process."""
 
     def __init__(self, log: EventLog, report, options: dict) -> None:
@@ -435,4 +435,4 @@
 
 
 if __name__ == "__main__":
-    run_process(ScaleWorkers)
+    run_process(EmulatedWorkers)
--- /dev/null
+++ b/standins/daemon_process.py
@@ -0,0 +1,105 @@
+"""A daemon as a process of its own, on its own loopback address."""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from examples.local_cluster import find_free_ports
+
+ROOT = Path(__file__).parent.parent
+# Indexes into `DaemonProcess.ports`.
+CALLERS, READINESS, PEERS = range(3)
+
+
+class DaemonProcess:
+    """A daemon process on its own loopback address.
+
+    Parameters
+    ----------
+    name : str
+        Name of its VM.
+    host : str
+        Loopback address.
+    store_port : int
+        Port of the proxy between the daemon and the store.
+    folder : Path
+        Folder for its settings and its log.
+    checkout : Path
+        Checkout of the code that it runs.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        store_port: int,
+        folder: Path,
+        checkout: Path = ROOT,
+    ) -> None:
+        self.name = name
+        self.host = host
+        self._checkout = checkout
+        self.ports = find_free_ports(3, host)
+        self._file = folder / f"{name}.toml"
+        self._file.write_text(self._settings(store_port))
+        self._log = open(folder / f"{name}.log", "ab")  # noqa: SIM115
+        self.process: subprocess.Popen | None = None
+        # Whether it was sent a signal that ends it.
+        self.is_ending = False
+
+    def _settings(self, store_port: int) -> str:
+        return f"""
+node = "{self.name}"
+ip = "{self.host}"
+zone = "north"
+port_range = [{self.ports[PEERS]}, {self.ports[PEERS]}]
+[listen]
+front = "{self.host}:{self.ports[CALLERS]}"
+readiness = "{self.host}:{self.ports[READINESS]}"
+[platform]
+address = "127.0.0.1:{store_port}"
+"""
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers."""
+        return f"http://{self.host}:{self.ports[CALLERS]}"
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process is running."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        """Start the process unless it is running."""
+        if self.is_running:
+            return
+        self.is_ending = False
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "dogwoodlever.fleet_daemon"],
+            cwd=self._checkout,
+            env=os.environ | {"DOGWOODLEVER_NODE_FILE": str(self._file)},
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process if it is running."""
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.is_ending = True
+        if self.is_running:
+            self.process.send_signal(number)
+
+    def ended_by_itself(self) -> bool:
+        """Return whether the process ended without a signal that ends it."""
+        return not self.is_running and not self.is_ending
+
+    def close(self) -> None:
+        """Kill the process and close its log."""
+        if self.is_running:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGKILL)
+            self.process.wait()
+        self._log.close()
--- a/tests/soak_site.py
+++ b/tests/soak_site.py
@@ -2,9 +2,6 @@
 
 import json
 import os
-import signal
-import subprocess
-import sys
 from pathlib import Path
 
 from twisted.internet import reactor
@@ -12,13 +9,12 @@
 
 from dogwoodlever._fleet_records import LEADER_KEY, decode_leader
 from dogwoodlever._fleet_types import WorkerEntry
-from examples.local_cluster import find_free_ports
+from standins.daemon_process import DaemonProcess
 from standins.faulty_proxy import FaultyProxy
 from standins.fleet import FleetRecords, server_record
 from standins.fleet_http import FleetStoreResource, FleetWorkerResource
 from tests.soak_checker import ATTEMPTS_MAX, SoakChecker, SoakWorker
 
-ROOT = Path(__file__).parent.parent
 QUEUE_HOST = "desk.example"
 QUEUE_PREFIX = "/quotes/"
 WORKER_CORES_MILLI = 4_000
@@ -26,90 +22,6 @@
 ENTRY_EXPIRY_S = 1.5
 # Higher than any token of a leader, so that a worker with it refuses all orders.
 HIGHEST_FENCING_TOKEN = 1 << 60
-# Indexes into `SoakDaemon.ports`.
-CALLERS, READINESS, PEERS = range(3)
-
-
-class SoakDaemon:
-    """A daemon process on its own loopback address.
-
-    Parameters
-    ----------
-    name : str
-        Name of its VM.
-    host : str
-        Loopback address.
-    store_port : int
-        Port of the proxy between the daemon and the store.
-    folder : Path
-        Folder for its settings and its log.
-    """
-
-    def __init__(self, name: str, host: str, store_port: int, folder: Path) -> None:
-        self.name = name
-        self.host = host
-        self.ports = find_free_ports(3, host)
-        self._file = folder / f"{name}.toml"
-        self._file.write_text(self._settings(store_port))
-        self._log = open(folder / f"{name}.log", "ab")  # noqa: SIM115
-        self.process: subprocess.Popen | None = None
-        # Whether the soak sent the process a signal that ends it.
-        self.is_ending = False
-
-    def _settings(self, store_port: int) -> str:
-        return f"""
-node = "{self.name}"
-ip = "{self.host}"
-zone = "north"
-port_range = [{self.ports[PEERS]}, {self.ports[PEERS]}]
-[listen]
-front = "{self.host}:{self.ports[CALLERS]}"
-readiness = "{self.host}:{self.ports[READINESS]}"
-[platform]
-address = "127.0.0.1:{store_port}"
-"""
-
-    @property
-    def url(self) -> str:
-        """Base URL for callers."""
-        return f"http://{self.host}:{self.ports[CALLERS]}"
-
-    @property
-    def is_running(self) -> bool:
-        """Whether the process is running."""
-        return self.process is not None and self.process.poll() is None
-
-    def start(self) -> None:
-        """Start the process unless it is running."""
-        if self.is_running:
-            return
-        self.is_ending = False
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "dogwoodlever.fleet_daemon"],
-            cwd=ROOT,
-            env=os.environ | {"DOGWOODLEVER_NODE_FILE": str(self._file)},
-            stdout=self._log,
-            stderr=self._log,
-        )
-
-    def signal(self, number: int) -> None:
-        """Send a signal to the process if it is running."""
-        if number in (signal.SIGKILL, signal.SIGTERM):
-            self.is_ending = True
-        if self.is_running:
-            self.process.send_signal(number)
-
-    def ended_by_itself(self) -> bool:
-        """Return whether the process ended without a signal from the soak."""
-        return not self.is_running and not self.is_ending
-
-    def close(self) -> None:
-        """Kill the process and close its log."""
-        if self.is_running:
-            self.signal(signal.SIGCONT)
-            self.signal(signal.SIGKILL)
-            self.process.wait()
-        self._log.close()
 
 
 class SoakSite:
@@ -133,7 +45,7 @@
         self.worker_resources: dict[str, FleetWorkerResource] = {}
         self.worker_links: dict[str, FaultyProxy] = {}
         self.store_links: dict[str, FaultyProxy] = {}
-        self.daemons: dict[str, SoakDaemon] = {}
+        self.daemons: dict[str, DaemonProcess] = {}
         self.configure()
         for number in range(workers):
             self._add_worker(f"w{number}")
@@ -163,7 +75,7 @@
         self.store_links[name] = link
         # All daemons use the same metrics port, so each gets its own address.
         host = f"127.{1 + os.getpid() % 200}.{os.getpid() // 200 % 250}.{number + 2}"
-        self.daemons[name] = SoakDaemon(name, host, link.port, folder)
+        self.daemons[name] = DaemonProcess(name, host, link.port, folder)
 
     def configure(self, extra_queues: int = 0) -> None:
         """Write the next version of the configuration."""
--- a/tests/test_scale_soak.py
+++ b/tests/test_emulator.py
@@ -1,4 +1,4 @@
-"""Short runs of the scale soak."""
+"""Short runs of the emulator."""
 
 import subprocess
 import sys
@@ -24,10 +24,10 @@
 )
 
 
-class ScaleSoakTest(unittest.TestCase):
+class EmulationTest(unittest.TestCase):
     # Guards against tasks that run twice, and jobs that complete without a task.
     def test_tasks_run_once_under_faults(self):
-        command = [sys.executable, "-m", "tests.scale_soak", *SIZE, *PROCESSES]
+        command = [sys.executable, "-m", "emulator", *SIZE, *PROCESSES]
         command += ["--seed", "1", "--same-id-share", "0"]
         for fault in FAULTS:
             command += ["--faults", fault]
--- a/tests/test_scale_checker.py
+++ b/tests/test_emulator_checker.py
@@ -1,11 +1,11 @@
-"""Tests of the checker of the scale soak: which logs show a task that ran twice."""
+"""Tests of the checker of the emulator: which logs show a task that ran twice."""
 
 import json
 import tempfile
 import unittest
 from pathlib import Path
 
-from tests.scale_checker import check_logs
+from emulator.checker import check_logs
 
 TASK = "00000000000000aa.0.0.0"
 
@@ -41,7 +41,7 @@
 ACKNOWLEDGED = event(4.0, "ack", "w001-1", number=1)
 
 
-class ScaleCheckerTest(unittest.TestCase):
+class EmulatedCheckerTest(unittest.TestCase):
     def check(self, rows):
         with tempfile.TemporaryDirectory() as folder:
             lines = "\n".join(json.dumps(row) for row in rows)
