--- a/tests/test_run_restarts.py
+++ b/tests/test_run_restarts.py
@@ -23,7 +23,9 @@
 TASK = f"{JOB}.0.0.0"
 # Of each response of the metrics address, as far as a collector may keep it.
 KEPT_BYTES = 4_000
-# From the expiry of leases or orders to the leader's next contact with the store.
+# From the expiry of an order to the contact with the store that is then requested.
+EXPIRY_CHECK_MAX_S = 0.25
+# From the expiry of leases to the leader's next contact with the store.
 CONFIRMATION_MAX_S = 0.75
 # Longest lease, a slow clock and the confirmation.
 LEASES_WAIT_S = 7.0
@@ -130,7 +132,7 @@
             "run.lost",
             worker_id,
             DropEvidence.ORDER_EXPIRED,
-            CONFIRMATION_MAX_S,
+            EXPIRY_CHECK_MAX_S,
         )
 
     def test_start_that_was_refused(self):
