--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -34,7 +34,7 @@
 
 
 class StandIn(ProcessProtocol):
-    """A process of the rig, which takes commands and sends reports."""
+    """A process of the emulator, which takes commands and sends reports."""
 
     def __init__(self, module: str, log: Path, options: dict, on_report=None) -> None:
         self.reports: dict[str, dict] = {}
@@ -78,7 +78,7 @@
 
 
 class EmulatedDaemon(DaemonProcess):
-    """A daemon of any checkout, with the settings of the customer's site."""
+    """A daemon of any checkout, with the settings of the emulated site."""
 
     def __init__(self, number, host, store_port, folder, checkout: Path) -> None:
         self._number = number
@@ -316,7 +316,7 @@
     daemons, workers : int
         Number of daemons and of workers.
     load : float
-        Jobs a second, as a share of those in the customer's sheet.
+        Jobs a second, as a share of the full load.
     worker_processes, caller_processes : int
         Number of processes that serve the workers and that submit jobs.
     checkout : Path
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -26,7 +26,7 @@
 
 
 class EmulatedCallers:
-    """Callers that submit the jobs of the customer's sheet at random daemons."""
+    """Callers that submit jobs of three classes at random daemons."""
 
     def __init__(self, log: EventLog, report, options: dict) -> None:
         self._log = log
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -1,4 +1,4 @@
-"""Faults of an emulation: those of the customer's page, drawn from a seed."""
+"""Faults of an emulated site, drawn from a seed."""
 
 import random
 import signal
