--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -20,7 +20,7 @@
 from emulator.checker import check_logs
 from emulator.faults import LINK_FAULTS, SiteFaults
 from emulator.process import EventLog
-from standins.daemon_process import CALLERS, PEERS, READINESS, ROOT, DaemonProcess
+from standins.daemon_process import ROOT, DaemonProcess
 from standins.faulty_proxy import LinkFault
 
 LOG_FOLDER = ROOT / "target" / "emulator"
@@ -82,20 +82,12 @@
 
     def __init__(self, number, host, store_port, folder, checkout: Path) -> None:
         self._number = number
-        super().__init__(f"vm{number}", host, store_port, folder, checkout)
+        data_centre = f"z{number % 3}"
+        super().__init__(f"vm{number}", host, store_port, folder, checkout, data_centre)
 
     def _settings(self, store_port: int) -> str:
         cpu_share, cores = CORES[self._number % len(CORES)]
-        return f"""
-node = "{self.name}"
-ip = "{self.host}"
-zone = "z{self._number % 3}"
-port_range = [{self.ports[PEERS]}, {self.ports[PEERS]}]
-[listen]
-front = "{self.host}:{self.ports[CALLERS]}"
-readiness = "{self.host}:{self.ports[READINESS]}"
-[platform]
-address = "127.0.0.1:{store_port}"
+        return f"""{super()._settings(store_port)}
 [limits]
 cpu_share = {cpu_share}
 cores = {cores}
--- a/standins/daemon_process.py
+++ b/standins/daemon_process.py
@@ -28,6 +28,8 @@
         Folder for its settings and its log.
     checkout : Path
         Checkout of the code that it runs.
+    data_centre : str
+        Its data centre.
     """
 
     def __init__(
@@ -37,10 +39,12 @@
         store_port: int,
         folder: Path,
         checkout: Path = ROOT,
+        data_centre: str = "north",
     ) -> None:
         self.name = name
         self.host = host
         self._checkout = checkout
+        self._data_centre = data_centre
         self.ports = find_free_ports(3, host)
         self._file = folder / f"{name}.toml"
         self._file.write_text(self._settings(store_port))
@@ -53,7 +57,7 @@
         return f"""
 node = "{self.name}"
 ip = "{self.host}"
-zone = "north"
+zone = "{self._data_centre}"
 port_range = [{self.ports[PEERS]}, {self.ports[PEERS]}]
 [listen]
 front = "{self.host}:{self.ports[CALLERS]}"
