Let transfers take as long as they make progress

Cause: a call to the store had 0.8 s up to the end of its body, so a page of 500 jobs (some 0.6 MB) never arrived at 5 Mbit/s, and each failure began the listing anew. The leader asked for the same page for ever.

Change: a call has 0.8 s to the first part of its response and from each part, sent or received, to the next. A listing goes on after the last page that was read. The same holds for watches after an outage, for the configuration and for writes that are larger than a link carries in 0.8 s.

Past it: a listing that lasts longer than the store's history ends, is applied, and is then read again.

--- a/dogwoodlever/_fleet_interfaces.py
+++ b/dogwoodlever/_fleet_interfaces.py
@@ -40,10 +40,19 @@
 
 @dataclass(slots=True, frozen=True)
 class Listing:
-    """Records under a prefix; a watch continues from `revision`."""
+    """Records under a prefix, or a page of them.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store, from which a watch continues.
+    next_after : str
+        Key after which the next page begins; empty on the last page.
+    """
 
     records: tuple[Record, ...]
     revision: int
+    next_after: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -83,8 +92,12 @@
         """Return a Deferred that fires with the `Record`, or None."""
 
     @abstractmethod
-    def list(self, prefix: str) -> Deferred:
-        """Return a Deferred that fires with a `Listing` of `prefix`."""
+    def list_page(self, prefix: str, after: str = "") -> Deferred:
+        """Return a Deferred that fires with a `Listing`, one page of `prefix`.
+
+        The page begins after the key `after`. Pages are not a snapshot; a watch from
+        the revision of the first one misses no change. `StoreListing` reads them all.
+        """
 
     @abstractmethod
     def watch(self, prefix: str, revision: int, wait_ms: int) -> Deferred:
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -42,6 +42,7 @@
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
+from dogwoodlever._store_listing import StoreListing
 from dogwoodlever._ticket_cache import TicketCache
 from dogwoodlever._worker_membership import WorkerMembership
 from dogwoodlever._workspace_report import WorkspaceReport
@@ -203,6 +204,7 @@
             self._drop_removed_jobs,
         )
         self._watchers: list[PrefixWatcher] = []
+        self._progress_listing = StoreListing(store, PROGRESS_PREFIX)
         self._cancelled: set[str] = set()
         self._progress: dict[str, bytes] = {}
         self._unstored_progress = unstored_progress
@@ -231,6 +233,7 @@
     def close(self) -> None:
         """Stop leading."""
         self.is_closed = True
+        self._progress_listing.close()
         self._progress_writer.close()
         for watcher in self._watchers:
             watcher.close()
@@ -264,7 +267,7 @@
     @inlineCallbacks
     def _load(self):
         try:
-            progress = yield self._store.list(PROGRESS_PREFIX)
+            progress = yield self._progress_listing.read()
             membership = yield self._store.read(WORKER_MEMBERSHIP_KEY)
             interference = yield self._store.read(INTERFERENCE_KEY)
         except PlatformError as error:
--- a/dogwoodlever/_fleet_observed_store.py
+++ b/dogwoodlever/_fleet_observed_store.py
@@ -70,9 +70,9 @@
         """Read a record."""
         return self._track(self._store.read(key))
 
-    def list(self, prefix: str) -> Deferred:
-        """List records."""
-        return self._track(self._store.list(prefix))
+    def list_page(self, prefix: str, after: str = "") -> Deferred:
+        """List a page of records."""
+        return self._track(self._store.list_page(prefix, after))
 
     def watch(self, prefix: str, revision: int, wait_ms: int) -> Deferred:
         """Wait for changes."""
--- a/dogwoodlever/_fleet_watcher.py
+++ b/dogwoodlever/_fleet_watcher.py
@@ -6,6 +6,7 @@
 
 from dogwoodlever._fleet_interfaces import FleetStore, Record
 from dogwoodlever._logs import log_event
+from dogwoodlever._store_listing import StoreListing
 from dogwoodlever.platform_errors import (
     HistoryGoneError,
     PlatformError,
@@ -63,6 +64,8 @@
         self._pause_s = pause_s
         self._revisions: dict[str, int] = {}
         self._revision = 0
+        # Listing of which not all pages have been read.
+        self._listing: StoreListing | None = None
         self._is_closed = False
         self._timer = None
         self.wait_ms = WATCH_WAIT_MS
@@ -77,6 +80,8 @@
     def close(self) -> None:
         """Stop watching."""
         self._is_closed = True
+        if self._listing is not None:
+            self._listing.close()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
@@ -118,7 +123,10 @@
 
     @inlineCallbacks
     def _list(self):
-        listing = yield self._store.list(self.prefix)
+        if self._listing is None:
+            self._listing = StoreListing(self._store, self.prefix)
+        listing = yield self._listing.read()
+        self._listing = None
         if self._is_closed:
             return
         listed_keys = {record.key for record in listing.records}
--- a/dogwoodlever/_http_client.py
+++ b/dogwoodlever/_http_client.py
@@ -77,22 +77,29 @@
         body: bytes = b"",
         timeout_s: float = 0.0,
         headers: tuple[tuple[bytes, bytes], ...] = (),
+        stall_timeout_s: float = 0.0,
     ) -> Deferred:
         """Return a Deferred that fires with the status and the body.
 
-        `timeout_s` bounds the whole call. Fails with Twisted's network errors,
-        `twisted.internet.defer.TimeoutError` and `InvalidResponseError`.
+        `timeout_s` bounds the whole call. With `stall_timeout_s` it bounds the time to
+        the response instead, and a transfer may take as long as its next part arrives
+        within that time, whatever the bandwidth of the link. Fails with Twisted's
+        network errors, `twisted.internet.defer.TimeoutError` and
+        `InvalidResponseError`.
         """
         address, _, path = url.removeprefix("http://").partition("/")
         request = _format_request(method, address, path, body, headers)
         deadline_s = self._reactor.seconds() + (timeout_s or self.timeout_s)
         idle = self._idle.get(address)
         if idle:
-            return self._send(address, idle.pop(), request, deadline_s)
-        return self._connect_and_send(address, request, deadline_s)
+            connection = idle.pop()
+            return self._send(address, connection, request, deadline_s, stall_timeout_s)
+        return self._connect_and_send(address, request, deadline_s, stall_timeout_s)
 
     @inlineCallbacks
-    def _connect_and_send(self, address: str, request: bytes, deadline_s: float):
+    def _connect_and_send(
+        self, address: str, request: bytes, deadline_s: float, stall_timeout_s: float
+    ):
         host, _, port = address.partition(":")
         endpoint = TCP4ClientEndpoint(
             self._reactor, host, int(port or HTTP_PORT), CONNECT_TIMEOUT_S
@@ -108,15 +115,32 @@
             # After a pause of the process, sockets are handled before timers.
             self._keep(address, connection)
             raise internet_errors.TimeoutError(f"connected to {address} too late")
-        result = yield self._send(address, connection, request, deadline_s)
+        result = yield self._send(
+            address, connection, request, deadline_s, stall_timeout_s
+        )
         return result
 
     def _send(
-        self, address: str, connection: HttpConnection, request: bytes, deadline_s
+        self,
+        address: str,
+        connection: HttpConnection,
+        request: bytes,
+        deadline_s: float,
+        stall_timeout_s: float,
     ) -> Deferred:
-        response = connection.send(request)
         timer = self._call_at(deadline_s, self._time_out, address, connection)
-        return response.addBoth(_cancel_timer, timer)
+
+        def extend_deadline() -> None:
+            left_s = timer.getTime() - self._reactor.seconds()
+            if left_s < stall_timeout_s:
+                timer.delay(stall_timeout_s - left_s)
+
+        def end(result):
+            connection.on_progress = _ignore_progress
+            return _cancel_timer(result, timer)
+
+        connection.on_progress = extend_deadline
+        return connection.send(request).addBoth(end)
 
     def _call_at(self, when_s: float, function, *arguments):
         delay_s = max(0.0, when_s - self._reactor.seconds())
@@ -164,6 +188,10 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
+def _ignore_progress() -> None:
+    """Ignore the parts of a call that has ended."""
+
+
 def _cancel_timer(result, timer):
     if timer.active():
         timer.cancel()
--- a/dogwoodlever/_http_connection.py
+++ b/dogwoodlever/_http_connection.py
@@ -7,6 +7,9 @@
 from twisted.internet.error import ConnectionLost
 from twisted.internet.protocol import Protocol, connectionDone
 
+# A longer request is sent in parts, so that its progress on a slow link shows.
+SEND_PART_BYTES = 16_384
+
 
 class InvalidResponseError(Exception):
     """The server sent something other than an HTTP response."""
@@ -24,6 +27,11 @@
         Called with the connection when it can carry another request.
     on_lost : callable
         Called with the connection when it has been closed.
+
+    Attributes
+    ----------
+    on_progress : callable
+        Called when a part of the open request was sent, or of its response received.
     """
 
     def __init__(
@@ -36,6 +44,9 @@
         self._response: Deferred | None = None
         self._parser: HttpResponseParser | None = None
         self._body: list[bytes] = []
+        # What is left to send of the open request.
+        self._unsent = memoryview(b"")
+        self.on_progress: Callable[[], None] = lambda: None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send small requests without delay."""
@@ -46,9 +57,28 @@
         self._response = Deferred()
         self._parser = HttpResponseParser(self)
         self._body = []
-        self._write(request)
+        if len(request) <= SEND_PART_BYTES:
+            self._write(request)
+        else:
+            self._unsent = memoryview(request)
+            self.transport.registerProducer(self, False)
         return self._response
 
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Send the next part of the request; called when the last one has been sent."""
+        part, self._unsent = (
+            self._unsent[:SEND_PART_BYTES],
+            self._unsent[SEND_PART_BYTES:],
+        )
+        self.on_progress()
+        self.transport.write(bytes(part))
+        if not self._unsent:
+            self.transport.unregisterProducer()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Drop the rest of the request; called when the connection is closed."""
+        self._unsent = memoryview(b"")
+
     def _write(self, data: bytes) -> None:
         """Write at once what the socket takes.
 
@@ -75,6 +105,7 @@
         if self._response is None:
             self.abort(InvalidResponseError("data without a request"))
             return
+        self.on_progress()
         try:
             self._parser.feed_data(data)
         except HttpParserError as error:
@@ -88,7 +119,8 @@
         """Deliver the response; called by the parser."""
         response, self._response = self._response, None
         status = self._parser.get_status_code()
-        if self._parser.should_keep_alive():
+        # A response to a part of a request leaves the rest unsent.
+        if self._parser.should_keep_alive() and not self._unsent:
             self._on_idle(self)
         else:
             self.transport.loseConnection()
--- a/dogwoodlever/platform/_http_store.py
+++ b/dogwoodlever/platform/_http_store.py
@@ -25,7 +25,8 @@
     StoreUnavailableError,
 )
 
-# A response takes some milliseconds, and some hundreds when the store is slow.
+# A response begins after some milliseconds, and some hundreds when the store is slow;
+# its next part arrives as soon on any link, while a page takes seconds on a slow one.
 CALL_TIMEOUT_S = 0.8
 # Added to the time that the store may wait for a change.
 WATCH_MARGIN_S = 0.6
@@ -111,7 +112,11 @@
         body = b"" if document is None else msgspec.json.encode(document)
         try:
             status, content = yield self._client.fetch(
-                method, self._url + path, body, timeout_s
+                method,
+                self._url + path,
+                body,
+                timeout_s,
+                stall_timeout_s=CALL_TIMEOUT_S,
             )
         except NOT_SENT_ERRORS as error:
             raise StoreRefusedError(f"store {path}: {error!r}") from error
@@ -131,23 +136,15 @@
         return _to_record(_decode(content, _Item, status))
 
     @inlineCallbacks
-    def list(self, prefix: str):
-        """Read all records under `prefix`, page by page."""
-        records = []
-        revision = 0
-        after = ""
-        while True:
-            path = f"/-/kv-range?prefix={quote(prefix)}"
-            if after:
-                path += f"&after={quote(after)}"
-            status, content = yield self._call(b"GET", path)
-            page = self._decode_page(content, _Page, status)
-            records.extend(_to_records(page.items))
-            # Pages are not a snapshot; a watch from the first one misses no change.
-            revision = revision or page.current_rev
-            if not page.has_more or not page.items:
-                return Listing(tuple(records), revision)
-            after = page.items[-1].key
+    def list_page(self, prefix: str, after: str = ""):
+        """Read one page of the records under `prefix`."""
+        path = f"/-/kv-range?prefix={quote(prefix)}"
+        if after:
+            path += f"&after={quote(after)}"
+        status, content = yield self._call(b"GET", path)
+        page = self._decode_page(content, _Page, status)
+        next_after = page.items[-1].key if page.has_more and page.items else ""
+        return Listing(_to_records(page.items), page.current_rev, next_after)
 
     def _decode_page(self, content: bytes, page_type, status: int):
         """Decode items that others have written, without those that are malformed."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -203,6 +203,8 @@
         If set, the next commit times out and takes effect after this delay.
     silent_prefixes : set of str
         Watches and lists of these prefixes time out, as on a half-open connection.
+    page_records : int
+        Most records on one page of a list.
     """
 
     def __init__(self, records: FleetRecords, clock) -> None:
@@ -217,6 +219,7 @@
         self.commit_delay_s: float | None = None
         self.commits = 0
         self.watches = 0
+        self.page_records = 500
 
     def cut_off(self, error: type[StoreUnavailableError]) -> None:
         """Cut this daemon off: open calls are reset, new ones fail with `error`."""
@@ -269,11 +272,19 @@
         """Read a record."""
         return self._call(lambda: self._records.read(key))
 
-    def list(self, prefix: str) -> Deferred:
-        """List records."""
+    def list_page(self, prefix: str, after: str = "") -> Deferred:
+        """List a page of records."""
         if prefix in self.silent_prefixes:
             return self._no_response()
-        return self._call(lambda: self._records.list(prefix))
+        return self._call(lambda: self._list_page(prefix, after))
+
+    def _list_page(self, prefix: str, after: str) -> Listing:
+        listing = self._records.list(prefix)
+        remaining = [record for record in listing.records if record.key > after]
+        if len(remaining) <= self.page_records:
+            return Listing(tuple(remaining), listing.revision)
+        page = tuple(remaining[: self.page_records])
+        return Listing(page, listing.revision, page[-1].key)
 
     def watch(self, prefix: str, revision: int, wait_ms: int) -> Deferred:
         """Wait up to `wait_ms` for changes after a revision."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -48,6 +48,7 @@
 from dogwoodlever._interference_model import InterferenceModel
 from dogwoodlever._messages import RpcRequest
 from dogwoodlever._slowdown import ModelState
+from dogwoodlever._store_listing import StoreListing
 from dogwoodlever.fleet_errors import SubmissionError
 from dogwoodlever.platform import (
     CONFIGURATION_KEY,
@@ -187,7 +188,9 @@
         self.responses = [(status, content) for content in contents]
         self.urls = []
 
-    def fetch(self, method, url, body=b"", timeout_s=0.0, headers=()):
+    def fetch(
+        self, method, url, body=b"", timeout_s=0.0, headers=(), stall_timeout_s=0.0
+    ):
         self.urls.append(url)
         return succeed(self.responses[min(len(self.urls), len(self.responses)) - 1])
 
@@ -209,7 +212,12 @@
     # Status of the response, call and expected error.
     CALLS = [
         ("read", 200, lambda c: HttpFleetStore(c, "").read("k"), PlatformError),
-        ("list", 200, lambda c: HttpFleetStore(c, "").list("k"), PlatformError),
+        (
+            "list",
+            200,
+            lambda c: StoreListing(HttpFleetStore(c, ""), "k").read(),
+            PlatformError,
+        ),
         ("watch", 200, lambda c: HttpFleetStore(c, "").watch("k", 1, 0), PlatformError),
         ("commit", 200, lambda c: HttpFleetStore(c, "").commit({}, ()), PlatformError),
         ("refusal", 412, lambda c: HttpFleetStore(c, "").commit({}, ()), PlatformError),
@@ -379,7 +387,7 @@
     def test_odd_item_costs_nothing_but_itself(self):
         for item, items, expected in self.pages():
             for field, call in (
-                (b"items", lambda store: store.list("servers/")),
+                (b"items", lambda store: StoreListing(store, "servers/").read()),
                 (b"events", lambda store: store.watch("servers/", 1, 0)),
             ):
                 with self.subTest(item, field=field):
@@ -393,14 +401,14 @@
     def test_next_page_begins_after_a_usable_key(self):
         page = b'{"current_rev":9,"has_more":true,"items":[%s,{"key":"\\ud800"}]}'
         client = FakeHttpClient(200, page % self.GOOD, b'{"current_rev":9,"items":[]}')
-        result(HttpFleetStore(client, "").list("servers/"))
+        result(StoreListing(HttpFleetStore(client, ""), "servers/").read())
         self.assertTrue(client.urls[1].endswith("&after=servers/w1"))
 
     def test_malformed_page_is_an_error_of_the_store(self):
         for content in self.MALFORMED:
             store = HttpFleetStore(FakeHttpClient(200, content), "")
             with self.subTest(content), self.assertRaises(PlatformError):
-                result(store.list("servers/"))
+                result(StoreListing(store, "servers/").read())
 
     def test_unreadable_value_of_one_record_is_an_error_of_the_store(self):
         content = b'{"key":"k","revision":6,"value":"YQ="}'
@@ -412,7 +420,7 @@
         store = HttpFleetStore(FakeHttpClient(200, content), "")
         with patch.object(_http_store, "log_event") as logged:
             for _ in range(3):
-                result(store.list("servers/"))
+                result(StoreListing(store, "servers/").read())
         self.assertEqual(logged.call_count, 1)
         self.assertIn("key", logged.call_args.kwargs["item"])
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -17,6 +17,7 @@
     TaskId,
     Workspace,
 )
+from dogwoodlever._store_listing import StoreListing
 from dogwoodlever.fleet_errors import SubmissionError
 from dogwoodlever.platform import (
     HttpAdviceService,
@@ -83,7 +84,9 @@
         self.responses = list(responses)
         self.calls = []
 
-    def fetch(self, method, url, body=b"", timeout_s=0.0, headers=()):
+    def fetch(
+        self, method, url, body=b"", timeout_s=0.0, headers=(), stall_timeout_s=0.0
+    ):
         self.calls.append((method, url, body and msgspec.json.decode(body)))
         response = self.responses.pop(0)
         if isinstance(response, Exception):
@@ -264,7 +267,8 @@
             (200, {"items": [item], "has_more": True, "current_rev": 5}),
             (200, {"items": [{**item, "key": "b"}], "current_rev": 9}),
         )
-        listing = result(HttpFleetStore(client, "127.0.0.1:1").list("x/"))
+        store = HttpFleetStore(client, "127.0.0.1:1")
+        listing = result(StoreListing(store, "x/").read())
         self.assertEqual([r.key for r in listing.records], ["a", "b"])
         self.assertEqual((listing.revision, listing.records[0].value), (5, b"v"))
         self.assertIn("after=a", client.calls[1][1])
