Let another daemon lead if the leader cannot load

Cause: neither the election nor the leader looked at whether the stored state was loaded; candidates were compared by their CPU alone.

A daemon is as strong a candidate as its CPU or its link, whichever is weaker.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+import msgspec
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
@@ -31,6 +32,10 @@
 CANDIDATE_DELAY_MAX_S = 0.08
 # Longest delay of a candidate on a weak VM, which lets stronger ones lead.
 WEAK_VM_DELAY_MAX_S = 0.5
+# Delay of a candidate that has given up, which lets any other lead.
+GIVEN_UP_DELAY_S = 1.5
+# Bounds the time that leaders get to load after others have given up.
+FAILED_LOADS_MAX = 6
 # CPU share assumed for the strongest VM before the first term.
 STRONGEST_CORES_DEFAULT = 2.2
 # A leader without contact with the store for this long steps down, since it may have
@@ -63,6 +68,8 @@
         Leader record of this daemon.
     core_share : float
         CPU share of this daemon, in cores.
+    link_mbps : float
+        Bandwidth of this daemon's link, 0 if it is not known.
     ttl_min_ms : int
         Minimum lease of the store.
     on_elected : callable
@@ -83,6 +90,7 @@
         clock,
         record: LeaderRecord,
         core_share: float,
+        link_mbps: float,
         ttl_min_ms: int,
         on_elected: Callable[[int, int, bool], None],
         on_step_down: Callable[[str], None],
@@ -93,6 +101,7 @@
         self._clock = clock
         self._record = record
         self._core_share = core_share
+        self._link_mbps = link_mbps
         self._ttl_ms = max(LEASE_TTL_MS, ttl_min_ms)
         self._on_elected = on_elected
         self._on_step_down = on_step_down
@@ -103,6 +112,9 @@
         self._leader_revision = 0
         self._term_revision = 0
         self._own_term_revision = 0
+        self._own_term: TermRecord | None = None
+        # Until when this daemon lets others lead, since it has given up.
+        self._given_up_until_s = float("-inf")
         # Revision of the store at which the leader's record was last seen removed.
         self._removed_revision = 0
         self._timer = None
@@ -113,6 +125,8 @@
         self._renewal_failed_s = float("-inf")
         self._is_confirmation_due = False
         self.is_record_loaded = False
+        # Leaders in a row before this one that gave up.
+        self.failed_loads = 0
         # Leader of the term before this daemon's, and a time by which it was elected.
         self.former_leader = ""
         self.former_elected_s = float("-inf")
@@ -163,6 +177,27 @@
             except PlatformError as error:
                 log_event("leader.resign-failed", why=str(error)[:160])
 
+    @inlineCallbacks
+    def give_up(self, why: str):
+        """Step down and let another daemon lead, since this one cannot.
+
+        The term's record counts such leaders, so that a load which takes long for every
+        daemon is not cut off at the same point each time.
+        """
+        if not self.leads:
+            return
+        lease_id, term = self._lease_id, self._own_term
+        self._given_up_until_s = self._clock.seconds() + GIVEN_UP_DELAY_S
+        self.step_down(why)
+        failed_loads = min(FAILED_LOADS_MAX, self.failed_loads + 1)
+        given_up = msgspec.structs.replace(term, failed_loads=failed_loads)
+        put = Put(TERM_KEY, encode(given_up))
+        try:
+            yield self._store.commit({TERM_KEY: self._own_term_revision}, (put,))
+        except PlatformError as error:
+            log_event("leader.give-up-failed", why=str(error)[:160])
+        self._release_unused_lease(lease_id)
+
     def apply_record(self, record: Record) -> None:
         """Apply a change of the leader's record, unless a newer one is known."""
         if record.revision < self._leader_revision:
@@ -234,7 +269,7 @@
             self._term_revision = current.revision
         self._record = LeaderRecord(self._record.member, previous.peer_key)
         if not self.leads:
-            yield deferLater(self._clock, self._weak_vm_delay_s(previous.core_share))
+            yield deferLater(self._clock, self._candidate_delay_s(previous))
             if self.leader is not None:
                 return
         if previous.lease_id and not (yield self._end_former_lease(previous.lease_id)):
@@ -245,29 +280,28 @@
         strongest_cores = self._core_share
         if previous.term:
             strongest_cores = max(strongest_cores, previous.core_share)
+        record = TermRecord(
+            term,
+            self._record.member,
+            previous.peer_key,
+            strongest_cores,
+            lease_id,
+            max(self._link_mbps, previous.link_mbps),
+        )
         sent_s = self._clock.seconds()
         result = yield self._store.commit(
             {LEADER_KEY: 0, TERM_KEY: self._term_revision},
             (
                 Put(LEADER_KEY, encode(self._record), lease_id),
-                Put(
-                    TERM_KEY,
-                    encode(
-                        TermRecord(
-                            term,
-                            self._record.member,
-                            previous.peer_key,
-                            strongest_cores,
-                            lease_id,
-                        )
-                    ),
-                ),
+                Put(TERM_KEY, encode(record)),
             ),
         )
         if not result.revision:
             self._on_lost(result.current)
             return
+        self._own_term = record
         if not is_continued:
+            self.failed_loads = previous.failed_loads
             self.former_leader = previous.member
             # The record is written together with that of the term.
             is_seen = self._seen_revision >= self._term_revision
@@ -286,12 +320,17 @@
             yield self._store.end_lease(lease_id)
         return True
 
-    def _weak_vm_delay_s(self, strongest_cores: float) -> float:
-        """Return the delay that lets stronger daemons lead."""
-        own_cores = max(0.0, self._core_share)
-        if not strongest_cores > own_cores:
-            return 0.0
-        return WEAK_VM_DELAY_MAX_S * (1 - own_cores / strongest_cores)
+    def _candidate_delay_s(self, previous: TermRecord) -> float:
+        """Return the delay that lets stronger daemons lead.
+
+        A daemon is as strong as its CPU share or its link, whichever is weaker.
+        """
+        strength = min(
+            _share_of(self._core_share, previous.core_share),
+            _share_of(self._link_mbps, previous.link_mbps) if self._link_mbps else 1.0,
+        )
+        weak_delay_s = WEAK_VM_DELAY_MAX_S * (1 - strength)
+        return max(weak_delay_s, self._given_up_until_s - self._clock.seconds())
 
     def _on_lost(self, current: tuple[Record, ...]) -> None:
         for record in current:
@@ -389,3 +428,9 @@
                 continue
             log_event("leader.lease-freed", lease=lease_id)
             return
+
+
+def _share_of(own: float, strongest: float) -> float:
+    """Return a daemon's part of what the strongest one has, at most 1."""
+    own = max(0.0, own)
+    return own / strongest if strongest > own else 1.0
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -52,6 +52,8 @@
 from dogwoodlever.platform_errors import PlatformError, StoredRecordError
 
 LOAD_RETRY_S = 0.2
+# Interval at which the time for which the stored state loads is counted.
+LOAD_CHECK_INTERVAL_S = 0.1
 # A job that waits for a contact with the store for longer than this is logged.
 LONG_HOLD_S = 0.1
 # Every heartbeat changes a worker's entry, so changes are batched for this long. Far
@@ -113,6 +115,11 @@
         Returns the time of the last contact with the store that showed no successor.
     get_leases_end_s : callable
         Returns the time beyond which no worker's lease may be extended.
+    load_limit_s : float
+        Time in which this daemon must load the stored state, not counting an outage of
+        the store.
+    on_load_overdue : callable
+        Called if the state has not been loaded within that time.
     """
 
     def __init__(
@@ -133,6 +140,8 @@
         confirm_soon: Callable[[], None],
         get_contact_s: Callable[[], float],
         get_leases_end_s: Callable[[], float],
+        load_limit_s: float,
+        on_load_overdue: Callable[[], None],
     ) -> None:
         self._store = store
         self._clock = clock
@@ -205,6 +214,9 @@
         )
         self._watchers: list[PrefixWatcher] = []
         self._progress_listing = StoreListing(store, PROGRESS_PREFIX)
+        self._load_left_s = load_limit_s
+        self._on_load_overdue = on_load_overdue
+        self._load_check_call = None
         self._cancelled: set[str] = set()
         self._progress: dict[str, bytes] = {}
         self._unstored_progress = unstored_progress
@@ -229,6 +241,7 @@
     def open(self) -> None:
         """Load the stored state, then start to lead."""
         self._load()
+        self._check_load()
 
     def close(self) -> None:
         """Stop leading."""
@@ -240,7 +253,7 @@
         self._membership.close()
         self.workers.close()
         self._workspace_report.close()
-        for call in (self._plan_call, self._tick_call):
+        for call in (self._plan_call, self._tick_call, self._load_check_call):
             if call is not None and call.active():
                 call.cancel()
 
@@ -286,6 +299,19 @@
             self._restore_interference(interference.value)
         self._follow(INBOX_PREFIX, self._apply_inbox_record, self._on_inbox_listed)
 
+    def _check_load(self) -> None:
+        """Report a load that takes too long, so that another daemon can lead."""
+        if self.is_loaded or self.is_closed:
+            return
+        if self._load_left_s <= 0:
+            self._on_load_overdue()
+            return
+        if self._store.down_for_s() is None:
+            self._load_left_s -= LOAD_CHECK_INTERVAL_S
+        self._load_check_call = self._clock.callLater(
+            LOAD_CHECK_INTERVAL_S, self._check_load
+        )
+
     def _restore_interference(self, value: bytes) -> None:
         """Restore the stored models; those that cannot be used are learned anew."""
         try:
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -43,6 +43,9 @@
 # Fraction of the grace period in which open requests may still complete.
 GRACE_FRACTION = 0.8
 STOP_POLL_S = 0.05
+# Part of the recovery time in which a leader must load the stored state. It leaves room
+# for one more leader, and for the leases of workers that do not answer.
+LOAD_FRACTION = 1 / 3
 STEP_DOWN_RETRY_S = 0.1
 
 
@@ -110,6 +113,7 @@
             clock,
             LeaderRecord(self.member, peer_key),
             settings.core_share,
+            settings.link_mbps,
             settings.lease_ttl_min_ms,
             self._on_elected,
             self._on_step_down,
@@ -223,6 +227,8 @@
             return
         if self.leader is not None:
             self.leader.close()
+        load_limit_s = self.settings.recovery_s * LOAD_FRACTION
+        load_limit_s *= 2**self.election.failed_loads
         leader_record = self.election.leader
         self.mesh.set_key(leader_record.peer_key)
         self.leader = FleetLeader(
@@ -249,6 +255,10 @@
             self.election.confirm_soon,
             lambda: self.election.contact_s,
             lambda: self.election.worker_leases_end_s,
+            load_limit_s,
+            lambda: self.election.give_up(
+                f"stored state not loaded within {load_limit_s:.1f} s"
+            ),
         )
         self.metrics.leads.set(1)
         self.leader.open()
--- a/dogwoodlever/_fleet_records.py
+++ b/dogwoodlever/_fleet_records.py
@@ -49,6 +49,10 @@
         CPU share of the strongest daemon that has led, in cores.
     lease_id : int
         Lease of the leader's record, 0 if it is not known.
+    link_mbps : float
+        Bandwidth of the fastest link of a daemon that has led, 0 if it is not known.
+    failed_loads : int
+        Leaders in a row that gave up, since they could not load the stored state.
     """
 
     term: int
@@ -56,6 +60,8 @@
     peer_key: str
     core_share: float
     lease_id: int = 0
+    link_mbps: float = 0.0
+    failed_loads: int = 0
 
 
 class WorkerMembershipRecord(msgspec.Struct, frozen=True):
--- a/dogwoodlever/platform/_node_file.py
+++ b/dogwoodlever/platform/_node_file.py
@@ -33,6 +33,8 @@
     revoke_ms: int = 5_000
     # Time over which the jobs of a workspace count against its rate.
     quota_window_s: float = 5
+    # Time after a failure in which work goes on.
+    recovery_s: Annotated[float, msgspec.Meta(gt=0)] = 12
 
 
 class _Store(msgspec.Struct, frozen=True):
@@ -47,6 +49,8 @@
     cpu_share: float = 1.0
     # Speed of that core, relative to a standard core.
     cores: float = 1.0
+    # Bandwidth of the VM's own link; 0 if it is not known.
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _NodeDocument(msgspec.Struct, frozen=True):
@@ -98,6 +102,10 @@
         Time over which the jobs of a workspace count against its rate.
     record_bytes_max : int
         Largest value of a record in the store.
+    recovery_s : float
+        Time after a failure in which work goes on.
+    link_mbps : float
+        Bandwidth of the VM's link, 0 if it is not known.
     """
 
     vm: str
@@ -118,6 +126,8 @@
     key_withdrawal_s: float | None = None
     workspace_rate_window_s: float = 5.0
     record_bytes_max: int = 1_048_576
+    recovery_s: float = 12.0
+    link_mbps: float = 0.0
 
 
 def _parse_address(text: str) -> tuple[str, int]:
@@ -159,4 +169,6 @@
         key_withdrawal_s=bounds.revoke_ms / 1000 if bounds.strict_revoke else None,
         workspace_rate_window_s=bounds.quota_window_s,
         record_bytes_max=document.platform.value_bytes,
+        recovery_s=bounds.recovery_s,
+        link_mbps=document.limits.link_mbps,
     )
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -5,11 +5,23 @@
 import msgspec
 from twisted.internet.testing import MemoryReactorClock
 
+from dogwoodlever._fleet_election import WEAK_VM_DELAY_MAX_S
+from dogwoodlever._fleet_job import JobPhase
+from dogwoodlever._fleet_records import (
+    INBOX_PREFIX,
+    PROGRESS_PREFIX,
+    TERM_KEY,
+    decode_term,
+)
 from dogwoodlever._fleet_watcher import PrefixWatcher
 from dogwoodlever._http_client import HttpClient
 from dogwoodlever.platform import HttpFleetStore
+from tests.fleet_simulation import FleetSimulation, job
 from tests.test_http_client import FakeTransport
 
+# Recovery time of the daemons' settings.
+RECOVERY_S = 12.0
+
 
 class SlowLinkTest(unittest.TestCase):
     """A watcher of a prefix behind a link that the test plays."""
@@ -83,5 +95,91 @@
         self.assertEqual(len(self.listings), 1)
 
 
+class LeaderLoadTest(unittest.TestCase):
+    def start_fleet(self, daemons=3):
+        fleet = FleetSimulation(daemons=daemons)
+        fleet.run_for(1.0)
+        self.assertIsNotNone(fleet.leader())
+        return fleet
+
+    # name, prefixes that the successor cannot read, seconds of an outage of the store
+    LOADS = [
+        ("submissions", {INBOX_PREFIX}, 0.0),
+        ("progress", {PROGRESS_PREFIX}, 0.0),
+        ("submissions, after an outage", {INBOX_PREFIX}, 3.0),
+    ]
+
+    # Guards against a leader that renews its lease but cannot load and starts nothing.
+    def test_leader_that_cannot_load_lets_another_lead(self):
+        for name, prefixes, outage_s in self.LOADS:
+            with self.subTest(name):
+                fleet = self.start_fleet()
+                fleet.kill(fleet.leader())
+                alive = [n for n in range(3) if fleet.clocks[n].is_alive]
+                first, second = alive
+                fleet.stores[first].silent_prefixes = prefixes
+                # The one that cannot load is the stronger candidate.
+                fleet.nodes[second].election._core_share = 0.1
+                submitted = fleet.submit(second, job("b" * 16), wait_s=0.5)
+                self.assertEqual(submitted.outcome, "done")
+                fleet.run_for(1.8)
+                self.assertTrue(fleet.nodes[first].election.leads)
+                for store in fleet.stores:
+                    store.is_down = outage_s > 0
+                fleet.run_for(outage_s)
+                for store in fleet.stores:
+                    store.is_down = False
+                fleet.run_for(RECOVERY_S - 2.3)
+                self.assertEqual(fleet.leader(), second)
+                phase = fleet.read_phase(second, "b" * 16)
+                self.assertEqual(phase, JobPhase.COMPLETED)
+
+    # Guards against a load that each leader in turn breaks off at the same point.
+    def test_only_daemon_gets_more_time_each_time(self):
+        fleet = self.start_fleet(daemons=2)
+        fleet.kill(fleet.leader())
+        last = next(n for n in range(2) if fleet.clocks[n].is_alive)
+        fleet.stores[last].silent_prefixes = {INBOX_PREFIX}
+        election = fleet.nodes[last].election
+        limit_s = fleet.clock.seconds() + 3 * RECOVERY_S
+        while election.failed_loads < 2:
+            self.assertLess(fleet.clock.seconds(), limit_s)
+            fleet.run_for(0.1)
+        self.assertTrue(election.leads)
+        fleet.stores[last].silent_prefixes = set()
+        fleet.run_for(2.0)
+        self.assertEqual(fleet.leader(), last)
+        term = decode_term(fleet.records.read(TERM_KEY).value)
+        self.assertEqual(term.failed_loads, 0)
+
+
+class CandidateTest(unittest.TestCase):
+    # name, CPU share and link of the candidate, of the strongest leader so far, delay
+    CANDIDATES = [
+        ("strongest", 2.0, 100.0, 2.0, 100.0, 0.0),
+        ("weak CPU", 0.5, 100.0, 2.0, 100.0, 0.75),
+        ("weak link", 2.0, 5.0, 2.0, 100.0, 0.95),
+        ("both weak", 0.5, 5.0, 2.0, 100.0, 0.95),
+        ("links not known", 1.0, 0.0, 2.0, 0.0, 0.5),
+        ("term of an earlier version", 2.0, 5.0, 2.0, 0.0, 0.0),
+        ("stronger than all before", 4.0, 200.0, 2.0, 100.0, 0.0),
+    ]
+
+    # Guards against a leader that is chosen by its CPU and reads at 5 Mbit/s.
+    def test_weak_links_delay_a_candidate(self):
+        fleet = FleetSimulation(daemons=1)
+        fleet.run_for(0.5)
+        term = decode_term(fleet.records.read(TERM_KEY).value)
+        election = fleet.nodes[0].election
+        for name, cores, link, strongest, fastest, expected in self.CANDIDATES:
+            with self.subTest(name):
+                election._core_share, election._link_mbps = cores, link
+                previous = msgspec.structs.replace(
+                    term, core_share=strongest, link_mbps=fastest
+                )
+                delay_s = election._candidate_delay_s(previous)
+                self.assertAlmostEqual(delay_s, expected * WEAK_VM_DELAY_MAX_S)
+
+
 if __name__ == "__main__":
     unittest.main()
