Store less of jobs that have ended

Change: the write of a job's end replaces its submission by one without payload, which holds the phase, and removes its progress. Steps are kept as long as runs of them may be left, so that these count on their workers. Reads that need the store look at the submission first.

Two tests read the end of a job from its progress, and now from its submission.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -12,6 +12,7 @@
     planning,
     processes,
     routing,
+    takeover,
 )
 
 BENCHMARKS = {
@@ -21,6 +22,7 @@
     "configuration": configuration.main,
     "planning": planning.main,
     "processes": processes.main,
+    "takeover": takeover.main,
 }
 
 
--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -34,7 +34,11 @@
     KeyOutcome,
     RefusalCause,
 )
-from dogwoodlever.platform_errors import PlatformError, StoreRefusedError
+from dogwoodlever.platform_errors import (
+    PlatformError,
+    StoredRecordError,
+    StoreRefusedError,
+)
 
 CALL_RETRY_S = 0.05
 STORE_RETRY_S = 0.05
@@ -386,20 +390,24 @@
 
     @inlineCallbacks
     def _read_stored(self, job_id: str, check: KeyCheck):
-        if check.workspace is not None:
-            submitted = yield self._store.read(job_key(job_id))
-            if submitted is None:
-                return CallResult(CallOutcome.ABSENT)
-            workspace = decode_submission(submitted.value).workspace
-            if not self._can_access(check, workspace):
+        record = yield self._store.read(job_key(job_id))
+        if record is None:
+            return CallResult(CallOutcome.ABSENT)
+        try:
+            submitted = decode_submission(record.value)
+        except StoredRecordError:
+            if check.workspace is not None:
+                raise
+            submitted = None
+        if submitted is not None:
+            if not self._can_access(check, submitted.workspace):
                 return CallResult(CallOutcome.ABSENT)
+            if submitted.ended_phase:
+                return CallResult(CallOutcome.DONE, JobPhase(submitted.ended_phase))
         progress = yield self._store.read(progress_key(job_id))
         if progress is not None and progress.value is not None:
             phase = JobPhase(decode_progress(progress.value).phase)
             return CallResult(CallOutcome.DONE, phase)
-        submitted = yield self._store.read(job_key(job_id))
-        if submitted is None:
-            return CallResult(CallOutcome.ABSENT)
         return CallResult(CallOutcome.DONE, JobPhase.QUEUED)
 
     @inlineCallbacks
--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -418,7 +418,7 @@
         self.queue = queue
         self.revision = revision
         self.arrived_s = arrived_s
-        self.phase = JobPhase.QUEUED
+        self.phase = JobPhase(job.ended_phase or JobPhase.QUEUED)
         self.has_started = False
         self.is_inherited = False
         # Whether it arrived beyond the usual rate of its workspace.
@@ -448,7 +448,8 @@
             )
             duration_s = self.queue.advice_call_s + step.run_estimate_ms / 1000
             end_times_s.append(start_s + duration_s)
-        return max(end_times_s)
+        # The steps of an ended job may no longer be stored.
+        return max(end_times_s, default=0.0)
 
     def remaining_critical_path_s(self, occurrence: Occurrence) -> float:
         """Return the estimated run time of the critical path that is not done."""
@@ -543,8 +544,24 @@
             occurrences = {}
         return JobProgress(self.phase.value, self.finished, occurrences)
 
+    def submission_to_keep(self) -> SubmittedJob:
+        """Return the submission of this ended job without what nobody reads again.
+
+        Each later leader loads it, until the job's state need not be readable any more.
+        """
+        has_runs = any(task.runs for task in self.tasks())
+        is_complete = self.phase is JobPhase.COMPLETED and not has_runs
+        return msgspec.structs.replace(
+            self.job,
+            payload="",
+            steps=() if is_complete else self.job.steps,
+            ended_phase=self.phase.value,
+        )
+
     def restore(self, progress: JobProgress) -> None:
-        """Restore stored progress."""
+        """Restore stored progress, unless the submission shows that the job ended."""
+        if self.has_ended:
+            return
         self.phase = JobPhase(progress.phase)
         self.finished = progress.finished
         for number, steps in progress.occurrences.items():
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -365,6 +365,9 @@
         if record.value is None:
             return
         if record.key.startswith(JOBS_PREFIX):
+            if record.key[len(JOBS_PREFIX) :] in self.registry.jobs:
+                # The record of a job changes when it ends.
+                return
             if record.revision < self.fencing_token:
                 # A job from before the election must be known before its ends are read.
                 self._accept_job(record)
--- a/dogwoodlever/_fleet_progress_writer.py
+++ b/dogwoodlever/_fleet_progress_writer.py
@@ -10,6 +10,7 @@
     PROGRESS_PREFIX,
     TERM_KEY,
     encode,
+    job_key,
     progress_key,
 )
 from dogwoodlever._logs import log_event
@@ -21,9 +22,12 @@
 # The same if callers wait for a job's end, which they learn once it is stored.
 JOB_END_FLUSH_DELAY_S = 0.03
 RETRY_S = 0.25
-# The store accepts 32 entries per transaction: the condition on the term, and a
-# condition and a value for each job.
-JOBS_PER_WRITE_MAX = 15
+# The store accepts 32 entries per transaction, of which one is the condition on the
+# term.
+JOB_ENTRIES_MAX = 31
+# A condition and a value, and for an ended job the removal of its progress.
+ENTRIES_PER_JOB = 2
+ENTRIES_PER_ENDED_JOB = 3
 # Attempts at one batch; conflicts come from own writes that got no response.
 CONFLICT_ATTEMPTS_MAX = 3
 
@@ -31,6 +35,9 @@
 class ProgressWriter:
     """Stores the progress of changed jobs; workers may drop ends only afterwards.
 
+    The end of a job is stored in its submission, in place of the payload, and its
+    progress is removed, so that a successor has little to load of jobs that have ended.
+
     Every write is conditional on the term's record, so a replaced leader cannot
     overwrite the records of its successor. It is also conditional on the revision
     of each record that it replaces, so a write without a response that is applied
@@ -163,10 +170,8 @@
         last_end_numbers = self._get_last_end_numbers()
         remaining = sorted(self._registry.dirty)
         while remaining:
-            batch, remaining = (
-                remaining[:JOBS_PER_WRITE_MAX],
-                remaining[JOBS_PER_WRITE_MAX:],
-            )
+            size = self._batch_size(remaining)
+            batch, remaining = remaining[:size], remaining[size:]
             self._registry.dirty.difference_update(batch)
             self._in_flight = tuple(batch)
             try:
@@ -180,13 +185,24 @@
         if not self._is_closed:
             self._on_stored(last_end_numbers)
 
+    def _batch_size(self, job_ids: list[str]) -> int:
+        """Return how many of the jobs fit one transaction."""
+        entries = 0
+        for size, job_id in enumerate(job_ids):
+            has_ended = self._registry.jobs[job_id].has_ended
+            entries += ENTRIES_PER_ENDED_JOB if has_ended else ENTRIES_PER_JOB
+            if entries > JOB_ENTRIES_MAX:
+                return size
+        return len(job_ids)
+
     @inlineCallbacks
     def _write_batch(self, batch: list[str]):
         for _ in range(CONFLICT_ATTEMPTS_MAX):
             result = yield self._commit(batch)
             if result.revision:
                 for job_id in batch:
-                    self._revisions[job_id] = result.revision
+                    has_ended = self._registry.jobs[job_id].has_ended
+                    self._revisions[job_id] = 0 if has_ended else result.revision
                 return
             self._update_revisions(result.current)
         raise PlatformError("progress records conflict repeatedly")
@@ -223,8 +239,15 @@
         self.write_count += 1
         expected = {TERM_KEY: self._get_term_revision()}
         puts = []
+        deletes = []
         for job_id in batch:
             key = progress_key(job_id)
             expected[key] = self._revisions.get(job_id, 0)
-            puts.append(Put(key, self._encode(job_id)))
-        return self._store.commit(expected, tuple(puts))
+            state = self._registry.jobs[job_id]
+            if state.has_ended:
+                kept = state.submission_to_keep()
+                puts.append(Put(job_key(job_id), encode(kept)))
+                deletes.append(key)
+            else:
+                puts.append(Put(key, self._encode(job_id)))
+        return self._store.commit(expected, tuple(puts), tuple(deletes))
--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -1,6 +1,7 @@
 """Job, queue and worker types of the fleet scheduler."""
 
 from dataclasses import dataclass, field
+from typing import Literal
 
 import msgspec
 
@@ -81,6 +82,9 @@
         Unix time at which a daemon accepted it.
     workspace : str
         Workspace of the key with which it was submitted; empty without a key.
+    ended_phase : JobPhase or str
+        Phase in which the job ended, if its payload is no longer stored; else empty.
+        The steps are kept as long as runs of them may be left.
     """
 
     job_id: str
@@ -92,6 +96,7 @@
     interval_ms: int = 0
     submitted_ms: int = 0
     workspace: str = ""
+    ended_phase: Literal["", "completed", "failed", "cancelled"] = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/standins/faulty_proxy.py
+++ b/standins/faulty_proxy.py
@@ -6,6 +6,9 @@
 from twisted.internet.defer import inlineCallbacks, succeed
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
+# Parts in which bytes share a link of limited bandwidth.
+LINK_PART_BYTES = 4_096
+
 
 class LinkFault(StrEnum):
     """Fault of a link."""
@@ -39,6 +42,8 @@
     ----------
     delay_s : float
         Delay before bytes are forwarded.
+    bytes_per_s : float
+        Bandwidth towards the clients, which all connections share; 0 for no limit.
     """
 
     noisy = False
@@ -49,6 +54,9 @@
         self.target_port = target_port
         self.fault = LinkFault.NONE
         self.delay_s = 0.0
+        self.bytes_per_s = 0.0
+        # When the link has sent all bytes that it has accepted.
+        self._link_free_s = 0.0
         self.connections: set[_ClientConnection] = set()
         self._listening = reactor.listenTCP(0, self, interface=host)
         self.port = self._listening.getHost().port
@@ -74,6 +82,18 @@
                 client.is_silent = True
             self.fault = LinkFault.NONE
 
+    def send_over_link(self, send, data: bytes) -> None:
+        """Send bytes to a client, in parts as the bandwidth allows."""
+        if not self.bytes_per_s:
+            send(data)
+            return
+        now_s = self.reactor.seconds()
+        for start in range(0, len(data), LINK_PART_BYTES):
+            part = data[start : start + LINK_PART_BYTES]
+            sent_s = max(now_s, self._link_free_s) + len(part) / self.bytes_per_s
+            self._link_free_s = sent_s
+            self.reactor.callLater(sent_s - now_s, send, part)
+
     def close(self):
         """Reset all connections; return a Deferred that fires once listening stops."""
         self._reset_connections()
@@ -141,7 +161,7 @@
         """Forward bytes from the target."""
         if self._is_dropping(LinkFault.SILENT, LinkFault.ANSWERS_LOST):
             return
-        self._forward(self.transport.write, data)
+        self._forward(self._send_to_client, data)
 
     def _is_dropping(self, *faults: LinkFault) -> bool:
         # Bytes after a gap would corrupt the stream, so the connection stays silent.
@@ -155,6 +175,9 @@
         else:
             send(data)
 
+    def _send_to_client(self, data: bytes) -> None:
+        self._proxy.send_over_link(self.transport.write, data)
+
     def _send_to_target(self, data: bytes) -> None:
         if self._target is None:
             self._buffered.append(data)
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -11,7 +11,9 @@
     INBOX_PREFIX,
     PROGRESS_PREFIX,
     TERM_KEY,
+    decode_submission,
     decode_term,
+    job_key,
 )
 from dogwoodlever._fleet_watcher import PrefixWatcher
 from dogwoodlever._http_client import HttpClient
@@ -21,6 +23,8 @@
 
 # Recovery time of the daemons' settings.
 RECOVERY_S = 12.0
+# Entries of a transaction that the store accepts.
+TRANSACTION_ENTRIES_MAX = 32
 
 
 class SlowLinkTest(unittest.TestCase):
@@ -152,6 +156,69 @@
         term = decode_term(fleet.records.read(TERM_KEY).value)
         self.assertEqual(term.failed_loads, 0)
 
+    # name, fields of the job, whether it is cancelled, whether its steps are kept
+    ENDS = [
+        ("completed", {}, False, False),
+        ("cancelled", {"steps": 2}, True, True),
+        ("standing, cancelled", {"standing": True}, True, True),
+    ]
+
+    # Guards against a load that grows with all jobs whose state must be readable.
+    def test_ended_job_is_stored_without_its_payload(self):
+        for name, fields, is_cancelled, keeps_steps in self.ENDS:
+            with self.subTest(name):
+                fleet = self.start_fleet()
+                submitted = msgspec.structs.replace(
+                    job("b" * 16, **fields), payload="x" * 4000
+                )
+                fleet.submit(0, submitted, wait_s=0.5)
+                if is_cancelled:
+                    deadline_s = fleet.clock.seconds() + 3.0
+                    fleet.await_result(
+                        fleet.nodes[0].frontend.cancel("b" * 16, deadline_s)
+                    )
+                fleet.run_for(3.0)
+                record = fleet.records.read(job_key("b" * 16))
+                self.assertLess(len(record.value), 400)
+                kept = decode_submission(record.value)
+                self.assertEqual(bool(kept.steps), keeps_steps)
+                # No later leader starts it again, and its state stays readable.
+                starts = len(fleet.workers.starts)
+                fleet.kill(fleet.leader())
+                fleet.run_for(4.0)
+                daemon = fleet.leader()
+                again = fleet.submit(daemon, submitted)
+                self.assertEqual(again.outcome, "done")
+                fleet.run_for(2.0)
+                self.assertEqual(len(fleet.workers.starts), starts)
+                phase = JobPhase.CANCELLED if is_cancelled else JobPhase.COMPLETED
+                self.assertEqual(fleet.read_phase(daemon, "b" * 16), phase)
+
+    # Guards against writes that the store refuses, since ended jobs need more entries.
+    def test_writes_of_many_ends_fit_the_transactions_of_the_store(self):
+        fleet = self.start_fleet()
+        commits = []
+        for store in fleet.stores:
+            commit = store.commit
+
+            def record(expected, puts, deletes=(), commit=commit):
+                commits.append(len(expected) + len(puts) + len(deletes))
+                return commit(expected, puts, deletes)
+
+            store.commit = record
+        calls = [
+            fleet.nodes[0].frontend.submit(
+                job(f"{number:016x}", tasks=1), fleet.clock.seconds() + 3.0
+            )
+            for number in range(24)
+        ]
+        fleet.run_for(4.0)
+        self.assertEqual(len(calls), 24)
+        self.assertLessEqual(max(commits), TRANSACTION_ENTRIES_MAX)
+        for number in range(24):
+            record = fleet.records.read(job_key(f"{number:016x}"))
+            self.assertEqual(decode_submission(record.value).ended_phase, "completed")
+
 
 class CandidateTest(unittest.TestCase):
     # name, CPU share and link of the candidate, of the strongest leader so far, delay
