Match ends, checkpoints and stored starts by their worker

Change: an end drops the run of the worker that lists it only; a run of that number elsewhere goes on, or is stopped if the task is done. Stored starts and refusals are matched the same way. A late end replaces no checkpoint of a later run. Progress and tickets were matched by worker already.

Holds for any number of starts; the restart of such a task may be refused as old once per number.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -233,9 +233,9 @@
         link.evidence.forget_run(end.run)
         if pair is not None:
             self._crashes.remove_run(pair[0])
-        outcome = self._registry.end_run(end)
-        self._metrics.run_ends.labels(end.outcome).inc()
         worker_id = capacity.entry.worker_id
+        outcome = self._registry.end_run(end, worker_id)
+        self._metrics.run_ends.labels(end.outcome).inc()
         now_s = self._clock.seconds()
         took_s = now_s - pair[0].started_s if pair else 0.0
         self._log.add_ended(end.run, worker_id, end.outcome, took_s)
@@ -458,7 +458,7 @@
         """
         now_s = self._clock.seconds()
         for end in result.ended:
-            outcome = self._registry.end_run(end)
+            outcome = self._registry.end_run(end, worker_id)
             self._metrics.run_ends.labels(end.outcome).inc()
             self._log.add_ended(end.run, worker_id, end.outcome, 0.0)
             if outcome.task is not None and end.outcome in PROVEN_OUTCOMES:
@@ -575,7 +575,8 @@
             capacity.refused_until_s = now_s + pause_s
         task = self._registry.find(run.run_id.task)
         if task is not None:
-            if self._registry.drop_run(task, run.run_id.number) is not None:
+            if self._is_registered(run):
+                self._registry.drop_run(task, run.run_id.number)
                 task.dropped_run = DroppedRun(run.run_id.number, worker_id, cause)
             if reason is RefusalReason.NO_TICKET and capacity is not None:
                 self._on_ticket_rejected(task.step, capacity)
--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -180,28 +180,35 @@
             task.step.refresh(task)
         return run
 
-    def end_run(self, end: EndedRun) -> EndOutcome:
-        """Record the end of a run that a worker listed."""
+    def end_run(self, end: EndedRun, worker_id: str) -> EndOutcome:
+        """Record the end of a run that a worker listed.
+
+        A run of the same number on another worker goes on: a former leader may have
+        given the number, if it started the task more than `RUNS_PER_TERM` times.
+        """
         self._open_reported(end.run.task)
         task = self.find(end.run.task)
         if task is None:
             return EndOutcome(None)
-        self.drop_run(task, end.run.number)
-        task.dropped_run = None
+        run = task.runs.get(end.run.number)
+        if run is None or run.worker_id == worker_id:
+            self.drop_run(task, end.run.number)
+            task.dropped_run = None
+        is_newest = end.run.number >= task.last_run
         task.last_run = max(task.last_run, end.run.number)
         job = task.step.job
         if job.has_ended or task.is_done:
             return EndOutcome(task)
         self.dirty.add(job.job.job_id)
         if end.outcome == ENDED_DONE and not task.step.spec.standing:
-            return self._finish(task)
-        if end.checkpoint:
+            return self._finish(task, end.run.number)
+        if end.checkpoint and (is_newest or not task.checkpoint):
             task.checkpoint = end.checkpoint
         if end.outcome == ENDED_FAILED:
             return self._fail(task, end.run.number)
         return EndOutcome(task)
 
-    def _finish(self, task: Task) -> EndOutcome:
+    def _finish(self, task: Task, number: int) -> EndOutcome:
         step = task.step
         done = step.tasks if step.spec.gang else [task]
         obsolete: list[Run] = []
@@ -217,9 +224,14 @@
             job.close_finished()
         if job.has_ended:
             self._close(job)
-        # The other members of a gang end on their own.
-        runs_to_stop = () if step.spec.gang else tuple(obsolete)
-        return EndOutcome(task, job_ended=job.has_ended, obsolete=runs_to_stop)
+        if step.spec.gang:
+            # The other members of this run of the gang end on their own.
+            obsolete = [
+                run
+                for run in obsolete
+                if run.run_id.number != number or run.run_id.task == task.task_id
+            ]
+        return EndOutcome(task, job_ended=job.has_ended, obsolete=tuple(obsolete))
 
     def _fail(self, task: Task, number: int) -> EndOutcome:
         step = task.step
--- a/dogwoodlever/_start_records.py
+++ b/dogwoodlever/_start_records.py
@@ -75,7 +75,7 @@
         lost = []
         for task in self._tasks.pop(worker_id, ()):
             record = task.start_record
-            if record is None or record.number in task.runs:
+            if record is None or _is_registered(task, record):
                 continue
             task.start_record = None
             may_be_same = started_at_ms is not None and (
@@ -94,5 +94,11 @@
         """Forget the stored starts on a worker, whose end is not known."""
         for task in self._tasks.pop(worker_id, ()):
             record = task.start_record
-            if record is not None and record.number not in task.runs:
+            if record is not None and not _is_registered(task, record):
                 task.start_record = None
+
+
+def _is_registered(task: Task, record: StartRecord) -> bool:
+    """Return whether the run of a stored start is one of its task's."""
+    run = task.runs.get(record.number)
+    return run is not None and run.worker_id == record.worker_id
