--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -251,6 +251,7 @@
         for watcher in self._watchers:
             watcher.close()
         self._membership.close()
+        self._tickets.close()
         self.workers.close()
         self._workspace_report.close()
         for call in (self._plan_call, self._tick_call, self._load_check_call):
