Start gangs whole

Cause: a planning round took 64 placements, wherever that cut a gang, and the rest of it was never placed. A smaller gang behind other work was cut too.

Change: a placement says how many members follow, and a round ends between units. The same cause on related paths: a late member was copied alone, and a member that its worker refuses left the others waiting; it starts elsewhere in the same run now.

--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -32,6 +32,7 @@
     (5.0, 2_100, 300),
     (5.0, 7_300, 300),
 ]
+RUN_S = 0.3
 LIMIT_S = 60.0
 POLL_S = 0.01
 
@@ -62,9 +63,11 @@
         Folder for the daemon's settings and log.
     link_mbps : float
         Bandwidth of the daemon's link from the store.
+    workers : int
+        Number of workers.
     """
 
-    def __init__(self, folder: Path, link_mbps: float) -> None:
+    def __init__(self, folder: Path, link_mbps: float, workers: int = 1) -> None:
         self.records = FleetRecords(reactor)
         self.workers = FakeWorkers(reactor)
         route = {
@@ -76,20 +79,24 @@
         document = {"version": 1, "routes": [route], "services": [{"name": "desk"}]}
         self.records.write("op/config", json.dumps(document).encode())
         self._listening = []
-        worker_port = self._serve(
-            FleetWorkerResource(self.workers, "w0", reactor, lambda *_: None)
-        )
-        entry = WorkerEntry(
-            "w0", "desk", "127.0.0.1", worker_port, "north",
-            int(reactor.seconds() * 1000), False, 16_000, 64_000, 0, ("a", "r1"),
-        )  # fmt: skip
-        self.workers.add(entry, 0.3)
-        self.records.write("servers/w0", server_record(entry))
+        for number in range(workers):
+            self._add_worker(f"w{number}")
         store_port = self._serve(FleetStoreResource(self.records, reactor))
         self._link = FaultyProxy(reactor, "127.0.0.1", store_port)
         self._link.bytes_per_s = link_mbps * 1e6 / 8
         self._daemon = DaemonProcess("vm0", HOST, self._link.port, folder)
 
+    def _add_worker(self, worker_id: str) -> None:
+        port = self._serve(
+            FleetWorkerResource(self.workers, worker_id, reactor, lambda *_: None)
+        )
+        entry = WorkerEntry(
+            worker_id, "desk", "127.0.0.1", port, "north",
+            int(reactor.seconds() * 1000), False, 16_000, 64_000, 0, ("a", "r1"),
+        )  # fmt: skip
+        self.workers.add(entry, RUN_S)
+        self.records.write(f"servers/{worker_id}", server_record(entry))
+
     def _serve(self, resource) -> int:
         site = Site(resource)
         site.noisy = False
@@ -99,16 +106,24 @@
         return listening.getHost().port
 
     @inlineCallbacks
-    def measure(self):
-        """Return a Deferred that fires with the seconds, or None after `LIMIT_S`."""
+    def start_daemon(self):
+        """Start the daemon; return a Deferred that fires once it is elected."""
         self._daemon.start()
-        limit_s = reactor.seconds() + LIMIT_S
         while self.records.read(LEADER_KEY) is None:
             yield deferLater(reactor, POLL_S)
-        elected_s = reactor.seconds()
-        while not self.workers.starts and reactor.seconds() < limit_s:
+
+    @inlineCallbacks
+    def measure(self, is_reached):
+        """Return a Deferred that fires with the seconds until `is_reached()`.
+
+        It fires with None after `LIMIT_S`.
+        """
+        began_s = reactor.seconds()
+        while not is_reached():
+            if reactor.seconds() - began_s > LIMIT_S:
+                return None
             yield deferLater(reactor, POLL_S)
-        return reactor.seconds() - elected_s if self.workers.starts else None
+        return reactor.seconds() - began_s
 
     @inlineCallbacks
     def close(self):
@@ -126,7 +141,9 @@
             with tempfile.TemporaryDirectory() as folder:
                 takeover = Takeover(Path(folder), link_mbps)
                 stored_bytes = _write_jobs(takeover.records, ended, active)
-                took_s = yield takeover.measure()
+                yield takeover.start_daemon()
+                starts = takeover.workers.starts
+                took_s = yield takeover.measure(lambda starts=starts: starts)
                 yield takeover.close()
             shown = "none" if took_s is None else f"{took_s:.2f}"
             print(
--- a/dogwoodlever/_drop_evidence.py
+++ b/dogwoodlever/_drop_evidence.py
@@ -32,6 +32,15 @@
         return cls(f"start-refused-{reason}")
 
 
+_REFUSED_BEFORE_START = frozenset(
+    {
+        DropEvidence.START_REFUSED_NO_ROOM,
+        DropEvidence.START_REFUSED_NO_TICKET,
+        DropEvidence.START_REFUSED_UNHEALTHY,
+    }
+)
+
+
 @dataclass(slots=True, frozen=True)
 class DropCause:
     """Evidence with its time.
@@ -63,3 +72,8 @@
     number: int
     worker_id: str
     cause: DropCause
+
+    @property
+    def was_refused(self) -> bool:
+        """Whether a worker refused the start and has not carried out the run before."""
+        return self.cause.evidence in _REFUSED_BEFORE_START
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from itertools import islice
 
 from twisted.internet.defer import inlineCallbacks
 
@@ -63,7 +62,8 @@
 PLAN_DELAY_S = 0.004
 # Planning uses at most 1 / PLAN_TIME_DIVISOR of the process's time.
 PLAN_TIME_DIVISOR = 4
-# Starts ordered in one round before the reactor handles other events.
+# Starts ordered in one round before the reactor handles other events; a gang is ordered
+# whole.
 STARTS_PER_ROUND = 64
 # Interval of the checks for due occurrences and slow runs.
 TICK_INTERVAL_S = 0.1
@@ -551,13 +551,16 @@
             self._unix_s() * 1000,
             bool(self.workers.unpolled_workers),
         )
-        for placement in islice(placements, STARTS_PER_ROUND):
+        for placement in placements:
             self.workers.runs.start(placement, now_s)
             placed += 1
+            # A gang that was cut here would wait for its other members in vain.
+            if placed >= STARTS_PER_ROUND and not placement.gang_rest:
+                break
         self._workspace_report.log_waits(now_s)
         took_s = self._clock.seconds() - now_s
         self._plan_delay_s = max(PLAN_DELAY_S, took_s * (PLAN_TIME_DIVISOR - 1))
-        if placed == STARTS_PER_ROUND:
+        if placed >= STARTS_PER_ROUND:
             self.plan_soon()
 
     def _start_speculative_copies(self, now_s: float) -> None:
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -58,12 +58,15 @@
         Run number shared by the members of a gang; 0 for a single task.
     ticket : str
         Ticket from the advice service; empty if the queue needs none.
+    gang_rest : int
+        Members of the gang that follow, and have to start in the same round.
     """
 
     task: Task
     capacity: WorkerCapacity
     number: int = 0
     ticket: str = ""
+    gang_rest: int = 0
 
 
 class UnplaceableSizes:
@@ -398,8 +401,14 @@
     def _place_gang(
         self, step: StepState, candidates, now_s: float, headroom: Headroom
     ):
-        if len(step.ready) < len(step.tasks) or self._crashes.is_held(step.tasks[0]):
+        if self._crashes.is_held(step.tasks[0]):
             return
+        tasks = list(step.ready.values())
+        number = 1 + max(task.last_run for task in step.tasks)
+        if len(tasks) < len(step.tasks):
+            number = _number_to_complete(step)
+            if not number:
+                return
         racks = (
             {capacity.entry.rack for capacity in candidates}
             if step.spec.same_rack
@@ -410,18 +419,21 @@
             in_rack = [
                 capacity for capacity in candidates if capacity.entry.rack == rack
             ]
-            chosen = self._choose_for_gang(step, in_rack, now_s, headroom)
+            chosen = self._choose_for_gang(step, len(tasks), in_rack, now_s, headroom)
             if chosen:
                 break
-        chosen = chosen or self._choose_for_gang(step, candidates, now_s, headroom)
-        number = 1 + max(task.last_run for task in step.tasks)
-        for task, capacity in zip(list(step.ready.values()), chosen, strict=False):
-            yield self._placement(task, capacity, number)
+        chosen = chosen or self._choose_for_gang(
+            step, len(tasks), candidates, now_s, headroom
+        )
+        for placed, (task, capacity) in enumerate(
+            zip(tasks, chosen, strict=bool(chosen)), start=1
+        ):
+            yield self._placement(task, capacity, number, len(tasks) - placed)
 
     def _choose_for_gang(
-        self, step: StepState, candidates, now_s: float, headroom: Headroom
+        self, step: StepState, count: int, candidates, now_s: float, headroom: Headroom
     ) -> list[WorkerCapacity]:
-        """Return a worker for each task of a gang; empty unless all of them fit."""
+        """Return workers for `count` members; empty unless all of them fit."""
         failed_on = set().union(*(task.failed_on for task in step.tasks))
         ranked = []
         for capacity in candidates:
@@ -437,8 +449,8 @@
         chosen: list[WorkerCapacity] = []
         for _, _, capacity in sorted(ranked, key=lambda row: row[:2]):
             chosen.extend([capacity] * self._gang_tasks_that_fit(capacity, step, now_s))
-            if len(chosen) >= len(step.tasks):
-                return chosen[: len(step.tasks)]
+            if len(chosen) >= count:
+                return chosen[:count]
         return []
 
     def _gang_tasks_that_fit(
@@ -448,6 +460,9 @@
             # Whether a second one fits depends on the interference of the first.
             return 1
         count = _tasks_that_fit(capacity, step.spec)
+        if step.spec.worker_tasks_max:
+            placed = step.worker_tasks.get(capacity.entry.worker_id, 0)
+            count = min(count, step.spec.worker_tasks_max - placed)
         task_limit = self._faults.task_limit(capacity.entry.worker_id, now_s)
         if task_limit is not None:
             count = min(count, task_limit - len(capacity.runs))
@@ -473,11 +488,14 @@
         return cheapest
 
     def _placement(
-        self, task: Task, capacity: WorkerCapacity, number: int = 0
+        self,
+        task: Task,
+        capacity: WorkerCapacity,
+        number: int = 0,
+        gang_rest: int = 0,
     ) -> Placement:
-        return Placement(
-            task, capacity, number, self._tickets.ticket(task.step, capacity)
-        )
+        ticket = self._tickets.ticket(task.step, capacity)
+        return Placement(task, capacity, number, ticket, gang_rest)
 
     def _may_run(self, capacity: WorkerCapacity, step: StepState, now_s: float) -> bool:
         """Return whether a worker may run a task of a step now."""
@@ -531,6 +549,25 @@
         return self._interference.total(spec.image, capacity.interfering_cores())
 
 
+def _number_to_complete(step: StepState) -> int:
+    """Return the number of a gang's run of which only refused members are missing.
+
+    Returns 0 if there is none. The others wait for them, and end after a while if they
+    do not come. A worker that refuses a start has done nothing, so another may carry
+    out a run of that number.
+    """
+    runs = [run for task in step.tasks for run in task.runs.values()]
+    numbers = {run.run_id.number for run in runs}
+    if len(numbers) != 1 or any(run.phase is RunPhase.STOPPING for run in runs):
+        return 0
+    number = numbers.pop()
+    for task in step.ready.values():
+        dropped = task.dropped_run
+        if dropped is None or dropped.number != number or not dropped.was_refused:
+            return 0
+    return number
+
+
 def _colocated_runs_cost(task: Task, capacity: WorkerCapacity, now_s: float) -> int:
     """Return the cost of the runs that a task would lose by crashing a worker."""
     if not task.accountable.crashes:
@@ -551,7 +588,9 @@
     for state in registry.active.values():
         for occurrence in state.occurrences.values():
             for step in occurrence.steps:
-                if step.is_open and step.spec.speculative and not step.is_done:
+                # A copy of one member would wait for the others in vain.
+                is_copied = step.spec.speculative and not step.spec.gang
+                if step.is_open and is_copied and not step.is_done:
                     tasks.extend(t for t in step.tasks if _is_late(t, now_s))
     return tasks
 
--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -127,7 +127,10 @@
 
         The members of a gang share `number`, or the term's first one if it is higher.
         """
-        number = max(number, self.next_run_number(task))
+        if number:
+            number = max(number, self._run_base + 1)
+        else:
+            number = self.next_run_number(task)
         run = Run(RunId(task.task_id, number), worker_id, RunPhase.STARTING, now_s)
         self._attach(task, run)
         return run
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -438,6 +438,8 @@
         Runs started while another run of their task was running or after one was done.
     requires_tickets : bool
         Starts without the ticket for their step and worker are refused.
+    start_refusals : list of RefusalReason
+        Reasons for which the next starts are refused, without effect.
     orders_to_lose : int
         How many of the next start orders take effect but time out.
     delays_start_to_next_incarnation : bool
@@ -496,6 +498,7 @@
         self.polls = 0
         self.unanswered_polls: dict[str, list[FakePoll]] = {}
         self.orders_to_lose = 0
+        self.start_refusals: list[RefusalReason] = []
 
     def add(self, entry: WorkerEntry, run_s: float = 1.0) -> FakeWorker:
         """Start a worker, or its next incarnation."""
@@ -767,6 +770,8 @@
             if until_ms <= target.clock_ms(self._workers.clock.seconds()):
                 raise OrderRefusedError(RefusalReason.EXPIRED)
             self._workers.renew(target, until_ms)
+            if self._workers.start_refusals:
+                raise OrderRefusedError(self._workers.start_refusals.pop(0))
             task = order.run.task
             step = StepId(task.job_id, task.occurrence, task.step)
             valid_ticket = FakeAdvice.ticket(step, target.entry.worker_id)
