End a stopping daemon only after a time without requests

Cause: 2.6 s after SIGTERM the process ended at the first moment without an open request. What had arrived over open connections and was not read yet got lost.

Change: it ends after 0.25 s without requests, seen by two checks between which the reactor reads what has arrived, within the grace period.

--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -43,6 +43,9 @@
 # Fraction of the grace period in which open requests may still complete.
 GRACE_FRACTION = 0.8
 STOP_POLL_S = 0.05
+# Time without requests after which a stopping process ends. A request that was sent
+# over an open connection shortly before would be read and not answered.
+QUIET_S = 0.25
 # Part of the recovery time in which a leader must load the stored state. It leaves room
 # for one more leader, and for the leases of workers that do not answer.
 LOAD_FRACTION = 1 / 3
@@ -182,13 +185,21 @@
         handing_over = self._hand_over(limit_s)
         yield deferLater(self._clock, BALANCER_DETECTION_S)
         yield handing_over
-        while self.callers.open_requests and self._clock.seconds() < limit_s:
+        # What has arrived meanwhile is read between two checks.
+        quiet_checks = 0
+        while quiet_checks < 2 and self._clock.seconds() < limit_s:
             yield deferLater(self._clock, STOP_POLL_S)
+            quiet_checks = quiet_checks + 1 if self._is_quiet() else 0
         for watcher in self._watchers:
             watcher.close()
         self._loop_monitor.close()
         self.on_stopped()
 
+    def _is_quiet(self) -> bool:
+        """Return whether no request is open, and none was a short while ago."""
+        idle_s = self._clock.seconds() - self.callers.last_request_s
+        return not self.callers.open_requests and idle_s >= QUIET_S
+
     @inlineCallbacks
     def _hand_over(self, limit_s: float):
         """Resign; during an outage of the store, lead on, since nobody can follow."""
--- a/dogwoodlever/platform/_callers_resource.py
+++ b/dogwoodlever/platform/_callers_resource.py
@@ -86,12 +86,15 @@
         self._on_call = on_call
         self._keys = keys
         self.open_requests = 0
+        # When a request last arrived or was answered.
+        self.last_request_s = float("-inf")
         # Set while the process stops, so that callers connect to another one.
         self.closes_connections = False
 
     def render(self, request):
         """Handle one request; the response is written later."""
         self.open_requests += 1
+        self.last_request_s = self._clock.seconds()
         served = self._serve(request)
         served.addErrback(self._on_error, request)
         served.addBoth(self._on_finished)
@@ -99,6 +102,7 @@
 
     def _on_finished(self, _result) -> None:
         self.open_requests -= 1
+        self.last_request_s = self._clock.seconds()
 
     def _on_error(self, failure, request) -> None:
         log_event(
