Bound the wait of ready tasks, and show it

Evidence for the cause: no log told why a task was not placed, so `step.waits` was added first. All workers were `no-spare-cores`, taken by other best-effort work, or `interference`; where one was free for a moment, steps with less work left took it. A wait of 73 to 100 s. Evidence of stopped runs was not missing.

Change: a job of which nothing has run for 10 s is overdue. A best-effort task of it starts beside other best-effort work, as long as memory lasts; of other work one task goes first for each 32 other starts. The waits of inherited work count from its arrival. `longest_ready_wait_seconds` and `step.waits` show the longest.

--- a/dogwoodlever/_fleet_headroom.py
+++ b/dogwoodlever/_fleet_headroom.py
@@ -175,6 +175,12 @@
                 headroom[image] -= cores * self._pair(image, other)[0]
         return headroom
 
+    def expected_interference(self, capacity: WorkerCapacity, step: Step) -> float:
+        """Return the interference that a best-effort task is expected to add."""
+        cores = capacity.to_reference_cores(step.cores_milli)
+        images = self.by_image(capacity)
+        return cores * sum(self._pair(image, step.image)[0] for image in images)
+
     def added_interference(self, capacity: WorkerCapacity, step: Step) -> float | None:
         """Return the interference that a best-effort task adds, None if too much."""
         cores = capacity.to_reference_cores(step.cores_milli)
--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -434,6 +434,15 @@
         """Whether the job has completed, failed or been cancelled."""
         return self.phase in ENDED_PHASES
 
+    @property
+    def has_runs(self) -> bool:
+        """Whether any of its tasks runs."""
+        return any(
+            step.worker_tasks
+            for occurrence in self.occurrences.values()
+            for step in occurrence.steps
+        )
+
     @property
     def is_standing(self) -> bool:
         """Whether any of its tasks run until the job is cancelled."""
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -73,6 +73,10 @@
 # Interval of the searches for throttled runs to move, each of which reads all runs; a
 # run moves after 0.35 s at a low speed.
 MOVE_INTERVAL_S = 0.25
+# Interval of the reports of the step that has waited longest, and the wait from which
+# it is logged; the platform expects free room to be used within 3 s.
+WAIT_REPORT_INTERVAL_S = 1.0
+LONG_WAIT_S = 3.0
 # Quarantine of a worker whose runs fail or stall. The platform expects all capacity
 # to be in use 7 s after a disturbance, and probing a worker takes 1 s.
 QUARANTINE_S = 4.0
@@ -144,6 +148,7 @@
         on_load_overdue: Callable[[], None],
     ) -> None:
         self._store = store
+        self._metrics = metrics
         self._clock = clock
         self._unix_s = unix_s
         self._desired_state = desired_state
@@ -225,6 +230,7 @@
         # Arrival time and record of jobs that a successor may have accepted.
         self._unconfirmed_jobs: deque[tuple[float, Record]] = deque()
         self._moved_s = float("-inf")
+        self._wait_reported_s = float("-inf")
         self._plan_delay_s = PLAN_DELAY_S
         self._plan_call = None
         self._tick_call = None
@@ -529,6 +535,7 @@
         self._move_throttled(self._clock.seconds())
         self._store_interference(self._clock.seconds())
         self._retention.sweep()
+        self._report_longest_wait(self._clock.seconds())
         self._start_speculative_copies(self._clock.seconds())
         self._workspace_report.update(
             self._desired_state.configuration,
@@ -563,6 +570,32 @@
         if placed >= STARTS_PER_ROUND:
             self.plan_soon()
 
+    def _report_longest_wait(self, now_s: float) -> None:
+        """Report the step that has waited longest for a start, and the reason."""
+        if now_s - self._wait_reported_s < WAIT_REPORT_INTERVAL_S:
+            return
+        self._wait_reported_s = now_s
+        found = self._planner.explain_longest_wait(
+            self.registry,
+            self.workers.schedulable_capacities(),
+            now_s,
+            bool(self.workers.unpolled_workers),
+        )
+        self._metrics.longest_wait_s.set(found.wait_s if found else 0.0)
+        if found is None or found.wait_s < LONG_WAIT_S:
+            return
+        step = found.step
+        log_event(
+            "step.waits",
+            job=step.job.job.job_id,
+            step=step.number,
+            tasks=len(step.ready),
+            wait_s=found.wait_s,
+            workers=",".join(
+                f"{obstacle}:{count}" for obstacle, count in found.obstacles.items()
+            ),
+        )
+
     def _start_speculative_copies(self, now_s: float) -> None:
         if self.workers.unpolled_workers:
             return
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -58,6 +58,10 @@
             "From a job's arrival to a task's start",
             WAIT_BUCKETS_S,
         )
+        self.longest_wait_s = self._gauge(
+            "longest_ready_wait_seconds",
+            "Longest time without a start of a step whose tasks could start",
+        )
         self.loop_lateness_s = self._histogram(
             "loop_lateness_seconds",
             "How late the event loop runs a timer",
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -2,6 +2,7 @@
 
 import heapq
 from bisect import bisect_right
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -14,6 +15,7 @@
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._scheduling_order import scheduling_key
 from dogwoodlever._ticket_source import TicketSource
+from dogwoodlever._waiting_steps import WaitingSteps
 from dogwoodlever._worker_capacity import WorkerCapacity, is_serving
 from dogwoodlever._workspace_shares import WorkspaceShares
 
@@ -43,11 +45,28 @@
 # A standing task that was interrupted for this long goes before all other work, so that
 # it runs again within the 6 s that the platform allows.
 INTERRUPTION_MAX_S = 3.0
+# Starts of other tasks for each start of an overdue one before them.
+STARTS_PER_OVERDUE = 32
 # Cost reduction for tolerated work on workers that are sensitive to other work, in
 # thousandths of a core per unit of interference from one core.
 SENSITIVITY_GAIN = 3_000
 
 
+@dataclass(slots=True, frozen=True)
+class WaitExplanation:
+    """Why a step with ready tasks waits.
+
+    Attributes
+    ----------
+    obstacles : dict of str to int
+        Number of workers by what keeps the step's next task from them.
+    """
+
+    step: StepState
+    wait_s: float
+    obstacles: dict[str, int]
+
+
 @dataclass(slots=True, frozen=True)
 class Placement:
     """A task and the worker on which it starts.
@@ -153,7 +172,9 @@
         "_interference",
         "_interrupted_since_s",
         "_shares",
+        "_starts_since_overdue",
         "_tickets",
+        "_waiting",
     )
 
     def __init__(
@@ -174,6 +195,8 @@
         self._headrooms: dict[str, CachedHeadroom] = {}
         # Since when standing tasks that have run wait to run again.
         self._interrupted_since_s: dict[TaskId, float] = {}
+        self._waiting = WaitingSteps()
+        self._starts_since_overdue = 0
 
     def plan(
         self,
@@ -209,6 +232,7 @@
             for step in registry.active_steps()
             if not (skips_inherited and step.job.is_inherited)
         ]
+        self._waiting.update(steps, now_s)
         shares = self._shares if configuration.workspaces else None
         if shares is None:
             steps.sort(key=lambda step: scheduling_key(step, now_s, now_ms))
@@ -227,6 +251,8 @@
         if shares is not None:
             entries = [capacity.entry for capacity in capacities]
             turns = shares.turns(interrupted_steps, keys, entries, configuration)
+        overdue = self._find_overdue(steps, now_s)
+        yield from self._place_overdue_first(overdue, by_service, now_s, headroom)
         for step, tasks in turns:
             queue = configuration.queues.get(step.job.queue.name, step.job.queue)
             candidates = by_service.get(queue.service, ())
@@ -236,13 +262,89 @@
                     spare_by_service[queue.service] = SpareOrder(candidates)
                 order = spare_by_service[queue.service]
                 candidates = order.with_spare(_spare_min(step.spec))
-            yield from self._place_step(
+            for placement in self._place_step(
                 step, candidates, now_s, unplaceable, headroom, tasks
-            )
+            ):
+                self._waiting.record_start(step, now_s)
+                self._starts_since_overdue += 1
+                yield placement
             if step.ready and _needs_ticket(step):
                 self._tickets.request(
                     step, self._ticket_candidates(step, candidates, now_s)
                 )
+        yield from self._place_overdue_beside(overdue, by_service, now_s, headroom)
+
+    def _find_overdue(self, steps: list[StepState], now_s: float) -> list[StepState]:
+        """Return a step of each overdue job, the longest wait first.
+
+        Standing tasks and gangs have rules of their own.
+        """
+        found: dict[str, StepState] = {}
+        for step in self._waiting.overdue(steps, now_s):
+            if step.spec.standing or step.spec.gang or step.job.has_runs:
+                continue
+            if self._shares is None or self._shares.allows_copy(step):
+                found.setdefault(step.job.job.job_id, step)
+        return list(found.values())
+
+    def _place_overdue_first(
+        self, overdue: list[StepState], by_service, now_s: float, headroom: Headroom
+    ):
+        """Yield the placement of the most overdue task, at most one in some starts.
+
+        Late work goes last, so that work which can be on time is, and would otherwise
+        never start while more arrives.
+        """
+        if self._starts_since_overdue < STARTS_PER_OVERDUE:
+            return
+        for step in overdue:
+            task = next(iter(step.ready.values()))
+            candidates = by_service.get(step.job.queue.service, ())
+            if self._crashes.is_held(task):
+                continue
+            capacity = self._cheapest(task, candidates, now_s, headroom)
+            if capacity is not None:
+                self._starts_since_overdue = 0
+                self._waiting.record_start(step, now_s, is_overdue=True)
+                yield self._placement(task, capacity)
+                if step.spec.uses_leftover:
+                    headroom.reserve(capacity, step.spec)
+                return
+
+    def _place_overdue_beside(
+        self, overdue: list[StepState], by_service, now_s: float, headroom: Headroom
+    ):
+        """Yield placements of best-effort tasks of overdue jobs, one a job.
+
+        They share the cores that others leave unused with the best-effort work that
+        runs, also if that work or the interference takes all of what is spare. The
+        throttling of best-effort work protects the standing tasks.
+        """
+        for step in overdue:
+            if not step.spec.uses_leftover or step.job.has_runs or not step.ready:
+                continue
+            task = next(iter(step.ready.values()))
+            if self._crashes.is_held(task):
+                continue
+            candidates = [
+                capacity
+                for capacity in by_service.get(step.job.queue.service, ())
+                if capacity.fits(step.spec)
+                and capacity.entry.worker_id not in task.failed_on
+                and self._may_run(capacity, step, now_s)
+            ]
+            if not candidates:
+                continue
+            capacity = min(
+                candidates,
+                key=lambda capacity, spec=step.spec: (
+                    headroom.expected_interference(capacity, spec) * INTERFERENCE_COST
+                    - capacity.spare_milli
+                ),
+            )
+            self._waiting.record_start(step, now_s, is_overdue=True)
+            yield self._placement(task, capacity)
+            headroom.reserve(capacity, step.spec)
 
     def _find_interrupted(
         self, steps: list[StepState], now_s: float
@@ -258,7 +360,9 @@
                 if not task.last_run and not step.job.is_inherited:
                     continue
                 task_id = task.task_id
-                since_s[task_id] = self._interrupted_since_s.get(task_id, now_s)
+                # A former leader knew when an inherited task was interrupted.
+                first_s = step.job.arrived_s if task.is_inherited else now_s
+                since_s[task_id] = self._interrupted_since_s.get(task_id, first_s)
                 if now_s - since_s[task_id] >= INTERRUPTION_MAX_S:
                     overdue.append(task)
             if overdue:
@@ -282,6 +386,69 @@
         )
         return capacities
 
+    def explain_longest_wait(
+        self,
+        registry: RunRegistry,
+        capacities: list[WorkerCapacity],
+        now_s: float,
+        skips_inherited: bool,
+    ) -> WaitExplanation | None:
+        """Return what keeps the step that has waited longest from a start.
+
+        Returns None if no step with ready tasks waits.
+
+        Parameters
+        ----------
+        registry : RunRegistry
+            Jobs and runs.
+        capacities : list of WorkerCapacity
+            Capacities of the workers that accept new tasks.
+        now_s : float
+            Time on the scheduler's clock.
+        skips_inherited : bool
+            Whether jobs of an earlier term wait for workers that were not polled.
+        """
+        longest = self._waiting.longest(registry.active_steps(), now_s)
+        if longest is None:
+            return None
+        step, wait_s = longest
+        if skips_inherited and step.job.is_inherited:
+            return WaitExplanation(
+                step, wait_s, {"workers-not-polled": len(capacities)}
+            )
+        headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
+        task = next(iter(step.ready.values()))
+        reasons = Counter(
+            self._obstacle(task, capacity, now_s, headroom)
+            for capacity in capacities
+            if capacity.entry.service == step.job.queue.service
+        )
+        return WaitExplanation(step, wait_s, dict(reasons))
+
+    def _obstacle(
+        self, task: Task, capacity: WorkerCapacity, now_s: float, headroom: Headroom
+    ) -> str:
+        """Return what keeps a task from a worker; `none` if it could start there."""
+        step = task.step
+        spec = step.spec
+        if self._crashes.is_held(task):
+            return "held-as-suspect"
+        if now_s < capacity.refused_until_s:
+            return "refused-before"
+        if not capacity.fits(spec):
+            return "no-room"
+        if spec.label and spec.label not in capacity.entry.labels:
+            return "label"
+        if not self._is_allowed(capacity, step, now_s):
+            return "limit-of-worker"
+        if not self._may_run(capacity, step, now_s):
+            return "ticket"
+        if spec.uses_leftover and capacity.spare_milli < _spare_min(spec):
+            return "no-spare-cores"
+        if self._cost(capacity, spec, headroom) is None:
+            return "interference"
+        return "none"
+
     def speculative_copies(
         self, registry: RunRegistry, capacities: list[WorkerCapacity], now_s: float
     ) -> Iterable[Placement]:
