Check a workspace's cap at each start of an overdue job

Cause, by reading: the cap was checked for all overdue jobs at the begin of a round, so several of one workspace could start in it beyond the cap.

Change: it is checked before each start, after those of the round. The new test in test_workspace_caps holds with and without the change; no run has shown the fault.

--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -281,12 +281,18 @@
         """
         found: dict[str, StepState] = {}
         for step in self._waiting.overdue(steps, now_s):
-            if step.spec.standing or step.spec.gang or step.job.has_runs:
-                continue
-            if self._shares is None or self._shares.allows_copy(step):
+            if not (step.spec.standing or step.spec.gang or step.job.has_runs):
                 found.setdefault(step.job.job.job_id, step)
         return list(found.values())
 
+    def _may_start_overdue(self, step: StepState) -> bool:
+        """Return whether an overdue step may start a task after those of this round."""
+        if step.job.has_runs or not step.ready:
+            return False
+        if self._shares is not None and not self._shares.allows_copy(step):
+            return False
+        return not self._crashes.is_held(next(iter(step.ready.values())))
+
     def _place_overdue_first(
         self, overdue: list[StepState], by_service, now_s: float, headroom: Headroom
     ):
@@ -298,10 +304,10 @@
         if self._starts_since_overdue < STARTS_PER_OVERDUE:
             return
         for step in overdue:
+            if not self._may_start_overdue(step):
+                continue
             task = next(iter(step.ready.values()))
             candidates = by_service.get(step.job.queue.service, ())
-            if self._crashes.is_held(task):
-                continue
             capacity = self._cheapest(task, candidates, now_s, headroom)
             if capacity is not None:
                 self._starts_since_overdue = 0
@@ -321,11 +327,9 @@
         throttling of best-effort work protects the standing tasks.
         """
         for step in overdue:
-            if not step.spec.uses_leftover or step.job.has_runs or not step.ready:
+            if not step.spec.uses_leftover or not self._may_start_overdue(step):
                 continue
             task = next(iter(step.ready.values()))
-            if self._crashes.is_held(task):
-                continue
             candidates = [
                 capacity
                 for capacity in by_service.get(step.job.queue.service, ())
--- a/tests/test_workspace_caps.py
+++ b/tests/test_workspace_caps.py
@@ -9,6 +9,7 @@
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_types import ResourceAmounts, Step, SubmittedJob
 from dogwoodlever._run_evidence import LATE_ORDER_MAX_S
+from dogwoodlever._waiting_steps import OVERDUE_WAIT_S
 from standins.fleet import LEASE_MAX_MS, server_record
 from tests.fleet_simulation import (
     CONFIGURATION,
@@ -206,6 +207,21 @@
                 self.check_held(fleet, expected)
                 self.assertEqual(fleet.read_phase(0, job_id), "completed")
 
+    # Guards against overdue jobs that each fit the cap alone and exceed it together.
+    def test_overdue_jobs_start_within_the_cap(self):
+        fleet = self.start_fleet({"a": (0.5, 0), "b": (0, 0)}, workers=1, run_s=60.0)
+        leader = fleet.nodes[fleet.leader()].leader
+        leader.workers.runs._stop_stalled = lambda *_: None
+        fields = {"uses_leftover": True, "image": "i"}
+        fleet.submit_tasks("b", 20, **fields)
+        fleet.run_for(1.0)
+        for _ in range(5):
+            fleet.submit_tasks("a", 1, **fields)
+        fleet.run_for(OVERDUE_WAIT_S + 1.0)
+        fleet.set_caps({"a": (2, 0), "b": (0, 0)})
+        fleet.run_for(2.0)
+        self.check_held(fleet, 2.0)
+
     # Guards against a successor that starts work beside what it has not seen yet.
     def test_takeover(self):
         for name, is_paused, is_worker_silent in (
