Test that large requests are sent whole on a slow link

The transfer in parts had no test of its own. With real sockets: a request that takes longer than its timeout is sent as long as its parts are taken in time, and is given up otherwise. Without the extension of the deadline the second case fails.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -281,6 +281,29 @@
                 error = TimeoutError if is_in_time else NOT_SENT_ERRORS
                 self.assertIsInstance(results[0].value, error)
 
+    # Guards against a large request that is cut, or given up while the link takes it.
+    def test_large_request_is_sent_whole_while_the_link_takes_it(self):
+        for takes_s, is_sent in ((0.01, True), (0.3, True), (1.2, False)):
+            with self.subTest(takes_s=takes_s):
+                self.received.clear()
+                self.client = HttpClient(self.reactor, 5.0)
+                body = b"x" * 100_000
+                results = []
+                call = self.client.fetch(
+                    b"POST", f"http://{self.address}/x", body, TIMEOUT_S,
+                    stall_timeout_s=TIMEOUT_S,
+                )  # fmt: skip
+                call.addBoth(results.append)
+                for _ in range(20):
+                    # Each iteration of the reactor sends a part.
+                    self.reactor.runUntilCurrent()
+                    self.reactor.doIteration(0.01)
+                    if not b"".join(self.received).endswith(body):
+                        self.now_s += takes_s
+                sent = b"".join(self.received)
+                self.assertEqual(sent.endswith(body), is_sent)
+                self.assertEqual(bool(results), not is_sent)
+
     # Guards against new connections after each pause.
     def test_connection_established_too_late_carries_the_next_request(self):
         self.fetch()
