--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -62,6 +62,10 @@
 WORKERS_AT_FULL_POLL_RATE = 100
 # Runs named in one log line.
 LOGGED_RUNS_MAX = 10
+# Workers named in one log line.
+LOGGED_WORKERS_MAX = 10
+# Interval of the reports of workers for which inherited work waits.
+AWAITED_REPORT_INTERVAL_S = 1.0
 
 
 class FleetWorkers(LinkListener):
@@ -174,6 +178,7 @@
         self._announced: dict[str, WorkerEntry] = {}
         self.unpolled_workers: set[str] = set()
         self._is_closed = False
+        self._awaited_reported_s = clock.seconds()
         self.runs = FleetRuns(
             clock,
             registry,
@@ -230,6 +235,7 @@
 
         If another daemon may have led by then, it may have renewed them.
         """
+        self._report_awaited_workers()
         # A worker without an entry has no link that would detect the expiry.
         if (
             not self.unpolled_workers
@@ -241,6 +247,22 @@
             self.runs.record_former_end(worker_id, has_crashed=False)
             self._remove_worker(worker_id)
 
+    def _report_awaited_workers(self) -> None:
+        """Log for which workers inherited work waits, and for how long yet."""
+        now_s = self._clock.seconds()
+        if (
+            not self.unpolled_workers
+            or now_s - self._awaited_reported_s < AWAITED_REPORT_INTERVAL_S
+        ):
+            return
+        self._awaited_reported_s = now_s
+        log_event(
+            "workers.awaited",
+            count=len(self.unpolled_workers),
+            left_s=self._former_leases_expire_s - now_s,
+            workers=",".join(sorted(self.unpolled_workers)[:LOGGED_WORKERS_MAX]),
+        )
+
     def probe_unlisted_workers(self) -> None:
         """Find out which unpolled workers without an entry have ended.
 
