Count late suspects as a possible cause of a crash

A task that crashes its workers 1 s after its start is cleared if a poll lists it meanwhile, and another suspect may then start beside it. That one's second crash counted as its own, and its job failed although it could be done.

A crash that also met a suspect of late crashes is now as uncertain as one that met two young runs: the third crash as the only suspect decides.

--- a/dogwoodlever/_crash_attribution.py
+++ b/dogwoodlever/_crash_attribution.py
@@ -11,8 +11,9 @@
 preferred. So the next crash is evidence against one task. A task is cleared when its
 run is listed after its probation, on the worker's own clock, or ends by itself.
 
-A task is given up after its second crash if that met no other run on probation. If it
-met one, which may be the cause, the third crash as the only suspect decides. Neither
+A task is given up after its second crash if that met no other run on probation, and no
+suspect of late crashes. If it met one, which may be the cause, the third crash as the
+only suspect decides. Neither
 holds if the crash is also explained by workers that ended at the same moment: one that
 ended with no run on probation ended for another reason, and one reason may end many. In
 that case the task starts again, up to `CRASHES_MAX` times.
@@ -334,7 +335,10 @@
                 owner.unanswered_crashes.add(run.run_id.number)
         for task_id, owner in owners.items():
             is_certain = (
-                is_observed and len(owners) == 1 and not _is_late_suspect(owner)
+                is_observed
+                and len(owners) == 1
+                and not late
+                and not _is_late_suspect(owner)
             )
             threshold = CRASHES_ALONE if is_certain else CRASHES_AS_ONLY_SUSPECT
             crashes = len(owner.crashes)
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -450,6 +450,23 @@
         self.assertFalse(self.crashes.is_held(other))
         self.assertEqual(self.given_up(), [first])
 
+    # Guards against a task that is given up for a crash which a task that crashes its
+    # workers late, and was cleared in between, has caused.
+    def test_second_crash_beside_a_late_suspect_is_not_decisive(self):
+        (late,) = self.add_tasks("b")
+        for worker_id in ("w1", "w2"):
+            pair = self.start(late, worker_id)
+            self.now_s += 1.0
+            self.crash(worker_id, pair)
+        young, _ = self.suspects("a", "c")
+        pair = self.start(late, "w3")
+        self.prove(pair)
+        self.now_s += 1.0
+        self.crash("w3", self.start(young, "w3"), pair)
+        self.assertNotIn(young, self.given_up())
+        self.crash("w4", self.start(young, "w4"))
+        self.assertEqual(self.given_up(), [young])
+
     STARTING, RUNNING = RunPhase.STARTING, RunPhase.RUNNING
     PHASES = [
         ("both answered", [RUNNING, RUNNING], 2),
