Go on with the wait for unreachable workers after a change of leader

Cause: a leader waits for a worker that it cannot reach until every lease which a former leader may have granted has expired, counted from its own election: 5.75 s, or 8.75 s if the former leader does not answer. workers.awaited of the unchanged code shows left_s 4.7 s one second after each of seven elections in a row, for the same seven workers. All inherited work waits meanwhile, so leaders that last 4 s never start any.

Change: the leader stores, for each worker that does not answer, the time until all its leases have expired. Every daemon watches the record, which lies under the prefix of the leader's, and a successor counts on from when its daemon saw it, on its own clock. A worker that may be named there gets no lease and no start before a record without it is stored, so what the record says holds whoever leads. A worker that may answer the first call of a leader is not given up before that call.

Ruled out: the wait is not shortened, and no lease is; a wall clock; a store lease that counts down, since leases pause or end in an outage of the store.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -127,6 +127,8 @@
         self.is_record_loaded = False
         # Leaders in a row before this one that gave up.
         self.failed_loads = 0
+        # First term in a row whose leaders store which workers they cannot reach.
+        self.unreachable_since_term = 0
         # Leader of the term before this daemon's, and a time by which it was elected.
         self.former_leader = ""
         self.former_elected_s = float("-inf")
@@ -287,6 +289,7 @@
             strongest_cores,
             lease_id,
             max(self._link_mbps, previous.link_mbps),
+            unreachable_since_term=previous.unreachable_since_term or term,
         )
         sent_s = self._clock.seconds()
         result = yield self._store.commit(
@@ -300,6 +303,7 @@
             self._on_lost(result.current)
             return
         self._own_term = record
+        self.unreachable_since_term = record.unreachable_since_term
         if not is_continued:
             self.failed_loads = previous.failed_loads
             self.former_leader = previous.member
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -26,6 +26,7 @@
     JOBS_PREFIX,
     PROGRESS_PREFIX,
     TERM_KEY,
+    UNREACHABLE_WORKERS_KEY,
     WORKER_MEMBERSHIP_KEY,
     InterferenceRecord,
     decode_interference,
@@ -43,6 +44,7 @@
 from dogwoodlever._run_throttler import RunThrottler
 from dogwoodlever._store_listing import StoreListing
 from dogwoodlever._ticket_cache import TicketCache
+from dogwoodlever._unreachable_workers import UnreachableWorkers
 from dogwoodlever._worker_membership import WorkerMembership
 from dogwoodlever._workspace_report import WorkspaceReport
 from dogwoodlever._workspace_shares import WorkspaceRates, WorkspaceShares
@@ -124,6 +126,11 @@
         the store.
     on_load_overdue : callable
         Called if the state has not been loaded within that time.
+    unreachable_since_term : int
+        First of the terms in a row, up to this one, whose leaders store which workers
+        they cannot reach.
+    get_unreachable_seen_s : callable
+        Called with a revision of that record; returns when this daemon saw it.
     """
 
     def __init__(
@@ -146,6 +153,8 @@
         get_leases_end_s: Callable[[], float],
         load_limit_s: float,
         on_load_overdue: Callable[[], None],
+        unreachable_since_term: int,
+        get_unreachable_seen_s: Callable[[int], float],
     ) -> None:
         self._store = store
         self._metrics = metrics
@@ -176,6 +185,15 @@
         self._membership = WorkerMembership(
             store, clock, self._get_term_revision, self.plan_soon
         )
+        self._unreachable = UnreachableWorkers(
+            store,
+            clock,
+            term,
+            self._get_term_revision,
+            get_unreachable_seen_s,
+            lambda: self.workers.on_unreachable_stored(),
+        )
+        self._unreachable_since_term = unreachable_since_term
         self.workers = FleetWorkers(
             worker_client,
             clock,
@@ -183,6 +201,7 @@
             desired_state,
             self.registry,
             self._membership,
+            self._unreachable,
             RunThrottler(self._interference, platform_limits.target_violation_max_s),
             faults,
             crashes,
@@ -257,6 +276,7 @@
         for watcher in self._watchers:
             watcher.close()
         self._membership.close()
+        self._unreachable.close()
         self._tickets.close()
         self.workers.close()
         self._workspace_report.close()
@@ -289,6 +309,7 @@
         try:
             progress = yield self._progress_listing.read()
             membership = yield self._store.read(WORKER_MEMBERSHIP_KEY)
+            unreachable = yield self._store.read(UNREACHABLE_WORKERS_KEY)
             interference = yield self._store.read(INTERFERENCE_KEY)
         except PlatformError as error:
             log_event("leader.load-failed", why=str(error)[:160])
@@ -302,6 +323,7 @@
             self._progress[job_id] = record.value
             self._progress_writer.set_revision(job_id, record.revision)
         self.workers.unpolled_workers = self._membership.load(membership)
+        self._unreachable.load(unreachable, self._unreachable_since_term)
         if interference is not None and interference.value is not None:
             self._restore_interference(interference.value)
         self._follow(INBOX_PREFIX, self._apply_inbox_record, self._on_inbox_listed)
@@ -528,6 +550,9 @@
         self.accept_confirmed_jobs()
         self.registry.open_due(self._unix_s() * 1000)
         self.workers.expire_unpolled_workers()
+        if self._store.down_for_s() is None:
+            # A write without an answer withholds leases until the store answers again.
+            self.workers.name_unreachable_workers()
         self.workers.expire_ended_incarnations()
         self.workers.runs.give_up_crashing(self._clock.seconds())
         if self.registry.dirty:
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -17,7 +17,11 @@
 from dogwoodlever._fleet_leader import FleetLeader
 from dogwoodlever._fleet_metrics import FleetMetrics
 from dogwoodlever._fleet_observed_store import ObservedStore
-from dogwoodlever._fleet_records import LEADER_KEY, LeaderRecord
+from dogwoodlever._fleet_records import (
+    LEADER_KEY,
+    UNREACHABLE_WORKERS_KEY,
+    LeaderRecord,
+)
 from dogwoodlever._fleet_rpc import (
     JOB_METHOD,
     PENDING_METHOD,
@@ -154,6 +158,8 @@
             self.keys,
         )
         self._watchers = [self._operators_watcher, self._leader_watcher]
+        # Revision of the record of unreachable workers, and when it was seen.
+        self._unreachable_seen = (0, float("-inf"))
         self._is_stopping = False
         self.on_stopped: Callable[[], None] = lambda: None
 
@@ -217,6 +223,8 @@
     # Leadership
 
     def _apply_leader_record(self, record: Record) -> None:
+        if record.key == UNREACHABLE_WORKERS_KEY:
+            self._unreachable_seen = record.revision, self._clock.seconds()
         if record.key != LEADER_KEY:
             return
         self.election.apply_record(record)
@@ -232,6 +240,11 @@
         leader = self.election.leader
         return "" if leader is None else leader.member
 
+    def _get_unreachable_seen_s(self, revision: int) -> float:
+        """Return when a revision of the record of unreachable workers was seen."""
+        seen_revision, seen_s = self._unreachable_seen
+        return seen_s if revision == seen_revision else self._clock.seconds()
+
     def _on_elected(self, term: int, fencing_token: int, is_continued: bool) -> None:
         if is_continued and self.leader is not None:
             self.leader.continue_term(term, fencing_token)
@@ -270,6 +283,8 @@
             lambda: self.election.give_up(
                 f"stored state not loaded within {load_limit_s:.1f} s"
             ),
+            self.election.unreachable_since_term,
+            self._get_unreachable_seen_s,
         )
         self.metrics.leads.set(1)
         self.leader.open()
--- a/dogwoodlever/_fleet_records.py
+++ b/dogwoodlever/_fleet_records.py
@@ -19,6 +19,8 @@
 TERM_KEY = f"{PREFIX}term"
 # Bound to a lease, watched by every daemon.
 LEADER_KEY = f"{PREFIX}leader"
+# Written by the leader; watched with its own record, whose key is a prefix of this one.
+UNREACHABLE_WORKERS_KEY = f"{LEADER_KEY}-unreachable"
 
 
 class LeaderRecord(msgspec.Struct, frozen=True):
@@ -53,6 +55,9 @@
         Bandwidth of the fastest link of a daemon that has led, 0 if it is not known.
     failed_loads : int
         Leaders in a row that gave up, since they could not load the stored state.
+    unreachable_since_term : int
+        First of the terms in a row, up to this one, whose leaders keep
+        `UnreachableWorkersRecord`; 0 if this one, of an earlier build, does not.
     """
 
     term: int
@@ -62,6 +67,7 @@
     lease_id: int = 0
     link_mbps: float = 0.0
     failed_loads: int = 0
+    unreachable_since_term: int = 0
 
 
 class WorkerMembershipRecord(msgspec.Struct, frozen=True):
@@ -70,6 +76,22 @@
     workers: dict[str, str] = {}
 
 
+class UnreachableWorkersRecord(msgspec.Struct, frozen=True):
+    """Workers that the leader cannot reach.
+
+    Attributes
+    ----------
+    term : int
+        Term of the leader that wrote the record.
+    waits_ms : dict of str to int
+        By worker id, the longest time from the write until all leases of the worker
+        have expired and its runs have ended.
+    """
+
+    term: int = 0
+    waits_ms: dict[str, int] = {}
+
+
 class InterferenceRecord(msgspec.Struct, frozen=True):
     """Interference models by standing image, restored by later leaders."""
 
@@ -130,6 +152,11 @@
     return _decode(value, InterferenceRecord)
 
 
+def decode_unreachable_workers(value: bytes) -> UnreachableWorkersRecord:
+    """Decode the record of unreachable workers."""
+    return _decode(value, UnreachableWorkersRecord)
+
+
 def decode_worker_membership(value: bytes) -> WorkerMembershipRecord:
     """Decode the worker membership."""
     return _decode(value, WorkerMembershipRecord)
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -24,12 +24,14 @@
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_evidence import (
     ENDS_LISTED_MAX,
+    NEVER_S,
     WorkerEvidence,
     lease_bound_s,
 )
 from dogwoodlever._run_log import format_run_id
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
+from dogwoodlever._unreachable_workers import UnreachableWorkers
 from dogwoodlever._worker_capacity import WorkerCapacity
 from dogwoodlever._worker_link import (
     POLL_RETRY_S,
@@ -38,7 +40,7 @@
     LinkListener,
     WorkerLink,
 )
-from dogwoodlever._worker_membership import WorkerMembership
+from dogwoodlever._worker_membership import UNKNOWN_WORKERS, WorkerMembership
 from dogwoodlever._workspace_usage import WorkspaceUsage
 from dogwoodlever.platform import WORKERS_PREFIX
 from dogwoodlever.platform_errors import (
@@ -85,6 +87,8 @@
         Jobs and runs.
     membership : WorkerMembership
         Workers on which runs may have been started, by any leader.
+    unreachable : UnreachableWorkers
+        Record of the workers that do not answer.
     throttler : RunThrottler
         Throttles best-effort runs.
     faults : FaultAttribution
@@ -135,6 +139,7 @@
         desired_state: DesiredState,
         registry: RunRegistry,
         membership: WorkerMembership,
+        unreachable: UnreachableWorkers,
         throttler: RunThrottler,
         faults: FaultAttribution,
         crashes: CrashAttribution,
@@ -156,6 +161,7 @@
         self._get_fencing_token = get_fencing_token
         self._desired_state = desired_state
         self._membership = membership
+        self._unreachable = unreachable
         self._crashes = crashes
         self._usage = usage
         self._metrics = metrics
@@ -177,6 +183,11 @@
         # Entries that name another incarnation than the known one, by worker id.
         self._announced: dict[str, WorkerEntry] = {}
         self.unpolled_workers: set[str] = set()
+        # Workers that answer and get no lease yet.
+        self._withheld: set[str] = set()
+        self._are_entries_listed = False
+        # Workers without an entry of which the first probe is open.
+        self._first_probes: set[str] = set()
         self._is_closed = False
         self._awaited_reported_s = clock.seconds()
         self.runs = FleetRuns(
@@ -196,6 +207,7 @@
         self._confirm_soon = confirm_soon
         # When the leases from a former leader have expired at every worker, whose
         # clocks may be slow for the length of one lease, and their runs have ended.
+        # Workers that it could not reach have expired earlier.
         self._former_leases_expire_s = (
             clock.seconds() + WORKER_LEASES_MAX_S + self._lease_bound_s - self._lease_s
         )
@@ -227,26 +239,72 @@
             self._clock.seconds(), elected_s + WORKER_LEASES_MAX_S - self._lease_s
         )
         self._former_leases_expire_s = min(self._former_leases_expire_s, expire_s)
-        for link in self._links.values():
-            link.evidence.limit_former_leases(self._former_leases_expire_s)
+        for worker_id, link in self._links.items():
+            link.evidence.limit_former_leases(self._former_expiry_s(worker_id))
+
+    def _former_expiry_s(self, worker_id: str) -> float:
+        """Return when the leases of a worker from former leaders have expired."""
+        stored_s = self._unreachable.former_expiry_s(worker_id)
+        return min(self._former_leases_expire_s, stored_s)
 
     def expire_unpolled_workers(self) -> None:
         """Stop waiting for workers whose leases from a former leader have expired.
 
-        If another daemon may have led by then, it may have renewed them.
+        If another daemon may have led by then, it may have renewed them. A worker that
+        may answer the first call of this leader is waited for.
         """
         self._report_awaited_workers()
+        contact_s = self._get_contact_s()
         # A worker without an entry has no link that would detect the expiry.
-        if (
-            not self.unpolled_workers
-            or self._get_contact_s() < self._former_leases_expire_s
-        ):
+        expired = [
+            worker_id
+            for worker_id in sorted(self.unpolled_workers)
+            if contact_s >= self._former_expiry_s(worker_id)
+            and not self._is_untried(worker_id)
+        ]
+        if not expired:
             return
-        log_event("workers.given-up", count=len(self.unpolled_workers))
-        for worker_id in list(self.unpolled_workers):
+        log_event(
+            "workers.given-up",
+            count=len(expired),
+            workers=",".join(expired[:LOGGED_WORKERS_MAX]),
+        )
+        for worker_id in expired:
             self.runs.record_former_end(worker_id, has_crashed=False)
             self._remove_worker(worker_id)
 
+    def _is_untried(self, worker_id: str) -> bool:
+        """Return whether the first call of a worker is open, or not yet sent."""
+        if not self._are_entries_listed:
+            return True
+        link = self._links.get(worker_id)
+        if link is None:
+            return worker_id in self._first_probes
+        return link.evidence.is_untried
+
+    def name_unreachable_workers(self) -> None:
+        """Tell successors how long workers that do not answer may run tasks yet."""
+        expiries_s = {
+            worker_id: self._former_expiry_s(worker_id)
+            for worker_id in self.unpolled_workers - set(self._links)
+            if worker_id != UNKNOWN_WORKERS and not self._is_untried(worker_id)
+        }
+        for worker_id, link in self._links.items():
+            if link.evidence.is_silent and self._membership.is_stored(worker_id):
+                expiries_s[worker_id] = link.evidence.find_lease_expiry_s()
+        self._unreachable.set_unreachable(expiries_s)
+
+    def on_unreachable_stored(self) -> None:
+        """Poll the workers that answer and may get leases now."""
+        for worker_id in list(self._withheld):
+            if self._unreachable.may_be_named(worker_id):
+                continue
+            self._withheld.discard(worker_id)
+            link = self._links.get(worker_id)
+            if link is not None and link.evidence.is_answering:
+                link.poll_soon()
+        self._on_change()
+
     def _report_awaited_workers(self) -> None:
         """Log for which workers inherited work waits, and for how long yet."""
         now_s = self._clock.seconds()
@@ -259,7 +317,7 @@
         log_event(
             "workers.awaited",
             count=len(self.unpolled_workers),
-            left_s=self._former_leases_expire_s - now_s,
+            left_s=max(map(self._former_expiry_s, self.unpolled_workers)) - now_s,
             workers=",".join(sorted(self.unpolled_workers)[:LOGGED_WORKERS_MAX]),
         )
 
@@ -270,6 +328,7 @@
         its address, or if it lists all ends and nothing runs. A refused connection
         proves nothing: a partition may reject connections to a worker that runs on.
         """
+        self._are_entries_listed = True
         for worker_id in sorted(self.unpolled_workers - set(self.capacities)):
             # Workers of a membership that cannot be read have no address.
             if self._membership.is_stored(worker_id):
@@ -278,6 +337,7 @@
     @inlineCallbacks
     def _probe(self, entry: WorkerEntry):
         worker_id = entry.worker_id
+        self._first_probes.add(worker_id)
         while not self._is_closed and worker_id in self.unpolled_workers:
             try:
                 result = yield self._worker_client.poll(
@@ -291,6 +351,8 @@
                 return
             except PlatformError:
                 pass
+            finally:
+                self._first_probes.discard(worker_id)
             yield deferLater(self._clock, POLL_RETRY_S)
 
     def _on_probed_ended(
@@ -446,7 +508,7 @@
             ended, evidence = self._ended_incarnations.pop(worker_id)
             for run, step in ended.runs.values():
                 capacity.add(run, step)
-        evidence.begin_incarnation(self._former_leases_expire_s)
+        evidence.begin_incarnation(self._former_expiry_s(worker_id))
         self._link_count += 1
         link = WorkerLink(
             entry,
@@ -455,7 +517,7 @@
             partial(self._fencing_token, self._link_count),
             self,
             evidence,
-            self._get_leases_end_s,
+            partial(self._leases_end_s, worker_id),
             self._may_start,
         )
         self._links[worker_id] = link
@@ -565,6 +627,12 @@
             if evidence.is_spent(contact_s) and not capacity.runs:
                 del self._ended_incarnations[worker_id]
 
+    def _leases_end_s(self, worker_id: str) -> float:
+        """Return the time beyond which a worker may get no lease."""
+        if self._unreachable.may_be_named(worker_id):
+            return NEVER_S
+        return self._get_leases_end_s()
+
     def _is_schedulable(self, capacity: WorkerCapacity) -> bool:
         """Return whether new tasks may start on a worker."""
         link = self._links[capacity.entry.worker_id]
@@ -573,6 +641,7 @@
             and capacity.is_listed
             and capacity.entry.worker_id not in self._announced
             and self._membership.is_stored(capacity.entry.worker_id)
+            and not self._unreachable.may_be_named(capacity.entry.worker_id)
             and link.evidence.is_reachable
             and not capacity.entry.is_draining
             and capacity.entry.data_centre not in self._desired_state.data_centres_out
@@ -583,6 +652,9 @@
     def on_polled(self, link: WorkerLink, result: PollResult, sent_s: float) -> None:
         """Apply the result of a poll."""
         worker_id = link.entry.worker_id
+        if self._unreachable.may_be_named(worker_id):
+            self._withheld.add(worker_id)
+        self._unreachable.withdraw(worker_id)
         capacity = self.capacities[worker_id]
         self._report_overrun(link, result)
         self.runs.apply_poll(capacity, link, result, sent_s)
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -269,7 +269,7 @@
         """
         if not self._clock_ms:
             return 0
-        if self._failed_polls or self.lease_blockers:
+        if self._failed_polls or self.lease_blockers or now_s >= leases_end_s:
             return self._granted_ms
         until_s = min(now_s + self._lease_s, leases_end_s)
         until_ms = self._clock_ms + int((until_s - self.responded_s) * 1000)
@@ -283,6 +283,11 @@
                 min(self.lease_expiry_s, expire_s), self._misdirected_expiry_s
             )
 
+    def find_lease_expiry_s(self) -> float:
+        """Return when the leases of a worker that does not answer have expired."""
+        self._update_lease_expiry()
+        return max(self.lease_expiry_s, self._misdirected_expiry_s)
+
     @property
     def lease_overrun_ms(self) -> int:
         """By how much the worker's clock has passed the leases granted to it.
@@ -351,6 +356,17 @@
         """Whether the last poll was answered."""
         return self._clock_ms > 0 and not self._failed_polls
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether the worker has not answered, or does not any more."""
+        failures_min = POLL_FAILURES_UNREACHABLE if self._clock_ms else 1
+        return self._failed_polls >= failures_min
+
+    @property
+    def is_untried(self) -> bool:
+        """Whether no poll has been answered or has failed yet."""
+        return not self._clock_ms and not self._failed_polls
+
     def begin_poll(self, now_s: float, leases_end_s: float) -> tuple[int, int]:
         """Return what a poll that is sent now may say.
 
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -154,8 +154,12 @@
 
     def acknowledge(self, number: int) -> None:
         """Let the worker drop the ends up to `number`."""
-        is_new = self.evidence.acknowledge(number)
-        if is_new and self._poll_call is not None and self._poll_call.active():
+        if self.evidence.acknowledge(number):
+            self.poll_soon()
+
+    def poll_soon(self) -> None:
+        """Send the next poll now, unless one is open."""
+        if self._poll_call is not None and self._poll_call.active():
             self._poll_call.cancel()
             self._schedule_poll(0.0)
 
@@ -177,7 +181,8 @@
             return
         sent_s = self._clock.seconds()
         fencing_token = self.get_fencing_token()
-        wait_ms = self._poll_wait_ms if self.evidence.is_answering else 0
+        may_wait = self.evidence.is_answering and not self._is_lease_withheld()
+        wait_ms = self._poll_wait_ms if may_wait else 0
         acknowledged_number, until_ms = self.evidence.begin_poll(
             sent_s, self._get_leases_end_s()
         )
@@ -213,6 +218,9 @@
             log_event("poll.failed", worker=self.entry.worker_id, why=repr(error)[:200])
             self._schedule_poll(POLL_RETRY_S)
             return
+        if self._is_lease_withheld():
+            self._schedule_poll(POLL_RETRY_S)
+            return
         has_unstored_ends = self.evidence.has_unstored_ends
         self._schedule_poll(ACKNOWLEDGE_WAIT_S if has_unstored_ends else 0.0)
 
@@ -237,6 +245,10 @@
         if not self.is_closed:
             self._poll_call = self._clock.callLater(delay_s, self._poll)
 
+    def _is_lease_withheld(self) -> bool:
+        """Return whether the worker may get no lease now."""
+        return self._clock.seconds() >= self._get_leases_end_s()
+
     def _pause(self, delay_s: float):
         return deferLater(self._clock, delay_s)
 
@@ -250,7 +262,7 @@
         attempts = self.evidence.begin_start(run.run_id)
         is_retry = False
         while self._may_retry() and run.phase is not RunPhase.STOPPING:
-            if not self._may_start():
+            if not self._may_start() or self._is_lease_withheld():
                 yield self._pause(ORDER_RETRY_S)
                 continue
             if is_retry and not self._listener.may_retry_start(run):
--- a/tests/exploration_model.py
+++ b/tests/exploration_model.py
@@ -20,7 +20,11 @@
 from dogwoodlever._fleet_interfaces import FleetWorkerClient, Record, RefusalReason
 from dogwoodlever._fleet_metrics import FleetMetrics
 from dogwoodlever._fleet_planner import Placement
-from dogwoodlever._fleet_records import TERM_KEY, WORKER_MEMBERSHIP_KEY
+from dogwoodlever._fleet_records import (
+    TERM_KEY,
+    UNREACHABLE_WORKERS_KEY,
+    WORKER_MEMBERSHIP_KEY,
+)
 from dogwoodlever._fleet_types import (
     PollResult,
     Queue,
@@ -34,6 +38,7 @@
 from dogwoodlever._run_evidence import lease_bound_s
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
+from dogwoodlever._unreachable_workers import UnreachableWorkers
 from dogwoodlever._worker_link import RUN_LEASE_TARGET_S
 from dogwoodlever._worker_membership import WorkerMembership
 from dogwoodlever._workspace_usage import WorkspaceUsage
@@ -184,6 +189,11 @@
         self.membership = WorkerMembership(
             self.store, self._clock, lambda: self.token, self.plan_soon
         )
+        self.unreachable = UnreachableWorkers(
+            self.store, self._clock, number, lambda: self.token,
+            model.unreachable_seen_s.__getitem__,
+            lambda: self.workers.on_unreachable_stored(),
+        )  # fmt: skip
         usage = WorkspaceUsage(self.registry, lambda: None)
         self._plan_call = None
         self.workers = FleetWorkers(
@@ -193,6 +203,7 @@
             DesiredState(lambda: None),
             self.registry,
             self.membership,
+            self.unreachable,
             RunThrottler(InterferenceModel(), 1.0),
             FaultAttribution(),
             CrashAttribution(lambda job_id: True),
@@ -224,6 +235,8 @@
         """
         membership = self._model.records.read(WORKER_MEMBERSHIP_KEY)
         self.workers.unpolled_workers = self.membership.load(membership)
+        unreachable = self._model.records.read(UNREACHABLE_WORKERS_KEY)
+        self.unreachable.load(unreachable, 1)
         for record in list(self._model.entries.values()):
             self.workers.apply_entry(record)
         self.workers.probe_unlisted_workers()
@@ -239,6 +252,7 @@
         self.is_closed = True
         self.workers.close()
         self.membership.close()
+        self.unreachable.close()
 
     def isolate(self) -> None:
         """Cut the leader off from the store for good."""
@@ -273,6 +287,8 @@
             self.close()
             return
         self.workers.expire_unpolled_workers()
+        if self.contact_s is None:
+            self.workers.name_unreachable_workers()
         self.workers.expire_ended_incarnations()
         self._plan()
         self._clock.callLater(TICK_S, self._tick)
@@ -327,11 +343,21 @@
         self._error: Exception | None = None
         self.disturbed_until_s = JOB_ARRIVAL_S
         self.leaders: list[ModelLeader] = []
+        # When the revisions of the record of unreachable workers were written.
+        self.unreachable_seen_s: dict[int, float] = {}
+        self._watch_unreachable()
         for number in range(2):
             self.start_process(worker_entry(number), self.clock.seconds())
             self.write_entry(self.workers.workers[f"w{number}"].entry)
         self.elect(float("-inf"))
 
+    def _watch_unreachable(self) -> None:
+        """Note when the record was written, which all daemons see at once."""
+        record = self.records.read(UNREACHABLE_WORKERS_KEY)
+        if record is not None:
+            self.unreachable_seen_s.setdefault(record.revision, self.clock.seconds())
+        self.records.notify_on_change(self._watch_unreachable)
+
     @property
     def violations(self) -> list[str]:
         return self.workers.violations
