Store progress when a leader stops

A leader that stops dropped the ends that it had read in the last 0.1 s and not stored yet. Workers list them to the successor, but a worker that leaves at that moment takes them with it, and the tasks run again. The records of starts and crashes of the same moment were lost as well.

The writer now writes once more when it is closed, after the write that is under way. The write is conditional on the term's record, which the next election replaces, so it changes nothing once a successor may have read the progress.

Evidence: tests.test_changing_leaders.ProgressTest fails in its three cases before (two starts in place of one) and passes after.

--- a/dogwoodlever/_fleet_progress_writer.py
+++ b/dogwoodlever/_fleet_progress_writer.py
@@ -110,10 +110,14 @@
         return job_id not in self._registry.dirty and job_id not in self._in_flight
 
     def close(self) -> None:
-        """Stop writing."""
+        """Write what is not stored yet, unless a successor was elected, and stop."""
+        if self._is_closed:
+            return
         self._is_closed = True
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
+        if self._registry.dirty and not self._is_writing:
+            self._write_last()
 
     def schedule_flush(self) -> None:
         """Schedule a write of the changed progress, sooner if a job has ended."""
@@ -151,9 +155,22 @@
             self._report_unstored()
         finally:
             self._is_writing = False
-        if self._registry.dirty:
+        if self._registry.dirty and self._is_closed:
+            self._write_last()
+        elif self._registry.dirty:
             self.schedule_flush()
 
+    @inlineCallbacks
+    def _write_last(self):
+        """Write once; the condition on the term rejects it after the next election."""
+        self._is_writing = True
+        try:
+            yield self._write_all()
+        except PlatformError as error:
+            log_event("journal.write-failed", why=str(error)[:160])
+        finally:
+            self._is_writing = False
+
     def _report_unstored(self) -> None:
         """Report the progress that changed since the last report."""
         changed = {}
--- /dev/null
+++ b/tests/test_changing_leaders.py
@@ -0,0 +1,58 @@
+"""Waits and learned state outlast leaders that change every few seconds."""
+
+import unittest
+
+from dogwoodlever._fleet_types import Queue, TaskId
+from tests.fleet_simulation import JOB, FleetSimulation, job
+
+OTHER_JOB = "b" * 16
+
+
+def change_leader(fleet):
+    """Stop the leader as planned, and start another daemon."""
+    number = fleet.leader()
+    if number is not None:
+        fleet.nodes[number].stop()
+        fleet.add_daemon(f"vm{len(fleet.nodes)}")
+
+
+class ProgressTest(unittest.TestCase):
+    # name, fields of the job, whether the write of other progress is under way
+    ENDS = [
+        ("job has ended", {"tasks": 1}, False),
+        ("further step", {"tasks": 1, "steps": 2}, False),
+        ("during a write", {"tasks": 1, "steps": 2}, True),
+    ]
+
+    # Guards against an end that a leader read just before it stopped, and that is lost
+    # with its worker, so that the task runs again.
+    def test_end_is_stored_by_a_leader_that_stops(self):
+        for name, fields, is_writing in self.ENDS:
+            with self.subTest(name):
+                fleet = FleetSimulation(workers=2)
+                fleet.run_for(1.0)
+                fleet.submit(0, job(JOB, **fields), wait_s=0.5)
+                worker_id = fleet.workers.starts[0][1]
+                leader = fleet.nodes[fleet.leader()].leader
+                while not leader.registry.dirty:
+                    fleet.run_for(0.01)
+                if is_writing:
+                    dirty = set(leader.registry.dirty)
+                    leader.registry.dirty.clear()
+                    leader.registry.dirty.add(OTHER_JOB)
+                    leader.registry.add_job(
+                        job(OTHER_JOB), Queue("", "", "", ""), 1, 0.0
+                    )
+                    leader._progress_writer.flush()
+                    leader.registry.dirty |= dirty
+                change_leader(fleet)
+                fleet.workers.crash(worker_id)
+                fleet.run_for(12.0)
+                first = TaskId(JOB, 0, 0, 0)
+                starts = [run.task for run, _ in fleet.workers.starts]
+                self.assertEqual(starts.count(first), 1)
+                self.assertEqual(fleet.read_phase(fleet.leader(), JOB), "completed")
+
+
+if __name__ == "__main__":
+    unittest.main()
