Keep the age of suspects' runs across changes of leader

A successor counted the age of an adopted run from the adoption. While leaders changed every 1 to 2 s no run outlived its probation, so that a crash was never cleared, and each later end of a worker counted as one more crash by the task. Five of them end its job as failed. Besides, a leader of less than 1.5 s never saw a second list of a worker.

The stored start of a suspect now has the worker's clock at which its run was first seen, and a successor restores the age from it. The list from which a run is adopted counts as one in which it was seen.

Evidence: test_age_of_a_run_outlasts_its_leaders fails with leaders of 1 s and 2 s before and passes after.

--- a/dogwoodlever/_crash_attribution.py
+++ b/dogwoodlever/_crash_attribution.py
@@ -41,6 +41,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+import msgspec
+
 from dogwoodlever._fleet_job import LostRun, Run, RunPhase, Task
 from dogwoodlever._fleet_types import RunId, TaskId
 
@@ -207,6 +209,7 @@
             return False
         if run.seen_clock_ms < 0:
             run.seen_clock_ms = clock_ms
+        self._record_seen(run, task)
         age_ms = clock_ms - run.seen_clock_ms
         if is_recorded and age_ms >= LATE_PROBATION_MS:
             task.is_inherited = False
@@ -226,6 +229,19 @@
         self.remove_run(run)
         return task is not None and self._clear_crashes(task)
 
+    def _record_seen(self, run: Run, task: Task | None) -> None:
+        """Store when a run of a recorded start was seen, so that its age is known."""
+        record = None if task is None else task.start_record
+        if (
+            record is not None
+            and record.number == run.run_id.number
+            and record.seen_clock_ms < 0
+        ):
+            task.start_record = msgspec.structs.replace(
+                record, seen_clock_ms=run.seen_clock_ms
+            )
+            self._changed_jobs.add(task.task_id.job_id)
+
     def clear(self, task: Task) -> bool:
         """Drop the evidence against a task; return whether it was a suspect."""
         task.is_inherited = False
--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -51,11 +51,14 @@
         Number of the run.
     worker_started_at_ms : int
         Start of the worker's incarnation, in Unix milliseconds; 0 if unknown.
+    seen_clock_ms : int
+        The worker's clock when it confirmed or first listed the run; -1 before that.
     """
 
     number: int
     worker_id: str
     worker_started_at_ms: int
+    seen_clock_ms: int = -1
 
 
 class RunPhase(StrEnum):
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -280,9 +280,7 @@
             return
         run, step = pair
         if run.is_watched:
-            task = self._registry.find(listed_run.run.task)
-            if self._crashes.record_listed(run, task, result.clock_ms):
-                self._report_cleared(task)
+            self._record_listed(run, self._registry.find(listed_run.run.task), result)
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
         if listed_run.percent != run.percent:
@@ -322,6 +320,8 @@
             run.percent = listed_run.percent
             run.progressed_s = now_s
             run.progressed_clock_ms = result.clock_ms
+            self._restore_age(run, task, result)
+            self._record_listed(run, task, result)
             log_event(
                 "run.adopted",
                 run=format_run_id(listed_run.run),
@@ -345,6 +345,24 @@
             capacity.add(unwanted, step)
         link.stop(unwanted)
 
+    def _record_listed(self, run: Run, task: Task | None, result: PollResult) -> None:
+        """Record that a run is listed, which may clear its task of crashes."""
+        if self._crashes.record_listed(run, task, result.clock_ms):
+            self._report_cleared(task)
+
+    @staticmethod
+    def _restore_age(run: Run, task: Task, result: PollResult) -> None:
+        """Set when an adopted run started, if the record of its start tells it."""
+        record = task.start_record
+        if (
+            record is not None
+            and record.number == run.run_id.number
+            and record.worker_id == run.worker_id
+            and 0 <= record.seen_clock_ms <= result.clock_ms
+        ):
+            run.seen_clock_ms = record.seen_clock_ms
+            run.started_s -= (result.clock_ms - record.seen_clock_ms) / 1000
+
     def is_wanted(self, run: Run) -> bool:
         """Return whether a run is its task's and need not stop."""
         return run.phase is not RunPhase.STOPPING and self._is_registered(run)
--- a/tests/test_changing_leaders.py
+++ b/tests/test_changing_leaders.py
@@ -3,8 +3,11 @@
 import unittest
 
 from dogwoodlever._fleet_types import Queue, TaskId
+from tests import test_crash_attribution
 from tests.fleet_simulation import JOB, FleetSimulation, job
 
+# How long each leader leads.
+TERMS_S = (1.0, 2.0, 4.0)
 OTHER_JOB = "b" * 16
 
 
@@ -16,6 +19,18 @@
         fleet.add_daemon(f"vm{len(fleet.nodes)}")
 
 
+def run_with_changes(fleet, duration_s, term_s, run_for=None):
+    """Run while each leader leads for `term_s`.
+
+    `run_for` is called with the fleet and a duration in place of the fleet's own.
+    """
+    run_for = run_for or FleetSimulation.run_for
+    end_s = fleet.clock.seconds() + duration_s
+    while fleet.clock.seconds() < end_s:
+        run_for(fleet, min(term_s, end_s - fleet.clock.seconds()))
+        change_leader(fleet)
+
+
 class ProgressTest(unittest.TestCase):
     # name, fields of the job, whether the write of other progress is under way
     ENDS = [
@@ -54,5 +69,26 @@
                 self.assertEqual(fleet.read_phase(fleet.leader(), JOB), "completed")
 
 
+class CrashesTest(unittest.TestCase):
+    # Guards against runs of long standing that each successor takes for young ones, so
+    # that the ends of their workers count as crashes by their task.
+    def test_age_of_a_run_outlasts_its_leaders(self):
+        for term_s in TERMS_S:
+            with self.subTest(term_s=term_s):
+                case = test_crash_attribution.CrashingTasksTest()
+                fleet = case.start_fleet(run_s=0.0)
+                fleet.submit(0, job(JOB, tasks=1, standing=True))
+                for _ in range(3):
+                    run_with_changes(fleet, 12.0, term_s, case.run_fleet)
+                    case.run_fleet(fleet, 0.5)
+                    tasks = (
+                        fleet.nodes[fleet.leader()].leader.registry.jobs[JOB].tasks()
+                    )
+                    task = next(iter(tasks))
+                    self.assertEqual((task.crashes, task.late_crashes), ({}, set()))
+                    (run,) = task.runs.values()
+                    fleet.workers.crash(run.worker_id)
+
+
 if __name__ == "__main__":
     unittest.main()
