Give up crashing tasks although no leader lasts until the decision

A leader decides 5.4 s after a crash whether its task is given up, and holds the task until then. Neither the hold nor the decision outlasted the leader, so a successor started the task again: with leaders of 1 to 4 s it crashed 7 to 11 workers in 40 s and went on as long as leaders changed. The platform allows five starts.

A successor now gives up a task whose stored crashes in a row are as many as are allowed in any case. Crashes that no leader observed are stored as late ones, and count as well.

Evidence: test_crashing_task_is_given_up fails in its six cases before (7 to 11 starts) and passes after.

--- a/dogwoodlever/_crash_attribution.py
+++ b/dogwoodlever/_crash_attribution.py
@@ -33,7 +33,8 @@
 
 A crash is hidden if the leader is lost before it has stored it, unless the start of
 the run was stored (`StartRecords`). With one hidden crash, a task starts at most five
-times, even if many workers ended at the moment of each other crash.
+times, even if many workers ended at the moment of each other crash, or if no leader
+lasts until its decision.
 """
 
 import math
@@ -121,6 +122,8 @@
         Number of workers at the time of the crash.
     is_by_lost_runs : bool
         Whether the lost runs in a row are the evidence, not the only suspect's crashes.
+    is_final : bool
+        Whether the task is given up whatever else ended.
     """
 
     task: Task
@@ -128,6 +131,7 @@
     detected_s: float
     workers: int
     is_by_lost_runs: bool = False
+    is_final: bool = False
 
 
 class CrashAttribution:
@@ -170,6 +174,17 @@
             owner.task_id.job_id
         )
 
+    def add_inherited(self, task: Task, now_s: float) -> None:
+        """Decide on a task of a former leader, whose decision may not have been due.
+
+        A task with as many crashes in a row as are allowed is given up whatever else
+        ended. Those that no leader has observed may count as late ones.
+        """
+        if len(task.crashes.keys() | task.late_crashes) >= CRASHES_MAX:
+            self._pending[task.task_id] = PendingDecision(
+                task, now_s, now_s - DECISION_DELAY_S, workers=0, is_final=True
+            )
+
     def is_reserved(self, worker_id: str) -> bool:
         """Return whether a suspect is on probation on a worker."""
         return worker_id in self._on_probation
@@ -382,8 +397,8 @@
                 if self._is_crashing(decision.task, decision.workers, now_s):
                     given_up.append(decision.task)
                 continue
-            is_final = len(decision.task.crashes) >= CRASHES_MAX
-            if is_final or not self._has_common_cause(decision):
+            has_most = len(decision.task.crashes) >= CRASHES_MAX
+            if decision.is_final or has_most or not self._has_common_cause(decision):
                 given_up.append(decision.task)
         return given_up
 
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -429,7 +429,7 @@
             self._progress_writer.schedule_flush()
         state.open_due(now_ms)
         if is_inherited:
-            self.workers.runs.start_records.add_job(state)
+            self.workers.runs.add_inherited_job(state)
         if job.job_id in self._cancelled:
             self._cancel(state)
         self.plan_soon()
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -174,6 +174,12 @@
             if link is not None and run.phase is not RunPhase.STOPPING:
                 link.stop(run)
 
+    def add_inherited_job(self, state: JobState) -> None:
+        """Add what is stored of the crashes and starts of an inherited job."""
+        self.start_records.add_job(state)
+        for task in state.tasks():
+            self._crashes.add_inherited(task, self._clock.seconds())
+
     # Reports of workers
 
     def apply_poll(
--- a/tests/test_changing_leaders.py
+++ b/tests/test_changing_leaders.py
@@ -70,6 +70,26 @@
 
 
 class CrashesTest(unittest.TestCase):
+    # Time from the start of a task to the crash of its worker.
+    CRASH_DELAYS_S = (0.3, 2.0)
+
+    # Guards against a task that crashes a worker in each term, since no leader lasts
+    # until its decision on the stored crashes is due.
+    def test_crashing_task_is_given_up(self):
+        for term_s in TERMS_S:
+            for crash_delay_s in self.CRASH_DELAYS_S:
+                with self.subTest(term_s=term_s, crash_delay_s=crash_delay_s):
+                    case = test_crash_attribution.CrashingTasksTest()
+                    fleet = case.start_fleet(run_s=4.0)
+                    fleet.workers.crash_delay_s = crash_delay_s
+                    case.submit_crashing(fleet)
+                    run_with_changes(fleet, 40.0, term_s, case.run_fleet)
+                    case.run_fleet(fleet, 1.0)
+                    self.assertLessEqual(
+                        case.starts(fleet), test_crash_attribution.STARTS_MAX
+                    )
+                    self.assertEqual(case.phase(fleet), "failed")
+
     # Guards against runs of long standing that each successor takes for young ones, so
     # that the ends of their workers count as crashes by their task.
     def test_age_of_a_run_outlasts_its_leaders(self):
