Evict from draining workers whose runs are adopted later

A leader evicts the standing tasks of a draining worker when it reads a change of the worker's entry. A successor that reads the entry of a worker that drains already does not know its runs yet, and evicted them at the next heartbeat at the earliest, 1.5 s later, if it led for so long. The same held for a start without an answer at the time of the change.

Runs of draining workers are now evicted after each poll that lists them.

Evidence: DrainingWorkerTest fails for leaders of 1, 2 and 4 s before and passes after.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -197,6 +197,8 @@
         for listed_run in result.running:
             self._apply_running(capacity, link, listed_run, result)
         self._drop_unlisted(capacity, link, result, sent_s)
+        if capacity.entry.is_draining:
+            self.evict_draining(capacity)
         for order in self._throttler.decide(capacity, self._clock.seconds()):
             self._metrics.throttle_orders.inc()
             link.throttle(order.run, order.percent)
--- a/tests/test_changing_leaders.py
+++ b/tests/test_changing_leaders.py
@@ -1,11 +1,15 @@
 """Waits and learned state outlast leaders that change every few seconds."""
 
 import unittest
+from dataclasses import replace
 
 from dogwoodlever._fleet_types import Queue, TaskId
+from standins.fleet import server_record
 from tests import test_crash_attribution
 from tests.fleet_simulation import JOB, FleetSimulation, job
 
+# Time within which a draining worker has to be noticed.
+DRAIN_S = 2.0
 # How long each leader leads.
 TERMS_S = (1.0, 2.0, 4.0)
 OTHER_JOB = "b" * 16
@@ -69,6 +73,36 @@
                 self.assertEqual(fleet.read_phase(fleet.leader(), JOB), "completed")
 
 
+class DrainingWorkerTest(unittest.TestCase):
+    # name, term of the leaders, whether the entry changes just before a new leader
+    CHANGES = [
+        ("before the first leader", 100.0, False),
+        ("while a leader is elected, 1 s", 1.0, True),
+        ("while a leader is elected, 2 s", 2.0, True),
+        ("while a leader is elected, 4 s", 4.0, True),
+    ]
+
+    # Guards against standing tasks that stay on a leaving worker until it is gone,
+    # since its runs were not known yet when its leader read that it drains.
+    def test_standing_tasks_are_evicted(self):
+        for name, term_s, is_changed in self.CHANGES:
+            with self.subTest(name):
+                fleet = FleetSimulation(workers=4, run_s=0.0)
+                fleet.run_for(1.0)
+                fields = {"standing": True, "worker_tasks_max": 2}
+                fleet.submit(0, job(JOB, tasks=4, **fields), wait_s=1.0)
+                worker = fleet.workers.workers[fleet.workers.starts[0][1]]
+                if is_changed:
+                    change_leader(fleet)
+                entry = replace(worker.entry, is_draining=True)
+                record = server_record(entry, "draining")
+                fleet.records.write(f"servers/{entry.worker_id}", record)
+                run_with_changes(fleet, DRAIN_S, term_s)
+                self.assertFalse(worker.running)
+                self.assertEqual(len(fleet.workers.starts), 6)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+
+
 class CrashesTest(unittest.TestCase):
     # Time from the start of a task to the crash of its worker.
     CRASH_DELAYS_S = (0.3, 2.0)
