Store the interference model of leaders that lead for a short time

A leader stored the model 4 s after its election for the first time, so that none of a row of leaders of up to 4 s stored what it had learned, and each learned anew which work harms standing tasks.

A leader now stores the model 1 s after its election, then at intervals as before, and when it stops. The write is conditional on the term's record.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -82,8 +82,10 @@
 QUARANTINE_S = 4.0
 # Phases in which a job ends by the ends of its tasks.
 TASKS_ENDED_PHASES = frozenset({JobPhase.COMPLETED, JobPhase.FAILED})
-# A successor resumes from interference estimates that are at most this old.
+# A successor resumes from interference estimates that are at most this old. A leader
+# stores them earlier for the first time, and when it stops, as it may not last as long.
 INTERFERENCE_STORE_INTERVAL_S = 4.0
+INTERFERENCE_FIRST_STORE_S = 1.0
 
 
 class FleetLeader:
@@ -159,7 +161,7 @@
         faults = FaultAttribution(QUARANTINE_S, QUARANTINE_S)
         crashes = CrashAttribution(self._is_stored)
         self._interference = InterferenceModel()
-        self._interference_stored_s = clock.seconds()
+        self._interference_due_s = clock.seconds() + INTERFERENCE_FIRST_STORE_S
         self._tickets = TicketCache(advice, clock, self.plan_soon)
         self._usage = WorkspaceUsage(
             self.registry, lambda: self._desired_state.configuration
@@ -251,6 +253,8 @@
 
     def close(self) -> None:
         """Stop leading."""
+        if self.is_loaded and not self.is_closed:
+            self._store_interference()
         self.is_closed = True
         self._progress_listing.close()
         self._progress_writer.close()
@@ -533,7 +537,8 @@
         if self.registry.dirty:
             self._progress_writer.schedule_flush()
         self._move_throttled(self._clock.seconds())
-        self._store_interference(self._clock.seconds())
+        if self._clock.seconds() >= self._interference_due_s:
+            self._store_interference()
         self._retention.sweep()
         self._report_longest_wait(self._clock.seconds())
         self._start_speculative_copies(self._clock.seconds())
@@ -621,19 +626,16 @@
                 self.workers.runs.move(run)
 
     @inlineCallbacks
-    def _store_interference(self, now_s: float):
-        """Store the interference model at intervals.
+    def _store_interference(self):
+        """Store the interference model, unless another term has begun.
 
         A lost or late write costs a successor a few seconds of learning, so it is
         not retried.
         """
         models = self._interference.states()
-        if (
-            not models
-            or now_s - self._interference_stored_s < INTERFERENCE_STORE_INTERVAL_S
-        ):
+        if not models:
             return
-        self._interference_stored_s = now_s
+        self._interference_due_s = self._clock.seconds() + INTERFERENCE_STORE_INTERVAL_S
         put = Put(INTERFERENCE_KEY, encode(InterferenceRecord(models)))
         try:
             yield self._store.commit({TERM_KEY: self._term_revision}, (put,))
--- a/tests/test_changing_leaders.py
+++ b/tests/test_changing_leaders.py
@@ -2,8 +2,12 @@
 
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
-from dogwoodlever._fleet_types import Queue, TaskId
+import standins.fleet
+from dogwoodlever._fleet_leader import INTERFERENCE_STORE_INTERVAL_S
+from dogwoodlever._fleet_records import INTERFERENCE_KEY, decode_interference
+from dogwoodlever._fleet_types import Queue, RunningRun, TaskId
 from standins.fleet import server_record
 from tests import test_crash_attribution
 from tests.fleet_simulation import JOB, FleetSimulation, job
@@ -103,6 +107,30 @@
                 self.assertEqual(fleet.workers.duplicate_starts, [])
 
 
+class InterferenceTest(unittest.TestCase):
+    # Guards against a model that no leader stores, so that each one learns anew which
+    # work harms standing tasks.
+    def test_model_outlasts_leaders(self):
+        for term_s in TERMS_S:
+            with self.subTest(term_s=term_s):
+                fleet = FleetSimulation(workers=1, run_s=0.0)
+                fleet.run_for(1.0)
+                fields = {"standing": True, "latency_target_ms": 100, "image": "a"}
+                with patch.object(
+                    standins.fleet,
+                    "RunningRun",
+                    lambda run, checkpoint, percent, _load: RunningRun(
+                        run, checkpoint, percent, 50
+                    ),
+                ):
+                    fleet.submit(0, job(JOB, tasks=1, **fields), wait_s=0.0)
+                    stored_s = INTERFERENCE_STORE_INTERVAL_S + term_s
+                    run_with_changes(fleet, stored_s, term_s)
+                record = fleet.records.read(INTERFERENCE_KEY)
+                self.assertIsNotNone(record)
+                self.assertIn("a", decode_interference(record.value).models)
+
+
 class CrashesTest(unittest.TestCase):
     # Time from the start of a task to the crash of its worker.
     CRASH_DELAYS_S = (0.3, 2.0)
