Detect hanging runs after a change of leader

The speed limit of an adopted run counted as unknown until the leader ordered one, which it does for best-effort runs only. Other adopted runs never counted as stalled: a task that hung before a change of leader hung until its worker left.

The limit of adopted runs that are never throttled is now known to be full speed.

Evidence: test_adopted_run_that_hangs_is_started_again fails for a usual job before (no start in 4.7 s, and none in 20 s) and passes after.

--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -152,8 +152,16 @@
         task.last_run = max(task.last_run, run_id.number)
         if task.runs and not task.step.spec.speculative:
             return None
-        # Workers do not report the speed limit that a former leader ordered.
-        run = Run(run_id, worker_id, RunPhase.RUNNING, now_s, speed_limit_percent=-1)
+        # Workers do not report the speed limit that a former leader ordered. It orders
+        # limits for best-effort runs only.
+        speed_limit_percent = -1 if task.step.spec.uses_leftover else 100
+        run = Run(
+            run_id,
+            worker_id,
+            RunPhase.RUNNING,
+            now_s,
+            speed_limit_percent=speed_limit_percent,
+        )
         self._attach(task, run)
         task.checkpoint = checkpoint or task.checkpoint
         return run
--- a/tests/test_changing_leaders.py
+++ b/tests/test_changing_leaders.py
@@ -8,6 +8,8 @@
 from dogwoodlever._fleet_leader import INTERFERENCE_STORE_INTERVAL_S
 from dogwoodlever._fleet_records import INTERFERENCE_KEY, decode_interference
 from dogwoodlever._fleet_types import Queue, RunningRun, TaskId
+from dogwoodlever._run_throttler import STALL_S
+from dogwoodlever._worker_link import POLL_WAIT_MS
 from standins.fleet import server_record
 from tests import test_crash_attribution
 from tests.fleet_simulation import JOB, FleetSimulation, job
@@ -131,6 +133,29 @@
                 self.assertIn("a", decode_interference(record.value).models)
 
 
+class StalledRunsTest(unittest.TestCase):
+    # name, fields of the job
+    JOBS = [("usual", {}), ("best effort", {"uses_leftover": True})]
+
+    def count_restarts(self, fleet, wait_s, term_s, **fields):
+        """Return how many hanging tasks of a job were started again after a time."""
+        fleet.submit(0, job(JOB, tasks=2, **fields), wait_s=0.5)
+        starts = len(fleet.workers.starts)
+        change_leader(fleet)
+        run_with_changes(fleet, wait_s, term_s)
+        return len(fleet.workers.starts) - starts
+
+    # Guards against a task that hangs for good, since its run was adopted.
+    def test_adopted_run_that_hangs_is_started_again(self):
+        for name, fields in self.JOBS:
+            with self.subTest(name):
+                fleet = FleetSimulation(run_s=60.0)
+                fleet.run_for(1.0)
+                wait_s = STALL_S + POLL_WAIT_MS / 1000 + 1.0
+                restarts = self.count_restarts(fleet, wait_s, 100.0, **fields)
+                self.assertGreaterEqual(restarts, 2)
+
+
 class CrashesTest(unittest.TestCase):
     # Time from the start of a task to the crash of its worker.
     CRASH_DELAYS_S = (0.3, 2.0)
