Pass on quarantines and stalls to the next leader

Each leader counted anew for how long a run makes no progress and which workers fail what runs there. While leaders changed every 1 to 2 s a task that hung was never started elsewhere (2.2 s are needed), and a faulty worker got 34 to 70 runs in 40 s in place of 12.

A leader that stops stores what is left of the quarantines, and the runs without progress with their percentage and the time for which it has not changed, in one record that is conditional on the term's record. The leader of the next term, and no later one, counts on from it. The record has durations, since clocks differ, and the time between two leaders does not count. A leader that is killed leaves none; its successor counts anew, as before.

--- a/dogwoodlever/_fault_attribution.py
+++ b/dogwoodlever/_fault_attribution.py
@@ -55,6 +55,32 @@
         """Return the record of `worker`, created on first use."""
         return self._workers.setdefault(worker, WorkerFailures())
 
+    def states(self, now_s: float) -> dict[str, tuple[int, int]]:
+        """Return the workers in quarantine or probed after it, to be stored.
+
+        Returns
+        -------
+        dict of str to (int, int)
+            What is left of the quarantine, in milliseconds, and the number of
+            quarantines in a row, by worker.
+        """
+        return {
+            worker: (
+                max(0, int((record.quarantined_until_s - now_s) * 1000)),
+                record.quarantines,
+            )
+            for worker, record in self._workers.items()
+            if record.is_probing
+        }
+
+    def restore(self, states: dict[str, tuple[int, int]], now_s: float) -> None:
+        """Restore the states that a former leader stored."""
+        for worker, (left_ms, quarantines) in states.items():
+            record = self.worker(worker)
+            record.quarantined_until_s = now_s + left_ms / 1000
+            record.quarantines = quarantines
+            record.is_probing = True
+
     def record_success(self, worker: str, job: str) -> None:
         """Record that a task of `job` finished on `worker`."""
         record = self.worker(worker)
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -21,6 +21,7 @@
 from dogwoodlever._fleet_progress_writer import ProgressWriter
 from dogwoodlever._fleet_records import (
     CANCELS_PREFIX,
+    HANDOVER_KEY,
     INBOX_PREFIX,
     INTERFERENCE_KEY,
     JOBS_PREFIX,
@@ -38,6 +39,7 @@
 from dogwoodlever._fleet_watcher import PrefixWatcher
 from dogwoodlever._fleet_workers import FleetWorkers
 from dogwoodlever._interference_model import InterferenceModel
+from dogwoodlever._leader_handover import LeaderHandover
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
@@ -159,6 +161,7 @@
         self._term_revision = fencing_token
         self.registry = RunRegistry(term)
         faults = FaultAttribution(QUARANTINE_S, QUARANTINE_S)
+        self._handover = LeaderHandover(store, clock, faults)
         crashes = CrashAttribution(self._is_stored)
         self._interference = InterferenceModel()
         self._interference_due_s = clock.seconds() + INTERFERENCE_FIRST_STORE_S
@@ -201,6 +204,7 @@
             self._may_start,
             confirm_soon,
         )
+        self.workers.runs.set_stalled_source(self._handover.stalled_ms)
         self._progress_writer = ProgressWriter(
             store,
             clock,
@@ -255,6 +259,9 @@
         """Stop leading."""
         if self.is_loaded and not self.is_closed:
             self._store_interference()
+            self._handover.store(
+                self.term, self._term_revision, self.workers.runs.stallable_runs()
+            )
         self.is_closed = True
         self._progress_listing.close()
         self._progress_writer.close()
@@ -294,6 +301,7 @@
             progress = yield self._progress_listing.read()
             membership = yield self._store.read(WORKER_MEMBERSHIP_KEY)
             interference = yield self._store.read(INTERFERENCE_KEY)
+            handover = yield self._store.read(HANDOVER_KEY)
         except PlatformError as error:
             log_event("leader.load-failed", why=str(error)[:160])
             if not self.is_closed:
@@ -308,6 +316,7 @@
         self.workers.unpolled_workers = self._membership.load(membership)
         if interference is not None and interference.value is not None:
             self._restore_interference(interference.value)
+        self._handover.restore(handover, self.term)
         self._follow(INBOX_PREFIX, self._apply_inbox_record, self._on_inbox_listed)
 
     def _check_load(self) -> None:
--- a/dogwoodlever/_fleet_records.py
+++ b/dogwoodlever/_fleet_records.py
@@ -16,6 +16,7 @@
 PROGRESS_PREFIX = f"{PREFIX}progress/"
 WORKER_MEMBERSHIP_KEY = f"{PREFIX}roster"
 INTERFERENCE_KEY = f"{PREFIX}interference"
+HANDOVER_KEY = f"{PREFIX}handover"
 TERM_KEY = f"{PREFIX}term"
 # Bound to a lease, watched by every daemon.
 LEADER_KEY = f"{PREFIX}leader"
@@ -76,6 +77,32 @@
     models: dict[str, ModelState] = {}
 
 
+class StalledRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run without progress, and for how long."""
+
+    percent: int
+    for_ms: int
+
+
+class HandoverRecord(msgspec.Struct, frozen=True):
+    """What a leader that stopped passes on to that of the next term.
+
+    Attributes
+    ----------
+    term : int
+        Term of the leader that stopped.
+    quarantines : dict of str to (int, int)
+        What is left of the quarantine, in milliseconds, and the number of quarantines
+        in a row, by worker.
+    stalled_runs : dict of str to StalledRun
+        By run id.
+    """
+
+    term: int
+    quarantines: dict[str, tuple[int, int]] = {}
+    stalled_runs: dict[str, StalledRun] = {}
+
+
 def job_key(job_id: str) -> str:
     """Return the key of a submitted job."""
     return JOBS_PREFIX + job_id
@@ -133,3 +160,8 @@
 def decode_worker_membership(value: bytes) -> WorkerMembershipRecord:
     """Decode the worker membership."""
     return _decode(value, WorkerMembershipRecord)
+
+
+def decode_handover(value: bytes) -> HandoverRecord:
+    """Decode what a former leader has passed on."""
+    return _decode(value, HandoverRecord)
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -20,7 +20,7 @@
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_log import RunLog, format_run_id, format_task_id
 from dogwoodlever._run_registry import ENDED_DONE, ENDED_FAILED, RunRegistry
-from dogwoodlever._run_throttler import RunThrottler, stalled_runs
+from dogwoodlever._run_throttler import RunThrottler, may_stall, stalled_runs
 from dogwoodlever._start_records import RECENT_START_MS, StartRecords
 from dogwoodlever._worker_capacity import WorkerCapacity
 from dogwoodlever._worker_link import WorkerLink
@@ -88,6 +88,8 @@
         self._on_ticket_rejected = on_ticket_rejected
         self._log = RunLog(clock)
         self._dropped = DroppedRuns()
+        # Returns for how long an adopted run made no progress under the former leader.
+        self._get_stalled_ms: Callable[[RunId, int], int] = lambda *_: 0
 
     def close(self) -> None:
         """Log the events of runs that are not logged yet."""
@@ -129,6 +131,19 @@
             evidence_age_s=former.cause.age_s(self._clock.seconds()),
         )
 
+    def set_stalled_source(self, get_stalled_ms: Callable[[RunId, int], int]) -> None:
+        """Set how long an adopted run made no progress under the former leader."""
+        self._get_stalled_ms = get_stalled_ms
+
+    def stallable_runs(self) -> list[Run]:
+        """Return the runs that have to make progress."""
+        return [
+            run
+            for capacity in self._capacities.values()
+            for run, step in capacity.runs.values()
+            if may_stall(run, step)
+        ]
+
     def throttled_tasks(self, now_s: float) -> list[tuple]:
         """Return (task, capacity) of throttled runs that should move."""
         tasks = []
@@ -326,8 +341,9 @@
             self._crashes.add_run(run, task)
             link.evidence.expect_listed(run.run_id, now_s)
             run.percent = listed_run.percent
-            run.progressed_s = now_s
-            run.progressed_clock_ms = result.clock_ms
+            stalled_ms = self._get_stalled_ms(listed_run.run, listed_run.percent)
+            run.progressed_s = now_s - stalled_ms / 1000
+            run.progressed_clock_ms = result.clock_ms - stalled_ms
             self._restore_age(run, task, result)
             self._record_listed(run, task, result)
             log_event(
--- a/dogwoodlever/_run_throttler.py
+++ b/dogwoodlever/_run_throttler.py
@@ -207,6 +207,16 @@
             remaining = 0.0
 
 
+def may_stall(run: Run, step: Step) -> bool:
+    """Return whether a run has to make progress."""
+    return (
+        run.phase is RunPhase.RUNNING
+        and not step.standing
+        and not step.gang
+        and 0 <= run.percent < 100
+    )
+
+
 def stalled_runs(capacity: WorkerCapacity, now_s: float, clock_ms: int) -> list[Run]:
     """Return the runs that make no progress although their speed limit allows it.
 
@@ -225,10 +235,7 @@
     return [
         run
         for run, step in capacity.runs.values()
-        if run.phase is RunPhase.RUNNING
-        and not step.standing
-        and not step.gang
-        and 0 <= run.percent < 100
+        if may_stall(run, step)
         and run.speed_limit_percent >= STALL_SPEED_LIMIT_PERCENT
         and now_s - max(run.progressed_s, run.throttled_s) >= STALL_S
         and clock_ms - run.progressed_clock_ms >= stall_ms
--- a/tests/test_changing_leaders.py
+++ b/tests/test_changing_leaders.py
@@ -5,17 +5,26 @@
 from unittest.mock import patch
 
 import standins.fleet
-from dogwoodlever._fleet_leader import INTERFERENCE_STORE_INTERVAL_S
-from dogwoodlever._fleet_records import INTERFERENCE_KEY, decode_interference
+from dogwoodlever._fault_attribution import FAILURES_TO_QUARANTINE
+from dogwoodlever._fleet_leader import INTERFERENCE_STORE_INTERVAL_S, QUARANTINE_S
+from dogwoodlever._fleet_records import (
+    HANDOVER_KEY,
+    INTERFERENCE_KEY,
+    HandoverRecord,
+    decode_interference,
+    encode,
+)
 from dogwoodlever._fleet_types import Queue, RunningRun, TaskId
 from dogwoodlever._run_throttler import STALL_S
 from dogwoodlever._worker_link import POLL_WAIT_MS
 from standins.fleet import server_record
 from tests import test_crash_attribution
-from tests.fleet_simulation import JOB, FleetSimulation, job
+from tests.fleet_simulation import JOB, STEP_S, FleetSimulation, job
 
 # Time within which a draining worker has to be noticed.
 DRAIN_S = 2.0
+# Time after a disturbance by which all capacity has to be in use.
+IN_USE_S = 7.0
 # How long each leader leads.
 TERMS_S = (1.0, 2.0, 4.0)
 OTHER_JOB = "b" * 16
@@ -155,6 +164,70 @@
                 restarts = self.count_restarts(fleet, wait_s, 100.0, **fields)
                 self.assertGreaterEqual(restarts, 2)
 
+    # Guards against a task that hangs as long as leaders change, since each of them
+    # counts its stall anew.
+    def test_stall_is_counted_across_leaders(self):
+        for term_s in TERMS_S:
+            with self.subTest(term_s=term_s):
+                fleet = FleetSimulation(run_s=60.0)
+                fleet.run_for(1.0)
+                restarts = self.count_restarts(fleet, IN_USE_S, term_s)
+                self.assertGreaterEqual(restarts, 2)
+
+
+class QuarantineTest(unittest.TestCase):
+    LOAD_S = 40.0
+    CORES = 8
+
+    # Guards against a faulty worker to which each leader sends work anew.
+    def test_faulty_worker_gets_one_run_at_a_time(self):
+        for term_s in TERMS_S:
+            with self.subTest(term_s=term_s):
+                fleet = FleetSimulation(workers=4, run_s=0.6)
+                fleet.run_for(1.0)
+                faulty = fleet.workers.workers["w0"]
+                faulty.fails, faulty.run_s = True, 0.2
+                number, changed_s = 0, fleet.clock.seconds()
+                while number < self.LOAD_S / 0.25:
+                    number += 1
+                    fleet.nodes[-1].frontend.submit(
+                        job(f"{number:016x}", tasks=3), fleet.clock.seconds() + 3.0
+                    )
+                    fleet.run_for(0.25)
+                    if fleet.clock.seconds() >= changed_s + term_s - STEP_S:
+                        change_leader(fleet)
+                        changed_s = fleet.clock.seconds()
+                starts = sum(worker_id == "w0" for _, worker_id in fleet.workers.starts)
+                probes = self.LOAD_S / QUARANTINE_S
+                self.assertLessEqual(
+                    starts, FAILURES_TO_QUARANTINE + self.CORES + probes
+                )
+                fleet.run_for(5.0)
+                leader = fleet.nodes[fleet.leader()].leader
+                phases = {leader.job_phase(name) for name in leader.registry.jobs}
+                self.assertEqual(phases, {"completed"})
+
+    # name, record, whether it is used
+    RECORDS = [
+        ("of the former leader", encode(HandoverRecord(1, {"w0": (4000, 1)})), True),
+        ("of an earlier leader", encode(HandoverRecord(0, {"w0": (4000, 1)})), False),
+        ("unreadable", b"\xc1", False),
+    ]
+
+    # Guards against a record that keeps a leader from loading, and against a quarantine
+    # that begins anew with each leader that was killed.
+    def test_only_the_record_of_the_former_leader_is_used(self):
+        for name, record, is_used in self.RECORDS:
+            with self.subTest(name):
+                fleet = FleetSimulation()
+                fleet.run_for(1.0)
+                fleet.kill(fleet.leader())
+                fleet.records.write(HANDOVER_KEY, record)
+                fleet.run_for(3.0)
+                leader = fleet.nodes[fleet.leader()].leader
+                limit = leader._planner._faults.task_limit("w0", fleet.clock.seconds())
+                self.assertEqual(limit is not None, is_used)
+
 
 class CrashesTest(unittest.TestCase):
     # Time from the start of a task to the crash of its worker.
