--- a/tests/test_changing_leaders.py
+++ b/tests/test_changing_leaders.py
@@ -4,21 +4,26 @@
 from dataclasses import replace
 from unittest.mock import patch
 
+import msgspec
+
 import standins.fleet
 from dogwoodlever._fault_attribution import FAILURES_TO_QUARANTINE
 from dogwoodlever._fleet_leader import INTERFERENCE_STORE_INTERVAL_S, QUARANTINE_S
+from dogwoodlever._fleet_planner import STARTS_PER_OVERDUE
 from dogwoodlever._fleet_records import (
     HANDOVER_KEY,
     INTERFERENCE_KEY,
+    WORKER_MEMBERSHIP_KEY,
     HandoverRecord,
     decode_interference,
     encode,
 )
 from dogwoodlever._fleet_types import Queue, RunningRun, TaskId
 from dogwoodlever._run_throttler import STALL_S
+from dogwoodlever._waiting_steps import OVERDUE_WAIT_S
 from dogwoodlever._worker_link import POLL_WAIT_MS
 from standins.fleet import server_record
-from tests import test_crash_attribution
+from tests import test_crash_attribution, test_ticket_cache
 from tests.fleet_simulation import JOB, STEP_S, FleetSimulation, job
 
 # Time within which a draining worker has to be noticed.
@@ -229,6 +234,94 @@
                 self.assertEqual(limit is not None, is_used)
 
 
+class UnknownWorkersTest(unittest.TestCase):
+    # name, whether the worker that is not reached keeps its entry
+    WORKERS = [("without an entry", False), ("with its entry", True)]
+
+    # Guards against tasks that run twice, since the membership is written without the
+    # workers that the leader which could not read it still waits for.
+    def test_successor_waits_for_workers_of_an_unreadable_membership(self):
+        for term_s in TERMS_S:
+            for name, is_listed in self.WORKERS:
+                with self.subTest(name, term_s=term_s):
+                    fleet = FleetSimulation(daemons=5, workers=4, run_s=0.0)
+                    fleet.run_for(1.0)
+                    fields = {"standing": True, "worker_tasks_max": 2}
+                    fleet.submit(0, job(JOB, tasks=4, **fields), wait_s=1.0)
+                    worker_id = fleet.workers.starts[0][1]
+                    fleet.records.write(WORKER_MEMBERSHIP_KEY, b"\xc1")
+                    fleet.workers.workers[worker_id].is_reachable = False
+                    if not is_listed:
+                        fleet.records.remove(f"servers/{worker_id}")
+                    change_leader(fleet)
+                    run_with_changes(fleet, 8.0, term_s)
+                    self.assertEqual(fleet.workers.duplicate_starts, [])
+
+
+class OverdueTest(unittest.TestCase):
+    # Guards against a late job that waits as long as leaders change, since each of them
+    # counts the starts before an overdue one anew.
+    def test_late_job_starts(self):
+        for term_s in TERMS_S:
+            with self.subTest(term_s=term_s):
+                fleet = FleetSimulation(workers=1)
+                fleet.run_for(1.0)
+
+                def submit(job_id, tasks, fleet=fleet):
+                    now_s = fleet.clock.seconds()
+                    submitted = msgspec.structs.replace(
+                        job(job_id, tasks=tasks), submitted_ms=int(now_s * 1000)
+                    )
+                    fleet.nodes[-1].frontend.submit(submitted, now_s + 3.0)
+
+                # Eight tasks start a second, and twelve arrive.
+                submit(f"{0:016x}", 8)
+                submit(OTHER_JOB, 40)
+                number, changed_s = 0, fleet.clock.seconds()
+                limit_s = changed_s + OVERDUE_WAIT_S + STARTS_PER_OVERDUE / 8 + 2.0
+                while fleet.clock.seconds() < limit_s:
+                    number += 1
+                    submit(f"{number:016x}", 3)
+                    fleet.run_for(0.25)
+                    if fleet.clock.seconds() >= changed_s + term_s - STEP_S:
+                        change_leader(fleet)
+                        changed_s = fleet.clock.seconds()
+                started = {run.task.job_id for run, _ in fleet.workers.starts}
+                self.assertIn(OTHER_JOB, started)
+
+
+class TicketsTest(unittest.TestCase):
+    # Term, time in which the service decides, and for each worker.
+    CALLS = [(1.0, 60, 2), (2.0, 900, 20), (4.0, 900, 20)]
+    # Calls that take longer than a leader leads.
+    LONG_CALLS = [(1.0, 900, 20)]
+
+    # Guards against steps that never start, since each leader asks for tickets anew.
+    def test_steps_with_advice_start(self):
+        self.check_starts(self.CALLS)
+
+    # Guards against tickets that no leader lasts to receive.
+    def test_steps_with_long_calls_start(self):
+        self.check_starts(self.LONG_CALLS)
+
+    def check_starts(self, calls):
+        for term_s, decision_ms, worker_ms in calls:
+            with self.subTest(term_s=term_s, decision_ms=decision_ms):
+                case = test_ticket_cache.TicketCacheTest()
+                fleet, advice = case.start_fleet(decision_ms, worker_ms, 2500)
+
+                def run_for(fleet, duration_s, advice=advice):
+                    fleet.nodes[-1]._advice = advice
+                    fleet.run_for(duration_s)
+
+                fleet.submit(0, job(JOB, tasks=4), wait_s=0.0)
+                call_s = (decision_ms + 30 * worker_ms) / 1000
+                # A call that a change of leader has cut off, the next one, and the run.
+                run_with_changes(fleet, 2 * call_s + 2 * term_s, term_s, run_for)
+                fleet.run_for(0.5)
+                self.assertEqual(fleet.read_phase(fleet.leader(), JOB), "completed")
+
+
 class CrashesTest(unittest.TestCase):
     # Time from the start of a task to the crash of its worker.
     CRASH_DELAYS_S = (0.3, 2.0)
