--- a/dogwoodlever/_crash_attribution.py
+++ b/dogwoodlever/_crash_attribution.py
@@ -34,7 +34,8 @@
 
 A crash is hidden if the leader is lost before it has stored it, unless the start of
 the run was stored (`StartRecords`). With one hidden crash, a task starts at most five
-times, even if many workers ended at the moment of each other crash.
+times, even if many workers ended at the moment of each other crash, or if no leader
+lasts until its decision.
 """
 
 import math
@@ -42,6 +43,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+import msgspec
+
 from dogwoodlever._fleet_job import LostRun, Run, RunPhase, Task
 from dogwoodlever._fleet_types import RunId, TaskId
 
@@ -120,6 +123,8 @@
         Number of workers at the time of the crash.
     is_by_lost_runs : bool
         Whether the lost runs in a row are the evidence, not the only suspect's crashes.
+    is_final : bool
+        Whether the task is given up whatever else ended.
     """
 
     task: Task
@@ -127,6 +132,7 @@
     detected_s: float
     workers: int
     is_by_lost_runs: bool = False
+    is_final: bool = False
 
 
 class CrashAttribution:
@@ -169,6 +175,17 @@
             owner.task_id.job_id
         )
 
+    def add_inherited(self, task: Task, now_s: float) -> None:
+        """Decide on a task of a former leader, whose decision may not have been due.
+
+        A task with as many crashes in a row as are allowed is given up whatever else
+        ended. Those that no leader has observed may count as late ones.
+        """
+        if len(task.crashes.keys() | task.late_crashes) >= CRASHES_MAX:
+            self._pending[task.task_id] = PendingDecision(
+                task, now_s, now_s - DECISION_DELAY_S, workers=0, is_final=True
+            )
+
     def is_reserved(self, worker_id: str) -> bool:
         """Return whether a suspect is on probation on a worker."""
         return worker_id in self._on_probation
@@ -208,6 +225,7 @@
             return False
         if run.seen_clock_ms < 0:
             run.seen_clock_ms = clock_ms
+        self._record_seen(run, task)
         age_ms = clock_ms - run.seen_clock_ms
         if is_recorded and age_ms >= LATE_PROBATION_MS:
             task.is_inherited = False
@@ -227,6 +245,19 @@
         self.remove_run(run)
         return task is not None and self._clear_crashes(task)
 
+    def _record_seen(self, run: Run, task: Task | None) -> None:
+        """Store when a run of a recorded start was seen, so that its age is known."""
+        record = None if task is None else task.start_record
+        if (
+            record is not None
+            and record.number == run.run_id.number
+            and record.seen_clock_ms < 0
+        ):
+            task.start_record = msgspec.structs.replace(
+                record, seen_clock_ms=run.seen_clock_ms
+            )
+            self._changed_jobs.add(task.task_id.job_id)
+
     def clear(self, task: Task) -> bool:
         """Drop the evidence against a task; return whether it was a suspect."""
         task.is_inherited = False
@@ -370,8 +401,8 @@
                 if self._is_crashing(decision.task, decision.workers, now_s):
                     given_up.append(decision.task)
                 continue
-            is_final = len(decision.task.crashes) >= CRASHES_MAX
-            if is_final or not self._has_common_cause(decision):
+            has_most = len(decision.task.crashes) >= CRASHES_MAX
+            if decision.is_final or has_most or not self._has_common_cause(decision):
                 given_up.append(decision.task)
         return given_up
 
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -21,6 +21,7 @@
 from dogwoodlever._fleet_progress_writer import ProgressWriter
 from dogwoodlever._fleet_records import (
     CANCELS_PREFIX,
+    HANDOVER_KEY,
     INBOX_PREFIX,
     INTERFERENCE_KEY,
     JOBS_PREFIX,
@@ -39,6 +40,7 @@
 from dogwoodlever._fleet_watcher import PrefixWatcher
 from dogwoodlever._fleet_workers import FleetWorkers
 from dogwoodlever._interference_model import InterferenceModel
+from dogwoodlever._leader_handover import LeaderHandover
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
@@ -84,8 +86,10 @@
 QUARANTINE_S = 4.0
 # Phases in which a job ends by the ends of its tasks.
 TASKS_ENDED_PHASES = frozenset({JobPhase.COMPLETED, JobPhase.FAILED})
-# A successor resumes from interference estimates that are at most this old.
+# A successor resumes from interference estimates that are at most this old. A leader
+# stores them earlier for the first time, and when it stops, as it may not last as long.
 INTERFERENCE_STORE_INTERVAL_S = 4.0
+INTERFERENCE_FIRST_STORE_S = 1.0
 
 
 class FleetLeader:
@@ -166,9 +170,10 @@
         self._term_revision = fencing_token
         self.registry = RunRegistry(term)
         faults = FaultAttribution(QUARANTINE_S, QUARANTINE_S)
+        self._handover = LeaderHandover(store, clock, faults)
         crashes = CrashAttribution(self._is_stored)
         self._interference = InterferenceModel()
-        self._interference_stored_s = clock.seconds()
+        self._interference_due_s = clock.seconds() + INTERFERENCE_FIRST_STORE_S
         self._tickets = TicketCache(advice, clock, self.plan_soon)
         self._usage = WorkspaceUsage(
             self.registry, lambda: self._desired_state.configuration
@@ -218,6 +223,7 @@
             self._may_start,
             confirm_soon,
         )
+        self.workers.runs.set_stalled_source(self._handover.stalled_ms)
         self._progress_writer = ProgressWriter(
             store,
             clock,
@@ -270,6 +276,11 @@
 
     def close(self) -> None:
         """Stop leading."""
+        if self.is_loaded and not self.is_closed:
+            self._store_interference()
+            self._handover.store(
+                self.term, self._term_revision, self.workers.runs.stallable_runs()
+            )
         self.is_closed = True
         self._progress_listing.close()
         self._progress_writer.close()
@@ -311,6 +322,7 @@
             membership = yield self._store.read(WORKER_MEMBERSHIP_KEY)
             unreachable = yield self._store.read(UNREACHABLE_WORKERS_KEY)
             interference = yield self._store.read(INTERFERENCE_KEY)
+            handover = yield self._store.read(HANDOVER_KEY)
         except PlatformError as error:
             log_event("leader.load-failed", why=str(error)[:160])
             if not self.is_closed:
@@ -326,6 +338,7 @@
         self._unreachable.load(unreachable, self._unreachable_since_term)
         if interference is not None and interference.value is not None:
             self._restore_interference(interference.value)
+        self._handover.restore(handover, self.term)
         self._follow(INBOX_PREFIX, self._apply_inbox_record, self._on_inbox_listed)
 
     def _check_load(self) -> None:
@@ -451,7 +464,7 @@
             self._progress_writer.schedule_flush()
         state.open_due(now_ms)
         if is_inherited:
-            self.workers.runs.start_records.add_job(state)
+            self.workers.runs.add_inherited_job(state)
         if job.job_id in self._cancelled:
             self._cancel(state)
         self.plan_soon()
@@ -558,7 +571,8 @@
         if self.registry.dirty:
             self._progress_writer.schedule_flush()
         self._move_throttled(self._clock.seconds())
-        self._store_interference(self._clock.seconds())
+        if self._clock.seconds() >= self._interference_due_s:
+            self._store_interference()
         self._retention.sweep()
         self._report_longest_wait(self._clock.seconds())
         self._start_speculative_copies(self._clock.seconds())
@@ -646,19 +660,16 @@
                 self.workers.runs.move(run)
 
     @inlineCallbacks
-    def _store_interference(self, now_s: float):
-        """Store the interference model at intervals.
+    def _store_interference(self):
+        """Store the interference model, unless another term has begun.
 
         A lost or late write costs a successor a few seconds of learning, so it is
         not retried.
         """
         models = self._interference.states()
-        if (
-            not models
-            or now_s - self._interference_stored_s < INTERFERENCE_STORE_INTERVAL_S
-        ):
+        if not models:
             return
-        self._interference_stored_s = now_s
+        self._interference_due_s = self._clock.seconds() + INTERFERENCE_STORE_INTERVAL_S
         put = Put(INTERFERENCE_KEY, encode(InterferenceRecord(models)))
         try:
             yield self._store.commit({TERM_KEY: self._term_revision}, (put,))
