Answer every request before a stopping daemon ends

Cause: at its limit, `FleetNode.stop` ended the process whatever was open. The waits of a request know only the caller's deadline: a read waits up to 0.8 s for a leader and then for the store, a write up to 0.8 s for each response of the store. What arrived later than the limit less that wait was cut. The connection does not matter: new ones, kept ones and pipelined requests are cut alike.

Change: two checks of 0.05 s before the end, the frontend ends all waits of its open calls. Each call then returns what is known of it: a read 503, a submission or cancellation 503 if it has sent no write, which it then never does, and 504 if a write has been sent. A later call that needs the store or another daemon fails at once. The process still ends at 0.8 of the grace period. A grace period shorter than the balancer's detection time is kept too.

--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -1,13 +1,15 @@
 """Operations for callers of a daemon: submit, read, cancel and count jobs."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
 
 import msgspec
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
 
+from dogwoodlever._closable_waits import ClosableWaits, WaitClosedError
 from dogwoodlever._fleet_interfaces import Put
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_observed_store import ObservedStore
@@ -38,6 +40,7 @@
     PlatformError,
     StoredRecordError,
     StoreRefusedError,
+    StoreUnavailableError,
 )
 
 CALL_RETRY_S = 0.05
@@ -150,6 +153,48 @@
         self._own_member = own_member
         self._handlers = handlers
         self._keys = keys
+        self._waits = ClosableWaits()
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether calls that have to wait fail."""
+        return self._waits.is_closed
+
+    def close(self) -> None:
+        """End the open calls with what is known of them, since the process stops.
+
+        A call that has not begun to write never will. Later calls that need the store
+        or another daemon fail at once.
+        """
+        self._waits.close()
+
+    @inlineCallbacks
+    def _call_store(self, function: Callable[..., Deferred], *arguments):
+        """Call the store; fail when this frontend is closed."""
+        if self.is_closed:
+            raise StoreRefusedError("not called, the process stops")
+        try:
+            result = yield self._waits.wait_for(function(*arguments))
+        except WaitClosedError as error:
+            raise StoreUnavailableError("no response before the stop") from error
+        return result
+
+    @inlineCallbacks
+    def _call_peer(self, function: Callable[..., Deferred], *arguments):
+        """Call another daemon; the result is None when this frontend is closed."""
+        if self.is_closed:
+            return None
+        try:
+            reply = yield self._waits.wait_for(function(*arguments))
+        except WaitClosedError:
+            return None
+        return reply
+
+    @inlineCallbacks
+    def _sleep(self, delay_s: float):
+        """Wait, at most until this frontend is closed."""
+        with suppress(WaitClosedError):
+            yield self._waits.wait_for(deferLater(self._clock, delay_s))
 
     @inlineCallbacks
     def submit(self, job: SubmittedJob, deadline_s: float, check: KeyCheck = UNCHECKED):
@@ -216,12 +261,12 @@
             return CallOutcome.NOT_DONE
         while True:
             try:
-                record = yield self._store.read(job_key(job_id))
+                record = yield self._call_store(self._store.read, job_key(job_id))
             except PlatformError as error:
                 if self._must_stop_retrying(deadline_s):
                     log_event("job.read-failed", job=job_id, why=str(error)[:160])
                     return CallOutcome.NOT_DONE
-                yield deferLater(self._clock, STORE_RETRY_S)
+                yield self._sleep(STORE_RETRY_S)
                 continue
             if record is None:
                 return CallOutcome.ABSENT
@@ -257,7 +302,7 @@
                 if outcome is CallOutcome.NOT_DONE and not is_certain:
                     outcome = CallOutcome.UNKNOWN
                 return self._build_result(outcome)
-            yield deferLater(self._clock, STORE_RETRY_S)
+            yield self._sleep(STORE_RETRY_S)
 
     @inlineCallbacks
     def _commit(self, put: Put, check: KeyCheck):
@@ -275,7 +320,7 @@
         """
         for _ in range(CONDITIONAL_WRITES_MAX):
             expected = {put.key: 0, **check.expected}
-            result = yield self._store.commit(expected, (put,))
+            result = yield self._call_store(self._store.commit, expected, (put,))
             if result.revision or check.workspace is None:
                 return CallOutcome.DONE
             current = {record.key: record for record in result.current}
@@ -287,7 +332,7 @@
                 again = self._keys.check_again(current.get(key), check)
             if again is None:
                 # The watch shows the newer configuration soon.
-                yield deferLater(self._clock, STORE_RETRY_S)
+                yield self._sleep(STORE_RETRY_S)
                 continue
             if again.outcome is KeyOutcome.UNKNOWN:
                 return CallOutcome.KEY_REFUSED
@@ -317,11 +362,13 @@
             return CallOutcome.NOT_DONE
         # A read-only call first, since the outcome of a write is unknown if the
         # leader does not reply.
-        status = yield self._rpc.call(leader, PENDING_METHOD, "")
+        status = yield self._call_peer(self._rpc.call, leader, PENDING_METHOD, "")
         if status is None or not status.can_write:
             return CallOutcome.NOT_DONE
         sent_check = None if check.workspace is None else check
-        reply = yield self._rpc.create(leader, put.key, put.value, sent_check)
+        reply = yield self._call_peer(
+            self._rpc.create, leader, put.key, put.value, sent_check
+        )
         if reply is None:
             return CallOutcome.UNKNOWN
         log_event("write.relayed", key=put.key, leader=leader, outcome=reply.outcome)
@@ -359,7 +406,9 @@
     def _must_stop_retrying(self, deadline_s: float) -> bool:
         """Return whether another attempt to reach the store is useless."""
         return (
-            self._is_deadline_near(deadline_s) or self._store.down_for_s() is not None
+            self.is_closed
+            or self._is_deadline_near(deadline_s)
+            or self._store.down_for_s() is not None
         )
 
     def _is_deadline_near(self, deadline_s: float) -> bool:
@@ -386,11 +435,11 @@
                 if self._must_stop_retrying(deadline_s):
                     log_event("job.read-failed", job=job_id, why=str(error)[:160])
                     return self._build_result(CallOutcome.NOT_DONE)
-            yield deferLater(self._clock, STORE_RETRY_S)
+            yield self._sleep(STORE_RETRY_S)
 
     @inlineCallbacks
     def _read_stored(self, job_id: str, check: KeyCheck):
-        record = yield self._store.read(job_key(job_id))
+        record = yield self._call_store(self._store.read, job_key(job_id))
         if record is None:
             return CallResult(CallOutcome.ABSENT)
         try:
@@ -404,7 +453,7 @@
                 return CallResult(CallOutcome.ABSENT)
             if submitted.ended_phase:
                 return CallResult(CallOutcome.DONE, JobPhase(submitted.ended_phase))
-        progress = yield self._store.read(progress_key(job_id))
+        progress = yield self._call_store(self._store.read, progress_key(job_id))
         if progress is not None and progress.value is not None:
             phase = JobPhase(decode_progress(progress.value).phase)
             return CallResult(CallOutcome.DONE, phase)
@@ -432,9 +481,9 @@
             if leader == self._own_member:
                 reply = self._handlers[method](argument)
             elif leader:
-                reply = yield self._rpc.call(leader, method, argument)
+                reply = yield self._call_peer(self._rpc.call, leader, method, argument)
             if reply is not None and reply.leads:
                 return reply
-            if self._clock.seconds() >= limit_s:
+            if self.is_closed or self._clock.seconds() >= limit_s:
                 return None
-            yield deferLater(self._clock, CALL_RETRY_S)
+            yield self._sleep(CALL_RETRY_S)
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -40,9 +40,12 @@
 
 # The load balancer polls readiness every second and drops a VM after two failures.
 BALANCER_DETECTION_S = 2.6
-# Fraction of the grace period in which open requests may still complete.
+# Fraction of the grace period after which a stopping process ends.
 GRACE_FRACTION = 0.8
 STOP_POLL_S = 0.05
+# Checks before the end in which no request waits any more: the last responses are sent,
+# and what arrives meanwhile is refused.
+CLOSING_CHECKS = 2
 # Time without requests after which a stopping process ends. A request that was sent
 # over an open connection shortly before would be read and not answered.
 QUIET_S = 0.25
@@ -174,27 +177,42 @@
 
     @inlineCallbacks
     def stop(self):
-        """Resign, wait for open requests to complete, and stop."""
+        """Resign, answer the requests that arrive in the grace period, and stop."""
         if self._is_stopping:
             return
         self._is_stopping = True
         started_s = self._clock.seconds()
         log_event("daemon.stop", vm=self.settings.vm, leads=self.leader is not None)
         self.callers.closes_connections = True
-        limit_s = started_s + self.settings.grace_s * GRACE_FRACTION
+        serving_s = self.settings.grace_s * GRACE_FRACTION
+        serving_s = max(0.0, serving_s - CLOSING_CHECKS * STOP_POLL_S)
+        limit_s = started_s + serving_s
+        closing = self._clock.callLater(serving_s, self._end_open_requests)
         handing_over = self._hand_over(limit_s)
-        yield deferLater(self._clock, BALANCER_DETECTION_S)
+        yield deferLater(self._clock, min(BALANCER_DETECTION_S, serving_s))
         yield handing_over
         # What has arrived meanwhile is read between two checks.
         quiet_checks = 0
         while quiet_checks < 2 and self._clock.seconds() < limit_s:
             yield deferLater(self._clock, STOP_POLL_S)
             quiet_checks = quiet_checks + 1 if self._is_quiet() else 0
+        if closing.active():
+            closing.cancel()
+        if quiet_checks < 2:
+            self._end_open_requests()
+            for _ in range(CLOSING_CHECKS):
+                yield deferLater(self._clock, STOP_POLL_S)
         for watcher in self._watchers:
             watcher.close()
         self._loop_monitor.close()
         self.on_stopped()
 
+    def _end_open_requests(self) -> None:
+        """Answer the open requests with what is known of them."""
+        if not self.frontend.is_closed:
+            log_event("daemon.closing", open_requests=self.callers.open_requests)
+            self.frontend.close()
+
     def _is_quiet(self) -> bool:
         """Return whether no request is open, and none was a short while ago."""
         idle_s = self._clock.seconds() - self.callers.last_request_s
