End the lease that a stopping daemon wins by an earlier campaign

Cause: `Election.close` cancels the timer of the next campaign, but a campaign that waits for a response or for its candidate delay goes on.

Change: a node that is elected after it has resigned ends the lease at once and opens no leader.

Evidence: test_a_campaign_that_ends_after_the_stop_leaves_no_leader failed before in 28 of 58 subtests and passes now.

--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -158,6 +158,7 @@
         )
         self._watchers = [self._operators_watcher, self._leader_watcher]
         self._is_stopping = False
+        self._has_resigned = False
         self.on_stopped: Callable[[], None] = lambda: None
 
     def open(self) -> None:
@@ -230,6 +231,7 @@
         if self.leader is not None:
             self.leader.close()
             self.leader = None
+        self._has_resigned = True
         yield self.election.resign()
 
     # Leadership
@@ -251,6 +253,10 @@
         return "" if leader is None else leader.member
 
     def _on_elected(self, term: int, fencing_token: int, is_continued: bool) -> None:
+        if self._has_resigned:
+            # The campaign had begun before.
+            self.election.resign()
+            return
         if is_continued and self.leader is not None:
             self.leader.continue_term(term, fencing_token)
             return
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,13 +1,18 @@
 """A daemon that stops answers what callers send over open connections."""
 
+import itertools
 import unittest
 
 from twisted.internet.testing import StringTransport
 
 from dogwoodlever._bounded_site import BoundedSite
 from dogwoodlever._fleet_node import BALANCER_DETECTION_S, GRACE_FRACTION
-from dogwoodlever._fleet_records import cancel_key, encode, job_key
-from tests.fleet_simulation import JOB, FleetSimulation, job
+from dogwoodlever._fleet_records import (
+    cancel_key,
+    encode,
+    job_key,
+)
+from tests.fleet_simulation import JOB, STEP_S, FleetSimulation, job
 from tests.test_workspace_keys import BODY, HOST, call
 
 GRACE_S = 6.0
@@ -185,5 +190,20 @@
                 self.assertIn(b"connection: close", last.lower())
 
 
+class HandOverTest(unittest.TestCase):
+    """Leadership while daemons stop."""
+
+    # Guards against a daemon that is elected by a campaign from before its stop, and
+    # whose lease keeps others from leading.
+    def test_a_campaign_that_ends_after_the_stop_leaves_no_leader(self):
+        for steps, stopping in itertools.product(range(1, 30), range(2)):
+            with self.subTest(delay_s=steps * STEP_S, stopping=stopping):
+                fleet = FleetSimulation(daemons=2)
+                fleet.run_for(steps * STEP_S)
+                fleet.nodes[stopping].stop()
+                fleet.run_for(1.0)
+                self.assertEqual(fleet.leader(), 1 - stopping)
+
+
 if __name__ == "__main__":
     unittest.main()
