Lead on during a stop until another daemon can lead

Cause: a leader resigned without knowing whether anybody could follow.

A daemon that starts calls the leader, which asks it in turn. Daemons of earlier builds do not tell, and count as able to lead.

Evidence: test_a_leader_leads_on_until_another_daemon_can failed before (handed over after 0.0 s with all daemons stopping) and passes now.

--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -159,6 +159,8 @@
         self._watchers = [self._operators_watcher, self._leader_watcher]
         self._is_stopping = False
         self._has_resigned = False
+        # Whether another daemon has replied that it can lead, since the last check.
+        self._is_successor_known = False
         self.on_stopped: Callable[[], None] = lambda: None
 
     def open(self) -> None:
@@ -221,12 +223,14 @@
 
     @inlineCallbacks
     def _hand_over(self, limit_s: float):
-        """Resign; during an outage of the store, lead on, since nobody can follow."""
-        while (
-            self.leader is not None
-            and self._store.down_for_s() is not None
-            and self._clock.seconds() < limit_s
-        ):
+        """Resign once another daemon can lead, at `limit_s` at the latest."""
+        while self.leader is not None and self._clock.seconds() < limit_s:
+            is_store_up = self._store.down_for_s() is None
+            if is_store_up and self._is_successor_known:
+                break
+            self._is_successor_known = False
+            if is_store_up:
+                self._look_for_successor()
             yield deferLater(self._clock, STOP_POLL_S)
         if self.leader is not None:
             self.leader.close()
@@ -234,6 +238,24 @@
         self._has_resigned = True
         yield self.election.resign()
 
+    def _look_for_successor(self) -> None:
+        """Ask the known daemons whether they can lead."""
+
+        def check(reply: LeaderReply | None) -> None:
+            if reply is not None and reply.can_lead:
+                self._is_successor_known = True
+
+        for member in self.rpc.peers():
+            self.rpc.call(member, PENDING_METHOD, "").addCallback(check)
+
+    def _can_lead(self) -> bool:
+        """Return whether this daemon can succeed a leader that stops."""
+        return (
+            not self._is_stopping
+            and self.election.is_record_loaded
+            and self._store.down_for_s() is None
+        )
+
     # Leadership
 
     def _apply_leader_record(self, record: Record) -> None:
@@ -364,8 +386,11 @@
 
     def _handle_pending(self, queue: str) -> LeaderReply:
         leader = self._get_loaded_leader()
+        can_lead = self._can_lead()
         if leader is None:
-            return LeaderReply(False)
+            return LeaderReply(False, can_lead=can_lead)
         can_write = self._store.down_for_s() is None
         pending = leader.registry.pending(queue)
-        return LeaderReply(True, pending=pending, can_write=can_write)
+        return LeaderReply(
+            True, pending=pending, can_write=can_write, can_lead=can_lead
+        )
--- a/dogwoodlever/_fleet_rpc.py
+++ b/dogwoodlever/_fleet_rpc.py
@@ -63,6 +63,8 @@
         Whether the daemon can reach the store.
     workspace : str or None
         Workspace of the job, empty for none; None if the daemon does not tell.
+    can_lead : bool
+        Whether the daemon can succeed a leader that stops.
     """
 
     leads: bool
@@ -70,6 +72,7 @@
     pending: int = 0
     can_write: bool = False
     workspace: str | None = None
+    can_lead: bool = True
 
 
 def format_member_id(vm: str, host: str, port: int, incarnation: str) -> str:
@@ -141,6 +144,10 @@
         for member in self._addresses:
             self._rpc.call(member, UNSTORED_METHOD, body, CALL_TIMEOUT_S)
 
+    def peers(self) -> tuple[str, ...]:
+        """Return the daemons that have called this one or that it has called."""
+        return tuple(self._addresses)
+
     def register_create(
         self, create: Callable[[str, bytes, KeyCheck | None], Deferred]
     ) -> None:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -12,6 +12,7 @@
     encode,
     job_key,
 )
+from dogwoodlever._fleet_rpc import PENDING_METHOD
 from tests.fleet_simulation import JOB, STEP_S, FleetSimulation, job
 from tests.test_workspace_keys import BODY, HOST, call
 
@@ -193,6 +194,46 @@
 class HandOverTest(unittest.TestCase):
     """Leadership while daemons stop."""
 
+    # name, daemons that stop with the leader, when another one starts, when the leader
+    # has handed over
+    HAND_OVERS = [
+        ("another one can lead", 0, None, (0.0, 0.2)),
+        ("one of two others can lead", 1, None, (0.0, 0.2)),
+        ("all stop", 2, None, (END_S - 0.2, END_S)),
+        ("all stop, another one starts", 2, 2.0, (2.0, 2.3)),
+    ]
+
+    # Guards against a time without a leader while no other daemon can lead.
+    def test_a_leader_leads_on_until_another_daemon_can(self):
+        for name, others, starts_s, (from_s, until_s) in self.HAND_OVERS:
+            with self.subTest(name):
+                fleet = FleetSimulation(daemons=3, run_s=0.2)
+                fleet.run_for(1.0)
+                leader = fleet.leader()
+                followers = [number for number in range(3) if number != leader]
+                # The address of a former process of the VM, now the leader's own.
+                former = fleet.nodes[leader].member.replace("#", "#former-")
+                fleet.members[former] = fleet.nodes[leader].mesh
+                fleet.nodes[leader].rpc.call(former, PENDING_METHOD, "")
+                for number in (leader, *followers[:others]):
+                    fleet.nodes[number].stop()
+                began_s = fleet.clock.seconds()
+                requests = []
+                while fleet.nodes[leader].leader is not None:
+                    elapsed_s = fleet.clock.seconds() - began_s
+                    if starts_s is not None and elapsed_s >= starts_s:
+                        fleet.add_daemon("vm3")
+                        starts_s = None
+                    requests.append(call(fleet.nodes[leader], b"GET", "/quotes/"))
+                    fleet.run_for(0.02)
+                handed_over_s = fleet.clock.seconds() - began_s
+                self.assertGreaterEqual(handed_over_s, from_s)
+                self.assertLessEqual(handed_over_s, until_s)
+                self.assertEqual({r.responseCode for r in requests}, {200})
+                fleet.run_for(1.0)
+                can_follow = others < 2 or handed_over_s < END_S - 0.2
+                self.assertEqual(fleet.leader() is not None, can_follow)
+
     # Guards against a daemon that is elected by a campaign from before its stop, and
     # whose lease keeps others from leading.
     def test_a_campaign_that_ends_after_the_stop_leaves_no_leader(self):
