Soak and emulator find requests that a planned stop cuts

Cause: the callers of both counted a request without an answer as an unknown outcome, whatever ended its connection, and few requests were open when a daemon ended: stops came one at a time, and a caller sends one request at a time.

Change: a request whose connection closes without a response more than 0.2 s after it was sent, while its daemon stops after SIGTERM, is a finding (LOST); the lateness of the callers' own process is not counted. In the soak, half of the SIGTERMs go to all daemons, drawn from a generator of their own, and each daemon is asked for a queue's pending jobs each 0.2 s.

--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
+from twisted.internet.error import ConnectionLost
 from twisted.internet.task import deferLater
 
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
@@ -152,14 +153,19 @@
     @inlineCallbacks
     def _call(self, method: bytes, path: str, body: bytes = b""):
         """Call a random daemon; the status is 0 without a response, -1 if not sent."""
-        url = self._random.choice(self._urls) + path
+        daemon = self._random.choice(range(len(self._urls)))
+        url = self._urls[daemon] + path
         headers = ((b"host", b"desk.example"),)
+        sent_s = time.monotonic()
         try:
             response = yield self._client.fetch(
                 method, url, body, CALL_TIMEOUT_S, headers
             )
         except NOT_SENT_ERRORS:
             return -1, b""
+        except ConnectionLost:
+            self._log.write("cut", daemon=daemon, path=path, sent_s=sent_s)
+            return 0, b""
         except Exception:  # noqa: BLE001
             # Twisted's network errors share no base class other than Exception.
             return 0, b""
--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -14,6 +14,11 @@
 # A stand-in that is late by less does not explain a finding.
 LAG_MIN_S = 0.1
 LINKS_PER_TERM_MAX = 1_000_000
+# Longest time from SIGTERM to the end of a daemon.
+GRACE_S = 6.0
+# A request that is cut within this time of being sent may have crossed the end of its
+# connection.
+CUT_SLACK_S = 0.2
 # Differences of this size are below the resolution of the logs.
 OVERLAP_MIN_S = 0.001
 
@@ -93,6 +98,7 @@
             if not self._has_copies(task):
                 findings.extend(self._check_task(task, runs))
         findings.extend(self._check_completed())
+        findings.extend(self._check_cuts())
         counts = " ".join(f"{name}={self.counts[name]}" for name in sorted(self.counts))
         summary = f"{counts} lapsed_gap={self._least_gap_s():.3f} {self._lags()}"
         return CheckResult(findings, summary)
@@ -189,6 +195,35 @@
                     findings.append(f"MIXED: {job} completed, step {step}: {done} done")
         return findings
 
+    def _check_cuts(self) -> list[str]:
+        """Find requests without a response that were cut by a daemon's stop."""
+        findings = []
+        # Time of the last SIGTERM of each daemon that nothing has disturbed since.
+        stops_s: dict[int, float] = {}
+        late_s: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        for time_s, event, fields, process in self.rows:
+            if event == "lag":
+                late_s[process].append((time_s, fields["late_s"]))
+            elif event == "fault" and "daemons" in fields:
+                is_stop = fields["fault"] == "terminate"
+                is_disturbance = fields["fault"] in ("kill", "freeze")
+                for daemon in fields["daemons"]:
+                    if is_stop:
+                        stops_s[daemon] = time_s
+                    elif is_disturbance:
+                        stops_s.pop(daemon, None)
+            elif event == "cut":
+                sent_s = fields["sent_s"]
+                own_late_s = sum(late for at, late in late_s[process] if at > sent_s)
+                open_s = time_s - sent_s - own_late_s
+                stop_s = stops_s.get(fields["daemon"], float("-inf"))
+                if open_s > CUT_SLACK_S and time_s - stop_s < GRACE_S:
+                    findings.append(
+                        f"LOST: {fields['path']} cut {open_s:.3f} s after it was sent, "
+                        f"{time_s - stop_s:.3f} s after SIGTERM of vm{fields['daemon']}"
+                    )
+        return findings
+
     def _describe(self, task, what, former: LoggedRun, run: LoggedRun) -> str:
         lines = [f"TWICE: {task}: {what}"]
         for each in (former, run):
--- a/standins/daemon_process.py
+++ b/standins/daemon_process.py
@@ -52,6 +52,8 @@
         self.process: subprocess.Popen | None = None
         # Whether it was sent a signal that ends it.
         self.is_ending = False
+        # Whether it was sent SIGTERM, and nothing after that prevents its stop.
+        self.is_stopping = False
 
     def _settings(self, store_port: int) -> str:
         return f"""
@@ -80,7 +82,7 @@
         """Start the process unless it is running."""
         if self.is_running:
             return
-        self.is_ending = False
+        self.is_ending = self.is_stopping = False
         self.process = subprocess.Popen(
             [sys.executable, "-m", "dogwoodlever.fleet_daemon"],
             cwd=self._checkout,
@@ -93,6 +95,8 @@
         """Send a signal to the process if it is running."""
         if number in (signal.SIGKILL, signal.SIGTERM):
             self.is_ending = True
+        if number in (signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP):
+            self.is_stopping = number == signal.SIGTERM
         if self.is_running:
             self.process.send_signal(number)
 
--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -15,11 +15,12 @@
 import cyclopts
 from twisted.internet import reactor
 from twisted.internet.defer import gatherResults, inlineCallbacks
+from twisted.internet.error import ConnectionLost
 from twisted.internet.task import LoopingCall, deferLater
 
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
 from standins.faulty_proxy import LinkFault
-from tests.soak_checker import SoakJob, SoakStep
+from tests.soak_checker import ADVANCE_INTERVAL_S, SoakJob, SoakStep
 from tests.soak_faults import LINK_FAULTS, SoakFaults
 from tests.soak_site import QUEUE_HOST, QUEUE_PREFIX, SoakSite
 
@@ -33,7 +34,8 @@
 # and the longest job, with a margin for a busy machine.
 SETTLE_TIMEOUT_S = 60.0
 READ_INTERVAL_S = 0.5
-ADVANCE_INTERVAL_S = 0.01
+# A stopping daemon that gets requests so often stops at the end of its grace period.
+COUNT_INTERVAL_S = 0.2
 CORES_MILLI_CHOICES = (250, 500, 1000)
 
 
@@ -84,21 +86,31 @@
         )
         return SoakJob(job_id, steps)
 
-    @inlineCallbacks
     def _call(self, method: bytes, name: str, body: bytes = b""):
-        """Call a random daemon; return the status and the content.
+        """Call a random daemon."""
+        daemon = self._random.choice(sorted(self._site.daemons))
+        return self._call_daemon(daemon, method, name, body)
+
+    @inlineCallbacks
+    def _call_daemon(self, daemon: str, method: bytes, name: str, body: bytes = b""):
+        """Call a daemon; return the status and the content.
 
         The status is 0 without a response and -1 if the request was not sent.
         """
-        daemon = self._random.choice(sorted(self._site.daemons))
-        url = self._site.daemons[daemon].url + QUEUE_PREFIX + name
+        process = self._site.daemons[daemon]
+        checker = self._site.checker
+        sent_advances = checker.advances
         headers = ((b"host", QUEUE_HOST.encode()),)
+        url = process.url + QUEUE_PREFIX + name
         try:
             response = yield self._client.fetch(
                 method, url, body, CALL_TIMEOUT_S, headers
             )
         except NOT_SENT_ERRORS:
             return -1, b""
+        except ConnectionLost:
+            checker.check_cut(daemon, process.is_stopping, sent_advances)
+            return 0, b""
         except Exception:  # noqa: BLE001
             # Twisted's network errors share no base class other than Exception.
             return 0, b""
@@ -127,6 +139,11 @@
                 return
             yield deferLater(reactor, 0.3)
 
+    def count(self) -> None:
+        """Ask each daemon for the number of pending jobs."""
+        for daemon in self._site.daemons:
+            self._call_daemon(daemon, b"GET", "")
+
     @inlineCallbacks
     def read(self, job: SoakJob):
         """Read the state of a job once and check it."""
@@ -192,11 +209,14 @@
             daemon.start()
         yield self._await(self.site.leader, START_TIMEOUT_S, "no daemon leads")
         watching.start(0.2)
+        counting = LoopingCall(self._callers[0].count)
+        counting.start(COUNT_INTERVAL_S)
         until_s = reactor.seconds() + self._duration_s
         calls = [caller.run(until_s) for caller in self._callers]
         yield self._faults.run(self._duration_s)
         yield gatherResults(calls)
         yield self._await_settled()
+        counting.stop()
         watching.stop()
         advancing.stop()
         self.failures.extend(self.site.checker.violations)
--- a/tests/soak_checker.py
+++ b/tests/soak_checker.py
@@ -10,6 +10,10 @@
 from standins.fleet import FakeRun, FakeWorker, FakeWorkers
 
 ATTEMPTS_MAX = 3
+# A request that is cut within this time of being sent may have crossed the end of its
+# connection.
+CUT_SLACK_S = 0.2
+ADVANCE_INTERVAL_S = 0.01
 
 
 @dataclass(slots=True, frozen=True)
@@ -139,6 +143,8 @@
         Violations found, each with the label of its rule.
     capacity_refusals : int
         Start orders that were refused for lack of capacity.
+    advances : int
+        Calls of `advance`, one each `ADVANCE_INTERVAL_S` unless the process is late.
     """
 
     def __init__(self, clock) -> None:
@@ -147,6 +153,7 @@
         self.tasks: dict[TaskId, TaskRecord] = {}
         self.violations: list[str] = []
         self.capacity_refusals = 0
+        self.advances = 0
         # When each worker's lease was last seen to be expired.
         self._lease_expired_s: dict[str, float] = {}
         self._ended_s: dict[tuple[str, int, int], float] = {}
@@ -160,6 +167,7 @@
     def advance(self) -> None:
         """End the runs that are due and record expired leases."""
         super().advance()
+        self.advances += 1
         now_s = self.clock.seconds()
         for worker_id, worker in self.workers.items():
             if worker.clock_ms(now_s) > worker.until_ms > 0:
@@ -270,6 +278,25 @@
         if job.accepted_s is not None and not job.is_cancel_requested:
             self._add_violation("LOST", f"{job.job_id} is absent")
 
+    def check_cut(self, daemon: str, is_stopping: bool, sent_advances: int) -> None:
+        """Check a request whose connection was closed without a response.
+
+        Parameters
+        ----------
+        daemon : str
+            Daemon that it was sent to.
+        is_stopping : bool
+            Whether the daemon stops as planned.
+        sent_advances : int
+            Value of `advances` when it was sent, which does not count the time for
+            which this process is late itself.
+        """
+        open_s = (self.advances - sent_advances) * ADVANCE_INTERVAL_S
+        if is_stopping and open_s > CUT_SLACK_S:
+            self._add_violation(
+                "LOST", f"a request was cut after {open_s:.2f} s by a stop of {daemon}"
+            )
+
     def outstanding_work(self) -> list[str]:
         """Return the work that is still outstanding."""
         outstanding = []
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -15,6 +15,8 @@
 START_DELAY_MAX_S = 9.0
 WRITE_DELAY_MAX_S = 5.0
 EXIT_POLL_S = 0.05
+# Share of the planned stops that stop all daemons.
+STOP_ALL_SHARE = 0.5
 LINK_FAULTS = (
     LinkFault.SILENT,
     LinkFault.ANSWERS_LOST,
@@ -42,6 +44,8 @@
         self._site = site
         self._link_faults = link_faults
         self._random = random.Random(seed)
+        # Of its own, so that the faults of a seed stay the same.
+        self._stop_random = random.Random(f"stops/{seed}")
         self._until_s = 0.0
         self._active_count = 0
         self._reserved: set[str] = set()
@@ -156,12 +160,18 @@
         name = self._choose_free(self._site.daemons)
         if not name:
             return
-        self._record(f"terminate {name}")
-        daemon = self._site.daemons[name]
-        daemon.signal(signal.SIGTERM)
-        while daemon.is_running and daemon.is_ending:
+        names = [name]
+        if self._stop_random.random() < STOP_ALL_SHARE:
+            names = list(self._site.daemons)
+        self._record(f"terminate {' '.join(names)}")
+        daemons = [self._site.daemons[name] for name in names]
+        for daemon in daemons:
+            daemon.signal(signal.SIGTERM)
+        while daemons:
             yield deferLater(reactor, EXIT_POLL_S)
-        self._restart(name)
+            for daemon in [d for d in daemons if not (d.is_running and d.is_ending)]:
+                daemons.remove(daemon)
+                self._restart(daemon.name)
 
     def _reload(self):
         name = self._choose_free(self._site.daemons)
--- a/tests/test_emulator_checker.py
+++ b/tests/test_emulator_checker.py
@@ -33,6 +33,16 @@
     return [0.0, "submit", fields]
 
 
+def cut(time_s, sent_s):
+    """Return the row of a request that got no response."""
+    return [time_s, "cut", {"daemon": 3, "path": "/price/", "sent_s": sent_s}]
+
+
+def fault(time_s, name):
+    """Return the row of a fault of the daemon to which the requests are sent."""
+    return [time_s, "fault", {"fault": name, "daemons": [3]}]
+
+
 FIRST = start(1.0, "w001-1", 1)
 # Two runs of one task that overlap for a second.
 OVERLAP = (FIRST, start(2.0, "w002-1", 2), end(3.0, "w001-1", 1))
@@ -80,6 +90,20 @@
                 submit(count=2), *AGAIN[:2],
                 [5.0, "state", {"job": TASK[:16], "state": "completed"}],
             )),
+            ("a request cut by a stop", 1, (fault(1.0, "terminate"), cut(5.8, 5.5))),
+            ("a request that crossed the end of its connection", 0, (
+                fault(1.0, "terminate"), cut(5.8, 5.7),
+            )),
+            ("a request cut by a stop, as far as a late caller knows", 0, (
+                fault(1.0, "terminate"), [5.75, "lag", {"late_s": 0.2}], cut(5.8, 5.5),
+            )),
+            ("a request cut without a stop", 0, (fault(1.0, "hup"), cut(5.8, 5.5))),
+            ("a request cut long after a stop", 0, (
+                fault(1.0, "terminate"), cut(8.0, 7.0),
+            )),
+            ("a request cut by a kill during a stop", 0, (
+                fault(1.0, "terminate"), fault(5.0, "kill"), cut(5.8, 5.5),
+            )),
         )  # fmt: skip
         for name, count, rows in cases:
             with self.subTest(name):
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -5,7 +5,15 @@
 from dogwoodlever._fleet_interfaces import RefusalReason
 from dogwoodlever._fleet_types import RunId, StartOrder, TaskId
 from tests.fleet_simulation import worker_entry
-from tests.soak_checker import ATTEMPTS_MAX, SoakChecker, SoakJob, SoakStep, SoakWorker
+from tests.soak_checker import (
+    ADVANCE_INTERVAL_S,
+    ATTEMPTS_MAX,
+    CUT_SLACK_S,
+    SoakChecker,
+    SoakJob,
+    SoakStep,
+    SoakWorker,
+)
 
 JOB = "a" * 16
 
@@ -109,6 +117,21 @@
         self.checker.check_absent(self.job)
         self.assert_rules("LOST")
 
+    def test_requests_cut_by_a_stop(self):
+        slack = round(CUT_SLACK_S / ADVANCE_INTERVAL_S)
+        for name, is_stopping, advances, rules in (
+            ("long after it was sent", True, slack + 1, ["LOST"]),
+            ("it crossed the end of the connection", True, slack, []),
+            ("the daemon was killed", False, slack + 1, []),
+        ):
+            with self.subTest(name):
+                self.checker.violations.clear()
+                sent_advances = self.checker.advances
+                for _ in range(advances):
+                    self.checker.advance()
+                self.checker.check_cut("vm0", is_stopping, sent_advances)
+                self.assert_rules(*rules)
+
     def test_worker_refuses_orders_beyond_its_capacity(self):
         self.start("w0")
         self.start("w0", index=1)
