Log when a stopping leader resigns

Without it the time without a leader at a stop can't be read from the logs, since a stopping leader may lead on for most of its grace period.

--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -233,6 +233,7 @@
                 self._look_for_successor()
             yield deferLater(self._clock, STOP_POLL_S)
         if self.leader is not None:
+            log_event("leader.resigned", successor_known=self._is_successor_known)
             self.leader.close()
             self.leader = None
         self._has_resigned = True
