Answer requests that wait for their idempotency key when a daemon stops

Cause: `Node.stop` waited for the requests that the services hold. A request that reserves its idempotency key is not there yet, and was cut when the process ended. While the daemon drained, keys were still reserved for requests that could not run.

Change: the gateway counts its open requests, and the daemon waits for all of them. A request that arrives while the service drains is rejected before its key is reserved, so the wait ends with the deadlines of the earlier ones.

Evidence: test_requests_with_keys_are_answered_before_the_end failed before with a store that takes 0.3 s or 0.9 s, and passes now.

--- a/dogwoodlever/_gateway.py
+++ b/dogwoodlever/_gateway.py
@@ -115,21 +115,29 @@
             )
         request = self._make_request(request_id, received)
         self._open_trace(request)
-        if received.key and not request.idempotent:
+        self._node.open_requests += 1
+        try:
+            result = yield self._run(request, received)
+        finally:
+            self._node.open_requests -= 1
+        self._record_result(request, result)
+        return result
+
+    @inlineCallbacks
+    def _run(self, request: Request, received: CallerRequest):
+        """Reserve the key of a request and run it."""
+        role = self._node.services[request.service]
+        if received.key and not request.idempotent and not role.is_draining:
             result = yield self._reserve_key(request, received)
             if result is not None:
-                self._record_result(request, result)
                 return result
-        role = self._node.services[request.service]
         end, response = yield role.submit(request, received.backend_request)
         retry_after_s = None
         if end.outcome == Outcome.NOT_RUN:
             retry_after_s = max(1, ceil(end.retry_after_s))
-        result = RequestResult(
-            request_id, end.outcome, end.reason, response, retry_after_s
+        return RequestResult(
+            request.request_id, end.outcome, end.reason, response, retry_after_s
         )
-        self._record_result(request, result)
-        return result
 
     def _make_request(self, request_id: str, received: CallerRequest) -> Request:
         site = self._node.configuration.active.site
--- a/dogwoodlever/_node.py
+++ b/dogwoodlever/_node.py
@@ -108,6 +108,8 @@
         self.rpc = PeerRpc(dependencies.peers, clock)
         self.services: dict[str, ServiceRole] = {}
         self.cells: dict[str, CellRole] = {}
+        # Requests of callers that wait for a response.
+        self.open_requests = 0
         self._vms = VMStates()
         self._loops: list[LoopingCall] = []
         self.on_stopped: Callable[[], None] | None = None
@@ -175,11 +177,16 @@
     def _stop_excluded(self):
         """Stop this incarnation: other members may hold its shares and cells."""
         self._transition("excluded")
+        yield self._drain()
+        self._finish()
+
+    @inlineCallbacks
+    def _drain(self):
+        """Reject new requests, and wait until no caller waits for a response."""
         for service in self.services.values():
             service.drain()
-        while any(service.open_request_count() for service in self.services.values()):
+        while self.open_requests:
             yield deferLater(self.clock, DRAIN_POLL_INTERVAL_S)
-        self._finish()
 
     def _finish(self) -> None:
         for loop in self._loops:
@@ -314,10 +321,7 @@
         # Requests still arrive, and are served, until the load balancer sees
         # the changed health check.
         yield deferLater(self.clock, self.settings.drain_s)
-        for service in self.services.values():
-            service.drain()
-        while any(service.open_request_count() for service in self.services.values()):
-            yield deferLater(self.clock, DRAIN_POLL_INTERVAL_S)
+        yield self._drain()
         yield self._release_all()
         self._transition("drained")
         yield self._leave()
--- a/dogwoodlever/_service_role.py
+++ b/dogwoodlever/_service_role.py
@@ -272,9 +272,10 @@
             end = EndRequest(open_request.request, Outcome.UNKNOWN, Reason.CALLER_LEFT)
             open_request.ended.callback((end, None))
 
-    def open_request_count(self) -> int:
-        """Return the number of requests whose callers wait."""
-        return len(self._open)
+    @property
+    def is_draining(self) -> bool:
+        """Whether new requests are rejected."""
+        return self.dispatcher.draining
 
     def _now(self) -> float:
         """Return the time, after updating whether own slots may be used."""
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,4 +1,4 @@
-"""A daemon that stops answers what callers send over open connections."""
+"""Daemons that stop answer what callers send over open connections, and hand over."""
 
 import itertools
 import unittest
@@ -13,7 +13,10 @@
     job_key,
 )
 from dogwoodlever._fleet_rpc import PENDING_METHOD
+from standins.fake_site import FakeSite
 from tests.fleet_simulation import JOB, STEP_S, FleetSimulation, job
+from tests.site_simulation import LIMITS
+from tests.sites import make_site
 from tests.test_workspace_keys import BODY, HOST, call
 
 GRACE_S = 6.0
@@ -246,5 +249,29 @@
                 self.assertEqual(fleet.leader(), 1 - stopping)
 
 
+class SiteDaemonStopTest(unittest.TestCase):
+    """A daemon of the product's own site that stops."""
+
+    # Guards against a request that waits for its idempotency key when the daemon ends,
+    # and gets no answer.
+    def test_requests_with_keys_are_answered_before_the_end(self):
+        for delay_s, has_key in itertools.product((0.0, 0.3, 0.9), (False, True)):
+            with self.subTest(delay_s=delay_s, has_key=has_key):
+                site = FakeSite(make_site(limits=LIMITS), daemons=2)
+                site.settle()
+                site.values.faults.delay_s = delay_s
+                stopped = []
+                node = site.daemons["d1"].node
+                node.on_stopped = lambda s=stopped: s.append(True)
+                node.stop()
+                requests = []
+                while not stopped:
+                    body = f"r{len(requests)}"
+                    key = body if has_key else ""
+                    requests.append(site.request("d1", "dispatch", "book", body, key))
+                    site.advance(REQUEST_INTERVAL_S)
+                self.assertNotIn([], requests)
+
+
 if __name__ == "__main__":
     unittest.main()
