--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -44,9 +44,12 @@
 
 # The load balancer polls readiness every second and drops a VM after two failures.
 BALANCER_DETECTION_S = 2.6
-# Fraction of the grace period in which open requests may still complete.
+# Fraction of the grace period after which a stopping process ends.
 GRACE_FRACTION = 0.8
 STOP_POLL_S = 0.05
+# Checks before the end in which no request waits any more: the last responses are sent,
+# and what arrives meanwhile is refused.
+CLOSING_CHECKS = 2
 # Time without requests after which a stopping process ends. A request that was sent
 # over an open connection shortly before would be read and not answered.
 QUIET_S = 0.25
@@ -161,6 +164,9 @@
         # Revision of the record of unreachable workers, and when it was seen.
         self._unreachable_seen = (0, float("-inf"))
         self._is_stopping = False
+        self._has_resigned = False
+        # Whether another daemon has replied that it can lead, since the last check.
+        self._is_successor_known = False
         self.on_stopped: Callable[[], None] = lambda: None
 
     def open(self) -> None:
@@ -180,27 +186,42 @@
 
     @inlineCallbacks
     def stop(self):
-        """Resign, wait for open requests to complete, and stop."""
+        """Resign, answer the requests that arrive in the grace period, and stop."""
         if self._is_stopping:
             return
         self._is_stopping = True
         started_s = self._clock.seconds()
         log_event("daemon.stop", vm=self.settings.vm, leads=self.leader is not None)
         self.callers.closes_connections = True
-        limit_s = started_s + self.settings.grace_s * GRACE_FRACTION
+        serving_s = self.settings.grace_s * GRACE_FRACTION
+        serving_s = max(0.0, serving_s - CLOSING_CHECKS * STOP_POLL_S)
+        limit_s = started_s + serving_s
+        closing = self._clock.callLater(serving_s, self._end_open_requests)
         handing_over = self._hand_over(limit_s)
-        yield deferLater(self._clock, BALANCER_DETECTION_S)
+        yield deferLater(self._clock, min(BALANCER_DETECTION_S, serving_s))
         yield handing_over
         # What has arrived meanwhile is read between two checks.
         quiet_checks = 0
         while quiet_checks < 2 and self._clock.seconds() < limit_s:
             yield deferLater(self._clock, STOP_POLL_S)
             quiet_checks = quiet_checks + 1 if self._is_quiet() else 0
+        if closing.active():
+            closing.cancel()
+        if quiet_checks < 2:
+            self._end_open_requests()
+            for _ in range(CLOSING_CHECKS):
+                yield deferLater(self._clock, STOP_POLL_S)
         for watcher in self._watchers:
             watcher.close()
         self._loop_monitor.close()
         self.on_stopped()
 
+    def _end_open_requests(self) -> None:
+        """Answer the open requests with what is known of them."""
+        if not self.frontend.is_closed:
+            log_event("daemon.closing", open_requests=self.callers.open_requests)
+            self.frontend.close()
+
     def _is_quiet(self) -> bool:
         """Return whether no request is open, and none was a short while ago."""
         idle_s = self._clock.seconds() - self.callers.last_request_s
@@ -208,18 +229,40 @@
 
     @inlineCallbacks
     def _hand_over(self, limit_s: float):
-        """Resign; during an outage of the store, lead on, since nobody can follow."""
-        while (
-            self.leader is not None
-            and self._store.down_for_s() is not None
-            and self._clock.seconds() < limit_s
-        ):
+        """Resign once another daemon can lead, at `limit_s` at the latest."""
+        while self.leader is not None and self._clock.seconds() < limit_s:
+            is_store_up = self._store.down_for_s() is None
+            if is_store_up and self._is_successor_known:
+                break
+            self._is_successor_known = False
+            if is_store_up:
+                self._look_for_successor()
             yield deferLater(self._clock, STOP_POLL_S)
         if self.leader is not None:
+            log_event("leader.resigned", successor_known=self._is_successor_known)
             self.leader.close()
             self.leader = None
+        self._has_resigned = True
         yield self.election.resign()
 
+    def _look_for_successor(self) -> None:
+        """Ask the known daemons whether they can lead."""
+
+        def check(reply: LeaderReply | None) -> None:
+            if reply is not None and reply.can_lead:
+                self._is_successor_known = True
+
+        for member in self.rpc.peers():
+            self.rpc.call(member, PENDING_METHOD, "").addCallback(check)
+
+    def _can_lead(self) -> bool:
+        """Return whether this daemon can succeed a leader that stops."""
+        return (
+            not self._is_stopping
+            and self.election.is_record_loaded
+            and self._store.down_for_s() is None
+        )
+
     # Leadership
 
     def _apply_leader_record(self, record: Record) -> None:
@@ -246,6 +289,10 @@
         return seen_s if revision == seen_revision else self._clock.seconds()
 
     def _on_elected(self, term: int, fencing_token: int, is_continued: bool) -> None:
+        if self._has_resigned:
+            # The campaign had begun before.
+            self.election.resign()
+            return
         if is_continued and self.leader is not None:
             self.leader.continue_term(term, fencing_token)
             return
@@ -355,8 +402,11 @@
 
     def _handle_pending(self, queue: str) -> LeaderReply:
         leader = self._get_loaded_leader()
+        can_lead = self._can_lead()
         if leader is None:
-            return LeaderReply(False)
+            return LeaderReply(False, can_lead=can_lead)
         can_write = self._store.down_for_s() is None
         pending = leader.registry.pending(queue)
-        return LeaderReply(True, pending=pending, can_write=can_write)
+        return LeaderReply(
+            True, pending=pending, can_write=can_write, can_lead=can_lead
+        )
