Keep stored that the worker membership is incomplete

Cause: a leader that cannot read the stored membership waits for the workers that it does not know, but writes a readable one as soon as a worker answers.

Change: the record says that there may be other workers until a leader's wait for them has ended.

--- a/dogwoodlever/_fleet_records.py
+++ b/dogwoodlever/_fleet_records.py
@@ -72,9 +72,18 @@
 
 
 class WorkerMembershipRecord(msgspec.Struct, frozen=True):
-    """Workers on which runs may have been started; addresses by worker id."""
+    """Workers on which runs may have been started.
+
+    Attributes
+    ----------
+    workers : dict of str to str
+        Addresses by worker id.
+    is_incomplete : bool
+        Whether there may be others, since an earlier record could not be read.
+    """
 
     workers: dict[str, str] = {}
+    is_incomplete: bool = False
 
 
 class UnreachableWorkersRecord(msgspec.Struct, frozen=True):
--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -51,6 +51,7 @@
         self._get_term_revision = get_term_revision
         self._on_stored = on_stored
         self._addresses: dict[str, str] = {}
+        self._is_incomplete = False
         self._stored_ids: frozenset[str] = frozenset()
         self._revision = 0
         self._is_storing = False
@@ -64,27 +65,32 @@
         """Load the stored membership and return its worker ids.
 
         `UNKNOWN_WORKERS` is among them if the membership, or a worker in it, cannot be
-        used: a leader of another version may have started runs there.
+        used: a leader of another version may have started runs there. It stays stored
+        that there are such workers until `discard` is called for them.
         """
         if record is None or record.value is None:
             return set()
         self._revision = record.revision
         try:
-            workers = decode_worker_membership(record.value).workers
+            stored = decode_worker_membership(record.value)
         except StoredRecordError as error:
             log_event("roster.unreadable", why=str(error)[:160])
+            self._is_incomplete = True
             return {UNKNOWN_WORKERS}
+        workers = stored.workers
         self._addresses = {
             worker_id: address
             for worker_id, address in workers.items()
             if is_callable_worker(worker_id, address)
         }
         self._stored_ids = frozenset(self._addresses)
-        if len(self._addresses) == len(workers):
-            return set(self._addresses)
         unusable = sorted(set(workers) - set(self._addresses))
-        log_event("roster.unusable", workers=",".join(unusable)[:160])
-        return {UNKNOWN_WORKERS, *self._addresses}
+        if unusable:
+            log_event("roster.unusable", workers=",".join(unusable)[:160])
+        self._is_incomplete = bool(unusable) or stored.is_incomplete
+        if self._is_incomplete:
+            return {UNKNOWN_WORKERS, *self._addresses}
+        return set(self._addresses)
 
     def is_stored(self, worker_id: str) -> bool:
         """Return whether a worker is stored, so that a successor would find it."""
@@ -112,7 +118,11 @@
     def discard(self, worker_id: str) -> None:
         """Remove a worker, which counts as not stored from now on."""
         self._stored_ids -= {worker_id}
-        if self._addresses.pop(worker_id, None) is not None:
+        is_changed = self._addresses.pop(worker_id, None) is not None
+        if worker_id == UNKNOWN_WORKERS and self._is_incomplete:
+            self._is_incomplete = False
+            is_changed = True
+        if is_changed:
             self._write()
 
     @inlineCallbacks
@@ -123,8 +133,9 @@
         self._is_storing = True
         while not self._is_closed:
             written = dict(self._addresses)
+            record = WorkerMembershipRecord(written, self._is_incomplete)
             try:
-                result = yield self._commit(WorkerMembershipRecord(written))
+                result = yield self._commit(record)
             except PlatformError as error:
                 log_event("roster.write-failed", why=str(error)[:160])
                 yield deferLater(self._clock, RETRY_S)
@@ -140,7 +151,10 @@
                 if self._addresses.get(worker_id) == address
             )
             self._on_stored()
-            if written == self._addresses:
+            if (written, record.is_incomplete) == (
+                self._addresses,
+                self._is_incomplete,
+            ):
                 break
         self._is_storing = False
 
