Waits: name the limit of a worker, the free room and what is not confirmed

`step.waits` said `limit-of-worker` for a quarantine, a probation, a suspect on probation and `worker_tasks_max` alike, and nothing of the room. The four reasons now have names of their own; the line also has what the task needs, the most cores free on one worker, and the cores of runs without an answer or being stopped.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -591,6 +591,10 @@
             step=step.number,
             tasks=len(step.ready),
             wait_s=found.wait_s,
+            cores_milli=step.spec.cores_milli,
+            memory_mb=step.spec.memory_mb,
+            largest_free_milli=found.largest_free_milli,
+            unconfirmed_milli=found.unconfirmed_milli,
             workers=",".join(
                 f"{obstacle}:{count}" for obstacle, count in found.obstacles.items()
             ),
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -60,11 +60,17 @@
     ----------
     obstacles : dict of str to int
         Number of workers by what keeps the step's next task from them.
+    largest_free_milli : int
+        Unreserved cores of the service's worker with the most, in thousandths.
+    unconfirmed_milli : int
+        Cores of the service's runs that have no answer yet or are being stopped.
     """
 
     step: StepState
     wait_s: float
     obstacles: dict[str, int]
+    largest_free_milli: int = 0
+    unconfirmed_milli: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -422,12 +428,21 @@
             )
         headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
         task = next(iter(step.ready.values()))
-        reasons = Counter(
-            self._obstacle(task, capacity, now_s, headroom)
+        candidates = [
+            capacity
             for capacity in capacities
             if capacity.entry.service == step.job.queue.service
+        ]
+        reasons = Counter(
+            self._obstacle(task, capacity, now_s, headroom) for capacity in candidates
+        )
+        return WaitExplanation(
+            step,
+            wait_s,
+            dict(reasons),
+            max((capacity.cores_free for capacity in candidates), default=0),
+            sum(capacity.unconfirmed_milli() for capacity in candidates),
         )
-        return WaitExplanation(step, wait_s, dict(reasons))
 
     def _obstacle(
         self, task: Task, capacity: WorkerCapacity, now_s: float, headroom: Headroom
@@ -441,10 +456,9 @@
             return "refused-before"
         if not capacity.fits(spec):
             return "no-room"
-        if spec.label and spec.label not in capacity.entry.labels:
-            return "label"
-        if not self._is_allowed(capacity, step, now_s):
-            return "limit-of-worker"
+        limit = self._limit(capacity, step, now_s)
+        if limit:
+            return limit
         if not self._may_run(capacity, step, now_s):
             return "ticket"
         if spec.uses_leftover and capacity.spare_milli < _spare_min(spec):
@@ -677,17 +691,23 @@
     def _is_allowed(
         self, capacity: WorkerCapacity, step: StepState, now_s: float
     ) -> bool:
+        return not self._limit(capacity, step, now_s)
+
+    def _limit(self, capacity: WorkerCapacity, step: StepState, now_s: float) -> str:
+        """Return which rule keeps a step's tasks from a worker; empty if none does."""
         spec = step.spec
         if spec.label and spec.label not in capacity.entry.labels:
-            return False
+            return "label"
         worker_id = capacity.entry.worker_id
         if self._crashes.is_reserved(worker_id):
-            return False
+            return "suspect-runs-there"
         tasks_max = spec.worker_tasks_max
         if tasks_max and step.worker_tasks.get(worker_id, 0) >= tasks_max:
-            return False
+            return "tasks-per-worker"
         task_limit = self._faults.task_limit(worker_id, now_s)
-        return task_limit is None or len(capacity.runs) < task_limit
+        if task_limit is None or len(capacity.runs) < task_limit:
+            return ""
+        return "probation" if task_limit else "quarantined"
 
     def _cost(
         self, capacity: WorkerCapacity, spec: Step, headroom: Headroom
--- a/dogwoodlever/_worker_capacity.py
+++ b/dogwoodlever/_worker_capacity.py
@@ -2,7 +2,7 @@
 
 import math
 
-from dogwoodlever._fleet_job import Run
+from dogwoodlever._fleet_job import Run, RunPhase
 from dogwoodlever._fleet_types import RunId, Step, WorkerEntry
 from dogwoodlever._workspace_usage import WorkspaceUsage
 
@@ -125,6 +125,14 @@
         """Return the best-effort runs."""
         return [pair for pair in self.runs.values() if pair[1].uses_leftover]
 
+    def unconfirmed_milli(self) -> int:
+        """Return the cores of runs without an answer or being stopped."""
+        return sum(
+            step.cores_milli
+            for run, step in self.runs.values()
+            if run.phase is not RunPhase.RUNNING and not step.uses_leftover
+        )
+
     def fits(self, step: Step) -> bool:
         """Return whether one more task of a step fits.
 
