Probation: tasks that have run since before do not keep a worker from being probed

After its quarantine a worker took one task at a time until a success. All runs there counted, also standing tasks, long tasks and best-effort tasks from before. As a standing task ends only when it is cancelled and counts as a success only when it begins to work, a worker with one that was at work took no task at all for as long as it lasted, however much room it had. The cell had the same rule, and the same fault.

Only tasks started since the quarantine count now, and for no longer than the first quarantine lasts (4 s in the fleet, 30 s in a cell), as a probe may last as well. So a worker under probation starts a task at least once in that time; one that fails what it starts is quarantined again.

The fixture of the planner's tests dates runs by the time of the round, not by the first one.

--- a/dogwoodlever/_cell.py
+++ b/dogwoodlever/_cell.py
@@ -575,12 +575,18 @@
                 continue
             if view.name in reserved:
                 continue
-            task_limit = self.faults.task_limit(view.name, now_s)
-            if task_limit is not None and len(view.tasks) >= task_limit:
-                continue
-            views.append(view)
+            if not self._takes_no_task(view, now_s, wall_s):
+                views.append(view)
         return views
 
+    def _takes_no_task(self, view: WorkerView, now_s: float, wall_s: float) -> bool:
+        """Return whether a worker is quarantined or has a task that probes it."""
+        started_s = (
+            now_s - (wall_s - self.cell_state.tasks[task_id].started_s)
+            for task_id in view.tasks
+        )
+        return self.faults.starts_left(view.name, started_s, now_s) == 0
+
     def _place(self, now_s: float, wall_s: float) -> None:
         if not self._queue:
             return
@@ -618,9 +624,7 @@
         self._apply(task, "assign", wall_s, reason, view.name)
         placement.after_change(view)
         young.add(view.name)
-        task_limit = self.faults.task_limit(view.name, now_s)
-        is_full = task_limit is not None and len(view.tasks) >= task_limit
-        if is_full or is_suspect:
+        if is_suspect or self._takes_no_task(view, now_s, wall_s):
             placement.drop(view)
         return True
 
--- a/dogwoodlever/_fault_attribution.py
+++ b/dogwoodlever/_fault_attribution.py
@@ -1,5 +1,6 @@
 """Attribution of failures to faulty workers or to faulty tasks."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 FAILURES_TO_QUARANTINE = 3
@@ -18,7 +19,8 @@
     failed_jobs : set of str
         Jobs with failures there; several such jobs indicate a faulty worker.
     quarantined_until_s : float
-        No task is placed earlier; afterwards one at a time until a success.
+        No task is placed earlier; afterwards one at a time until a success. Tasks
+        that have run there since before do not count, since they may never end.
     """
 
     failed_jobs: set[str] = field(default_factory=set)
@@ -34,7 +36,8 @@
     Parameters
     ----------
     quarantine_base_s : float
-        First quarantine of a worker; each further one lasts twice as long.
+        First quarantine of a worker; each further one lasts twice as long. A task that
+        has run for this long after a quarantine does not keep another from starting.
     quarantine_max_s : float
         Longest quarantine.
     """
@@ -124,6 +127,27 @@
             return 0
         return 1 if record.is_probing else None
 
+    def starts_left(
+        self, worker: str, started_s: Iterable[float], now_s: float
+    ) -> int | None:
+        """Return how many more tasks may start on `worker`; None means no limit.
+
+        Parameters
+        ----------
+        worker : str
+            The worker.
+        started_s : iterable of float
+            When the tasks that run there were started.
+        now_s : float
+            Current time.
+        """
+        limit = self.task_limit(worker, now_s)
+        if not limit:
+            return limit
+        quarantined_until_s = self.worker(worker).quarantined_until_s
+        since_s = max(quarantined_until_s, now_s - self._quarantine_base_s)
+        return max(0, limit - sum(start_s >= since_s for start_s in started_s))
+
     def has_failed_too_often(self, failed_on: list[str], now_s: float) -> bool:
         """Return whether a task failed on enough workers that are not at fault."""
         healthy = {
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -648,9 +648,9 @@
         if step.spec.worker_tasks_max:
             placed = step.worker_tasks.get(capacity.entry.worker_id, 0)
             count = min(count, step.spec.worker_tasks_max - placed)
-        task_limit = self._faults.task_limit(capacity.entry.worker_id, now_s)
-        if task_limit is not None:
-            count = min(count, task_limit - len(capacity.runs))
+        starts_left = self._starts_left(capacity, now_s)
+        if starts_left is not None:
+            count = min(count, starts_left)
         return max(0, count)
 
     def _cheapest(
@@ -704,10 +704,15 @@
         tasks_max = spec.worker_tasks_max
         if tasks_max and step.worker_tasks.get(worker_id, 0) >= tasks_max:
             return "tasks-per-worker"
-        task_limit = self._faults.task_limit(worker_id, now_s)
-        if task_limit is None or len(capacity.runs) < task_limit:
-            return ""
-        return "probation" if task_limit else "quarantined"
+        if self._starts_left(capacity, now_s) == 0:
+            is_quarantined = self._faults.task_limit(worker_id, now_s) == 0
+            return "quarantined" if is_quarantined else "probation"
+        return ""
+
+    def _starts_left(self, capacity: WorkerCapacity, now_s: float) -> int | None:
+        """Return how many tasks may start on a worker that is on probation, if so."""
+        started_s = (run.started_s for run, _ in capacity.runs.values())
+        return self._faults.starts_left(capacity.entry.worker_id, started_s, now_s)
 
     def _cost(
         self, capacity: WorkerCapacity, spec: Step, headroom: Headroom
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -323,6 +323,25 @@
         self.assertEqual(self.cell.faults.task_limit("w0", 1.0), 0)
         self.assertEqual(self.cell.faults.task_limit("w0", 31.0), 1)
 
+    # Guards against a probation that never ends, as a task that lasts keeps all others
+    # from the worker.
+    def test_worker_with_a_long_task_is_probed_after_its_quarantine(self):
+        self.start_cell(workers=1)
+        self.cell.submit(job("long", 1), 0.0)
+        self.step()
+        self.report_all()
+        self.now_s = 1.0
+        for name in ("a", "b", "c"):
+            self.cell.faults.record_failure("w0", name, self.now_s, 1)
+        self.cell.submit(job("next", 2), self.now_s)
+        self.step()
+        self.assertEqual(self.task("next/0").state, "queued")
+        self.now_s = self.cell.faults.worker("w0").quarantined_until_s
+        self.report_all()
+        self.step()
+        states = [self.task(f"next/{n}").state for n in range(2)]
+        self.assertEqual(states, ["assigned", "queued"])
+
     def test_repeated_job_is_not_added(self):
         self.assertTrue(self.cell.submit(job(), 0.0))
         self.assertFalse(self.cell.submit(job(), 0.0))
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -92,7 +92,7 @@
         ):
             worker_id = placement.capacity.entry.worker_id
             run = self.registry.begin_run(
-                placement.task, worker_id, NOW_S, placement.number
+                placement.task, worker_id, now_s, placement.number
             )
             placement.capacity.add(run, placement.task.step.spec)
             placed.append((placement.task.task_id.job_id, worker_id))
