Planner: reserve a worker for an interrupted standing task that fits nowhere

In a service that is full of short work, an interrupted standing task went first in each round, but it kept nothing: smaller work took each hole before it had grown to the size of the task, for as long as it arrived. So its wait had no bound. The same held for an overdue task that goes before others once in 32 starts, if it fitted nowhere; and standing jobs of which nothing has run were not overdue at all.

After 3 s of interruption, a task that fits nowhere reserves the worker on which it fits soonest by the progress and the estimates of the runs there. Nothing else starts on it until the task does. At most a fifth of a service's workers, at least one, are reserved at a time, the longest wait first; one of them may be for overdue work. A reservation ends with the start or the end of its task, and with a worker that is lost, drains, is quarantined or has become too small. It moves, three times at most, if the runs there outlast what was expected. A successor makes its own.

Bound: 3 s, and the longest remaining run on the worker of work that ends by itself, while the service has workers with room for the task beside their standing tasks. With more interrupted tasks than reserved workers they follow one after the other.

The tests failed before, and fail with the reservation switched off.

--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -2,9 +2,10 @@
 
 The workers run as many tasks as fit and as many wait, of 20 workspaces with three
 sizes of tasks. In a full round nothing fits, so each size is tried once; in a busy one
-the runs of a few workers have ended; in an idle one the workers are empty, and the
-round ends after the starts that the leader orders at a time. Registering and starting
-runs counts as in the leader, sending orders does not.
+the runs of a few workers have ended; in a blocked one interrupted standing tasks wait
+for room as well; in an idle one the workers are empty, and the round ends after the
+starts that the leader orders at a time. Registering and starting runs counts as in the
+leader, sending orders does not.
 """
 
 import time
@@ -14,7 +15,7 @@
 from dogwoodlever._crash_attribution import CrashAttribution
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_leader import STARTS_PER_ROUND
-from dogwoodlever._fleet_planner import FleetPlanner
+from dogwoodlever._fleet_planner import INTERRUPTION_MAX_S, FleetPlanner
 from dogwoodlever._fleet_types import (
     FleetConfiguration,
     Queue,
@@ -38,6 +39,8 @@
 TASKS_PER_STEP = 20
 SIZES_MILLI = (1_800, 3_500, 7_000)
 FREED_WORKERS = 4
+INTERRUPTED_TASKS = 40
+INTERRUPTED_MILLI = 20_000
 ROUNDS = 15
 NOW_S = 100.0
 
@@ -86,15 +89,32 @@
             state = self.registry.add_job(job, self.queue, number, NOW_S)
             state.open_due(NOW_S * 1000)
 
-    def plan(self, starts_max: int) -> float:
+    def interrupt(self) -> None:
+        """Add standing tasks of steps of their own that fit nowhere and have run."""
+        for number in range(INTERRUPTED_TASKS):
+            step = Step(1, INTERRUPTED_MILLI, 1_000, 0, 0, standing=True)
+            job = SubmittedJob(
+                f"standing-{number}",
+                "batch",
+                "",
+                (step,),
+                workspace=f"ws-{number % WORKSPACES}",
+            )
+            state = self.registry.add_job(job, self.queue, number, NOW_S)
+            state.open_due(NOW_S * 1000)
+            task = state.occurrences[0].steps[0].tasks[0]
+            self.registry.begin_run(task, "gone", NOW_S)
+            self.registry.drop_run(task, 1)
+
+    def plan(self, starts_max: int, now_s: float = NOW_S) -> float:
         """Plan one round; return its time in seconds."""
         started_s = time.perf_counter()
         placements = self.planner.plan(
             self.registry,
             self.capacities,
             self.configuration,
-            NOW_S,
-            NOW_S * 1000,
+            now_s,
+            now_s * 1000,
             False,
         )
         for placement in islice(placements, starts_max):
@@ -151,7 +171,20 @@
         for number in range(ROUNDS):
             bench.free(number * FREED_WORKERS)
             busy_s.append(bench.plan(STARTS_PER_ROUND))
-        for kind, times_s in (("idle", idle_s), ("full", full_s), ("busy", busy_s)):
+        bench.interrupt()
+        bench.plan(STARTS_PER_ROUND)
+        blocked_s = []
+        for number in range(ROUNDS):
+            now_s = NOW_S + INTERRUPTION_MAX_S + 0.1 * number
+            bench.free(number * FREED_WORKERS)
+            blocked_s.append(bench.plan(STARTS_PER_ROUND, now_s))
+        kinds = (
+            ("idle", idle_s),
+            ("full", full_s),
+            ("busy", busy_s),
+            ("blocked", blocked_s),
+        )
+        for kind, times_s in kinds:
             prefix = f"planning.{name}.{kind}"
             print(f"{prefix}_round_ms: {median(times_s) * 1000:.2f}")
             print(f"{prefix}_longest_ms: {max(times_s) * 1000:.2f}")
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -12,6 +12,7 @@
 from dogwoodlever._fleet_job import RunPhase, StepState, Task
 from dogwoodlever._fleet_types import FleetConfiguration, Step, TaskId
 from dogwoodlever._interference_model import InterferenceModel
+from dogwoodlever._room_reservations import RoomReservation, RoomReservations
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._scheduling_order import scheduling_key
 from dogwoodlever._ticket_source import TicketSource
@@ -177,6 +178,7 @@
         "_headrooms",
         "_interference",
         "_interrupted_since_s",
+        "_reservations",
         "_shares",
         "_starts_since_overdue",
         "_tickets",
@@ -203,6 +205,7 @@
         self._interrupted_since_s: dict[TaskId, float] = {}
         self._waiting = WaitingSteps()
         self._starts_since_overdue = 0
+        self._reservations = RoomReservations()
 
     def plan(
         self,
@@ -253,41 +256,179 @@
         unplaceable = UnplaceableSizes()
         headroom = Headroom(self._interference, now_s, capacities, self._headrooms)
         spare_by_service: dict[str, SpareOrder] = {}
-        turns = [*interrupted_steps, *((step, None) for step in steps)]
+        overdue = self._find_overdue(steps, now_s)
+        yield from self._place_on_reserved(
+            interrupted_steps, overdue, capacities, now_s, headroom
+        )
+        interrupted_steps = [
+            (step, [task for task in tasks if task.is_ready])
+            for step, tasks in interrupted_steps
+        ]
+        turns = [(step, None) for step in steps]
+        interrupted_turns = interrupted_steps
         if shares is not None:
             entries = [capacity.entry for capacity in capacities]
-            turns = shares.turns(interrupted_steps, keys, entries, configuration)
-        overdue = self._find_overdue(steps, now_s)
+            if interrupted_steps:
+                interrupted_turns = shares.turns(
+                    interrupted_steps, {}, entries, configuration
+                )
+            turns = shares.turns((), keys, entries, configuration)
+        for step, tasks in interrupted_turns:
+            candidates = self._candidates(
+                step, by_service, configuration, spare_by_service
+            )
+            yield from self._place_turn(
+                step, candidates, now_s, unplaceable, headroom, tasks
+            )
+        self._reserve_for_interrupted(interrupted_steps, by_service, now_s)
         yield from self._place_overdue_first(overdue, by_service, now_s, headroom)
         for step, tasks in turns:
-            queue = configuration.queues.get(step.job.queue.name, step.job.queue)
-            candidates = by_service.get(queue.service, ())
-            if step.spec.uses_leftover:
-                self._best_effort_images.add(step.spec.image)
-                if queue.service not in spare_by_service:
-                    spare_by_service[queue.service] = SpareOrder(candidates)
-                order = spare_by_service[queue.service]
-                candidates = order.with_spare(_spare_min(step.spec))
-            for placement in self._place_step(
+            candidates = self._candidates(
+                step, by_service, configuration, spare_by_service
+            )
+            yield from self._place_turn(
                 step, candidates, now_s, unplaceable, headroom, tasks
-            ):
-                self._waiting.record_start(step, now_s)
-                self._starts_since_overdue += 1
-                yield placement
-            if step.ready and _needs_ticket(step):
-                self._tickets.request(
-                    step, self._ticket_candidates(step, candidates, now_s)
-                )
+            )
         yield from self._place_overdue_beside(overdue, by_service, now_s, headroom)
 
+    def _candidates(
+        self,
+        step: StepState,
+        by_service: dict[str, list[WorkerCapacity]],
+        configuration: FleetConfiguration,
+        spare_by_service: dict[str, SpareOrder],
+    ) -> list[WorkerCapacity]:
+        """Return the workers of a step's service that may have room for its tasks."""
+        queue = configuration.queues.get(step.job.queue.name, step.job.queue)
+        candidates = by_service.get(queue.service, [])
+        if not step.spec.uses_leftover:
+            return candidates
+        self._best_effort_images.add(step.spec.image)
+        if queue.service not in spare_by_service:
+            spare_by_service[queue.service] = SpareOrder(candidates)
+        return spare_by_service[queue.service].with_spare(_spare_min(step.spec))
+
+    def _place_turn(
+        self,
+        step: StepState,
+        candidates: list[WorkerCapacity],
+        now_s: float,
+        unplaceable: UnplaceableSizes,
+        headroom: Headroom,
+        tasks: list[Task] | None,
+    ):
+        """Yield placements of a step in its turn, and request the tickets it needs."""
+        for placement in self._place_step(
+            step, candidates, now_s, unplaceable, headroom, tasks
+        ):
+            self._waiting.record_start(step, now_s)
+            self._starts_since_overdue += 1
+            yield placement
+        if step.ready and _needs_ticket(step):
+            self._tickets.request(
+                step, self._ticket_candidates(step, candidates, now_s)
+            )
+
+    def _place_on_reserved(
+        self,
+        interrupted_steps: list[tuple[StepState, list[Task]]],
+        overdue: list[StepState],
+        capacities: list[WorkerCapacity],
+        now_s: float,
+        headroom: Headroom,
+    ):
+        """Yield placements of tasks on the workers that are reserved for them."""
+        waiting = {task.task_id for _, tasks in interrupted_steps for task in tasks}
+        for reservation in self._reservations:
+            if reservation.task.step in overdue:
+                waiting.add(reservation.task.task_id)
+        by_id = {}
+        if waiting:
+            by_id = {capacity.entry.worker_id: capacity for capacity in capacities}
+
+        def is_usable(reservation: RoomReservation) -> bool:
+            task = reservation.task
+            capacity = by_id.get(reservation.worker_id)
+            return (
+                capacity is not None
+                and self._may_wait_for_room(task)
+                and self._may_run(capacity, task.step, now_s)
+                and _could_fit(capacity, task.step.spec)
+            )
+
+        self._reservations.begin_round(waiting, is_usable, now_s)
+        for reservation in self._reservations:
+            task = reservation.task
+            step = task.step
+            capacity = by_id[reservation.worker_id]
+            if (
+                now_s < capacity.refused_until_s
+                or not self._may_wait_for_room(task)
+                or self._cheapest(task, (capacity,), now_s, headroom) is None
+            ):
+                continue
+            self._reservations.release(task, now_s, "started")
+            is_overdue = step in overdue
+            if is_overdue:
+                self._starts_since_overdue = 0
+            self._waiting.record_start(step, now_s, is_overdue)
+            yield self._placement(task, capacity)
+
+    def _may_wait_for_room(self, task: Task) -> bool:
+        """Return whether room is all that keeps a task from a start."""
+        if task.task_id.index not in task.step.ready or self._crashes.is_held(task):
+            return False
+        return self._shares is None or self._shares.allows_copy(task.step)
+
+    def _reserve_for_interrupted(
+        self,
+        interrupted_steps: list[tuple[StepState, list[Task]]],
+        by_service: dict[str, list[WorkerCapacity]],
+        now_s: float,
+    ) -> None:
+        """Reserve room for interrupted tasks that fit nowhere, by their wait."""
+        waiting = [
+            task
+            for _, tasks in interrupted_steps
+            for task in tasks
+            if self._may_wait_for_room(task)
+        ]
+        waiting.sort(key=lambda task: self._interrupted_since_s[task.task_id])
+        self._reserve(waiting, by_service, now_s)
+
+    def _reserve(
+        self,
+        tasks: list[Task],
+        by_service: dict[str, list[WorkerCapacity]],
+        now_s: float,
+    ) -> None:
+        if not tasks:
+            return
+
+        def candidates(task: Task) -> list[WorkerCapacity]:
+            return [
+                capacity
+                for capacity in by_service.get(task.step.job.queue.service, ())
+                if self._is_free_for(task, capacity.entry.worker_id)
+                and self._may_run(capacity, task.step, now_s)
+            ]
+
+        counts = Counter({service: len(found) for service, found in by_service.items()})
+        self._reservations.reserve(tasks, candidates, counts, now_s)
+
+    def _is_free_for(self, task: Task, worker_id: str) -> bool:
+        """Return whether a worker is not reserved for another task."""
+        reservation = self._reservations.by_worker.get(worker_id)
+        return reservation is None or reservation.task is task
+
     def _find_overdue(self, steps: list[StepState], now_s: float) -> list[StepState]:
         """Return a step of each overdue job, the longest wait first.
 
-        Standing tasks and gangs have rules of their own.
+        Gangs are placed whole.
         """
         found: dict[str, StepState] = {}
         for step in self._waiting.overdue(steps, now_s):
-            if not (step.spec.standing or step.spec.gang or step.job.has_runs):
+            if not (step.spec.gang or step.job.has_runs):
                 found.setdefault(step.job.job.job_id, step)
         return list(found.values())
 
@@ -307,6 +448,12 @@
         Late work goes last, so that work which can be on time is, and would otherwise
         never start while more arrives.
         """
+        blocked = [
+            reservation.task
+            for reservation in self._reservations
+            if reservation.task.step in overdue
+        ]
+        self._reserve(blocked, by_service, now_s)
         if self._starts_since_overdue < STARTS_PER_OVERDUE:
             return
         for step in overdue:
@@ -315,6 +462,9 @@
             task = next(iter(step.ready.values()))
             candidates = by_service.get(step.job.queue.service, ())
             capacity = self._cheapest(task, candidates, now_s, headroom)
+            if capacity is None and not blocked and not step.spec.uses_leftover:
+                blocked.append(task)
+                self._reserve(blocked, by_service, now_s)
             if capacity is not None:
                 self._starts_since_overdue = 0
                 self._waiting.record_start(step, now_s, is_overdue=True)
@@ -385,7 +535,7 @@
         capacities = [
             capacity
             for capacity in candidates
-            if capacity.fits(step.spec) and self._is_allowed(capacity, step, now_s)
+            if capacity.fits(step.spec) and not self._limit(capacity, step, now_s)
         ]
         spec = step.spec
         capacities.sort(
@@ -541,7 +691,8 @@
             return
         ranked = self._rank(step, candidates, now_s, headroom)
         for task in list(step.ready.values()) if tasks is None else tasks:
-            if self._crashes.is_held(task):
+            # It may have started in this round, on a worker that was reserved for it.
+            if task.task_id.index not in step.ready or self._crashes.is_held(task):
                 continue
             is_single = bool(task.failed_on or task.crashes)
             if is_single:
@@ -686,11 +837,6 @@
         """Return whether a worker may run a task of a step now."""
         if _needs_ticket(step) and not self._tickets.ticket(step, capacity):
             return False
-        return self._is_allowed(capacity, step, now_s)
-
-    def _is_allowed(
-        self, capacity: WorkerCapacity, step: StepState, now_s: float
-    ) -> bool:
         return not self._limit(capacity, step, now_s)
 
     def _limit(self, capacity: WorkerCapacity, step: StepState, now_s: float) -> str:
@@ -699,15 +845,20 @@
         if spec.label and spec.label not in capacity.entry.labels:
             return "label"
         worker_id = capacity.entry.worker_id
+        reservations = self._reservations.by_worker
+        if worker_id in reservations and reservations[worker_id].task.step is not step:
+            return "reserved"
         if self._crashes.is_reserved(worker_id):
             return "suspect-runs-there"
         tasks_max = spec.worker_tasks_max
         if tasks_max and step.worker_tasks.get(worker_id, 0) >= tasks_max:
             return "tasks-per-worker"
-        if self._starts_left(capacity, now_s) == 0:
-            is_quarantined = self._faults.task_limit(worker_id, now_s) == 0
-            return "quarantined" if is_quarantined else "probation"
-        return ""
+        task_limit = self._faults.task_limit(worker_id, now_s)
+        if task_limit is None:
+            return ""
+        if not task_limit:
+            return "quarantined"
+        return "" if self._starts_left(capacity, now_s) else "probation"
 
     def _starts_left(self, capacity: WorkerCapacity, now_s: float) -> int | None:
         """Return how many tasks may start on a worker that is on probation, if so."""
@@ -745,6 +896,16 @@
         return self._interference.total(spec.image, capacity.interfering_cores())
 
 
+def _could_fit(capacity: WorkerCapacity, spec: Step) -> bool:
+    """Return whether a task fits a worker on which nothing runs."""
+    entry = capacity.entry
+    return (
+        spec.cores_milli <= entry.cores_milli
+        and spec.memory_mb <= entry.memory_mb
+        and spec.accelerators <= entry.accelerators
+    )
+
+
 def _number_to_complete(step: StepState) -> int:
     """Return the number of a gang's run of which only refused members are missing.
 
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -39,7 +39,7 @@
 
 
 class Fixture:
-    def __init__(self, workers=2, cores=16, entries=None):
+    def __init__(self, workers=2, cores=16, entries=None, crashes=None):
         self.queues = {
             "urgent": Queue("urgent", "", "/", "desk", 0, 3, 1.5, 250),
             "batch": Queue("batch", "", "/", "desk", 2, 3, 2.0, 1000),
@@ -47,7 +47,7 @@
         self.configuration = FleetConfiguration(1, self.queues)
         self.registry = RunRegistry(1)
         self.faults = FaultAttribution()
-        self.crashes = CrashAttribution(lambda job_id: True)
+        self.crashes = crashes or CrashAttribution(lambda job_id: True)
         self.interference = InterferenceModel()
         self.planner = FleetPlanner(
             self.faults, self.crashes, self.interference, NoTickets()
