Begin each leader's starts with an overdue one

Cause: a late task goes first once in 32 other starts, and each leader counted these anew. Beside small work that takes all room no late task started while leaders changed each 1, 2 or 4 s (OverdueTest; 10.5 s under one leader).

Change: the count begins at its limit. The price is one start of late work for each change of leader.

--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -204,7 +204,8 @@
         # Since when standing tasks that have run wait to run again.
         self._interrupted_since_s: dict[TaskId, float] = {}
         self._waiting = WaitingSteps()
-        self._starts_since_overdue = 0
+        # A leader knows no starts of its predecessors, and may not last for as many.
+        self._starts_since_overdue = STARTS_PER_OVERDUE
         self._reservations = RoomReservations()
 
     def plan(
