Drop workers that leave from the membership once nothing runs there

A worker drained, its standing tasks were stopped at 14.2 s and it left; a later leader waited for its leases until 30.0 s, and all inherited work with it.

Cause: a worker left the membership only if nothing ran there at the moment at which its entry was removed. If its last run ended later, it stayed, and each successor that could not reach it waited for its leases.

Change: a worker that drains, or has no entry, is dropped from the membership as soon as nothing runs there and its ends are stored, the condition that held before at the removal of the entry only. It is stored again when it has an entry and does not drain.

The new test failed before.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -294,6 +294,18 @@
                 expiries_s[worker_id] = link.evidence.find_lease_expiry_s()
         self._unreachable.set_unreachable(expiries_s)
 
+    def release_empty_workers(self) -> None:
+        """Drop workers from the membership that leave and on which nothing runs.
+
+        No successor then waits for them. None starts there before it is stored again.
+        """
+        for worker_id, capacity in self.capacities.items():
+            if capacity.is_listed and not capacity.entry.is_draining:
+                continue
+            is_empty = capacity.is_synced and not capacity.runs
+            if is_empty and self._links[worker_id].evidence.is_settled:
+                self._membership.discard(worker_id)
+
     def on_unreachable_stored(self) -> None:
         """Poll the workers that answer and may get leases now."""
         for worker_id in list(self._withheld):
@@ -430,6 +442,8 @@
         capacity.is_listed = True
         if entry.is_draining:
             self.runs.evict_draining(capacity)
+        elif capacity.is_synced:
+            self._membership.set_address(entry.worker_id, entry.address)
 
     @inlineCallbacks
     def _confirm_incarnation(self, worker_id: str):
--- a/tests/test_unreachable_workers.py
+++ b/tests/test_unreachable_workers.py
@@ -7,13 +7,15 @@
 from dogwoodlever._fleet_records import (
     TERM_KEY,
     UNREACHABLE_WORKERS_KEY,
+    WORKER_MEMBERSHIP_KEY,
     UnreachableWorkersRecord,
     decode_unreachable_workers,
+    decode_worker_membership,
     encode,
 )
 from dogwoodlever._unreachable_workers import REFRESH_INTERVAL_S, UnreachableWorkers
-from standins.fleet import FakeFleetStore, FleetRecords
-from tests.fleet_simulation import StandingWorkTest
+from standins.fleet import FakeFleetStore, FleetRecords, server_record
+from tests.fleet_simulation import JOB, StandingWorkTest, job
 from tests.test_worker_recovery import (
     SILENT_RECOVERY_MAX_S,
     crash,
@@ -53,6 +55,34 @@
                 self.assertEqual(fleet.workers.duplicate_starts, [])
 
 
+class LeavingWorkerTest(StandingWorkTest):
+    def is_member(self, fleet, worker_id):
+        record = fleet.records.read(WORKER_MEMBERSHIP_KEY)
+        return worker_id in decode_worker_membership(record.value).workers
+
+    # Guards against work that waits for the leases of a worker that has left as it
+    # announced, if its last run ended later than its entry or its leader.
+    def test_worker_that_leaves_is_awaited_only_while_something_runs_there(self):
+        for is_unlisted in (False, True):
+            with self.subTest(is_unlisted=is_unlisted):
+                fleet = self.start_fleet(workers=3, run_s=4.0)
+                fleet.submit(0, job(JOB, tasks=6, worker_tasks_max=2))
+                fleet.run_for(1.0)
+                entry = fleet.workers.workers["w0"].entry
+                self.assertTrue(fleet.workers.workers["w0"].running)
+                fleet.records.write("servers/w0", server_record(entry, "draining"))
+                fleet.run_for(0.5)
+                if is_unlisted:
+                    fleet.records.remove("servers/w0")
+                fleet.run_for(0.5)
+                self.assertTrue(self.is_member(fleet, "w0"))
+                fleet.run_for(4.0)
+                self.assertFalse(self.is_member(fleet, "w0"))
+                fleet.records.write("servers/w0", server_record(entry))
+                fleet.run_for(1.0)
+                self.assertTrue(self.is_member(fleet, "w0"))
+
+
 class UnreachableWorkersTest(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
