Exploration: leaders that change in a row

The exploration knew single changes of the leader, each followed by 21 s without a change, so a wait that each leader begins anew always ended.

An event now changes the leader each 2 s or 4 s until the end of the run; the task has to run again within the recovery time after the last other fault. A cut of 25 s counts from its start.

State: run numbers and fencing tokens are ranked and leaders numbered from the last one on, so that states under later leaders can be equal. What the next leader begins with is part of the state: stored records, writes without an answer, progress, when the leader was elected. A run is cut short only in a state in which an earlier run had waited for as long for its task, else a cycle of states without progress would hide that the task never runs.

The model's leader no longer places the task of a job that has ended, as in the product only active jobs are planned.

--- a/tests/exploration.py
+++ b/tests/exploration.py
@@ -2,7 +2,8 @@
 
 A run is determined by its faults: pairs of a choice point and a fault. Runs are
 enumerated by number of faults, each from the start, and end early in a state from which
-a run with at least as many faults left has been explored.
+a run with at least as many faults left has been explored, and in which its task had
+waited for at least as long.
 """
 
 import argparse
@@ -11,10 +12,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tests.exploration_model import EVENTS, FATES, Model
+from tests.exploration_model import EVENTS, FATES, ROWS, Model
 from tests.exploration_state import freeze_state
 
 Trace = tuple[str, ...]
+NEVER_S = float("-inf")
 
 
 @dataclass(slots=True)
@@ -62,11 +64,18 @@
         if self._faults or fault or self._seen is None or self.is_pruned:
             return fault
         state = freeze_state(model, name)
-        if self._seen.get(state, -1) >= self._faults_left:
+        waited_s = model.waited_s()
+        faults_left, longest_s = self._seen.get(state, (-1, NEVER_S))
+        # A further fault begins the time for recovery anew.
+        if faults_left < self._faults_left:
+            self.points.append(name)
+        elif waited_s <= longest_s:
             self.is_pruned = True
             return ""
-        self._seen[state] = self._faults_left
-        self.points.append(name)
+        self._seen[state] = (
+            max(faults_left, self._faults_left),
+            max(longest_s, waited_s),
+        )
         return ""
 
     def run(self, has_known_faults: bool) -> list[str]:
@@ -83,7 +92,7 @@
 
 
 def _is_possible(point: str, fault: str) -> bool:
-    return fault in EVENTS or not point.endswith("waits")
+    return fault not in FATES or not point.endswith("waits")
 
 
 def explore(
@@ -147,10 +156,18 @@
     parser.add_argument("--faults", type=int, default=2)
     parser.add_argument("--minutes", type=float, default=10.0)
     parser.add_argument("--known", action="store_true", help="include KNOWN-RED.txt")
+    parser.add_argument("--row", choices=ROWS, help="changes of leaders before faults")
+    parser.add_argument("--row-at", default="", help="call at which they begin")
     options = parser.parse_args()
+    sequence: tuple = (("", (*FATES, *EVENTS)),) * options.faults
+    if options.row:
+        sequence = ((options.row_at, (options.row,)), *sequence)
     start_s = time.monotonic()
     result = explore(
-        options.faults, limit_s=options.minutes * 60, has_known_faults=options.known
+        len(sequence),
+        sequence,
+        limit_s=options.minutes * 60,
+        has_known_faults=options.known,
     )
     took_s = time.monotonic() - start_s
     print(
--- a/tests/exploration_model.py
+++ b/tests/exploration_model.py
@@ -166,6 +166,31 @@
         )  # fmt: skip
 
 
+class ModelStore(FakeFleetStore):
+    """Store client that shows which writes have not been answered.
+
+    Attributes
+    ----------
+    under_way : list of tuple
+        Expected revisions and written records of each.
+    """
+
+    def __init__(self, records: FleetRecords, clock) -> None:
+        super().__init__(records, clock)
+        self.under_way: list[tuple] = []
+
+    def commit(self, expected, puts, deletes=()) -> Deferred:
+        """Apply all changes if the expected revisions match, else none."""
+        write = expected, puts, deletes
+        self.under_way.append(write)
+
+        def remove(result):
+            self.under_way.remove(write)
+            return result
+
+        return super().commit(expected, puts, deletes).addBoth(remove)
+
+
 class ModelLeader:
     """Drives one leader's view of the workers, as `FleetLeader` does."""
 
@@ -179,8 +204,9 @@
         self.is_closed = False
         model.records.write(TERM_KEY, str(number).encode())
         self.token = model.records.revision
-        self.store = FakeFleetStore(model.records, model.clock)
-        self.registry = RunRegistry(number)
+        self.store = ModelStore(model.records, model.clock)
+        # From the second term on, numbers of runs differ from small counts.
+        self.registry = RunRegistry(number + 1)
         self.membership = WorkerMembership(
             self.store, self._clock, lambda: self.token, self.plan_soon
         )
@@ -245,13 +271,17 @@
         self.contact_s = self._clock.seconds()
         self.store.is_down = True
 
+    def find_task(self):
+        """Return the task, or None if its job has ended."""
+        return self.registry.find(TASK) if JOB in self.registry.active else None
+
     def plan_soon(self) -> None:
         """Schedule a planning round."""
         if self._plan_call is None or not self._plan_call.active():
             self._plan_call = self._clock.callLater(PLAN_DELAY_S, self._plan)
 
     def _plan(self) -> None:
-        task = self.registry.find(TASK)
+        task = self.find_task()
         is_waiting = task is not None and not task.is_done and not task.runs
         if self.is_closed or not is_waiting or self._clock.seconds() < JOB_ARRIVAL_S:
             return
@@ -326,11 +356,18 @@
         self._numbers: Counter = Counter()
         self._error: Exception | None = None
         self.disturbed_until_s = JOB_ARRIVAL_S
+        self._fault_s = JOB_ARRIVAL_S
         self.leaders: list[ModelLeader] = []
+        self.is_electing = False
+        # When the leader that has stopped was elected, if the next one learns of it.
+        self.stopped_elected_s: float | None = None
+        # How leaders change in a row, and for how long each leads.
+        self.row: tuple[str, float] | None = None
         for number in range(2):
             self.start_process(worker_entry(number), self.clock.seconds())
             self.write_entry(self.workers.workers[f"w{number}"].entry)
-        self.elect(float("-inf"))
+        self.stopped_elected_s = float("-inf")
+        self.elect()
 
     @property
     def violations(self) -> list[str]:
@@ -347,16 +384,32 @@
                 return
             self.clock.advance(max(0.0, next_s - self.clock.seconds()))
 
+    def waited_s(self) -> float:
+        """Return for how long the task has not run since the last fault."""
+        is_running = any(worker.running for worker in self.listening.values())
+        if is_running or self._is_task_done():
+            return float("-inf")
+        return round(self.clock.seconds() - self.disturbed_until_s, 1)
+
+    def _is_task_done(self) -> bool:
+        task = self.leaders[-1].find_task()
+        return task is None or task.is_done
+
+    def check_while_cut_off(self) -> None:
+        """Check that the task has recovered from the start of a long cut."""
+        if self.clock.seconds() >= self._fault_s + RECOVERY_S - TICK_S:
+            self._check_recovery()
+
     def _check_recovery(self) -> None:
         record = self.workers.tasks.get(TASK)
-        task = self.leaders[-1].registry.find(TASK)
-        is_done = task is None or task.is_done
+        is_done = self._is_task_done()
         if record is not None and record.is_completion_acknowledged and not is_done:
             self.violations.append("LOST: an acknowledged end was not applied")
         usable = [
             worker
             for worker in self.listening.values()
             if worker.entry.worker_id in self.entries
+            and worker.entry.port not in self.cuts
             and worker.entry.cores_milli >= TASK_CORES_MILLI
         ]
         is_running = any(worker.running for worker in self.listening.values())
@@ -395,8 +448,9 @@
             # Raised again by `run`; here the leader would handle it.
             self._error = error
             return ""
-        if choice in EVENTS:
-            self.clock.callLater(0.0, EVENTS[choice], self, worker_id)
+        event = EVENTS.get(choice) or ROWS.get(choice)
+        if event is not None:
+            self.clock.callLater(0.0, event, self, worker_id)
         return choice
 
     def _choose_waiting(self, call: Call, name: str) -> None:
@@ -405,6 +459,7 @@
 
     def disturb(self, duration_s: float) -> None:
         """Record that a fault lasts for a time."""
+        self._fault_s = self.clock.seconds()
         until_s = self.clock.seconds() + duration_s
         self.disturbed_until_s = max(self.disturbed_until_s, until_s)
 
@@ -583,10 +638,17 @@
                 self.clock.callLater(0.0, self.reset, call)
         return worker
 
-    def elect(self, former_elected_s: float | None) -> None:
+    def elect(self) -> None:
         """Elect another leader."""
+        self.is_electing = False
         self.leaders.append(ModelLeader(self, len(self.leaders) + 1))
-        self.leaders[-1].open(former_elected_s)
+        self.leaders[-1].open(self.stopped_elected_s)
+        if self.row is not None:
+            self.clock.callLater(self.row[1], self.change_in_row)
+
+    def change_in_row(self) -> None:
+        """Change the leader, in a row that lasts until the end of the run."""
+        _change_leader(self.row[0])(self, "w0")
 
 
 # Fates of a call
@@ -699,6 +761,8 @@
         model.disturb(duration_s)
         model.cuts[port] = (kind, 0)
         model.clock.callLater(duration_s, model.cuts.pop, port, None)
+        if duration_s > RECOVERY_S:
+            model.clock.callLater(RECOVERY_S, model.check_while_cut_off)
 
     return event
 
@@ -731,10 +795,11 @@
 def _change_leader(mode: str):
     def event(model: Model, worker_id: str) -> None:
         former = model.leaders[-1]
-        if former.is_closed:
+        if former.is_closed or model.is_electing:
             return
         delay_s = 0.1 if mode in ("stopped", "split") else ELECTION_S
-        elected_s = former.elected_s if mode == "stopped" else None
+        model.is_electing = True
+        model.stopped_elected_s = former.elected_s if mode == "stopped" else None
         if mode in ("killed", "stopped"):
             former.close()
         else:
@@ -745,12 +810,31 @@
             model.cuts[port] = ("silent", former.number + 1)
             model.clock.callLater(25.0, model.cuts.pop, port, None)
             model.disturb(25.0)
-        model.disturb(delay_s)
-        model.clock.callLater(delay_s, model.elect, elected_s)
+        if model.row is None:
+            model.disturb(delay_s)
+        model.clock.callLater(delay_s, model.elect)
 
     return event
 
 
+def _begin_row(mode: str, leads_s: float):
+    """Change the leader each `leads_s`, while the task has to recover from faults."""
+
+    def event(model: Model, worker_id: str) -> None:
+        if model.row is not None:
+            return
+        model.disturb(0.0)
+        model.row = mode, leads_s
+        model.change_in_row()
+
+    return event
+
+
+ROWS = {
+    f"leaders {mode} each {leads_s} s": _begin_row(mode, leads_s)
+    for mode in ("killed", "stopped", "isolated")
+    for leads_s in (2.0, 4.0)
+}
 EVENTS = {
     **{f"crash, back {s} s": _crash(s) for s in (0.0, 0.3, 1.5, 6.0, 9.0)},
     "crash, back 0.3 s, entry late": _crash(0.3, 6.0),
--- a/tests/exploration_state.py
+++ b/tests/exploration_state.py
@@ -7,7 +7,10 @@
 from twisted.internet.defer import Deferred
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
+from dogwoodlever._fleet_records import PREFIX, TERM_KEY
 from dogwoodlever._fleet_types import RunId, Step, TaskId, WorkerEntry
+from dogwoodlever._fleet_workers import LINKS_PER_TERM_MAX
+from dogwoodlever._run_registry import RUNS_PER_TERM
 from tests.exploration_model import Call
 
 # Times further ahead count as equal; further back too, since decisions depend on past
@@ -27,6 +30,11 @@
         "_dropped", "progressed_clock_ms",
     }
 )  # fmt: skip
+# Numbers count by their order, and by their differences up to this one.
+GAP_MAX = 50
+RUN_NUMBER_NAMES = frozenset(
+    {"_run_base", "failed_runs", "last_run", "latest_numbers", "number", "runs"}
+)
 TIMERS_IGNORED = frozenset({"_tick", "advance", "_answer_poll", "_choose_waiting"})
 
 
@@ -44,10 +52,53 @@
     return round(delta_s, TIME_DIGITS)
 
 
+class _Number(int):
+    """A run number or a fencing token, of which only the order matters."""
+
+
+class _RunNumber(_Number):
+    """A number of a run, higher in each term."""
+
+
+class _Token(_Number):
+    """A fencing token, higher in each term."""
+
+
+def _collect_numbers(value, found: dict[type, set[int]]) -> None:
+    if isinstance(value, tuple):
+        for item in value:
+            _collect_numbers(item, found)
+    elif isinstance(value, _Number):
+        found[type(value)].add(int(value))
+
+
+def _rank(value, ranks: dict[type, dict[int, int]]):
+    if isinstance(value, tuple):
+        return tuple(_rank(item, ranks) for item in value)
+    if isinstance(value, _Number):
+        return ranks[type(value)][int(value)]
+    return value
+
+
+def _rank_numbers(state: tuple) -> tuple:
+    """Replace numbers by ranks, so that states under later leaders can be equal."""
+    found: dict[type, set[int]] = {_RunNumber: set(), _Token: set()}
+    _collect_numbers(state, found)
+    ranks: dict[type, dict[int, int]] = {}
+    for kind, numbers in found.items():
+        rank, former = 0, None
+        ranks[kind] = {}
+        for number in sorted(numbers):
+            rank += 0 if former is None else min(GAP_MAX, number - former)
+            ranks[kind][number] = rank
+            former = number
+    return _rank(state, ranks)
+
+
 class _Freezer:
     def __init__(self, model) -> None:
         self._model = model
-        self._now_s = model.clock.seconds()
+        self.now_s = model.clock.seconds()
         self._seen: dict[int, int] = {}
 
     def freeze(self, value, name: str = "", clock_ms: int | None = None):
@@ -55,18 +106,22 @@
             return value
         if isinstance(value, (int, float)):
             if name.endswith("_s") and value == value:
-                return _relative(value, self._now_s)
+                return _relative(value, self.now_s)
             if name.endswith("_ms") and clock_ms is not None and value > 0:
                 return _relative(value / 1000, clock_ms / 1000)
+            if name in ("fencing_token", "token"):
+                return _Token(value)
+            if name in RUN_NUMBER_NAMES and value >= RUNS_PER_TERM:
+                return _RunNumber(value)
             return value
         if isinstance(value, WorkerEntry):
             return value.worker_id, value.started_at_ms, value.port, value.cores_milli
         if isinstance(value, RunId):
-            return value.number
+            return _RunNumber(value.number)
         if isinstance(value, (Step, TaskId)):
             return None
         if isinstance(value, DelayedCall):
-            return _relative(value.getTime(), self._now_s) if value.active() else 0
+            return _relative(value.getTime(), self.now_s) if value.active() else 0
         if isinstance(value, (dict, list, tuple, set, frozenset, deque)):
             return self._freeze_collection(value, name, clock_ms)
         if not type(value).__module__.startswith(("dogwoodlever", "standins", "tests")):
@@ -78,7 +133,7 @@
     def _freeze_collection(self, value, name, clock_ms):
         if isinstance(value, dict):
             items = [
-                (self.freeze(k), self.freeze(v, name, clock_ms))
+                (self.freeze(k, name), self.freeze(v, name, clock_ms))
                 for k, v in value.items()
             ]
             return tuple(sorted(items, key=repr))
@@ -101,23 +156,33 @@
 
     def _clock_ms(self, entry) -> int:
         worker = self._model.workers.workers[entry.worker_id]
-        return worker.clock_ms(self._now_s)
+        return worker.clock_ms(self.now_s)
 
 
 def freeze_state(model, point: str) -> int:
-    """Return a hash of all that decides how the model goes on."""
+    """Return a hash of all that decides how the model goes on.
+
+    Leaders are numbered from the last one on, since a row of them changes nothing by
+    its length alone.
+    """
     freezer = _Freezer(model)
     now_s = model.clock.seconds()
+    last_number = len(model.leaders)
     leaders = []
     for leader in model.leaders:
         if not leader.is_closed:
             leaders.append(
                 (
-                    leader.number,
+                    leader.number - last_number,
+                    # Its jobs are not inherited.
+                    leader.number == 1,
+                    _Token(leader.token * LINKS_PER_TERM_MAX),
+                    _relative(leader.elected_s, now_s),
                     leader.contact_s is not None
                     and _relative(leader.contact_s + WORKER_LEASES_MAX_S, now_s),
                     freezer.freeze(leader.workers),
                     freezer.freeze(leader.membership._stored_ids),
+                    freezer.freeze(leader.membership._addresses),
                 )
             )
     workers = []
@@ -128,10 +193,10 @@
 
     def freeze_call(call):
         return (
-            call.number,
+            call.number - last_number,
             call.kind,
             freezer.freeze(call.entry),
-            call.token,
+            _Token(call.token),
             call.target is not None,
             call.is_answered,
             call.restarts_left,
@@ -152,18 +217,55 @@
         for call in model.clock.calls
         if call.func.__name__ not in TIMERS_IGNORED
     ]
-    words = point.split(" ")
-    return hash(
-        (
-            tuple(word for word in words if not word.isdigit()),
-            tuple(leaders),
-            tuple(workers),
-            tuple(map(freeze_call, (*model.calls, *model.held))),
-            tuple(timers),
-            tuple(record.value for record in model.entries.values()),
-            freezer.freeze(model.crashed_s, "crashed_s"),
-            repr(sorted(model.cuts.items())),
-            repr(sorted(model.outcomes.items(), key=repr)),
-            freezer.freeze(list(model.workers.tasks.values())),
-        )
+    words = tuple(
+        int(word[1:]) - last_number if word[0] == "L" else word
+        for word in point.split(" ")
+        if not word.isdigit()
+    )
+    outcomes = [
+        (number - last_number, kind, freezer.freeze(run), repr(sorted(counts.items())))
+        for (number, kind, run), counts in model.outcomes.items()
+        if not model.leaders[number - 1].is_closed
+    ]
+    cuts = [
+        (port, kind, max(0, first_leader - last_number + 2))
+        for port, (kind, first_leader) in sorted(model.cuts.items())
+    ]
+    state = (
+        words,
+        tuple(leaders),
+        tuple(workers),
+        tuple(map(freeze_call, (*model.calls, *model.held))),
+        tuple(timers),
+        tuple(record.value for record in model.entries.values()),
+        freezer.freeze(model.crashed_s, "crashed_s"),
+        tuple(cuts),
+        tuple(sorted(outcomes, key=repr)),
+        freezer.freeze(list(model.workers.tasks.values())),
+        _freeze_inheritance(model, freezer),
+    )
+    return hash(_rank_numbers(state))
+
+
+def _freeze_inheritance(model, freezer: _Freezer) -> tuple:
+    """Return what decides how the next leaders begin."""
+    now_s = freezer.now_s
+    stopped_elected_s = model.stopped_elected_s
+    stored = [
+        (key, record.value)
+        for key, record in sorted(model.records.records.items())
+        if key.startswith(PREFIX) and key != TERM_KEY
+    ]
+    writes = [
+        tuple((put.key, put.value) for put in puts if put.key != TERM_KEY)
+        for leader in model.leaders
+        for _, puts, _ in leader.store.under_way
+    ]
+    return (
+        model.row,
+        model.is_electing,
+        stopped_elected_s is not None and _relative(stopped_elected_s, now_s),
+        freezer.freeze(model.progress),
+        tuple(stored),
+        tuple(writes),
     )
--- a/tests/test_exploration.py
+++ b/tests/test_exploration.py
@@ -151,6 +151,22 @@
     ),
 )
 
+# Faults at a worker while leaders change in a row: the worker is lost, or returns.
+ROW = "leaders stopped each 2.0 s"
+LOSSES = ("crash", "cut silent 25.0 s", "cut refused 25.0 s")
+RETURNS = (
+    "cut silent 1.0 s",
+    "cut silent 4.0 s",
+    "cut refused 8.0 s",
+    "crash, back 0.3 s",
+    "answer reset",
+)
+
+
+def explore_row(faults):
+    """Explore single faults at the task's worker while leaders change in a row."""
+    return explore(2, (("poll w0 3", (ROW,)), ("w0", faults)))
+
 
 class ExplorationTest(unittest.TestCase):
     # Guards against a task that starts elsewhere while the next incarnation of its
@@ -178,6 +194,20 @@
         self.assertTrue(result.is_complete)
         self.assertEqual(result.traces, {})
 
+    # Guards against a task that does not run again while leaders change in a row, as
+    # its worker is lost for good (issue 44, LOST).
+    def test_task_of_a_lost_worker_runs_again_during_a_row_of_leaders(self):
+        self.check_row(LOSSES)
+
+    # Guards against two runs of a task whose worker returns during a row of leaders.
+    def test_worker_returns_during_a_row_of_leaders(self):
+        self.check_row(RETURNS)
+
+    def check_row(self, faults):
+        result = explore_row(faults)
+        self.assertTrue(result.is_complete)
+        self.assertEqual(result.traces, {})
+
     # Guards against an exploration that would not notice the faults of issue 22.
     def test_undone_mends_are_found(self):
         for commit, target, sequence in MENDS:
