Exploration: gangs

The model's job may be a gang of two tasks, placed whole with numbers counted from the tasks' last runs, as FleetPlanner does.

With both mends undone, the base of the term in begin_run and the match of the worker in end_run, a cut of the worker and a change of leader show the fault (TWICE).

--- a/tests/exploration.py
+++ b/tests/exploration.py
@@ -78,17 +78,19 @@
         )
         return ""
 
-    def run(self, has_known_faults: bool) -> list[str]:
-        model = Model(self.choose, has_known_faults)
+    def run(self, has_known_faults: bool, is_gang: bool) -> list[str]:
+        model = Model(self.choose, has_known_faults, is_gang)
         model.run(lambda: self.is_pruned)
         if self._faults and not model.violations:
             raise ValueError(f"no such choice point: {sorted(self._faults)}")
         return model.violations
 
 
-def replay(trace: Trace, has_known_faults: bool = False) -> list[str]:
+def replay(
+    trace: Trace, has_known_faults: bool = False, is_gang: bool = False
+) -> list[str]:
     """Return the violations of one run."""
-    return _Run(trace, 0, None).run(has_known_faults)
+    return _Run(trace, 0, None).run(has_known_faults, is_gang)
 
 
 def _is_possible(point: str, fault: str) -> bool:
@@ -102,6 +104,7 @@
     stops_at_first: bool = False,
     has_known_faults: bool = False,
     clock: Callable[[], float] = time.monotonic,
+    is_gang: bool = False,
 ) -> Exploration:
     """Explore all runs with up to `faults_max` faults.
 
@@ -114,7 +117,7 @@
         Longest time of the exploration.
     stops_at_first : bool
         Stop at the first violation.
-    has_known_faults : bool
+    has_known_faults, is_gang : bool
         See `Model`.
     """
     if not sequence:
@@ -129,7 +132,7 @@
             break
         trace = queue.popleft()
         run = _Run(trace, faults_max - len(trace), seen)
-        violations = run.run(has_known_faults)
+        violations = run.run(has_known_faults, is_gang)
         result.runs += 1
         result.depth = max(result.depth, run.depth)
         for violation in violations:
@@ -158,6 +161,7 @@
     parser.add_argument("--known", action="store_true", help="include KNOWN-RED.txt")
     parser.add_argument("--row", choices=ROWS, help="changes of leaders before faults")
     parser.add_argument("--row-at", default="", help="call at which they begin")
+    parser.add_argument("--gang", action="store_true", help="two tasks of a gang")
     options = parser.parse_args()
     sequence: tuple = (("", (*FATES, *EVENTS)),) * options.faults
     if options.row:
@@ -168,6 +172,7 @@
         sequence,
         limit_s=options.minutes * 60,
         has_known_faults=options.known,
+        is_gang=options.gang,
     )
     took_s = time.monotonic() - start_s
     print(
--- a/tests/exploration_model.py
+++ b/tests/exploration_model.py
@@ -236,7 +236,7 @@
             lambda: None,
         )
         queue = Queue("quotes", "", "", "desk", attempts_max=3)
-        steps = (Step(1, TASK_CORES_MILLI, 100, 0, 1000),)
+        steps = (Step(model.tasks, TASK_CORES_MILLI, 100, 0, 1000, gang=model.is_gang),)
         job = SubmittedJob(JOB, queue.name, "", steps)
         now_s = self._clock.seconds()
         state = self.registry.add_job(job, queue, 1, now_s, model.progress)
@@ -272,9 +272,26 @@
         self.store.is_down = True
 
     def find_task(self):
-        """Return the task, or None if its job has ended."""
+        """Return the first task, or None if its job has ended."""
         return self.registry.find(TASK) if JOB in self.registry.active else None
 
+    def _find_placements(self, capacities, now_s: float) -> list[Placement]:
+        """Place all tasks, one after the other, on the first workers with room."""
+        tasks = self.find_task().step.tasks
+        number = 1 + max(task.last_run for task in tasks) if self._model.is_gang else 0
+        workers = [
+            capacity
+            for capacity in capacities
+            if capacity.refused_until_s <= now_s
+            for _ in range(capacity.cores_free // TASK_CORES_MILLI)
+        ]
+        if len(workers) < len(tasks):
+            return []
+        return [
+            Placement(task, capacity, number)
+            for task, capacity in zip(tasks, workers, strict=False)
+        ]
+
     def plan_soon(self) -> None:
         """Schedule a planning round."""
         if self._plan_call is None or not self._plan_call.active():
@@ -282,19 +299,19 @@
 
     def _plan(self) -> None:
         task = self.find_task()
-        is_waiting = task is not None and not task.is_done and not task.runs
+        is_waiting = task is not None and not any(
+            member.is_done or member.runs for member in task.step.tasks
+        )
         if self.is_closed or not is_waiting or self._clock.seconds() < JOB_ARRIVAL_S:
             return
         if task.step.job.is_inherited and self.workers.unpolled_workers:
             return
         now_s = self._clock.seconds()
-        for capacity in sorted(
+        capacities = sorted(
             self.workers.schedulable_capacities(), key=lambda c: c.entry.worker_id
-        ):
-            is_free = capacity.cores_free >= TASK_CORES_MILLI
-            if is_free and capacity.refused_until_s <= now_s:
-                self.workers.runs.start(Placement(task, capacity), now_s)
-                return
+        )
+        for placement in self._find_placements(capacities, now_s):
+            self.workers.runs.start(placement, now_s)
 
     def _tick(self) -> None:
         if self.is_closed:
@@ -321,7 +338,7 @@
 
 
 class Model:
-    """Two workers, one task and the leaders that place it.
+    """Two workers, one task or gang and the leaders that place it.
 
     Parameters
     ----------
@@ -330,17 +347,21 @@
         the fault to inject there, or an empty text.
     has_known_faults : bool
         Whether calls are carried out late as in the tests of `KNOWN-RED.txt`.
+    is_gang : bool
+        Whether the job is a gang of two tasks.
     """
 
-    def __init__(self, on_choice, has_known_faults=False) -> None:
+    def __init__(self, on_choice, has_known_faults=False, is_gang=False) -> None:
         self._on_choice = on_choice
+        self.is_gang = is_gang
+        self.tasks = 2 if is_gang else 1
         self._has_known_faults = has_known_faults
         self.clock = Clock()
         self.clock.advance(START_S)
         self.records = FleetRecords(self.clock)
         self.progress = None
         self.workers = ModelWorkers(self.clock)
-        step = SoakStep(1, TASK_CORES_MILLI, 0.0, 0.0)
+        step = SoakStep(self.tasks, TASK_CORES_MILLI, 0.0, 0.0)
         self._job = self.workers.jobs[JOB] = SoakJob(JOB, (step,))
         self.workers.on_end = self._answer_waiting
         self.entries: dict[str, Record] = {}
--- a/tests/exploration_state.py
+++ b/tests/exploration_state.py
@@ -117,8 +117,10 @@
         if isinstance(value, WorkerEntry):
             return value.worker_id, value.started_at_ms, value.port, value.cores_milli
         if isinstance(value, RunId):
-            return _RunNumber(value.number)
-        if isinstance(value, (Step, TaskId)):
+            return value.task.index, _RunNumber(value.number)
+        if isinstance(value, TaskId):
+            return value.index
+        if isinstance(value, Step):
             return None
         if isinstance(value, DelayedCall):
             return _relative(value.getTime(), self.now_s) if value.active() else 0
--- a/tests/test_exploration.py
+++ b/tests/test_exploration.py
@@ -8,6 +8,7 @@
 from dogwoodlever._drop_evidence import DropEvidence
 from dogwoodlever._fleet_workers import FleetWorkers
 from dogwoodlever._run_evidence import LATE_ORDER_MAX_S, WorkerEvidence
+from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever.platform_errors import (
     ConnectionRefusedByWorkerError,
     WrongIncarnationError,
@@ -66,6 +67,22 @@
     workers.capacities[link.entry.worker_id].update_entry(link.entry)
 
 
+def _count_without_base(registry, task, worker_id, now_s, number=0):
+    base = registry._run_base
+    registry._run_base = 0 if number else base
+    run = begin_run(registry, task, worker_id, now_s, number)
+    registry._run_base = base
+    return run
+
+
+def _match_number_only(registry, end, worker_id):
+    task = registry.find(end.run.task)
+    run = task.runs.get(end.run.number) if task is not None else None
+    return end_run(registry, end, worker_id if run is None else run.worker_id)
+
+
+begin_run = RunRegistry.begin_run
+end_run = RunRegistry.end_run
 on_former_leader_stopped = FleetWorkers.on_former_leader_stopped
 keep_evidence = FleetWorkers._keep_evidence
 judge_start = WorkerEvidence.judge_start
@@ -218,6 +235,21 @@
                 (trace,) = result.traces.values()
                 self.assertEqual(replay(trace), [])
 
+    # Guards against an exploration that would not notice run numbers of a gang that are
+    # counted without the base of the term, and ends matched by number only.
+    def test_run_numbers_of_two_leaders_are_found(self):
+        sequence = (
+            ("poll w0 3", ("cut silent 25.0 s",)),
+            ("w0", ("leader killed", "leader stopped")),
+        )
+        with (
+            patch.object(RunRegistry, "begin_run", _count_without_base),
+            patch.object(RunRegistry, "end_run", _match_number_only),
+        ):
+            result = explore(2, sequence, stops_at_first=True, is_gang=True)
+        (trace,) = set(result.traces.values())
+        self.assertEqual(replay(trace, is_gang=True), [])
+
     # Guards against a model that cannot carry out late calls.
     def test_known_fault_is_reached(self):
         self.assertEqual(replay(KNOWN_TRACE), [])
