--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -20,7 +20,7 @@
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_log import RunLog, format_run_id, format_task_id
 from dogwoodlever._run_registry import ENDED_DONE, ENDED_FAILED, RunRegistry
-from dogwoodlever._run_throttler import RunThrottler, stalled_runs
+from dogwoodlever._run_throttler import RunThrottler, may_stall, stalled_runs
 from dogwoodlever._start_records import RECENT_START_MS, StartRecords
 from dogwoodlever._worker_capacity import WorkerCapacity
 from dogwoodlever._worker_link import WorkerLink
@@ -88,6 +88,8 @@
         self._on_ticket_rejected = on_ticket_rejected
         self._log = RunLog(clock)
         self._dropped = DroppedRuns()
+        # Returns for how long an adopted run made no progress under the former leader.
+        self._get_stalled_ms: Callable[[RunId, int], int] = lambda *_: 0
 
     def close(self) -> None:
         """Log the events of runs that are not logged yet."""
@@ -129,6 +131,19 @@
             evidence_age_s=former.cause.age_s(self._clock.seconds()),
         )
 
+    def set_stalled_source(self, get_stalled_ms: Callable[[RunId, int], int]) -> None:
+        """Set how long an adopted run made no progress under the former leader."""
+        self._get_stalled_ms = get_stalled_ms
+
+    def stallable_runs(self) -> list[Run]:
+        """Return the runs that have to make progress."""
+        return [
+            run
+            for capacity in self._capacities.values()
+            for run, step in capacity.runs.values()
+            if may_stall(run, step)
+        ]
+
     def throttled_tasks(self, now_s: float) -> list[tuple]:
         """Return (task, capacity) of throttled runs that should move."""
         tasks = []
@@ -174,6 +189,12 @@
             if link is not None and run.phase is not RunPhase.STOPPING:
                 link.stop(run)
 
+    def add_inherited_job(self, state: JobState) -> None:
+        """Add what is stored of the crashes and starts of an inherited job."""
+        self.start_records.add_job(state)
+        for task in state.tasks():
+            self._crashes.add_inherited(task, self._clock.seconds())
+
     # Reports of workers
 
     def apply_poll(
@@ -191,6 +212,8 @@
         for listed_run in result.running:
             self._apply_running(capacity, link, listed_run, result)
         self._drop_unlisted(capacity, link, result, sent_s)
+        if capacity.entry.is_draining:
+            self.evict_draining(capacity)
         for order in self._throttler.decide(capacity, self._clock.seconds()):
             self._metrics.throttle_orders.inc()
             link.throttle(order.run, order.percent)
@@ -280,9 +303,7 @@
             return
         run, step = pair
         if run.is_watched:
-            task = self._registry.find(listed_run.run.task)
-            if self._crashes.record_listed(run, task, result.clock_ms):
-                self._report_cleared(task)
+            self._record_listed(run, self._registry.find(listed_run.run.task), result)
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
         if listed_run.percent != run.percent:
@@ -320,8 +341,11 @@
             self._crashes.add_run(run, task)
             link.evidence.expect_listed(run.run_id, now_s)
             run.percent = listed_run.percent
-            run.progressed_s = now_s
-            run.progressed_clock_ms = result.clock_ms
+            stalled_ms = self._get_stalled_ms(listed_run.run, listed_run.percent)
+            run.progressed_s = now_s - stalled_ms / 1000
+            run.progressed_clock_ms = result.clock_ms - stalled_ms
+            self._restore_age(run, task, result)
+            self._record_listed(run, task, result)
             log_event(
                 "run.adopted",
                 run=format_run_id(listed_run.run),
@@ -345,6 +369,24 @@
             capacity.add(unwanted, step)
         link.stop(unwanted)
 
+    def _record_listed(self, run: Run, task: Task | None, result: PollResult) -> None:
+        """Record that a run is listed, which may clear its task of crashes."""
+        if self._crashes.record_listed(run, task, result.clock_ms):
+            self._report_cleared(task)
+
+    @staticmethod
+    def _restore_age(run: Run, task: Task, result: PollResult) -> None:
+        """Set when an adopted run started, if the record of its start tells it."""
+        record = task.start_record
+        if (
+            record is not None
+            and record.number == run.run_id.number
+            and record.worker_id == run.worker_id
+            and 0 <= record.seen_clock_ms <= result.clock_ms
+        ):
+            run.seen_clock_ms = record.seen_clock_ms
+            run.started_s -= (result.clock_ms - record.seen_clock_ms) / 1000
+
     def is_wanted(self, run: Run) -> bool:
         """Return whether a run is its task's and need not stop."""
         return run.phase is not RunPhase.STOPPING and self._is_registered(run)
--- a/tests/exploration_model.py
+++ b/tests/exploration_model.py
@@ -20,7 +20,11 @@
 from dogwoodlever._fleet_interfaces import FleetWorkerClient, Record, RefusalReason
 from dogwoodlever._fleet_metrics import FleetMetrics
 from dogwoodlever._fleet_planner import Placement
-from dogwoodlever._fleet_records import TERM_KEY, WORKER_MEMBERSHIP_KEY
+from dogwoodlever._fleet_records import (
+    TERM_KEY,
+    UNREACHABLE_WORKERS_KEY,
+    WORKER_MEMBERSHIP_KEY,
+)
 from dogwoodlever._fleet_types import (
     PollResult,
     Queue,
@@ -34,6 +38,7 @@
 from dogwoodlever._run_evidence import lease_bound_s
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
+from dogwoodlever._unreachable_workers import UnreachableWorkers
 from dogwoodlever._worker_link import RUN_LEASE_TARGET_S
 from dogwoodlever._worker_membership import WorkerMembership
 from dogwoodlever._workspace_usage import WorkspaceUsage
@@ -210,6 +215,11 @@
         self.membership = WorkerMembership(
             self.store, self._clock, lambda: self.token, self.plan_soon
         )
+        self.unreachable = UnreachableWorkers(
+            self.store, self._clock, number, lambda: self.token,
+            model.unreachable_seen_s.__getitem__,
+            lambda: self.workers.on_unreachable_stored(),
+        )  # fmt: skip
         usage = WorkspaceUsage(self.registry, lambda: None)
         self._plan_call = None
         self.workers = FleetWorkers(
@@ -219,6 +229,7 @@
             DesiredState(lambda: None),
             self.registry,
             self.membership,
+            self.unreachable,
             RunThrottler(InterferenceModel(), 1.0),
             FaultAttribution(),
             CrashAttribution(lambda job_id: True),
@@ -250,6 +261,8 @@
         """
         membership = self._model.records.read(WORKER_MEMBERSHIP_KEY)
         self.workers.unpolled_workers = self.membership.load(membership)
+        unreachable = self._model.records.read(UNREACHABLE_WORKERS_KEY)
+        self.unreachable.load(unreachable, 1)
         for record in list(self._model.entries.values()):
             self.workers.apply_entry(record)
         self.workers.probe_unlisted_workers()
@@ -265,12 +278,24 @@
         self.is_closed = True
         self.workers.close()
         self.membership.close()
+        self.unreachable.close()
 
     def isolate(self) -> None:
-        """Cut the leader off from the store for good."""
+        """Cut the leader off from the store."""
         self.contact_s = self._clock.seconds()
         self.store.is_down = True
 
+    def reconnect(self) -> None:
+        """End a cut, unless there is a successor."""
+        if self.is_closed or self._model.leaders[-1] is not self:
+            return
+        if self._model.is_electing:
+            return
+        self.contact_s = None
+        self.store.is_down = False
+        for record in list(self._model.entries.values()):
+            self.workers.apply_entry(record)
+
     def find_task(self):
         """Return the first task, or None if its job has ended."""
         return self.registry.find(TASK) if JOB in self.registry.active else None
@@ -320,6 +345,8 @@
             self.close()
             return
         self.workers.expire_unpolled_workers()
+        if self.contact_s is None:
+            self.workers.name_unreachable_workers()
         self.workers.expire_ended_incarnations()
         self._plan()
         self._clock.callLater(TICK_S, self._tick)
@@ -384,12 +411,22 @@
         self.stopped_elected_s: float | None = None
         # How leaders change in a row, and for how long each leads.
         self.row: tuple[str, float] | None = None
+        # When the revisions of the record of unreachable workers were written.
+        self.unreachable_seen_s: dict[int, float] = {}
+        self._watch_unreachable()
         for number in range(2):
             self.start_process(worker_entry(number), self.clock.seconds())
             self.write_entry(self.workers.workers[f"w{number}"].entry)
         self.stopped_elected_s = float("-inf")
         self.elect()
 
+    def _watch_unreachable(self) -> None:
+        """Note when the record was written, which all daemons see at once."""
+        record = self.records.read(UNREACHABLE_WORKERS_KEY)
+        if record is not None:
+            self.unreachable_seen_s.setdefault(record.revision, self.clock.seconds())
+        self.records.notify_on_change(self._watch_unreachable)
+
     @property
     def violations(self) -> list[str]:
         return self.workers.violations
@@ -469,7 +506,7 @@
             # Raised again by `run`; here the leader would handle it.
             self._error = error
             return ""
-        event = EVENTS.get(choice) or ROWS.get(choice)
+        event = (EVENTS | STORE_EVENTS | ROWS).get(choice)
         if event is not None:
             self.clock.callLater(0.0, event, self, worker_id)
         return choice
@@ -851,6 +888,37 @@
     return event
 
 
+def _take_store_down(duration_s: float):
+    """Cut the leader off from the store for a time."""
+
+    def event(model: Model, worker_id: str) -> None:
+        leader = model.leaders[-1]
+        if leader.is_closed or leader.contact_s is not None:
+            return
+        model.disturb(duration_s)
+        leader.isolate()
+        model.clock.callLater(duration_s, leader.reconnect)
+
+    return event
+
+
+def _lose_answer_of_write(model: Model, worker_id: str) -> None:
+    """Carry the leader's next write out without an answer."""
+    model.disturb(1.0)
+    model.leaders[-1].store.answers_to_lose = 1
+
+
+def _delay_write(model: Model, worker_id: str) -> None:
+    """Carry the leader's next write out late and without an answer."""
+    model.disturb(2.0)
+    model.leaders[-1].store.commit_delay_s = 1.7
+
+
+STORE_EVENTS = {
+    "store away 3.0 s": _take_store_down(3.0),
+    "answer of a write lost": _lose_answer_of_write,
+    "write late 1.7 s": _delay_write,
+}
 ROWS = {
     f"leaders {mode} each {leads_s} s": _begin_row(mode, leads_s)
     for mode in ("killed", "stopped", "isolated")
--- a/tests/exploration_state.py
+++ b/tests/exploration_state.py
@@ -7,7 +7,12 @@
 from twisted.internet.defer import Deferred
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
-from dogwoodlever._fleet_records import PREFIX, TERM_KEY
+from dogwoodlever._fleet_records import (
+    PREFIX,
+    TERM_KEY,
+    UNREACHABLE_WORKERS_KEY,
+    decode_unreachable_workers,
+)
 from dogwoodlever._fleet_types import RunId, Step, TaskId, WorkerEntry
 from dogwoodlever._fleet_workers import LINKS_PER_TERM_MAX
 from dogwoodlever._run_registry import RUNS_PER_TERM
@@ -26,7 +31,7 @@
         "_worker_client", "_desired_state", "_revision", "_store", "job", "spec",
         "arrived_s", "percent", "progressed_s", "started_s", "version", "broken_s",
         "seen_clock_ms", "is_watched", "is_proven", "colocated_updated_s", "queue",
-        "crashes", "lost_runs", "failed_on", "submitted_ms", "due_ms", "dirty",
+        "_term", "crashes", "lost_runs", "failed_on", "submitted_ms", "due_ms", "dirty",
         "_dropped", "progressed_clock_ms",
     }
 )  # fmt: skip
@@ -254,14 +259,23 @@
     now_s = freezer.now_s
     stopped_elected_s = model.stopped_elected_s
     stored = [
-        (key, record.value)
-        for key, record in sorted(model.records.records.items())
-        if key.startswith(PREFIX) and key != TERM_KEY
+        _freeze_record(
+            record.key,
+            record.value,
+            now_s - model.unreachable_seen_s.get(record.revision, now_s),
+        )
+        for _, record in sorted(model.records.records.items())
     ]
     writes = [
-        tuple((put.key, put.value) for put in puts if put.key != TERM_KEY)
+        _freeze_record(put.key, put.value, 0.0)
         for leader in model.leaders
         for _, puts, _ in leader.store.under_way
+        for put in puts
+    ]
+    store_faults = [
+        (leader.store.answers_to_lose, leader.store.commit_delay_s)
+        for leader in model.leaders
+        if not leader.is_closed
     ]
     return (
         model.row,
@@ -270,4 +284,18 @@
         freezer.freeze(model.progress),
         tuple(stored),
         tuple(writes),
+        tuple(store_faults),
+    )
+
+
+def _freeze_record(key: str, value: bytes, age_s: float):
+    """Return what a record of the leader tells its successor."""
+    if not key.startswith(PREFIX) or key == TERM_KEY:
+        return None
+    if key != UNREACHABLE_WORKERS_KEY:
+        return key, value
+    waits_ms = decode_unreachable_workers(value).waits_ms
+    return tuple(
+        (worker_id, _relative(wait_ms / 1000, age_s))
+        for worker_id, wait_ms in sorted(waits_ms.items())
     )
