Changing leaders: finite runs report progress

The finite runs of LostWorkersTest reported none, so they were stopped as stalled after 2.2 s, and some cases failed for that alone (2 running instead of 4 under a steady leader too).

--- a/tests/test_changing_leaders_workers.py
+++ b/tests/test_changing_leaders_workers.py
@@ -117,8 +117,17 @@
     def run_for(self, duration_s):
         for _ in range(round(duration_s / STEP_S)):
             self._fleet.run_for(STEP_S)
+            self._report_progress()
             self._update()
 
+    def _report_progress(self):
+        """Let finite runs progress, since those that don't are stopped as stalled."""
+        for worker in self._fleet.workers.workers.values():
+            for run in worker.running.values():
+                if run.duration_s:
+                    age_s = self._fleet.clock.seconds() - run.started_s
+                    run.percent = int(100 * age_s / run.duration_s)
+
     def run_until(self, is_reached, limit_s):
         """Return whether a state was reached within a time."""
         until_s = self._fleet.clock.seconds() + limit_s
