--- a/tests/test_exploration.py
+++ b/tests/test_exploration.py
@@ -9,6 +9,7 @@
 from dogwoodlever._fleet_workers import FleetWorkers
 from dogwoodlever._run_evidence import LATE_ORDER_MAX_S, WorkerEvidence
 from dogwoodlever._run_registry import RunRegistry
+from dogwoodlever._unreachable_workers import UnreachableWorkers
 from dogwoodlever.platform_errors import (
     ConnectionRefusedByWorkerError,
     WrongIncarnationError,
@@ -81,6 +82,30 @@
     return end_run(registry, end, worker_id if run is None else run.worker_id)
 
 
+def _grant_to_named(workers, worker_id):
+    return workers._get_leases_end_s()
+
+
+def _count_from_first_revision(unreachable, record, kept_since_term):
+    seen_s = unreachable._get_seen_s.__self__
+    unreachable._get_seen_s = lambda revision: min(seen_s.values())
+    load(unreachable, record, kept_since_term)
+
+
+def _mark_named_when_confirmed(unreachable, record):
+    confirmed = getattr(unreachable, "confirmed", frozenset())
+    unreachable._possibly_named = confirmed
+
+    def confirm(result):
+        if result.revision:
+            unreachable.confirmed = frozenset(record.waits_ms)
+        return result
+
+    return commit(unreachable, record).addCallback(confirm)
+
+
+load = UnreachableWorkers.load
+commit = UnreachableWorkers._commit
 begin_run = RunRegistry.begin_run
 end_run = RunRegistry.end_run
 on_former_leader_stopped = FleetWorkers.on_former_leader_stopped
@@ -166,6 +191,32 @@
             ("poll w0", ("leader killed",)),
         ),
     ),
+    # A lease is granted before the record without the worker is stored.
+    (
+        "02b762d",
+        (FleetWorkers, "_leases_end_s", _grant_to_named),
+        (("poll w0 3", ("cut silent 4.0 s",)), ("w0", ("leader split",))),
+    ),
+    # The wait is counted from an earlier revision of the record.
+    (
+        "02b762d",
+        (UnreachableWorkers, "load", _count_from_first_revision),
+        (
+            ("poll w0 3", ("cut refused 1.0 s",)),
+            ("poll w0", ("cut silent 8.0 s",)),
+            ("w0", ("leader stopped", "leader killed")),
+        ),
+    ),
+    # A write without an answer counts as not carried out.
+    (
+        "02b762d",
+        (UnreachableWorkers, "_commit", _mark_named_when_confirmed),
+        (
+            ("poll w0 3", ("cut refused 1.0 s",)),
+            ("w0", ("answer of a write lost", "write late 1.7 s")),
+            ("w0", ("leader split",)),
+        ),
+    ),
 )
 
 # Faults at a worker while leaders change in a row: the worker is lost, or returns.
