--- a/tests/test_exploration.py
+++ b/tests/test_exploration.py
@@ -8,6 +8,8 @@
 from dogwoodlever._drop_evidence import DropEvidence
 from dogwoodlever._fleet_workers import FleetWorkers
 from dogwoodlever._run_evidence import LATE_ORDER_MAX_S, WorkerEvidence
+from dogwoodlever._run_registry import RunRegistry
+from dogwoodlever._unreachable_workers import UnreachableWorkers
 from dogwoodlever.platform_errors import (
     ConnectionRefusedByWorkerError,
     WrongIncarnationError,
@@ -66,6 +68,46 @@
     workers.capacities[link.entry.worker_id].update_entry(link.entry)
 
 
+def _count_without_base(registry, task, worker_id, now_s, number=0):
+    base = registry._run_base
+    registry._run_base = 0 if number else base
+    run = begin_run(registry, task, worker_id, now_s, number)
+    registry._run_base = base
+    return run
+
+
+def _match_number_only(registry, end, worker_id):
+    task = registry.find(end.run.task)
+    run = task.runs.get(end.run.number) if task is not None else None
+    return end_run(registry, end, worker_id if run is None else run.worker_id)
+
+
+def _grant_to_named(workers, worker_id):
+    return workers._get_leases_end_s()
+
+
+def _count_from_first_revision(unreachable, record, kept_since_term):
+    seen_s = unreachable._get_seen_s.__self__
+    unreachable._get_seen_s = lambda revision: min(seen_s.values())
+    load(unreachable, record, kept_since_term)
+
+
+def _mark_named_when_confirmed(unreachable, record):
+    confirmed = getattr(unreachable, "confirmed", frozenset())
+    unreachable._possibly_named = confirmed
+
+    def confirm(result):
+        if result.revision:
+            unreachable.confirmed = frozenset(record.waits_ms)
+        return result
+
+    return commit(unreachable, record).addCallback(confirm)
+
+
+load = UnreachableWorkers.load
+commit = UnreachableWorkers._commit
+begin_run = RunRegistry.begin_run
+end_run = RunRegistry.end_run
 on_former_leader_stopped = FleetWorkers.on_former_leader_stopped
 keep_evidence = FleetWorkers._keep_evidence
 judge_start = WorkerEvidence.judge_start
@@ -149,9 +191,51 @@
             ("poll w0", ("leader killed",)),
         ),
     ),
+    # A lease is granted before the record without the worker is stored.
+    (
+        "02b762d",
+        (FleetWorkers, "_leases_end_s", _grant_to_named),
+        (("poll w0 3", ("cut silent 4.0 s",)), ("w0", ("leader split",))),
+    ),
+    # The wait is counted from an earlier revision of the record.
+    (
+        "02b762d",
+        (UnreachableWorkers, "load", _count_from_first_revision),
+        (
+            ("poll w0 3", ("cut refused 1.0 s",)),
+            ("poll w0", ("cut silent 8.0 s",)),
+            ("w0", ("leader stopped", "leader killed")),
+        ),
+    ),
+    # A write without an answer counts as not carried out.
+    (
+        "02b762d",
+        (UnreachableWorkers, "_commit", _mark_named_when_confirmed),
+        (
+            ("poll w0 3", ("cut refused 1.0 s",)),
+            ("w0", ("answer of a write lost", "write late 1.7 s")),
+            ("w0", ("leader split",)),
+        ),
+    ),
+)
+
+# Faults at a worker while leaders change in a row: the worker is lost, or returns.
+ROW = "leaders stopped each 2.0 s"
+LOSSES = ("crash", "cut silent 25.0 s", "cut refused 25.0 s")
+RETURNS = (
+    "cut silent 1.0 s",
+    "cut silent 4.0 s",
+    "cut refused 8.0 s",
+    "crash, back 0.3 s",
+    "answer reset",
 )
 
 
+def explore_row(faults):
+    """Explore single faults at the task's worker while leaders change in a row."""
+    return explore(2, (("poll w0 3", (ROW,)), ("w0", faults)))
+
+
 class ExplorationTest(unittest.TestCase):
     # Guards against a task that starts elsewhere while the next incarnation of its
     # worker runs it with a longer lease, which the repeated start has granted.
@@ -178,6 +262,20 @@
         self.assertTrue(result.is_complete)
         self.assertEqual(result.traces, {})
 
+    # Guards against a task that does not run again while leaders change in a row, as
+    # its worker is lost for good (issue 44, LOST).
+    def test_task_of_a_lost_worker_runs_again_during_a_row_of_leaders(self):
+        self.check_row(LOSSES)
+
+    # Guards against two runs of a task whose worker returns during a row of leaders.
+    def test_worker_returns_during_a_row_of_leaders(self):
+        self.check_row(RETURNS)
+
+    def check_row(self, faults):
+        result = explore_row(faults)
+        self.assertTrue(result.is_complete)
+        self.assertEqual(result.traces, {})
+
     # Guards against an exploration that would not notice the faults of issue 22.
     def test_undone_mends_are_found(self):
         for commit, target, sequence in MENDS:
@@ -188,6 +286,21 @@
                 (trace,) = result.traces.values()
                 self.assertEqual(replay(trace), [])
 
+    # Guards against an exploration that would not notice run numbers of a gang that are
+    # counted without the base of the term, and ends matched by number only.
+    def test_run_numbers_of_two_leaders_are_found(self):
+        sequence = (
+            ("poll w0 3", ("cut silent 25.0 s",)),
+            ("w0", ("leader killed", "leader stopped")),
+        )
+        with (
+            patch.object(RunRegistry, "begin_run", _count_without_base),
+            patch.object(RunRegistry, "end_run", _match_number_only),
+        ):
+            result = explore(2, sequence, stops_at_first=True, is_gang=True)
+        (trace,) = set(result.traces.values())
+        self.assertEqual(replay(trace, is_gang=True), [])
+
     # Guards against a model that cannot carry out late calls.
     def test_known_fault_is_reached(self):
         self.assertEqual(replay(KNOWN_TRACE), [])
