--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import FirstError, gatherResults, inlineCallbacks
 
 from dogwoodlever._crash_attribution import CrashAttribution
 from dogwoodlever._fault_attribution import FaultAttribution
@@ -55,6 +55,13 @@
 from dogwoodlever.platform_errors import PlatformError, StoredRecordError
 
 LOAD_RETRY_S = 0.2
+# Records that a leader loads besides jobs and their progress.
+LOADED_KEYS = (
+    WORKER_MEMBERSHIP_KEY,
+    UNREACHABLE_WORKERS_KEY,
+    INTERFERENCE_KEY,
+    HANDOVER_KEY,
+)
 # Interval at which the time for which the stored state loads is counted.
 LOAD_CHECK_INTERVAL_S = 0.1
 # A job that waits for a contact with the store for longer than this is logged.
@@ -319,17 +326,20 @@
     def _load(self):
         try:
             progress = yield self._progress_listing.read()
-            membership = yield self._store.read(WORKER_MEMBERSHIP_KEY)
-            unreachable = yield self._store.read(UNREACHABLE_WORKERS_KEY)
-            interference = yield self._store.read(INTERFERENCE_KEY)
-            handover = yield self._store.read(HANDOVER_KEY)
-        except PlatformError as error:
+            records = yield gatherResults(
+                [self._store.read(key) for key in LOADED_KEYS], consumeErrors=True
+            )
+        except (PlatformError, FirstError) as error:
+            if isinstance(error, FirstError):
+                error.subFailure.trap(PlatformError)
+                error = error.subFailure.value
             log_event("leader.load-failed", why=str(error)[:160])
             if not self.is_closed:
                 self._clock.callLater(LOAD_RETRY_S, self._load)
             return
         if self.is_closed:
             return
+        membership, unreachable, interference, handover = records
         for record in progress.records:
             job_id = record.key[len(PROGRESS_PREFIX) :]
             self._progress[job_id] = record.value
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -284,13 +284,17 @@
 
     def name_unreachable_workers(self) -> None:
         """Tell successors how long workers that do not answer may run tasks yet."""
+        now_s = self._clock.seconds()
+        # A worker that was not tried yet stays named if it was.
         expiries_s = {
             worker_id: self._former_expiry_s(worker_id)
-            for worker_id in self.unpolled_workers - set(self._links)
-            if worker_id != UNKNOWN_WORKERS and not self._is_untried(worker_id)
+            for worker_id in self.unpolled_workers
+            if self._unreachable.was_named(worker_id)
+            or (worker_id not in self._links and not self._is_untried(worker_id))
         }
+        expiries_s.pop(UNKNOWN_WORKERS, None)
         for worker_id, link in self._links.items():
-            if link.evidence.is_silent and self._membership.is_stored(worker_id):
+            if link.evidence.is_silent(now_s) and self._membership.is_stored(worker_id):
                 expiries_s[worker_id] = link.evidence.find_lease_expiry_s()
         self._unreachable.set_unreachable(expiries_s)
 
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -26,6 +26,9 @@
 LATE_ORDER_MAX_S = 12.5
 # A single failure may be a lost response or a pause of this process.
 POLL_FAILURES_UNREACHABLE = 2
+# Silence of a worker from which its successor is told. Far below a lease, which then
+# outlasts an outage of the store that begins as the worker answers again.
+SILENCE_MIN_S = 2.0
 # Starts refused for an expired lease are retried, since the next poll updates the
 # worker's clock.
 EXPIRED_STARTS_MAX = 3
@@ -356,11 +359,14 @@
         """Whether the last poll was answered."""
         return self._clock_ms > 0 and not self._failed_polls
 
-    @property
-    def is_silent(self) -> bool:
-        """Whether the worker has not answered, or does not any more."""
-        failures_min = POLL_FAILURES_UNREACHABLE if self._clock_ms else 1
-        return self._failed_polls >= failures_min
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether the worker has not answered, or has not for a while."""
+        if not self._clock_ms:
+            return self._failed_polls > 0
+        return (
+            self._failed_polls >= POLL_FAILURES_UNREACHABLE
+            and now_s - self.broken_s >= SILENCE_MIN_S
+        )
 
     @property
     def is_untried(self) -> bool:
--- a/dogwoodlever/_unreachable_workers.py
+++ b/dogwoodlever/_unreachable_workers.py
@@ -129,6 +129,10 @@
         """Return when a worker's leases have expired by the former leader's record."""
         return self._former_expiries_s.get(worker_id, math.inf)
 
+    def was_named(self, worker_id: str) -> bool:
+        """Return whether the former leader's record names a worker."""
+        return worker_id in self._former_expiries_s
+
     def may_be_named(self, worker_id: str) -> bool:
         """Return whether a successor may find a worker in the record."""
         return worker_id in self._possibly_named
--- a/tests/test_unreachable_workers.py
+++ b/tests/test_unreachable_workers.py
@@ -54,6 +54,31 @@
                     self.assertLess(waited_s, SILENT_RECOVERY_MAX_S + interval_s)
                 self.assertEqual(fleet.workers.duplicate_starts, [])
 
+    # Guards against a wait that begins anew since a leader which ended before its first
+    # poll failed has stored that it awaits no worker.
+    def test_short_term_between_longer_ones_leaves_the_wait(self):
+        for lose in (crash, crash_and_unlist, silence):
+            for short_s in (0.1, 0.2, 0.5):
+                with self.subTest(lose.__name__, short_s=short_s):
+                    self._check_short_terms(lose, short_s)
+
+    def _check_short_terms(self, lose, short_s):
+        fleet = self.start_fleet(workers=4, daemons=7)
+        lost = self.start_standing_job(fleet, 4)
+        moved = len(fleet.workers.workers[lost].running)
+        lose(fleet, lost)
+        began_s = fleet.clock.seconds()
+        while len(fleet.workers.starts) < 4 + moved:
+            for term_s in (4.0, short_s):
+                fleet.run_for(term_s)
+                while fleet.leader() is None:
+                    fleet.run_for(0.01)
+                fleet.nodes[fleet.leader()].stop()
+                fleet.add_daemon(f"vm{len(fleet.nodes)}")
+            waited_s = fleet.clock.seconds() - began_s
+            self.assertLess(waited_s, SILENT_RECOVERY_MAX_S + 4.0 + 2 * short_s)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
 
 class LeavingWorkerTest(StandingWorkTest):
     def is_member(self, fleet, worker_id):
