Store a longer or unconfirmed wait, and replace a record that cannot be read

A wait that became longer (another incarnation may have got a lease), or whose write failed, was not stored, and a record that cannot be read stayed while leases were granted, which a leader of another build could take for expired.

Change: the record is written if a wait is longer than the stored one, or unconfirmed; with an unreadable record no lease is granted before it is replaced.

--- a/dogwoodlever/_unreachable_workers.py
+++ b/dogwoodlever/_unreachable_workers.py
@@ -35,6 +35,8 @@
 # Interval of the writes while a wait is left. A daemon that has started since the last
 # one counts the wait from its start.
 REFRESH_INTERVAL_S = 1.0
+# Covers the rounding of a stored wait.
+ROUNDING_S = 0.01
 
 
 class UnreachableWorkers:
@@ -78,7 +80,10 @@
         self._expiries_s: dict[str, float] = {}
         # Workers in the stored record, or in one whose write had no answer.
         self._possibly_named: frozenset[str] = frozenset()
+        # When the leases have expired by the stored record.
+        self._stored_expiries_s: dict[str, float] = {}
         self._has_waits = False
+        self._is_unreadable = False
         self._written_s = clock.seconds()
         self._revision = 0
         self._is_storing = False
@@ -105,6 +110,8 @@
             stored = decode_unreachable_workers(record.value)
         except StoredRecordError as error:
             log_event("unreachable.unreadable", why=str(error)[:160])
+            # A leader of another build may read it.
+            self._is_unreadable = True
             return
         if stored.term < kept_since_term:
             return
@@ -115,6 +122,7 @@
         }
         self._possibly_named = frozenset(stored.waits_ms)
         self._expiries_s = dict(self._former_expiries_s)
+        self._stored_expiries_s = self._expiries_s
         self._has_waits = any(wait_ms > 0 for wait_ms in stored.waits_ms.values())
         if stored.waits_ms:
             log_event(
@@ -135,7 +143,7 @@
 
     def may_be_named(self, worker_id: str) -> bool:
         """Return whether a successor may find a worker in the record."""
-        return worker_id in self._possibly_named
+        return self._is_unreadable or worker_id in self._possibly_named
 
     def set_unreachable(self, expiries_s: dict[str, float]) -> None:
         """Name these workers only, with the times at which their leases expire."""
@@ -155,7 +163,12 @@
 
     def _is_due(self) -> bool:
         """Return whether the record has to be written."""
-        if self._possibly_named != self._expiries_s.keys():
+        if self._is_unreadable or self._possibly_named != self._expiries_s.keys():
+            return True
+        if any(
+            expiry_s > self._stored_expiries_s.get(worker_id, -math.inf) + ROUNDING_S
+            for worker_id, expiry_s in self._expiries_s.items()
+        ):
             return True
         age_s = self._clock.seconds() - self._written_s
         return self._has_waits and age_s >= REFRESH_INTERVAL_S
@@ -188,6 +201,11 @@
             # Earlier writes without an answer expect an older revision.
             self._revision = result.revision
             self._possibly_named = frozenset(waits_ms)
+            self._stored_expiries_s = {
+                worker_id: now_s + wait_ms / 1000
+                for worker_id, wait_ms in waits_ms.items()
+            }
+            self._is_unreadable = False
             self._written_s = now_s
             self._has_waits = any(waits_ms.values())
             log_event(
--- a/tests/test_unreachable_workers.py
+++ b/tests/test_unreachable_workers.py
@@ -181,9 +181,40 @@
                 made = self.make(kept_since_term=kept_since_term)
                 self.assertEqual(made.former_expiry_s("w0") == 0.0, is_used)
 
-    def test_record_that_cannot_be_read_names_no_worker(self):
+    # Guards against a lease that a leader of another build, which can read the record,
+    # takes for expired.
+    def test_record_that_cannot_be_read_is_replaced_before_any_lease(self):
         self.records.write(UNREACHABLE_WORKERS_KEY, b"\xc1")
-        self.assertEqual(self.make().former_expiry_s("w0"), float("inf"))
+        made = self.make()
+        self.assertEqual(made.former_expiry_s("w0"), float("inf"))
+        self.assertTrue(made.may_be_named("w0"))
+        made.set_unreachable({})
+        self.clock.advance(WRITE_S)
+        self.assertFalse(made.may_be_named("w0"))
+        self.assertEqual(self.stored_waits_ms(), {})
+
+    # Guards against a stored wait that has become too short, as another incarnation of
+    # the worker may have got a lease.
+    def test_longer_wait_is_stored_at_once(self):
+        made = self.make()
+        made.set_unreachable({"w0": 0.0})
+        for _ in range(50):
+            self.clock.advance(0.01)
+        made.set_unreachable({"w0": 11.0})
+        self.clock.advance(WRITE_S)
+        self.assertEqual(self.stored_waits_ms(), {"w0": 10_500})
+
+    # Guards against a wait that is not stored, as its write failed.
+    def test_failed_write_is_repeated(self):
+        made = self.make()
+        self.store.is_down = True
+        made.set_unreachable({"w0": 0.0})
+        for _ in range(200):
+            self.clock.advance(0.01)
+        self.store.is_down = False
+        for _ in range(200):
+            self.clock.advance(0.01)
+        self.assertEqual(self.stored_waits_ms(), {"w0": 0})
 
 
 if __name__ == "__main__":
