--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -285,7 +285,7 @@
     def name_unreachable_workers(self) -> None:
         """Tell successors how long workers that do not answer may run tasks yet."""
         now_s = self._clock.seconds()
-        # A worker that was not tried yet stays named if it was.
+        # A worker that the former leader named stays named before its first call fails.
         expiries_s = {
             worker_id: self._former_expiry_s(worker_id)
             for worker_id in self.unpolled_workers
