Take no office by an answer that is older than the record known

Seen in test_election_histories, seed 3, since calls of the daemons came at other times: a leader that wrote its record anew at 137.33 s read the record of its successor at 137.97 s and stepped down; the answer to its own write, which arrived after that, made it leader again, with the lease that the successor had ended, until a renewal failed 0.5 s later.

Cause: a candidate whose write was confirmed took office whatever it had read of the leader's record since.

Change: if a later revision of the leader's record is known, the answer is not used. The test failed before.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -302,6 +302,10 @@
         if not result.revision:
             self._on_lost(result.current)
             return
+        if self._leader_revision > result.revision:
+            # A later record, or the removal of this one, was read before the answer.
+            self._retry_later()
+            return
         self._own_term = record
         self.unreachable_since_term = record.unreachable_since_term
         if not is_continued:
@@ -342,6 +346,10 @@
                 self.apply_record(record)
         if self.leads:
             self.step_down("another daemon wrote the leader's record")
+        self._retry_later()
+
+    def _retry_later(self) -> None:
+        """Campaign again, if no leader is known by then."""
         if self.leader is None and not self._is_closed:
             self._cancel_timer()
             self._timer = self._clock.callLater(RETRY_S, self._campaign)
