Exploration: undone parts of the record are searched with longer cuts

A worker is named after 2 s of silence since, so cuts of 1 s no longer name it, and two of the rows that must find TWICE with a part undone found nothing.

--- a/tests/exploration_model.py
+++ b/tests/exploration_model.py
@@ -939,6 +939,8 @@
         for kind in ("silent", "refused")
         for s in (1.0, 4.0, 8.0, 25.0)
     },
+    # Ends while the write that names the worker may be in doubt.
+    "cut refused 2.5 s": _cut("refused", 2.5),
     "outdated entry": _write_outdated,
     "entry removed": _remove_entry,
     "run ends done": _end_run("done"),
