Show the version of the configuration in force, its age and lag

Cause: no log line or metric told which version a daemon has in force, since when, how long ago that was confirmed, or by which version a request was refused with 404 or a job accepted.

Change: ConfigurationKnowledge is the one place that knows them: metrics configuration_version, _since_timestamp_seconds, _age_seconds, _lag_seconds, and the line configuration.in-force. Versions that are not put into force are counted by cause and named with the version that stays. A 404 is logged and answered with the version; job.submitted and the stored job carry it. No decision changes.

--- a/dogwoodlever/_fleet_desired_state.py
+++ b/dogwoodlever/_fleet_desired_state.py
@@ -22,10 +22,17 @@
     ----------
     on_change : callable
         Called after each change.
+    on_refused : callable
+        Called with the cause when a version is not put into force.
     """
 
-    def __init__(self, on_change: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        on_change: Callable[[], None],
+        on_refused: Callable[[str], None] = lambda cause: None,
+    ) -> None:
         self._on_change = on_change
+        self._on_refused = on_refused
         self.configuration: FleetConfiguration | None = None
         self.data_centres_out: set[str] = set()
         # Store revision of the newest change of the configuration's record.
@@ -44,34 +51,38 @@
             return
         self._revision = record.revision
         if record.value is None:
-            log_event("configuration.removed", revision=record.revision)
-            self._keep_configuration(0)
+            self._refuse("removed", 0, removed_at=record.revision)
             return
         try:
             decoded = decode_configuration(record.value, record.revision)
         except PlatformError as error:
-            log_event("configuration.unreadable", why=str(error)[:300])
-            self._keep_configuration(record.revision)
+            self._refuse("unreadable", record.revision, why=str(error)[:300])
             return
         if self.configuration and decoded.version < self.configuration.version:
             # A delayed listing must not restore an older version.
-            log_event("configuration.older", version=decoded.version)
-            self._keep_configuration(record.revision)
+            self._refuse("older", record.revision, version=decoded.version)
             return
         self.configuration = decoded
         log_event(
-            "configuration.loaded", version=decoded.version, queues=len(decoded.queues)
+            "configuration.loaded",
+            version=decoded.version,
+            revision=record.revision,
+            queues=len(decoded.queues),
         )
         self._on_change()
 
-    def _keep_configuration(self, revision: int) -> None:
-        """Keep the configuration although its record has changed.
+    def _refuse(self, cause: str, revision: int, **fields) -> None:
+        """Keep the version in force although its record has changed.
 
         Writes are conditional on the record's revision, 0 for a removed one, and
         would fail until the next usable version if the revision stayed behind.
         """
+        kept_version = None
         if self.configuration is not None:
+            kept_version = self.configuration.version
             self.configuration = replace(self.configuration, revision=revision)
+        log_event(f"configuration.{cause}", in_force=kept_version, **fields)
+        self._on_refused(cause)
 
     def _apply_evacuation(self, data_centre: str, record: Record) -> None:
         if record.value is None:
--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -219,6 +219,7 @@
             "job.submitted",
             job=job.job_id,
             queue=job.queue,
+            version=job.configuration_version,
             outcome=result.outcome,
             steps=" ".join(_describe_step(step) for step in job.steps),
             **({"workspace": job.workspace} if job.workspace else {}),
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -458,7 +458,13 @@
         queue = configuration.queues.get(job.queue) if configuration else None
         if queue is None:
             queue = Queue(job.queue, "", "", "")
-            log_event("job.queue-unknown", job=job.job_id, queue=job.queue)
+            log_event(
+                "job.queue-unknown",
+                job=job.job_id,
+                queue=job.queue,
+                accepted_by=job.configuration_version,
+                version=configuration.version if configuration else None,
+            )
         is_inherited = record.revision < self.fencing_token
         age_s = max(0.0, (now_ms - job.submitted_ms) / 1000) if is_inherited else 0.0
         progress = self._merged_progress(job.job_id)
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -11,6 +11,9 @@
 WAIT_BUCKETS_S = (0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
 # From the resolution of a timer to a pause in which all leases expire.
 LATENESS_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+# From a store that has just responded to a watch that was given up and repeated; the
+# platform expects a version to be in force after 2 s.
+LAG_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0)
 # From a late timer of a worker to a lease of another length.
 OVERRUN_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0)
 
@@ -46,6 +49,25 @@
         self.key_refusals = self._counter(
             "key_refusals", "Calls refused because of their key", "cause"
         )
+        self.configuration_version = self._gauge(
+            "configuration_version", "Version of the configuration in force"
+        )
+        self.configuration_since_unix_s = self._gauge(
+            "configuration_since_timestamp_seconds",
+            "Unix time at which that version came into force",
+        )
+        self.configuration_age_s = self._gauge(
+            "configuration_age_seconds",
+            "How long ago that version was certainly the newest one",
+        )
+        self.configuration_lag_s = self._histogram(
+            "configuration_lag_seconds",
+            "Longest time from the write of a version until it was in force",
+            LAG_BUCKETS_S,
+        )
+        self.configurations_refused = self._counter(
+            "configurations_refused", "Versions not put into force", "cause"
+        )
         self.store_calls = self._counter("store_calls", "Calls to the store", "outcome")
         self.store_write_s = self._histogram(
             "store_write_seconds", "Time of a write to the store", CALL_BUCKETS_S
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
+from dogwoodlever._configuration_knowledge import ConfigurationKnowledge
 from dogwoodlever._fleet_desired_state import DesiredState
 from dogwoodlever._fleet_election import Election
 from dogwoodlever._fleet_frontend import FleetFrontend
@@ -113,7 +114,10 @@
             STEP_DOWN_METHOD: self._handle_step_down,
         }
         self.rpc = FleetRpc(self.mesh, clock, handlers)
-        self.desired_state = DesiredState(self._on_desired_state_changed)
+        self.desired_state = DesiredState(
+            self._on_desired_state_changed,
+            lambda cause: self.metrics.configurations_refused.labels(cause).inc(),
+        )
         self.leader: FleetLeader | None = None
         self._leader_watcher = PrefixWatcher(
             store, clock, LEADER_KEY, self._apply_leader_record, self._on_leader_listed
@@ -133,6 +137,13 @@
         self._operators_watcher = PrefixWatcher(
             store, clock, OPERATORS_PREFIX, self.desired_state.apply_record
         )
+        self.knowledge = ConfigurationKnowledge(
+            lambda: self.desired_state.configuration,
+            self._operators_watcher,
+            clock,
+            unix_s,
+            self.metrics,
+        )
         self.keys = KeyChecker(
             lambda: self.desired_state.configuration,
             self.desired_state.apply_record,
@@ -159,6 +170,7 @@
             unix_s,
             lambda call, outcome: self.metrics.caller_calls.labels(call, outcome).inc(),
             self.keys,
+            self.knowledge,
         )
         self._watchers = [self._operators_watcher, self._leader_watcher]
         # Revision of the record of unreachable workers, and when it was seen.
@@ -371,6 +383,7 @@
         self.election.step_down(f"worker {worker_id} has a higher fencing token")
 
     def _on_desired_state_changed(self) -> None:
+        self.knowledge.on_change()
         if self.desired_state.configuration is not None:
             self.keys.apply_configuration(self.desired_state.configuration)
         wait_s = self.keys.watch_wait_s()
--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -85,6 +85,9 @@
     ended_phase : JobPhase or str
         Phase in which the job ended, if its payload is no longer stored; else empty.
         The steps are kept as long as runs of them may be left.
+    configuration_version : int
+        Version of the configuration by which it was accepted; 0 if an earlier build
+        accepted it.
     """
 
     job_id: str
@@ -97,6 +100,7 @@
     submitted_ms: int = 0
     workspace: str = ""
     ended_phase: Literal["", "completed", "failed", "cancelled"] = ""
+    configuration_version: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/dogwoodlever/platform/_callers_resource.py
+++ b/dogwoodlever/platform/_callers_resource.py
@@ -8,6 +8,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
+from dogwoodlever._configuration_knowledge import ConfigurationKnowledge
 from dogwoodlever._fleet_frontend import CallOutcome, CallResult, FleetFrontend
 from dogwoodlever._fleet_types import FleetConfiguration, Queue
 from dogwoodlever._logs import log_event
@@ -65,6 +66,8 @@
         Called with the HTTP method and the outcome of each call.
     keys : KeyChecker
         Checks the callers' keys.
+    knowledge : ConfigurationKnowledge
+        Age of the configuration.
     """
 
     isLeaf = True
@@ -77,6 +80,7 @@
         unix_s: Callable[[], float],
         on_call: Callable[[str, str], None],
         keys: KeyChecker,
+        knowledge: ConfigurationKnowledge,
     ) -> None:
         super().__init__()
         self._frontend = frontend
@@ -85,6 +89,7 @@
         self._unix_s = unix_s
         self._on_call = on_call
         self._keys = keys
+        self._knowledge = knowledge
         self.open_requests = 0
         # When a request last arrived or was answered.
         self.last_request_s = float("-inf")
@@ -123,7 +128,7 @@
         path = request.path.decode("latin-1")
         queue = configuration.find_queue(host, path)
         if queue is None:
-            self._write_response(request, 404, {"error": f"no queue at {host}{path}"})
+            self._refuse_queue(request, host, path, configuration.version)
             return
         read_s = self._clock.seconds()
         check = self._check_key(request, configuration, queue, read_s)
@@ -141,7 +146,9 @@
             )
             return
         if request.method == b"POST":
-            yield self._submit(request, job_id, queue.name, deadline_s, check)
+            yield self._submit(
+                request, job_id, queue, configuration.version, deadline_s, check
+            )
         elif request.method == b"DELETE":
             result = yield self._frontend.cancel(job_id, deadline_s, check)
             self._respond(request, result)
@@ -186,17 +193,39 @@
     def _refuse_key(self, request, cause: RefusalCause) -> None:
         self._write_response(request, 401, {"error": _REFUSALS[cause]})
 
+    def _refuse_queue(self, request, host: str, path: str, version: int) -> None:
+        """Refuse a request for a queue that the version in force does not have."""
+        method = request.method.decode("latin-1")
+        log_event(
+            "request.no-queue",
+            method=method,
+            host=host,
+            path=path,
+            version=version,
+            age_s=self._knowledge.age_s(),
+        )
+        self._on_call(method, "no-queue")
+        error = f"no queue at {host}{path} in version {version} of the configuration"
+        self._write_response(request, 404, {"error": error})
+
     @inlineCallbacks
     def _submit(
-        self, request, job_id: str, queue: str, deadline_s: float, check: KeyCheck
+        self,
+        request,
+        job_id: str,
+        queue: Queue,
+        version: int,
+        deadline_s: float,
+        check: KeyCheck,
     ):
         now_ms = int(self._unix_s() * 1000)
         try:
-            job = decode_job(job_id, queue, now_ms, request.content.read())
+            job = decode_job(job_id, queue.name, now_ms, request.content.read())
         except SubmissionError as error:
             log_event("job.malformed", job=job_id, why=str(error))
             self._write_response(request, 400, {"error": str(error)})
             return
+        job = msgspec.structs.replace(job, configuration_version=version)
         result = yield self._frontend.submit(job, deadline_s, check)
         self._respond(request, result)
 
--- a/tests/test_fleet_callers_resource.py
+++ b/tests/test_fleet_callers_resource.py
@@ -1,4 +1,5 @@
 import unittest
+from types import SimpleNamespace
 
 import msgspec
 from twisted.internet.defer import fail, succeed
@@ -81,6 +82,7 @@
             lambda: 5.0,
             lambda call, outcome: self.calls.append((call, outcome)),
             make_checker(configuration),
+            SimpleNamespace(age_s=lambda: 0.4),
         )
         resource.render(request)
         self.assertEqual(resource.open_requests, 0)
