Judge the configuration on real processes in the emulator and the soak

Cause: no run on real processes could show rule CONFIG: versions added and dropped queues, and no caller asked for one.

Callers ask each daemon in turn, on kept connections, for counts of queues just added, just dropped and never there, and submit to them. ConfigurationCheck judges both halves of the rule (2.0 s after the write; 0.25 s within one incarnation) from the store's record of writes and the callers' record of answers, for daemons in contact. A connection that falls silent while new ones work does not count as lost contact. The emulator also finds jobs shown as failed with attempts left, and limits the bandwidth of links to the store (--link-mbps). The fault 'configure' of the emulator is replaced by these changes, which are more.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import random
 import signal
 import sys
 import tempfile
@@ -18,6 +19,7 @@
 from twisted.internet.task import LoopingCall, deferLater
 
 from emulator.checker import check_logs
+from emulator.configurations import ConfigurationChanges
 from emulator.faults import LINK_FAULTS, SiteFaults
 from emulator.process import EventLog
 from standins.daemon_process import ROOT, DaemonProcess
@@ -80,11 +82,20 @@
 class EmulatedDaemon(DaemonProcess):
     """A daemon of any checkout, with the settings of the emulated site."""
 
-    def __init__(self, number, host, store_port, folder, checkout: Path) -> None:
+    def __init__(
+        self, number, host, store_port, folder, checkout: Path, site_log: EventLog
+    ) -> None:
         self._number = number
+        self._site_log = site_log
         data_centre = f"z{number % 3}"
         super().__init__(f"vm{number}", host, store_port, folder, checkout, data_centre)
 
+    def start(self) -> None:
+        """Start the process unless it is running."""
+        if not self.is_running:
+            self._site_log.write("daemon-start", daemon=self._number)
+        super().start()
+
     def _settings(self, store_port: int) -> str:
         cpu_share, cores = CORES[self._number % len(CORES)]
         return f"""{super()._settings(store_port)}
@@ -118,6 +129,8 @@
         self._options = options
         self.log = EventLog(folder / "site.jsonl")
         self.version = 1
+        # Version numbers increase in uneven steps.
+        self._random = random.Random(f"versions/{options['seed']}")
         self.worker_count = options["workers"]
         self.store: StandIn | None = None
         self.workers: list[StandIn] = []
@@ -149,12 +162,15 @@
             self.workers.append(process)
         for process in self.workers:
             yield process.listening
+        if options["link_mbps"]:
+            bytes_per_s = options["link_mbps"] * 1e6 / 8
+            self.store.send("limit_links", bytes_per_s=bytes_per_s)
         for number, port in enumerate(listening["ports"]):
             # All daemons use the same metrics port, so each gets its own address.
             pid = os.getpid()
             host = f"127.{1 + pid % 200}.{pid // 200 % 250}.{number + 2}"
             daemon = EmulatedDaemon(
-                number, host, port, self._folder, options["checkout"]
+                number, host, port, self._folder, options["checkout"], self.log
             )
             self.daemons.append(daemon)
             daemon.start()
@@ -167,6 +183,7 @@
             process = self._spawn(
                 "callers", number, number=number, duration_s=duration_s,
                 load=self._options["load"] / count,
+                questions_per_s=self._options["questions_per_s"] / count,
                 urls=[daemon.url for daemon in self.daemons],
             )  # fmt: skip
             self.callers.append(process)
@@ -176,6 +193,13 @@
             self.leader_member = fields["member"]
             self.leader_revision = fields["revision"] if fields["member"] else 0
 
+    def configure(self, queues: list[str]) -> None:
+        """Write the next version, with these queues besides the usual ones."""
+        self.version += self._random.randint(1, 7)
+        self.store.send("configure", version=self.version, queues=queues)
+        for process in self.callers:
+            process.send("know_queues", queues=queues)
+
     def leader_number(self) -> int | None:
         """Return the number of the leader's daemon."""
         name = self.leader_member.partition("@")[0]
@@ -234,6 +258,9 @@
             self.site, options["seed"], options["faults"], options["same_id_share"],
             options["worker_cuts"],
         )  # fmt: skip
+        self.changes = ConfigurationChanges(
+            self.site, options["seed"], options["version_interval_s"]
+        )
         self.usage: dict[str, float] = {}
         self.failures: list[str] = []
 
@@ -253,7 +280,9 @@
         self.site.log.write("begin", load=os.getloadavg()[0])
         before = self.site.usage()
         begun_s = reactor.seconds()
+        changing = self.changes.run(duration_s)
         yield self.faults.run(duration_s)
+        yield changing
         after = self.site.usage()
         spent_s = reactor.seconds() - begun_s
         self.usage = {
@@ -296,6 +325,9 @@
     lapse_min_ms: int = 0,
     lapse_max_ms: int = 0,
     warm_up_s: float = 4.0,
+    version_interval_s: float = 1.5,
+    questions_per_s: float = 100.0,
+    link_mbps: float = 0.0,
 ) -> int:
     """Run one soak; return the exit status.
 
@@ -325,6 +357,12 @@
         Least and longest time from the expiry of a lease to the end of a run.
     warm_up_s : float
         Time from the first election to the first job.
+    version_interval_s : float
+        Mean time from one change of the configuration to the next; 0 for none.
+    questions_per_s : float
+        Counts of queues that callers ask for, at one daemon after the other.
+    link_mbps : float
+        Bandwidth of each daemon's link from the store; 0 for no limit.
     """
     options = dict(locals())
     # Inherited by the daemons, which ignore it only once their interpreter has started.
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -22,6 +22,14 @@
     "month": (5.46, 2.0, 20, 2_300, 3_500, 0.005, 0.0, 0.85),
     "watch": (0.286, 1.0, 14, 0, 6_400, 0.03, 0.0, 0.0),
 }
+# Jobs of the queues that are added and dropped, in the same form without a rate.
+QUEUE_JOB = (0.0, 2.6, 4, 500, 1_500, 0.0, 0.0, 0.0)
+# Share of the questions about a queue that submit a job to it.
+SUBMIT_SHARE = 0.02
+# A queue that no version has, and one that only invalid versions have.
+ABSENT_QUEUES = ("never", "invalid")
+# Queues that were added or dropped last, which are asked for most.
+CHANGED_QUEUES_MAX = 6
 STAY_S = (8.0, 40.0)
 ENDED = ("completed", "failed", "cancelled")
 
@@ -41,11 +49,25 @@
         self._gives_up_share = 0.0
         self._open: dict[str, str] = {}
         self._states: dict[str, str] = {}
+        # Queues of the newest version, and those that were added or dropped last.
+        self._queues: list[str] = []
+        self._changed: list[str] = []
+        self._asked = 0
         for kind in KINDS:
             self._submit_next(kind)
+        self._questions_per_s = options["questions_per_s"]
+        if self._questions_per_s:
+            self._ask_next()
 
     # Commands
 
+    def know_queues(self, queues: list[str]) -> None:
+        """Learn which queues the newest version has besides the usual ones."""
+        changed = sorted(set(queues) ^ set(self._queues))[-CHANGED_QUEUES_MAX:]
+        kept = [name for name in self._changed if name not in changed]
+        self._changed = (kept + changed)[-CHANGED_QUEUES_MAX:]
+        self._queues = queues
+
     def burst(self, kind: str, factor: float) -> None:
         """Multiply the rate of a kind of job."""
         self._factors[kind] = factor
@@ -63,6 +85,26 @@
         }
         self._report("open", jobs=jobs)
 
+    def _ask_next(self) -> None:
+        """Ask the next daemon about a queue, or submit a job to it there."""
+        if time.monotonic() > self._until_s:
+            return
+        reactor.callLater(1 / self._questions_per_s, self._ask_next)
+        self._asked += 1
+        daemon = self._asked % len(self._urls)
+        rng = self._random
+        drawn = rng.random()
+        if self._changed and drawn < 0.6:
+            queue = rng.choice(self._changed)
+        elif self._queues and drawn < 0.8:
+            queue = rng.choice(self._queues)
+        else:
+            queue = rng.choice((*ABSENT_QUEUES, "price"))
+        if queue.startswith("extra") and rng.random() < SUBMIT_SHARE:
+            self._run_job(queue, daemon)
+        else:
+            self._call(b"GET", f"/{queue}/", daemon=daemon)
+
     def _submit_next(self, kind: str) -> None:
         if time.monotonic() > self._until_s:
             return
@@ -71,7 +113,7 @@
         reactor.callLater(self._random.expovariate(rate), self._submit_next, kind)
 
     def _draw_steps(self, kind: str) -> list[dict]:
-        _, steps, count, run_ms, cores, _, copies, saves = KINDS[kind]
+        _, steps, count, run_ms, cores, _, copies, saves = KINDS.get(kind, QUEUE_JOB)
         rng = self._random
         drawn = []
         for number in range(int(steps) + (rng.random() < steps % 1)):
@@ -95,12 +137,12 @@
         return drawn
 
     @inlineCallbacks
-    def _run_job(self, kind: str):
+    def _run_job(self, kind: str, daemon: int | None = None):
         job = f"{self._random.getrandbits(64):016x}"
         steps = self._draw_steps(kind)
-        run_ms = KINDS[kind][3]
+        run_ms = KINDS.get(kind, QUEUE_JOB)[3]
         is_hopeless = kind == "month" and self._random.random() < 0.01
-        fails = 1.0 if is_hopeless else KINDS[kind][5]
+        fails = 1.0 if is_hopeless else KINDS.get(kind, QUEUE_JOB)[5]
         spec = json.dumps(
             [{"cpu": step["cpu"], "ms": run_ms, "fail": fails} for step in steps]
         )
@@ -111,8 +153,8 @@
         )  # fmt: skip
         body = json.dumps({"spec": spec, "steps": steps}).encode()
         for _ in range(ATTEMPTS):
-            status, _ = yield self._call(b"POST", f"/{kind}/{job}", body)
-            if status == 200:
+            status, _ = yield self._call(b"POST", f"/{kind}/{job}", body, daemon)
+            if status in (200, 404):
                 break
             yield deferLater(reactor, self._random.uniform(0.1, 0.6))
         self._log.write("submitted", job=job, status=status)
@@ -151,9 +193,15 @@
             self._open.pop(job, None)
 
     @inlineCallbacks
-    def _call(self, method: bytes, path: str, body: bytes = b""):
-        """Call a random daemon; the status is 0 without a response, -1 if not sent."""
-        daemon = self._random.choice(range(len(self._urls)))
+    def _call(
+        self, method: bytes, path: str, body: bytes = b"", daemon: int | None = None
+    ):
+        """Call a daemon, a random one by default.
+
+        The status is 0 without a response, -1 if the request was not sent.
+        """
+        if daemon is None:
+            daemon = self._random.choice(range(len(self._urls)))
         url = self._urls[daemon] + path
         headers = ((b"host", b"desk.example"),)
         sent_s = time.monotonic()
@@ -169,6 +217,14 @@
         except Exception:  # noqa: BLE001
             # Twisted's network errors share no base class other than Exception.
             return 0, b""
+        status, _ = response
+        if status in (200, 404) and method in (b"GET", b"POST"):
+            _, queue, job = path.split("/")
+            # A job's state may be read through any queue.
+            if method == b"POST" or not job:
+                self._log.write(
+                    "answer", daemon=daemon, queue=queue, sent_s=sent_s, status=status
+                )
         return response
 
 
--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -1,5 +1,6 @@
 """Checks of the logs of an emulation: ``python -m emulator.checker FOLDER``."""
 
+import bisect
 import itertools
 import sys
 from collections import Counter, defaultdict
@@ -8,6 +9,9 @@
 
 import msgspec
 
+from standins.configuration_check import ConfigurationCheck, QueueAnswer
+from standins.faulty_proxy import LinkFault
+
 # Lags and faults within this time before a second start are part of its finding.
 NEAR_S = 15.0
 LAG_NEAR_S = 7.0
@@ -19,6 +23,17 @@
 # A request that is cut within this time of being sent may have crossed the end of its
 # connection.
 CUT_SLACK_S = 0.2
+# Failed runs that each queue allows a task, at least.
+ATTEMPTS_MIN = 3
+# Faults of a daemon, or of its link to the store, and what ends them. Only open
+# connections are affected by one that makes them silent, so the daemon is in contact.
+DISTURBANCES = {
+    "kill": "daemon-start",
+    "terminate": "daemon-start",
+    "freeze": "thaw",
+    "cut-store": "cut-store-over",
+}
+STORE_DISTURBANCES = {"store-slow": "store-slow-over", "store-lost": "store-lost-over"}
 # Differences of this size are below the resolution of the logs.
 OVERLAP_MIN_S = 0.001
 
@@ -88,6 +103,7 @@
         self._kinds: dict[str, str] = {}
         self.leaders = [(0.0, 0, "")]
         self.completed_s: dict[str, float] = {}
+        self._failed: set[str] = set()
         self._job_counts: dict[str, list[int]] = {}
 
     def check(self) -> CheckResult:
@@ -99,8 +115,15 @@
                 findings.extend(self._check_task(task, runs))
         findings.extend(self._check_completed())
         findings.extend(self._check_cuts())
+        findings.extend(self._check_failed())
+        configurations = read_configurations(self.rows)
+        findings.extend(configurations.check())
+        self.counts["configurations_judged"] = configurations.judged
         counts = " ".join(f"{name}={self.counts[name]}" for name in sorted(self.counts))
-        summary = f"{counts} lapsed_gap={self._least_gap_s():.3f} {self._lags()}"
+        summary = (
+            f"{counts} configuration_lag={configurations.lag_max_s:.3f} "
+            f"lapsed_gap={self._least_gap_s():.3f} {self._lags()}"
+        )
         return CheckResult(findings, summary)
 
     def _least_gap_s(self) -> float:
@@ -160,6 +183,8 @@
                 self.counts["accepted"] += fields["status"] == 200
             elif event == "state":
                 self.counts[fields["state"]] += 1
+                if fields["state"] == "failed":
+                    self._failed.add(fields["job"])
                 if fields["state"] == "completed":
                     self.completed_s[fields["job"]] = time_s
             elif event == "ended-by-itself":
@@ -195,6 +220,21 @@
                     findings.append(f"MIXED: {job} completed, step {step}: {done} done")
         return findings
 
+    def _check_failed(self) -> list[str]:
+        """Find jobs that are shown as failed although no task has used its attempts."""
+        failures: Counter = Counter()
+        for task, runs in self.runs.items():
+            job = task.partition(".")[0]
+            if job in self._failed:
+                # A run that fails as its worker crashes counts for either.
+                count = sum(run.outcome in ("failed", "crashed") for run in runs)
+                failures[job] = max(failures[job], count)
+        return [
+            f"LOST: {job} is shown as failed after {failures[job]} failures of a task"
+            for job in sorted(self._failed)
+            if failures[job] < ATTEMPTS_MIN
+        ]
+
     def _check_cuts(self) -> list[str]:
         """Find requests without a response that were cut by a daemon's stop."""
         findings = []
@@ -274,6 +314,60 @@
         )
 
 
+def read_configurations(rows) -> ConfigurationCheck:
+    """Return the check of the versions that were written and of the answers."""
+    check = ConfigurationCheck()
+    # Times at which each daemon's process was started.
+    started_s: dict[int, list[float]] = defaultdict(list)
+    for time_s, event, fields, process in rows:
+        if event == "configuration":
+            check.add_version(fields["version"], time_s, fields["queues"])
+        elif event == "daemon-start":
+            daemon = fields["daemon"]
+            started_s[daemon].append(time_s)
+            for cause in ("kill", "terminate", "start"):
+                check.begin_disturbance(cause, time_s, f"vm{daemon}")
+                check.end_disturbance(cause, time_s, f"vm{daemon}")
+        elif event == "answer":
+            daemon, sent_s = fields["daemon"], fields["sent_s"]
+            check.add_answer(
+                QueueAnswer(
+                    f"vm{daemon}",
+                    bisect.bisect(started_s[daemon], sent_s),
+                    fields["queue"],
+                    sent_s,
+                    time_s,
+                    fields["status"] == 200,
+                )
+            )
+        elif event == "fault":
+            _read_disturbance(check, time_s, fields)
+        elif (
+            event == "lag"
+            and process.startswith("store")
+            and fields["late_s"] > LAG_MIN_S
+        ):
+            # The store answers late itself.
+            check.begin_disturbance("lag", time_s - fields["late_s"])
+            check.end_disturbance("lag", time_s)
+    return check
+
+
+def _read_disturbance(check: ConfigurationCheck, time_s: float, fields: dict) -> None:
+    fault = fields["fault"]
+    for begin, end in DISTURBANCES.items():
+        for daemon in fields.get("daemons", ()):
+            if fault == begin and fields.get("how") != LinkFault.OPEN_SILENT:
+                check.begin_disturbance(begin, time_s, f"vm{daemon}")
+            elif fault == end:
+                check.end_disturbance(begin, time_s, f"vm{daemon}")
+    for begin, end in STORE_DISTURBANCES.items():
+        if fault == begin:
+            check.begin_disturbance(begin, time_s)
+        elif fault == end:
+            check.end_disturbance(begin, time_s)
+
+
 def check_logs(folder: Path) -> CheckResult:
     """Check the logs of one run."""
     return EmulatedChecker(folder).check()
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -227,6 +227,7 @@
         self._site.store.send("set_delay", delay_s=delay_s)
         yield self._pause(1.0, 4.5)
         self._site.store.send("set_delay", delay_s=0.0)
+        self._note("store-slow-over")
 
     @inlineCallbacks
     def _store_lost(self):
@@ -235,6 +236,7 @@
         self._site.store.send("lose", share=share, delay_s=5.0)
         yield self._pause(1.0, 4.5)
         self._site.store.send("lose", share=0.0, delay_s=0.0)
+        self._note("store-lost-over")
 
     def _compact(self) -> None:
         self._note("compact")
@@ -335,12 +337,6 @@
 
     # Operators and callers
 
-    def _configure(self) -> None:
-        self._site.version += self._random.randint(1, 7)
-        extra = self._random.randint(0, 3)
-        self._note("configure", version=self._site.version)
-        self._site.store.send("configure", version=self._site.version, extra=extra)
-
     @inlineCallbacks
     def _evacuate(self):
         key = f"op/evacuate/z{self._random.randrange(3)}"
@@ -394,7 +390,6 @@
     "hang": 1,
     "reset": 1,
     "fail": 1,
-    "configure": 1,
     "evacuate": 1,
     "burst": 1,
     "give_up": 1,
--- a/emulator/process.py
+++ b/emulator/process.py
@@ -18,7 +18,7 @@
 from twisted.internet.task import LoopingCall
 from twisted.protocols.basic import LineReceiver
 
-from standins.faulty_proxy import LinkFault
+from standins.faulty_proxy import LINK_PART_BYTES, LinkFault
 
 LAG_INTERVAL_S = 0.05
 # Shorter lags are not logged.
@@ -114,6 +114,11 @@
         Called with each `Exchange`.
     port : int
         Port, 0 for a free one.
+
+    Attributes
+    ----------
+    bytes_per_s : float
+        Bandwidth of the responses, which all connections share; 0 for no limit.
     """
 
     noisy = False
@@ -122,6 +127,10 @@
         self.serve = serve
         self.fault = LinkFault.NONE
         self.connections: set[_Connection] = set()
+        self.bytes_per_s = 0.0
+        # What each connection has to send; they take turns on a limited link.
+        self._unsent: dict[_Connection, bytes] = {}
+        self._is_sending = False
         # Binds the port without listening, so that connections are refused.
         self._reservation = socket.socket()
         self._reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -149,6 +158,33 @@
             self._listening = None
         self.reset()
 
+    def send(self, connection: "_Connection", data: bytes) -> None:
+        """Send a response as the bandwidth allows."""
+        if not self.bytes_per_s:
+            connection.transport.write(data)
+            return
+        self._unsent[connection] = self._unsent.get(connection, b"") + data
+        if not self._is_sending:
+            self._send_part()
+
+    def _send_part(self) -> None:
+        self._is_sending = True
+        connection = next(iter(self._unsent))
+        data = self._unsent.pop(connection)
+        part, rest = data[:LINK_PART_BYTES], data[LINK_PART_BYTES:]
+        if rest:
+            self._unsent[connection] = rest
+        reactor.callLater(
+            len(part) / self.bytes_per_s, self._end_part, connection, part
+        )
+
+    def _end_part(self, connection: "_Connection", part: bytes) -> None:
+        if not connection.is_silent:
+            connection.transport.write(part)
+        self._is_sending = False
+        if self._unsent:
+            self._send_part()
+
     def reset(self) -> None:
         """Reset all connections."""
         for connection in list(self.connections):
@@ -164,10 +200,14 @@
         if fault is LinkFault.RESET:
             self.reset()
         if fault is LinkFault.OPEN_SILENT:
-            for connection in self.connections:
-                connection.is_silent = True
+            self.silence_connections()
             self.fault = LinkFault.NONE
 
+    def silence_connections(self) -> None:
+        """Let the open connections carry nothing any more; new ones work."""
+        for connection in self.connections:
+            connection.is_silent = True
+
 
 class _Connection(Protocol):
     def __init__(self, port: HttpPort) -> None:
@@ -238,7 +278,8 @@
         if self._connection.is_silent:
             return
         content = msgspec.json.encode(document or {})
-        self._connection.transport.write(
+        self._connection.port.send(
+            self._connection,
             b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-            b"Content-Length: %d\r\n\r\n%s" % (status, len(content), content)
+            b"Content-Length: %d\r\n\r\n%s" % (status, len(content), content),
         )
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -58,7 +58,7 @@
         self._beats: dict[str, float] = {}
         self._waiting: list[tuple[str, int, Exchange]] = []
         self._leader_revision = -1
-        self._write_configuration(1, 0)
+        self._write_configuration(1, [])
         LoopingCall(self._expire).start(EXPIRY_INTERVAL_S)
         self._watch_changes()
         report(
@@ -69,9 +69,9 @@
 
     # Commands
 
-    def configure(self, version: int, extra: int) -> None:
-        """Write a version of the configuration with `extra` further queues."""
-        self._write_configuration(version, extra)
+    def configure(self, version: int, queues: list[str]) -> None:
+        """Write a version of the configuration with these queues besides the usual."""
+        self._write_configuration(version, queues)
 
     def write(self, key: str, value: str) -> None:
         """Write a record as an operator does; an empty value removes it."""
@@ -89,6 +89,16 @@
             else:
                 self._ports[number].inject(LinkFault(fault))
 
+    def silence_connections(self) -> None:
+        """Let all open connections of daemons carry nothing any more."""
+        for port in self._ports:
+            port.silence_connections()
+
+    def limit_links(self, bytes_per_s: float) -> None:
+        """Limit the bandwidth of each daemon's link from the store."""
+        for port in self._ports:
+            port.bytes_per_s = bytes_per_s
+
     def set_delay(self, delay_s: float) -> None:
         """Set the additional delay of all calls."""
         self._delay_s = delay_s
@@ -141,10 +151,10 @@
                 del self._beats[worker_id]
                 self.records.remove(f"servers/{worker_id}")
 
-    def _write_configuration(self, version: int, extra: int) -> None:
+    def _write_configuration(self, version: int, extra: list[str]) -> None:
         queues = [("price", 0, 1.5, 250, 3), ("month", 2, 2.0, 1000, 3)]
         queues.append(("watch", 0, 2.2, 2500, 4))
-        queues.extend((f"extra{number}", 1, 2.0, 500, 3) for number in range(extra))
+        queues.extend((name, 1, 2.0, 500, 3) for name in extra)
         routes = [
             {
                 "name": name, "host": "desk.example", "prefix": f"/{name}/",
@@ -156,6 +166,8 @@
         services = [{"name": "desk", "enforces_capacity": True}]
         document = {"version": version, "routes": routes, "services": services}
         self.records.write("op/config", json.dumps(document).encode())
+        names = [route["name"] for route in routes]
+        self._log.write("configuration", version=version, queues=names)
 
     # Calls of daemons
 
--- a/standins/daemon_process.py
+++ b/standins/daemon_process.py
@@ -50,6 +50,8 @@
         self._file.write_text(self._settings(store_port))
         self._log = open(folder / f"{name}.log", "ab")  # noqa: SIM115
         self.process: subprocess.Popen | None = None
+        # Processes started so far.
+        self.starts = 0
         # Whether it was sent a signal that ends it.
         self.is_ending = False
         # Whether it was sent SIGTERM, and nothing after that prevents its stop.
@@ -83,6 +85,7 @@
         if self.is_running:
             return
         self.is_ending = self.is_stopping = False
+        self.starts += 1
         self.process = subprocess.Popen(
             [sys.executable, "-m", "dogwoodlever.fleet_daemon"],
             cwd=self._checkout,
--- a/standins/faulty_proxy.py
+++ b/standins/faulty_proxy.py
@@ -78,10 +78,14 @@
         elif fault is not LinkFault.REFUSED and self._reservation is not None:
             self._listen_again()
         if fault is LinkFault.OPEN_SILENT:
-            for client in self.connections:
-                client.is_silent = True
+            self.silence_connections()
             self.fault = LinkFault.NONE
 
+    def silence_connections(self) -> None:
+        """Let the open connections carry nothing any more; new ones work."""
+        for client in self.connections:
+            client.is_silent = True
+
     def send_over_link(self, send, data: bytes) -> None:
         """Send bytes to a client, in parts as the bandwidth allows."""
         if not self.bytes_per_s:
--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -19,10 +19,12 @@
 from twisted.internet.task import LoopingCall, deferLater
 
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
+from standins.changing_queues import ChangingQueues
+from standins.configuration_check import QueueAnswer
 from standins.faulty_proxy import LinkFault
 from tests.soak_checker import ADVANCE_INTERVAL_S, SoakJob, SoakStep
 from tests.soak_faults import LINK_FAULTS, SoakFaults
-from tests.soak_site import QUEUE_HOST, QUEUE_PREFIX, SoakSite
+from tests.soak_site import QUEUE, QUEUE_HOST, SoakSite
 
 # A failure seen once is traced from the logs of its run.
 LOG_FOLDER = Path(__file__).parent.parent / "target" / "soak"
@@ -36,6 +38,8 @@
 READ_INTERVAL_S = 0.5
 # A stopping daemon that gets requests so often stops at the end of its grace period.
 COUNT_INTERVAL_S = 0.2
+# This process serves the store; if it is later than this, an answer may be late.
+OWN_LAG_MIN_S = 0.1
 CORES_MILLI_CHOICES = (250, 500, 1000)
 
 
@@ -53,6 +57,8 @@
     def __init__(self, site: SoakSite, seed: str) -> None:
         self._site = site
         self._random = random.Random(seed)
+        # Of its own, so that the jobs of a seed stay the same.
+        self._count_random = random.Random(f"counts/{seed}")
         self._client = HttpClient(reactor, CALL_TIMEOUT_S, 2)
         self.outcomes: Counter[str] = Counter()
 
@@ -92,7 +98,9 @@
         return self._call_daemon(daemon, method, name, body)
 
     @inlineCallbacks
-    def _call_daemon(self, daemon: str, method: bytes, name: str, body: bytes = b""):
+    def _call_daemon(
+        self, daemon: str, method: bytes, name: str, body: bytes = b"", queue=QUEUE
+    ):
         """Call a daemon; return the status and the content.
 
         The status is 0 without a response and -1 if the request was not sent.
@@ -100,8 +108,9 @@
         process = self._site.daemons[daemon]
         checker = self._site.checker
         sent_advances = checker.advances
+        sent_s, incarnation = reactor.seconds(), process.starts
         headers = ((b"host", QUEUE_HOST.encode()),)
-        url = process.url + QUEUE_PREFIX + name
+        url = f"{process.url}/{queue}/{name}"
         try:
             response = yield self._client.fetch(
                 method, url, body, CALL_TIMEOUT_S, headers
@@ -114,6 +123,13 @@
         except Exception:  # noqa: BLE001
             # Twisted's network errors share no base class other than Exception.
             return 0, b""
+        status, _ = response
+        # The process that answered may have been started meanwhile.
+        if status in (200, 404) and incarnation == process.starts:
+            answer = QueueAnswer(
+                daemon, incarnation, queue, sent_s, reactor.seconds(), status == 200
+            )
+            self._site.configurations.add_answer(answer)
         return response
 
     @inlineCallbacks
@@ -139,10 +155,16 @@
                 return
             yield deferLater(reactor, 0.3)
 
-    def count(self) -> None:
-        """Ask each daemon for the number of pending jobs."""
+    def count(self, queues: ChangingQueues) -> None:
+        """Ask each daemon for the pending jobs of a usual queue and of a changing one.
+
+        The other may have been added or dropped just now, or never have existed.
+        """
+        rng = self._count_random
         for daemon in self._site.daemons:
             self._call_daemon(daemon, b"GET", "")
+            changing = (*queues.current[-2:], *queues.dropped[-2:], "never")
+            self._call_daemon(daemon, b"GET", "", queue=rng.choice(changing))
 
     @inlineCallbacks
     def read(self, job: SoakJob):
@@ -197,22 +219,24 @@
             SoakCaller(self.site, f"{seed}/{number}") for number in range(CALLERS)
         ]
         self._duration_s = duration_s
+        self._advanced_s = reactor.seconds()
         self.failures: list[str] = []
 
     @inlineCallbacks
     def run(self):
         """Run to the end and collect the findings in `failures`."""
-        advancing = LoopingCall(self.site.checker.advance)
+        advancing = LoopingCall(self._advance)
         advancing.start(ADVANCE_INTERVAL_S)
         watching = LoopingCall(self._watch_processes)
-        for daemon in self.site.daemons.values():
-            daemon.start()
+        for daemon in self.site.daemons:
+            self.site.start_daemon(daemon)
         yield self._await(self.site.leader, START_TIMEOUT_S, "no daemon leads")
         watching.start(0.2)
-        counting = LoopingCall(self._callers[0].count)
+        counting = LoopingCall(self._callers[0].count, self._faults.queues)
         counting.start(COUNT_INTERVAL_S)
         until_s = reactor.seconds() + self._duration_s
         calls = [caller.run(until_s) for caller in self._callers]
+        calls.append(self._faults.change_configuration(self._duration_s))
         yield self._faults.run(self._duration_s)
         yield gatherResults(calls)
         yield self._await_settled()
@@ -220,6 +244,16 @@
         watching.stop()
         advancing.stop()
         self.failures.extend(self.site.checker.violations)
+        self.failures.extend(self.site.configurations.check())
+
+    def _advance(self) -> None:
+        """Advance the workers; a store that is late itself answers late."""
+        self.site.checker.advance()
+        now_s = reactor.seconds()
+        if now_s - self._advanced_s > OWN_LAG_MIN_S:
+            self.site.disturb("late")
+            self.site.calm("late")
+        self._advanced_s = now_s
 
     @inlineCallbacks
     def _await(self, condition, timeout_s: float, failure: str):
@@ -249,7 +283,7 @@
         for daemon in self.site.daemons.values():
             if daemon.ended_by_itself():
                 self.failures.append(f"{daemon.name} ended by itself")
-                daemon.start()
+                self.site.start_daemon(daemon.name)
 
     def summary(self) -> str:
         """Return one line of counts."""
@@ -259,7 +293,9 @@
             f"faults={len(self._faults.injected)} jobs={len(checker.jobs)} "
             f"starts={len(checker.starts)} accepted={outcomes['accepted']} "
             f"refused={outcomes['refused']} unknown={outcomes['unknown']} "
-            f"no_room={checker.capacity_refusals}"
+            f"no_room={checker.capacity_refusals} versions={self.site.version} "
+            f"judged={self.site.configurations.judged} "
+            f"configuration_lag={self.site.configurations.lag_max_s:.3f}"
         )
 
 
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
+from standins.changing_queues import ChangingQueues
 from standins.faulty_proxy import LinkFault
 from tests.soak_site import SoakSite
 
@@ -17,6 +18,10 @@
 EXIT_POLL_S = 0.05
 # Share of the planned stops that stop all daemons.
 STOP_ALL_SHARE = 0.5
+# Share of the changes of the configuration at which all open connections to the store
+# fall silent, and the numbers of versions in one change.
+SILENT_SHARE = 0.2
+VERSIONS_PER_CHANGE = (1, 1, 1, 10)
 LINK_FAULTS = (
     LinkFault.SILENT,
     LinkFault.ANSWERS_LOST,
@@ -46,6 +51,8 @@
         self._random = random.Random(seed)
         # Of its own, so that the faults of a seed stay the same.
         self._stop_random = random.Random(f"stops/{seed}")
+        self._version_random = random.Random(f"versions/{seed}")
+        self.queues = ChangingQueues(self._version_random)
         self._until_s = 0.0
         self._active_count = 0
         self._reserved: set[str] = set()
@@ -120,26 +127,22 @@
         if not name:
             return
         self._record(f"kill {name}")
+        self._site.disturb("stopped", name)
         self._site.daemons[name].signal(signal.SIGKILL)
         yield self._pause(0.1, 2.0)
-        self._restart(name)
-
-    def _restart(self, name: str) -> None:
-        daemon = self._site.daemons[name]
-        if daemon.is_running:
-            return
-        daemon.start()
+        self._site.start_daemon(name)
 
     @inlineCallbacks
     def _kill_all(self):
         if self._random.random() < 0.5:
             return
         self._record("kill all")
+        self._site.disturb("stopped", *self._site.daemons)
         for daemon in self._site.daemons.values():
             daemon.signal(signal.SIGKILL)
         yield self._pause(0.1, 1.0)
         for name in self._site.daemons:
-            self._restart(name)
+            self._site.start_daemon(name)
 
     @inlineCallbacks
     def _freeze(self):
@@ -150,9 +153,11 @@
             return
         self._reserved.add(name)
         self._record(f"freeze {name}")
+        self._site.disturb("frozen", name)
         self._site.daemons[name].signal(signal.SIGSTOP)
         yield self._pause(0.2, 7.0)
         self._site.daemons[name].signal(signal.SIGCONT)
+        self._site.calm("frozen", name)
         self._reserved.discard(name)
 
     @inlineCallbacks
@@ -164,6 +169,7 @@
         if self._stop_random.random() < STOP_ALL_SHARE:
             names = list(self._site.daemons)
         self._record(f"terminate {' '.join(names)}")
+        self._site.disturb("stopped", *names)
         daemons = [self._site.daemons[name] for name in names]
         for daemon in daemons:
             daemon.signal(signal.SIGTERM)
@@ -171,7 +177,7 @@
             yield deferLater(reactor, EXIT_POLL_S)
             for daemon in [d for d in daemons if not (d.is_running and d.is_ending)]:
                 daemons.remove(daemon)
-                self._restart(daemon.name)
+                self._site.start_daemon(daemon.name)
 
     def _reload(self):
         name = self._choose_free(self._site.daemons)
@@ -197,29 +203,40 @@
             name = self._choose_free(self._site.daemons)
         if not name:
             return None
-        links = [self._site.store_links[name]]
-        return self._inject_link_fault(links, f"{name} to store", 0.5, 7.0)
+        return self._cut_daemons([name], f"{name} to store", 7.0)
 
     def _cut_all_from_store(self):
-        links = list(self._site.store_links.values())
-        return self._inject_link_fault(links, "all to store", 0.5, 4.0)
+        return self._cut_daemons(list(self._site.daemons), "all to store", 4.0)
+
+    @inlineCallbacks
+    def _cut_daemons(self, names: list[str], target: str, most_s: float):
+        self._site.disturb("cut", *names)
+        links = [self._site.store_links[name] for name in names]
+        yield self._inject_link_fault(links, target, 0.5, most_s)
+        self._site.calm("cut", *names)
 
     @inlineCallbacks
     def _make_store_busy(self):
         self._record("store busy")
+        self._site.disturb("busy")
         self._site.store.is_busy = True
         yield self._pause(0.5, 4.0)
         self._site.store.is_busy = False
+        self._site.calm("busy")
 
     @inlineCallbacks
     def _slow_store(self):
         self._record("store slow")
+        self._site.disturb("slow")
         self._site.store.delay_s = self._random.uniform(0.05, 0.3)
         yield self._pause(1.0, 4.0)
         self._site.store.delay_s = 0.0
+        self._site.calm("slow")
 
     def _lose_answers(self):
         self._record("answers of writes lost")
+        self._site.disturb("lost")
+        self._site.calm("lost")
         self._site.store.commit_delay_s = self._random.choice(
             (0.0, self._random.uniform(0.0, WRITE_DELAY_MAX_S))
         )
@@ -287,9 +304,30 @@
 
     # Operators
 
+    @inlineCallbacks
+    def change_configuration(self, duration_s: float):
+        """Add and drop queues for `duration_s`, in single versions and in storms."""
+        until_s = reactor.seconds() + duration_s
+        rng = self._version_random
+        while reactor.seconds() < until_s:
+            if rng.random() < SILENT_SHARE:
+                for link in self._site.store_links.values():
+                    link.silence_connections()
+            for _ in range(rng.choice(VERSIONS_PER_CHANGE)):
+                self.change_queues()
+                yield deferLater(reactor, rng.uniform(0.02, 0.2))
+            yield deferLater(reactor, rng.uniform(0.3, 3.0))
+
+    def change_queues(self) -> None:
+        """Write the next version, with one queue more or less."""
+        self.queues.change()
+        self._site.configure(tuple(self.queues.current))
+
     def _change_configuration(self):
         self._record("configuration")
-        self._site.configure(self._random.randint(0, 3))
+        # Keeps the faults of a seed as they were.
+        self._random.randint(0, 3)
+        self.change_queues()
 
     @inlineCallbacks
     def _take_centre_out(self):
--- a/tests/soak_site.py
+++ b/tests/soak_site.py
@@ -9,6 +9,7 @@
 
 from dogwoodlever._fleet_records import LEADER_KEY, decode_leader
 from dogwoodlever._fleet_types import WorkerEntry
+from standins.configuration_check import ConfigurationCheck
 from standins.daemon_process import DaemonProcess
 from standins.faulty_proxy import FaultyProxy
 from standins.fleet import FleetRecords, server_record
@@ -16,7 +17,7 @@
 from tests.soak_checker import ATTEMPTS_MAX, SoakChecker, SoakWorker
 
 QUEUE_HOST = "desk.example"
-QUEUE_PREFIX = "/quotes/"
+QUEUE = "quotes"
 WORKER_CORES_MILLI = 4_000
 # Delay until the platform removes the entry of a silent worker.
 ENTRY_EXPIRY_S = 1.5
@@ -40,6 +41,7 @@
         self.store = FleetStoreResource(self.records, reactor)
         self.checker = SoakChecker(reactor)
         self.version = 0
+        self.configurations = ConfigurationCheck()
         self._boots = 0
         self._listening = []
         self.worker_resources: dict[str, FleetWorkerResource] = {}
@@ -77,10 +79,10 @@
         host = f"127.{1 + os.getpid() % 200}.{os.getpid() // 200 % 250}.{number + 2}"
         self.daemons[name] = DaemonProcess(name, host, link.port, folder)
 
-    def configure(self, extra_queues: int = 0) -> None:
+    def configure(self, extra_queues: tuple[str, ...] = ()) -> None:
         """Write the next version of the configuration."""
         self.version += 1
-        names = ["quotes", *(f"extra{number}" for number in range(extra_queues))]
+        names = [QUEUE, *extra_queues]
         routes = [
             {
                 "name": name,
@@ -99,6 +101,7 @@
             "services": [{"name": "desk", "enforces_capacity": True}],
         }
         self.records.write("op/config", json.dumps(document).encode())
+        self.configurations.add_version(self.version, reactor.seconds(), names)
 
     def start_worker(self, worker_id: str) -> None:
         """Start a new incarnation of a worker, without runs of the previous one."""
@@ -131,6 +134,24 @@
         entry = self.checker.workers[worker_id].entry
         self.records.write(f"servers/{worker_id}", server_record(entry, state))
 
+    def disturb(self, cause: str, *names: str) -> None:
+        """Note that some daemons, or all without a name, are out of contact."""
+        for name in names or (None,):
+            self.configurations.begin_disturbance(cause, reactor.seconds(), name)
+
+    def calm(self, cause: str, *names: str) -> None:
+        """Note the end of a disturbance."""
+        for name in names or (None,):
+            self.configurations.end_disturbance(cause, reactor.seconds(), name)
+
+    def start_daemon(self, name: str) -> None:
+        """Start a daemon unless it runs."""
+        if self.daemons[name].is_running:
+            return
+        self.daemons[name].start()
+        self.disturb("stopped", name)
+        self.calm("stopped", name)
+
     def leader(self) -> str:
         """Return the VM of the leader, or an empty string."""
         record = self.records.read(LEADER_KEY)
--- /dev/null
+++ b/tests/test_configuration_check.py
@@ -0,0 +1,85 @@
+"""Tests of the check of the rule CONFIG: which answers show an older version."""
+
+import unittest
+
+from standins.configuration_check import ConfigurationCheck, QueueAnswer
+
+# Version, time of the write and the queues besides those that stay.
+VERSIONS = ((1, 0.0, ()), (2, 10.0, ("a",)), (3, 11.0, ("a", "b")), (4, 12.0, ("b",)))
+
+
+def answer(sent_s, queue, has_queue, daemon="vm0", incarnation=1, took_s=0.01):
+    """Return an answer of a daemon."""
+    return QueueAnswer(daemon, incarnation, queue, sent_s, sent_s + took_s, has_queue)
+
+
+class ConfigurationCheckTest(unittest.TestCase):
+    # Guards against a soak or an emulation that cannot show a broken rule CONFIG.
+    def test_findings(self):
+        back = "went back to version"
+        cases = (
+            # name, answers, disturbances of vm0 (None for all), findings
+            ("newest", [answer(10.1, "a", True)], (), []),
+            ("older within 2 s", [answer(11.9, "a", False)], (), []),
+            ("added queue not served", [answer(12.1, "a", False)], (), []),
+            ("older after 2 s", [answer(13.1, "b", False)], (), ["version 2 only"]),
+            ("added queue is late", [answer(13.5, "b", False)], (), ["2.500 s"]),
+            ("dropped queue is served", [answer(14.1, "a", True)], (), ["3 only"]),
+            ("dropped queue within 2 s", [answer(13.9, "a", True)], (), []),
+            ("dropped while it was answered", [answer(9.9, "a", True, took_s=0.2)], (),
+             []),
+            ("queue of no version", [answer(20.0, "never", True)], (), ["no version"]),
+            ("queue of an invalid version", [answer(13.0, "invalid", True)],
+             ((1.0, 30.0, "vm0"),), ["no version"]),
+            ("queue of all versions", [answer(20.0, "kept", False)], (),
+             ["no version"]),
+            ("older while cut off", [answer(13.5, "b", False)], ((5.0, 20.0, "vm0"),),
+             []),
+            ("older within 3 s of a cut", [answer(13.5, "b", False)],
+             ((9.0, 10.6, "vm0"),), []),
+            ("older beyond 3 s of a cut", [answer(13.5, "b", False)],
+             ((9.0, 10.4, "vm0"),), ["version 2 only"]),
+            ("older while another is cut off", [answer(13.5, "b", False)],
+             ((5.0, 20.0, "vm1"),), ["version 2 only"]),
+            ("older while the store is slow", [answer(13.5, "b", False)],
+             ((5.0, 20.0, None),), []),
+            ("goes back", [answer(11.1, "b", True), answer(11.5, "b", False)], (),
+             [back]),
+            ("overtaken within 0.25 s", [
+                answer(11.1, "b", True), answer(11.3, "b", False),
+            ], (), []),
+            ("goes back after another effect", [
+                answer(11.1, "b", True), answer(12.1, "a", False),
+                answer(12.5, "a", True),
+            ], (), [back]),
+            ("next incarnation", [
+                answer(11.1, "b", True), answer(11.6, "b", False, incarnation=2),
+            ], (), []),
+            ("another daemon", [
+                answer(11.1, "b", True), answer(11.6, "b", False, daemon="vm1"),
+            ], (), []),
+            ("goes back soon while cut off", [
+                answer(11.1, "b", True), answer(11.6, "b", False),
+            ], ((5.0, 20.0, "vm0"),), []),
+            ("goes back later while cut off", [
+                answer(11.1, "b", True), answer(13.5, "b", False),
+            ], ((5.0, 20.0, "vm0"),), [back]),
+        )  # fmt: skip
+        for name, answers, disturbances, expected in cases:
+            with self.subTest(name):
+                check = ConfigurationCheck()
+                for version, written_s, queues in VERSIONS:
+                    check.add_version(version, written_s, ("kept", *queues))
+                for begun_s, ended_s, daemon in disturbances:
+                    check.begin_disturbance("cut", begun_s, daemon)
+                    check.end_disturbance("cut", ended_s, daemon)
+                for each in answers:
+                    check.add_answer(each)
+                findings = check.check()
+                self.assertEqual(len(findings), len(expected), findings)
+                for finding, part in zip(findings, expected, strict=True):
+                    self.assertIn(part, finding)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_emulator_checker.py
+++ b/tests/test_emulator_checker.py
@@ -38,11 +38,32 @@
     return [time_s, "cut", {"daemon": 3, "path": "/price/", "sent_s": sent_s}]
 
 
-def fault(time_s, name):
+def fault(time_s, name, **fields):
     """Return the row of a fault of the daemon to which the requests are sent."""
-    return [time_s, "fault", {"fault": name, "daemons": [3]}]
+    return [time_s, "fault", {"fault": name, "daemons": [3], **fields}]
 
 
+def versions(*rows):
+    """Return the rows of the store's writes: time, version and its queues."""
+    return tuple(
+        [time_s, "configuration", {"version": version, "queues": list(queues)}]
+        for time_s, version, queues in rows
+    )
+
+
+def answer(time_s, queue, status):
+    """Return the row of an answer to a request that was sent 0.01 s before."""
+    fields = {"daemon": 3, "queue": queue, "status": status, "sent_s": time_s - 0.01}
+    return [time_s, "answer", fields]
+
+
+# A queue is added to the configuration.
+ADDED = (
+    [0.0, "daemon-start", {"daemon": 3}], *versions((1.0, 1, ("price",))),
+    *versions((10.0, 2, ("price", "extra"))),
+)  # fmt: skip
+LATE = answer(12.5, "extra", 404)
+FAILED = [9.0, "state", {"job": TASK[:16], "state": "failed"}]
 FIRST = start(1.0, "w001-1", 1)
 # Two runs of one task that overlap for a second.
 OVERLAP = (FIRST, start(2.0, "w002-1", 2), end(3.0, "w001-1", 1))
@@ -90,6 +111,40 @@
                 submit(count=2), *AGAIN[:2],
                 [5.0, "state", {"job": TASK[:16], "state": "completed"}],
             )),
+            ("an added queue that is refused in time", 0, (
+                *ADDED, answer(11.9, "extra", 404),
+            )),
+            ("an added queue that is refused too late", 1, (*ADDED, LATE)),
+            ("too late, as open connections to the store fall silent", 1, (
+                *ADDED, fault(9.9, "cut-store", how="open-silent"), LATE,
+            )),
+            ("too late, cut off from the store", 0, (
+                *ADDED, fault(9.9, "cut-store", how="silent"), LATE,
+            )),
+            ("too late, while the store is slow", 0, (
+                *ADDED, [9.9, "fault", {"fault": "store-slow"}], LATE,
+            )),
+            ("too late, after a start", 0, (
+                *ADDED, [10.5, "daemon-start", {"daemon": 3}], LATE,
+            )),
+            ("back after a start", 0, (
+                *ADDED, answer(10.5, "extra", 200), fault(10.6, "kill"),
+                [11.0, "daemon-start", {"daemon": 3}], answer(11.5, "extra", 404),
+            )),
+            ("back without a start", 1, (
+                *ADDED, answer(10.5, "extra", 200), answer(11.5, "extra", 404),
+            )),
+            ("failed with an attempt left", 1, (
+                submit(), FIRST, end(2.0, "w001-1", 1, "failed"), FAILED,
+            )),
+            ("failed with no attempt left", 0, (
+                submit(), *(
+                    row for run in (1, 2, 3) for row in (
+                        start(run, "w001-1", run),
+                        end(run + 0.5, "w001-1", run, "failed", run),
+                    )
+                ), FAILED,
+            )),
             ("a request cut by a stop", 1, (fault(1.0, "terminate"), cut(5.8, 5.5))),
             ("a request that crossed the end of its connection", 0, (
                 fault(1.0, "terminate"), cut(5.8, 5.7),
