Notice a silent connection to the store within the configuration's bound

Callers got answers by a version that another had replaced more than 2.0 s before (CONFIG), up to 2.29 s.

A connection that carries nothing any more without a reset was noticed too late for the 2.0 s, by the design's own figures.

Change: the wait follows from the bound (setting config_apply_ms): the bound less the margin of the watch (0.6 s) and 0.4 s for the call after it, so 1.0 s of 2.0 s. A call that was given up is repeated at once; only quick failures are RETRY_S apart.

Cost: one watch a second and VM instead of one each 1.5 s.

--- a/dogwoodlever/_fleet_interfaces.py
+++ b/dogwoodlever/_fleet_interfaces.py
@@ -80,6 +80,11 @@
     current: tuple[Record, ...] = ()
 
 
+# Time after the end of a watch's wait at which it fails without a response; a slow
+# store takes some hundreds of milliseconds.
+WATCH_MARGIN_S = 0.6
+
+
 class FleetStore(ABC):
     """Client of the platform's store.
 
@@ -103,7 +108,8 @@
     def watch(self, prefix: str, revision: int, wait_ms: int) -> Deferred:
         """Return a Deferred that fires with the changes after `revision`.
 
-        The `Listing` is empty if nothing changes within `wait_ms`. Fails with
+        The `Listing` is empty if nothing changes within `wait_ms`. Without a response
+        it fails `WATCH_MARGIN_S` after that. Fails with
         `HistoryGoneError` if the store no longer has the history.
         """
 
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -32,7 +32,7 @@
     format_member_id,
 )
 from dogwoodlever._fleet_types import PlatformLimits
-from dogwoodlever._fleet_watcher import WATCH_WAIT_MS, PrefixWatcher
+from dogwoodlever._fleet_watcher import PrefixWatcher
 from dogwoodlever._logs import log_event
 from dogwoodlever._loop_monitor import LoopMonitor
 from dogwoodlever._workspace_keys import KeyChecker
@@ -135,7 +135,11 @@
             self._leader_watcher,
         )
         self._operators_watcher = PrefixWatcher(
-            store, clock, OPERATORS_PREFIX, self.desired_state.apply_record
+            store,
+            clock,
+            OPERATORS_PREFIX,
+            self.desired_state.apply_record,
+            apply_limit_s=settings.configuration_apply_s,
         )
         self.knowledge = ConfigurationKnowledge(
             lambda: self.desired_state.configuration,
@@ -386,10 +390,7 @@
         self.knowledge.on_change()
         if self.desired_state.configuration is not None:
             self.keys.apply_configuration(self.desired_state.configuration)
-        wait_s = self.keys.watch_wait_s()
-        self._operators_watcher.wait_ms = (
-            WATCH_WAIT_MS if wait_s is None else min(WATCH_WAIT_MS, int(wait_s * 1000))
-        )
+        self._operators_watcher.limit_wait(self.keys.watch_wait_s())
         if self.leader is not None:
             self.leader.plan_soon()
 
--- a/dogwoodlever/_fleet_watcher.py
+++ b/dogwoodlever/_fleet_watcher.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.defer import inlineCallbacks
 
-from dogwoodlever._fleet_interfaces import FleetStore, Record
+from dogwoodlever._fleet_interfaces import WATCH_MARGIN_S, FleetStore, Record
 from dogwoodlever._logs import log_event
 from dogwoodlever._store_listing import StoreListing
 from dogwoodlever.platform_errors import (
@@ -13,11 +13,16 @@
     StoreRefusedError,
 )
 
-# Short enough to detect a dead connection within the time in which a new
-# configuration has to take effect.
+# Longest wait of a watch. An open connection that carries nothing any more is noticed
+# `WATCH_MARGIN_S` later.
 WATCH_WAIT_MS = 1_500
+# Least time from one call to the next one if the store does not answer, or refuses.
 RETRY_S = 0.15
 RETRY_REFUSED_S = 0.3
+# Part of the time in which a change has to be applied that is left for the call after
+# one that failed: its connection, its answer on a busy link, and a late process.
+NEXT_CALL_S = 0.4
+WATCH_WAIT_MIN_MS = 100
 
 
 class PrefixWatcher:
@@ -37,6 +42,9 @@
         Called after each complete listing has been applied.
     pause_s : float
         Delay from a response to the next watch, which batches the changes.
+    apply_limit_s : float
+        Time in which a change has to be applied, also if the connection on which the
+        store would report it carries nothing any more; infinite for no limit.
 
     Attributes
     ----------
@@ -55,6 +63,7 @@
         on_change: Callable[[Record], None],
         on_listed: Callable[[], None] = lambda: None,
         pause_s: float = 0.0,
+        apply_limit_s: float = float("inf"),
     ) -> None:
         self._store = store
         self._clock = clock
@@ -68,11 +77,18 @@
         self._listing: StoreListing | None = None
         self._is_closed = False
         self._timer = None
-        self.wait_ms = WATCH_WAIT_MS
+        self._wait_max_ms = _find_wait_max_ms(apply_limit_s)
+        self.wait_ms = self._wait_max_ms
         self.responded_s = float("-inf")
         self.sent_s = float("-inf")
         self.is_connected = False
 
+    def limit_wait(self, wait_s: float | None) -> None:
+        """Limit the wait of the next calls; None for no limit but the usual one."""
+        self.wait_ms = self._wait_max_ms
+        if wait_s is not None:
+            self.wait_ms = min(self._wait_max_ms, int(wait_s * 1000))
+
     def open(self) -> None:
         """Start watching."""
         self._poll_store()
@@ -100,7 +116,10 @@
         except PlatformError as error:
             self._on_disconnected(error)
             is_refused = isinstance(error, StoreRefusedError)
-            self._schedule(RETRY_REFUSED_S if is_refused else RETRY_S)
+            # A call that was given up has waited for long already.
+            interval_s = RETRY_REFUSED_S if is_refused else RETRY_S
+            spent_s = self._clock.seconds() - sent_s
+            self._schedule(max(0.0, interval_s - spent_s))
             return
         self.sent_s = sent_s
         self._on_connected()
@@ -162,3 +181,9 @@
         except Exception as error:
             # One unreadable record must not end the watch of the others.
             log_event("record.failed", key=record.key, why=repr(error)[:200])
+
+
+def _find_wait_max_ms(apply_limit_s: float) -> int:
+    """Return the longest wait of a watch whose changes have to be applied in time."""
+    limit_ms = (apply_limit_s - WATCH_MARGIN_S - NEXT_CALL_S) * 1000
+    return round(max(WATCH_WAIT_MIN_MS, min(WATCH_WAIT_MS, limit_ms)))
--- a/dogwoodlever/platform/_http_store.py
+++ b/dogwoodlever/platform/_http_store.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import inlineCallbacks
 
 from dogwoodlever._fleet_interfaces import (
+    WATCH_MARGIN_S,
     CommitResult,
     FleetStore,
     Listing,
@@ -28,8 +29,6 @@
 # A response begins after some milliseconds, and some hundreds when the store is slow;
 # its next part arrives as soon on any link, while a page takes seconds on a slow one.
 CALL_TIMEOUT_S = 0.8
-# Added to the time that the store may wait for a change.
-WATCH_MARGIN_S = 0.6
 # Malformed items that are named in the log.
 NAMED_ITEMS_MAX = 100
 
--- a/dogwoodlever/platform/_node_file.py
+++ b/dogwoodlever/platform/_node_file.py
@@ -33,6 +33,8 @@
     revoke_ms: int = 5_000
     # Time over which the jobs of a workspace count against its rate.
     quota_window_s: float = 5
+    # Time in which a version of the configuration has to be in force.
+    config_apply_ms: Annotated[int, msgspec.Meta(gt=0)] = 2_000
     # Time after a failure in which work goes on.
     recovery_s: Annotated[float, msgspec.Meta(gt=0)] = 12
 
@@ -106,6 +108,8 @@
         Time after a failure in which work goes on.
     link_mbps : float
         Bandwidth of the VM's link, 0 if it is not known.
+    configuration_apply_s : float
+        Time in which a version of the configuration has to be in force.
     """
 
     vm: str
@@ -128,6 +132,7 @@
     record_bytes_max: int = 1_048_576
     recovery_s: float = 12.0
     link_mbps: float = 0.0
+    configuration_apply_s: float = 2.0
 
 
 def _parse_address(text: str) -> tuple[str, int]:
@@ -171,4 +176,5 @@
         record_bytes_max=document.platform.value_bytes,
         recovery_s=bounds.recovery_s,
         link_mbps=document.limits.link_mbps,
+        configuration_apply_s=bounds.config_apply_ms / 1000,
     )
