Schedule accepted jobs by the queue under which they were accepted

Callers' accepted jobs of a queue that the operator had dropped stood still after a change of leader, and were shown as failed after one failed run with attempts left (LOST).

Change: the stored job carries its queue and the version by which it was accepted. A leader counts attempts and objective by it. The service is that of the version in force, unless that is older than the version of the acceptance, in one place (FleetConfiguration.find_service); reservations, copies and moves, which used the former service, follow it too. A job of an earlier build has no queue in its record: it takes that of the first version that has it, and cannot use up its attempts before.

Evidence: tests.test_dropped_queues failed before (5 of 5; the cases of earlier builds by their outcome, failed instead of running; the others for want of the record's field). Records of earlier builds are read, and new ones by them. Tests of node, planner, shares, caps, keys, progress and crashes: 196 passed.

--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -393,11 +393,16 @@
     job : SubmittedJob
         The job as submitted.
     queue : Queue
-        Queue of the job, kept even if a later configuration removes it.
+        Queue of the job when it was accepted, without a service if it is not known.
     revision : int
         Revision of the submission in the store, which orders jobs by arrival.
     arrived_s : float
         Arrival on the scheduler's clock.
+
+    Attributes
+    ----------
+    service : str
+        Service on which its tasks run, empty if it is not known.
     """
 
     __slots__ = (
@@ -412,13 +417,13 @@
         "phase",
         "queue",
         "revision",
+        "service",
     )
 
     def __init__(
         self, job: SubmittedJob, queue: Queue, revision: int, arrived_s: float
     ) -> None:
         self.job = job
-        self.queue = queue
         self.revision = revision
         self.arrived_s = arrived_s
         self.phase = JobPhase(job.ended_phase or JobPhase.QUEUED)
@@ -429,6 +434,12 @@
         # Occurrences below this number are done and no longer in memory.
         self.finished = 0
         self.occurrences: dict[int, Occurrence] = {}
+        self.set_queue(queue)
+
+    def set_queue(self, queue: Queue) -> None:
+        """Set the queue, when it becomes known."""
+        self.queue = queue
+        self.service = queue.service
         path_s = self.critical_path_s()
         self.objective_s = queue.stretch * path_s + queue.slack_ms / 1000
 
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -455,7 +455,9 @@
         now_s = self._clock.seconds()
         now_ms = self._unix_s() * 1000
         configuration = self._desired_state.configuration
-        queue = configuration.queues.get(job.queue) if configuration else None
+        queue = job.accepted_queue
+        if queue is None and configuration is not None:
+            queue = configuration.queues.get(job.queue)
         if queue is None:
             queue = Queue(job.queue, "", "", "")
             log_event(
@@ -472,6 +474,8 @@
             job, queue, record.revision, now_s - age_s, progress
         )
         state.is_inherited = is_inherited
+        if configuration is not None:
+            state.service = configuration.find_service(job, queue)
         if self.is_loaded:
             # The others are decided on once all are known, in their order.
             self._rates.decide(state, configuration, now_ms)
@@ -564,6 +568,13 @@
 
     # Planning
 
+    def on_desired_state_changed(self) -> None:
+        """Follow the configuration in force and the data centres out of service."""
+        configuration = self._desired_state.configuration
+        if configuration is not None:
+            self.workers.runs.stop_all(self.registry.route_jobs(configuration))
+        self.plan_soon()
+
     def plan_soon(self) -> None:
         """Schedule a planning round after the events that arrive together."""
         if self.is_closed or not self.is_loaded:
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -392,7 +392,7 @@
             self.keys.apply_configuration(self.desired_state.configuration)
         self._operators_watcher.limit_wait(self.keys.watch_wait_s())
         if self.leader is not None:
-            self.leader.plan_soon()
+            self.leader.on_desired_state_changed()
 
     # RPC handlers, for peers and for this daemon's frontend
 
--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -149,7 +149,7 @@
 def _constraints(step: StepState) -> tuple:
     spec = step.spec
     image = spec.image if spec.uses_leftover else ""
-    return (step.job.queue.service, spec.label, spec.uses_leftover, image)
+    return (step.job.service, spec.label, spec.uses_leftover, image)
 
 
 class FleetPlanner:
@@ -226,7 +226,7 @@
         capacities : list of WorkerCapacity
             Capacities of the workers that accept new tasks.
         configuration : FleetConfiguration
-            Maps queues to services.
+            Names the workspaces.
         now_s, now_ms : float
             Time on the scheduler's clock, and Unix time.
         skips_inherited : bool
@@ -275,18 +275,14 @@
                 )
             turns = shares.turns((), keys, entries, configuration)
         for step, tasks in interrupted_turns:
-            candidates = self._candidates(
-                step, by_service, configuration, spare_by_service
-            )
+            candidates = self._candidates(step, by_service, spare_by_service)
             yield from self._place_turn(
                 step, candidates, now_s, unplaceable, headroom, tasks
             )
         self._reserve_for_interrupted(interrupted_steps, by_service, now_s)
         yield from self._place_overdue_first(overdue, by_service, now_s, headroom)
         for step, tasks in turns:
-            candidates = self._candidates(
-                step, by_service, configuration, spare_by_service
-            )
+            candidates = self._candidates(step, by_service, spare_by_service)
             yield from self._place_turn(
                 step, candidates, now_s, unplaceable, headroom, tasks
             )
@@ -296,18 +292,17 @@
         self,
         step: StepState,
         by_service: dict[str, list[WorkerCapacity]],
-        configuration: FleetConfiguration,
         spare_by_service: dict[str, SpareOrder],
     ) -> list[WorkerCapacity]:
         """Return the workers of a step's service that may have room for its tasks."""
-        queue = configuration.queues.get(step.job.queue.name, step.job.queue)
-        candidates = by_service.get(queue.service, [])
+        service = step.job.service
+        candidates = by_service.get(service, [])
         if not step.spec.uses_leftover:
             return candidates
         self._best_effort_images.add(step.spec.image)
-        if queue.service not in spare_by_service:
-            spare_by_service[queue.service] = SpareOrder(candidates)
-        return spare_by_service[queue.service].with_spare(_spare_min(step.spec))
+        if service not in spare_by_service:
+            spare_by_service[service] = SpareOrder(candidates)
+        return spare_by_service[service].with_spare(_spare_min(step.spec))
 
     def _place_turn(
         self,
@@ -409,7 +404,7 @@
         def candidates(task: Task) -> list[WorkerCapacity]:
             return [
                 capacity
-                for capacity in by_service.get(task.step.job.queue.service, ())
+                for capacity in by_service.get(task.step.job.service, ())
                 if self._is_free_for(task, capacity.entry.worker_id)
                 and self._may_run(capacity, task.step, now_s)
             ]
@@ -461,7 +456,7 @@
             if not self._may_start_overdue(step):
                 continue
             task = next(iter(step.ready.values()))
-            candidates = by_service.get(step.job.queue.service, ())
+            candidates = by_service.get(step.job.service, ())
             capacity = self._cheapest(task, candidates, now_s, headroom)
             if capacity is None and not blocked and not step.spec.uses_leftover:
                 blocked.append(task)
@@ -489,7 +484,7 @@
             task = next(iter(step.ready.values()))
             candidates = [
                 capacity
-                for capacity in by_service.get(step.job.queue.service, ())
+                for capacity in by_service.get(step.job.service, ())
                 if capacity.fits(step.spec)
                 and capacity.entry.worker_id not in task.failed_on
                 and self._may_run(capacity, step, now_s)
@@ -582,7 +577,7 @@
         candidates = [
             capacity
             for capacity in capacities
-            if capacity.entry.service == step.job.queue.service
+            if capacity.entry.service == step.job.service
         ]
         reasons = Counter(
             self._obstacle(task, capacity, now_s, headroom) for capacity in candidates
@@ -640,7 +635,7 @@
             if self._shares is not None and not self._shares.allows_copy(task.step):
                 continue
             used_workers = {run.worker_id for run in task.runs.values()}
-            service = task.step.job.queue.service
+            service = task.step.job.service
             others = [
                 capacity
                 for capacity in capacities
@@ -663,7 +658,7 @@
         for task, current in throttled_tasks:
             if self._shares is not None and not self._shares.allows_move(task.step):
                 continue
-            service = task.step.job.queue.service
+            service = task.step.job.service
             others = [
                 capacity
                 for capacity in order.with_spare(_spare_min(task.step.spec))
--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -63,6 +63,66 @@
     unavailable_max: int = 0
 
 
+# Workers per advice call; the platform grants each step the time of one such call.
+ADVICE_WORKERS_MAX = 30
+
+
+@dataclass(slots=True, frozen=True)
+class AdviceTiming:
+    """Timing of the advice service for a queue.
+
+    Attributes
+    ----------
+    decision_ms, worker_ms : float
+        Base duration of a call, and additional duration per worker.
+    valid_ms : float
+        Validity of a ticket.
+    """
+
+    decision_ms: float
+    worker_ms: float
+    valid_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Queue:
+    """Queue of the operators' configuration.
+
+    Attributes
+    ----------
+    priority : int
+        0 is the highest.
+    attempts_max : int
+        Number of failed runs after which a task and its job fail.
+    stretch, slack_ms : float, int
+        The time objective of a job is `stretch` times its critical path plus
+        `slack_ms`; within it, the job is on time.
+    advice : AdviceTiming or None
+        Timing of the advice service, if runs need its tickets.
+    is_public : bool
+        Whether calls need no key, even if the configuration has workspaces.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    attempts_max: int = 1
+    stretch: float = 1.0
+    slack_ms: int = 0
+    advice: AdviceTiming | None = None
+    is_public: bool = False
+
+    @property
+    def advice_call_s(self) -> float:
+        """Duration of the one advice call that the platform grants each step."""
+        if self.advice is None:
+            return 0.0
+        workers_ms = ADVICE_WORKERS_MAX * self.advice.worker_ms
+        return (self.advice.decision_ms + workers_ms) / 1000
+
+
 class SubmittedJob(msgspec.Struct, frozen=True, omit_defaults=True):
     """Job as submitted by a caller; stored before the response.
 
@@ -88,6 +148,9 @@
     configuration_version : int
         Version of the configuration by which it was accepted; 0 if an earlier build
         accepted it.
+    accepted_queue : Queue or None
+        Its queue in that version, by which it is scheduled although a later version
+        may not have the queue; None if an earlier build accepted it.
     """
 
     job_id: str
@@ -101,6 +164,7 @@
     workspace: str = ""
     ended_phase: Literal["", "completed", "failed", "cancelled"] = ""
     configuration_version: int = 0
+    accepted_queue: Queue | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -131,66 +195,6 @@
     record_bytes_max: int = 1_048_576
 
 
-# Workers per advice call; the platform grants each step the time of one such call.
-ADVICE_WORKERS_MAX = 30
-
-
-@dataclass(slots=True, frozen=True)
-class AdviceTiming:
-    """Timing of the advice service for a queue.
-
-    Attributes
-    ----------
-    decision_ms, worker_ms : float
-        Base duration of a call, and additional duration per worker.
-    valid_ms : float
-        Validity of a ticket.
-    """
-
-    decision_ms: float
-    worker_ms: float
-    valid_ms: float
-
-
-@dataclass(slots=True, frozen=True)
-class Queue:
-    """Queue of the operators' configuration.
-
-    Attributes
-    ----------
-    priority : int
-        0 is the highest.
-    attempts_max : int
-        Number of failed runs after which a task and its job fail.
-    stretch, slack_ms : float, int
-        The time objective of a job is `stretch` times its critical path plus
-        `slack_ms`; within it, the job is on time.
-    advice : AdviceTiming or None
-        Timing of the advice service, if runs need its tickets.
-    is_public : bool
-        Whether calls need no key, even if the configuration has workspaces.
-    """
-
-    name: str
-    host: str
-    prefix: str
-    service: str
-    priority: int = 0
-    attempts_max: int = 1
-    stretch: float = 1.0
-    slack_ms: int = 0
-    advice: AdviceTiming | None = None
-    is_public: bool = False
-
-    @property
-    def advice_call_s(self) -> float:
-        """Duration of the one advice call that the platform grants each step."""
-        if self.advice is None:
-            return 0.0
-        workers_ms = ADVICE_WORKERS_MAX * self.advice.worker_ms
-        return (self.advice.decision_ms + workers_ms) / 1000
-
-
 @dataclass(slots=True, frozen=True)
 class ResourceAmounts:
     """Amounts of the resources of workers; CPU in thousandths of a core."""
@@ -238,6 +242,16 @@
     workspaces: dict[str, Workspace] = field(default_factory=dict)
     revision: int = 0
 
+    def find_service(self, job: SubmittedJob, queue: Queue) -> str:
+        """Return the service on which a job of `queue` runs.
+
+        It is that of this version, unless the job was accepted by a newer one, or this
+        one does not have the queue.
+        """
+        if self.version < job.configuration_version:
+            return queue.service
+        return self.queues.get(job.queue, queue).service
+
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue at `host` with the longest prefix that matches `path`."""
         best = None
--- a/dogwoodlever/_room_reservations.py
+++ b/dogwoodlever/_room_reservations.py
@@ -148,7 +148,7 @@
             reservation = self._by_task.get(task.task_id)
             if reservation is not None and not self._is_overrun(reservation, now_s):
                 continue
-            service = task.step.job.queue.service
+            service = task.step.job.service
             if reservation is None and not self._has_free(
                 service, worker_counts[service]
             ):
@@ -164,7 +164,7 @@
 
     def _has_free(self, service: str, workers: int) -> bool:
         reserved = sum(
-            reservation.task.step.job.queue.service == service
+            reservation.task.step.job.service == service
             for reservation in self._by_task.values()
         )
         return reserved + 1 <= max(1, workers * RESERVED_WORKERS_RATIO)
--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -12,7 +12,15 @@
     StepState,
     Task,
 )
-from dogwoodlever._fleet_types import EndedRun, Queue, RunId, Step, SubmittedJob, TaskId
+from dogwoodlever._fleet_types import (
+    EndedRun,
+    FleetConfiguration,
+    Queue,
+    RunId,
+    Step,
+    SubmittedJob,
+    TaskId,
+)
 
 # Run numbers of a task in one term; those of later terms are higher.
 RUNS_PER_TERM = 1000
@@ -88,12 +96,31 @@
         No end of a run would be left to end it.
         """
         state.close_finished()
-        # The attempts of a queue that is not configured are not known.
-        if state.queue.service and any(map(_has_used_attempts, state.tasks())):
-            self.end_job(state, JobPhase.FAILED)
-        elif state.has_ended:
+        self._end_without_attempts(state)
+        if state.has_ended and state.job.job_id in self.active:
             self._close(state)
 
+    def _end_without_attempts(self, state: JobState) -> tuple[Run, ...]:
+        """End a job of which a task has no attempts left; return the runs to stop."""
+        if any(map(_has_used_attempts, state.tasks())):
+            return self.end_job(state, JobPhase.FAILED)
+        return ()
+
+    def route_jobs(self, configuration: FleetConfiguration) -> list[Run]:
+        """Set the services of all jobs by a new version; return the runs to stop.
+
+        Jobs that an earlier build accepted take the queue of the first version that has
+        it.
+        """
+        obsolete: list[Run] = []
+        for state in list(self.active.values()):
+            queue = configuration.queues.get(state.job.queue)
+            if not state.queue.service and queue is not None:
+                state.set_queue(queue)
+                obsolete.extend(self._end_without_attempts(state))
+            state.service = configuration.find_service(state.job, state.queue)
+        return obsolete
+
     def open_due(self, now_ms: float) -> None:
         """Open the occurrences that are due."""
         for state in self.active.values():
@@ -249,7 +276,7 @@
         if step.spec.standing:
             return EndOutcome(task, is_failure=True)
         task.accountable.failed_runs.add(number)
-        if len(task.accountable.failed_runs) < step.job.queue.attempts_max:
+        if not _has_used_attempts(task.accountable):
             return EndOutcome(task, is_failure=True)
         runs = self.end_job(step.job, JobPhase.FAILED)
         return EndOutcome(task, is_failure=True, job_ended=True, obsolete=runs)
@@ -284,10 +311,14 @@
 
 
 def _has_used_attempts(task: Task) -> bool:
-    """Return whether a task has failed as often as its queue allows."""
+    """Return whether a task has failed as often as its queue allows.
+
+    It has not while the queue, and so the number, is not known.
+    """
     step = task.step
     return (
         not task.is_done
         and not step.spec.standing
+        and bool(step.job.queue.service)
         and len(task.failed_runs) >= step.job.queue.attempts_max
     )
--- a/dogwoodlever/_workspace_shares.py
+++ b/dogwoodlever/_workspace_shares.py
@@ -88,7 +88,7 @@
         entries : iterable of WorkerEntry
             The schedulable workers.
         configuration : FleetConfiguration
-            Names the workspaces and maps queues to services.
+            Names the workspaces.
         """
         for step, tasks in interrupted_steps:
             yield from self._all_turns(step, tasks)
@@ -96,9 +96,8 @@
         for step in keys:
             outlook, priority, *_ = keys[step]
             is_last = step.job.is_over_rate and outlook is not DeadlineOutlook.STANDING
-            queue = configuration.queues.get(step.job.queue.name, step.job.queue)
             group = groups.setdefault((is_last, outlook, priority), {})
-            group.setdefault(queue.service, []).append(step)
+            group.setdefault(step.job.service, []).append(step)
         totals = totals_by_service(entries)
         for key in sorted(groups):
             for service, members in groups[key].items():
--- a/dogwoodlever/platform/_callers_resource.py
+++ b/dogwoodlever/platform/_callers_resource.py
@@ -225,7 +225,9 @@
             log_event("job.malformed", job=job_id, why=str(error))
             self._write_response(request, 400, {"error": str(error)})
             return
-        job = msgspec.structs.replace(job, configuration_version=version)
+        job = msgspec.structs.replace(
+            job, configuration_version=version, accepted_queue=queue
+        )
         result = yield self._frontend.submit(job, deadline_s, check)
         self._respond(request, result)
 
