--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -25,8 +25,7 @@
 CUT_SLACK_S = 0.2
 # Failed runs that each queue allows a task, at least.
 ATTEMPTS_MIN = 3
-# Faults of a daemon, or of its link to the store, and what ends them. Only open
-# connections are affected by one that makes them silent, so the daemon is in contact.
+# Faults of a daemon, or of its link to the store, and what ends them.
 DISTURBANCES = {
     "kill": "daemon-start",
     "terminate": "daemon-start",
@@ -340,6 +339,8 @@
                     fields["status"] == 200,
                 )
             )
+        elif event == "silenced":
+            check.add_silence(time_s)
         elif event == "fault":
             _read_disturbance(check, time_s, fields)
         elif (
@@ -357,7 +358,9 @@
     fault = fields["fault"]
     for begin, end in DISTURBANCES.items():
         for daemon in fields.get("daemons", ()):
-            if fault == begin and fields.get("how") != LinkFault.OPEN_SILENT:
+            if fault == begin and fields.get("how") == LinkFault.OPEN_SILENT:
+                check.add_silence(time_s, f"vm{daemon}")
+            elif fault == begin:
                 check.begin_disturbance(begin, time_s, f"vm{daemon}")
             elif fault == end:
                 check.end_disturbance(begin, time_s, f"vm{daemon}")
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -91,6 +91,7 @@
 
     def silence_connections(self) -> None:
         """Let all open connections of daemons carry nothing any more."""
+        self._log.write("silenced")
         for port in self._ports:
             port.silence_connections()
 
--- a/standins/configuration_check.py
+++ b/standins/configuration_check.py
@@ -68,6 +68,7 @@
         # By daemon, or None for all: when each disturbance began and ended.
         self._disturbed: dict[str | None, list[list[float]]] = defaultdict(list)
         self._open: dict[tuple[str | None, str], list[float]] = {}
+        self._silent_s: dict[str | None, float] = {}
         self.judged = 0
         self.lag_max_s = 0.0
 
@@ -91,6 +92,21 @@
         if span is not None:
             span[1] = at_s
 
+    def add_silence(self, at_s: float, daemon: str | None = None) -> None:
+        """Note that open connections to the store, not new ones, fall silent.
+
+        One silence leaves a daemon in contact, since its next call works. A second one
+        within `CONTACT_S` may hit that call too.
+        """
+        former_s = max(
+            self._silent_s.get(daemon, float("-inf")),
+            self._silent_s.get(None, float("-inf")),
+        )
+        self._silent_s[daemon] = at_s
+        if at_s - former_s < CONTACT_S:
+            self.begin_disturbance("silenced", at_s, daemon)
+            self.end_disturbance("silenced", at_s, daemon)
+
     def check(self) -> list[str]:
         """Return the findings."""
         findings = []
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -311,6 +311,7 @@
         rng = self._version_random
         while reactor.seconds() < until_s:
             if rng.random() < SILENT_SHARE:
+                self._site.configurations.add_silence(reactor.seconds())
                 for link in self._site.store_links.values():
                     link.silence_connections()
             for _ in range(rng.choice(VERSIONS_PER_CHANGE)):
