Let no daemon decide by a version that another one has replaced

Callers could get a last answer, 404, for a queue that a newer version had for long, from a daemon to which the store did not respond; the leader could go on with an older version than that by which another daemon had accepted a job, and store a job of a dropped queue for a daemon that was cut off.

Change: replies between daemons and stored jobs carry the version in force. A daemon that sees a newer one reads it at once, beside its watch. A leader stores no job for a peer whose queue its own newer version does not have (503: not run, come back).

--- a/dogwoodlever/_configuration_knowledge.py
+++ b/dogwoodlever/_configuration_knowledge.py
@@ -2,10 +2,14 @@
 
 from collections.abc import Callable
 
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
 from dogwoodlever._fleet_metrics import FleetMetrics
 from dogwoodlever._fleet_types import FleetConfiguration
 from dogwoodlever._fleet_watcher import PrefixWatcher
 from dogwoodlever._logs import log_event
+from dogwoodlever.platform_errors import PlatformError
 
 
 class ConfigurationKnowledge:
@@ -23,6 +27,10 @@
         Returns Unix time in seconds.
     metrics : FleetMetrics
         Metrics of the version in force.
+    apply_limit_s : float
+        Time in which a version has to be in force.
+    read_newest : callable
+        Reads the newest version; returns a Deferred that fires once it is applied.
     """
 
     def __init__(
@@ -32,12 +40,17 @@
         clock,
         unix_s: Callable[[], float],
         metrics: FleetMetrics,
+        apply_limit_s: float,
+        read_newest: Callable[[], Deferred],
     ) -> None:
         self._get_configuration = get_configuration
         self._watcher = watcher
         self._clock = clock
         self._unix_s = unix_s
         self._metrics = metrics
+        self._apply_limit_s = apply_limit_s
+        self._read_newest = read_newest
+        self._is_reading = False
         self._version: int | None = None
         self._since_s = clock.seconds()
         metrics.configuration_age_s.set_function(self.age_s)
@@ -52,6 +65,32 @@
         """Return how long ago the version in force was certainly the newest one."""
         return self._clock.seconds() - self._watcher.sent_s
 
+    def is_outdated(self) -> bool:
+        """Return whether a newer version may have to be in force already.
+
+        The store has not responded for as long as a version may take to be in force, so
+        that neither the watch nor the call after it has reported a change.
+        """
+        silent_s = self._clock.seconds() - self._watcher.responded_s
+        return silent_s > self._apply_limit_s
+
+    def on_version_seen(self, version: int, source: str) -> None:
+        """Read the newest version if another daemon has a newer one in force."""
+        if version <= self.version or self._is_reading:
+            return
+        log_event(
+            "configuration.behind", version=self.version, seen=version, source=source
+        )
+        self._is_reading = True
+        self._read_newest().addBoth(self._on_read)
+
+    def _on_read(self, result):
+        self._is_reading = False
+        if isinstance(result, Failure):
+            # The watch reports the version too.
+            result.trap(PlatformError)
+            log_event("configuration.unread", why=result.getErrorMessage()[:160])
+
     def on_change(self) -> None:
         """Report the version in force if it has changed."""
         if self.version == self._version:
--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -5,6 +5,7 @@
 
 from twisted.internet.defer import FirstError, gatherResults, inlineCallbacks
 
+from dogwoodlever._configuration_knowledge import ConfigurationKnowledge
 from dogwoodlever._crash_attribution import CrashAttribution
 from dogwoodlever._fault_attribution import FaultAttribution
 from dogwoodlever._fleet_desired_state import DesiredState
@@ -142,6 +143,8 @@
         they cannot reach.
     get_unreachable_seen_s : callable
         Called with a revision of that record; returns when this daemon saw it.
+    knowledge : ConfigurationKnowledge
+        Version in force at this daemon.
     """
 
     def __init__(
@@ -166,12 +169,14 @@
         on_load_overdue: Callable[[], None],
         unreachable_since_term: int,
         get_unreachable_seen_s: Callable[[int], float],
+        knowledge: ConfigurationKnowledge,
     ) -> None:
         self._store = store
         self._metrics = metrics
         self._clock = clock
         self._unix_s = unix_s
         self._desired_state = desired_state
+        self._knowledge = knowledge
         self.term = term
         self.fencing_token = fencing_token
         self._term_revision = fencing_token
@@ -456,6 +461,7 @@
         now_ms = self._unix_s() * 1000
         configuration = self._desired_state.configuration
         queue = job.accepted_queue
+        self._knowledge.on_version_seen(job.configuration_version, "job")
         if queue is None and configuration is not None:
             queue = configuration.queues.get(job.queue)
         if queue is None:
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable
 
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import inlineCallbacks, succeed
 from twisted.internet.task import deferLater
 
 from dogwoodlever._configuration_knowledge import ConfigurationKnowledge
 from dogwoodlever._fleet_desired_state import DesiredState
 from dogwoodlever._fleet_election import Election
-from dogwoodlever._fleet_frontend import FleetFrontend
+from dogwoodlever._fleet_frontend import CallOutcome, FleetFrontend
 from dogwoodlever._fleet_interfaces import (
     AdviceService,
     FleetStore,
@@ -19,9 +19,11 @@
 from dogwoodlever._fleet_metrics import FleetMetrics
 from dogwoodlever._fleet_observed_store import ObservedStore
 from dogwoodlever._fleet_records import (
+    JOBS_PREFIX,
     LEADER_KEY,
     UNREACHABLE_WORKERS_KEY,
     LeaderRecord,
+    decode_submission,
 )
 from dogwoodlever._fleet_rpc import (
     JOB_METHOD,
@@ -35,7 +37,7 @@
 from dogwoodlever._fleet_watcher import PrefixWatcher
 from dogwoodlever._logs import log_event
 from dogwoodlever._loop_monitor import LoopMonitor
-from dogwoodlever._workspace_keys import KeyChecker
+from dogwoodlever._workspace_keys import KeyCheck, KeyChecker
 from dogwoodlever.platform import (
     CONFIGURATION_KEY,
     OPERATORS_PREFIX,
@@ -147,6 +149,8 @@
             clock,
             unix_s,
             self.metrics,
+            settings.configuration_apply_s,
+            self._read_configuration,
         )
         self.keys = KeyChecker(
             lambda: self.desired_state.configuration,
@@ -166,7 +170,8 @@
             handlers,
             self.keys,
         )
-        self.rpc.register_create(self.frontend.create_for_peer)
+        self.rpc.register_create(self._create_for_peer)
+        self.rpc.on_version_seen = self.knowledge.on_version_seen
         self.callers = FleetCallersResource(
             self.frontend,
             lambda: self.desired_state.configuration,
@@ -348,6 +353,7 @@
             ),
             self.election.unreachable_since_term,
             self._get_unreachable_seen_s,
+            self.knowledge,
         )
         self.metrics.leads.set(1)
         self.leader.open()
@@ -386,6 +392,31 @@
     def _on_fenced(self, worker_id: str) -> None:
         self.election.step_down(f"worker {worker_id} has a higher fencing token")
 
+    @inlineCallbacks
+    def _read_configuration(self):
+        """Read and apply the newest version, beside the watch."""
+        record = yield self._store.read(CONFIGURATION_KEY)
+        if record is not None and record.value is not None:
+            self.desired_state.apply_record(record)
+
+    def _create_for_peer(self, key: str, value: bytes, check: KeyCheck | None):
+        """Create a record for a peer, unless it decides by an outdated version."""
+        if key.startswith(JOBS_PREFIX):
+            job = decode_submission(value)
+            self.knowledge.on_version_seen(job.configuration_version, "peer")
+            configuration = self.desired_state.configuration
+            is_newer = 0 < job.configuration_version < self.knowledge.version
+            if is_newer and job.queue not in configuration.queues:
+                log_event(
+                    "write.outdated",
+                    key=key,
+                    queue=job.queue,
+                    accepted_by=job.configuration_version,
+                    version=configuration.version,
+                )
+                return succeed(CallOutcome.NOT_DONE)
+        return self.frontend.create_for_peer(key, value, check)
+
     def _on_desired_state_changed(self) -> None:
         self.knowledge.on_change()
         if self.desired_state.configuration is not None:
@@ -404,10 +435,15 @@
     def _handle_job(self, job_id: str) -> LeaderReply:
         leader = self._get_loaded_leader()
         if leader is None:
-            return LeaderReply(False)
+            return LeaderReply(False, configuration_version=self.knowledge.version)
         state = leader.registry.jobs.get(job_id)
         workspace = None if state is None else state.job.workspace
-        return LeaderReply(True, leader.job_phase(job_id) or "", workspace=workspace)
+        return LeaderReply(
+            True,
+            leader.job_phase(job_id) or "",
+            workspace=workspace,
+            configuration_version=self.knowledge.version,
+        )
 
     def _handle_step_down(self, fencing_token: str) -> LeaderReply:
         if self.election.leads and int(fencing_token) > self.election.fencing_token:
@@ -418,9 +454,15 @@
         leader = self._get_loaded_leader()
         can_lead = self._can_lead()
         if leader is None:
-            return LeaderReply(False, can_lead=can_lead)
+            return LeaderReply(
+                False, can_lead=can_lead, configuration_version=self.knowledge.version
+            )
         can_write = self._store.down_for_s() is None
         pending = leader.registry.pending(queue)
         return LeaderReply(
-            True, pending=pending, can_write=can_write, can_lead=can_lead
+            True,
+            pending=pending,
+            can_write=can_write,
+            can_lead=can_lead,
+            configuration_version=self.knowledge.version,
         )
--- a/dogwoodlever/_fleet_rpc.py
+++ b/dogwoodlever/_fleet_rpc.py
@@ -65,6 +65,8 @@
         Workspace of the job, empty for none; None if the daemon does not tell.
     can_lead : bool
         Whether the daemon can succeed a leader that stops.
+    configuration_version : int
+        Version of the configuration in force at the daemon; 0 if it does not tell.
     """
 
     leads: bool
@@ -73,6 +75,7 @@
     can_write: bool = False
     workspace: str | None = None
     can_lead: bool = True
+    configuration_version: int = 0
 
 
 def format_member_id(vm: str, host: str, port: int, incarnation: str) -> str:
@@ -115,6 +118,8 @@
         self._rpc.register(UNSTORED_METHOD, self._keep_unstored)
         # Encoded progress by job, as leaders sent it.
         self.unstored_progress: dict[str, bytes] = {}
+        # Called with the version in force at a daemon that replied, and its id.
+        self.on_version_seen: Callable[[int, str], None] = lambda version, member: None
         mesh.set_receiver(self._on_message)
 
     def _on_message(self, sender: str, message) -> None:
@@ -190,7 +195,10 @@
         """
         self._add_peer(member)
         reply = yield self._rpc.call(member, method, argument.encode(), CALL_TIMEOUT_S)
-        return _decode_reply(member, reply, LeaderReply)
+        decoded = _decode_reply(member, reply, LeaderReply)
+        if decoded is not None:
+            self.on_version_seen(decoded.configuration_version, member)
+        return decoded
 
 
 def _decode_reply(member: str, reply: bytes | None, reply_type):
--- a/dogwoodlever/platform/_callers_resource.py
+++ b/dogwoodlever/platform/_callers_resource.py
@@ -194,16 +194,24 @@
         self._write_response(request, 401, {"error": _REFUSALS[cause]})
 
     def _refuse_queue(self, request, host: str, path: str, version: int) -> None:
-        """Refuse a request for a queue that the version in force does not have."""
+        """Refuse a request for a queue that the version in force does not have.
+
+        If a newer version may have to be in force already, the queue may exist: the
+        caller is told when to come back, as a 404 would be the last answer.
+        """
         method = request.method.decode("latin-1")
+        is_outdated = self._knowledge.is_outdated()
         log_event(
-            "request.no-queue",
+            "request.queue-unknown" if is_outdated else "request.no-queue",
             method=method,
             host=host,
             path=path,
             version=version,
             age_s=self._knowledge.age_s(),
         )
+        if is_outdated:
+            self._respond(request, CallResult(CallOutcome.NOT_DONE))
+            return
         self._on_call(method, "no-queue")
         error = f"no queue at {host}{path} in version {version} of the configuration"
         self._write_response(request, 404, {"error": error})
--- a/tests/test_fleet_callers_resource.py
+++ b/tests/test_fleet_callers_resource.py
@@ -82,7 +82,7 @@
             lambda: 5.0,
             lambda call, outcome: self.calls.append((call, outcome)),
             make_checker(configuration),
-            SimpleNamespace(age_s=lambda: 0.4),
+            SimpleNamespace(age_s=lambda: 0.4, is_outdated=lambda: False),
         )
         resource.render(request)
         self.assertEqual(resource.open_requests, 0)
