Refuse a version whose queues share a name or have negative limits

Callers of the first queue got 404.

Change: such a version is not put into force, like one of another type; the line configuration.unreadable names the field or the queue, and the version that stays.

Evidence: the new cases of test_version_that_is_not_put_into_force_is_named failed before.

--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -22,6 +22,8 @@
 # id with such spaces would name another worker.
 _WORKER_ID_PATTERN = re.compile(r"[!-~](?:[ -~]*[!-~])?")
 
+_NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+
 READY = "ready"
 DRAINING = "draining"
 
@@ -41,10 +43,10 @@
     prefix: str
     service: str
     priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    max_attempts: Amount = 1
+    stretch: _NotNegative = 1.0
     # Added to the stretched critical path to give the time objective.
-    slo_ms: float = 0
+    slo_ms: _NotNegative = 0
     # Present if runs need tickets of the advice service.
     advice: _Advice | None = None
     # Calls need no key.
@@ -69,7 +71,7 @@
     # A tenant is a workspace.
     name: str
     api_keys: tuple[str, ...] = ()
-    weight: Annotated[float, msgspec.Meta(ge=0)] = 1
+    weight: _NotNegative = 1
     cap: _Cap = _Cap()
 
 
@@ -100,10 +102,12 @@
     Raises
     ------
     PlatformError
-        If it is malformed; the message names the field.
+        If it is malformed, or two routes have one name; the message names the field or
+        the routes.
     """
     try:
         document = decode_json(value, _Configuration)
+        _check_routes(document.routes)
     except ValueError as error:
         raise PlatformError(f"configuration: {error}") from error
     queues = {
@@ -135,6 +139,15 @@
     return FleetConfiguration(document.version, queues, workspaces, revision)
 
 
+def _check_routes(routes: list[_Route]) -> None:
+    """Check that each route has a name of its own; raises `ValueError`."""
+    names: set[str] = set()
+    for route in routes:
+        if route.name in names:
+            raise ValueError(f"routes: two are named {route.name[:80]!r}")
+        names.add(route.name)
+
+
 def digest_key(key: bytes) -> bytes:
     """Return the digest by which a key is kept and compared."""
     return hashlib.sha256(key).digest()
--- a/tests/test_configuration_in_force.py
+++ b/tests/test_configuration_in_force.py
@@ -4,6 +4,7 @@
 from unittest.mock import patch
 
 import msgspec
+from msgspec.json import encode
 
 from dogwoodlever._fleet_frontend import CallOutcome
 from dogwoodlever._fleet_records import job_key
@@ -72,11 +73,15 @@
     def test_version_that_is_not_put_into_force_is_named(self):
         table = (
             ("unreadable", INVALID, "name"),
-            ("older", msgspec.json.encode(make_version(1)), "'version': 1"),
+            ("unreadable", encode(make_version(3, "a", "a")), "two are named 'a'"),
+            ("unreadable", encode(make_version(3, max_attempts=-1)), "max_attempts"),
+            ("unreadable", encode(make_version(3, slo_ms=-1)), "slo_ms"),
+            ("unreadable", encode(make_version(3, stretch="x")), "stretch"),
+            ("older", encode(make_version(1)), "'version': 1"),
             ("removed", None, "removed_at"),
         )
         for cause, value, named in table:
-            with self.subTest(cause):
+            with self.subTest(cause, named=named):
                 fleet = FleetSimulation(daemons=1)
                 fleet.configure(make_version(2, "new"))
                 fleet.run_for(1.0)
