Keep no queue in the record of an ended job; read a newer version once

Cause: the stored record of an ended job, which each later leader loads, kept the queue of its acceptance, which nobody reads again. A daemon that cannot put a version into force would read its record at each reply that names it.

Change: the queue is left out when a job has ended, and the record is read once for each version that another daemon names, again only if the read failed.

--- a/dogwoodlever/_configuration_knowledge.py
+++ b/dogwoodlever/_configuration_knowledge.py
@@ -50,7 +50,8 @@
         self._metrics = metrics
         self._apply_limit_s = apply_limit_s
         self._read_newest = read_newest
-        self._is_reading = False
+        # Highest version for which the record was read beside the watch.
+        self._read_version = 0
         self._version: int | None = None
         self._since_s = clock.seconds()
         metrics.configuration_age_s.set_function(self.age_s)
@@ -76,20 +77,19 @@
 
     def on_version_seen(self, version: int, source: str) -> None:
         """Read the newest version if another daemon has a newer one in force."""
-        if version <= self.version or self._is_reading:
+        if version <= max(self.version, self._read_version):
             return
         log_event(
             "configuration.behind", version=self.version, seen=version, source=source
         )
-        self._is_reading = True
-        self._read_newest().addBoth(self._on_read)
+        self._read_version = version
+        self._read_newest().addErrback(self._on_unread)
 
-    def _on_read(self, result):
-        self._is_reading = False
-        if isinstance(result, Failure):
-            # The watch reports the version too.
-            result.trap(PlatformError)
-            log_event("configuration.unread", why=result.getErrorMessage()[:160])
+    def _on_unread(self, failure: Failure) -> None:
+        failure.trap(PlatformError)
+        # The watch reports the version too, if no other daemon names it before.
+        self._read_version = 0
+        log_event("configuration.unread", why=failure.getErrorMessage()[:160])
 
     def on_change(self) -> None:
         """Report the version in force if it has changed."""
--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -579,6 +579,7 @@
             payload="",
             steps=() if is_complete else self.job.steps,
             ended_phase=self.phase.value,
+            accepted_queue=None,
         )
 
     def restore(self, progress: JobProgress) -> None:
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -400,23 +400,30 @@
             self.desired_state.apply_record(record)
 
     def _create_for_peer(self, key: str, value: bytes, check: KeyCheck | None):
-        """Create a record for a peer, unless it decides by an outdated version."""
-        if key.startswith(JOBS_PREFIX):
-            job = decode_submission(value)
-            self.knowledge.on_version_seen(job.configuration_version, "peer")
-            configuration = self.desired_state.configuration
-            is_newer = 0 < job.configuration_version < self.knowledge.version
-            if is_newer and job.queue not in configuration.queues:
-                log_event(
-                    "write.outdated",
-                    key=key,
-                    queue=job.queue,
-                    accepted_by=job.configuration_version,
-                    version=configuration.version,
-                )
-                return succeed(CallOutcome.NOT_DONE)
+        """Create a record for a peer, unless it decided by an outdated version."""
+        if key.startswith(JOBS_PREFIX) and self._is_queue_dropped(value):
+            return succeed(CallOutcome.NOT_DONE)
         return self.frontend.create_for_peer(key, value, check)
 
+    def _is_queue_dropped(self, value: bytes) -> bool:
+        """Return whether a newer version than a job's acceptance dropped its queue."""
+        job = decode_submission(value)
+        accepted_by = job.configuration_version
+        self.knowledge.on_version_seen(accepted_by, "peer")
+        configuration = self.desired_state.configuration
+        if not 0 < accepted_by < self.knowledge.version:
+            return False
+        if job.queue in configuration.queues:
+            return False
+        log_event(
+            "write.outdated",
+            job=job.job_id,
+            queue=job.queue,
+            accepted_by=accepted_by,
+            version=configuration.version,
+        )
+        return True
+
     def _on_desired_state_changed(self) -> None:
         self.knowledge.on_change()
         if self.desired_state.configuration is not None:
