Random histories of queues that come, go and move while leaders change

Cause: the mend of accepted jobs lets a leader start their tasks on a service that the configuration no longer names; nothing may run twice for it.

Change: 16 random histories a run of versions that drop the queue, add it again or move it to another service, up to three leaders killed, and leaders whose watch is silent; jobs of this and of an earlier build. Each task ends once and each job completes; VERSION_HISTORIES plays more.

--- a/tests/test_dropped_queues.py
+++ b/tests/test_dropped_queues.py
@@ -1,15 +1,21 @@
 """Accepted jobs of a queue that the configuration drops, or does not have yet."""
 
+import os
+import random
 import unittest
+from dataclasses import replace
 
 import msgspec
 
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_records import decode_submission, encode
 from dogwoodlever._fleet_types import FleetConfiguration, Queue, SubmittedJob
+from standins.fleet import server_record
 from tests.fleet_simulation import CONFIGURATION, JOB, FleetSimulation, job
 from tests.test_configuration_in_force import make_version
 
+# Random histories of each kind; more by hand.
+RANDOM_SEEDS = int(os.environ.get("VERSION_HISTORIES", "8"))
 EXTRA = Queue("extra", "desk.example", "/extra/", "desk", 1, 3, 2.0, 500)
 WITH_EXTRA = make_version(2, "extra")
 WITHOUT_EXTRA = make_version(3)
@@ -129,5 +135,58 @@
         self.assertNotIn("accepted_queue", msgspec.msgpack.decode(encode(job(JOB))))
 
 
+class RandomVersionsTest(unittest.TestCase):
+    """Queues that come, go and move to another service while leaders change."""
+
+    def play(self, seed, build_version):
+        """Play one random history; return the fleet and the job's phase at the end."""
+        rng = random.Random(seed)
+        fleet = FleetSimulation(
+            configuration=WITH_EXTRA, workers=4, run_s=rng.choice((0.4, 1.2))
+        )
+        for number in (2, 3):
+            worker = fleet.workers.workers[f"w{number}"]
+            worker.entry = replace(worker.entry, service="other")
+            fleet.records.write(f"servers/w{number}", server_record(worker.entry))
+        fleet.run_for(1.0)
+        version = 2
+        accepted = extra_job(build_version and version, tasks=3, steps=4)
+        fleet.submit(rng.randrange(3), accepted)
+        killed = []
+        for _ in range(12):
+            fleet.run_for(rng.uniform(0.1, 1.0))
+            leader = fleet.leader()
+            drawn = rng.random()
+            if drawn < 0.5:
+                version += 1
+                fields = {"service": rng.choice(("desk", "other"))}
+                names = ("extra",) if rng.random() < 0.5 else ()
+                fleet.configure(make_version(version, *names, **fields))
+            elif drawn < 0.7 and leader is not None and len(killed) < 3:
+                fleet.kill(leader)
+                killed.append(leader)
+                fleet.add_daemon(f"vm{leader}")
+            elif drawn < 0.85 and leader is not None:
+                fleet.stores[leader].silent_prefixes.add("op/")
+            else:
+                for store in fleet.stores:
+                    store.silent_prefixes.clear()
+        for store in fleet.stores:
+            store.silent_prefixes.clear()
+        fleet.configure(make_version(version + 1, "extra"))
+        fleet.run_for(25.0)
+        return fleet, fleet.read_phase(fleet.leader(), JOB)
+
+    # Guards against tasks that run twice, and accepted jobs that never end, as queues
+    # come and go while leaders change.
+    def test_jobs_end_once(self):
+        for seed in range(RANDOM_SEEDS):
+            for build_version in (1, 0):
+                with self.subTest(seed=seed, build_version=build_version):
+                    fleet, phase = self.play(seed, build_version)
+                    self.assertEqual(fleet.workers.duplicate_starts, [])
+                    self.assertEqual(phase, JobPhase.COMPLETED)
+
+
 if __name__ == "__main__":
     unittest.main()
