Place no workspace's task by an older version than its job was accepted under

Jobs without a workspace are placed by the queue of their acceptance.

Evidence: the test's case of version 3 under a leader of version 2 started a task before, and waits until the leader has version 3 now. No deployment in force has workspaces.

--- a/dogwoodlever/_fleet_planner.py
+++ b/dogwoodlever/_fleet_planner.py
@@ -241,6 +241,7 @@
             step
             for step in registry.active_steps()
             if not (skips_inherited and step.job.is_inherited)
+            and configuration.may_place(step.job.job)
         ]
         self._waiting.update(steps, now_s)
         shares = self._shares if configuration.workspaces else None
--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -242,6 +242,14 @@
     workspaces: dict[str, Workspace] = field(default_factory=dict)
     revision: int = 0
 
+    def may_place(self, job: SubmittedJob) -> bool:
+        """Return whether tasks of a job may be placed by this version.
+
+        The cap and the share of a workspace are those of the version by which its job
+        was accepted, or of a later one.
+        """
+        return not job.workspace or job.configuration_version <= self.version
+
     def find_service(self, job: SubmittedJob, queue: Queue) -> str:
         """Return the service on which a job of `queue` runs.
 
--- a/tests/test_dropped_queues.py
+++ b/tests/test_dropped_queues.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 import msgspec
+from twisted.internet.defer import Deferred
 
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_records import decode_submission, encode
@@ -123,6 +124,35 @@
                     configuration.find_service(extra_job(2), EXTRA), service
                 )
 
+    # Guards against a start beyond the cap of a workspace that a newer version lowered:
+    # the job was accepted by that version, and the leader had the former one.
+    def test_workspace_of_a_newer_version_is_not_placed_by_an_older_one(self):
+        for workspace, version, may_place in (
+            ("", 3, True),
+            ("north", 2, True),
+            ("north", 3, False),
+        ):
+            with self.subTest(workspace=workspace, version=version):
+                submitted = msgspec.structs.replace(
+                    extra_job(version), workspace=workspace
+                )
+                found = FleetConfiguration(2).may_place(submitted)
+                self.assertEqual(found, may_place)
+                fleet = self.start_fleet()
+                leader = fleet.leader()
+                fleet.stores[leader].silent_prefixes.add("op/")
+                read = fleet.stores[leader].read
+                fleet.stores[leader].read = lambda key, read=read: (
+                    Deferred() if key == "op/config" else read(key)
+                )
+                fleet.submit((leader + 1) % 3, submitted)
+                fleet.run_for(1.0)
+                self.assertEqual(bool(fleet.workers.starts), may_place)
+                fleet.stores[leader].silent_prefixes.clear()
+                fleet.configure(make_version(3, "extra"))
+                fleet.run_for(6.0)
+                self.assertEqual(fleet.read_phase(leader, JOB), JobPhase.COMPLETED)
+
     # Guards against records of earlier builds that cannot be read, and of this one that
     # earlier builds cannot read.
     def test_stored_jobs(self):
