Count a job as pending until a worker has begun one of its tasks

Cause: JobState.has_started was set with the first order.

Change: it is set when a worker confirms or lists a run, or lists an end, and when stored progress shows one. After a change of leader it was false until a run was adopted.

Evidence: test_job_is_pending_until_a_worker_begins_it failed before, 0 instead of 1. test_starts_that_are_answered_late waited for has_started as a sign of the order; it looks for the ordered run itself, as strictly.

--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -401,6 +401,9 @@
 
     Attributes
     ----------
+    has_started : bool
+        Whether a worker has begun a run of one of its tasks, as far as this leader
+        knows.
     service : str
         Service on which its tasks run, empty if it is not known.
     """
@@ -588,6 +591,7 @@
             return
         self.phase = JobPhase(progress.phase)
         self.finished = progress.finished
+        self.has_started = self.finished > 0
         for number, steps in progress.occurrences.items():
             due_ms = self.job.submitted_ms
             if self.job.occurrences:
@@ -598,6 +602,7 @@
                 continue
             for step, stored in zip(occurrence.steps, steps, strict=True):
                 _restore_step(step, stored)
+                self.has_started |= int(stored.done, 16) > 0 or bool(stored.failures)
             occurrence.open_steps()
 
 
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -304,8 +304,7 @@
         run, step = pair
         if run.is_watched:
             self._record_listed(run, self._registry.find(listed_run.run.task), result)
-        if run.phase is RunPhase.STARTING:
-            run.phase = RunPhase.RUNNING
+        self._registry.confirm_start(run)
         if listed_run.percent != run.percent:
             if step.standing and listed_run.percent == 100:
                 # A standing task never ends, so running is its only success.
@@ -586,8 +585,7 @@
 
     def on_started(self, run: Run) -> None:
         """Handle a worker's confirmation that a run was started."""
-        if run.phase is RunPhase.STARTING:
-            run.phase = RunPhase.RUNNING
+        self._registry.confirm_start(run)
         self._metrics.starts.labels("started").inc()
         self._metrics.start_s.observe(self._clock.seconds() - run.started_s)
 
--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -199,11 +199,20 @@
         task.dropped_run = None
         step = task.step
         step.worker_tasks[run.worker_id] = step.worker_tasks.get(run.worker_id, 0) + 1
-        step.job.has_started = True
+        if run.phase is RunPhase.RUNNING:
+            step.job.has_started = True
         if step.job.phase is JobPhase.QUEUED:
             step.job.phase = JobPhase.RUNNING
         step.refresh(task)
 
+    def confirm_start(self, run: Run) -> None:
+        """Record that a worker runs a run that was ordered."""
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.RUNNING
+        state = self.jobs.get(run.run_id.task.job_id)
+        if state is not None:
+            state.has_started = True
+
     def drop_run(self, task: Task, number: int) -> Run | None:
         """Remove a run that has ended for certain or never started."""
         task.drop_start_record(number)
@@ -235,6 +244,7 @@
         is_newest = end.run.number >= task.last_run
         task.last_run = max(task.last_run, end.run.number)
         job = task.step.job
+        job.has_started = True
         if job.has_ended or task.is_done:
             return EndOutcome(task)
         self.dirty.add(job.job.job_id)
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -5,6 +5,7 @@
 
 from dogwoodlever._fleet_election import CONFIRM_RETRY_S
 from dogwoodlever._fleet_frontend import CallOutcome
+from dogwoodlever._fleet_interfaces import RefusalReason
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_leader import STARTS_PER_ROUND
 from dogwoodlever._fleet_records import JOBS_PREFIX, LEADER_KEY, progress_key
@@ -14,6 +15,7 @@
 from standins.fleet import STORE_DELAY_S, STORE_TIMEOUT_S, server_record
 from tests.fleet_simulation import (
     CONFIGURATION,
+    QUEUE,
     FleetSimulation,
     job,
     worker_entry,
@@ -53,6 +55,29 @@
         fleet.run_for(2.0)
         self.assertEqual(len(fleet.workers.starts), 4)
 
+    # Guards against a count of pending jobs without those that no worker has begun,
+    # although their starts were ordered (MIXED).
+    def test_job_is_pending_until_a_worker_begins_it(self):
+        fleet = self.start_fleet(run_s=20.0)
+        fleet.workers.start_refusals = [RefusalReason.UNHEALTHY] * 10_000
+        fleet.submit(0, job(JOB, tasks=2))
+        for refused, pending in ((True, 1), (False, 0)):
+            with self.subTest(refused=refused):
+                if not refused:
+                    fleet.workers.start_refusals.clear()
+                fleet.run_for(4.0)
+                self.assertEqual(bool(fleet.workers.starts), not refused)
+                counted = self.count_pending(fleet)
+                self.assertEqual(counted, pending)
+        fleet.kill(fleet.leader())
+        fleet.run_for(6.0)
+        self.assertEqual(self.count_pending(fleet), 0)
+
+    def count_pending(self, fleet):
+        frontend = fleet.nodes[fleet.leader()].frontend
+        call = frontend.count_pending(QUEUE, fleet.clock.seconds() + 3.0)
+        return fleet.await_result(call).pending
+
     def test_unknown_job_is_absent(self):
         fleet = self.start_fleet()
         result = fleet.await_result(fleet.nodes[0].frontend.read("f" * 16, 200.0))
--- a/tests/test_fleet_observability.py
+++ b/tests/test_fleet_observability.py
@@ -32,6 +32,10 @@
         fleet.run_for(1.0)
         return fleet
 
+    @staticmethod
+    def is_ordered(registry):
+        return any(task.runs for task in registry.jobs[JOB].tasks())
+
     # Guards against a start that a paused daemon or worker delays without a trace.
     def test_starts_that_are_answered_late(self):
         table = (
@@ -48,7 +52,7 @@
                 leader = fleet.leader()
                 fleet.submit((leader + 1) % 3, job(JOB, tasks=1), wait_s=0.0)
                 registry = fleet.nodes[leader].leader.registry
-                while not (JOB in registry.jobs and registry.jobs[JOB].has_started):
+                while not (JOB in registry.jobs and self.is_ordered(registry)):
                     fleet.clock.advance(0.001)
                 if pause_s:
                     self.pause(fleet, leader, pause_s)
