--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -225,7 +225,7 @@
         for task, runs in self.runs.items():
             job = task.partition(".")[0]
             if job in self._failed:
-                # A run that fails as its worker crashes counts for either.
+                # A task that crashes its workers is given up as well.
                 count = sum(run.outcome in ("failed", "crashed") for run in runs)
                 failures[job] = max(failures[job], count)
         return [
