Put no version into force that contradicts itself, and whole numbers with a point

What callers could see: a version with a route whose service does not exist, two routes at one place, a prefix without a slash, a negative limit or a version number of 0 came into force, so that queues were served that no valid version has; a valid version whose numbers are written as 7.0 never came into force.

Cause: the decoder read the version, the routes and the workspaces only, and took any integer, any text and any list of routes of different names; it refused numbers with a point, which JSON does not distinguish from whole ones.

Change: services and limits are decoded as well, each field has its range, and routes must have different names, different places and a listed service. Whole numbers may have a point.

--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import re
+from collections.abc import Hashable, Iterable
 from typing import Annotated
 
 import msgspec
@@ -15,7 +16,13 @@
     Workspace,
 )
 from dogwoodlever.platform._wire_address import parse_address
-from dogwoodlever.platform._wire_json import Amount, Int64, decode_json
+from dogwoodlever.platform._wire_json import (
+    Amount,
+    Int64,
+    PositiveAmount,
+    decode_json,
+    decode_whole_numbers,
+)
 from dogwoodlever.platform_errors import PlatformError
 
 # Calls name the worker in a header. Servers strip spaces around its value, so that an
@@ -23,6 +30,8 @@
 _WORKER_ID_PATTERN = re.compile(r"[!-~](?:[ -~]*[!-~])?")
 
 _NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
 
 READY = "ready"
 DRAINING = "draining"
@@ -30,20 +39,23 @@
 
 class _Advice(msgspec.Struct, frozen=True):
     # Base duration of a call, and additional duration per worker.
-    decision_ms: float = 0
-    period_ms: float = 0
+    decision_ms: _NotNegative = 0
+    period_ms: _NotNegative = 0
     # Validity of a ticket.
-    valid_ms: float = 0
+    valid_ms: _NotNegative = 0
 
 
 class _Route(msgspec.Struct, frozen=True):
     # A route is a queue of jobs.
-    name: str
-    host: str
-    prefix: str
+    name: _Text
+    host: _Text
+    prefix: Annotated[str, msgspec.Meta(pattern="^/")]
     service: str
+    # Not used: every call of a queue may be repeated.
+    kind: str = ""
+    timeout_ms: _Positive = 3_000
     priority: int = 0
-    max_attempts: Amount = 1
+    max_attempts: PositiveAmount = 1
     stretch: _NotNegative = 1.0
     # Added to the stretched critical path to give the time objective.
     slo_ms: _NotNegative = 0
@@ -75,9 +87,24 @@
     cap: _Cap = _Cap()
 
 
+class _Service(msgspec.Struct, frozen=True):
+    # Whether its workers enforce their capacity is not read, since none is ever
+    # assigned more than its capacity.
+    name: _Text
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: PositiveAmount = 16_384
+    max_body_bytes: PositiveAmount = 1_000_000
+    header_timeout_ms: _Positive = 10_000
+    idle_timeout_ms: _Positive = 60_000
+
+
 class _Configuration(msgspec.Struct, frozen=True):
-    version: int
+    version: PositiveAmount
     routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
     tenants: tuple[_Tenant, ...] = ()
 
 
@@ -102,12 +129,12 @@
     Raises
     ------
     PlatformError
-        If it is malformed, or two routes have one name; the message names the field or
-        the routes.
+        If it is malformed or contradicts itself, as docs/design/configuration.md lists;
+        the message names the field, or the routes or services.
     """
     try:
-        document = decode_json(value, _Configuration)
-        _check_routes(document.routes)
+        document = decode_whole_numbers(value, _Configuration)
+        _check_routes(document.routes, document.services)
     except ValueError as error:
         raise PlatformError(f"configuration: {error}") from error
     queues = {
@@ -125,8 +152,6 @@
         )
         for route in document.routes
     }
-    # Whether the workers of a service enforce their capacity is ignored, since none
-    # is ever assigned more than its capacity.
     workspaces = {
         tenant.name: Workspace(
             tenant.name,
@@ -139,13 +164,36 @@
     return FleetConfiguration(document.version, queues, workspaces, revision)
 
 
-def _check_routes(routes: list[_Route]) -> None:
-    """Check that each route has a name of its own; raises `ValueError`."""
-    names: set[str] = set()
+def _check_routes(routes: list[_Route], services: list[_Service]) -> None:
+    """Check that routes can be told apart and have a service; raises `ValueError`."""
+    repeated = _find_repeated(service.name for service in services)
+    if repeated is not None:
+        raise ValueError(f"services: two are named {repeated[:80]!r}")
+    repeated = _find_repeated(route.name for route in routes)
+    if repeated is not None:
+        raise ValueError(f"routes: two are named {repeated[:80]!r}")
+    # Host names are case-insensitive (RFC 9110, 4.2.3).
+    repeated = _find_repeated((route.host.lower(), route.prefix) for route in routes)
+    if repeated is not None:
+        host, prefix = repeated
+        raise ValueError(f"routes: two are at {host[:80]}{prefix[:80]}")
+    names = {service.name for service in services}
     for route in routes:
-        if route.name in names:
-            raise ValueError(f"routes: two are named {route.name[:80]!r}")
-        names.add(route.name)
+        if route.service not in names:
+            raise ValueError(
+                f"routes: {route.name[:80]!r} has service {route.service[:80]!r}, "
+                "which is not among the services"
+            )
+
+
+def _find_repeated(items: Iterable[Hashable]):
+    """Return the first item that is there twice, None if there is none."""
+    seen = set()
+    for item in items:
+        if item in seen:
+            return item
+        seen.add(item)
+    return None
 
 
 def digest_key(key: bytes) -> bytes:
