Count pending jobs without the leader while none answers

What callers saw: while a leader was dead, frozen or replaced, each daemon that was itself in contact answered the count of every queue in force with 503 after 0.85 s, although callers wait for 3 s: a queue that had been added was not served (rule CONFIG).

Cause: FleetFrontend.count_pending had no source but the leader's reply. Reads of a job fall back to the store; counts did not.

Change: the leader's replies carry the numbers of all queues; a daemon answers by them for 2 s, the age that the platform allows, adding the jobs that it has accepted since. After that it calls the leader until 1.35 s before the caller's deadline, and then counts the stored jobs, once for all that ask. It answers 503 only if the store does not respond either.

--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -29,6 +29,7 @@
 )
 from dogwoodlever._fleet_types import Step, SubmittedJob
 from dogwoodlever._logs import log_event
+from dogwoodlever._pending_counts import PendingCounts
 from dogwoodlever._workspace_keys import (
     UNCHECKED,
     KeyCheck,
@@ -53,6 +54,8 @@
 RETRY_AFTER_LONG_S = 2
 # How long to call the leader before the store is read.
 LEADER_WAIT_S = 0.8
+# Part of a caller's deadline that is left for counting the stored jobs.
+COUNT_READ_S = 1.2
 # Attempts of a write whose conditions fail since the configuration has changed; it
 # changes a few times a second at most.
 CONDITIONAL_WRITES_MAX = 5
@@ -153,6 +156,7 @@
         self._own_member = own_member
         self._handlers = handlers
         self._keys = keys
+        self._counts = PendingCounts(store, clock)
         self._waits = ClosableWaits()
 
     @property
@@ -215,6 +219,8 @@
         result = yield self._write(put, deadline_s, check)
         if result.outcome is CallOutcome.TAKEN:
             self._refuse_other_workspace(check, job.queue)
+        elif result.outcome is CallOutcome.DONE:
+            self._counts.add_accepted(job.job_id, job.queue)
         log_event(
             "job.submitted",
             job=job.job_id,
@@ -464,18 +470,42 @@
     def count_pending(self, queue: str, deadline_s: float):
         """Count the jobs of a queue that have not started any task.
 
+        While no leader answers, the numbers that it told last are the answer, or the
+        stored jobs are counted.
+
         Returns a Deferred that fires with a `CallResult`.
         """
-        until_s = deadline_s - LEADER_WAIT_S
-        reply = yield self._call_leader(PENDING_METHOD, queue, max(until_s, 0.0))
-        if reply is None:
-            return CallResult(CallOutcome.NOT_DONE)
-        return CallResult(CallOutcome.DONE, pending=reply.pending)
+        sent_s = self._clock.seconds()
+        until_s = deadline_s - RESPONSE_MARGIN_S
+        wait_s = 0.0 if self._counts.is_recent else until_s - COUNT_READ_S - sent_s
+        reply = yield self._call_leader(PENDING_METHOD, queue, until_s, wait_s)
+        if reply is not None:
+            if reply.pending_by_queue is not None:
+                self._counts.update(reply.pending_by_queue, sent_s)
+            return CallResult(CallOutcome.DONE, pending=reply.pending)
+        pending = None
+        if self._counts.is_recent or self._can_read_store():
+            with suppress(WaitClosedError):
+                counting = self._counts.find(queue, until_s)
+                pending = yield self._waits.wait_for(counting)
+        log_event("count.without-leader", queue=queue, pending=pending)
+        if pending is None:
+            return self._build_result(CallOutcome.NOT_DONE)
+        return CallResult(CallOutcome.DONE, pending=pending)
+
+    def _can_read_store(self) -> bool:
+        return not self.is_closed and self._store.down_for_s() is None
 
     @inlineCallbacks
-    def _call_leader(self, method: str, argument: str, deadline_s: float):
+    def _call_leader(
+        self,
+        method: str,
+        argument: str,
+        deadline_s: float,
+        wait_s: float = LEADER_WAIT_S,
+    ):
         """Call the leader until it replies; return None if it does not in time."""
-        limit_s = min(deadline_s, self._clock.seconds() + LEADER_WAIT_S)
+        limit_s = min(deadline_s, self._clock.seconds() + wait_s)
         while True:
             leader = self._get_leader()
             reply = None
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -465,10 +465,11 @@
                 False, can_lead=can_lead, configuration_version=self.knowledge.version
             )
         can_write = self._store.down_for_s() is None
-        pending = leader.registry.pending(queue)
+        pending = leader.registry.count_pending()
         return LeaderReply(
             True,
-            pending=pending,
+            pending=pending[queue],
+            pending_by_queue=pending,
             can_write=can_write,
             can_lead=can_lead,
             configuration_version=self.knowledge.version,
--- a/dogwoodlever/_fleet_rpc.py
+++ b/dogwoodlever/_fleet_rpc.py
@@ -59,6 +59,8 @@
         Phase of the job; empty if the job is unknown.
     pending : int
         Number of jobs of the queue that have not started any task.
+    pending_by_queue : dict of str to int or None
+        The same for all queues that have such jobs; None if the daemon does not tell.
     can_write : bool
         Whether the daemon can reach the store.
     workspace : str or None
@@ -76,6 +78,7 @@
     workspace: str | None = None
     can_lead: bool = True
     configuration_version: int = 0
+    pending_by_queue: dict[str, int] | None = None
 
 
 def format_member_id(vm: str, host: str, port: int, incarnation: str) -> str:
--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -1,5 +1,6 @@
 """Registry of all jobs and their runs."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -307,11 +308,10 @@
             for step in occurrence.steps:
                 step.ready.clear()
 
-    def pending(self, queue: str) -> int:
-        """Return the number of jobs of a queue that have started no task yet."""
-        return sum(
-            state.queue.name == queue and not state.has_started
-            for state in self.active.values()
+    def count_pending(self) -> Counter[str]:
+        """Return the number of jobs by queue that have started no task yet."""
+        return Counter(
+            state.queue.name for state in self.active.values() if not state.has_started
         )
 
     def active_steps(self) -> Iterable[StepState]:
