Tests: services and prefixes of their own in valid configurations

A route whose service isn't listed, and two routes of one host and prefix, are to be refused. Three documents of tests.test_platform_wire had no services, one of them two routes at '/'.

--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -146,7 +146,11 @@
     def test_timing_of_the_advice_service(self):
         route = {"name": "q", "host": "a.example", "prefix": "/x/", "service": "s"}
         terms = {"decision_ms": 40, "period_ms": 2, "valid_ms": 900}
-        document = {"version": 3, "routes": [route | {"advice": terms}]}
+        document = {
+            "version": 3,
+            "routes": [route | {"advice": terms}],
+            "services": [{"name": "s"}],
+        }
         queue = decode_configuration(msgspec.json.encode(document)).queues["q"]
         self.assertEqual(queue.advice, AdviceTiming(40, 2, 900))
         # One call for thirty workers.
@@ -156,7 +160,11 @@
         route = {"name": "q", "host": "h", "prefix": "/", "service": "s"}
         document = {
             "version": 1,
-            "routes": [route, {**route, "name": "p", "public": True}],
+            "routes": [
+                route,
+                {**route, "name": "p", "prefix": "/p/", "public": True},
+            ],
+            "services": [{"name": "s"}],
             "tenants": [
                 {
                     "name": "a",
@@ -188,11 +196,13 @@
         )
         for tenant, field in cases:
             with self.subTest(field=field), self.assertRaises(PlatformError) as caught:
-                decode_configuration(
-                    msgspec.json.encode(
-                        {"version": 1, "routes": [], "tenants": [tenant]}
-                    )
-                )
+                document = {
+                    "version": 1,
+                    "routes": [],
+                    "services": [],
+                    "tenants": [tenant],
+                }
+                decode_configuration(msgspec.json.encode(document))
             self.assertIn(field, str(caught.exception))
 
     def test_error_names_the_field(self):
