Match host names whatever their case

What callers saw: a queue whose host was written with capitals, or a request whose Host header was, got 404 for good, although host names are case-insensitive (RFC 9110, 4.2.3).

Cause: names were compared as they were written. Change: a queue keeps its host in lower case, and a request's host is lowered before it is compared. Evidence: 'host in capitals' of tests/test_invalid_versions fails before.

--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -90,6 +90,8 @@
 
     Attributes
     ----------
+    host : str
+        Host name in lower case, since host names are case-insensitive.
     priority : int
         0 is the highest.
     attempts_max : int
@@ -263,6 +265,7 @@
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue at `host` with the longest prefix that matches `path`."""
         best = None
+        host = host.lower()
         for queue in self.queues.values():
             if queue.host != host or not path.startswith(queue.prefix):
                 continue
--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -140,7 +140,7 @@
     queues = {
         route.name: Queue(
             route.name,
-            route.host,
+            route.host.lower(),
             route.prefix,
             route.service,
             route.priority,
