Answer calls within the timeout of their queue

What callers and operators saw: a version that changed a queue's timeout_ms changed nothing; each call without Deadline-Ms waited for 3 s, and one with it as long as it said.

Cause: the field was not read; the default was a constant. Change: a call is answered within the queue's timeout, or its caller's deadline if that is shorter, from the next request on. Without the field the timeout is 3 s as before.

--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -103,6 +103,8 @@
         Timing of the advice service, if runs need its tickets.
     is_public : bool
         Whether calls need no key, even if the configuration has workspaces.
+    timeout_s : float
+        Time within which a call is answered, if its caller does not give up before.
     """
 
     name: str
@@ -115,6 +117,7 @@
     slack_ms: int = 0
     advice: AdviceTiming | None = None
     is_public: bool = False
+    timeout_s: float = 3.0
 
     @property
     def advice_call_s(self) -> float:
--- a/dogwoodlever/platform/_callers_resource.py
+++ b/dogwoodlever/platform/_callers_resource.py
@@ -1,5 +1,6 @@
 """HTTP interface for callers."""
 
+import math
 import re
 from collections.abc import Callable
 
@@ -22,8 +23,6 @@
 from dogwoodlever.platform._wire_job import decode_job
 from dogwoodlever.platform._wire_records import digest_key
 
-# For requests without a deadline; the usual timeout of the configurations.
-DEADLINE_DEFAULT_S = 3.0
 DEADLINE_DIGITS_MAX = 9
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}")
 # The scheme of a header is case-insensitive (RFC 9110, 11.1).
@@ -134,7 +133,7 @@
         check = self._check_key(request, configuration, queue, read_s)
         if check is None:
             return
-        deadline_s = read_s + _deadline_s(request)
+        deadline_s = read_s + min(_deadline_s(request), queue.timeout_s)
         job_id = path[len(queue.prefix) :]
         if not job_id and request.method == b"GET":
             result = yield self._frontend.count_pending(queue.name, deadline_s)
@@ -263,7 +262,8 @@
 
 
 def _deadline_s(request) -> float:
+    """Return how long the caller waits, infinite if it does not tell."""
     # As bytes, since a header that is not UTF-8 fails as text.
     text = request.getHeader(b"deadline-ms") or b""
     is_valid = text.isdigit() and len(text) <= DEADLINE_DIGITS_MAX
-    return int(text) / 1000 if is_valid else DEADLINE_DEFAULT_S
+    return int(text) / 1000 if is_valid else math.inf
--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -33,6 +33,9 @@
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
 _Text = Annotated[str, msgspec.Meta(min_length=1)]
 
+# Longer timeouts act like this one; the event loop's timers have a largest delay.
+_TIMEOUT_MAX_MS = 86_400_000
+
 READY = "ready"
 DRAINING = "draining"
 
@@ -149,6 +152,7 @@
             int(route.slo_ms),
             _convert_advice(route.advice),
             route.public,
+            _convert_timeout(route.timeout_ms),
         )
         for route in document.routes
     }
@@ -207,6 +211,11 @@
     return AdviceTiming(advice.decision_ms, advice.period_ms, advice.valid_ms)
 
 
+def _convert_timeout(timeout_ms: float) -> float:
+    """Return a timeout in seconds."""
+    return min(timeout_ms, _TIMEOUT_MAX_MS) / 1000
+
+
 def is_callable_worker(worker_id: str, address: str) -> bool:
     """Return whether a call can be sent to a worker."""
     try:
