Let the operators' limits of requests act

What operators saw: a version that changed max_header_bytes, max_body_bytes, header_timeout_ms or idle_timeout_ms changed nothing: bodies were limited to 1 MB, headers to 16 kB, and a connection was closed 60 s after its last byte, also within a header.

Cause: the field 'limits' of a version was not read.

Change: BoundedSite asks for the limits in force as each request begins, so a version acts on the next request of an open connection. The tests of BoundedSite pass limits in place of a number; they expect what they did.

--- a/dogwoodlever/_fleet_daemon.py
+++ b/dogwoodlever/_fleet_daemon.py
@@ -19,6 +19,7 @@
 from dogwoodlever._log_stream import LogStream
 from dogwoodlever._logs import log_event, log_unhandled_errors
 from dogwoodlever._peer_mesh import TcpMesh
+from dogwoodlever._request_limits import RequestLimits
 from dogwoodlever.platform import (
     NODE_FILE_VARIABLE,
     HttpAdviceService,
@@ -32,7 +33,8 @@
 EXIT_SETTINGS = 2
 # The port that `deploy/system.toml` names.
 METRICS_PORT = 9464
-CALLER_BODY_BYTES_MAX = 1_000_000
+# A port of which no request has a body.
+BODILESS_LIMITS = RequestLimits(body_bytes_max=0)
 FETCH_TIMEOUT_S = 2.0
 # Concurrent watches and writes of one daemon.
 STORE_CONNECTIONS = 8
@@ -87,14 +89,18 @@
         host, port = settings.callers
         reactor.listenTCP(
             port,
-            BoundedSite(self.node.callers, CALLER_BODY_BYTES_MAX),
+            BoundedSite(self.node.callers, self.node.get_request_limits),
             interface=host,
             backlog=512,
         )
         host, port = settings.readiness
-        metrics = BoundedSite(MetricsResource(self.node.metrics), 0)
+        metrics = BoundedSite(
+            MetricsResource(self.node.metrics), lambda: BODILESS_LIMITS
+        )
         reactor.listenTCP(METRICS_PORT, metrics, interface=settings.peer_host)
-        readiness = BoundedSite(ReadinessResource(self.node.is_ready), 0)
+        readiness = BoundedSite(
+            ReadinessResource(self.node.is_ready), lambda: BODILESS_LIMITS
+        )
         reactor.listenTCP(port, readiness, interface=host)
         reactor.listenTCP(
             settings.peer_port, self.node.mesh.factory(), interface=settings.peer_host
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -37,6 +37,7 @@
 from dogwoodlever._fleet_watcher import PrefixWatcher
 from dogwoodlever._logs import log_event
 from dogwoodlever._loop_monitor import LoopMonitor
+from dogwoodlever._request_limits import RequestLimits
 from dogwoodlever._workspace_keys import KeyCheck, KeyChecker
 from dogwoodlever.platform import (
     CONFIGURATION_KEY,
@@ -205,6 +206,13 @@
             and not self.keys.is_undecided_for_long()
         )
 
+    def get_request_limits(self) -> RequestLimits:
+        """Return the limits of callers' requests in force."""
+        configuration = self.desired_state.configuration
+        if configuration is None:
+            return RequestLimits()
+        return configuration.request_limits
+
     @inlineCallbacks
     def stop(self):
         """Resign, answer the requests that arrive in the grace period, and stop."""
--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from dogwoodlever._request_limits import RequestLimits
+
 
 class Step(msgspec.Struct, frozen=True, omit_defaults=True):
     """Group of identical tasks that start once the steps in `after` are done.
@@ -240,12 +242,15 @@
         Workspaces by name; empty if calls need no keys.
     revision : int
         Store revision of its record; 0 if unknown.
+    request_limits : RequestLimits
+        Limits of callers' requests.
     """
 
     version: int
     queues: dict[str, Queue] = field(default_factory=dict)
     workspaces: dict[str, Workspace] = field(default_factory=dict)
     revision: int = 0
+    request_limits: RequestLimits = RequestLimits()
 
     def may_place(self, job: SubmittedJob) -> bool:
         """Return whether tasks of a job may be placed by this version.
--- a/dogwoodlever/daemon.py
+++ b/dogwoodlever/daemon.py
@@ -12,6 +12,7 @@
 from dogwoodlever._clock import use_boot_time
 from dogwoodlever._logs import log_event
 from dogwoodlever._node import Dependencies, Node
+from dogwoodlever._request_limits import RequestLimits
 from dogwoodlever.gateway import (
     BoundedSite,
     CallersResource,
@@ -30,8 +31,8 @@
 )
 from dogwoodlever.settings import DaemonSettings, read_daemon_settings
 
-CALLER_BODY_BYTES_MAX = 1_000_000
-OPERATOR_BODY_BYTES_MAX = 4_000_000
+CALLER_LIMITS = RequestLimits()
+OPERATOR_LIMITS = RequestLimits(body_bytes_max=4_000_000)
 STORE_TIMEOUT_S = 1.0
 WORKER_TIMEOUT_S = 2.0
 EXIT_SETTINGS = 2
@@ -74,12 +75,12 @@
         operators = OperatorsResource(self.node, Reports(self.node))
         reactor.listenTCP(
             s.callers_port,
-            BoundedSite(callers, CALLER_BODY_BYTES_MAX),
+            BoundedSite(callers, lambda: CALLER_LIMITS),
             interface=s.host,
         )
         reactor.listenTCP(
             s.operators_port,
-            BoundedSite(operators, OPERATOR_BODY_BYTES_MAX),
+            BoundedSite(operators, lambda: OPERATOR_LIMITS),
             interface=s.host,
         )
         reactor.listenTCP(s.peers_port, self._mesh.factory(), interface=s.host)
--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -15,6 +15,7 @@
     WorkerEntry,
     Workspace,
 )
+from dogwoodlever._request_limits import RequestLimits
 from dogwoodlever.platform._wire_address import parse_address
 from dogwoodlever.platform._wire_json import (
     Amount,
@@ -165,7 +166,13 @@
         )
         for tenant in document.tenants
     }
-    return FleetConfiguration(document.version, queues, workspaces, revision)
+    limits = RequestLimits(
+        document.limits.max_header_bytes,
+        document.limits.max_body_bytes,
+        _convert_timeout(document.limits.header_timeout_ms),
+        _convert_timeout(document.limits.idle_timeout_ms),
+    )
+    return FleetConfiguration(document.version, queues, workspaces, revision, limits)
 
 
 def _check_routes(routes: list[_Route], services: list[_Service]) -> None:
--- a/tests/test_callers_resource.py
+++ b/tests/test_callers_resource.py
@@ -2,6 +2,7 @@
 
 from twisted.internet.testing import StringTransport
 
+from dogwoodlever._request_limits import RequestLimits
 from dogwoodlever.gateway import BoundedSite, CallersResource
 from tests.site_simulation import SiteSimulation
 
@@ -65,7 +66,7 @@
     def send(self, data, daemon="d1", wait_s=0.6):
         entry = self.simulation.fake.daemons[daemon]
         resource = CallersResource(entry.node, entry.gateway)
-        site = BoundedSite(resource, LIMIT_BYTES)
+        site = BoundedSite(resource, lambda: RequestLimits(body_bytes_max=LIMIT_BYTES))
         protocol = site.buildProtocol(None)
         transport = StringTransport()
         protocol.makeConnection(transport)
--- a/tests/test_operators_resource.py
+++ b/tests/test_operators_resource.py
@@ -3,6 +3,7 @@
 
 from twisted.internet.testing import StringTransport
 
+from dogwoodlever._request_limits import RequestLimits
 from dogwoodlever.gateway import BoundedSite, OperatorsResource
 from tests.site_simulation import SiteSimulation
 
@@ -66,7 +67,10 @@
 
     def send(self, method, path, document=None, headers=KEY, wait_s=0.1):
         entry = self.simulation.fake.daemons["d1"]
-        site = BoundedSite(OperatorsResource(entry.node, entry.reports), 100_000)
+        site = BoundedSite(
+            OperatorsResource(entry.node, entry.reports),
+            lambda: RequestLimits(body_bytes_max=100_000),
+        )
         protocol = site.buildProtocol(None)
         transport = StringTransport()
         protocol.makeConnection(transport)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -13,6 +13,7 @@
     job_key,
 )
 from dogwoodlever._fleet_rpc import PENDING_METHOD
+from dogwoodlever._request_limits import RequestLimits
 from standins.fake_site import FakeSite
 from tests.fleet_simulation import JOB, STEP_S, FleetSimulation, job
 from tests.site_simulation import LIMITS
@@ -169,7 +170,9 @@
                 fleet.run_for(1.0)
                 leader = fleet.leader()
                 node = fleet.nodes[1 - leader]
-                site = BoundedSite(node.callers, 1_000)
+                site = BoundedSite(
+                    node.callers, lambda: RequestLimits(body_bytes_max=1_000)
+                )
                 connection, transport = site.buildProtocol(None), StringTransport()
                 connection.makeConnection(transport)
                 connection.dataReceived(before)
