--- a/tests/test_counts_without_leader.py
+++ b/tests/test_counts_without_leader.py
@@ -1,6 +1,7 @@
 """Counts of a queue's waiting jobs while no leader answers (CONFIG)."""
 
 import unittest
+from collections import Counter
 from dataclasses import dataclass
 from unittest import mock
 
@@ -299,7 +300,8 @@
     def test_answer_of_the_leader(self):
         fleet = self.start_fleet()
         self.assert_done(fleet, 0, waiting_job(1))
-        with mock.patch.object(RunRegistry, "pending", lambda _registry, _queue: 41):
+        counts = Counter({QUEUE: 41})
+        with mock.patch.object(RunRegistry, "count_pending", lambda _registry: counts):
             fleet.run_for(SETTLED_S)
             self.assert_answers(fleet, [(n, QUEUE, 41) for n in range(3)])
             leader = fleet.leader()
