Accept a job by the version with which its write is checked

What callers saw, in configurations with workspaces: a submission whose write met a newer version was stored with the queue, attempts and version of its first check, also if the newer version had dropped the queue or moved it: accepted as only an older version allows.

Cause: FleetFrontend._commit checked the key against the newer version and repeated the write of the job as it was first encoded, here and in the leader for a peer.

Change: the check carries the host and path of the call; the job is accepted by the queue that the newer version has there, and refused with 503 if it has none.

--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -316,7 +316,8 @@
         """Create a record unless it exists, if the key is still valid.
 
         The write fails if the configuration has changed since the key was checked.
-        The key is then checked against the newer version, and the write is repeated.
+        The key is then checked against the newer version, and the write is repeated;
+        a job is accepted by the queue that this version has at the same place.
         Every outcome but `DONE` is certain, also after earlier attempts without an
         answer: their condition can no longer be met, since revisions do not recur.
 
@@ -346,6 +347,18 @@
             if again.workspace != check.workspace:
                 # The caller's next attempt is checked as a whole.
                 return CallOutcome.NOT_DONE
+            if put.value:
+                if again.outcome is KeyOutcome.NO_QUEUE:
+                    log_event("write.queue-dropped", key=put.key, queue=check.queue)
+                    return CallOutcome.NOT_DONE
+                job = self._keys.accept_again(decode_submission(put.value), again)
+                put = Put(put.key, encode(job))
+                log_event(
+                    "write.accepted-again",
+                    key=put.key,
+                    queue=job.queue,
+                    version=job.configuration_version,
+                )
             check = again
         log_event("write.superseded", key=put.key, attempts=CONDITIONAL_WRITES_MAX)
         return CallOutcome.NOT_DONE
--- a/dogwoodlever/_workspace_keys.py
+++ b/dogwoodlever/_workspace_keys.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from dogwoodlever._fleet_interfaces import Record
-from dogwoodlever._fleet_types import FleetConfiguration, Queue
+from dogwoodlever._fleet_types import FleetConfiguration, Queue, SubmittedJob
 from dogwoodlever._logs import log_event
 
 # Part of the time allowed for a withdrawal for which a configuration counts as
@@ -28,6 +28,8 @@
     UNKNOWN = "unknown"
     # The configuration may be outdated, so the key may have been withdrawn.
     UNDECIDED = "undecided"
+    # A newer version has no queue at the host and path of the call.
+    NO_QUEUE = "no-queue"
 
 
 class RefusalCause(StrEnum):
@@ -56,6 +58,8 @@
         Digest of the key, for a check against a newer configuration.
     expected : dict of str to int
         Condition of the call's write: the revision of the configuration by its key.
+    host, path : str
+        Where the queue was called; empty if a daemon of an earlier build checked it.
     """
 
     outcome: KeyOutcome = KeyOutcome.ACCEPTED
@@ -63,6 +67,8 @@
     queue: str = ""
     digest: bytes = b""
     expected: dict[str, int] = {}
+    host: str = ""
+    path: str = ""
 
     def can_access(self, workspace: str) -> bool:
         """Return whether the caller may read and cancel a job of a workspace."""
@@ -182,13 +188,30 @@
         revision = check.expected.get(self._configuration_key)
         if configuration is None or configuration.revision == revision:
             return None
-        queue = configuration.queues.get(check.queue)
-        if queue is None:
-            queue = Queue(check.queue, "", "", "")
-        again = self._resolve(configuration, queue, check.digest)
+        if check.path:
+            queue = configuration.find_queue(check.host, check.path)
+        else:
+            queue = configuration.queues.get(check.queue)
+        name = check.queue if queue is None else queue.name
+        again = self._resolve(
+            configuration, queue or Queue(name, "", "", ""), check.digest
+        )
         if again.outcome is KeyOutcome.UNKNOWN:
-            self.refuse(RefusalCause.WITHDRAWN, check.queue, check.workspace or "")
-        return again
+            self.refuse(RefusalCause.WITHDRAWN, name, check.workspace or "")
+        elif queue is None:
+            again = msgspec.structs.replace(again, outcome=KeyOutcome.NO_QUEUE)
+        return msgspec.structs.replace(again, host=check.host, path=check.path)
+
+    def accept_again(self, job: SubmittedJob, check: KeyCheck) -> SubmittedJob:
+        """Return a job as the version in force accepts it, after `check_again`."""
+        configuration = self._get_configuration()
+        queue = configuration.queues[check.queue]
+        return msgspec.structs.replace(
+            job,
+            queue=queue.name,
+            configuration_version=configuration.version,
+            accepted_queue=queue,
+        )
 
     def refuse(self, cause: RefusalCause, queue: str, workspace: str = "") -> None:
         """Log and count a refused call."""
--- a/dogwoodlever/platform/_callers_resource.py
+++ b/dogwoodlever/platform/_callers_resource.py
@@ -133,6 +133,8 @@
         check = self._check_key(request, configuration, queue, read_s)
         if check is None:
             return
+        if check.expected:
+            check = msgspec.structs.replace(check, host=host, path=path)
         deadline_s = read_s + min(_deadline_s(request), queue.timeout_s)
         job_id = path[len(queue.prefix) :]
         if not job_id and request.method == b"GET":
