Count the sources of counts of pending jobs

The metric pending_counts_total tells by source how counts were answered, and count.without-leader names queue, source and time.

--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -95,6 +95,17 @@
     TAKEN = "taken"
 
 
+class CountSource(StrEnum):
+    """Where a count of pending jobs comes from."""
+
+    LEADER = "leader"
+    # An earlier answer of the leader, or an earlier count of the stored jobs.
+    RECENT = "recent"
+    STORED = "stored"
+    # Neither answered in time.
+    NONE = "none"
+
+
 @dataclass(slots=True, frozen=True)
 class CallResult:
     """Result of a caller's call.
@@ -137,6 +148,8 @@
         This daemon's own RPC handlers by method, called while it leads.
     keys : KeyChecker
         Checks keys again when the configuration changes during a call.
+    on_count : callable
+        Called with the `CountSource` of each count of pending jobs.
     """
 
     def __init__(
@@ -148,6 +161,7 @@
         own_member: str,
         handlers: dict[str, Callable[[str], LeaderReply]],
         keys: KeyChecker,
+        on_count: Callable[[str], None] = lambda source: None,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -156,6 +170,7 @@
         self._own_member = own_member
         self._handlers = handlers
         self._keys = keys
+        self._on_count = on_count
         self._counts = PendingCounts(store, clock)
         self._waits = ClosableWaits()
 
@@ -495,13 +510,24 @@
         if reply is not None:
             if reply.pending_by_queue is not None:
                 self._counts.update(reply.pending_by_queue, sent_s)
+            self._on_count(CountSource.LEADER)
             return CallResult(CallOutcome.DONE, pending=reply.pending)
+        source = CountSource.RECENT if self._counts.is_recent else CountSource.STORED
         pending = None
-        if self._counts.is_recent or self._can_read_store():
+        if source is CountSource.RECENT or self._can_read_store():
             with suppress(WaitClosedError):
                 counting = self._counts.find(queue, until_s)
                 pending = yield self._waits.wait_for(counting)
-        log_event("count.without-leader", queue=queue, pending=pending)
+        if pending is None:
+            source = CountSource.NONE
+        self._on_count(source)
+        log_event(
+            "count.without-leader",
+            queue=queue,
+            source=source,
+            pending=pending,
+            took_s=self._clock.seconds() - sent_s,
+        )
         if pending is None:
             return self._build_result(CallOutcome.NOT_DONE)
         return CallResult(CallOutcome.DONE, pending=pending)
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -46,6 +46,9 @@
         self.caller_calls = self._counter(
             "caller_calls", "Callers' calls", "call", "outcome"
         )
+        self.pending_counts = self._counter(
+            "pending_counts", "Answers to counts of pending jobs", "source"
+        )
         self.key_refusals = self._counter(
             "key_refusals", "Calls refused because of their key", "cause"
         )
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -170,6 +170,7 @@
             self.member,
             handlers,
             self.keys,
+            lambda source: self.metrics.pending_counts.labels(source).inc(),
         )
         self.rpc.register_create(self._create_for_peer)
         self.rpc.on_version_seen = self.knowledge.on_version_seen
