Run no request that was refused

What callers saw: a chunked body over max_body_bytes got 413, and the job was stored all the same, without the part over the limit, if the body's end had been received with it.

Cause: the rest of the body went on to be parsed after the refusal, and its end started the request. Change: after a refusal nothing that was received is parsed, and no request starts. Evidence: test_body and test_body_by_default_and_above of tests/test_request_limits failed in the subtests with chunks (is_stored) before; all 9 tests pass.

--- a/dogwoodlever/_bounded_site.py
+++ b/dogwoodlever/_bounded_site.py
@@ -13,7 +13,6 @@
 class BoundedRequest(Request):
     """Request whose body may not exceed the limit in force when its header ended."""
 
-    _is_rejected = False
     _body_bytes_max = 0
 
     @property
@@ -30,7 +29,7 @@
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Reject a body of unknown length once it exceeds the limit."""
-        if self._is_rejected:
+        if self.channel.is_rejected:
             return
         if self.content.tell() + len(data) > self._body_bytes_max:
             self._reject()
@@ -38,7 +37,6 @@
         super().handleContentChunk(data)
 
     def _reject(self) -> None:
-        self._is_rejected = True
         self.channel.reject(b"413 Content Too Large")
 
 
@@ -64,9 +62,13 @@
     def __init__(self) -> None:
         super().__init__()
         self._phase = Phase.IDLE
+        # Whether a request was rejected; what follows is not read.
+        self.is_rejected = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Receive a part of a request."""
+        if self.is_rejected:
+            return
         if self._phase is Phase.IDLE:
             self._phase = Phase.HEADER
             limits = self.site.get_limits()
@@ -86,7 +88,9 @@
         super().allHeadersReceived()
 
     def allContentReceived(self) -> None:  # noqa: N802
-        """Handle a complete request."""
+        """Handle a complete request, unless it was rejected while it was parsed."""
+        if self.is_rejected:
+            return
         self._phase = Phase.RESPONSE
         super().allContentReceived()
 
@@ -101,7 +105,8 @@
         """Close the connection, with a response to a request that is incomplete."""
         if self._phase in (Phase.HEADER, Phase.BODY):
             self.reject(b"408 Request Timeout")
-        super().timeoutConnection()
+        else:
+            super().timeoutConnection()
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         """Reject a header of which one line is too long."""
@@ -109,6 +114,8 @@
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Reject a header that is too long."""
+        if self.is_rejected:
+            return
         if self._receivedHeaderSize + len(line) > self.totalHeadersSize:
             self._reject_header()
             return
@@ -122,10 +129,12 @@
 
         It has not run, and will not.
         """
+        self.is_rejected = True
+        self.setTimeout(None)
         self.transport.write(
             b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" % status
         )
-        self.loseConnection()
+        super().timeoutConnection()
 
 
 class BoundedSite(Site):
