Tests: a slow header is judged by the time-out of headers alone

The subtest set idle_timeout_ms to 300 and paused for 1 s within a header. Whether such a connection is idle isn't documented, so a daemon that closes it may be right.

--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -287,7 +287,7 @@
                 time.sleep(0.4)
                 connection.send(body[start : start + 300])
             self.assertEqual(connection.read_status(), 200)
-        self.change({"idle_timeout_ms": 300})
+        self.change({})
         with self.subTest("a slow header"), self.connect() as connection:
             connection.send(PART)
             time.sleep(1.0)
