Count stored jobs also just after a call to the store failed

Cause: one failed call after 0.6 s without an answer counts as an outage, in which counts are not read.

--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -533,7 +533,12 @@
         return CallResult(CallOutcome.DONE, pending=pending)
 
     def _can_read_store(self) -> bool:
-        return not self.is_closed and self._store.down_for_s() is None
+        """Return whether a read may succeed.
+
+        One that has just failed may have used a connection that carries nothing any
+        more, while new ones work.
+        """
+        return not self.is_closed and (self._store.down_for_s() or 0.0) < RETRY_AFTER_S
 
     @inlineCallbacks
     def _call_leader(
