Repeat a failed count of the stored jobs within the caller's deadline

What callers would see: 503 for a queue in force, without a leader, if one call to the store failed during the count, although the next one works.

Cause: the count ended with its first failed call. Change: each listing goes on after a failure, every 0.1 s, as long as a caller waits for it. Evidence: test_store_that_did_not_answer_for_a_moment failed in two of its four cases before.

--- a/dogwoodlever/_pending_counts.py
+++ b/dogwoodlever/_pending_counts.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.task import deferLater
 
 from dogwoodlever._fleet_interfaces import Record
 from dogwoodlever._fleet_job import JobPhase
@@ -21,6 +22,7 @@
 
 # The platform allows a count to be this old.
 AGE_MAX_S = 2.0
+RETRY_S = 0.1
 # Time within which a leader has read a submission that the store has acknowledged.
 SEEN_S = 0.5
 
@@ -117,11 +119,13 @@
 
     @inlineCallbacks
     def _read_stored(self):
+        listings = [
+            StoreListing(self._store, prefix)
+            for prefix in (JOBS_PREFIX, CANCELS_PREFIX, PROGRESS_PREFIX)
+        ]
         begun_s = self._clock.seconds()
         try:
-            jobs = yield StoreListing(self._store, JOBS_PREFIX).read()
-            cancels = yield StoreListing(self._store, CANCELS_PREFIX).read()
-            progress = yield StoreListing(self._store, PROGRESS_PREFIX).read()
+            jobs, cancels, progress = yield self._read_listings(listings)
         except PlatformError as error:
             log_event("counts.unread", why=str(error)[:160])
             return
@@ -134,6 +138,25 @@
             took_s=self._clock.seconds() - begun_s,
         )
 
+    @inlineCallbacks
+    def _read_listings(self, listings: list[StoreListing]):
+        """Read listings one after the other, as long as a caller waits for them.
+
+        Returns a Deferred that fires with a list of `Listing`. Fails with
+        `PlatformError`.
+        """
+        results = []
+        while len(results) < len(listings):
+            try:
+                result = yield listings[len(results)].read()
+            except PlatformError:
+                if not self._waiting:
+                    raise
+                yield deferLater(self._clock, RETRY_S)
+                continue
+            results.append(result)
+        return results
+
 
 def count_pending(
     jobs: tuple[Record, ...], cancels: tuple[Record, ...], progress: tuple[Record, ...]
--- a/tests/test_counts_without_leader.py
+++ b/tests/test_counts_without_leader.py
@@ -294,6 +294,32 @@
             fleet.run_for(1.5)
             self.assertEqual(question.answer, 5)
 
+    # Guards against a 503 just after a call to the store failed, while the next works.
+    def test_store_that_did_not_answer_for_a_moment(self):
+        # From the question to the outage, and its length.
+        for after_s, silent_s in ((-0.3, 0.6), (0.0, 0.7), (1.2, 0.6), (1.6, 0.4)):
+            with self.subTest(after_s=after_s, silent_s=silent_s):
+                fleet = self.start_fleet()
+                self.submit_before(fleet)
+                leader = fleet.leader()
+                kill_leader_for_good(self, fleet, leader)
+                fleet.run_for(4.0 + min(0.0, after_s))
+                number = (leader + 1) % 3
+                question = None
+                if after_s >= 0.0:
+                    question = self.ask(fleet, number)
+                    fleet.run_for(after_s)
+                fleet.stores[number].is_down = True
+                if question is None:
+                    fleet.run_for(-after_s)
+                    question = self.ask(fleet, number)
+                fleet.run_for(silent_s + min(0.0, after_s))
+                fleet.stores[number].is_down = False
+                fleet.run_for(DEADLINE_S)
+                self.assertEqual(question.answer, 5)
+                elapsed_s = question.answered_s - question.sent_s
+                self.assertLessEqual(elapsed_s, DEADLINE_S - 0.05)
+
 
 class LeaderTest(CountsTest):
     # Guards against a stored count in place of the leader's, which is newer.
