Emulator: judge 503, 504, other statuses and no answer (SERVED)

Cause: the check saw the answers 200 and 404 only, so a queue in force that was answered with 503 was no finding. Change: every answer is recorded with its status and judged: a queue that is in all versions that may be in force is served by a daemon in contact, one that is in none of them gets 404 (or 503). The summary gives judged and recorded answers by status, and the judged share.

--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -11,6 +11,7 @@
 
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
 from emulator.process import EventLog, run_process
+from standins.configuration_check import NO_RESPONSE, NOT_SENT
 
 CALL_TIMEOUT_S = 3.0
 ATTEMPTS = 5
@@ -210,21 +211,19 @@
                 method, url, body, CALL_TIMEOUT_S, headers
             )
         except NOT_SENT_ERRORS:
-            return -1, b""
+            response = NOT_SENT, b""
         except ConnectionLost:
             self._log.write("cut", daemon=daemon, path=path, sent_s=sent_s)
-            return 0, b""
+            response = NO_RESPONSE, b""
         except Exception:  # noqa: BLE001
             # Twisted's network errors share no base class other than Exception.
-            return 0, b""
-        status, _ = response
-        if status in (200, 404) and method in (b"GET", b"POST"):
-            _, queue, job = path.split("/")
-            # Submissions and counts; reads of a job go on after its queue was dropped.
-            if method == b"POST" or not job:
-                self._log.write(
-                    "answer", daemon=daemon, queue=queue, sent_s=sent_s, status=status
-                )
+            response = NO_RESPONSE, b""
+        queue, _, job = path.removeprefix("/").rpartition("/")
+        # Submissions and counts; reads of a job go on after its queue was dropped.
+        if method == b"POST" or (method == b"GET" and not job):
+            self._log.write(
+                "answer", daemon=daemon, queue=queue, sent_s=sent_s, status=response[0]
+            )
         return response
 
 
--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -120,7 +120,8 @@
         self.counts["configurations_judged"] = configurations.judged
         counts = " ".join(f"{name}={self.counts[name]}" for name in sorted(self.counts))
         summary = (
-            f"{counts} configuration_lag={configurations.lag_max_s:.3f} "
+            f"{counts} {configurations.summary()} "
+            f"configuration_lag={configurations.lag_max_s:.3f} "
             f"lapsed_gap={self._least_gap_s():.3f} {self._lags()}"
         )
         return CheckResult(findings, summary)
@@ -313,11 +314,30 @@
         )
 
 
+class _Lags:
+    """For how long each process was late, and when."""
+
+    def __init__(self, rows) -> None:
+        self._lags: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        for time_s, event, fields, process in rows:
+            if event == "lag":
+                self._lags[process].append((time_s, fields["late_s"]))
+
+    def sum_s(self, process: str, begun_s: float, ended_s: float) -> float:
+        """Return for how long a process was late in a time."""
+        lags = self._lags[process]
+        # A lag is noted a moment after calls that were late with it.
+        first = bisect.bisect_left(lags, (begun_s, 0.0))
+        last = bisect.bisect_right(lags, (ended_s + LAG_MIN_S, 0.0))
+        return sum(late_s for _, late_s in lags[first:last])
+
+
 def read_configurations(rows) -> ConfigurationCheck:
     """Return the check of the versions that were written and of the answers."""
     check = ConfigurationCheck()
     # Times at which each daemon's process was started.
     started_s: dict[int, list[float]] = defaultdict(list)
+    lags = _Lags(rows)
     for time_s, event, fields, process in rows:
         if event == "configuration":
             check.add_version(fields["version"], time_s, fields["queues"])
@@ -336,7 +356,8 @@
                     fields["queue"],
                     sent_s,
                     time_s,
-                    fields["status"] == 200,
+                    fields["status"],
+                    lags.sum_s(process, sent_s, time_s),
                 )
             )
         elif event == "silenced":
--- a/standins/configuration_check.py
+++ b/standins/configuration_check.py
@@ -2,10 +2,13 @@
 
 The versions come from the store's own record of its writes, the answers from the
 callers' record; nothing is read from the daemons.
+
+A queue that is in every version that may be in force must also be served, whatever the
+leader does (rule SERVED), and one that is in none of them must be refused.
 """
 
 import bisect
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -17,6 +20,14 @@
 ROLLBACK_SLACK_S = 0.25
 # The factor by which that slack is larger while a daemon is disturbed.
 DISTURBED_FACTOR = 8
+# Statuses of a caller that got no response, and whose request was not sent.
+NO_RESPONSE = 0
+NOT_SENT = -1
+# Without a response, a request that is cut so soon may have crossed the end of its
+# connection, and a caller that is late itself may have missed the response.
+CUT_SLACK_S = 0.2
+CALLER_LATE_MAX_S = 0.1
+LISTED_STATUSES = (200, 404, 503, 504, NO_RESPONSE, NOT_SENT)
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,16 +41,18 @@
 
 @dataclass(slots=True, frozen=True)
 class QueueAnswer:
-    """An answer that shows whether a daemon knows a queue.
+    """What a caller got for a count or a submission, an answer or none.
 
     Attributes
     ----------
     incarnation : int
         Start of the daemon's process, counted from 0.
     sent_s, answered_s : float
-        When the request was sent and its response complete.
-    has_queue : bool
-        Whether the daemon served the queue; otherwise it answered that there is none.
+        When the request was sent, and its response complete or given up.
+    status : int
+        Status of the response; `NO_RESPONSE` or `NOT_SENT` without one.
+    late_s : float
+        For how long the caller was late itself meanwhile.
     """
 
     daemon: str
@@ -47,7 +60,18 @@
     queue: str
     sent_s: float
     answered_s: float
-    has_queue: bool
+    status: int
+    late_s: float = 0.0
+
+    @property
+    def has_queue(self) -> bool:
+        """Whether the daemon served the queue."""
+        return self.status == 200
+
+    @property
+    def label(self) -> str:
+        """The status as it is counted."""
+        return str(self.status) if self.status in LISTED_STATUSES else "other"
 
 
 class ConfigurationCheck:
@@ -57,6 +81,8 @@
     ----------
     judged : int
         Answers of daemons in contact.
+    judged_by_status, recorded_by_status : Counter
+        Judged and all answers by status.
     lag_max_s : float
         Longest time from a version's write to a request that a daemon in contact
         answered by an older one.
@@ -69,9 +95,26 @@
         self._disturbed: dict[str | None, list[list[float]]] = defaultdict(list)
         self._open: dict[tuple[str | None, str], list[float]] = {}
         self._silent_s: dict[str | None, float] = {}
-        self.judged = 0
+        self.judged_by_status: Counter[str] = Counter()
+        self.recorded_by_status: Counter[str] = Counter()
         self.lag_max_s = 0.0
 
+    @property
+    def judged(self) -> int:
+        """Number of judged answers."""
+        return self.judged_by_status.total()
+
+    def summary(self) -> str:
+        """Return judged and recorded answers by status, and the judged share."""
+        recorded = self.recorded_by_status
+        total = recorded.total() - recorded[str(NOT_SENT)]
+        counts = ",".join(
+            f"{label}:{self.judged_by_status[label]}/{recorded[label]}"
+            for label in sorted(recorded)
+        )
+        share = self.judged / total if total else 0.0
+        return f"answers={counts} judged_share={share:.2f}"
+
     def add_version(self, version: int, written_s: float, queues: Iterable[str]):
         """Add a version that the store has acknowledged, in the order of writes."""
         self._versions.append(WrittenVersion(version, written_s, frozenset(queues)))
@@ -117,6 +160,9 @@
         return findings
 
     def _check_answer(self, answer: QueueAnswer, shown) -> list[str]:
+        self.recorded_by_status[answer.label] += 1
+        if answer.status not in (200, 404):
+            return self._check_failure(answer)
         allowing = [
             index
             for index, version in enumerate(self._versions)
@@ -127,7 +173,7 @@
             return [self._describe(answer, "allowed by no version")]
         is_in_contact = self._is_in_contact(answer)
         if is_in_contact:
-            self.judged += 1
+            self.judged_by_status[answer.label] += 1
         findings = []
         newest = allowing[-1]
         following = self._versions[newest + 1 : newest + 2]
@@ -147,6 +193,35 @@
             history.append((answer.answered_s, least))
         return findings
 
+    def _check_failure(self, answer: QueueAnswer) -> list[str]:
+        """Return a finding for an answer that says neither yes nor no."""
+        if answer.status == NOT_SENT or not self._is_in_contact(answer):
+            return []
+        if answer.status == NO_RESPONSE:
+            is_soon = answer.answered_s - answer.sent_s < CUT_SLACK_S
+            if is_soon or answer.late_s > CALLER_LATE_MAX_S:
+                return []
+        self.judged_by_status[answer.label] += 1
+        in_force = self._find_in_force(answer.sent_s, answer.answered_s)
+        having = sum(answer.queue in version.queues for version in in_force)
+        took_s = answer.answered_s - answer.sent_s
+        if in_force and having == len(in_force):
+            what = f"in force, not served ({took_s:.3f} s)"
+        elif in_force and not having and answer.status != 503:
+            what = f"not in force, no 404 ({took_s:.3f} s)"
+        else:
+            return []
+        return [self._describe(answer, what, "SERVED")]
+
+    def _find_in_force(self, sent_s: float, answered_s: float) -> list[WrittenVersion]:
+        """Return the versions that may be in force during a call; none if unknown."""
+        versions = self._versions
+        last = bisect.bisect_right(versions, answered_s, key=lambda v: v.written_s)
+        first = bisect.bisect_left(
+            versions, sent_s - APPLY_S, key=lambda v: v.written_s
+        )
+        return versions[first - 1 : last] if first else []
+
     def _check_regress(self, answer, allowing, history, is_in_contact) -> list[str]:
         """Return a finding if the daemon has shown a newer version before."""
         factor = 1 if is_in_contact else DISTURBED_FACTOR
@@ -170,9 +245,11 @@
         )
 
     @staticmethod
-    def _describe(answer: QueueAnswer, what: str) -> str:
-        has = "served" if answer.has_queue else "404"
+    def _describe(answer: QueueAnswer, what: str, rule: str = "CONFIG") -> str:
+        got = {200: "served", NO_RESPONSE: "no response"}.get(
+            answer.status, str(answer.status)
+        )
         return (
-            f"CONFIG: {answer.daemon} (start {answer.incarnation}) at "
-            f"{answer.sent_s:.3f}: queue {answer.queue} {has}, {what}"
+            f"{rule}: {answer.daemon} (start {answer.incarnation}) at "
+            f"{answer.sent_s:.3f}: queue {answer.queue} {got}, {what}"
         )
--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -127,7 +127,7 @@
         # The process that answered may have been started meanwhile.
         if status in (200, 404) and incarnation == process.starts:
             answer = QueueAnswer(
-                daemon, incarnation, queue, sent_s, reactor.seconds(), status == 200
+                daemon, incarnation, queue, sent_s, reactor.seconds(), status
             )
             self._site.configurations.add_answer(answer)
         return response
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -9,8 +9,14 @@
 
 
 def answer(sent_s, queue, has_queue, daemon="vm0", incarnation=1, took_s=0.01):
-    """Return an answer of a daemon."""
-    return QueueAnswer(daemon, incarnation, queue, sent_s, sent_s + took_s, has_queue)
+    """Return an answer of a daemon that says whether it has a queue."""
+    status = 200 if has_queue else 404
+    return QueueAnswer(daemon, incarnation, queue, sent_s, sent_s + took_s, status)
+
+
+def failure(sent_s, queue, status, took_s=0.85, late_s=0.0, daemon="vm0"):
+    """Return an answer of a daemon that serves nothing, or none."""
+    return QueueAnswer(daemon, 1, queue, sent_s, sent_s + took_s, status, late_s)
 
 
 class ConfigurationCheckTest(unittest.TestCase):
@@ -70,6 +76,60 @@
                 answer(11.1, "b", True), answer(13.5, "b", False),
             ], ((5.0, 20.0, "vm0"),), [back]),
         )  # fmt: skip
+        self.check_table(cases)
+
+    # Guards against counts and submissions that are not served for want of a leader,
+    # which neither the emulator nor the soak saw.
+    def test_findings_of_failures(self):
+        served, refused = "in force, not served", "not in force, no 404"
+        late = failure(14.0, "kept", 0, 3.0, late_s=0.2)
+        cases = (
+            ("503", [failure(14.0, "kept", 503)], (), [served]),
+            ("504", [failure(14.0, "kept", 504)], (), [served]),
+            ("429", [failure(14.0, "kept", 429)], (), [served]),
+            ("no response", [failure(14.0, "kept", 0, 3.0)], (), [served]),
+            ("no response to a late caller", [late], (), []),
+            ("cut soon after it was sent", [failure(14.0, "kept", 0, 0.1)], (), []),
+            ("not sent", [failure(14.0, "kept", -1)], (), []),
+            ("added over 2 s before", [failure(12.1, "a", 503, 0.0)], (), []),
+            ("in force for 2 s", [failure(13.1, "b", 503)], (), [served]),
+            ("in force for less than 2 s", [failure(12.9, "b", 503)], (), []),
+            ("dropped while it was answered", [failure(11.5, "a", 503)], (), []),
+            ("dropped after the answer", [failure(12.05, "a", 503, 0.01)], (), []),
+            ("dropped within 2 s", [failure(13.9, "a", 503)], (), []),
+            ("dropped, 503", [failure(14.1, "a", 503)], (), []),
+            ("dropped, 504", [failure(14.1, "a", 504)], (), [refused]),
+            ("dropped, no response", [failure(14.1, "a", 0, 3.0)], (), [refused]),
+            ("never there, 503", [failure(14.1, "never", 503)], (), []),
+            ("never there, 500", [failure(14.1, "never", 500)], (), [refused]),
+            ("before any version is in force", [failure(1.9, "kept", 503)], (), []),
+            ("cut off meanwhile", [failure(14.0, "kept", 503)],
+             ((14.5, 14.6, "vm0"),), []),
+            ("within 3 s of a cut", [failure(14.0, "kept", 503)],
+             ((9.0, 11.1, "vm0"),), []),
+            ("beyond 3 s of a cut", [failure(14.0, "kept", 503)],
+             ((9.0, 10.9, "vm0"),), [served]),
+            ("while another is cut off", [failure(14.0, "kept", 503)],
+             ((5.0, 20.0, "vm1"),), [served]),
+            ("while the store is slow", [failure(14.0, "kept", 503)],
+             ((5.0, 20.0, None),), []),
+        )  # fmt: skip
+        self.check_table(cases)
+
+    def test_counts_by_status(self):
+        check = ConfigurationCheck()
+        check.add_version(1, 0.0, ("kept",))
+        check.begin_disturbance("cut", 20.0, "vm0")
+        for sent_s in (10.0, 11.0, 21.0):
+            check.add_answer(answer(sent_s, "kept", True))
+            check.add_answer(failure(sent_s, "kept", 503))
+        check.add_answer(failure(10.0, "kept", 500))
+        check.add_answer(failure(10.0, "kept", -1))
+        check.check()
+        expected = "answers=-1:0/1,200:2/3,503:2/3,other:1/1 judged_share=0.71"
+        self.assertEqual(check.summary(), expected)
+
+    def check_table(self, cases):
         for name, answers, disturbances, expected in cases:
             with self.subTest(name):
                 check = ConfigurationCheck()
