Emulator and soak: option for the mean pause between faults

Cause: with a fault each 0.7 s hardly a daemon is in contact for 3 s, so the rule on configuration was judged for a tenth to a fifth of the answers.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -20,7 +20,7 @@
 
 from emulator.checker import check_logs
 from emulator.configurations import ConfigurationChanges
-from emulator.faults import LINK_FAULTS, SiteFaults
+from emulator.faults import FAULT_INTERVAL_S, LINK_FAULTS, SiteFaults
 from emulator.process import EventLog
 from standins.daemon_process import ROOT, DaemonProcess
 from standins.faulty_proxy import LinkFault
@@ -256,7 +256,7 @@
         self._options = options
         self.faults = SiteFaults(
             self.site, options["seed"], options["faults"], options["same_id_share"],
-            options["worker_cuts"],
+            options["worker_cuts"], options["fault_interval_s"],
         )  # fmt: skip
         self.changes = ConfigurationChanges(
             self.site, options["seed"], options["version_interval_s"]
@@ -328,6 +328,7 @@
     version_interval_s: float = 1.5,
     questions_per_s: float = 100.0,
     link_mbps: float = 0.0,
+    fault_interval_s: float = FAULT_INTERVAL_S,
 ) -> int:
     """Run one soak; return the exit status.
 
@@ -363,6 +364,8 @@
         Counts of queues that callers ask for, at one daemon after the other.
     link_mbps : float
         Bandwidth of each daemon's link from the store; 0 for no limit.
+    fault_interval_s : float
+        Mean pause from one fault to the next; answers are judged 3 s after a fault.
     """
     options = dict(locals())
     # Inherited by the daemons, which ignore it only once their interpreter has started.
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -10,7 +10,9 @@
 
 from standins.faulty_proxy import LinkFault
 
-PAUSE_S = (0.2, 1.2)
+# Pauses between faults, as shares of their mean.
+PAUSE_SHARES = (2 / 7, 12 / 7)
+FAULT_INTERVAL_S = 0.7
 EXIT_POLL_S = 0.1
 SHUN_FAULTS = (LinkFault.SILENT, LinkFault.ANSWERS_LOST, LinkFault.RESET)
 LINK_FAULTS = (*SHUN_FAULTS, LinkFault.OPEN_SILENT, LinkFault.REFUSED)
@@ -32,6 +34,8 @@
         Share of the workers that return under their former id.
     worker_cuts : tuple of LinkFault
         Faults of the links of workers that are cut off and run on.
+    interval_s : float
+        Mean pause from one fault to the next.
     """
 
     def __init__(
@@ -41,8 +45,10 @@
         names: tuple[str, ...],
         same_id_share: float,
         worker_cuts: tuple[LinkFault, ...] = LINK_FAULTS,
+        interval_s: float = FAULT_INTERVAL_S,
     ) -> None:
         self._site = site
+        self._pause_s = tuple(share * interval_s for share in PAUSE_SHARES)
         self._worker_cuts = worker_cuts
         self._random = random.Random(f"faults/{seed}")
         self._same_id_share = same_id_share
@@ -67,7 +73,7 @@
         while names and reactor.seconds() < until_s:
             name = self._random.choices(names, weights)[0]
             self._inject(name)
-            yield self._pause(*PAUSE_S)
+            yield self._pause(*self._pause_s)
         if not names:
             yield deferLater(reactor, duration_s)
         while self._active_count:
--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -23,7 +23,7 @@
 from standins.configuration_check import QueueAnswer
 from standins.faulty_proxy import LinkFault
 from tests.soak_checker import ADVANCE_INTERVAL_S, SoakJob, SoakStep
-from tests.soak_faults import LINK_FAULTS, SoakFaults
+from tests.soak_faults import FAULT_INTERVAL_S, LINK_FAULTS, SoakFaults
 from tests.soak_site import QUEUE, QUEUE_HOST, SoakSite
 
 # A failure seen once is traced from the logs of its run.
@@ -202,6 +202,8 @@
         Number of daemons and of workers.
     link_faults : tuple of LinkFault
         Faults of links that are cut.
+    fault_interval_s : float
+        Mean pause from one fault to the next.
     """
 
     def __init__(
@@ -212,9 +214,10 @@
         daemons: int,
         workers: int,
         link_faults: tuple[LinkFault, ...],
+        fault_interval_s: float = FAULT_INTERVAL_S,
     ) -> None:
         self.site = SoakSite(folder, daemons, workers)
-        self._faults = SoakFaults(self.site, seed, link_faults)
+        self._faults = SoakFaults(self.site, seed, link_faults, fault_interval_s)
         self._callers = [
             SoakCaller(self.site, f"{seed}/{number}") for number in range(CALLERS)
         ]
@@ -294,7 +297,7 @@
             f"starts={len(checker.starts)} accepted={outcomes['accepted']} "
             f"refused={outcomes['refused']} unknown={outcomes['unknown']} "
             f"no_room={checker.capacity_refusals} versions={self.site.version} "
-            f"judged={self.site.configurations.judged} "
+            f"{self.site.configurations.summary()} "
             f"configuration_lag={self.site.configurations.lag_max_s:.3f}"
         )
 
@@ -306,6 +309,7 @@
     workers: int = 6,
     folder: Path | None = None,
     refuses: bool = False,
+    fault_interval_s: float = FAULT_INTERVAL_S,
 ) -> int:
     """Run one soak; return the exit status.
 
@@ -322,13 +326,17 @@
         default.
     refuses : bool
         Links that are cut refuse connections.
+    fault_interval_s : float
+        Mean pause from one fault to the next; answers are judged 3 s after a fault.
     """
     if folder is None:
         LOG_FOLDER.mkdir(parents=True, exist_ok=True)
         folder = Path(tempfile.mkdtemp(prefix=f"seed-{seed}-", dir=LOG_FOLDER))
     folder.mkdir(parents=True, exist_ok=True)
     link_faults = (LinkFault.REFUSED,) if refuses else LINK_FAULTS
-    soak = FleetSoak(folder, seed, duration_s, daemons, workers, link_faults)
+    soak = FleetSoak(
+        folder, seed, duration_s, daemons, workers, link_faults, fault_interval_s
+    )
     running = soak.run()
     running.addErrback(lambda failure: soak.failures.append(str(failure)))
     running.addBoth(lambda _result: soak.site.close())
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -12,7 +12,9 @@
 from standins.faulty_proxy import LinkFault
 from tests.soak_site import SoakSite
 
-PAUSE_S = (0.1, 1.6)
+# Pauses between faults, as shares of their mean.
+PAUSE_SHARES = (2 / 17, 32 / 17)
+FAULT_INTERVAL_S = 0.85
 START_DELAY_MAX_S = 9.0
 WRITE_DELAY_MAX_S = 5.0
 EXIT_POLL_S = 0.05
@@ -41,12 +43,19 @@
         Seed of the faults, their targets and times.
     link_faults : tuple of LinkFault
         Faults of links that are cut; the last one is that of crashed workers.
+    interval_s : float
+        Mean pause from one fault to the next.
     """
 
     def __init__(
-        self, site: SoakSite, seed: int, link_faults: tuple[LinkFault, ...]
+        self,
+        site: SoakSite,
+        seed: int,
+        link_faults: tuple[LinkFault, ...],
+        interval_s: float = FAULT_INTERVAL_S,
     ) -> None:
         self._site = site
+        self._pause_s = tuple(share * interval_s for share in PAUSE_SHARES)
         self._link_faults = link_faults
         self._random = random.Random(seed)
         # Of its own, so that the faults of a seed stay the same.
@@ -90,7 +99,7 @@
         self._until_s = reactor.seconds() + duration_s
         while reactor.seconds() < self._until_s:
             self._inject(self._random.choice(self._injectors))
-            yield self._pause(*PAUSE_S)
+            yield self._pause(*self._pause_s)
         while self._active_count:
             yield deferLater(reactor, EXIT_POLL_S)
 
