Emulator: ask for each kind of queue at all daemons in turn

Cause: the queue of each question was drawn, so a daemon was asked for added, dropped and absent queues by chance only. Change: rounds over all daemons, one kind a round; queues are named by their place (prefix and host), for versions that move them.

--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -12,6 +12,8 @@
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
 from emulator.process import EventLog, run_process
 from standins.configuration_check import NO_RESPONSE, NOT_SENT
+from standins.invalid_versions import INVALID_QUEUE
+from standins.queue_places import parse_place
 
 CALL_TIMEOUT_S = 3.0
 ATTEMPTS = 5
@@ -27,10 +29,15 @@
 QUEUE_JOB = (0.0, 2.6, 4, 500, 1_500, 0.0, 0.0, 0.0)
 # Share of the questions about a queue that submit a job to it.
 SUBMIT_SHARE = 0.02
-# A queue that no version has, and one that only invalid versions have.
-ABSENT_QUEUES = ("never", "invalid")
-# Queues that were added or dropped last, which are asked for most.
-CHANGED_QUEUES_MAX = 6
+# A queue that no version has.
+ABSENT_QUEUE = "never"
+# Kinds of queues in the order in which they are asked for, each at all daemons in turn;
+# those that were added or dropped last are asked for most.
+ASKED_KINDS = (
+    "added", "dropped", "absent", "added", "dropped", "current", "added", "dropped",
+    "invalid", "usual",
+)  # fmt: skip
+CHANGED_QUEUES_MAX = 4
 STAY_S = (8.0, 40.0)
 ENDED = ("completed", "failed", "cancelled")
 
@@ -50,9 +57,11 @@
         self._gives_up_share = 0.0
         self._open: dict[str, str] = {}
         self._states: dict[str, str] = {}
-        # Queues of the newest version, and those that were added or dropped last.
+        # Places of the queues of the newest version besides the usual ones, and those
+        # that were added or dropped last.
         self._queues: list[str] = []
-        self._changed: list[str] = []
+        self._added: list[str] = []
+        self._dropped: list[str] = []
         self._asked = 0
         for kind in KINDS:
             self._submit_next(kind)
@@ -63,10 +72,12 @@
     # Commands
 
     def know_queues(self, queues: list[str]) -> None:
-        """Learn which queues the newest version has besides the usual ones."""
-        changed = sorted(set(queues) ^ set(self._queues))[-CHANGED_QUEUES_MAX:]
-        kept = [name for name in self._changed if name not in changed]
-        self._changed = (kept + changed)[-CHANGED_QUEUES_MAX:]
+        """Learn the places of the queues of the newest version."""
+        queues = [place for place in queues if place not in KINDS]
+        added = [place for place in queues if place not in self._queues]
+        dropped = [place for place in self._queues if place not in queues]
+        self._added = _latest(self._added, added, dropped)
+        self._dropped = _latest(self._dropped, dropped, added)
         self._queues = queues
 
     def burst(self, kind: str, factor: float) -> None:
@@ -91,20 +102,21 @@
         if time.monotonic() > self._until_s:
             return
         reactor.callLater(1 / self._questions_per_s, self._ask_next)
+        turn, daemon = divmod(self._asked, len(self._urls))
         self._asked += 1
-        daemon = self._asked % len(self._urls)
         rng = self._random
-        drawn = rng.random()
-        if self._changed and drawn < 0.6:
-            queue = rng.choice(self._changed)
-        elif self._queues and drawn < 0.8:
-            queue = rng.choice(self._queues)
+        places = {
+            "added": self._added,
+            "dropped": self._dropped,
+            "current": self._queues,
+            "absent": [ABSENT_QUEUE],
+            "invalid": [INVALID_QUEUE],
+        }.get(ASKED_KINDS[turn % len(ASKED_KINDS)])
+        place = rng.choice(places) if places else "price"
+        if place.startswith("extra") and rng.random() < SUBMIT_SHARE:
+            self._run_job(place, daemon)
         else:
-            queue = rng.choice((*ABSENT_QUEUES, "price"))
-        if queue.startswith("extra") and rng.random() < SUBMIT_SHARE:
-            self._run_job(queue, daemon)
-        else:
-            self._call(b"GET", f"/{queue}/", daemon=daemon)
+            self._call(b"GET", place, daemon=daemon)
 
     def _submit_next(self, kind: str) -> None:
         if time.monotonic() > self._until_s:
@@ -154,7 +166,7 @@
         )  # fmt: skip
         body = json.dumps({"spec": spec, "steps": steps}).encode()
         for _ in range(ATTEMPTS):
-            status, _ = yield self._call(b"POST", f"/{kind}/{job}", body, daemon)
+            status, _ = yield self._call(b"POST", kind, job, body, daemon)
             if status in (200, 404):
                 break
             yield deferLater(reactor, self._random.uniform(0.1, 0.6))
@@ -175,7 +187,7 @@
     def _cancel(self, kind: str, job: str):
         self._log.write("cancel", job=job)
         while True:
-            status, _ = yield self._call(b"DELETE", f"/{kind}/{job}")
+            status, _ = yield self._call(b"DELETE", kind, job)
             if status in (200, 410):
                 break
             yield deferLater(reactor, 0.3)
@@ -184,7 +196,7 @@
 
     @inlineCallbacks
     def _read(self, kind: str, job: str):
-        status, content = yield self._call(b"GET", f"/{kind}/{job}")
+        status, content = yield self._call(b"GET", kind, job)
         if status != 200:
             self._states[job] = f"status {status}"
             return
@@ -195,7 +207,12 @@
 
     @inlineCallbacks
     def _call(
-        self, method: bytes, path: str, body: bytes = b"", daemon: int | None = None
+        self,
+        method: bytes,
+        place: str,
+        job: str = "",
+        body: bytes = b"",
+        daemon: int | None = None,
     ):
         """Call a daemon, a random one by default.
 
@@ -203,8 +220,9 @@
         """
         if daemon is None:
             daemon = self._random.choice(range(len(self._urls)))
-        url = self._urls[daemon] + path
-        headers = ((b"host", b"desk.example"),)
+        host, path = parse_place(place)
+        url = f"{self._urls[daemon]}{path}{job}"
+        headers = ((b"host", host.encode()),)
         sent_s = time.monotonic()
         try:
             response = yield self._client.fetch(
@@ -218,14 +236,20 @@
         except Exception:  # noqa: BLE001
             # Twisted's network errors share no base class other than Exception.
             response = NO_RESPONSE, b""
-        queue, _, job = path.removeprefix("/").rpartition("/")
         # Submissions and counts; reads of a job go on after its queue was dropped.
         if method == b"POST" or (method == b"GET" and not job):
             self._log.write(
-                "answer", daemon=daemon, queue=queue, sent_s=sent_s, status=response[0]
-            )
+                "answer", daemon=daemon, queue=place, sent_s=sent_s, status=response[0],
+                submits=method == b"POST",
+            )  # fmt: skip
         return response
 
 
+def _latest(known: list[str], new: list[str], gone: list[str]) -> list[str]:
+    """Return the last few names, without those that are gone."""
+    kept = [name for name in known if name not in new and name not in gone]
+    return (kept + new)[-CHANGED_QUEUES_MAX:]
+
+
 if __name__ == "__main__":
     run_process(EmulatedCallers)
