Emulator: versions of all invalid and of unusual valid forms

Cause: there was one form of invalid version (a name that is a number), and no valid version of an unusual form. The queue of an invalid version is asked for at each daemon and must give 404; findings name the forms of the last 5 s. A stand-in that ends by itself is a finding.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -42,6 +42,7 @@
         self.reports: dict[str, dict] = {}
         self.listening: Deferred = Deferred()
         self.name = log.stem
+        self.has_ended = False
         self._on_report = on_report
         self._buffer = b""
         self._errors = open(log.with_suffix(".err"), "ab")  # noqa: SIM115
@@ -74,6 +75,10 @@
         self._errors.write(data)
         self._errors.flush()
 
+    def processEnded(self, _reason) -> None:  # noqa: N802
+        """Note that the process has ended."""
+        self.has_ended = True
+
     def cpu_s(self) -> float:
         """Return the processor time used so far."""
         return read_cpu_s(self.transport.pid)
@@ -192,13 +197,22 @@
         if name == "leader":
             self.leader_member = fields["member"]
             self.leader_revision = fields["revision"] if fields["member"] else 0
+        elif name == "configured":
+            for process in self.callers:
+                process.send("know_queues", **fields)
+
+    def configure(self, form: str = "", **content) -> None:
+        """Write the next version; the callers learn of it from the store."""
+        self._count_version()
+        self.store.send("configure", version=self.version, form=form, **content)
 
-    def configure(self, queues: list[str]) -> None:
-        """Write the next version, with these queues besides the usual ones."""
+    def write_invalid(self, form: str) -> None:
+        """Write a version that must not be put into force."""
+        self._count_version()
+        self.store.send("write_invalid", version=self.version, form=form)
+
+    def _count_version(self) -> None:
         self.version += self._random.randint(1, 7)
-        self.store.send("configure", version=self.version, queues=queues)
-        for process in self.callers:
-            process.send("know_queues", queues=queues)
 
     def leader_number(self) -> int | None:
         """Return the number of the leader's daemon."""
@@ -220,10 +234,13 @@
                 self.log.write("ended-by-itself", daemon=daemon.name)
                 daemon.start()
 
+    def stand_ins(self) -> list[StandIn]:
+        """Return the processes of the emulator."""
+        return [self.store, *self.workers, *self.callers]
+
     def usage(self) -> dict[str, float]:
         """Return the processor time of the stand-ins and of the daemons, in seconds."""
-        stand_ins = [self.store, *self.workers, *self.callers]
-        used = {stand_in.name: stand_in.cpu_s() for stand_in in stand_ins}
+        used = {stand_in.name: stand_in.cpu_s() for stand_in in self.stand_ins()}
         running = [daemon for daemon in self.daemons if daemon.is_running]
         daemons = sorted((read_cpu_s(d.process.pid) for d in running), reverse=True)
         return used | {"daemons": sum(daemons), "busiest-daemon": daemons[0]}
@@ -259,8 +276,9 @@
             options["worker_cuts"], options["fault_interval_s"],
         )  # fmt: skip
         self.changes = ConfigurationChanges(
-            self.site, options["seed"], options["version_interval_s"]
-        )
+            self.site, options["seed"], options["version_interval_s"],
+            options["changes"],
+        )  # fmt: skip
         self.usage: dict[str, float] = {}
         self.failures: list[str] = []
 
@@ -292,6 +310,11 @@
         self.site.log.write("faults-over", load=os.getloadavg()[0], usage=self.usage)
         yield self._await_settled()
         watching.stop()
+        self.failures.extend(
+            f"{stand_in.name} ended by itself: see its .err"
+            for stand_in in self.site.stand_ins()
+            if stand_in.has_ended
+        )
 
     @inlineCallbacks
     def _await_settled(self):
@@ -320,6 +343,7 @@
     checkout: Path = ROOT,
     folder: Path | None = None,
     faults: tuple[str, ...] = (),
+    changes: tuple[str, ...] = (),
     same_id_share: float = 0.5,
     worker_cuts: tuple[LinkFault, ...] = LINK_FAULTS,
     lapse_min_ms: int = 0,
@@ -350,6 +374,8 @@
         Folder for settings and logs; a new one under `LOG_FOLDER` by default.
     faults : tuple of str
         Faults to inject, all by default; ``-NAME`` leaves one out, ``none`` all.
+    changes : tuple of str
+        Kinds of changes of the configuration, all by default; ``-NAME`` leaves one out.
     same_id_share : float
         Share of the workers that return under their former id.
     worker_cuts : tuple of LinkFault
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -13,7 +13,7 @@
 from emulator.process import EventLog, run_process
 from standins.configuration_check import NO_RESPONSE, NOT_SENT
 from standins.invalid_versions import INVALID_QUEUE
-from standins.queue_places import parse_place
+from standins.queue_places import parse_place, queue_at
 
 CALL_TIMEOUT_S = 3.0
 ATTEMPTS = 5
@@ -61,6 +61,9 @@
         # that were added or dropped last.
         self._queues: list[str] = []
         self._added: list[str] = []
+        # By queue: its last place. Jobs that were submitted elsewhere are read there.
+        self._places: dict[str, str] = {}
+        self._limits: dict[str, int] = {}
         self._dropped: list[str] = []
         self._asked = 0
         for kind in KINDS:
@@ -71,8 +74,10 @@
 
     # Commands
 
-    def know_queues(self, queues: list[str]) -> None:
-        """Learn the places of the queues of the newest version."""
+    def know_queues(self, queues: list[str], limits: dict[str, int]) -> None:
+        """Learn the places of the queues of the newest version, and its limits."""
+        self._limits = limits
+        self._places.update((queue_at(place), place) for place in queues)
         queues = [place for place in queues if place not in KINDS]
         added = [place for place in queues if place not in self._queues]
         dropped = [place for place in self._queues if place not in queues]
@@ -187,7 +192,7 @@
     def _cancel(self, kind: str, job: str):
         self._log.write("cancel", job=job)
         while True:
-            status, _ = yield self._call(b"DELETE", kind, job)
+            status, _ = yield self._call(b"DELETE", self._place(kind), job)
             if status in (200, 410):
                 break
             yield deferLater(reactor, 0.3)
@@ -196,7 +201,7 @@
 
     @inlineCallbacks
     def _read(self, kind: str, job: str):
-        status, content = yield self._call(b"GET", kind, job)
+        status, content = yield self._call(b"GET", self._place(kind), job)
         if status != 200:
             self._states[job] = f"status {status}"
             return
@@ -205,6 +210,10 @@
             self._log.write("state", job=job, state=state)
             self._open.pop(job, None)
 
+    def _place(self, kind: str) -> str:
+        """Return the last place of the queue of a job."""
+        return self._places.get(queue_at(kind), kind)
+
     @inlineCallbacks
     def _call(
         self,
--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -341,6 +341,10 @@
     for time_s, event, fields, process in rows:
         if event == "configuration":
             check.add_version(fields["version"], time_s, fields["queues"])
+            if fields.get("form"):
+                check.add_form(time_s, f"valid: {fields['form']}")
+        elif event == "invalid-configuration":
+            check.add_form(time_s, f"invalid: {fields['form']}")
         elif event == "daemon-start":
             daemon = fields["daemon"]
             started_s[daemon].append(time_s)
--- a/emulator/configurations.py
+++ b/emulator/configurations.py
@@ -7,18 +7,31 @@
 from twisted.internet.task import deferLater
 
 from standins.changing_queues import ChangingQueues
+from standins.invalid_versions import (
+    INVALID_BYTES,
+    INVALID_VERSIONS,
+    UNUSUAL_VALID_VERSIONS,
+)
 
 GROWTH_QUEUES = (300, 600)
 STORM_VERSIONS = (8, 40)
 STORM_PAUSE_S = (0.02, 0.2)
-# A version whose queues have names of another type, between two valid ones.
-INVALID_VERSION = '{"version": 1000000, "routes": [{"name": 7, "host": "invalid"}]}'
 # Weights of the kinds of changes.
-KINDS = {"alone": 6, "storm": 2, "grow": 1, "silent": 2, "invalid": 1}
+KINDS = {
+    "alone": 6,
+    "storm": 2,
+    "grow": 1,
+    "silent": 2,
+    "invalid": 1,
+    "invalid_forms": 2,
+    "unusual": 2,
+}
+# The form of the kind `invalid`.
+INVALID_FORM = "name is a number"
 
 
 class ConfigurationChanges:
-    """Adds and drops queues, in single versions and in storms.
+    """Writes versions, alone and in storms, valid, unusual and invalid ones.
 
     Parameters
     ----------
@@ -28,14 +41,26 @@
         Seed of the versions and their times.
     interval_s : float
         Mean time from one change to the next; 0 for no changes.
+    kinds : tuple of str
+        Kinds of changes, all if empty; ``-NAME`` leaves one out.
     """
 
-    def __init__(self, site, seed: int, interval_s: float) -> None:
+    def __init__(
+        self, site, seed: int, interval_s: float, kinds: tuple[str, ...] = ()
+    ) -> None:
         self._site = site
         self._random = random.Random(f"configurations/{seed}")
         self._interval_s = interval_s
         self._queues = ChangingQueues(self._random)
         self._many: list[str] = []
+        self._limits: dict[str, int] = {}
+        left_out = {name[1:] for name in kinds if name.startswith("-")}
+        chosen = {name for name in kinds if not name.startswith("-")} or set(KINDS)
+        self._weights = {
+            name: weight for name, weight in KINDS.items() if name in chosen - left_out
+        }
+        # Each form comes once before any comes again.
+        self._forms: dict[str, list[str]] = {"invalid_forms": [], "unusual": []}
 
     @inlineCallbacks
     def run(self, duration_s: float):
@@ -43,7 +68,7 @@
         if not self._interval_s:
             return
         until_s = reactor.seconds() + duration_s
-        names, weights = list(KINDS), list(KINDS.values())
+        names, weights = list(self._weights), list(self._weights.values())
         while reactor.seconds() < until_s:
             kind = self._random.choices(names, weights)[0]
             self._site.log.write("change", kind=kind)
@@ -51,12 +76,18 @@
             pause_s = self._interval_s * self._random.uniform(0.2, 1.8)
             yield deferLater(reactor, pause_s)
         # The jobs of dropped queues can be read again.
-        queues = self._queues
-        self._site.configure([*queues.current, *queues.dropped, *self._many])
+        self._write(self._queues.dropped)
+
+    def _write(self, more: list[str] = (), form: str = "") -> None:
+        """Write a version with the current queues and more."""
+        queues = [*self._queues.current, *more, *self._many]
+        self._site.configure(
+            form, queues=queues, fields=self._queues.fields, limits=self._limits
+        )
 
     def _alone(self) -> None:
         self._queues.change()
-        self._site.configure([*self._queues.current, *self._many])
+        self._write()
 
     @inlineCallbacks
     def _storm(self):
@@ -76,8 +107,26 @@
         self._site.store.send("silence_connections")
         self._alone()
 
-    @inlineCallbacks
     def _invalid(self):
-        self._site.store.send("write", key="op/config", value=INVALID_VERSION)
+        return self._write_between(INVALID_FORM)
+
+    def _invalid_forms(self):
+        return self._write_between(
+            self._draw_form("invalid_forms", (*INVALID_VERSIONS, *INVALID_BYTES))
+        )
+
+    @inlineCallbacks
+    def _write_between(self, form: str):
+        """Write an invalid version between two valid ones."""
+        self._site.write_invalid(form)
         yield deferLater(reactor, self._random.uniform(0.0, 1.0))
         self._alone()
+
+    def _unusual(self) -> None:
+        self._queues.change()
+        self._write(form=self._draw_form("unusual", UNUSUAL_VALID_VERSIONS))
+
+    def _draw_form(self, kind: str, every) -> str:
+        if not self._forms[kind]:
+            self._forms[kind] = self._random.sample(list(every), len(every))
+        return self._forms[kind].pop()
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -13,8 +13,16 @@
 from dogwoodlever._fleet_records import LEADER_KEY, decode_leader
 from dogwoodlever.platform_errors import LeaseEndedError
 from emulator.process import EventLog, Exchange, HttpPort, run_process
+from standins.changing_queues import OTHER_SERVICE, SERVICE
 from standins.faulty_proxy import LinkFault
 from standins.fleet import FleetRecords
+from standins.invalid_versions import (
+    INVALID_BYTES,
+    INVALID_VERSIONS,
+    UNUSUAL_VALID_VERSIONS,
+    encode_version,
+)
+from standins.queue_places import USUAL_HOST, format_place
 
 ANSWER_S = 0.004
 EXPIRY_INTERVAL_S = 0.05
@@ -58,7 +66,9 @@
         self._beats: dict[str, float] = {}
         self._waiting: list[tuple[str, int, Exchange]] = []
         self._leader_revision = -1
-        self._write_configuration(1, [])
+        # The newest valid version that has routes.
+        self._document: dict = {}
+        self.configure(1, [], {}, {})
         LoopingCall(self._expire).start(EXPIRY_INTERVAL_S)
         self._watch_changes()
         report(
@@ -69,9 +79,48 @@
 
     # Commands
 
-    def configure(self, version: int, queues: list[str]) -> None:
-        """Write a version of the configuration with these queues besides the usual."""
-        self._write_configuration(version, queues)
+    def configure(
+        self,
+        version: int,
+        queues: list[str],
+        fields: dict[str, dict],
+        limits: dict[str, int],
+        form: str = "",
+    ) -> None:
+        """Write a version of the configuration.
+
+        It has these queues besides the usual ones, and these fields in place of those
+        of some queues. It may be of an unusual form.
+        """
+        document = _make_document(version, queues, fields, limits)
+        if form:
+            document = UNUSUAL_VALID_VERSIONS[form](document)
+        if document["routes"]:
+            self._document = document
+        self.records.write("op/config", encode_version(document))
+        routes = document["routes"]
+        places = [format_place(route["host"], route["prefix"]) for route in routes]
+        services = {
+            route["name"]: route["service"]
+            for route in routes
+            if route["service"] != SERVICE
+        }
+        limits = document.get("limits", {})
+        self._log.write(
+            "configuration", version=version, queues=places, services=services,
+            limits=limits, form=form,
+        )  # fmt: skip
+        self._report("configured", queues=places, limits=limits)
+
+    def write_invalid(self, version: int, form: str) -> None:
+        """Write a version that must not be put into force."""
+        self._log.write("invalid-configuration", version=version, form=form)
+        if form in INVALID_BYTES:
+            content = INVALID_BYTES[form]
+        else:
+            document = self._document | {"version": version}
+            content = encode_version(INVALID_VERSIONS[form](document))
+        self.records.write("op/config", content)
 
     def write(self, key: str, value: str) -> None:
         """Write a record as an operator does; an empty value removes it."""
@@ -152,24 +201,6 @@
                 del self._beats[worker_id]
                 self.records.remove(f"servers/{worker_id}")
 
-    def _write_configuration(self, version: int, extra: list[str]) -> None:
-        queues = [("price", 0, 1.5, 250, 3), ("month", 2, 2.0, 1000, 3)]
-        queues.append(("watch", 0, 2.2, 2500, 4))
-        queues.extend((name, 1, 2.0, 500, 3) for name in extra)
-        routes = [
-            {
-                "name": name, "host": "desk.example", "prefix": f"/{name}/",
-                "service": "desk", "priority": priority, "stretch": stretch,
-                "slo_ms": slo_ms, "max_attempts": attempts,
-            }
-            for name, priority, stretch, slo_ms, attempts in queues
-        ]  # fmt: skip
-        services = [{"name": "desk", "enforces_capacity": True}]
-        document = {"version": version, "routes": routes, "services": services}
-        self.records.write("op/config", json.dumps(document).encode())
-        names = [route["name"] for route in routes]
-        self._log.write("configuration", version=version, queues=names)
-
     # Calls of daemons
 
     def _watch_changes(self) -> None:
@@ -286,6 +317,26 @@
         exchange.respond(200)
 
 
+def _make_document(version, queues, fields, limits) -> dict:
+    """Return a version with the usual queues and others."""
+    rows = [("price", 0, 1.5, 250, 3), ("month", 2, 2.0, 1000, 3)]
+    rows.append(("watch", 0, 2.2, 2500, 4))
+    rows.extend((name, 1, 2.0, 500, 3) for name in queues)
+    routes = [
+        {
+            "name": name, "host": USUAL_HOST, "prefix": f"/{name}/",
+            "service": SERVICE, "priority": priority, "stretch": stretch,
+            "slo_ms": slo_ms, "max_attempts": attempts, **fields.get(name, {}),
+        }
+        for name, priority, stretch, slo_ms, attempts in rows
+    ]  # fmt: skip
+    services = [
+        {"name": name, "enforces_capacity": True} for name in (SERVICE, OTHER_SERVICE)
+    ]
+    document = {"version": version, "routes": routes, "services": services}
+    return document | ({"limits": limits} if limits else {})
+
+
 def _item(record: Record) -> dict:
     if record.value is None:
         return {"key": record.key, "revision": record.revision, "tombstone": True}
--- a/standins/changing_queues.py
+++ b/standins/changing_queues.py
@@ -1,14 +1,19 @@
-"""Queues that an operator adds and drops, one a version."""
+"""Queues that an operator adds, drops, moves and changes, one a version."""
 
 import random
 
 QUEUES_MAX = 6
 DROP_SHARE = 0.5
 ADD_AGAIN_SHARE = 0.3
+# Shares of the moves to another host, and back to the first place.
+OTHER_HOST_SHARE = 0.4
+MOVE_BACK_SHARE = 0.3
+OTHER_HOST = "other.example"
+SERVICE, OTHER_SERVICE = "desk", "floor"
 
 
 class ChangingQueues:
-    """Draws which queue the next version adds or drops.
+    """Draws which queue the next version adds, drops, moves or changes.
 
     Parameters
     ----------
@@ -19,13 +24,17 @@
     ----------
     current, dropped : list of str
         Queues of the newest version, and those of earlier ones only.
+    fields : dict of str to dict
+        Fields of the routes of queues that were moved or changed.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self._random = rng
         self._added = 0
+        self._moves = 0
         self.current: list[str] = []
         self.dropped: list[str] = []
+        self.fields: dict[str, dict] = {}
 
     def change(self) -> str:
         """Add a new queue, drop one, or add a dropped one again; return its name."""
@@ -45,3 +54,39 @@
         source.remove(name)
         target.append(name)
         return name
+
+    def change_place(self) -> None:
+        """Move a queue to another prefix or host, or back to its first place."""
+        rng = self._random
+        fields = self._draw_fields()
+        was_moved = fields.pop("prefix", "") or fields.pop("host", "")
+        fields.pop("host", "")
+        self._moves += 1
+        if was_moved and rng.random() < MOVE_BACK_SHARE:
+            return
+        if rng.random() < OTHER_HOST_SHARE:
+            fields["host"] = OTHER_HOST
+        name = next(name for name, found in self.fields.items() if found is fields)
+        fields["prefix"] = f"/{name}.{self._moves}/"
+
+    def change_service(self) -> None:
+        """Move a queue to the other service."""
+        fields = self._draw_fields()
+        is_moved = fields.get("service") == OTHER_SERVICE
+        fields["service"] = SERVICE if is_moved else OTHER_SERVICE
+
+    def change_fields(self) -> None:
+        """Change what shows in the handling of a queue's jobs only."""
+        rng = self._random
+        self._draw_fields().update(
+            timeout_ms=rng.randint(2_500, 6_000),
+            slo_ms=rng.randint(100, 3_000),
+            stretch=round(rng.uniform(1.2, 4.0), 2),
+            priority=rng.randint(0, 3),
+            max_attempts=rng.randint(3, 6),
+        )
+
+    def _draw_fields(self) -> dict:
+        """Return the fields of one of the queues, which is added if there is none."""
+        name = self._random.choice(self.current) if self.current else self.change()
+        return self.fields.setdefault(name, {})
--- a/standins/configuration_check.py
+++ b/standins/configuration_check.py
@@ -20,6 +20,8 @@
 ROLLBACK_SLACK_S = 0.25
 # The factor by which that slack is larger while a daemon is disturbed.
 DISTURBED_FACTOR = 8
+# A version of unusual or invalid form is named in findings for this long.
+FORM_NEAR_S = 5.0
 # Statuses of a caller that got no response, and whose request was not sent.
 NO_RESPONSE = 0
 NOT_SENT = -1
@@ -94,6 +96,7 @@
     def __init__(self) -> None:
         self._versions: list[WrittenVersion] = []
         self._answers: list[QueueAnswer] = []
+        self._forms: list[tuple[float, str]] = []
         # By daemon, or None for all: when each disturbance began and ended.
         self._disturbed: dict[str | None, list[list[float]]] = defaultdict(list)
         self._open: dict[tuple[str | None, str], list[float]] = {}
@@ -123,6 +126,10 @@
         """Add a version that the store has acknowledged, in the order of writes."""
         self._versions.append(WrittenVersion(version, written_s, frozenset(queues)))
 
+    def add_form(self, written_s: float, form: str) -> None:
+        """Add the form of a version that is unusual or invalid, to name it."""
+        self._forms.append((written_s, form))
+
     def add_answer(self, answer: QueueAnswer) -> None:
         """Add an answer of a daemon."""
         self._answers.append(answer)
@@ -255,12 +262,17 @@
             for at_s in (*self._silent_s[None], *self._silent_s[answer.daemon])
         )
 
-    @staticmethod
-    def _describe(answer: QueueAnswer, what: str, rule: str = "CONFIG") -> str:
+    def _describe(self, answer: QueueAnswer, what: str, rule: str = "CONFIG") -> str:
         got = {200: "served", NO_RESPONSE: "no response"}.get(
             answer.status, str(answer.status)
         )
+        forms = ", ".join(
+            form
+            for written_s, form in self._forms
+            if answer.answered_s - FORM_NEAR_S <= written_s <= answer.answered_s
+        )
         return (
             f"{rule}: {answer.daemon} (start {answer.incarnation}) at "
             f"{answer.sent_s:.3f}: queue {answer.queue} {got}, {what}"
+            f"{forms and f'; after {forms}'}"
         )
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -22,6 +22,8 @@
     "remove_leader",
     "flap",
 )
+# The other kinds show faults of issue 50.
+CHANGES = ("alone", "storm", "grow", "silent", "invalid")
 
 
 class EmulationTest(unittest.TestCase):
@@ -32,6 +34,8 @@
         command += ["--seed", "1", "--same-id-share", "0"]
         for fault in FAULTS:
             command += ["--faults", fault]
+        for change in CHANGES:
+            command += ["--changes", change]
         completed = subprocess.run(
             command, cwd=ROOT, capture_output=True, timeout=TIMEOUT_S, text=True
         )
