Emulator: versions that move queues, change services, fields and limits

Cause: versions changed only which queues exist. Judged: places by the counts; starts on a service that a queue has left over 2.25 s before, by leaders in contact (ROUTE); requests just above and below max_body_bytes and max_header_bytes (LIMITS, 413 and 431). The docstring of the check lists what isn't judged.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -136,7 +136,7 @@
         self.version = 1
         # Version numbers increase in uneven steps.
         self._random = random.Random(f"versions/{options['seed']}")
-        self.worker_count = options["workers"]
+        self.worker_count = options["workers"] + options["other_workers"]
         self.store: StandIn | None = None
         self.workers: list[StandIn] = []
         self.callers: list[StandIn] = []
@@ -162,6 +162,7 @@
             process = self._spawn(
                 "workers", number, beats=listening["beats"],
                 numbers=list(range(number, self.worker_count, count)),
+                first_other=options["workers"],
                 lapse_s=[options[f"lapse_{end}_ms"] / 1000 for end in ("min", "max")],
             )  # fmt: skip
             self.workers.append(process)
@@ -337,6 +338,7 @@
     duration_s: float = 45.0,
     daemons: int = 42,
     workers: int = 176,
+    other_workers: int = 4,
     load: float = 1.0,
     worker_processes: int = 4,
     caller_processes: int = 1,
@@ -364,6 +366,8 @@
         Time during which jobs are submitted and faults injected.
     daemons, workers : int
         Number of daemons and of workers.
+    other_workers : int
+        Number of workers of a second service, to which queues are moved.
     load : float
         Jobs a second, as a share of the full load.
     worker_processes, caller_processes : int
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -35,8 +35,12 @@
 # those that were added or dropped last are asked for most.
 ASKED_KINDS = (
     "added", "dropped", "absent", "added", "dropped", "current", "added", "dropped",
-    "invalid", "usual",
+    "invalid", "usual", "limit",
 )  # fmt: skip
+# How far from a limit the size of a request is, for bodies and for headers, whose
+# bytes may be counted with the first line and the ends of lines or without.
+LIMIT_DISTANCES_BYTES = {"max_body_bytes": 1, "max_header_bytes": 512}
+PADDING_LINE_BYTES = 1_000
 CHANGED_QUEUES_MAX = 4
 STAY_S = (8.0, 40.0)
 ENDED = ("completed", "failed", "cancelled")
@@ -109,6 +113,10 @@
         reactor.callLater(1 / self._questions_per_s, self._ask_next)
         turn, daemon = divmod(self._asked, len(self._urls))
         self._asked += 1
+        kind = ASKED_KINDS[turn % len(ASKED_KINDS)]
+        if kind == "limit" and self._limits:
+            self._test_limit(daemon)
+            return
         rng = self._random
         places = {
             "added": self._added,
@@ -116,13 +124,32 @@
             "current": self._queues,
             "absent": [ABSENT_QUEUE],
             "invalid": [INVALID_QUEUE],
-        }.get(ASKED_KINDS[turn % len(ASKED_KINDS)])
+        }.get(kind)
         place = rng.choice(places) if places else "price"
         if place.startswith("extra") and rng.random() < SUBMIT_SHARE:
             self._run_job(place, daemon)
         else:
             self._call(b"GET", place, daemon=daemon)
 
+    def _test_limit(self, daemon: int) -> None:
+        """Send a request whose size is just above or just below a limit."""
+        rng = self._random
+        limit = rng.choice(list(LIMIT_DISTANCES_BYTES))
+        distance = rng.choice((-1, 1)) * LIMIT_DISTANCES_BYTES[limit]
+        size = self._limits[limit] + distance
+        if limit == "max_header_bytes":
+            self._call(
+                b"GET", "price", daemon=daemon, limit=limit, size=size,
+                headers=_pad_headers(size),
+            )  # fmt: skip
+            return
+        job = f"{rng.getrandbits(64):016x}"
+        step = {"count": 1, "cpu": 500, "mem_mb": 100, "est_runtime_ms": 20}
+        spec = json.dumps([{"cpu": 500, "ms": 20, "fail": 0.0}])
+        body = json.dumps({"spec": spec, "steps": [step]}).encode().ljust(size)
+        self._log.write("submit", job=job, kind="price", counts=[1], copies=[])
+        self._call(b"POST", "price", job, body, daemon, limit=limit, size=size)
+
     def _submit_next(self, kind: str) -> None:
         if time.monotonic() > self._until_s:
             return
@@ -222,8 +249,11 @@
         job: str = "",
         body: bytes = b"",
         daemon: int | None = None,
+        limit: str = "",
+        size: int = 0,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
     ):
-        """Call a daemon, a random one by default.
+        """Call a daemon, a random one by default; its size may be near a limit.
 
         The status is 0 without a response, -1 if the request was not sent.
         """
@@ -231,7 +261,7 @@
             daemon = self._random.choice(range(len(self._urls)))
         host, path = parse_place(place)
         url = f"{self._urls[daemon]}{path}{job}"
-        headers = ((b"host", host.encode()),)
+        headers = ((b"host", host.encode()), *headers)
         sent_s = time.monotonic()
         try:
             response = yield self._client.fetch(
@@ -249,11 +279,19 @@
         if method == b"POST" or (method == b"GET" and not job):
             self._log.write(
                 "answer", daemon=daemon, queue=place, sent_s=sent_s, status=response[0],
-                submits=method == b"POST",
+                submits=method == b"POST", limit=limit, size=size,
             )  # fmt: skip
         return response
 
 
+def _pad_headers(size: int) -> tuple[tuple[bytes, bytes], ...]:
+    """Return headers that have about this size with the others of a count."""
+    names = [b"x-padding-%d" % number for number in range(size // PADDING_LINE_BYTES)]
+    # The first line, `Host` and the ends of lines take some 100 bytes.
+    left = size - 100 - sum(len(name) + 4 for name in names)
+    return tuple((name, b"x" * (left // len(names))) for name in names)
+
+
 def _latest(known: list[str], new: list[str], gone: list[str]) -> list[str]:
     """Return the last few names, without those that are gone."""
     kept = [name for name in known if name not in new and name not in gone]
--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -9,14 +9,19 @@
 
 import msgspec
 
+from emulator.service_check import LoggedStart, ServiceCheck
+from standins.changing_queues import SERVICE
 from standins.configuration_check import ConfigurationCheck, QueueAnswer
 from standins.faulty_proxy import LinkFault
+from standins.limits_check import LimitAnswer, LimitsCheck
 
 # Lags and faults within this time before a second start are part of its finding.
 NEAR_S = 15.0
 LAG_NEAR_S = 7.0
 # A stand-in that is late by less does not explain a finding.
 LAG_MIN_S = 0.1
+# An order that a worker carries out within this time of a lag of its own may be late.
+LATE_NEAR_S = 1.0
 LINKS_PER_TERM_MAX = 1_000_000
 # Longest time from SIGTERM to the end of a daemon.
 GRACE_S = 6.0
@@ -115,8 +120,11 @@
         findings.extend(self._check_completed())
         findings.extend(self._check_cuts())
         findings.extend(self._check_failed())
-        configurations = read_configurations(self.rows)
+        configurations, limits = read_configurations(self.rows)
         findings.extend(configurations.check())
+        findings.extend(limits.check())
+        self.counts["limits_judged"] = limits.judged
+        findings.extend(self._check_services(configurations))
         self.counts["configurations_judged"] = configurations.judged
         counts = " ".join(f"{name}={self.counts[name]}" for name in sorted(self.counts))
         summary = (
@@ -264,6 +272,29 @@
                     )
         return findings
 
+    def _check_services(self, configurations: ConfigurationCheck) -> list[str]:
+        """Find starts on workers of a service that a queue has left."""
+        check, lags, starts = ServiceCheck(), Lags(self.rows), []
+        for time_s, event, fields, process in self.rows:
+            if event == "configuration":
+                check.add_version(time_s, fields["queues"], fields.get("services", {}))
+            elif event == "up":
+                check.add_worker(fields["worker"], fields.get("service", SERVICE))
+            elif event == "submit":
+                check.add_job(fields["job"], fields.get("kind", ""))
+            elif event == "start":
+                # A worker that is late itself carries out orders late.
+                late_s = lags.sum_s(process, time_s - LATE_NEAR_S, time_s)
+                if fields["late"] or late_s > LAG_MIN_S:
+                    continue
+                leader = self._leader_of(fields["token"])
+                starts.append(
+                    LoggedStart(fields["task"], fields["worker"], time_s, leader)
+                )
+        findings = check.check(starts, configurations)
+        self.counts["services_judged"] = check.judged
+        return findings
+
     def _describe(self, task, what, former: LoggedRun, run: LoggedRun) -> str:
         lines = [f"TWICE: {task}: {what}"]
         for each in (former, run):
@@ -314,7 +345,7 @@
         )
 
 
-class _Lags:
+class Lags:
     """For how long each process was late, and when."""
 
     def __init__(self, rows) -> None:
@@ -332,15 +363,17 @@
         return sum(late_s for _, late_s in lags[first:last])
 
 
-def read_configurations(rows) -> ConfigurationCheck:
-    """Return the check of the versions that were written and of the answers."""
+def read_configurations(rows) -> tuple[ConfigurationCheck, LimitsCheck]:
+    """Return the checks of the versions that were written and of the answers."""
     check = ConfigurationCheck()
+    limits = LimitsCheck(check)
     # Times at which each daemon's process was started.
     started_s: dict[int, list[float]] = defaultdict(list)
-    lags = _Lags(rows)
+    lags = Lags(rows)
     for time_s, event, fields, process in rows:
         if event == "configuration":
             check.add_version(fields["version"], time_s, fields["queues"])
+            limits.add_version(fields["version"], fields.get("limits", {}))
             if fields.get("form"):
                 check.add_form(time_s, f"valid: {fields['form']}")
         elif event == "invalid-configuration":
@@ -353,18 +386,20 @@
                 check.end_disturbance(cause, time_s, f"vm{daemon}")
         elif event == "answer":
             daemon, sent_s = fields["daemon"], fields["sent_s"]
-            check.add_answer(
-                QueueAnswer(
-                    f"vm{daemon}",
-                    bisect.bisect(started_s[daemon], sent_s),
-                    fields["queue"],
-                    sent_s,
-                    time_s,
-                    fields["status"],
-                    lags.sum_s(process, sent_s, time_s),
-                    fields.get("submits", False),
-                )
+            answer = QueueAnswer(
+                f"vm{daemon}",
+                bisect.bisect(started_s[daemon], sent_s),
+                fields["queue"],
+                sent_s,
+                time_s,
+                fields["status"],
+                lags.sum_s(process, sent_s, time_s),
+                fields.get("submits", False),
             )
+            if fields.get("limit"):
+                limits.add_answer(LimitAnswer(fields["limit"], fields["size"], answer))
+            else:
+                check.add_answer(answer)
         elif event == "silenced":
             check.add_silence(time_s)
         elif event == "fault":
@@ -377,7 +412,7 @@
             # The store answers late itself.
             check.begin_disturbance("lag", time_s - fields["late_s"])
             check.end_disturbance("lag", time_s)
-    return check
+    return check, limits
 
 
 def _read_disturbance(check: ConfigurationCheck, time_s: float, fields: dict) -> None:
--- a/emulator/configurations.py
+++ b/emulator/configurations.py
@@ -25,6 +25,10 @@
     "invalid": 1,
     "invalid_forms": 2,
     "unusual": 2,
+    "move": 3,
+    "service": 2,
+    "fields": 1,
+    "limits": 1,
 }
 # The form of the kind `invalid`.
 INVALID_FORM = "name is a number"
@@ -53,12 +57,13 @@
         self._interval_s = interval_s
         self._queues = ChangingQueues(self._random)
         self._many: list[str] = []
-        self._limits: dict[str, int] = {}
+        self._limit_values: dict[str, int] = {}
         left_out = {name[1:] for name in kinds if name.startswith("-")}
         chosen = {name for name in kinds if not name.startswith("-")} or set(KINDS)
         self._weights = {
             name: weight for name, weight in KINDS.items() if name in chosen - left_out
         }
+        self._changes = {name: getattr(self, f"_{name}") for name in KINDS}
         # Each form comes once before any comes again.
         self._forms: dict[str, list[str]] = {"invalid_forms": [], "unusual": []}
 
@@ -72,7 +77,7 @@
         while reactor.seconds() < until_s:
             kind = self._random.choices(names, weights)[0]
             self._site.log.write("change", kind=kind)
-            yield getattr(self, f"_{kind}")()
+            yield self._changes[kind]()
             pause_s = self._interval_s * self._random.uniform(0.2, 1.8)
             yield deferLater(reactor, pause_s)
         # The jobs of dropped queues can be read again.
@@ -82,7 +87,7 @@
         """Write a version with the current queues and more."""
         queues = [*self._queues.current, *more, *self._many]
         self._site.configure(
-            form, queues=queues, fields=self._queues.fields, limits=self._limits
+            form, queues=queues, fields=self._queues.fields, limits=self._limit_values
         )
 
     def _alone(self) -> None:
@@ -126,6 +131,28 @@
         self._queues.change()
         self._write(form=self._draw_form("unusual", UNUSUAL_VALID_VERSIONS))
 
+    def _move(self) -> None:
+        self._queues.change_place()
+        self._write()
+
+    def _service(self) -> None:
+        self._queues.change_service()
+        self._write()
+
+    def _fields(self) -> None:
+        self._queues.change_fields()
+        self._write()
+
+    def _limits(self) -> None:
+        rng = self._random
+        self._limit_values = {
+            "max_header_bytes": rng.randint(4_000, 12_000),
+            "max_body_bytes": rng.randint(20_000, 60_000),
+            "header_timeout_ms": rng.randint(3_000, 8_000),
+            "idle_timeout_ms": rng.randint(20_000, 60_000),
+        }
+        self._write()
+
     def _draw_form(self, kind: str, every) -> str:
         if not self._forms[kind]:
             self._forms[kind] = self._random.sample(list(every), len(every))
--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -11,6 +11,7 @@
 
 from dogwoodlever._http_client import HttpClient
 from emulator.process import EventLog, Exchange, HttpPort, run_process
+from standins.changing_queues import OTHER_SERVICE, SERVICE
 from standins.faulty_proxy import LinkFault
 
 BEAT_S = 1.5
@@ -72,6 +73,8 @@
         self._random = random.Random(f"worker/{process.seed}/{number}")
         self._log = process.log
         self.number = number
+        is_other = number >= process.first_other
+        self.service = OTHER_SERVICE if is_other else SERVICE
         self.port = HttpPort(self._serve)
         self.worker: EmulatedWorker | None = None
         self._lives = 0
@@ -95,7 +98,9 @@
         worker_id = f"w{self.number:03d}-{self._lives}"
         self.worker = EmulatedWorker(worker_id, born, time.monotonic(), rate)
         self.is_draining = False
-        self._log.write("up", worker=worker_id, born=born, kept=keeps_id)
+        self._log.write(
+            "up", worker=worker_id, born=born, kept=keeps_id, service=self.service
+        )
         self.port.inject(self.port.fault)
 
     def stop(self) -> None:
@@ -113,7 +118,7 @@
     def entry(self) -> dict:
         """Return the worker's entry in the store."""
         return {
-            "service": "desk",
+            "service": self.service,
             "address": f"127.0.0.1:{self.port.port}",
             "zone": f"z{self.number % 3}",
             "state": "draining" if self.is_draining else "ready",
@@ -355,6 +360,8 @@
         self.log = log
         self.seed = options["seed"]
         self.lapse_s = options["lapse_s"]
+        # Workers from this number on are of the other service.
+        self.first_other = options["first_other"]
         # Faults of the calls of leaders that are cut off, by fencing token.
         self.shunned: dict[int, str] = {}
         self._client = HttpClient(reactor, 1.0, 1)
--- a/standins/configuration_check.py
+++ b/standins/configuration_check.py
@@ -5,6 +5,13 @@
 
 A queue that is in every version that may be in force must also be served, whatever the
 leader does (rule SERVED), and one that is in none of them must be refused.
+
+Of the fields of a version, what shows outside is judged: which queues there are and at
+which host and prefix (here), their services (`emulator.service_check`), and
+`max_body_bytes` and `max_header_bytes` (`standins.limits_check`). Not judged are
+`timeout_ms`, `slo_ms`, `stretch`, `priority`, `max_attempts`, `kind` and `advice` of a
+route, `enforces_capacity` and `standby` of a service, and the limits
+`header_timeout_ms` and `idle_timeout_ms`; nor whether jobs of a dropped queue start.
 """
 
 import bisect
@@ -180,7 +187,7 @@
         ]
         if not allowing:
             return [self._describe(answer, "allowed by no version")]
-        is_in_contact = self._is_in_contact(answer)
+        is_in_contact = self._has_contact(answer)
         if is_in_contact:
             self.judged_by_status[answer.label] += 1
         findings = []
@@ -204,16 +211,10 @@
 
     def _check_failure(self, answer: QueueAnswer) -> list[str]:
         """Return a finding for an answer that says neither yes nor no."""
-        if answer.status == NOT_SENT or not self._is_in_contact(answer):
-            return []
-        if answer.status == NO_RESPONSE:
-            is_soon = answer.answered_s - answer.sent_s < CUT_SLACK_S
-            if is_soon or answer.late_s > CALLER_LATE_MAX_S:
-                return []
-        if answer.is_submission and self._has_silence(answer):
+        if not self.is_judged(answer):
             return []
         self.judged_by_status[answer.label] += 1
-        in_force = self._find_in_force(answer.sent_s, answer.answered_s)
+        in_force = self.find_in_force(answer.sent_s, answer.answered_s)
         having = sum(answer.queue in version.queues for version in in_force)
         took_s = answer.answered_s - answer.sent_s
         if in_force and having == len(in_force):
@@ -224,7 +225,18 @@
             return []
         return [self._describe(answer, what, "SERVED")]
 
-    def _find_in_force(self, sent_s: float, answered_s: float) -> list[WrittenVersion]:
+    def is_judged(self, answer: QueueAnswer) -> bool:
+        """Return whether a daemon has to serve a request, and the caller sees it."""
+        if answer.status == NOT_SENT or not self._has_contact(answer):
+            return False
+        if answer.status == NO_RESPONSE:
+            is_soon = answer.answered_s - answer.sent_s < CUT_SLACK_S
+            if is_soon or answer.late_s > CALLER_LATE_MAX_S:
+                return False
+        is_lost = answer.status != 200 and self._has_silence(answer)
+        return not (answer.is_submission and is_lost)
+
+    def find_in_force(self, sent_s: float, answered_s: float) -> list[WrittenVersion]:
         """Return the versions that may be in force during a call; none if unknown."""
         versions = self._versions
         last = bisect.bisect_right(versions, answered_s, key=lambda v: v.written_s)
@@ -248,13 +260,17 @@
         )
         return [self._describe(answer, what)]
 
-    def _is_in_contact(self, answer: QueueAnswer) -> bool:
-        spans = (*self._disturbed[None], *self._disturbed[answer.daemon])
+    def is_in_contact(self, daemon: str, begun_s: float, ended_s: float) -> bool:
+        """Return whether a daemon was in contact from one time to another."""
+        spans = (*self._disturbed[None], *self._disturbed[daemon])
         return not any(
-            begun_s <= answer.answered_s and ended_s >= answer.sent_s - CONTACT_S
-            for begun_s, ended_s in spans
+            begin_s <= ended_s and end_s >= begun_s - CONTACT_S
+            for begin_s, end_s in spans
         )
 
+    def _has_contact(self, answer: QueueAnswer) -> bool:
+        return self.is_in_contact(answer.daemon, answer.sent_s, answer.answered_s)
+
     def _has_silence(self, answer: QueueAnswer) -> bool:
         """Return whether a connection fell silent during a call or shortly before."""
         return any(
