Tests of the checks of configuration: tables with each rule broken and just kept

Change: tables of hand-made logs for SERVED, LIMITS and ROUTE; the emulator's versions, places and padded requests.

--- a/tests/test_emulator_checker.py
+++ b/tests/test_emulator_checker.py
@@ -57,6 +57,53 @@
     return [time_s, "answer", fields]
 
 
+def no_response(time_s, queue):
+    """Return the row of a request that got no response for 3 s."""
+    fields = {"daemon": 3, "queue": queue, "status": 0, "sent_s": time_s - 3.0}
+    return [time_s, "answer", fields]
+
+
+def limited(time_s, limit, size, status):
+    """Return the row of an answer to a request whose size is near a limit."""
+    fields = {"daemon": 3, "queue": "price", "status": status, "limit": limit}
+    fields |= {"size": size, "sent_s": time_s - 0.01}
+    return [time_s, "answer", fields]
+
+
+def limits(time_s, version, **values):
+    """Return the row of a version with limits."""
+    fields = {"version": version, "queues": ["price"], "limits": values}
+    return [time_s, "configuration", fields]
+
+
+def moved(time_s, version, service, queues=("price", "extra.2")):
+    """Return the row of a version that sends the queue `extra` to a service."""
+    services = {"extra": service} if service != "desk" else {}
+    fields = {"version": version, "queues": list(queues), "services": services}
+    return [time_s, "configuration", fields]
+
+
+def start_on(time_s, worker, late=False):
+    """Return the row of a start of a task of the job that was submitted to `extra`."""
+    fields = {"task": TASK, "run": 1, "token": 5_000_001, "late": late}
+    return [time_s, "start", {"worker": worker, "born": 1, **fields}]
+
+
+# The two limits, and their change to lower ones.
+LIMITS = (
+    [0.0, "daemon-start", {"daemon": 3}],
+    limits(1.0, 1, max_body_bytes=900, max_header_bytes=500),
+    limits(10.0, 2, max_body_bytes=700, max_header_bytes=300),
+)
+# The queue `extra` is moved from one service to another, at which the second worker is.
+MOVED = (
+    [0.0, "daemon-start", {"daemon": 3}],
+    [0.1, "leader", {"revision": 5, "member": "vm3@1"}],
+    [0.2, "up", {"worker": "w001-1", "born": 1, "service": "desk"}],
+    [0.2, "up", {"worker": "w002-1", "born": 1, "service": "floor"}],
+    moved(1.0, 1, "desk"), moved(10.0, 2, "floor"),
+    [9.0, "submit", {"job": TASK[:16], "kind": "extra.1", "counts": [1], "copies": []}],
+)  # fmt: skip
 # A queue is added to the configuration.
 ADDED = (
     [0.0, "daemon-start", {"daemon": 3}], *versions((1.0, 1, ("price",))),
@@ -160,6 +207,83 @@
                 fault(1.0, "terminate"), fault(5.0, "kill"), cut(5.8, 5.5),
             )),
         )  # fmt: skip
+        self.check_table(cases)
+
+    # Guards against an emulation that cannot show that a queue in force is not served.
+    def test_findings_of_failures(self):
+        served = "SERVED"
+        cases = (
+            ("503 in force", served, (*ADDED, answer(12.5, "extra", 503))),
+            ("503 within 2 s", None, (*ADDED, answer(11.9, "extra", 503))),
+            ("503 while it is cut off", None, (
+                *ADDED, fault(9.9, "cut-store", how="silent"),
+                answer(12.5, "extra", 503),
+            )),
+            ("503 while another is killed", served, (
+                *ADDED, [11.0, "fault", {"fault": "kill", "daemons": [4]}],
+                answer(12.5, "extra", 503),
+            )),
+            ("no response", served, (*ADDED, no_response(16.0, "extra"))),
+            ("no response to a late caller", None, (
+                *ADDED, no_response(16.0, "extra"), [16.05, "lag", {"late_s": 0.2}],
+            )),
+            ("not sent", None, (*ADDED, answer(12.5, "extra", -1))),
+        )  # fmt: skip
+        self.check_rules(cases)
+
+    # Guards against limits of a version that are in force nowhere.
+    def test_findings_of_limits(self):
+        body, header, rule = "max_body_bytes", "max_header_bytes", "LIMITS"
+        cases = (
+            ("above, refused", None, limited(12.5, body, 701, 413)),
+            ("above, served", rule, limited(12.5, body, 701, 200)),
+            ("above, another status", rule, limited(12.5, body, 701, 400)),
+            ("above the former one within 2 s", rule, limited(11.9, body, 901, 200)),
+            ("between the two within 2 s", None, limited(11.9, body, 800, 200)),
+            ("between the two after 2 s", rule, limited(12.1, body, 800, 200)),
+            ("below, served", None, limited(12.5, body, 699, 200)),
+            ("below, refused", rule, limited(12.5, body, 699, 413)),
+            ("below, not served", rule, limited(12.5, body, 699, 503)),
+            ("header above, refused", None, limited(12.5, header, 301, 431)),
+            ("header above, served", rule, limited(12.5, header, 301, 200)),
+            ("header above, refused as a body", rule, limited(12.5, header, 301, 413)),
+            ("header below, refused", rule, limited(12.5, header, 299, 431)),
+        )
+        self.check_rules([(name, rule, (*LIMITS, row)) for name, rule, row in cases])
+        cut = fault(9.9, "cut-store", how="silent")
+        row = limited(12.5, body, 701, 200)
+        self.check_rules([("cut off", None, (*LIMITS, cut, row))])
+        no_limits = limits(10.0, 2)
+        self.check_rules([("no limits", None, (*LIMITS[:2], no_limits, row))])
+
+    # Guards against tasks that are started on a service that their queue has left.
+    def test_findings_of_services(self):
+        dropped = moved(10.5, 3, "floor", queues=("price",))
+        cases = (
+            ("former service within 2.25 s", None, (start_on(12.2, "w001-1"),)),
+            ("former service after 2.25 s", "ROUTE", (start_on(12.3, "w001-1"),)),
+            ("new service", None, (start_on(12.3, "w002-1"),)),
+            ("new service at once", None, (start_on(10.1, "w002-1"),)),
+            ("new service too soon", "ROUTE", (start_on(9.9, "w002-1"),)),
+            ("a late order", None, (start_on(12.3, "w001-1", late=True),)),
+            ("a worker that is late", None, (
+                [12.0, "lag", {"late_s": 0.5}], start_on(12.3, "w001-1"),
+            )),
+            ("leader cut off", None, (
+                fault(9.9, "cut-store", how="silent"), start_on(12.3, "w001-1"),
+            )),
+            ("queue dropped", None, (dropped, start_on(13.3, "w001-1"))),
+        )  # fmt: skip
+        self.check_rules([(name, rule, (*MOVED, *rows)) for name, rule, rows in cases])
+
+    def check_rules(self, cases):
+        """Check that rows break one rule, or none."""
+        for name, rule, rows in cases:
+            with self.subTest(name):
+                rules = [finding.partition(":")[0] for finding in self.check(rows)]
+                self.assertEqual(rules, [rule] if rule else [])
+
+    def check_table(self, cases):
         for name, count, rows in cases:
             with self.subTest(name):
                 self.assertEqual(len(self.check(rows)), count)
