--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -20,8 +20,9 @@
 
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
 from standins.changing_queues import ChangingQueues
-from standins.configuration_check import QueueAnswer
+from standins.configuration_check import NO_RESPONSE, NOT_SENT, QueueAnswer
 from standins.faulty_proxy import LinkFault
+from standins.invalid_versions import INVALID_QUEUE
 from tests.soak_checker import ADVANCE_INTERVAL_S, SoakJob, SoakStep
 from tests.soak_faults import FAULT_INTERVAL_S, LINK_FAULTS, SoakFaults
 from tests.soak_site import QUEUE, QUEUE_HOST, SoakSite
@@ -60,6 +61,7 @@
         # Of its own, so that the jobs of a seed stay the same.
         self._count_random = random.Random(f"counts/{seed}")
         self._client = HttpClient(reactor, CALL_TIMEOUT_S, 2)
+        self._counted = 0
         self.outcomes: Counter[str] = Counter()
 
     @inlineCallbacks
@@ -116,19 +118,23 @@
                 method, url, body, CALL_TIMEOUT_S, headers
             )
         except NOT_SENT_ERRORS:
-            return -1, b""
+            response = NOT_SENT, b""
         except ConnectionLost:
             checker.check_cut(daemon, process.is_stopping, sent_advances)
-            return 0, b""
+            response = NO_RESPONSE, b""
         except Exception:  # noqa: BLE001
             # Twisted's network errors share no base class other than Exception.
-            return 0, b""
-        status, _ = response
-        # The process that answered may have been started meanwhile.
-        if status in (200, 404) and incarnation == process.starts:
+            response = NO_RESPONSE, b""
+        # The process that answered may have been started meanwhile. Failed reads and
+        # cancellations of a job don't show whether its queue is served.
+        is_shown = method == b"POST" or not name or response[0] in (200, 404)
+        if incarnation == process.starts and is_shown:
+            answered_s = reactor.seconds()
+            advanced_s = (checker.advances - sent_advances) * ADVANCE_INTERVAL_S
             answer = QueueAnswer(
-                daemon, incarnation, queue, sent_s, reactor.seconds(), status
-            )
+                daemon, incarnation, queue, sent_s, answered_s, response[0],
+                answered_s - sent_s - advanced_s, method == b"POST",
+            )  # fmt: skip
             self._site.configurations.add_answer(answer)
         return response
 
@@ -156,15 +162,18 @@
             yield deferLater(reactor, 0.3)
 
     def count(self, queues: ChangingQueues) -> None:
-        """Ask each daemon for the pending jobs of a usual queue and of a changing one.
+        """Ask each daemon for the pending jobs of a usual queue and of another one.
 
-        The other may have been added or dropped just now, or never have existed.
+        The kinds of the other one take turns: it was added or dropped just now, has
+        never existed or is in invalid versions only.
         """
         rng = self._count_random
+        self._counted += 1
+        kinds = (queues.current[-2:], queues.dropped[-2:], ["never"], [INVALID_QUEUE])
+        others = kinds[self._counted % len(kinds)] or ["never"]
         for daemon in self._site.daemons:
             self._call_daemon(daemon, b"GET", "")
-            changing = (*queues.current[-2:], *queues.dropped[-2:], "never")
-            self._call_daemon(daemon, b"GET", "", queue=rng.choice(changing))
+            self._call_daemon(daemon, b"GET", "", queue=rng.choice(others))
 
     @inlineCallbacks
     def read(self, job: SoakJob):
