--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -41,7 +41,15 @@
         )
         output = completed.stdout[-2000:] + completed.stderr[-4000:]
         self.assertIn("seed=1 ", completed.stdout, output)
-        for rule in ("TWICE", "MIXED", "LOST", "CONFIG", "Traceback"):
+        for rule in (
+            "TWICE",
+            "MIXED",
+            "LOST",
+            "CONFIG",
+            "SERVED",
+            "ROUTE",
+            "Traceback",
+        ):
             self.assertNotIn(rule, output)
 
 
