--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -20,7 +20,7 @@
 
 from emulator.checker import check_logs
 from emulator.configurations import ConfigurationChanges
-from emulator.faults import LINK_FAULTS, SiteFaults
+from emulator.faults import FAULT_INTERVAL_S, LINK_FAULTS, SiteFaults
 from emulator.process import EventLog
 from standins.daemon_process import ROOT, DaemonProcess
 from standins.faulty_proxy import LinkFault
@@ -42,6 +42,7 @@
         self.reports: dict[str, dict] = {}
         self.listening: Deferred = Deferred()
         self.name = log.stem
+        self.has_ended = False
         self._on_report = on_report
         self._buffer = b""
         self._errors = open(log.with_suffix(".err"), "ab")  # noqa: SIM115
@@ -74,6 +75,10 @@
         self._errors.write(data)
         self._errors.flush()
 
+    def processEnded(self, _reason) -> None:  # noqa: N802
+        """Note that the process has ended."""
+        self.has_ended = True
+
     def cpu_s(self) -> float:
         """Return the processor time used so far."""
         return read_cpu_s(self.transport.pid)
@@ -131,7 +136,7 @@
         self.version = 1
         # Version numbers increase in uneven steps.
         self._random = random.Random(f"versions/{options['seed']}")
-        self.worker_count = options["workers"]
+        self.worker_count = options["workers"] + options["other_workers"]
         self.store: StandIn | None = None
         self.workers: list[StandIn] = []
         self.callers: list[StandIn] = []
@@ -157,6 +162,7 @@
             process = self._spawn(
                 "workers", number, beats=listening["beats"],
                 numbers=list(range(number, self.worker_count, count)),
+                first_other=options["workers"],
                 lapse_s=[options[f"lapse_{end}_ms"] / 1000 for end in ("min", "max")],
             )  # fmt: skip
             self.workers.append(process)
@@ -192,13 +198,22 @@
         if name == "leader":
             self.leader_member = fields["member"]
             self.leader_revision = fields["revision"] if fields["member"] else 0
+        elif name == "configured":
+            for process in self.callers:
+                process.send("know_queues", **fields)
+
+    def configure(self, form: str = "", **content) -> None:
+        """Write the next version; the callers learn of it from the store."""
+        self._count_version()
+        self.store.send("configure", version=self.version, form=form, **content)
 
-    def configure(self, queues: list[str]) -> None:
-        """Write the next version, with these queues besides the usual ones."""
+    def write_invalid(self, form: str) -> None:
+        """Write a version that must not be put into force."""
+        self._count_version()
+        self.store.send("write_invalid", version=self.version, form=form)
+
+    def _count_version(self) -> None:
         self.version += self._random.randint(1, 7)
-        self.store.send("configure", version=self.version, queues=queues)
-        for process in self.callers:
-            process.send("know_queues", queues=queues)
 
     def leader_number(self) -> int | None:
         """Return the number of the leader's daemon."""
@@ -220,10 +235,13 @@
                 self.log.write("ended-by-itself", daemon=daemon.name)
                 daemon.start()
 
+    def stand_ins(self) -> list[StandIn]:
+        """Return the processes of the emulator."""
+        return [self.store, *self.workers, *self.callers]
+
     def usage(self) -> dict[str, float]:
         """Return the processor time of the stand-ins and of the daemons, in seconds."""
-        stand_ins = [self.store, *self.workers, *self.callers]
-        used = {stand_in.name: stand_in.cpu_s() for stand_in in stand_ins}
+        used = {stand_in.name: stand_in.cpu_s() for stand_in in self.stand_ins()}
         running = [daemon for daemon in self.daemons if daemon.is_running]
         daemons = sorted((read_cpu_s(d.process.pid) for d in running), reverse=True)
         return used | {"daemons": sum(daemons), "busiest-daemon": daemons[0]}
@@ -256,11 +274,12 @@
         self._options = options
         self.faults = SiteFaults(
             self.site, options["seed"], options["faults"], options["same_id_share"],
-            options["worker_cuts"],
+            options["worker_cuts"], options["fault_interval_s"],
         )  # fmt: skip
         self.changes = ConfigurationChanges(
-            self.site, options["seed"], options["version_interval_s"]
-        )
+            self.site, options["seed"], options["version_interval_s"],
+            options["changes"],
+        )  # fmt: skip
         self.usage: dict[str, float] = {}
         self.failures: list[str] = []
 
@@ -292,6 +311,11 @@
         self.site.log.write("faults-over", load=os.getloadavg()[0], usage=self.usage)
         yield self._await_settled()
         watching.stop()
+        self.failures.extend(
+            f"{stand_in.name} ended by itself: see its .err"
+            for stand_in in self.site.stand_ins()
+            if stand_in.has_ended
+        )
 
     @inlineCallbacks
     def _await_settled(self):
@@ -314,12 +338,14 @@
     duration_s: float = 45.0,
     daemons: int = 42,
     workers: int = 176,
+    other_workers: int = 4,
     load: float = 1.0,
     worker_processes: int = 4,
     caller_processes: int = 1,
     checkout: Path = ROOT,
     folder: Path | None = None,
     faults: tuple[str, ...] = (),
+    changes: tuple[str, ...] = (),
     same_id_share: float = 0.5,
     worker_cuts: tuple[LinkFault, ...] = LINK_FAULTS,
     lapse_min_ms: int = 0,
@@ -328,6 +354,7 @@
     version_interval_s: float = 1.5,
     questions_per_s: float = 100.0,
     link_mbps: float = 0.0,
+    fault_interval_s: float = FAULT_INTERVAL_S,
 ) -> int:
     """Run one soak; return the exit status.
 
@@ -339,6 +366,8 @@
         Time during which jobs are submitted and faults injected.
     daemons, workers : int
         Number of daemons and of workers.
+    other_workers : int
+        Number of workers of a second service, to which queues are moved.
     load : float
         Jobs a second, as a share of the full load.
     worker_processes, caller_processes : int
@@ -349,6 +378,8 @@
         Folder for settings and logs; a new one under `LOG_FOLDER` by default.
     faults : tuple of str
         Faults to inject, all by default; ``-NAME`` leaves one out, ``none`` all.
+    changes : tuple of str
+        Kinds of changes of the configuration, all by default; ``-NAME`` leaves one out.
     same_id_share : float
         Share of the workers that return under their former id.
     worker_cuts : tuple of LinkFault
@@ -363,6 +394,8 @@
         Counts of queues that callers ask for, at one daemon after the other.
     link_mbps : float
         Bandwidth of each daemon's link from the store; 0 for no limit.
+    fault_interval_s : float
+        Mean pause from one fault to the next; answers are judged 3 s after a fault.
     """
     options = dict(locals())
     # Inherited by the daemons, which ignore it only once their interpreter has started.
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -11,6 +11,9 @@
 
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
 from emulator.process import EventLog, run_process
+from standins.configuration_check import NO_RESPONSE, NOT_SENT
+from standins.invalid_versions import INVALID_QUEUE
+from standins.queue_places import parse_place, queue_at
 
 CALL_TIMEOUT_S = 3.0
 ATTEMPTS = 5
@@ -26,10 +29,19 @@
 QUEUE_JOB = (0.0, 2.6, 4, 500, 1_500, 0.0, 0.0, 0.0)
 # Share of the questions about a queue that submit a job to it.
 SUBMIT_SHARE = 0.02
-# A queue that no version has, and one that only invalid versions have.
-ABSENT_QUEUES = ("never", "invalid")
-# Queues that were added or dropped last, which are asked for most.
-CHANGED_QUEUES_MAX = 6
+# A queue that no version has.
+ABSENT_QUEUE = "never"
+# Kinds of queues in the order in which they are asked for, each at all daemons in turn;
+# those that were added or dropped last are asked for most.
+ASKED_KINDS = (
+    "added", "dropped", "absent", "added", "dropped", "current", "added", "dropped",
+    "invalid", "usual", "limit",
+)  # fmt: skip
+# How far from a limit the size of a request is, for bodies and for headers, whose
+# bytes may be counted with the first line and the ends of lines or without.
+LIMIT_DISTANCES_BYTES = {"max_body_bytes": 1, "max_header_bytes": 512}
+PADDING_LINE_BYTES = 1_000
+CHANGED_QUEUES_MAX = 4
 STAY_S = (8.0, 40.0)
 ENDED = ("completed", "failed", "cancelled")
 
@@ -49,9 +61,14 @@
         self._gives_up_share = 0.0
         self._open: dict[str, str] = {}
         self._states: dict[str, str] = {}
-        # Queues of the newest version, and those that were added or dropped last.
+        # Places of the queues of the newest version besides the usual ones, and those
+        # that were added or dropped last.
         self._queues: list[str] = []
-        self._changed: list[str] = []
+        self._added: list[str] = []
+        # By queue: its last place. Jobs that were submitted elsewhere are read there.
+        self._places: dict[str, str] = {}
+        self._limits: dict[str, int] = {}
+        self._dropped: list[str] = []
         self._asked = 0
         for kind in KINDS:
             self._submit_next(kind)
@@ -61,11 +78,15 @@
 
     # Commands
 
-    def know_queues(self, queues: list[str]) -> None:
-        """Learn which queues the newest version has besides the usual ones."""
-        changed = sorted(set(queues) ^ set(self._queues))[-CHANGED_QUEUES_MAX:]
-        kept = [name for name in self._changed if name not in changed]
-        self._changed = (kept + changed)[-CHANGED_QUEUES_MAX:]
+    def know_queues(self, queues: list[str], limits: dict[str, int]) -> None:
+        """Learn the places of the queues of the newest version, and its limits."""
+        self._limits = limits
+        self._places.update((queue_at(place), place) for place in queues)
+        queues = [place for place in queues if place not in KINDS]
+        added = [place for place in queues if place not in self._queues]
+        dropped = [place for place in self._queues if place not in queues]
+        self._added = _latest(self._added, added, dropped)
+        self._dropped = _latest(self._dropped, dropped, added)
         self._queues = queues
 
     def burst(self, kind: str, factor: float) -> None:
@@ -90,20 +111,44 @@
         if time.monotonic() > self._until_s:
             return
         reactor.callLater(1 / self._questions_per_s, self._ask_next)
+        turn, daemon = divmod(self._asked, len(self._urls))
         self._asked += 1
-        daemon = self._asked % len(self._urls)
+        kind = ASKED_KINDS[turn % len(ASKED_KINDS)]
+        if kind == "limit" and self._limits:
+            self._test_limit(daemon)
+            return
         rng = self._random
-        drawn = rng.random()
-        if self._changed and drawn < 0.6:
-            queue = rng.choice(self._changed)
-        elif self._queues and drawn < 0.8:
-            queue = rng.choice(self._queues)
-        else:
-            queue = rng.choice((*ABSENT_QUEUES, "price"))
-        if queue.startswith("extra") and rng.random() < SUBMIT_SHARE:
-            self._run_job(queue, daemon)
+        places = {
+            "added": self._added,
+            "dropped": self._dropped,
+            "current": self._queues,
+            "absent": [ABSENT_QUEUE],
+            "invalid": [INVALID_QUEUE],
+        }.get(kind)
+        place = rng.choice(places) if places else "price"
+        if place.startswith("extra") and rng.random() < SUBMIT_SHARE:
+            self._run_job(place, daemon)
         else:
-            self._call(b"GET", f"/{queue}/", daemon=daemon)
+            self._call(b"GET", place, daemon=daemon)
+
+    def _test_limit(self, daemon: int) -> None:
+        """Send a request whose size is just above or just below a limit."""
+        rng = self._random
+        limit = rng.choice(list(LIMIT_DISTANCES_BYTES))
+        distance = rng.choice((-1, 1)) * LIMIT_DISTANCES_BYTES[limit]
+        size = self._limits[limit] + distance
+        if limit == "max_header_bytes":
+            self._call(
+                b"GET", "price", daemon=daemon, limit=limit, size=size,
+                headers=_pad_headers(size),
+            )  # fmt: skip
+            return
+        job = f"{rng.getrandbits(64):016x}"
+        step = {"count": 1, "cpu": 500, "mem_mb": 100, "est_runtime_ms": 20}
+        spec = json.dumps([{"cpu": 500, "ms": 20, "fail": 0.0}])
+        body = json.dumps({"spec": spec, "steps": [step]}).encode().ljust(size)
+        self._log.write("submit", job=job, kind="price", counts=[1], copies=[])
+        self._call(b"POST", "price", job, body, daemon, limit=limit, size=size)
 
     def _submit_next(self, kind: str) -> None:
         if time.monotonic() > self._until_s:
@@ -153,7 +198,7 @@
         )  # fmt: skip
         body = json.dumps({"spec": spec, "steps": steps}).encode()
         for _ in range(ATTEMPTS):
-            status, _ = yield self._call(b"POST", f"/{kind}/{job}", body, daemon)
+            status, _ = yield self._call(b"POST", kind, job, body, daemon)
             if status in (200, 404):
                 break
             yield deferLater(reactor, self._random.uniform(0.1, 0.6))
@@ -174,7 +219,7 @@
     def _cancel(self, kind: str, job: str):
         self._log.write("cancel", job=job)
         while True:
-            status, _ = yield self._call(b"DELETE", f"/{kind}/{job}")
+            status, _ = yield self._call(b"DELETE", self._place(kind), job)
             if status in (200, 410):
                 break
             yield deferLater(reactor, 0.3)
@@ -183,7 +228,7 @@
 
     @inlineCallbacks
     def _read(self, kind: str, job: str):
-        status, content = yield self._call(b"GET", f"/{kind}/{job}")
+        status, content = yield self._call(b"GET", self._place(kind), job)
         if status != 200:
             self._states[job] = f"status {status}"
             return
@@ -192,41 +237,66 @@
             self._log.write("state", job=job, state=state)
             self._open.pop(job, None)
 
+    def _place(self, kind: str) -> str:
+        """Return the last place of the queue of a job."""
+        return self._places.get(queue_at(kind), kind)
+
     @inlineCallbacks
     def _call(
-        self, method: bytes, path: str, body: bytes = b"", daemon: int | None = None
+        self,
+        method: bytes,
+        place: str,
+        job: str = "",
+        body: bytes = b"",
+        daemon: int | None = None,
+        limit: str = "",
+        size: int = 0,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
     ):
-        """Call a daemon, a random one by default.
+        """Call a daemon, a random one by default; its size may be near a limit.
 
         The status is 0 without a response, -1 if the request was not sent.
         """
         if daemon is None:
             daemon = self._random.choice(range(len(self._urls)))
-        url = self._urls[daemon] + path
-        headers = ((b"host", b"desk.example"),)
+        host, path = parse_place(place)
+        url = f"{self._urls[daemon]}{path}{job}"
+        headers = ((b"host", host.encode()), *headers)
         sent_s = time.monotonic()
         try:
             response = yield self._client.fetch(
                 method, url, body, CALL_TIMEOUT_S, headers
             )
         except NOT_SENT_ERRORS:
-            return -1, b""
+            response = NOT_SENT, b""
         except ConnectionLost:
             self._log.write("cut", daemon=daemon, path=path, sent_s=sent_s)
-            return 0, b""
+            response = NO_RESPONSE, b""
         except Exception:  # noqa: BLE001
             # Twisted's network errors share no base class other than Exception.
-            return 0, b""
-        status, _ = response
-        if status in (200, 404) and method in (b"GET", b"POST"):
-            _, queue, job = path.split("/")
-            # Submissions and counts; reads of a job go on after its queue was dropped.
-            if method == b"POST" or not job:
-                self._log.write(
-                    "answer", daemon=daemon, queue=queue, sent_s=sent_s, status=status
-                )
+            response = NO_RESPONSE, b""
+        # Submissions and counts; reads of a job go on after its queue was dropped.
+        if method == b"POST" or (method == b"GET" and not job):
+            self._log.write(
+                "answer", daemon=daemon, queue=place, sent_s=sent_s, status=response[0],
+                submits=method == b"POST", limit=limit, size=size,
+            )  # fmt: skip
         return response
 
 
+def _pad_headers(size: int) -> tuple[tuple[bytes, bytes], ...]:
+    """Return headers that have about this size with the others of a count."""
+    names = [b"x-padding-%d" % number for number in range(size // PADDING_LINE_BYTES)]
+    # The first line, `Host` and the ends of lines take some 100 bytes.
+    left = size - 100 - sum(len(name) + 4 for name in names)
+    return tuple((name, b"x" * (left // len(names))) for name in names)
+
+
+def _latest(known: list[str], new: list[str], gone: list[str]) -> list[str]:
+    """Return the last few names, without those that are gone."""
+    kept = [name for name in known if name not in new and name not in gone]
+    return (kept + new)[-CHANGED_QUEUES_MAX:]
+
+
 if __name__ == "__main__":
     run_process(EmulatedCallers)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -22,6 +22,8 @@
     "remove_leader",
     "flap",
 )
+# The other kinds show faults of issue 50.
+CHANGES = ("alone", "storm", "grow", "silent", "invalid")
 
 
 class EmulationTest(unittest.TestCase):
@@ -32,12 +34,22 @@
         command += ["--seed", "1", "--same-id-share", "0"]
         for fault in FAULTS:
             command += ["--faults", fault]
+        for change in CHANGES:
+            command += ["--changes", change]
         completed = subprocess.run(
             command, cwd=ROOT, capture_output=True, timeout=TIMEOUT_S, text=True
         )
         output = completed.stdout[-2000:] + completed.stderr[-4000:]
         self.assertIn("seed=1 ", completed.stdout, output)
-        for rule in ("TWICE", "MIXED", "LOST", "CONFIG", "Traceback"):
+        for rule in (
+            "TWICE",
+            "MIXED",
+            "LOST",
+            "CONFIG",
+            "SERVED",
+            "ROUTE",
+            "Traceback",
+        ):
             self.assertNotIn(rule, output)
 
 
