Soak: invalid and unusual versions, and queues that are moved

Cause: the soak wrote valid versions of one form only, and queues stayed in place. Change: shares of the changes write an invalid version of any form between two valid ones, a version of unusual form, or move a queue to another prefix or host; the former places are asked for in turn. The form without routes is left out, as a submission that gets 404 counts as refused there; the emulator has it.

--- a/standins/changing_queues.py
+++ b/standins/changing_queues.py
@@ -2,6 +2,8 @@
 
 import random
 
+from standins.queue_places import USUAL_HOST, format_place
+
 QUEUES_MAX = 6
 DROP_SHARE = 0.5
 ADD_AGAIN_SHARE = 0.3
@@ -26,6 +28,8 @@
         Queues of the newest version, and those of earlier ones only.
     fields : dict of str to dict
         Fields of the routes of queues that were moved or changed.
+    former_places : list of str
+        Places that queues have left, the last one at the end.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -35,6 +39,13 @@
         self.current: list[str] = []
         self.dropped: list[str] = []
         self.fields: dict[str, dict] = {}
+        self.former_places: list[str] = []
+
+    def place(self, name: str) -> str:
+        """Return the place of a queue."""
+        fields = self.fields.get(name, {})
+        prefix = fields.get("prefix", f"/{name}/")
+        return format_place(fields.get("host", USUAL_HOST), prefix)
 
     def change(self) -> str:
         """Add a new queue, drop one, or add a dropped one again; return its name."""
@@ -58,15 +69,17 @@
     def change_place(self) -> None:
         """Move a queue to another prefix or host, or back to its first place."""
         rng = self._random
-        fields = self._draw_fields()
-        was_moved = fields.pop("prefix", "") or fields.pop("host", "")
-        fields.pop("host", "")
+        name = self._draw_queue()
+        fields = self.fields.setdefault(name, {})
+        self.former_places.append(self.place(name))
+        was_moved = "prefix" in fields
+        fields.pop("prefix", None)
+        fields.pop("host", None)
         self._moves += 1
         if was_moved and rng.random() < MOVE_BACK_SHARE:
             return
         if rng.random() < OTHER_HOST_SHARE:
             fields["host"] = OTHER_HOST
-        name = next(name for name, found in self.fields.items() if found is fields)
         fields["prefix"] = f"/{name}.{self._moves}/"
 
     def change_service(self) -> None:
@@ -86,7 +99,10 @@
             max_attempts=rng.randint(3, 6),
         )
 
+    def _draw_queue(self) -> str:
+        """Return one of the queues, which is added if there is none."""
+        return self._random.choice(self.current) if self.current else self.change()
+
     def _draw_fields(self) -> dict:
-        """Return the fields of one of the queues, which is added if there is none."""
-        name = self._random.choice(self.current) if self.current else self.change()
-        return self.fields.setdefault(name, {})
+        """Return the fields of one of the queues."""
+        return self.fields.setdefault(self._draw_queue(), {})
--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -23,9 +23,10 @@
 from standins.configuration_check import NO_RESPONSE, NOT_SENT, QueueAnswer
 from standins.faulty_proxy import LinkFault
 from standins.invalid_versions import INVALID_QUEUE
+from standins.queue_places import parse_place
 from tests.soak_checker import ADVANCE_INTERVAL_S, SoakJob, SoakStep
 from tests.soak_faults import FAULT_INTERVAL_S, LINK_FAULTS, SoakFaults
-from tests.soak_site import QUEUE, QUEUE_HOST, SoakSite
+from tests.soak_site import QUEUE, SoakSite
 
 # A failure seen once is traced from the logs of its run.
 LOG_FOLDER = Path(__file__).parent.parent / "target" / "soak"
@@ -111,8 +112,9 @@
         checker = self._site.checker
         sent_advances = checker.advances
         sent_s, incarnation = reactor.seconds(), process.starts
-        headers = ((b"host", QUEUE_HOST.encode()),)
-        url = f"{process.url}/{queue}/{name}"
+        host, path = parse_place(queue)
+        headers = ((b"host", host.encode()),)
+        url = f"{process.url}{path}{name}"
         try:
             response = yield self._client.fetch(
                 method, url, body, CALL_TIMEOUT_S, headers
@@ -164,12 +166,18 @@
     def count(self, queues: ChangingQueues) -> None:
         """Ask each daemon for the pending jobs of a usual queue and of another one.
 
-        The kinds of the other one take turns: it was added or dropped just now, has
-        never existed or is in invalid versions only.
+        The kinds of the other one take turns: it was added, dropped or moved just now,
+        has never existed or is in invalid versions only.
         """
         rng = self._count_random
         self._counted += 1
-        kinds = (queues.current[-2:], queues.dropped[-2:], ["never"], [INVALID_QUEUE])
+        kinds = (
+            [queues.place(name) for name in queues.current[-2:]],
+            [queues.place(name) for name in queues.dropped[-2:]],
+            queues.former_places[-2:],
+            ["never"],
+            [INVALID_QUEUE],
+        )
         others = kinds[self._counted % len(kinds)] or ["never"]
         for daemon in self._site.daemons:
             self._call_daemon(daemon, b"GET", "")
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -10,6 +10,11 @@
 
 from standins.changing_queues import ChangingQueues
 from standins.faulty_proxy import LinkFault
+from standins.invalid_versions import (
+    INVALID_BYTES,
+    INVALID_VERSIONS,
+    UNUSUAL_VALID_VERSIONS,
+)
 from tests.soak_site import SoakSite
 
 # Pauses between faults, as shares of their mean.
@@ -24,6 +29,13 @@
 # fall silent, and the numbers of versions in one change.
 SILENT_SHARE = 0.2
 VERSIONS_PER_CHANGE = (1, 1, 1, 10)
+# Shares of the changes that move a queue, that follow an invalid version, and of the
+# versions of an unusual form. Without routes a job's submission gets 404, which the
+# soak takes for a refusal of the job.
+MOVE_SHARE = 0.25
+INVALID_SHARE = 0.3
+UNUSUAL_SHARE = 0.2
+LEFT_OUT_FORM = "no routes"
 LINK_FAULTS = (
     LinkFault.SILENT,
     LinkFault.ANSWERS_LOST,
@@ -62,6 +74,7 @@
         self._stop_random = random.Random(f"stops/{seed}")
         self._version_random = random.Random(f"versions/{seed}")
         self.queues = ChangingQueues(self._version_random)
+        self._form_random = random.Random(f"forms/{seed}")
         self._until_s = 0.0
         self._active_count = 0
         self._reserved: set[str] = set()
@@ -323,15 +336,26 @@
                 self._site.configurations.add_silence(reactor.seconds())
                 for link in self._site.store_links.values():
                     link.silence_connections()
+            if self._form_random.random() < INVALID_SHARE:
+                forms = (*INVALID_VERSIONS, *INVALID_BYTES)
+                self._site.write_invalid(self._form_random.choice(forms))
+                pause_s = self._form_random.uniform(0.0, 1.0)
+                yield deferLater(reactor, pause_s)
             for _ in range(rng.choice(VERSIONS_PER_CHANGE)):
                 self.change_queues()
                 yield deferLater(reactor, rng.uniform(0.02, 0.2))
             yield deferLater(reactor, rng.uniform(0.3, 3.0))
 
     def change_queues(self) -> None:
-        """Write the next version, with one queue more or less."""
+        """Write the next version, with one queue more or less, or moved."""
         self.queues.change()
-        self._site.configure(tuple(self.queues.current))
+        rng = self._form_random
+        if rng.random() < MOVE_SHARE:
+            self.queues.change_place()
+        form = ""
+        if rng.random() < UNUSUAL_SHARE:
+            form = rng.choice([f for f in UNUSUAL_VALID_VERSIONS if f != LEFT_OUT_FORM])
+        self._site.configure(tuple(self.queues.current), self.queues.fields, form)
 
     def _change_configuration(self):
         self._record("configuration")
--- a/tests/soak_site.py
+++ b/tests/soak_site.py
@@ -1,6 +1,5 @@
 """Daemon processes, faulty links, store and workers of a fault soak."""
 
-import json
 import os
 from pathlib import Path
 
@@ -14,9 +13,16 @@
 from standins.faulty_proxy import FaultyProxy
 from standins.fleet import FleetRecords, server_record
 from standins.fleet_http import FleetStoreResource, FleetWorkerResource
+from standins.invalid_versions import (
+    INVALID_BYTES,
+    INVALID_VERSIONS,
+    UNUSUAL_VALID_VERSIONS,
+    encode_version,
+)
+from standins.queue_places import USUAL_HOST, format_place
 from tests.soak_checker import ATTEMPTS_MAX, SoakChecker, SoakWorker
 
-QUEUE_HOST = "desk.example"
+QUEUE_HOST = USUAL_HOST
 QUEUE = "quotes"
 WORKER_CORES_MILLI = 4_000
 # Delay until the platform removes the entry of a silent worker.
@@ -42,6 +48,8 @@
         self.checker = SoakChecker(reactor)
         self.version = 0
         self.configurations = ConfigurationCheck()
+        # The newest valid version in its usual form.
+        self._document: dict = {}
         self._boots = 0
         self._listening = []
         self.worker_resources: dict[str, FleetWorkerResource] = {}
@@ -79,10 +87,17 @@
         host = f"127.{1 + os.getpid() % 200}.{os.getpid() // 200 % 250}.{number + 2}"
         self.daemons[name] = DaemonProcess(name, host, link.port, folder)
 
-    def configure(self, extra_queues: tuple[str, ...] = ()) -> None:
-        """Write the next version of the configuration."""
+    def configure(
+        self,
+        extra_queues: tuple[str, ...] = (),
+        fields: dict[str, dict] | None = None,
+        form: str = "",
+    ) -> None:
+        """Write the next version of the configuration.
+
+        Some queues have other fields, and the version may be of an unusual form.
+        """
         self.version += 1
-        names = [QUEUE, *extra_queues]
         routes = [
             {
                 "name": name,
@@ -92,16 +107,35 @@
                 "max_attempts": ATTEMPTS_MAX,
                 "stretch": 2.0,
                 "slo_ms": 500,
+                **(fields or {}).get(name, {}),
             }
-            for name in names
+            for name in (QUEUE, *extra_queues)
         ]
         document = {
             "version": self.version,
             "routes": routes,
             "services": [{"name": "desk", "enforces_capacity": True}],
         }
-        self.records.write("op/config", json.dumps(document).encode())
-        self.configurations.add_version(self.version, reactor.seconds(), names)
+        now_s = reactor.seconds()
+        self._document = document
+        if form:
+            document = UNUSUAL_VALID_VERSIONS[form](document)
+            self.configurations.add_form(now_s, f"valid: {form}")
+        self.records.write("op/config", encode_version(document))
+        places = [format_place(r["host"], r["prefix"]) for r in document["routes"]]
+        self.configurations.add_version(self.version, now_s, places)
+
+    def write_invalid(self, form: str) -> None:
+        """Write a version that must not be put into force."""
+        self.version += 1
+        self.configurations.add_form(reactor.seconds(), f"invalid: {form}")
+        document = self._document | {"version": self.version}
+        content = (
+            INVALID_BYTES[form]
+            if form in INVALID_BYTES
+            else encode_version(INVALID_VERSIONS[form](document))
+        )
+        self.records.write("op/config", content)
 
     def start_worker(self, worker_id: str) -> None:
         """Start a new incarnation of a worker, without runs of the previous one."""
