--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -23,7 +23,9 @@
     "flap",
 )
 # The other kinds show faults of issue 50.
-CHANGES = ("alone", "storm", "grow", "silent", "invalid")
+CHANGES = (
+    "alone", "storm", "grow", "silent", "invalid", "move", "service", "fields",
+)  # fmt: skip
 
 
 class EmulationTest(unittest.TestCase):
