Moves of queues: to another host with the same prefix too

Cause: a move to another host always changed the prefix as well, so a daemon that looks at prefixes only was not found. Change: half of the moves to another host keep the prefix.

--- a/standins/changing_queues.py
+++ b/standins/changing_queues.py
@@ -7,8 +7,10 @@
 QUEUES_MAX = 6
 DROP_SHARE = 0.5
 ADD_AGAIN_SHARE = 0.3
-# Shares of the moves to another host, and back to the first place.
+# Shares of the moves to another host, of these to another prefix too, and of the moves
+# back to the first place.
 OTHER_HOST_SHARE = 0.4
+PREFIX_TOO_SHARE = 0.5
 MOVE_BACK_SHARE = 0.3
 OTHER_HOST = "other.example"
 SERVICE, OTHER_SERVICE = "desk", "floor"
@@ -72,7 +74,7 @@
         name = self._draw_queue()
         fields = self.fields.setdefault(name, {})
         self.former_places.append(self.place(name))
-        was_moved = "prefix" in fields
+        was_moved = bool({"prefix", "host"} & fields.keys())
         fields.pop("prefix", None)
         fields.pop("host", None)
         self._moves += 1
@@ -80,7 +82,8 @@
             return
         if rng.random() < OTHER_HOST_SHARE:
             fields["host"] = OTHER_HOST
-        fields["prefix"] = f"/{name}.{self._moves}/"
+        if "host" not in fields or rng.random() < PREFIX_TOO_SHARE:
+            fields["prefix"] = f"/{name}.{self._moves}/"
 
     def change_service(self) -> None:
         """Move a queue to the other service."""
