--- a/standins/daemon_process.py
+++ b/standins/daemon_process.py
@@ -1,6 +1,7 @@
 """A daemon as a process of its own, on its own loopback address."""
 
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -30,6 +31,10 @@
         Checkout of the code that it runs.
     data_centre : str
         Its data centre.
+    extra_settings : str
+        Further tables of its settings file.
+    descriptors_max : int or None
+        Limit of its open descriptors, None for that of this process.
     """
 
     def __init__(
@@ -40,14 +45,19 @@
         folder: Path,
         checkout: Path = ROOT,
         data_centre: str = "north",
+        extra_settings: str = "",
+        descriptors_max: int | None = None,
     ) -> None:
         self.name = name
         self.host = host
         self._checkout = checkout
         self._data_centre = data_centre
         self.ports = find_free_ports(3, host)
+        self._descriptors_max = descriptors_max
         self._file = folder / f"{name}.toml"
-        self._file.write_text(self._settings(store_port))
+        self._file.write_text(self._settings(store_port) + extra_settings)
+        self.temporary_folder = folder / f"{name}-temporary"
+        self.temporary_folder.mkdir(exist_ok=True)
         self._log = open(folder / f"{name}.log", "ab")  # noqa: SIM115
         self.process: subprocess.Popen | None = None
         # Processes started so far.
@@ -89,11 +99,20 @@
         self.process = subprocess.Popen(
             [sys.executable, "-m", "dogwoodlever.fleet_daemon"],
             cwd=self._checkout,
-            env=os.environ | {"DOGWOODLEVER_NODE_FILE": str(self._file)},
+            env=os.environ
+            | {
+                "DOGWOODLEVER_NODE_FILE": str(self._file),
+                "TMPDIR": str(self.temporary_folder),
+            },
             stdout=self._log,
             stderr=self._log,
+            preexec_fn=self._limit_descriptors if self._descriptors_max else None,
         )
 
+    def _limit_descriptors(self) -> None:
+        limit = self._descriptors_max
+        resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+
     def signal(self, number: int) -> None:
         """Send a signal to the process if it is running."""
         if number in (signal.SIGKILL, signal.SIGTERM):
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -4,6 +4,9 @@
 passed, N failed, N skipped``. Tests listed in ``KNOWN-RED.txt`` may fail; they are
 printed with their notes. If all tests are run, a listed test that passes makes the
 command fail, so that the list stays up to date.
+
+Tests of modules that declare ``RUNS_ALONE = True`` run after all others, one at a time
+and with no other test beside them.
 """
 
 import io
@@ -49,6 +52,21 @@
             yield item
 
 
+def runs_alone(test_id: str) -> bool:
+    """Return whether the module of a test declares that its tests run alone."""
+    module = sys.modules.get(test_id.rsplit(".", 2)[0])
+    return getattr(module, "RUNS_ALONE", False)
+
+
+def run_tests(ids: list[str]):
+    """Yield the result of each test; tests that run alone come last."""
+    beside = [test_id for test_id in ids if not runs_alone(test_id)]
+    with ProcessPoolExecutor(min(PROCESSES_MAX, os.cpu_count() or 1)) as pool:
+        yield from pool.map(run_test, beside)
+    with ProcessPoolExecutor(1) as pool:
+        yield from pool.map(run_test, [i for i in ids if runs_alone(i)])
+
+
 def run_test(test_id: str) -> tuple[str, bool, int, str]:
     """Run one test; return its id, success, number of skips and report."""
     logging.set_verbosity(logging.FATAL)
@@ -62,13 +80,12 @@
     """Run the tests; return the exit status."""
     ids = find_ids(sys.argv[1:])
     failed, skipped = set(), 0
-    with ProcessPoolExecutor(min(PROCESSES_MAX, os.cpu_count() or 1)) as pool:
-        for test_id, succeeded, skips, report in pool.map(run_test, ids):
-            skipped += skips
-            print(f"{'ok' if succeeded else 'FAIL':<5}{test_id}", flush=True)
-            if not succeeded:
-                failed.add(test_id)
-                print(report)
+    for test_id, succeeded, skips, report in run_tests(ids):
+        skipped += skips
+        print(f"{'ok' if succeeded else 'FAIL':<5}{test_id}", flush=True)
+        if not succeeded:
+            failed.add(test_id)
+            print(report)
     known_failures = read_known_failures()
     for name in sorted(set(known_failures) & failed):
         print(f"known red: {name}: {known_failures[name]}")
