--- a/tests/test_uncooperative_callers.py
+++ b/tests/test_uncooperative_callers.py
@@ -237,11 +237,16 @@
         crowd = Crowd(Form.PIPELINED, 300, 300 * KB, reads=False, path="/quotes/ID")
         self.check(crowd)
 
-    # The steps of all jobs were decoded and kept, whatever they took.
+    # Some 11,000 steps, which are decoded before the job is refused.
     def test_jobs_of_many_small_steps(self) -> None:
         self.start()
         self.check(Crowd(Form.STEPS, 60, BODY_BYTES))
 
+    # Some 1,000 steps, as many as are accepted.
+    def test_jobs_of_as_many_steps_as_are_accepted(self) -> None:
+        self.start()
+        self.check(Crowd(Form.STEPS, 300, 22 * KB))
+
     # Connections that send nothing took all descriptors for a minute.
     def test_idle_connections_up_to_the_descriptors(self) -> None:
         self.start(DESCRIPTORS_FEW, is_limited=True)
