Bound the memory of what callers have sent and not read

What users saw: clients that send many bodies and stop short of their end ended a process, which ran out of memory.

Cause: one body was limited, their sum was not. Twisted keeps a body of unknown length, or of over 100 kB, in a temporary file, and files under the temporary folder count as memory. Form bodies were parsed once more.

Change: bodies stay in memory; the connections of a port together hold an eighth of memory_mb, counting incomplete requests, requests that are handled (16 times the body, which is decoded and encoded meanwhile) and unread responses. Beyond that the connection is closed that holds most and whose request is not being handled: ordinary requests are small and soon complete. A complete request for which there is no memory is refused. A caller alone is always served. A refused submission gets 504, since an earlier copy of it may have been accepted and 503 promises that its job never runs; other calls get 503.

--- a/dogwoodlever/_fleet_daemon.py
+++ b/dogwoodlever/_fleet_daemon.py
@@ -5,20 +5,31 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 from absl import logging
 from returns.result import Failure
 from twisted.internet import reactor
+from twisted.web.resource import Resource
 
 from dogwoodlever._bounded_site import BoundedSite
 from dogwoodlever._clock import BootClock, use_boot_time
+from dogwoodlever._connection_table import RefusalCause
 from dogwoodlever._fleet_metrics import MetricsResource
 from dogwoodlever._fleet_node import FleetNode
 from dogwoodlever._http_client import HttpClient
 from dogwoodlever._log_stream import LogStream
 from dogwoodlever._logs import log_event, log_unhandled_errors
 from dogwoodlever._peer_mesh import TcpMesh
+from dogwoodlever._port_capacity import (
+    DECODED_FACTOR,
+    MEGABYTE_BYTES,
+    SMALL_PORT,
+    PortCapacity,
+    size_callers_port,
+)
+from dogwoodlever._refusal_log import RefusalLog
 from dogwoodlever._request_limits import RequestLimits
 from dogwoodlever.platform import (
     NODE_FILE_VARIABLE,
@@ -87,25 +98,48 @@
         """Open the ports of callers, readiness, metrics and peers."""
         settings = self.settings
         host, port = settings.callers
-        reactor.listenTCP(
-            port,
-            BoundedSite(self.node.callers, self.node.get_request_limits),
-            interface=host,
-            backlog=512,
+        callers = self._make_site(
+            "callers",
+            self.node.callers,
+            self.node.get_request_limits,
+            _size_callers_port(settings),
         )
+        callers.listen(reactor, port, host, backlog=512)
         host, port = settings.readiness
-        metrics = BoundedSite(
-            MetricsResource(self.node.metrics), lambda: BODILESS_LIMITS
-        )
-        reactor.listenTCP(METRICS_PORT, metrics, interface=settings.peer_host)
-        readiness = BoundedSite(
-            ReadinessResource(self.node.is_ready), lambda: BODILESS_LIMITS
-        )
-        reactor.listenTCP(port, readiness, interface=host)
+        metrics = self._make_site("metrics", MetricsResource(self.node.metrics))
+        metrics.listen(reactor, METRICS_PORT, settings.peer_host)
+        readiness = self._make_site("readiness", ReadinessResource(self.node.is_ready))
+        readiness.listen(reactor, port, host)
         reactor.listenTCP(
             settings.peer_port, self.node.mesh.factory(), interface=settings.peer_host
         )
 
+    def _make_site(
+        self,
+        name: str,
+        resource: Resource,
+        get_limits: Callable[[], RequestLimits] = lambda: BODILESS_LIMITS,
+        capacity: PortCapacity = SMALL_PORT,
+    ) -> BoundedSite:
+        """Make the site of a port, whose bounds and refusals the metrics show."""
+        metrics = self.node.metrics
+        log = RefusalLog(reactor, name)
+
+        def note_refusal(cause: RefusalCause) -> None:
+            metrics.port_refusals.labels(name, cause).inc()
+            log.note(cause)
+
+        site = BoundedSite(resource, get_limits, capacity, note_refusal)
+        connections = site.connections
+        metrics.port_connections.labels(name).set_function(lambda: len(connections))
+        metrics.port_incomplete.labels(name).set_function(
+            lambda: connections.incomplete
+        )
+        metrics.port_held_bytes.labels(name).set_function(
+            lambda: connections.held_bytes
+        )
+        return site
+
     def run(self) -> None:
         """Run until stopped."""
         self.listen()
@@ -125,6 +159,13 @@
         reactor.stop()
 
 
+def _size_callers_port(settings: NodeFile) -> PortCapacity:
+    """Return the capacity of the callers' port by the limits of the process."""
+    capacity = size_callers_port(settings.memory_mb, DECODED_FACTOR)
+    log_event("callers.capacity", held_mb=capacity.held_bytes_max / MEGABYTE_BYTES)
+    return capacity
+
+
 def run() -> int:
     """Run the daemon until it is stopped; return the exit status."""
     logging.use_absl_handler()
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -49,6 +49,18 @@
         self.pending_counts = self._counter(
             "pending_counts", "Answers to counts of pending jobs", "source"
         )
+        self.port_connections = self._gauge(
+            "port_connections", "Open connections of a port", "port"
+        )
+        self.port_incomplete = self._gauge(
+            "port_incomplete_requests", "Requests that have not arrived whole", "port"
+        )
+        self.port_held_bytes = self._gauge(
+            "port_held_bytes", "Memory of a port's requests", "port"
+        )
+        self.port_refusals = self._counter(
+            "port_refusals", "Requests and connections refused", "port", "cause"
+        )
         self.key_refusals = self._counter(
             "key_refusals", "Calls refused because of their key", "cause"
         )
--- a/dogwoodlever/_site.py
+++ b/dogwoodlever/_site.py
@@ -113,6 +113,8 @@
         Shared keys of the ports for peers and for operators.
     statsd_host : str, default=""
         Destination of metrics; none are sent if empty.
+    memory_mb : float
+        Memory of the process, from which follows what callers may hold.
     """
 
     daemon: str
@@ -128,3 +130,4 @@
     statsd_host: str = ""
     statsd_port: Port = 8125
     drain_s: Positive = 1.0
+    memory_mb: Positive = 512.0
--- a/dogwoodlever/daemon.py
+++ b/dogwoodlever/daemon.py
@@ -12,6 +12,11 @@
 from dogwoodlever._clock import use_boot_time
 from dogwoodlever._logs import log_event
 from dogwoodlever._node import Dependencies, Node
+from dogwoodlever._port_capacity import (
+    PortCapacity,
+    size_callers_port,
+)
+from dogwoodlever._refusal_log import RefusalLog
 from dogwoodlever._request_limits import RequestLimits
 from dogwoodlever.gateway import (
     BoundedSite,
@@ -32,6 +37,7 @@
 from dogwoodlever.settings import DaemonSettings, read_daemon_settings
 
 CALLER_LIMITS = RequestLimits()
+OPERATORS_PORT = PortCapacity()
 OPERATOR_LIMITS = RequestLimits(body_bytes_max=4_000_000)
 STORE_TIMEOUT_S = 1.0
 WORKER_TIMEOUT_S = 2.0
@@ -73,16 +79,19 @@
         s = self.settings
         callers = CallersResource(self.node, Gateway(self.node))
         operators = OperatorsResource(self.node, Reports(self.node))
-        reactor.listenTCP(
-            s.callers_port,
-            BoundedSite(callers, lambda: CALLER_LIMITS),
-            interface=s.host,
-        )
-        reactor.listenTCP(
-            s.operators_port,
-            BoundedSite(operators, lambda: OPERATOR_LIMITS),
-            interface=s.host,
-        )
+        capacity = size_callers_port(s.memory_mb)
+        BoundedSite(
+            callers,
+            lambda: CALLER_LIMITS,
+            capacity,
+            RefusalLog(reactor, "callers").note,
+        ).listen(reactor, s.callers_port, s.host)
+        BoundedSite(
+            operators,
+            lambda: OPERATOR_LIMITS,
+            OPERATORS_PORT,
+            RefusalLog(reactor, "operators").note,
+        ).listen(reactor, s.operators_port, s.host)
         reactor.listenTCP(s.peers_port, self._mesh.factory(), interface=s.host)
 
     def run(self) -> int:
--- a/dogwoodlever/platform/_node_file.py
+++ b/dogwoodlever/platform/_node_file.py
@@ -53,6 +53,7 @@
     cores: float = 1.0
     # Bandwidth of the VM's own link; 0 if it is not known.
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 512
 
 
 class _NodeDocument(msgspec.Struct, frozen=True):
@@ -110,6 +111,8 @@
         Bandwidth of the VM's link, 0 if it is not known.
     configuration_apply_s : float
         Time in which a version of the configuration has to be in force.
+    memory_mb : float
+        Memory of the process, in megabytes.
     """
 
     vm: str
@@ -133,6 +136,7 @@
     recovery_s: float = 12.0
     link_mbps: float = 0.0
     configuration_apply_s: float = 2.0
+    memory_mb: float = 512.0
 
 
 def _parse_address(text: str) -> tuple[str, int]:
@@ -177,4 +181,5 @@
         recovery_s=bounds.recovery_s,
         link_mbps=document.limits.link_mbps,
         configuration_apply_s=bounds.config_apply_ms / 1000,
+        memory_mb=document.limits.memory_mb,
     )
--- /dev/null
+++ b/tests/test_caller_bounds.py
@@ -0,0 +1,155 @@
+"""Bounds of what callers may hold."""
+
+import unittest
+
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from dogwoodlever._bounded_site import BoundedSite
+from dogwoodlever._connection_table import RefusalCause
+from dogwoodlever._port_capacity import PortCapacity
+from dogwoodlever._request_limits import RequestLimits
+
+POST = b"POST /q/1 HTTP/1.1\r\nHost: d\r\n"
+GET = b"GET /q/ HTTP/1.1\r\nHost: d\r\n\r\n"
+
+
+def post(body):
+    return POST + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def start_body(announced_bytes, sent_bytes):
+    head = POST + b"Content-Length: %d\r\n\r\n" % announced_bytes
+    return head + b"x" * sent_bytes
+
+
+def one_byte_chunks(count):
+    return POST + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * count
+
+
+class HoldingResource(Resource):
+    """Answers each request when it is told to."""
+
+    isLeaf = True
+
+    def __init__(self):
+        super().__init__()
+        self.requests = []
+
+    def render(self, request):
+        self.requests.append(request)
+        return NOT_DONE_YET
+
+    def answer(self):
+        self.requests.pop(0).finish()
+
+
+class ClosingTransport(StringTransport):
+    """Transport that loses its connection once it is closed."""
+
+    def __init__(self, lost):
+        super().__init__()
+        self._lost = lost
+        self.is_closed = False
+
+    def loseConnection(self):
+        super().loseConnection()
+        self.is_closed = True
+
+    def abortConnection(self):
+        super().abortConnection()
+        self.is_closed = True
+
+
+class PortTest(unittest.TestCase):
+    """A port with a paused clock and connections in memory."""
+
+    def start(self, **capacity):
+        self.clock = Clock()
+        self.resource = HoldingResource()
+        self.refusals = []
+        self.site = BoundedSite(
+            self.resource,
+            lambda: RequestLimits(body_bytes_max=100_000),
+            PortCapacity(**capacity),
+            on_refused=self.refusals.append,
+            reactor=self.clock,
+        )
+
+    def connect(self, data=b""):
+        connection = self.site.buildProtocol(None)
+        transport = ClosingTransport(connection)
+        connection.makeConnection(transport)
+        if data:
+            connection.dataReceived(data)
+        return connection, transport
+
+    def read_status(self, transport):
+        line = transport.value().partition(b"\r\n")[0]
+        return int(line.split()[1]) if line else None
+
+
+class HeldBytesTest(PortTest):
+    # Guards against bodies whose sum is not bounded, in memory or in files.
+    def test_largest_incomplete_body_gives_way(self):
+        self.start(held_bytes_max=50_000)
+        small, large, newest = (
+            self.connect(start_body(90_000, size))[1]
+            for size in (5_000, 30_000, 20_000)
+        )
+        self.assertEqual(self.refusals, [RefusalCause.MEMORY_INCOMPLETE])
+        self.assertEqual(
+            [t.is_closed for t in (small, large, newest)], [False, True, False]
+        )
+        # Whether an earlier copy of a submission has run is not known here.
+        self.assertEqual(self.read_status(large), 504)
+        self.assertLessEqual(self.site.connections.held_bytes, 50_000)
+        self.assertEqual(self.resource.requests, [])
+
+    def test_memory_is_free_again_after_each_end_of_a_request(self):
+        self.start(held_bytes_max=50_000, handled_factor=2)
+        for end in ("answered", "lost", "refused"):
+            with self.subTest(end):
+                connection, transport = self.connect(post(b"x" * 4_000))
+                self.assertGreater(self.site.connections.held_bytes, 8_000)
+                if end == "answered":
+                    self.resource.answer()
+                elif end == "refused":
+                    connection.dataReceived(POST + b"Content-Length: 1000000\r\n\r\n")
+                    self.resource.answer()
+                    self.assertEqual(transport.value().count(b" 413 "), 1)
+                if end != "answered":
+                    connection.connectionLost(None)
+                    self.resource.requests.clear()
+                if end == "lost":
+                    # The request may be handled for a while.
+                    self.assertGreater(self.site.connections.held_bytes, 8_000)
+                    self.clock.advance(10.0)
+                self.assertLess(self.site.connections.held_bytes, 100)
+
+    # Guards against complete requests that are decoded all at once.
+    def test_requests_are_handled_within_the_memory(self):
+        self.start(held_bytes_max=160_000, handled_factor=16)
+        bodies = [self.connect(post(b"x" * 2_300))[1] for _ in range(5)]
+        self.assertEqual([t.is_closed for t in bodies], [False] * 2 + [True] * 3)
+        self.assertEqual(len(self.resource.requests), 2)
+        self.assertEqual(
+            self.refusals, [RefusalCause.MEMORY_COMPLETE] * len(self.refusals)
+        )
+        # A crowd of large ones leaves room for small ones.
+        _, transport = self.connect(GET)
+        self.assertFalse(transport.is_closed)
+        self.assertEqual(len(self.resource.requests), 3)
+
+    # Guards against a limit that a caller alone meets.
+    def test_request_alone_is_handled_whatever_the_memory(self):
+        self.start(held_bytes_max=200_000, handled_factor=16)
+        _, transport = self.connect(post(b"x" * 100_000))
+        self.assertFalse(transport.is_closed)
+        self.assertEqual(len(self.resource.requests), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
