Parse what callers send in turns of bounded work

What users saw: bodies in very small chunks; here 300 bodies of 100 kB in chunks of a byte leave a count without an answer for 45 s, and the loop of a leader late for seconds.

Cause: each read of 64 kB was parsed at once, some 10,000 chunks of a byte, for every connection in the same turn of the event loop.

Connections that wait for a turn are not read, and go on in the order of how little of their request has arrived, so that ordinary requests pass. Time-outs do not end what waits.

--- a/dogwoodlever/_bounded_channel.py
+++ b/dogwoodlever/_bounded_channel.py
@@ -6,6 +6,11 @@
 from twisted.web.server import Request
 
 from dogwoodlever._connection_table import Phase, RefusalCause, TrackedConnection
+from dogwoodlever._parsing_turns import (
+    DECODED_BYTES_PER_UNIT,
+    REQUEST_UNITS,
+    ParsingConnection,
+)
 
 # Bytes read from a socket at once, and written before a response waits for its reader.
 READ_BYTES = 8_192
@@ -59,13 +64,14 @@
         """Reject a body of unknown length once it exceeds the limit."""
         if self.channel.is_refused:
             return
+        self.channel.site.turns.spend(1)
         if self.content.tell() + len(data) > self._body_bytes_max:
             self.channel.refuse(RefusalCause.BODY_TOO_LARGE)
             return
         super().handleContentChunk(data)
 
 
-class BoundedChannel(HTTPChannel, TrackedConnection):
+class BoundedChannel(HTTPChannel, ParsingConnection, TrackedConnection):
     """Connection whose requests must arrive within the limits in force.
 
     A limit applies from the next request on; a time-out from its next start on.
@@ -79,6 +85,9 @@
     def __init__(self) -> None:
         super().__init__()
         self._phase = Phase.IDLE
+        # Received, and not parsed yet.
+        self._unparsed = b""
+        self.request_bytes = 0
         self.held_bytes = 0
         # Memory of the request that is handled.
         self._handled_bytes = 0
@@ -94,6 +103,8 @@
     def connectionLost(self, reason) -> None:  # noqa: N802
         """Forget the connection; a request that is handled takes its memory on."""
         handled_bytes = self._handled_bytes if self._phase is Phase.RESPONSE else 0
+        self._unparsed = b""
+        self.site.turns.discard(self)
         self.site.connections.remove(self)
         if handled_bytes and not self.is_refused:
             self.site.connections.reserve(handled_bytes)
@@ -103,16 +114,41 @@
     # Receiving
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Receive a part of a request."""
+        """Receive a part of a request, to be parsed in a turn."""
         if self.is_refused:
             return
         if self._phase is Phase.IDLE:
             self._start_request()
+        self.resetTimeout()
+        self.request_bytes += len(data)
+        self._unparsed += data
+        self.site.turns.receive(self)
+        self._update_held()
+
+    def has_unparsed(self) -> bool:
+        """Return whether bytes were received that are not parsed yet."""
+        return bool(self._unparsed or (self.paused and self._buffer))
+
+    def parse(self) -> None:
+        """Parse what was received."""
+        data, self._unparsed = self._unparsed, b""
+        self.paused = False
+        self.site.turns.spend(1)
         super().dataReceived(data)
         self._update_held()
 
+    def pause_reading(self) -> None:
+        """Read nothing more from the socket."""
+        self._networkProducer.pauseProducing()
+
+    def resume_reading(self) -> None:
+        """Read from the socket again, unless a response has to be read first."""
+        if self._phase is not Phase.RESPONSE and not self._waitingForTransport:
+            self._networkProducer.resumeProducing()
+
     def _start_request(self) -> None:
         self._set_phase(Phase.HEADER)
+        self.request_bytes = 0
         limits = self.site.get_limits()
         self.MAX_LENGTH = self.totalHeadersSize = limits.header_bytes_max
         self.setTimeout(limits.header_timeout_s)
@@ -125,7 +161,7 @@
         """Report the memory of what has arrived and of what is not sent."""
         if self.is_refused:
             return
-        held_bytes = len(self._buffer)
+        held_bytes = len(self._unparsed) + len(self._buffer)
         held_bytes += sum(map(len, self._dataBuffer))
         held_bytes += UNSENT_FACTOR * self._count_unsent()
         if self._phase in (Phase.HEADER, Phase.BODY):
@@ -176,6 +212,7 @@
         if not self.site.connections.start_handling(self, self._handled_bytes):
             self.refuse(RefusalCause.MEMORY_COMPLETE)
             return
+        self.site.turns.spend(REQUEST_UNITS + body_bytes // DECODED_BYTES_PER_UNIT)
         super().allContentReceived()
 
     def requestDone(self, request: Request) -> None:  # noqa: N802
@@ -183,7 +220,11 @@
         self._set_phase(Phase.IDLE)
         # Used for the time-out that begins now.
         self._savedTimeOut = self.site.get_limits().idle_timeout_s
+        # Requests behind this one are parsed in a later turn if this one is used up.
+        self.paused = self.site.turns.is_used_up
         super().requestDone(request)
+        if self.paused and self._buffer:
+            self.site.turns.receive(self)
         self._update_held()
 
     # Closing
@@ -195,7 +236,10 @@
 
     def timeoutConnection(self) -> None:  # noqa: N802
         """Close the connection, with a response to a request that is incomplete."""
-        if self._phase is Phase.HEADER:
+        if self.has_unparsed():
+            # What the caller has sent waits for its turn.
+            self.setTimeout(self.site.get_limits().header_timeout_s)
+        elif self._phase is Phase.HEADER:
             self.refuse(RefusalCause.HEADER_TIMEOUT)
         elif self._phase is Phase.BODY:
             self.refuse(RefusalCause.BODY_TIMEOUT)
@@ -224,7 +268,7 @@
                 b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
                 % _STATUSES.get(cause, no_room)
             )
-        self._buffer = b""
+        self._unparsed = self._buffer = b""
         if self.requests and self.requests[-1].content is not None:
             self.requests[-1].content.close()
         self.site.connections.set_closing(self)
--- a/dogwoodlever/_bounded_site.py
+++ b/dogwoodlever/_bounded_site.py
@@ -8,6 +8,7 @@
 
 from dogwoodlever._bounded_channel import BoundedChannel, BoundedRequest
 from dogwoodlever._connection_table import ConnectionTable, RefusalCause
+from dogwoodlever._parsing_turns import ParsingTurns
 from dogwoodlever._port_capacity import PortCapacity
 from dogwoodlever._request_limits import RequestLimits
 
@@ -23,6 +24,8 @@
         Returns the `RequestLimits` in force.
     capacity : PortCapacity or None
         What all connections may hold; the default if None.
+    turns : ParsingTurns or None
+        Turns of the event loop, which the ports of a process share; own ones if None.
     on_refused : callable
         Called with the `RefusalCause` of each refusal.
     reactor : IReactorTime or None
@@ -36,6 +39,7 @@
         resource: Resource,
         get_limits: Callable[[], RequestLimits],
         capacity: PortCapacity | None = None,
+        turns: ParsingTurns | None = None,
         on_refused: Callable[[RefusalCause], None] = lambda cause: None,
         reactor: IReactorTime | None = None,
     ) -> None:
@@ -44,6 +48,7 @@
         )
         self.get_limits = get_limits
         self.connections = ConnectionTable(capacity or PortCapacity(), on_refused)
+        self.turns = ParsingTurns(self.reactor) if turns is None else turns
         self.displayTracebacks = False
 
     def listen(self, reactor, port: int, interface: str, backlog: int = 50) -> None:
--- a/dogwoodlever/_fleet_daemon.py
+++ b/dogwoodlever/_fleet_daemon.py
@@ -21,6 +21,7 @@
 from dogwoodlever._http_client import HttpClient
 from dogwoodlever._log_stream import LogStream
 from dogwoodlever._logs import log_event, log_unhandled_errors
+from dogwoodlever._parsing_turns import ParsingTurns
 from dogwoodlever._peer_mesh import TcpMesh
 from dogwoodlever._port_capacity import (
     DECODED_FACTOR,
@@ -68,6 +69,7 @@
         self.settings = settings
         use_boot_time(reactor)
         clock = BootClock(reactor)
+        self._turns = ParsingTurns(clock)
         store = HttpFleetStore(
             HttpClient(reactor, FETCH_TIMEOUT_S, STORE_CONNECTIONS), settings.store
         )
@@ -129,7 +131,7 @@
             metrics.port_refusals.labels(name, cause).inc()
             log.note(cause)
 
-        site = BoundedSite(resource, get_limits, capacity, note_refusal)
+        site = BoundedSite(resource, get_limits, capacity, self._turns, note_refusal)
         connections = site.connections
         metrics.port_connections.labels(name).set_function(lambda: len(connections))
         metrics.port_incomplete.labels(name).set_function(
--- a/dogwoodlever/daemon.py
+++ b/dogwoodlever/daemon.py
@@ -12,6 +12,7 @@
 from dogwoodlever._clock import use_boot_time
 from dogwoodlever._logs import log_event
 from dogwoodlever._node import Dependencies, Node
+from dogwoodlever._parsing_turns import ParsingTurns
 from dogwoodlever._port_capacity import (
     PortCapacity,
     size_callers_port,
@@ -79,17 +80,20 @@
         s = self.settings
         callers = CallersResource(self.node, Gateway(self.node))
         operators = OperatorsResource(self.node, Reports(self.node))
+        turns = ParsingTurns(reactor)
         capacity = size_callers_port(s.memory_mb)
         BoundedSite(
             callers,
             lambda: CALLER_LIMITS,
             capacity,
+            turns,
             RefusalLog(reactor, "callers").note,
         ).listen(reactor, s.callers_port, s.host)
         BoundedSite(
             operators,
             lambda: OPERATOR_LIMITS,
             OPERATORS_PORT,
+            turns,
             RefusalLog(reactor, "operators").note,
         ).listen(reactor, s.operators_port, s.host)
         reactor.listenTCP(s.peers_port, self._mesh.factory(), interface=s.host)
--- a/tests/test_caller_bounds.py
+++ b/tests/test_caller_bounds.py
@@ -1,4 +1,4 @@
-"""Bounds of what callers may hold."""
+"""Bounds of what callers may hold: bytes, time of the loop."""
 
 import unittest
 
@@ -9,6 +9,7 @@
 
 from dogwoodlever._bounded_site import BoundedSite
 from dogwoodlever._connection_table import RefusalCause
+from dogwoodlever._parsing_turns import TURN_UNITS
 from dogwoodlever._port_capacity import PortCapacity
 from dogwoodlever._request_limits import RequestLimits
 
@@ -151,5 +152,43 @@
         self.assertEqual(len(self.resource.requests), 1)
 
 
+class TurnsTest(PortTest):
+    # Guards against small chunks that are parsed for seconds in one turn of the loop.
+    def test_ordinary_request_passes_long_ones(self):
+        self.start()
+        crowd = [self.connect(one_byte_chunks(TURN_UNITS // 2))[0] for _ in range(20)]
+        self.assertGreater(self.site.turns.waiting, 10)
+        _, transport = self.connect(GET)
+        self.assertEqual(self.resource.requests, [])
+        self.assertEqual(transport.producerState, "paused")
+        self.clock.pump([0.0] + [0.02] * 3)
+        self.assertEqual(len(self.resource.requests), 1)
+        self.assertGreater(self.site.turns.waiting, 5)
+        self.clock.pump([0.1] * 50)
+        self.assertEqual(self.site.turns.waiting, 0)
+        for connection in crowd:
+            self.assertEqual(connection.requests[0].body_bytes, TURN_UNITS // 2)
+            self.assertEqual(connection.transport.producerState, "producing")
+
+    # Guards against requests behind one another that take a turn of any length.
+    def test_pipelined_requests_share_turns(self):
+        self.start()
+        self.resource.render = lambda request: b"ok"
+        _, transport = self.connect(GET * 200)
+        answered = transport.value().count(b"HTTP/1.1 200")
+        self.assertLess(answered, 100)
+        self.clock.pump([0.05] * 50)
+        self.assertEqual(transport.value().count(b"HTTP/1.1 200"), 200)
+
+    def test_time_out_does_not_end_what_waits_for_its_turn(self):
+        self.start()
+        self.connect(one_byte_chunks(TURN_UNITS * 2))
+        _, transport = self.connect(GET)
+        self.site.turns.spend(10**9)
+        self.clock.advance(0)
+        self.clock.advance(10.0)
+        self.assertFalse(transport.is_closed)
+
+
 if __name__ == "__main__":
     unittest.main()
