Bound the connections of each port, and what waits unread in their sockets

What users saw: clients that stay open; here 500 connections take all 400 descriptors, whatever they send, and an ordinary count gets no answer in 45 s; the daemon's own calls to the store and the workers have no descriptor either. 600 bodies in chunks of 16 bytes leave 62 to 73 MB unread in the sockets, which counts as memory (132 MB of 128).

Cause: nothing bounded the number of connections, nor a socket's buffers.

Change: half of max_fds without the 200 for files, and at most as many connections as an eighth of memory_mb holds, are for callers; readiness and metrics have 32 each. When a port is full, the incomplete request that began first gives way, else the connection that is idle for longest; one whose request is handled never does. Sockets buffer 16 kB to read, 32 kB to send.

--- a/dogwoodlever/_bounded_site.py
+++ b/dogwoodlever/_bounded_site.py
@@ -1,6 +1,7 @@
 """HTTP server with limits on requests and connections."""
 
 from collections.abc import Callable
+from socket import SO_RCVBUF, SO_SNDBUF, SOL_SOCKET
 
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.resource import Resource
@@ -12,6 +13,8 @@
 from dogwoodlever._port_capacity import PortCapacity
 from dogwoodlever._request_limits import RequestLimits
 
+SEND_BUFFER_BYTES = 32_768
+
 
 class BoundedSite(Site):
     """Site with limits on requests, and on what all connections hold.
@@ -52,8 +55,12 @@
         self.displayTracebacks = False
 
     def listen(self, reactor, port: int, interface: str, backlog: int = 50) -> None:
-        """Listen on a port."""
-        reactor.listenTCP(port, self, backlog=backlog, interface=interface)
+        """Listen on a port, with socket buffers of the port's capacity."""
+        listening = reactor.listenTCP(port, self, backlog=backlog, interface=interface)
+        # Accepted sockets inherit them.
+        buffer_bytes = self.connections.capacity.receive_buffer_bytes
+        listening.socket.setsockopt(SOL_SOCKET, SO_RCVBUF, buffer_bytes)
+        listening.socket.setsockopt(SOL_SOCKET, SO_SNDBUF, SEND_BUFFER_BYTES)
 
     def buildProtocol(self, addr) -> BoundedChannel:  # noqa: N802
         """Build the protocol of an accepted connection."""
--- a/dogwoodlever/_connection_table.py
+++ b/dogwoodlever/_connection_table.py
@@ -33,6 +33,11 @@
     HEADER_TIMEOUT = "header-timeout"
     BODY_TOO_LARGE = "body-too-large"
     BODY_TIMEOUT = "body-timeout"
+    # The port has its maximum of connections: the incomplete request that began first
+    # was refused, or the connection closed that was idle for longest, or a new one.
+    CONNECTIONS_INCOMPLETE = "connections-incomplete"
+    CONNECTIONS_IDLE = "connections-idle"
+    CONNECTIONS_NEW = "connections-new"
     # The port holds its maximum of bytes: the connection was closed that holds most in
     # an incomplete request or in responses that it does not read, or a complete request
     # could not be handled.
@@ -59,8 +64,9 @@
 class ConnectionTable:
     """Keeps the connections of a port within its capacity.
 
-    If they hold too much, the one is closed that holds most and whose request is not
-    being handled.
+    If there are too many, the incomplete request that began first is refused, as a
+    caller that sends its request without a pause is soon past that. If they hold too
+    much, the one is closed that holds most and whose request is not being handled.
 
     Parameters
     ----------
@@ -97,10 +103,21 @@
         self._on_refused(cause)
 
     def add(self, connection: TrackedConnection) -> None:
-        """Add a new connection."""
+        """Add a new connection, and close another one if there are too many."""
+        if len(self) >= self.capacity.connections_max:
+            self._close_one(connection)
         self._phases[connection] = Phase.IDLE
         self._idle[connection] = None
 
+    def _close_one(self, newcomer: TrackedConnection) -> None:
+        if self._incomplete:
+            oldest = next(iter(self._incomplete))
+            oldest.refuse(RefusalCause.CONNECTIONS_INCOMPLETE)
+        elif self._idle:
+            next(iter(self._idle)).refuse(RefusalCause.CONNECTIONS_IDLE)
+        else:
+            newcomer.refuse(RefusalCause.CONNECTIONS_NEW)
+
     def set_phase(self, connection: TrackedConnection, phase: Phase) -> None:
         """Note what a connection waits for now."""
         if connection not in self._phases:
--- a/dogwoodlever/_fleet_daemon.py
+++ b/dogwoodlever/_fleet_daemon.py
@@ -163,8 +163,14 @@
 
 def _size_callers_port(settings: NodeFile) -> PortCapacity:
     """Return the capacity of the callers' port by the limits of the process."""
-    capacity = size_callers_port(settings.memory_mb, DECODED_FACTOR)
-    log_event("callers.capacity", held_mb=capacity.held_bytes_max / MEGABYTE_BYTES)
+    capacity = size_callers_port(
+        settings.memory_mb, settings.descriptors_max, DECODED_FACTOR
+    )
+    log_event(
+        "callers.capacity",
+        connections=capacity.connections_max,
+        held_mb=capacity.held_bytes_max / MEGABYTE_BYTES,
+    )
     return capacity
 
 
--- a/dogwoodlever/_port_capacity.py
+++ b/dogwoodlever/_port_capacity.py
@@ -2,9 +2,20 @@
 
 from dataclasses import dataclass
 
-# Part of the memory for what callers have sent. The rest is for the process and a
-# leader's state.
+# Descriptors that the platform reserves for files.
+FILES = 200
+# Part of the other descriptors for callers; the rest is for the store, workers, other
+# daemons, probes and metrics.
+CALLERS_DESCRIPTORS_FRACTION = 0.5
+# Parts of the memory for callers' connections, and for what they have sent. The rest is
+# for the process itself and a leader's state.
+CONNECTIONS_MEMORY_FRACTION = 0.125
 HELD_MEMORY_FRACTION = 0.125
+# Receive buffer of a connection. Bytes that were received and not read count as memory.
+RECEIVE_BUFFER_BYTES = 16_384
+# Memory of an open connection with an empty request, measured (docs/CAPACITY.md).
+CONNECTION_BYTES = 12_288
+CONNECTIONS_MIN = 16
 # A body that is passed on as it is, and one that is decoded to a job and stored.
 FORWARDED_FACTOR = 3
 DECODED_FACTOR = 16
@@ -17,23 +28,29 @@
 
     Attributes
     ----------
+    connections_max : int
+        Maximum number of open connections.
     held_bytes_max : int
         Maximum memory of incomplete requests, and of complete ones until they are
         answered.
+    receive_buffer_bytes : int
+        Size of each socket's receive buffer.
     handled_factor : int
         Memory of a request while it is handled, in multiples of its body.
     """
 
+    connections_max: int = 1_000
     held_bytes_max: int = 32_000_000
+    receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES
     handled_factor: int = FORWARDED_FACTOR
 
 
 # Of a port that is asked by a few known clients only.
-SMALL_PORT = PortCapacity(held_bytes_max=500_000)
+SMALL_PORT = PortCapacity(connections_max=32, held_bytes_max=500_000)
 
 
 def size_callers_port(
-    memory_mb: float, handled_factor: int = FORWARDED_FACTOR
+    memory_mb: float, descriptors_max: int, handled_factor: int = FORWARDED_FACTOR
 ) -> PortCapacity:
     """Return the capacity of the callers' port of a process.
 
@@ -41,8 +58,21 @@
     ----------
     memory_mb : float
         Memory of the process in megabytes.
+    descriptors_max : int
+        Maximum number of descriptors of the process, those of files included.
     handled_factor : int
         Memory of a request while it is handled, in multiples of its body.
     """
+    sockets = max(0, descriptors_max - FILES)
     memory_bytes = memory_mb * MEGABYTE_BYTES
-    return PortCapacity(int(memory_bytes * HELD_MEMORY_FRACTION), handled_factor)
+    by_descriptors = sockets * CALLERS_DESCRIPTORS_FRACTION
+    by_memory = (
+        memory_bytes
+        * CONNECTIONS_MEMORY_FRACTION
+        / (RECEIVE_BUFFER_BYTES + CONNECTION_BYTES)
+    )
+    return PortCapacity(
+        max(CONNECTIONS_MIN, int(min(by_descriptors, by_memory))),
+        int(memory_bytes * HELD_MEMORY_FRACTION),
+        handled_factor=handled_factor,
+    )
--- a/dogwoodlever/_site.py
+++ b/dogwoodlever/_site.py
@@ -113,8 +113,9 @@
         Shared keys of the ports for peers and for operators.
     statsd_host : str, default=""
         Destination of metrics; none are sent if empty.
-    memory_mb : float
-        Memory of the process, from which follows what callers may hold.
+    memory_mb, descriptors_max : float, int
+        Memory and open descriptors of the process, from which follows what callers
+        may hold.
     """
 
     daemon: str
@@ -131,3 +132,4 @@
     statsd_port: Port = 8125
     drain_s: Positive = 1.0
     memory_mb: Positive = 512.0
+    descriptors_max: PositiveCount = 4_096
--- a/dogwoodlever/daemon.py
+++ b/dogwoodlever/daemon.py
@@ -38,7 +38,8 @@
 from dogwoodlever.settings import DaemonSettings, read_daemon_settings
 
 CALLER_LIMITS = RequestLimits()
-OPERATORS_PORT = PortCapacity()
+# Documents of a site are large, and requests few.
+OPERATORS_PORT = PortCapacity(connections_max=64)
 OPERATOR_LIMITS = RequestLimits(body_bytes_max=4_000_000)
 STORE_TIMEOUT_S = 1.0
 WORKER_TIMEOUT_S = 2.0
@@ -81,7 +82,7 @@
         callers = CallersResource(self.node, Gateway(self.node))
         operators = OperatorsResource(self.node, Reports(self.node))
         turns = ParsingTurns(reactor)
-        capacity = size_callers_port(s.memory_mb)
+        capacity = size_callers_port(s.memory_mb, s.descriptors_max)
         BoundedSite(
             callers,
             lambda: CALLER_LIMITS,
--- a/dogwoodlever/platform/_node_file.py
+++ b/dogwoodlever/platform/_node_file.py
@@ -54,6 +54,7 @@
     # Bandwidth of the VM's own link; 0 if it is not known.
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 512
+    max_fds: Annotated[int, msgspec.Meta(gt=0)] = 4_096
 
 
 class _NodeDocument(msgspec.Struct, frozen=True):
@@ -113,6 +114,8 @@
         Time in which a version of the configuration has to be in force.
     memory_mb : float
         Memory of the process, in megabytes.
+    descriptors_max : int
+        Maximum number of open descriptors of the process.
     """
 
     vm: str
@@ -137,6 +140,7 @@
     link_mbps: float = 0.0
     configuration_apply_s: float = 2.0
     memory_mb: float = 512.0
+    descriptors_max: int = 4_096
 
 
 def _parse_address(text: str) -> tuple[str, int]:
@@ -182,4 +186,5 @@
         link_mbps=document.limits.link_mbps,
         configuration_apply_s=bounds.config_apply_ms / 1000,
         memory_mb=document.limits.memory_mb,
+        descriptors_max=document.limits.max_fds,
     )
--- a/tests/test_caller_bounds.py
+++ b/tests/test_caller_bounds.py
@@ -1,4 +1,4 @@
-"""Bounds of what callers may hold: bytes, time of the loop."""
+"""Bounds of what callers may hold: bytes, connections, time of the loop."""
 
 import unittest
 
@@ -10,7 +10,10 @@
 from dogwoodlever._bounded_site import BoundedSite
 from dogwoodlever._connection_table import RefusalCause
 from dogwoodlever._parsing_turns import TURN_UNITS
-from dogwoodlever._port_capacity import PortCapacity
+from dogwoodlever._port_capacity import (
+    PortCapacity,
+    size_callers_port,
+)
 from dogwoodlever._request_limits import RequestLimits
 
 POST = b"POST /q/1 HTTP/1.1\r\nHost: d\r\n"
@@ -152,6 +155,44 @@
         self.assertEqual(len(self.resource.requests), 1)
 
 
+class ConnectionsTest(PortTest):
+    # Guards against callers that use up all descriptors.
+    def test_connection_that_gives_way(self):
+        table = (
+            # what each connection has sent, in order, and the one that is closed
+            ("idle for longest", (b"", b"", b""), 0, RefusalCause.CONNECTIONS_IDLE),
+            (
+                "oldest incomplete request before idle ones",
+                (b"", POST, POST),
+                1,
+                RefusalCause.CONNECTIONS_INCOMPLETE,
+            ),
+            (
+                "none that waits for its answer",
+                (GET, post(b"x"), b""),
+                2,
+                RefusalCause.CONNECTIONS_IDLE,
+            ),
+            ("the new one", (GET, GET, GET), 3, RefusalCause.CONNECTIONS_NEW),
+        )
+        for name, sent, closed, cause in table:
+            with self.subTest(name):
+                self.start(connections_max=3)
+                transports = [self.connect(data)[1] for data in sent]
+                transports.append(self.connect()[1])
+                expected = [number == closed for number in range(4)]
+                self.assertEqual([t.is_closed for t in transports], expected)
+                self.assertEqual(self.refusals, [cause])
+
+    def test_closed_connections_are_not_counted(self):
+        self.start(connections_max=2)
+        for _ in range(5):
+            connection, transport = self.connect(GET)
+            connection.connectionLost(None)
+        self.assertEqual(self.refusals, [])
+        self.assertEqual(len(self.site.connections), 0)
+
+
 class TurnsTest(PortTest):
     # Guards against small chunks that are parsed for seconds in one turn of the loop.
     def test_ordinary_request_passes_long_ones(self):
@@ -190,5 +231,25 @@
         self.assertFalse(transport.is_closed)
 
 
+class CapacityTest(unittest.TestCase):
+    def test_capacity_by_settings(self):
+        table = (
+            # memory in MB, descriptors, least and most connections, held MB
+            (300, 4_100, 1_000, 1_950, 37.5),
+            (200, 4_100, 600, 1_950, 25.0),
+            (300, 400, 100, 100, 37.5),
+            (300, 100, 16, 16, 37.5),
+        )
+        for memory_mb, descriptors, least, most, held_mb in table:
+            with self.subTest(memory_mb=memory_mb, descriptors=descriptors):
+                capacity = size_callers_port(memory_mb, descriptors)
+                self.assertGreaterEqual(capacity.connections_max, least)
+                self.assertLessEqual(capacity.connections_max, most)
+                self.assertEqual(capacity.held_bytes_max, held_mb * 1e6)
+                # What waits unread in the sockets counts as memory too.
+                unread = capacity.connections_max * capacity.receive_buffer_bytes
+                self.assertLessEqual(unread, max(memory_mb / 8 * 1e6, 300_000))
+
+
 if __name__ == "__main__":
     unittest.main()
