Let unknown connections at the peers' port give way to peers

Cause: 1,000 connections were accepted whatever the VM's descriptors, and connections that never say hello kept daemons out for 5 s each.

Change: a tenth of the sockets is for the connections of peers; when they are used up, the oldest connection that has not said hello is closed.

--- a/dogwoodlever/_fleet_daemon.py
+++ b/dogwoodlever/_fleet_daemon.py
@@ -29,6 +29,7 @@
     SMALL_PORT,
     PortCapacity,
     size_callers_port,
+    size_peers_port,
 )
 from dogwoodlever._refusal_log import RefusalLog
 from dogwoodlever._request_limits import RequestLimits
@@ -90,7 +91,9 @@
             store,
             worker_client,
             advice,
-            lambda member, key: TcpMesh(reactor, clock, member, key),
+            lambda member, key: TcpMesh(
+                reactor, clock, member, key, size_peers_port(settings.descriptors_max)
+            ),
             clock,
             time.time,
         )
--- a/dogwoodlever/_peer_mesh.py
+++ b/dogwoodlever/_peer_mesh.py
@@ -62,11 +62,17 @@
             HELLO_TIMEOUT_S, self._hello_timed_out
         )
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the peer has sent the shared key."""
+        return bool(self._member)
+
     def _hello_timed_out(self) -> None:
         self._timeout = None
-        self._drop("no hello before the timeout")
+        self.drop("no hello before the timeout")
 
-    def _drop(self, why: str) -> None:
+    def drop(self, why: str) -> None:
+        """Close the connection at once."""
         address = self.transport.getPeer()
         log_event("peer.dropped", address=f"{address.host}:{address.port}", why=why)
         self.transport.abortConnection()
@@ -76,7 +82,7 @@
         try:
             message = decode(string)
         except FrameError as error:
-            self._drop(str(error))
+            self.drop(str(error))
             return
         if self._member:
             self._mesh.handle_message(self._member, message)
@@ -85,7 +91,7 @@
 
     def _authenticate(self, message: Message) -> None:
         if not isinstance(message, Hello) or not self._mesh.accepts_key(message.key):
-            self._drop("first frame is not a hello with the shared key")
+            self.drop("first frame is not a hello with the shared key")
             return
         self._member = message.member
         self.MAX_LENGTH = FRAME_BYTES_MAX
@@ -93,7 +99,7 @@
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
         """Drop a connection that announces an oversized frame."""
-        self._drop(f"frame of {length} bytes exceeds the limit")
+        self.drop(f"frame of {length} bytes exceeds the limit")
 
     def _cancel_timeout(self) -> None:
         if self._timeout is not None and self._timeout.active():
@@ -185,16 +191,27 @@
         Member id of this daemon.
     key : str
         Shared key of all daemons.
+    connections_max : int
+        Maximum number of connections that peers have opened.
     """
 
-    def __init__(self, reactor, clock, member: str, key: str) -> None:
+    def __init__(
+        self,
+        reactor,
+        clock,
+        member: str,
+        key: str,
+        connections_max: int = INCOMING_CONNECTIONS_MAX,
+    ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.bytes_sent = 0
         self._member = member
         self._key = key
+        self._connections_max = connections_max
         self._links: dict[str, _OutgoingLink] = {}
-        self._incoming: set[_IncomingProtocol] = set()
+        # In the order in which they were opened.
+        self._incoming: dict[_IncomingProtocol, None] = {}
         self._receiver: MessageReceiver | None = None
 
     def set_key(self, key: str) -> None:
@@ -214,15 +231,22 @@
         return hmac.compare_digest(key.encode(), self._key.encode())
 
     def accept(self, connection: _IncomingProtocol) -> bool:
-        """Register an incoming connection; return False if there are too many."""
-        if len(self._incoming) >= INCOMING_CONNECTIONS_MAX:
-            return False
-        self._incoming.add(connection)
+        """Register an incoming connection; return False if there are too many.
+
+        The oldest one whose peer is not known yet gives way.
+        """
+        if len(self._incoming) >= self._connections_max:
+            unknown = next((c for c in self._incoming if not c.is_known), None)
+            if unknown is None:
+                return False
+            unknown.drop("too many connections")
+            self._incoming.pop(unknown, None)
+        self._incoming[connection] = None
         return True
 
     def remove_incoming(self, connection: _IncomingProtocol) -> None:
         """Remove an incoming connection."""
-        self._incoming.discard(connection)
+        self._incoming.pop(connection, None)
 
     def set_receiver(self, receiver: MessageReceiver) -> None:
         """Set the callable that receives incoming messages."""
--- a/dogwoodlever/_port_capacity.py
+++ b/dogwoodlever/_port_capacity.py
@@ -7,6 +7,8 @@
 # Part of the other descriptors for callers; the rest is for the store, workers, other
 # daemons, probes and metrics.
 CALLERS_DESCRIPTORS_FRACTION = 0.5
+# Part of them for connections that other daemons have opened.
+PEERS_DESCRIPTORS_FRACTION = 0.1
 # Parts of the memory for callers' connections, and for what they have sent. The rest is
 # for the process itself and a leader's state.
 CONNECTIONS_MEMORY_FRACTION = 0.125
@@ -76,3 +78,9 @@
         int(memory_bytes * HELD_MEMORY_FRACTION),
         handled_factor=handled_factor,
     )
+
+
+def size_peers_port(descriptors_max: int) -> int:
+    """Return the maximum number of connections that peers of a process may open."""
+    sockets = max(0, descriptors_max - FILES)
+    return max(CONNECTIONS_MIN, int(sockets * PEERS_DESCRIPTORS_FRACTION))
--- a/dogwoodlever/daemon.py
+++ b/dogwoodlever/daemon.py
@@ -16,6 +16,7 @@
 from dogwoodlever._port_capacity import (
     PortCapacity,
     size_callers_port,
+    size_peers_port,
 )
 from dogwoodlever._refusal_log import RefusalLog
 from dogwoodlever._request_limits import RequestLimits
@@ -65,7 +66,13 @@
         clock = BootClock(reactor)
         incarnation = f"{time.time_ns() // 1000:x}"
         member = f"{settings.daemon}#{incarnation}"
-        self._mesh = TcpMesh(reactor, clock, member, settings.peer_key)
+        self._mesh = TcpMesh(
+            reactor,
+            clock,
+            member,
+            settings.peer_key,
+            size_peers_port(settings.descriptors_max),
+        )
         dependencies = Dependencies(
             EtcdStore(HttpClient(reactor, STORE_TIMEOUT_S), settings.store_url),
             HttpWorkerClient(HttpClient(reactor, WORKER_TIMEOUT_S)),
--- a/tests/test_caller_bounds.py
+++ b/tests/test_caller_bounds.py
@@ -13,6 +13,7 @@
 from dogwoodlever._port_capacity import (
     PortCapacity,
     size_callers_port,
+    size_peers_port,
 )
 from dogwoodlever._request_limits import RequestLimits
 
@@ -249,6 +250,7 @@
                 # What waits unread in the sockets counts as memory too.
                 unread = capacity.connections_max * capacity.receive_buffer_bytes
                 self.assertLessEqual(unread, max(memory_mb / 8 * 1e6, 300_000))
+                self.assertGreaterEqual(size_peers_port(descriptors), 16)
 
 
 if __name__ == "__main__":
