Refuse jobs for which the leader has no memory

Cause: each leader holds every job with 0.7 kB a step and 1.4 kB a task, and the number of accepted tasks had no bound.

Change: the state of jobs may take 0.4 of memory_mb. Leaders tell how much they hold with their replies; a daemon refuses a submission beyond that with 503 and Retry-After, unless the job is stored already, and counts what it has accepted in the last second. A job of any size is accepted while little is held.

--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -28,6 +28,7 @@
     LeaderReply,
 )
 from dogwoodlever._fleet_types import Step, SubmittedJob
+from dogwoodlever._leader_room import LeaderRoom
 from dogwoodlever._logs import log_event
 from dogwoodlever._pending_counts import PendingCounts
 from dogwoodlever._workspace_keys import (
@@ -93,6 +94,8 @@
     KEY_REFUSED = "key-refused"
     # A job of another workspace has the id.
     TAKEN = "taken"
+    # The leader has no memory for the job; the call had no effect and will have none.
+    NO_ROOM = "no-room"
 
 
 class CountSource(StrEnum):
@@ -148,6 +151,8 @@
         This daemon's own RPC handlers by method, called while it leads.
     keys : KeyChecker
         Checks keys again when the configuration changes during a call.
+    room : LeaderRoom
+        Decides whether the leader has memory for a job.
     on_count : callable
         Called with the `CountSource` of each count of pending jobs.
     """
@@ -161,6 +166,7 @@
         own_member: str,
         handlers: dict[str, Callable[[str], LeaderReply]],
         keys: KeyChecker,
+        room: LeaderRoom,
         on_count: Callable[[str], None] = lambda source: None,
     ) -> None:
         self._store = store
@@ -170,6 +176,7 @@
         self._own_member = own_member
         self._handlers = handlers
         self._keys = keys
+        self._room = room
         self._on_count = on_count
         self._counts = PendingCounts(store, clock)
         self._waits = ClosableWaits()
@@ -230,6 +237,12 @@
         """
         if check.workspace:
             job = msgspec.structs.replace(job, workspace=check.workspace)
+        if not self._room.take(job):
+            # A repeated submission of an accepted job is not refused.
+            existence = yield self._check_exists(job.job_id, deadline_s, UNCHECKED)
+            if existence is not CallOutcome.DONE:
+                log_event("job.no-room", job=job.job_id, queue=job.queue)
+                return CallResult(CallOutcome.NO_ROOM, retry_after_s=RETRY_AFTER_LONG_S)
         put = Put(job_key(job.job_id), encode(job))
         result = yield self._write(put, deadline_s, check)
         if result.outcome is CallOutcome.TAKEN:
@@ -558,6 +571,8 @@
             elif leader:
                 reply = yield self._call_peer(self._rpc.call, leader, method, argument)
             if reply is not None and reply.leads:
+                if leader != self._own_member and reply.state_bytes_max:
+                    self._room.update(reply.state_bytes, reply.state_bytes_max)
                 return reply
             if self.is_closed or self._clock.seconds() >= limit_s:
                 return None
--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -26,6 +26,12 @@
     CANCELLED = "cancelled"
 
 
+# Memory of a job, and of each of its steps and tasks, in a leader; measured as resident
+# memory of 60 jobs of 1,000 tasks.
+JOB_BYTES = 2_000
+STEP_BYTES = 700
+TASK_BYTES = 1_400
+
 ENDED_PHASES = frozenset({JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED})
 
 
@@ -329,6 +335,14 @@
         return len(checkpoints)
 
 
+def estimate_state_bytes(job: SubmittedJob) -> int:
+    """Return the memory that a job takes in a leader, with one occurrence open."""
+    tasks = sum(step.tasks for step in job.steps)
+    return (
+        JOB_BYTES + len(job.payload) + len(job.steps) * STEP_BYTES + tasks * TASK_BYTES
+    )
+
+
 def merge_progress(first: JobProgress, other: JobProgress) -> JobProgress:
     """Return the union of two records, both of which only grow over time."""
     for record in (first, other):
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -61,6 +61,9 @@
         self.port_refusals = self._counter(
             "port_refusals", "Requests and connections refused", "port", "cause"
         )
+        self.state_bytes = self._gauge(
+            "job_state_bytes", "Memory of the leader's jobs, 0 on other daemons"
+        )
         self.key_refusals = self._counter(
             "key_refusals", "Calls refused because of their key", "cause"
         )
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -35,6 +35,7 @@
 )
 from dogwoodlever._fleet_types import PlatformLimits
 from dogwoodlever._fleet_watcher import PrefixWatcher
+from dogwoodlever._leader_room import LeaderRoom
 from dogwoodlever._logs import log_event
 from dogwoodlever._loop_monitor import LoopMonitor
 from dogwoodlever._request_limits import RequestLimits
@@ -162,6 +163,8 @@
             clock,
             lambda cause: self.metrics.key_refusals.labels(cause).inc(),
         )
+        self._room = LeaderRoom(clock, self._get_state_bytes, settings.memory_mb)
+        self.metrics.state_bytes.set_function(lambda: self._get_state_bytes() or 0)
         self.frontend = FleetFrontend(
             store,
             clock,
@@ -170,6 +173,7 @@
             self.member,
             handlers,
             self.keys,
+            self._room,
             lambda source: self.metrics.pending_counts.labels(source).inc(),
         )
         self.rpc.register_create(self._create_for_peer)
@@ -448,6 +452,10 @@
             return None
         return self.leader
 
+    def _get_state_bytes(self) -> int | None:
+        """Return the memory of the jobs of this daemon, None if it does not lead."""
+        return None if self.leader is None else self.leader.registry.state_bytes
+
     def _handle_job(self, job_id: str) -> LeaderReply:
         leader = self._get_loaded_leader()
         if leader is None:
@@ -459,6 +467,8 @@
             leader.job_phase(job_id) or "",
             workspace=workspace,
             configuration_version=self.knowledge.version,
+            state_bytes=leader.registry.state_bytes,
+            state_bytes_max=self._room.own_bytes_max,
         )
 
     def _handle_step_down(self, fencing_token: str) -> LeaderReply:
@@ -482,4 +492,6 @@
             can_write=can_write,
             can_lead=can_lead,
             configuration_version=self.knowledge.version,
+            state_bytes=leader.registry.state_bytes,
+            state_bytes_max=self._room.own_bytes_max,
         )
--- a/dogwoodlever/_fleet_retention.py
+++ b/dogwoodlever/_fleet_retention.py
@@ -93,6 +93,6 @@
             return
         for job_id in job_ids:
             del self._ended_s[job_id]
-            self._registry.jobs.pop(job_id, None)
+            self._registry.remove_job(job_id)
         log_event("jobs.removed", count=len(job_ids))
         self._on_removed(job_ids)
--- a/dogwoodlever/_fleet_rpc.py
+++ b/dogwoodlever/_fleet_rpc.py
@@ -61,6 +61,8 @@
         Number of jobs of the queue that have not started any task.
     pending_by_queue : dict of str to int or None
         The same for all queues that have such jobs; None if the daemon does not tell.
+    state_bytes, state_bytes_max : int
+        Memory of the leader's jobs, and its limit; 0 if it does not tell.
     can_write : bool
         Whether the daemon can reach the store.
     workspace : str or None
@@ -79,6 +81,8 @@
     can_lead: bool = True
     configuration_version: int = 0
     pending_by_queue: dict[str, int] | None = None
+    state_bytes: int = 0
+    state_bytes_max: int = 0
 
 
 def format_member_id(vm: str, host: str, port: int, incarnation: str) -> str:
--- a/dogwoodlever/_run_registry.py
+++ b/dogwoodlever/_run_registry.py
@@ -12,6 +12,7 @@
     RunPhase,
     StepState,
     Task,
+    estimate_state_bytes,
 )
 from dogwoodlever._fleet_types import (
     EndedRun,
@@ -61,7 +62,7 @@
         Number of the term of leadership, from 1.
     """
 
-    __slots__ = ("_run_base", "active", "dirty", "jobs")
+    __slots__ = ("_run_base", "active", "dirty", "jobs", "state_bytes")
 
     def __init__(self, term: int) -> None:
         self._run_base = (term - 1) * RUNS_PER_TERM
@@ -70,6 +71,8 @@
         self.active: dict[str, JobState] = {}
         # Jobs whose progress has changed since it was stored.
         self.dirty: set[str] = set()
+        # Memory of all jobs, ended ones included.
+        self.state_bytes = 0
 
     def add_job(
         self,
@@ -81,7 +84,9 @@
     ) -> JobState:
         """Add a job, with its stored progress if there is any."""
         state = JobState(job, queue, revision, now_s)
+        self.remove_job(job.job_id)
         self.jobs[job.job_id] = state
+        self.state_bytes += estimate_state_bytes(job)
         if progress is not None:
             state.restore(progress)
         if state.has_ended:
@@ -91,6 +96,12 @@
             self._end_restored(state)
         return state
 
+    def remove_job(self, job_id: str) -> None:
+        """Forget a job, if it is known."""
+        state = self.jobs.pop(job_id, None)
+        if state is not None:
+            self.state_bytes -= estimate_state_bytes(state.job)
+
     def _end_restored(self, state: JobState) -> None:
         """End a job of which the records of two leaders together leave nothing to run.
 
--- a/dogwoodlever/platform/_callers_resource.py
+++ b/dogwoodlever/platform/_callers_resource.py
@@ -35,6 +35,7 @@
     CallOutcome.ABSENT: 410,
     CallOutcome.KEY_REFUSED: 401,
     CallOutcome.TAKEN: 409,
+    CallOutcome.NO_ROOM: 503,
 }
 
 _REFUSALS = {
@@ -45,6 +46,7 @@
 _ERRORS = {
     CallOutcome.KEY_REFUSED: _REFUSALS[RefusalCause.UNKNOWN],
     CallOutcome.TAKEN: "a job of another workspace has this id",
+    CallOutcome.NO_ROOM: "no memory for further jobs",
 }
 
 
--- a/tests/test_caller_bounds.py
+++ b/tests/test_caller_bounds.py
@@ -1,4 +1,4 @@
-"""Bounds of what callers may hold: bytes, connections, time of the loop."""
+"""Bounds of what callers may hold: bytes, connections, time of the loop, jobs."""
 
 import unittest
 
@@ -9,6 +9,9 @@
 
 from dogwoodlever._bounded_site import BoundedSite
 from dogwoodlever._connection_table import RefusalCause
+from dogwoodlever._fleet_job import estimate_state_bytes
+from dogwoodlever._fleet_types import Step, SubmittedJob
+from dogwoodlever._leader_room import LeaderRoom
 from dogwoodlever._parsing_turns import TURN_UNITS
 from dogwoodlever._port_capacity import (
     PortCapacity,
@@ -253,5 +256,45 @@
                 self.assertGreaterEqual(size_peers_port(descriptors), 16)
 
 
+class LeaderRoomTest(unittest.TestCase):
+    def make_job(self, tasks):
+        return SubmittedJob("a" * 16, "q", "payload", (Step(tasks, 500),))
+
+    # Guards against accepted jobs that take the memory of the leader.
+    def test_jobs_are_refused_beyond_the_memory(self):
+        job = self.make_job(1_000)
+        size = estimate_state_bytes(job)
+        memory_mb = size * 10 / 0.4 / 1e6
+        table = (
+            # own bytes (None: another leads), what the leader told, when, accepted
+            ("nothing known", None, None, 0.0, 30),
+            ("leads, empty", 0, None, 0.0, 10),
+            ("leads, nearly full", size * 9, None, 0.0, 1),
+            ("leads, full", size * 10, None, 0.0, 0),
+            ("another is nearly full", None, (size * 8, size * 10), 0.0, 2),
+            ("another was full", None, (size * 10, size * 10), 6.0, 30),
+        )
+        for name, own_bytes, told, age_s, accepted in table:
+            with self.subTest(name):
+                clock = Clock()
+                room = LeaderRoom(clock, lambda own=own_bytes: own, memory_mb * 1.0001)
+                if told:
+                    room.update(*told)
+                clock.advance(age_s)
+                taken = sum(room.take(job) for _ in range(30))
+                self.assertEqual(taken, accepted)
+
+    def test_large_job_is_accepted_while_there_is_little_else(self):
+        job = self.make_job(1_000)
+        clock = Clock()
+        own = [0]
+        room = LeaderRoom(clock, lambda: own[0], 1.0)
+        self.assertTrue(room.take(job))
+        self.assertFalse(room.take(job))
+        clock.advance(1.5)
+        own[0] = estimate_state_bytes(job)
+        self.assertFalse(room.take(self.make_job(1)))
+
+
 if __name__ == "__main__":
     unittest.main()
