Apply changed limits of the process on a reload

Cause: SIGHUP tells that the settings file has changed, and it was only logged. A file that cannot be read changes nothing and is named.

--- a/dogwoodlever/_fleet_daemon.py
+++ b/dogwoodlever/_fleet_daemon.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import msgspec
 from absl import logging
 from returns.result import Failure
 from twisted.internet import reactor
@@ -64,10 +65,13 @@
     ----------
     settings : NodeFile
         Validated settings.
+    path : Path
+        Settings file, which is read again on a reload.
     """
 
-    def __init__(self, settings: NodeFile) -> None:
+    def __init__(self, settings: NodeFile, path: Path) -> None:
         self.settings = settings
+        self._path = path
         use_boot_time(reactor)
         clock = BootClock(reactor)
         self._turns = ParsingTurns(clock)
@@ -103,13 +107,13 @@
         """Open the ports of callers, readiness, metrics and peers."""
         settings = self.settings
         host, port = settings.callers
-        callers = self._make_site(
+        self._callers = self._make_site(
             "callers",
             self.node.callers,
             self.node.get_request_limits,
             _size_callers_port(settings),
         )
-        callers.listen(reactor, port, host, backlog=512)
+        self._callers.listen(reactor, port, host, backlog=512)
         host, port = settings.readiness
         metrics = self._make_site("metrics", MetricsResource(self.node.metrics))
         metrics.listen(reactor, METRICS_PORT, settings.peer_host)
@@ -156,8 +160,29 @@
         reactor.callFromThread(self.node.stop)
 
     def reload(self, *_args) -> None:
-        """Log that the settings file changed; addresses stay until a restart."""
-        reactor.callFromThread(log_event, "daemon.reload", vm=self.settings.vm)
+        """Read the settings file again, from a signal handler too."""
+        reactor.callFromThread(self._reload)
+
+    def _reload(self) -> None:
+        """Apply a change of the process's limits; all else waits for a restart."""
+        loaded = read_node_file(self._path)
+        if isinstance(loaded, Failure):
+            log_event("daemon.reload-failed", why=str(loaded.failure())[:300])
+            return
+        settings = loaded.unwrap()
+        changed = [
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        log_event("daemon.reload", vm=self.settings.vm, changed=",".join(changed))
+        self.settings = msgspec.structs.replace(
+            self.settings,
+            memory_mb=settings.memory_mb,
+            descriptors_max=settings.descriptors_max,
+        )
+        self._callers.connections.capacity = _size_callers_port(self.settings)
+        self.node.set_memory(self.settings.memory_mb)
 
     def _stopped(self) -> None:
         log_event("daemon.exit", vm=self.settings.vm)
@@ -192,7 +217,7 @@
     if isinstance(loaded, Failure):
         print(loaded.failure(), file=sys.stderr)
         return EXIT_SETTINGS
-    daemon = FleetDaemon(loaded.unwrap())
+    daemon = FleetDaemon(loaded.unwrap(), Path(path))
     signal.signal(signal.SIGTERM, daemon.stop)
     signal.signal(signal.SIGINT, daemon.stop)
     signal.signal(signal.SIGHUP, daemon.reload)
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -211,6 +211,10 @@
             and not self.keys.is_undecided_for_long()
         )
 
+    def set_memory(self, memory_mb: float) -> None:
+        """Set the memory of the process after a change of its settings."""
+        self._room.set_memory(memory_mb)
+
     def get_request_limits(self) -> RequestLimits:
         """Return the limits of callers' requests in force."""
         configuration = self.desired_state.configuration
--- a/dogwoodlever/_leader_room.py
+++ b/dogwoodlever/_leader_room.py
@@ -43,7 +43,7 @@
     ) -> None:
         self._clock = clock
         self._get_own_bytes = get_own_bytes
-        self.own_bytes_max = int(memory_mb * MEGABYTE_BYTES * MEMORY_FRACTION)
+        self.set_memory(memory_mb)
         # Memory in use and its limit at another leader, and when it told them.
         self._used_bytes = 0
         self._limit_bytes = float("inf")
@@ -52,6 +52,10 @@
         # memory.
         self._accepted: deque[tuple[float, int]] = deque()
 
+    def set_memory(self, memory_mb: float) -> None:
+        """Set the memory of this process."""
+        self.own_bytes_max = int(memory_mb * MEGABYTE_BYTES * MEMORY_FRACTION)
+
     def update(self, used_bytes: int, limit_bytes: float) -> None:
         """Note what a leader has told of its memory."""
         self._used_bytes, self._limit_bytes = used_bytes, limit_bytes
