Describe the first 20 steps of a job in the log

Cause: the line of a job of 1,000 steps had 30 kB, for each submission of a crowd. Change: 20 steps are described, and step_count gives their number.

--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -57,6 +57,8 @@
 LEADER_WAIT_S = 0.8
 # Part of a caller's deadline that is left for counting the stored jobs.
 COUNT_READ_S = 1.2
+# Further steps of a job are not described in the log.
+LOGGED_STEPS_MAX = 20
 # Attempts of a write whose conditions fail since the configuration has changed; it
 # changes a few times a second at most.
 CONDITIONAL_WRITES_MAX = 5
@@ -255,7 +257,8 @@
             queue=job.queue,
             version=job.configuration_version,
             outcome=result.outcome,
-            steps=" ".join(_describe_step(step) for step in job.steps),
+            steps=" ".join(map(_describe_step, job.steps[:LOGGED_STEPS_MAX])),
+            step_count=len(job.steps),
             **({"workspace": job.workspace} if job.workspace else {}),
         )
         return result
