Take a field of 0, or limits of null, as if they were omitted

What callers would see: a new queue gets 404 for good, and a daemon that starts afterwards serves none, if a version gives max_attempts, timeout_ms or a limit as 0, or has no services and no routes. Found by a reviewer: the store accepts valid versions only, so a refusal here hits a version that the platform holds for valid.

Change: 0 and null stand for the default; refused stay what contradicts itself, negative numbers and other types.

--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -31,9 +31,10 @@
 _WORKER_ID_PATTERN = re.compile(r"[!-~](?:[ -~]*[!-~])?")
 
 _NotNegative = Annotated[float, msgspec.Meta(ge=0)]
-_Positive = Annotated[float, msgspec.Meta(gt=0)]
 _Text = Annotated[str, msgspec.Meta(min_length=1)]
 
+ATTEMPTS_DEFAULT = 1
+TIMEOUT_DEFAULT_MS = 3_000
 # Longer timeouts act like this one; the event loop's timers have a largest delay.
 _TIMEOUT_MAX_MS = 86_400_000
 
@@ -57,9 +58,10 @@
     service: str
     # Not used: every call of a queue may be repeated.
     kind: str = ""
-    timeout_ms: _Positive = 3_000
+    # 0 here and below is the same as an omitted field.
+    timeout_ms: _NotNegative = 0
     priority: int = 0
-    max_attempts: PositiveAmount = 1
+    max_attempts: Amount = 0
     stretch: _NotNegative = 1.0
     # Added to the stretched critical path to give the time objective.
     slo_ms: _NotNegative = 0
@@ -98,17 +100,17 @@
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: PositiveAmount = 16_384
-    max_body_bytes: PositiveAmount = 1_000_000
-    header_timeout_ms: _Positive = 10_000
-    idle_timeout_ms: _Positive = 60_000
+    max_header_bytes: Amount = 0
+    max_body_bytes: Amount = 0
+    header_timeout_ms: _NotNegative = 0
+    idle_timeout_ms: _NotNegative = 0
 
 
 class _Configuration(msgspec.Struct, frozen=True):
     version: PositiveAmount
     routes: list[_Route]
-    services: list[_Service]
-    limits: _Limits = _Limits()
+    services: list[_Service] = []
+    limits: _Limits | None = None
     tenants: tuple[_Tenant, ...] = ()
 
 
@@ -148,12 +150,12 @@
             route.prefix,
             route.service,
             route.priority,
-            route.max_attempts,
+            route.max_attempts or ATTEMPTS_DEFAULT,
             route.stretch,
             int(route.slo_ms),
             _convert_advice(route.advice),
             route.public,
-            _convert_timeout(route.timeout_ms),
+            _convert_timeout(route.timeout_ms or TIMEOUT_DEFAULT_MS),
         )
         for route in document.routes
     }
@@ -166,12 +168,7 @@
         )
         for tenant in document.tenants
     }
-    limits = RequestLimits(
-        document.limits.max_header_bytes,
-        document.limits.max_body_bytes,
-        _convert_timeout(document.limits.header_timeout_ms),
-        _convert_timeout(document.limits.idle_timeout_ms),
-    )
+    limits = _convert_limits(document.limits)
     return FleetConfiguration(document.version, queues, workspaces, revision, limits)
 
 
@@ -218,6 +215,19 @@
     return AdviceTiming(advice.decision_ms, advice.period_ms, advice.valid_ms)
 
 
+def _convert_limits(limits: _Limits | None) -> RequestLimits:
+    """Return the limits of requests, the default ones where a version has none."""
+    default = RequestLimits()
+    if limits is None:
+        return default
+    return RequestLimits(
+        limits.max_header_bytes or default.header_bytes_max,
+        limits.max_body_bytes or default.body_bytes_max,
+        _convert_timeout(limits.header_timeout_ms) or default.header_timeout_s,
+        _convert_timeout(limits.idle_timeout_ms) or default.idle_timeout_s,
+    )
+
+
 def _convert_timeout(timeout_ms: float) -> float:
     """Return a timeout in seconds."""
     return min(timeout_ms, _TIMEOUT_MAX_MS) / 1000
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -105,7 +105,8 @@
             for route in routes
             if route["service"] != SERVICE
         }
-        limits = document.get("limits", {})
+        limits = document.get("limits") or {}
+        limits = {name: value for name, value in limits.items() if value}
         self._log.write(
             "configuration", version=version, queues=places, services=services,
             limits=limits, form=form,
--- a/tests/test_invalid_versions.py
+++ b/tests/test_invalid_versions.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest.mock import patch
 
+from dogwoodlever._request_limits import RequestLimits
 from standins.invalid_versions import (
     INVALID_BYTES,
     INVALID_QUEUE,
@@ -155,11 +156,30 @@
                     for route in document["routes"]:
                         queue = configuration.queues[route["name"]]
                         self.assertEqual(queue.attempts_max, route["max_attempts"])
+                        timeout_s = (route.get("timeout_ms") or 3_000) / 1000
+                        self.assertEqual(queue.timeout_s, timeout_s)
                         self.assertIs(type(queue.attempts_max), int)
                         self.assertEqual(self.get_status(fleet, queue.prefix), 200)
                         found = configuration.find_queue(HOST, queue.prefix + "x")
                         self.assertEqual(found, queue)
                     self.assertEqual(self.get_status(fleet, "/former/"), 404)
+                    if not any((document.get("limits") or {}).values()):
+                        limits = configuration.request_limits
+                        self.assertEqual(limits, RequestLimits())
+
+    # Guards against a queue that is never in force, or whose jobs fail at once, since
+    # it has no number of attempts.
+    def test_queue_without_a_number_of_attempts(self):
+        for value in (0, None):
+            with self.subTest(max_attempts=value):
+                document = make_document(5)
+                document["routes"][0].pop("max_attempts")
+                if value is not None:
+                    document["routes"][0]["max_attempts"] = value
+                fleet = self.start_fleet(encode_version(document))
+                self.assertEqual(self.get_status(fleet, f"/{QUEUE}/"), 200)
+                queue = self.node.desired_state.configuration.queues[QUEUE]
+                self.assertEqual(queue.attempts_max, 1)
 
 
 if __name__ == "__main__":
