Bound the objective of a queue to what a stored job can hold

What callers saw: each submission to a queue with slo_ms of 1e300 got 500, since the job could not be encoded. Cause: any number of at least 0 was taken. Change: longer objectives act like one of 30,000 years. Evidence: test_objective_beyond_64_bits failed before.

--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -33,6 +33,8 @@
 _NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 _Text = Annotated[str, msgspec.Meta(min_length=1)]
 
+# A longer objective acts like this one; stored jobs hold 64 bits.
+_OBJECTIVE_MAX_MS = 1e15
 ATTEMPTS_DEFAULT = 1
 TIMEOUT_DEFAULT_MS = 3_000
 # Longer timeouts act like this one; the event loop's timers have a largest delay.
@@ -152,7 +154,7 @@
             route.priority,
             route.max_attempts or ATTEMPTS_DEFAULT,
             route.stretch,
-            int(route.slo_ms),
+            int(min(route.slo_ms, _OBJECTIVE_MAX_MS)),
             _convert_advice(route.advice),
             route.public,
             _convert_timeout(route.timeout_ms or TIMEOUT_DEFAULT_MS),
