Bound the wait of a count for a leader

What callers saw: without a leader, a count of a queue with a timeout_ms of 60,000 was answered after 59 s, although the stored jobs could be counted at once.

Cause: the wait ended 1.35 s before the deadline, which grows with timeout_ms. Change: it ends after 1.6 s at the latest. Evidence: test_count_does_not_wait_long_for_a_leader failed before.

--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -55,7 +55,9 @@
 RETRY_AFTER_LONG_S = 2
 # How long to call the leader before the store is read.
 LEADER_WAIT_S = 0.8
-# Part of a caller's deadline that is left for counting the stored jobs.
+# The same for counts, whose stored jobs take longer to read, and the part of a caller's
+# deadline that is left for that.
+COUNT_LEADER_WAIT_S = 1.6
 COUNT_READ_S = 1.2
 # Further steps of a job are not described in the log.
 LOGGED_STEPS_MAX = 20
@@ -521,7 +523,9 @@
         """
         sent_s = self._clock.seconds()
         until_s = deadline_s - RESPONSE_MARGIN_S
-        wait_s = 0.0 if self._counts.is_recent else until_s - COUNT_READ_S - sent_s
+        wait_s = min(COUNT_LEADER_WAIT_S, until_s - COUNT_READ_S - sent_s)
+        if self._counts.is_recent:
+            wait_s = 0.0
         reply = yield self._call_leader(PENDING_METHOD, queue, until_s, wait_s)
         if reply is not None:
             if reply.pending_by_queue is not None:
