Forget accepted jobs that every recent count includes

Cause: a daemon kept each job that it had accepted until the next count, for ever where nobody counts. Evidence: test_accepted_jobs_are_forgotten failed before.

--- a/dogwoodlever/_pending_counts.py
+++ b/dogwoodlever/_pending_counts.py
@@ -44,7 +44,7 @@
         self._counts: Mapping[str, int] = {}
         # Time at which these numbers were the newest ones, or later.
         self._counted_s = float("-inf")
-        # Jobs that this daemon has accepted since: queue and time by id.
+        # Jobs that this daemon has accepted of late: queue and time by id.
         self._accepted: dict[str, tuple[str, float]] = {}
         # Those that wait for the stored jobs to be read; None while nobody does.
         self._waiting: list[Deferred] | None = None
@@ -71,8 +71,15 @@
         }
 
     def add_accepted(self, job_id: str, queue: str) -> None:
-        """Note that this daemon has accepted a job."""
-        self._accepted[job_id] = queue, self._clock.seconds()
+        """Note that this daemon has accepted a job; its first queue stays."""
+        now_s = self._clock.seconds()
+        while self._accepted:
+            oldest = next(iter(self._accepted))
+            if self._accepted[oldest][1] > now_s - AGE_MAX_S - SEEN_S:
+                break
+            # Numbers that are recent enough include it.
+            del self._accepted[oldest]
+        self._accepted.setdefault(job_id, (queue, now_s))
 
     @inlineCallbacks
     def find(self, queue: str, until_s: float):
