Answer all that wait for a count of the stored jobs when it ends

What callers saw: 503 although the stored jobs had just been counted, if that had begun over 2 s before. Cause: the age of numbers counts from the start of the reading, and those who waited were checked against it. Change: they get its numbers. Evidence: test_callers_who_join_a_long_reading_get_its_number failed before.

--- a/dogwoodlever/_pending_counts.py
+++ b/dogwoodlever/_pending_counts.py
@@ -88,15 +88,21 @@
         Returns a Deferred that fires with the number, or None if no number is recent
         enough at `until_s` on the reactor clock, or the store does not answer.
         """
-        if not self.is_recent:
-            yield self._wait_for_read(until_s)
-        if not self.is_recent:
+        counts = self._counts if self.is_recent else None
+        if counts is None:
+            # A reading that has just ended is an answer also if it took long.
+            counts = yield self._wait_for_read(until_s)
+        if counts is None:
             return None
         own = sum(accepted[0] == queue for accepted in self._accepted.values())
-        return self._counts.get(queue, 0) + own
+        return counts.get(queue, 0) + own
 
     def _wait_for_read(self, until_s: float) -> Deferred:
-        """Let the stored jobs be read, once for all that wait."""
+        """Let the stored jobs be read, once for all that wait.
+
+        Returns a Deferred that fires with the numbers, None if they are not there in
+        time.
+        """
         ended: Deferred = Deferred()
         limit_s = max(0.0, until_s - self._clock.seconds())
         timer = self._clock.callLater(limit_s, self._stop_waiting, ended)
@@ -109,7 +115,7 @@
         ended.addBoth(cancel_timer)
         if self._waiting is None:
             self._waiting = [ended]
-            self._read_stored().addBoth(self._end_read)
+            self._read_stored().addCallback(self._end_read)
         else:
             self._waiting.append(ended)
         return ended
@@ -118,14 +124,14 @@
         self._waiting.remove(ended)
         ended.callback(None)
 
-    def _end_read(self, result):
+    def _end_read(self, counts: Mapping[str, int] | None) -> None:
         waiting, self._waiting = self._waiting, None
         for ended in waiting:
-            ended.callback(None)
-        return result
+            ended.callback(counts)
 
     @inlineCallbacks
     def _read_stored(self):
+        """Return a Deferred that fires with the numbers, None if the store fails."""
         listings = [
             StoreListing(self._store, prefix)
             for prefix in (JOBS_PREFIX, CANCELS_PREFIX, PROGRESS_PREFIX)
@@ -135,7 +141,7 @@
             jobs, cancels, progress = yield self._read_listings(listings)
         except PlatformError as error:
             log_event("counts.unread", why=str(error)[:160])
-            return
+            return None
         counts = count_pending(jobs.records, cancels.records, progress.records)
         self.update(counts, begun_s, 0.0)
         log_event(
@@ -144,6 +150,7 @@
             pending=sum(counts.values()),
             took_s=self._clock.seconds() - begun_s,
         )
+        return counts
 
     @inlineCallbacks
     def _read_listings(self, listings: list[StoreListing]):
