Repeat a refused count of the stored jobs less often

Cause: a store that refuses calls (429) got ten more a second from each daemon that counts, while a new leader has to load the same records. Change: such a read is repeated after 0.5 s.

--- a/dogwoodlever/_pending_counts.py
+++ b/dogwoodlever/_pending_counts.py
@@ -18,11 +18,17 @@
 )
 from dogwoodlever._logs import log_event
 from dogwoodlever._store_listing import StoreListing
-from dogwoodlever.platform_errors import PlatformError, StoredRecordError
+from dogwoodlever.platform_errors import (
+    PlatformError,
+    StoredRecordError,
+    StoreRefusedError,
+)
 
 # The platform allows a count to be this old.
 AGE_MAX_S = 2.0
+# Times from a failed read to the next one, and from one that the store refused.
 RETRY_S = 0.1
+RETRY_REFUSED_S = 0.5
 # Time within which a leader has read a submission that the store has acknowledged.
 SEEN_S = 0.5
 
@@ -163,10 +169,12 @@
         while len(results) < len(listings):
             try:
                 result = yield listings[len(results)].read()
-            except PlatformError:
+            except PlatformError as error:
                 if not self._waiting:
                     raise
-                yield deferLater(self._clock, RETRY_S)
+                is_refused = isinstance(error, StoreRefusedError)
+                delay_s = RETRY_REFUSED_S if is_refused else RETRY_S
+                yield deferLater(self._clock, delay_s)
                 continue
             results.append(result)
         return results
