Accept a relayed job of a renamed queue by its place

What callers saw: 503 for a submission that the leader wrote for a daemon with an older version, if the newer version has the queue under another name at the same host and path.

Cause: the leader compared names before the write. Change: where the check names the place, the write's own check decides. Evidence: test_relayed_job_of_a_queue_that_was_renamed failed before.

--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -418,7 +418,13 @@
 
     def _create_for_peer(self, key: str, value: bytes, check: KeyCheck | None):
         """Create a record for a peer, unless it decided by an outdated version."""
-        if key.startswith(JOBS_PREFIX) and self._is_queue_dropped(value):
+        # With the place of the call the write is checked by the newer version itself.
+        has_place = check is not None and check.path
+        if (
+            key.startswith(JOBS_PREFIX)
+            and self._is_queue_dropped(value)
+            and not has_place
+        ):
             return succeed(CallOutcome.NOT_DONE)
         return self.frontend.create_for_peer(key, value, check)
 
