Count a job that was accepted again under its new queue

Cause: the daemon's own count of what it has accepted used the queue of the first check. Change: that of the later check is noted first. Evidence: test_own_count_of_a_job_accepted_again failed before.

--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -386,6 +386,7 @@
                     return CallOutcome.NOT_DONE
                 job = self._keys.accept_again(decode_submission(put.value), again)
                 put = Put(put.key, encode(job))
+                self._counts.add_accepted(job.job_id, job.queue)
                 log_event(
                     "write.accepted-again",
                     key=put.key,
