Use no timer for a turn with little work

Cause: each request took one more turn of the event loop, in which the counted work was set back. Change: the work of turns is counted on, and set back in the turn after half of a turn's work was reached.

--- a/dogwoodlever/_parsing_turns.py
+++ b/dogwoodlever/_parsing_turns.py
@@ -83,7 +83,10 @@
             self._enqueue(connection)
         else:
             self._parse(connection)
-        if self._timer is None:
+        # A turn with little work needs no end: work of several such turns is counted
+        # together until half of a turn's is reached.
+        is_due = self._queued or self._spent > TURN_UNITS / 2
+        if is_due and self._timer is None:
             self._timer = self._clock.callLater(0, self._begin_turn)
 
     def discard(self, connection: ParsingConnection) -> None:
