A leader passes on when the leases from leaders before it have expired

Cause: a leader that learns that its predecessor has stopped counts 5.75 s from then instead of 8.75 s from its own election. It told nobody: if it led for less than its first failed call, its successor counted 8.75 s from that election again, for the predecessor that had long stopped.

Change: the answer to the call that stops a former leader says when the leases from leaders before that one have expired, as a duration and with the number of the last term that its daemon led. It is used only for the term just before, as others may have led after an earlier one. Daemons of earlier builds do not tell, and the wait is as before.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -1,5 +1,6 @@
 """The leader: tracks all jobs, sends orders to workers and stores progress."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 
@@ -316,10 +317,26 @@
         if self._unconfirmed_jobs:
             self._confirm_soon()
 
-    def on_former_leader_stopped(self, elected_s: float) -> None:
-        """Record that the former leader, elected by `elected_s`, has stopped."""
+    def on_former_leader_stopped(
+        self, elected_s: float, last_term: int, former_leases_left_s: float
+    ) -> None:
+        """Record that the former leader, elected by `elected_s`, has stopped.
+
+        Parameters
+        ----------
+        elected_s : float
+            Time by which the former leader was elected.
+        last_term : int
+            Last term that its daemon led, as far as that one knows.
+        former_leases_left_s : float
+            Time until the leases from leaders before `last_term` have expired.
+        """
         self.is_former_leader_stopped = True
-        self.workers.on_former_leader_stopped(elected_s)
+        # An earlier term says nothing of the leaders after it.
+        is_known = 0 < last_term == self.term - 1
+        self.workers.on_former_leader_stopped(
+            elected_s, former_leases_left_s if is_known else math.inf
+        )
 
     def _get_term_revision(self) -> int:
         return self._term_revision
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -186,6 +186,10 @@
         self._watchers = [self._operators_watcher, self._leader_watcher]
         # Revision of the record of unreachable workers, and when it was seen.
         self._unreachable_seen = (0, float("-inf"))
+        # Last term of a leader of this daemon that was closed, and when the leases from
+        # the leaders before it have expired.
+        self._last_term = 0
+        self._former_leases_expire_s = float("-inf")
         self._is_stopping = False
         self._has_resigned = False
         # Whether another daemon has replied that it can lead, since the last check.
@@ -270,8 +274,7 @@
             yield deferLater(self._clock, STOP_POLL_S)
         if self.leader is not None:
             log_event("leader.resigned", successor_known=self._is_successor_known)
-            self.leader.close()
-            self.leader = None
+            self._close_leader()
         self._has_resigned = True
         yield self.election.resign()
 
@@ -327,7 +330,7 @@
             self.leader.continue_term(term, fencing_token)
             return
         if self.leader is not None:
-            self.leader.close()
+            self._close_leader()
         load_limit_s = self.settings.recovery_s * LOAD_FRACTION
         load_limit_s *= 2**self.election.failed_loads
         leader_record = self.election.leader
@@ -371,28 +374,40 @@
     @inlineCallbacks
     def _stop_former_leader(self, leader: FleetLeader, former_leader: str):
         """Call the former leader until its address reports that it does not lead."""
-        if not former_leader:
-            leader.on_former_leader_stopped(self.election.former_elected_s)
+        elected_s = self.election.former_elected_s
+        if not former_leader or former_leader == self.member:
+            leader.on_former_leader_stopped(
+                elected_s, self._last_term, self._former_leases_left_s()
+            )
             return
         while not leader.is_closed and not leader.is_former_leader_stopped:
-            if former_leader == self.member:
-                leader.on_former_leader_stopped(self.election.former_elected_s)
-                return
             reply = yield self.rpc.call(
                 former_leader, STEP_DOWN_METHOD, str(leader.fencing_token)
             )
             if reply is not None and not reply.leads:
                 log_event("leader.former-stopped", member=former_leader)
-                leader.on_former_leader_stopped(self.election.former_elected_s)
+                leader.on_former_leader_stopped(
+                    elected_s, reply.last_term, reply.former_leases_left_s
+                )
                 return
             yield deferLater(self._clock, STEP_DOWN_RETRY_S)
 
+    def _close_leader(self) -> None:
+        """Stop leading, and keep what a successor is told of earlier leaders."""
+        self.leader.close()
+        self._last_term = self.leader.term
+        self._former_leases_expire_s = self.leader.workers.former_leases_expire_s
+        self.leader = None
+
+    def _former_leases_left_s(self) -> float:
+        """Return when leases from leaders before the last own term have expired."""
+        return max(0.0, self._former_leases_expire_s - self._clock.seconds())
+
     def _on_step_down(self, why: str) -> None:
         log_event("leader.deposed", why=why)
         self.metrics.leads.set(0)
         if self.leader is not None:
-            self.leader.close()
-            self.leader = None
+            self._close_leader()
 
     def _on_renewed(self) -> None:
         if self.leader is not None:
@@ -464,7 +479,11 @@
     def _handle_step_down(self, fencing_token: str) -> LeaderReply:
         if self.election.leads and int(fencing_token) > self.election.fencing_token:
             self.election.step_down("requested by a successor")
-        return LeaderReply(self.election.leads)
+        return LeaderReply(
+            self.election.leads,
+            last_term=self._last_term,
+            former_leases_left_s=self._former_leases_left_s(),
+        )
 
     def _handle_pending(self, queue: str) -> LeaderReply:
         leader = self._get_loaded_leader()
--- a/dogwoodlever/_fleet_rpc.py
+++ b/dogwoodlever/_fleet_rpc.py
@@ -69,6 +69,11 @@
         Whether the daemon can succeed a leader that stops.
     configuration_version : int
         Version of the configuration in force at the daemon; 0 if it does not tell.
+    last_term : int
+        Last term that the daemon led and whose leader it has closed; 0 if there is
+        none or it does not tell.
+    former_leases_left_s : float
+        Time until the workers' leases from leaders before that term have expired.
     """
 
     leads: bool
@@ -79,6 +84,8 @@
     can_lead: bool = True
     configuration_version: int = 0
     pending_by_queue: dict[str, int] | None = None
+    last_term: int = 0
+    former_leases_left_s: float = 0.0
 
 
 def format_member_id(vm: str, host: str, port: int, incarnation: str) -> str:
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -1,5 +1,6 @@
 """The leader's view of the workers: capacities, links, incarnations and leases."""
 
+import math
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
@@ -230,14 +231,25 @@
             return link.get_fencing_token()
         return self._fencing_token(self._link_count)
 
-    def on_former_leader_stopped(self, elected_s: float) -> None:
+    @property
+    def former_leases_expire_s(self) -> float:
+        """Time at which the leases from all former leaders have expired."""
+        return self._former_leases_expire_s
+
+    def on_former_leader_stopped(
+        self, elected_s: float, earlier_left_s: float = math.inf
+    ) -> None:
         """Record that the former leader, elected by `elected_s`, has stopped.
 
-        Its own predecessors may be cut off and renew leases for a time after that.
+        Its own predecessors may be cut off and renew leases for a time after that;
+        `earlier_left_s` is what the former leader knows of when those have expired.
         """
-        expire_s = self._lease_bound_s + max(
-            self._clock.seconds(), elected_s + WORKER_LEASES_MAX_S - self._lease_s
+        now_s = self._clock.seconds()
+        earlier_expire_s = min(
+            elected_s + WORKER_LEASES_MAX_S + self._lease_bound_s - self._lease_s,
+            now_s + earlier_left_s,
         )
+        expire_s = max(now_s + self._lease_bound_s, earlier_expire_s)
         self._former_leases_expire_s = min(self._former_leases_expire_s, expire_s)
         for worker_id, link in self._links.items():
             link.evidence.limit_former_leases(self._former_expiry_s(worker_id))
