A leader does not ask itself whether its predecessor leads

Cause: the call that stops a former leader goes to that one's address. If a daemon restarts and is elected after its own earlier process, it reached itself, answered that it leads, and never learned that the former leader had stopped: its wait for workers was 8.75 s from its election instead of 5.75 s.

Change: an earlier process on the same VM and at the address at which this daemon listens counts as stopped, as a reply of that address does for others.

Result: test_work_starts_under_the_next_process_of_the_former_leader: no work of a silent worker starts within 6.85 s without the change, all of it with it.

--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -32,6 +32,7 @@
     FleetRpc,
     LeaderReply,
     format_member_id,
+    is_same_daemon,
 )
 from dogwoodlever._fleet_types import PlatformLimits
 from dogwoodlever._fleet_watcher import PrefixWatcher
@@ -375,7 +376,9 @@
     def _stop_former_leader(self, leader: FleetLeader, former_leader: str):
         """Call the former leader until its address reports that it does not lead."""
         elected_s = self.election.former_elected_s
-        if not former_leader or former_leader == self.member:
+        # An earlier process on this VM, at the address at which this one listens, has
+        # ended; a call to it would reach this leader.
+        if not former_leader or is_same_daemon(former_leader, self.member):
             leader.on_former_leader_stopped(
                 elected_s, self._last_term, self._former_leases_left_s()
             )
--- a/dogwoodlever/_fleet_rpc.py
+++ b/dogwoodlever/_fleet_rpc.py
@@ -100,6 +100,11 @@
     return host, int(port)
 
 
+def is_same_daemon(member: str, other: str) -> bool:
+    """Return whether two members are processes of one VM at one address."""
+    return member.partition("#")[0] == other.partition("#")[0]
+
+
 class FleetRpc:
     """Calls other daemons and handles their calls.
 
--- a/tests/test_former_leaders_stopped.py
+++ b/tests/test_former_leaders_stopped.py
@@ -71,6 +71,21 @@
                     waited_s = fleet.clock.seconds() - took_over_s[-1]
                     self.assertLess(waited_s, LEASES_S + START_MAX_S)
 
+    # Guards against a leader that asks itself whether an earlier process at its own
+    # address leads, answers that it does, and waits as if that one were cut off.
+    def test_work_starts_under_the_next_process_of_the_former_leader(self):
+        fleet = self.start_fleet(workers=4, daemons=1)
+        lost = self.start_standing_job(fleet, TASKS)
+        moved = len(fleet.workers.workers[lost].running)
+        silence(fleet, lost)
+        fleet.kill(0)
+        fleet.add_daemon("vm0")
+        fleet.members[fleet.nodes[0].member] = fleet.nodes[1].mesh
+        self.await_leader(fleet)
+        fleet.run_for(LEASES_S + START_MAX_S)
+        self.assertEqual(len(fleet.workers.starts), TASKS + moved)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
     # Guards against a successor that takes a leader for stopped of which no process has
     # said so, and which may be cut off and renew leases.
     def test_work_waits_for_leaders_that_may_be_cut_off(self):
