Known red: a short term of a daemon that has just started

A daemon that has just started does not know when its predecessor was elected and counts from its own election; if it leads briefly, its successor counts on from there. Not mended: it needs terms that daemons remember, and answers about several leaders.

--- a/tests/test_former_leaders_stopped.py
+++ b/tests/test_former_leaders_stopped.py
@@ -5,6 +5,7 @@
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_node import FleetNode
+from dogwoodlever._fleet_records import LEADER_KEY
 from dogwoodlever._run_evidence import lease_bound_s
 from dogwoodlever._worker_link import RUN_LEASE_TARGET_S
 from tests.fleet_simulation import STOP_S, StandingWorkTest
@@ -102,6 +103,29 @@
         self.assertEqual(len(fleet.workers.starts), TASKS + moved)
         self.assertEqual(fleet.workers.duplicate_starts, [])
 
+    # Guards against a wait that begins anew, as the leader of a short term has just
+    # started and does not know when its predecessor was elected (issue 44, LOST).
+    def test_short_term_of_a_daemon_that_has_just_started(self):
+        fleet = self.start_fleet(workers=4, daemons=7)
+        lost = self.start_standing_job(fleet, TASKS)
+        moved = len(fleet.workers.workers[lost].running)
+        silence(fleet, lost)
+        fleet.run_for(0.5)
+        self.kill_leader(fleet, True)
+        started_s = fleet.clock.seconds()
+        for node in fleet.nodes:
+            node.election._given_up_until_s = started_s + 2.5
+        while fleet.records.read(LEADER_KEY) is not None:
+            fleet.run_for(0.01)
+        fleet.add_daemon("vm-new")
+        self.assertEqual(self.await_leader(fleet), len(fleet.nodes) - 1)
+        fleet.run_for(0.35)
+        fleet.nodes[-1].stop()
+        self.await_leader(fleet)
+        fleet.run_for(LEASES_S + START_MAX_S)
+        self.assertEqual(len(fleet.workers.starts), TASKS + moved)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
     # Guards against a successor that takes a leader for stopped of which no process has
     # said so, and which may be cut off and renew leases.
     def test_work_waits_for_leaders_that_may_be_cut_off(self):
