--- a/dogwoodlever/_fleet_rpc.py
+++ b/dogwoodlever/_fleet_rpc.py
@@ -71,6 +71,11 @@
         Whether the daemon can succeed a leader that stops.
     configuration_version : int
         Version of the configuration in force at the daemon; 0 if it does not tell.
+    last_term : int
+        Last term that the daemon led and whose leader it has closed; 0 if there is
+        none or it does not tell.
+    former_leases_left_s : float
+        Time until the workers' leases from leaders before that term have expired.
     """
 
     leads: bool
@@ -83,6 +88,8 @@
     pending_by_queue: dict[str, int] | None = None
     state_bytes: int = 0
     state_bytes_max: int = 0
+    last_term: int = 0
+    former_leases_left_s: float = 0.0
 
 
 def format_member_id(vm: str, host: str, port: int, incarnation: str) -> str:
@@ -97,6 +104,11 @@
     return host, int(port)
 
 
+def is_same_daemon(member: str, other: str) -> bool:
+    """Return whether two members are processes of one VM at one address."""
+    return member.partition("#")[0] == other.partition("#")[0]
+
+
 class FleetRpc:
     """Calls other daemons and handles their calls.
 
