Test that the memory of trailers is counted

Twisted's decoder keeps each line of the trailers of a chunked body as an object, up to 64 kB of text. Neither ConnectionTable nor ParsingTurns counts it. Fails: 1.34 MB of a caller that sent 60 kB, counted as 12 kB.

--- /dev/null
+++ b/tests/test_caller_bounds_review.py
@@ -0,0 +1,48 @@
+"""Guards the bounds of callers against ways around them and against starvation."""
+
+import gc
+import tracemalloc
+
+from tests.test_caller_bounds import POST, PortTest
+
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+READ_BYTES = 8_192
+
+
+def send(connection, data):
+    for start in range(0, len(data), READ_BYTES):
+        connection.dataReceived(data[start : start + READ_BYTES])
+
+
+class UncountedMemoryTest(PortTest):
+    """Memory of what has arrived, against what the table counts."""
+
+    def measure(self, data, callers=10):
+        """Return the real and the counted bytes of each caller that sends `data`."""
+        self.start()
+        self.connect(data)
+        for _ in range(20):
+            self.clock.advance(0.3)
+        gc.collect()
+        tracemalloc.start()
+        start = tracemalloc.get_traced_memory()[0]
+        before = self.site.connections.held_bytes
+        kept = []
+        for _ in range(callers):
+            connection, transport = self.connect()
+            kept.append((connection, transport))
+            for begin in range(0, len(data), READ_BYTES):
+                connection.dataReceived(data[begin : begin + READ_BYTES])
+                self.clock.pump([0.0] + [0.3] * 2)
+        gc.collect()
+        real = tracemalloc.get_traced_memory()[0] - start
+        tracemalloc.stop()
+        self.assertFalse(any(t.is_closed for _, t in kept), self.refusals)
+        counted = self.site.connections.held_bytes - before
+        # An open connection is counted as 12,288 bytes by the port's capacity.
+        return real / callers, counted / callers + 12_288
+
+    # Trailers behind the last chunk are kept by the decoder as one object a line.
+    def test_memory_of_trailers_is_counted(self):
+        real, counted = self.measure(CHUNKED + b"0\r\n" + b"a\r\n" * 20_000)
+        self.assertLess(real, 2 * counted)
