Test that all new connections beyond the maximum are refused

ConnectionTable.add puts a newcomer that it has just refused among the idle ones, so the next newcomers refuse that one again, which does nothing, and stay.

--- a/tests/test_caller_bounds_review.py
+++ b/tests/test_caller_bounds_review.py
@@ -3,7 +3,7 @@
 import gc
 import tracemalloc
 
-from tests.test_caller_bounds import POST, PortTest
+from tests.test_caller_bounds import GET, POST, PortTest
 
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 READ_BYTES = 8_192
@@ -46,3 +46,14 @@
     def test_memory_of_trailers_is_counted(self):
         real, counted = self.measure(CHUNKED + b"0\r\n" + b"a\r\n" * 20_000)
         self.assertLess(real, 2 * counted)
+
+
+class ClosedConnectionsTest(PortTest):
+    # A refused new connection was taken for an idle one, which others then replaced.
+    def test_all_new_connections_beyond_the_maximum_are_refused(self):
+        self.start(connections_max=3)
+        for _ in range(3):
+            self.connect(GET)
+        # Accepted together; their connections end in a later turn of the loop.
+        newcomers = [self.connect()[1] for _ in range(5)]
+        self.assertEqual([t.is_closed for t in newcomers], [True] * 5)
