Test that a closed connection is not kept in the queue

ParsingTurns.discard leaves the row in the heap. The row holds the connection with its request and body, which are no longer counted, until all shorter requests are parsed.

--- a/tests/test_caller_bounds_review.py
+++ b/tests/test_caller_bounds_review.py
@@ -2,8 +2,9 @@
 
 import gc
 import tracemalloc
+import weakref
 
-from tests.test_caller_bounds import GET, POST, PortTest
+from tests.test_caller_bounds import GET, POST, PortTest, start_body
 
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 READ_BYTES = 8_192
@@ -57,3 +58,17 @@
         # Accepted together; their connections end in a later turn of the loop.
         newcomers = [self.connect()[1] for _ in range(5)]
         self.assertEqual([t.is_closed for t in newcomers], [True] * 5)
+
+    # A closed connection stayed in the queue, with its body, behind shorter requests.
+    def test_closed_connection_is_not_kept_in_the_queue(self):
+        self.start()
+        connection, _ = self.connect(start_body(90_000, 50_000))
+        self.site.turns.spend(10**4)
+        connection.dataReceived(b"x" * 8_000)
+        self.assertEqual(self.site.turns.waiting, 1)
+        connection.connectionLost(None)
+        body = weakref.ref(connection)
+        del connection
+        gc.collect()
+        self.assertEqual(self.site.connections.held_bytes, 0)
+        self.assertIsNone(body())
