Test that short requests do not hold up a submission

The queue has no ageing. Fails: a submission of 3 kB is not parsed in 6 s at some 1,300 counts a second, a load that the turns nearly serve.

--- a/tests/test_caller_bounds_review.py
+++ b/tests/test_caller_bounds_review.py
@@ -4,7 +4,7 @@
 import tracemalloc
 import weakref
 
-from tests.test_caller_bounds import GET, POST, PortTest, start_body
+from tests.test_caller_bounds import GET, POST, PortTest, post, start_body
 
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 READ_BYTES = 8_192
@@ -49,6 +49,24 @@
         self.assertLess(real, 2 * counted)
 
 
+class StarvationTest(PortTest):
+    # The row with the fewest bytes is always first, however long another has waited.
+    def test_short_requests_do_not_hold_up_an_ordinary_submission(self):
+        self.start()
+        self.resource.render = lambda request: b"ok"
+        for _ in range(100):
+            self.connect(GET)
+        _, transport = self.connect(post(b"x" * 3_000))
+        # Some 1,300 requests a second, for six seconds.
+        for _ in range(300):
+            for _ in range(26):
+                self.connect(GET)
+            self.clock.advance(0.02)
+            for each in list(self.site.connections._idle):
+                each.connectionLost(None)
+        self.assertIn(b" 200 OK", transport.value())
+
+
 class ClosedConnectionsTest(PortTest):
     # A refused new connection was taken for an idle one, which others then replaced.
     def test_all_new_connections_beyond_the_maximum_are_refused(self):
