Test that a request that cannot be handled ends no others

set_held refuses all incomplete requests to make room for a complete one that is then refused as well. Fails: three slow callers are refused in vain.

--- a/tests/test_caller_bounds_review.py
+++ b/tests/test_caller_bounds_review.py
@@ -4,6 +4,7 @@
 import tracemalloc
 import weakref
 
+from dogwoodlever._connection_table import RefusalCause
 from tests.test_caller_bounds import GET, POST, PortTest, post, start_body
 
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -66,6 +67,18 @@
                 each.connectionLost(None)
         self.assertIn(b" 200 OK", transport.value())
 
+    # Incomplete requests were refused for a complete one that was refused as well.
+    def test_request_that_cannot_be_handled_ends_no_others(self):
+        self.start(held_bytes_max=200_000, handled_factor=16)
+        slow = [self.connect(start_body(2_000, 1_000))[1] for _ in range(3)]
+        for _ in range(37):
+            self.connect(post(b"x" * 200))
+            self.clock.advance(0.3)
+        self.assertFalse(any(t.is_closed for t in slow))
+        _, transport = self.connect(post(b"x" * 300))
+        self.assertTrue(transport.is_closed)
+        self.assertEqual(self.refusals, [RefusalCause.MEMORY_COMPLETE])
+
 
 class ClosedConnectionsTest(PortTest):
     # A refused new connection was taken for an idle one, which others then replaced.
