Test that the memory of a decoded header is counted

Arguments, path segments and cookies of a header within the limit are decoded when the request is complete, and kept until its response.

--- a/tests/test_caller_bounds_review.py
+++ b/tests/test_caller_bounds_review.py
@@ -49,6 +49,23 @@
         real, counted = self.measure(CHUNKED + b"0\r\n" + b"a\r\n" * 20_000)
         self.assertLess(real, 2 * counted)
 
+    # Arguments, path segments and cookies are decoded and kept until the response.
+    def test_memory_of_a_decoded_header_is_counted(self):
+        numbers = range(2_500)
+        arguments = b"&".join(b"%x=" % number for number in numbers)
+        cookies = b"Cookie: %b\r\n\r\n" % b";".join(
+            b"%x=1" % n for n in numbers[:2_000]
+        )
+        table = (
+            ("arguments", GET.replace(b"/q/", b"/q/?" + arguments)),
+            ("segments", GET.replace(b"/q/", b"/" * 15_000)),
+            ("cookies", GET[:-2] + cookies),
+        )
+        for name, data in table:
+            with self.subTest(name):
+                real, counted = self.measure(data)
+                self.assertLess(real, 2 * counted)
+
 
 class StarvationTest(PortTest):
     # The row with the fewest bytes is always first, however long another has waited.
