Test that the memory of many headers is counted

Fails: 66 kB of a header of 490 lines and 3.8 kB, counted as 15 kB with its connection. 550 such callers on one daemon of memory_mb 128: 91 MB resident, inside its memory.

--- a/tests/test_caller_bounds_review.py
+++ b/tests/test_caller_bounds_review.py
@@ -49,6 +49,12 @@
         real, counted = self.measure(CHUNKED + b"0\r\n" + b"a\r\n" * 20_000)
         self.assertLess(real, 2 * counted)
 
+    # Headers are kept as an entry each, many times as large as their text.
+    def test_memory_of_many_headers_is_counted(self):
+        lines = b"".join(b"a%d:b\r\n" % number for number in range(490))
+        real, counted = self.measure(POST + lines)
+        self.assertLess(real, 2 * counted)
+
     # Arguments, path segments and cookies are decoded and kept until the response.
     def test_memory_of_a_decoded_header_is_counted(self):
         numbers = range(2_500)
