Test that an error in a turn does not hold up others

A Content-Length of more than 4,300 digits raises ValueError in int(). In a turn, the error leaves the connection open and no timer set, so what waits is not parsed until another connection receives something.

--- a/tests/test_caller_bounds_review.py
+++ b/tests/test_caller_bounds_review.py
@@ -90,6 +90,20 @@
                 each.connectionLost(None)
         self.assertIn(b" 200 OK", transport.value())
 
+    # An error of the parser ended the turns, until a further request came.
+    def test_error_in_a_turn_does_not_hold_up_others(self):
+        self.start()
+        self.site.turns.spend(10**4)
+        self.connect(POST + b"Content-Length: %b\r\n\r\n" % (b"1" * 5_000))
+        _, transport = self.connect(post(b"x" * 6_000))
+        for _ in range(20):
+            try:
+                self.clock.advance(0.3)
+            except ValueError:
+                continue
+        self.assertEqual(len(self.resource.requests), 1)
+        self.assertEqual(self.site.turns.waiting, 0)
+
     # Incomplete requests were refused for a complete one that was refused as well.
     def test_request_that_cannot_be_handled_ends_no_others(self):
         self.start(held_bytes_max=200_000, handled_factor=16)
