--- a/tests/test_caller_bounds_review.py
+++ b/tests/test_caller_bounds_review.py
@@ -140,3 +140,11 @@
         gc.collect()
         self.assertEqual(self.site.connections.held_bytes, 0)
         self.assertIsNone(body())
+
+    # The interim response followed the final one.
+    def test_nothing_follows_the_refusal_of_an_announced_body(self):
+        self.start()
+        head = b"Content-Length: 1000000\r\nExpect: 100-continue\r\n\r\n"
+        _, transport = self.connect(POST + head)
+        self.assertEqual(self.read_status(transport), 413)
+        self.assertNotIn(b"100 Continue", transport.value())
