--- a/tests/test_leader_room_review.py
+++ b/tests/test_leader_room_review.py
@@ -3,6 +3,7 @@
 import unittest
 
 from dogwoodlever._fleet_frontend import CallOutcome
+from dogwoodlever._fleet_job import estimate_state_bytes
 from dogwoodlever._fleet_types import Step, SubmittedJob
 from tests.fleet_simulation import QUEUE, FleetSimulation
 
@@ -28,3 +29,16 @@
         fleet.stores[other].is_down = True
         result = fleet.submit(other, job, 4.0)
         self.assertIn(result.outcome, (CallOutcome.DONE, CallOutcome.UNKNOWN))
+
+    # A daemon that is asked for nothing but jobs never learned the leader's memory.
+    def test_daemon_that_receives_only_submissions_knows_the_memory(self):
+        fleet, other = self.start()
+        leader = fleet.leader()
+        size = estimate_state_bytes(make_job(1))
+        for node in fleet.nodes:
+            node.set_memory(size * 10 / 0.4 / 1e6)
+        for number in range(40):
+            fleet.submit(other, make_job(number), 0.5)
+        self.assertEqual(fleet.leader(), leader)
+        registry = fleet.nodes[leader].leader.registry
+        self.assertLessEqual(registry.state_bytes, 12 * size)
