--- a/tests/test_leader_room_review.py
+++ b/tests/test_leader_room_review.py
@@ -2,9 +2,12 @@
 
 import unittest
 
+from twisted.internet.task import Clock
+
 from dogwoodlever._fleet_frontend import CallOutcome
 from dogwoodlever._fleet_job import estimate_state_bytes
 from dogwoodlever._fleet_types import Step, SubmittedJob
+from dogwoodlever._leader_room import LeaderRoom
 from tests.fleet_simulation import QUEUE, FleetSimulation
 
 
@@ -42,3 +45,18 @@
         self.assertEqual(fleet.leader(), leader)
         registry = fleet.nodes[leader].leader.registry
         self.assertLessEqual(registry.state_bytes, 12 * size)
+
+
+class KnownMemoryTest(unittest.TestCase):
+    # What was accepted was forgotten before the leader told its memory again.
+    def test_accepted_jobs_count_until_the_leader_tells_again(self):
+        job = make_job(1)
+        size = estimate_state_bytes(job)
+        clock = Clock()
+        room = LeaderRoom(clock, lambda: None, 512.0)
+        room.update(size * 8, size * 10)
+        taken = 0
+        for _ in range(4):
+            taken += sum(room.take(job) for _ in range(10))
+            clock.advance(1.1)
+        self.assertEqual(taken, 2)
