--- a/tests/test_caller_bounds_review.py
+++ b/tests/test_caller_bounds_review.py
@@ -148,3 +148,21 @@
         _, transport = self.connect(POST + head)
         self.assertEqual(self.read_status(transport), 413)
         self.assertNotIn(b"100 Continue", transport.value())
+
+
+class TurnWorkTest(PortTest):
+    # Only the chunks of a body counted as work, not the lines of headers and trailers.
+    def test_lines_use_up_a_turn(self):
+        headers = b"".join(b"a%d:b\r\n" % number for number in range(490))
+        table = (
+            ("headers", POST + headers),
+            ("continuations", POST + b"A: b\r\n" + b" \r\n" * 2_500),
+            ("trailers", CHUNKED + b"0\r\n" + b"a\r\n" * 2_500),
+        )
+        for name, data in table:
+            with self.subTest(name):
+                self.start()
+                # Between 0.1 and 0.5 s of work, where a turn is to take 5 ms.
+                for _ in range(300):
+                    self.connect(data)
+                self.assertGreater(self.site.turns.waiting, 0)
