Test that a connection that waits for its turn is not read

HTTPChannel.requestDone and resumeProducing resume the transport without asking the queue, and _enqueue does not pause a connection that is queued already. Fails: the connection waits for its turn and its socket is read.

--- a/tests/test_caller_bounds_review.py
+++ b/tests/test_caller_bounds_review.py
@@ -166,3 +166,23 @@
                 for _ in range(300):
                     self.connect(data)
                 self.assertGreater(self.site.turns.waiting, 0)
+
+    # What waited for its turn was read on once a response was written or sent.
+    def test_connection_that_waits_for_its_turn_is_not_read(self):
+        for event in ("response written", "responses sent"):
+            with self.subTest(event):
+                self.start()
+                connection, transport = self.connect(GET)
+                if event == "responses sent":
+                    self.resource.answer()
+                self.site.turns.spend(10**4)
+                connection.dataReceived(GET * 10)
+                self.assertEqual(transport.producerState, "paused")
+                if event == "response written":
+                    self.resource.answer()
+                else:
+                    # The transport calls these when its buffer is full and empty.
+                    connection.pauseProducing()
+                    connection.resumeProducing()
+                self.assertEqual(self.site.turns.waiting, 1)
+                self.assertEqual(transport.producerState, "paused")
