--- a/tests/test_caller_bounds_review.py
+++ b/tests/test_caller_bounds_review.py
@@ -186,3 +186,14 @@
                     connection.resumeProducing()
                 self.assertEqual(self.site.turns.waiting, 1)
                 self.assertEqual(transport.producerState, "paused")
+
+
+class DetachedRequestTest(PortTest):
+    # The memory was free after 5 s, however long the request was handled.
+    def test_request_of_a_lost_connection_counts_while_it_is_handled(self):
+        self.start(handled_factor=16)
+        connection, _ = self.connect(post(b"x" * 6_000))
+        connection.connectionLost(None)
+        self.clock.advance(6.0)
+        self.assertEqual(len(self.resource.requests), 1)
+        self.assertGreater(self.site.connections.held_bytes, 90_000)
