Test that callers that leave early do not use up the memory

Fails with the capacity of memory_mb 200: 255 callers with bodies of 6 kB that leave within 5 s use up the port's memory, although none is handled any more; the next one is refused.

--- a/tests/test_caller_bounds_review.py
+++ b/tests/test_caller_bounds_review.py
@@ -5,6 +5,7 @@
 import weakref
 
 from dogwoodlever._connection_table import RefusalCause
+from dogwoodlever._port_capacity import size_callers_port
 from tests.test_caller_bounds import GET, POST, PortTest, post, start_body
 
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -197,3 +198,14 @@
         self.clock.advance(6.0)
         self.assertEqual(len(self.resource.requests), 1)
         self.assertGreater(self.site.connections.held_bytes, 90_000)
+
+    # The memory was in use for 5 s, although the request was not handled any more.
+    def test_callers_that_leave_early_do_not_use_up_the_memory(self):
+        capacity = size_callers_port(200, 4_100, 16)
+        self.start(held_bytes_max=capacity.held_bytes_max, handled_factor=16)
+        for _ in range(400):
+            connection, _ = self.connect(post(b"x" * 6_000))
+            connection.connectionLost(None)
+            self.resource.requests.clear()
+            self.clock.advance(0.012)
+        self.assertEqual(self.refusals, [])
