Test that a job refused for lack of memory never runs

An earlier copy of the submission may be on its way to the store through another daemon when the record is read. Fails: 503, and the job is queued a second later.

--- a/tests/test_leader_room_review.py
+++ b/tests/test_leader_room_review.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from twisted.internet.task import Clock
+from twisted.internet.task import Clock, deferLater
 
 from dogwoodlever._fleet_frontend import CallOutcome
 from dogwoodlever._fleet_job import estimate_state_bytes
@@ -33,6 +33,24 @@
         result = fleet.submit(other, job, 4.0)
         self.assertIn(result.outcome, (CallOutcome.DONE, CallOutcome.UNKNOWN))
 
+    # An earlier copy of the submission was on its way to the store.
+    def test_refused_job_never_runs(self):
+        fleet, other = self.start()
+        first = next(n for n in range(3) if n not in (other, fleet.leader()))
+        commit = fleet.stores[first].commit
+
+        def commit_later(*arguments):
+            return deferLater(fleet.clock, 1.0, commit, *arguments)
+
+        fleet.stores[first].commit = commit_later
+        job = make_job(1)
+        fleet.submit(first, job, 0.2)
+        fleet.nodes[other]._room.update(10**9, 10)
+        result = fleet.submit(other, job, 0.5)
+        fleet.run_for(3.0)
+        self.assertEqual(fleet.read_phase(other, job.job_id), "queued")
+        self.assertNotEqual(result.outcome, CallOutcome.NO_ROOM)
+
     # A daemon that is asked for nothing but jobs never learned the leader's memory.
     def test_daemon_that_receives_only_submissions_knows_the_memory(self):
         fleet, other = self.start()
