Test that ended jobs leave room for further ones

An ended job counts, and holds, the state of all its tasks until its record is removed: 120 s and a margin of 30 s later, and at most ten jobs a second. Fails: of 20 jobs, one after the other and each ended before the next, 10 are refused.

--- a/tests/test_leader_room_review.py
+++ b/tests/test_leader_room_review.py
@@ -64,6 +64,22 @@
         registry = fleet.nodes[leader].leader.registry
         self.assertLessEqual(registry.state_bytes, 12 * size)
 
+    # Ended jobs kept the state of all their tasks while their phase is readable.
+    def test_ended_jobs_leave_room_for_further_ones(self):
+        fleet = FleetSimulation(run_s=0.1)
+        fleet.run_for(2.0)
+        leader = fleet.leader()
+        steps = (Step(20, 500, 50, 0, 100),)
+        size = estimate_state_bytes(SubmittedJob("0" * 16, QUEUE, "payload", steps))
+        fleet.nodes[leader].set_memory(size * 10 / 0.4 / 1e6)
+        outcomes = []
+        for number in range(20):
+            job = SubmittedJob(f"{number:016x}", QUEUE, "payload", steps)
+            outcomes.append(fleet.submit(leader, job, 3.0).outcome)
+        jobs = fleet.nodes[leader].leader.registry.jobs.values()
+        self.assertTrue(all(state.has_ended for state in jobs))
+        self.assertEqual(outcomes, [CallOutcome.DONE] * 20)
+
 
 class KnownMemoryTest(unittest.TestCase):
     # What was accepted was forgotten before the leader told its memory again.
