--- a/tests/test_caller_bounds_review.py
+++ b/tests/test_caller_bounds_review.py
@@ -128,7 +128,7 @@
         newcomers = [self.connect()[1] for _ in range(5)]
         self.assertEqual([t.is_closed for t in newcomers], [True] * 5)
 
-    # A closed connection stayed in the queue, with its body, behind shorter requests.
+    # A closed connection stayed in the queue, with its header, behind shorter requests.
     def test_closed_connection_is_not_kept_in_the_queue(self):
         self.start()
         connection, _ = self.connect(start_body(90_000, 50_000))
@@ -136,11 +136,11 @@
         connection.dataReceived(b"x" * 8_000)
         self.assertEqual(self.site.turns.waiting, 1)
         connection.connectionLost(None)
-        body = weakref.ref(connection)
+        kept = weakref.ref(connection)
         del connection
         gc.collect()
         self.assertEqual(self.site.connections.held_bytes, 0)
-        self.assertIsNone(body())
+        self.assertIsNone(kept())
 
     # The interim response followed the final one.
     def test_nothing_follows_the_refusal_of_an_announced_body(self):
