Test a daemon with a burst while the store does not answer

The daemon's side of test_all_new_connections_beyond_the_maximum_are_refused. Fails: 193 callers' connections where the maximum is 100, and as many of the daemon's own to the store: all 400 descriptors.

--- a/tests/test_uncooperative_callers_review.py
+++ b/tests/test_uncooperative_callers_review.py
@@ -8,6 +8,7 @@
 import socket
 import time
 import unittest
+from contextlib import suppress
 
 from standins.daemon_process import CALLERS
 from standins.fleet_store_process import QUEUE_HOST, QUEUE_PREFIX
@@ -83,3 +84,18 @@
         time.sleep(2.0)
         meter.close()
         self.assertLess(meter.peak.held_bytes, crowds.MEMORY_MB * 1_000_000)
+
+    # Refused new connections were taken for idle ones: twice the maximum stayed.
+    def test_burst_while_the_store_does_not_answer(self) -> None:
+        self.start(crowds.DESCRIPTORS_FEW, is_limited=True)
+        meter = self.measure()
+        self.stop_store()
+        for _ in range(8):
+            callers = [self.connect() for _ in range(100)]
+            time.sleep(0.05)
+            for caller in callers:
+                with suppress(OSError):
+                    caller.send(READ)
+            time.sleep(0.1)
+        meter.close()
+        self.assertLess(meter.descriptors_max, crowds.DESCRIPTORS_FEW)
