Test a daemon whose callers leave while the store does not answer

Each read opens a connection to the store, which stays when its caller has left; the number of such requests is bounded by memory only.

--- a/tests/test_uncooperative_callers_review.py
+++ b/tests/test_uncooperative_callers_review.py
@@ -99,3 +99,24 @@
             time.sleep(0.1)
         meter.close()
         self.assertLess(meter.descriptors_max, crowds.DESCRIPTORS_FEW)
+
+    # Each request took a connection to the store, also when its caller had left.
+    def test_callers_that_leave_while_the_store_does_not_answer(self) -> None:
+        self.start(crowds.DESCRIPTORS_FEW, is_limited=True)
+        meter = self.measure()
+        self.stop_store()
+        for _ in range(60):
+            callers = [self.connect() for _ in range(10)]
+            for caller in callers:
+                caller.send(READ)
+            time.sleep(0.02)
+            for caller in callers:
+                caller.close()
+        time.sleep(0.3)
+        meter.close()
+        # Half of the descriptors are not for callers and what they ask for.
+        self.assertLess(meter.descriptors_max, crowds.DESCRIPTORS_FEW * 3 // 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
