Keep no refused connection among the idle ones

What was seen: with 400 descriptors and a stopped store, 193 connections where 100 are allowed, and all descriptors in use.

Cause: a new connection that was refused was listed as idle after that, and the next ones 'refused' it again, which did nothing, and stayed. Change: it is listed before another one is chosen. Evidence: test_all_new_connections_beyond_the_maximum_are_refused failed before.

--- a/dogwoodlever/_connection_table.py
+++ b/dogwoodlever/_connection_table.py
@@ -104,19 +104,21 @@
 
     def add(self, connection: TrackedConnection) -> None:
         """Add a new connection, and close another one if there are too many."""
-        if len(self) >= self.capacity.connections_max:
-            self._close_one(connection)
         self._phases[connection] = Phase.IDLE
         self._idle[connection] = None
+        if len(self) > self.capacity.connections_max:
+            self._close_one(connection)
 
     def _close_one(self, newcomer: TrackedConnection) -> None:
         if self._incomplete:
             oldest = next(iter(self._incomplete))
             oldest.refuse(RefusalCause.CONNECTIONS_INCOMPLETE)
-        elif self._idle:
-            next(iter(self._idle)).refuse(RefusalCause.CONNECTIONS_IDLE)
-        else:
-            newcomer.refuse(RefusalCause.CONNECTIONS_NEW)
+            return
+        longest_idle = next(iter(self._idle))
+        is_new = longest_idle is newcomer
+        longest_idle.refuse(
+            RefusalCause.CONNECTIONS_NEW if is_new else RefusalCause.CONNECTIONS_IDLE
+        )
 
     def set_phase(self, connection: TrackedConnection, phase: Phase) -> None:
         """Note what a connection waits for now."""
