Count the lines of headers as work of a turn

Cause: lines of a header and its continuations cost nothing, so 300 callers of 8 kB of short lines took up to 0.48 s in one turn. Evidence: test_lines_use_up_a_turn failed before.

--- a/dogwoodlever/_bounded_channel.py
+++ b/dogwoodlever/_bounded_channel.py
@@ -21,6 +21,8 @@
 # Memory of a response that is not sent, in multiples of its size: it has many parts.
 UNSENT_FACTOR = 4
 RETRY_AFTER_S = 1
+# Work of a line of a header, in parsed chunks.
+LINE_UNITS = 2
 # Trailers behind a chunked body are not used, and kept as an object a line.
 TRAILER_BYTES_MAX = 256
 
@@ -188,6 +190,7 @@
         if self._phase is Phase.IDLE:
             # It arrived behind the request before.
             self._start_request()
+        self.site.turns.spend(LINE_UNITS)
         if self._receivedHeaderSize + len(line) > self.totalHeadersSize:
             self.refuse(RefusalCause.HEADER_TOO_LARGE)
             return
