Read no connection that waits for its turn

Cause: the end of a response resumed the reading of a connection whose requests wait for their turn, and a connection in the queue was not paused again. Change: it is, with each part that arrives. Evidence: test_connection_that_waits_for_its_turn_is_not_read failed before.

--- a/dogwoodlever/_parsing_turns.py
+++ b/dogwoodlever/_parsing_turns.py
@@ -94,9 +94,10 @@
         self._queued.discard(connection)
 
     def _enqueue(self, connection: ParsingConnection) -> None:
+        # It may have been read again after a response.
+        connection.pause_reading()
         if connection in self._queued:
             return
-        connection.pause_reading()
         self._queued.add(connection)
         self._order += 1
         row = (connection.request_bytes, self._order, connection)
