Refuse a number that cannot be converted

Cause: a Content-Length of 5,000 digits raised an error in a turn, after which the others waited until something arrived. Change: such a request is refused as malformed. Evidence: test_error_in_a_turn_does_not_hold_up_others failed before.

--- a/dogwoodlever/_bounded_channel.py
+++ b/dogwoodlever/_bounded_channel.py
@@ -138,7 +138,11 @@
         data, self._unparsed = self._unparsed, b""
         self.paused = False
         self.site.turns.spend(1)
-        super().dataReceived(data)
+        try:
+            super().dataReceived(data)
+        except ValueError:
+            # Numbers of thousands of digits are not converted.
+            self.refuse(RefusalCause.MALFORMED)
         self._update_held()
 
     def pause_reading(self) -> None:
