Drop closed connections from the queue of turns

Cause: the row of a closed connection stayed with its header until its turn. Change: it leaves the queue at once. Evidence: test_closed_connection_is_not_kept_in_the_queue failed before.

--- a/dogwoodlever/_parsing_turns.py
+++ b/dogwoodlever/_parsing_turns.py
@@ -94,7 +94,10 @@
 
     def discard(self, connection: ParsingConnection) -> None:
         """Forget a connection that was closed."""
-        self._queued.discard(connection)
+        if connection in self._queued:
+            self._queued.remove(connection)
+            self._waiting = [row for row in self._waiting if row[2] is not connection]
+            heapq.heapify(self._waiting)
 
     def _enqueue(self, connection: ParsingConnection) -> None:
         # It may have been read again after a response.
