--- a/dogwoodlever/_bounded_channel.py
+++ b/dogwoodlever/_bounded_channel.py
@@ -262,6 +262,11 @@
         else:
             super().timeoutConnection()
 
+    def _send100Continue(self) -> None:  # noqa: N802
+        """Ask for the body, unless the request was refused."""
+        if not self.is_refused:
+            super()._send100Continue()
+
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         """Refuse a request that is not HTTP; called by the parser."""
         self.refuse(RefusalCause.MALFORMED)
