End no incomplete request for one that cannot be handled

Cause: incomplete requests were refused to make room for a complete one, before it was known that there is none even then. Change: what cannot give way is counted first. Evidence: test_request_that_cannot_be_handled_ends_no_others failed before.

--- a/dogwoodlever/_connection_table.py
+++ b/dogwoodlever/_connection_table.py
@@ -177,9 +177,16 @@
             and large_bytes > limit_bytes * LARGE_REQUESTS_FRACTION
         ):
             return False
+        # Only what is not being handled can give way.
+        others_bytes = self.held_bytes - connection.held_bytes
+        waiting_bytes = sum(
+            each.held_bytes for each in (*self._incomplete, *self._idle)
+        )
+        kept_bytes = others_bytes - waiting_bytes
+        # A request alone is handled whatever the memory.
+        if kept_bytes and kept_bytes + handled_bytes > limit_bytes:
+            return False
         if is_large:
             self._large[connection] = handled_bytes
         self.set_held(connection, handled_bytes)
-        # A request alone is handled whatever the memory.
-        is_alone = self.held_bytes == connection.held_bytes
-        return is_alone or self.held_bytes <= limit_bytes
+        return True
