Count the memory of decoded headers

Cause: arguments, path segments, cookies and header lines take up to 24 times their text, which counted once or not at all. Evidence: two tests of UncountedMemoryTest failed before.

--- a/dogwoodlever/_bounded_channel.py
+++ b/dogwoodlever/_bounded_channel.py
@@ -17,6 +17,10 @@
 READ_BYTES = 8_192
 # Memory of a request that is handled, besides its body.
 HANDLED_BYTES = 2_048
+# Memory of a header, in multiples of its size, as it arrives and while its request is
+# handled: lines, arguments, path segments and cookies are objects of their own.
+HEADER_FACTOR = 5
+DECODED_HEADER_FACTOR = 24
 # Memory of a response that is not sent, in multiples of its size: it has many parts.
 UNSENT_FACTOR = 4
 RETRY_AFTER_S = 1
@@ -174,7 +178,7 @@
         held_bytes += sum(map(len, self._dataBuffer))
         held_bytes += UNSENT_FACTOR * self._count_unsent()
         if self._phase in (Phase.HEADER, Phase.BODY):
-            held_bytes += self._receivedHeaderSize
+            held_bytes += HEADER_FACTOR * self._receivedHeaderSize
         if self._phase is Phase.BODY:
             held_bytes += self.requests[-1].body_bytes
         if self._phase is Phase.RESPONSE:
@@ -226,6 +230,7 @@
         self._phase = Phase.RESPONSE
         factor = self.site.connections.capacity.handled_factor
         self._handled_bytes = HANDLED_BYTES + factor * body_bytes
+        self._handled_bytes += DECODED_HEADER_FACTOR * self._receivedHeaderSize
         if not self.site.connections.start_handling(self, self._handled_bytes):
             self.refuse(RefusalCause.MEMORY_COMPLETE)
             return
