--- a/dogwoodlever/_bounded_channel.py
+++ b/dogwoodlever/_bounded_channel.py
@@ -19,7 +19,7 @@
 HANDLED_BYTES = 2_048
 # Memory of a header, in multiples of its size, as it arrives and while its request is
 # handled: lines, arguments, path segments and cookies are objects of their own.
-HEADER_FACTOR = 5
+HEADER_FACTOR = 10
 DECODED_HEADER_FACTOR = 24
 # Memory of a response that is not sent, in multiples of its size: it has many parts.
 UNSENT_FACTOR = 4
@@ -156,7 +156,8 @@
 
     def resume_reading(self) -> None:
         """Read from the socket again, unless a response has to be read first."""
-        if self._phase is not Phase.RESPONSE and not self._waitingForTransport:
+        is_waiting = self._phase is Phase.RESPONSE or self._waitingForTransport
+        if not (is_waiting or self.transport.disconnecting):
             self._networkProducer.resumeProducing()
 
     def _start_request(self) -> None:
@@ -247,8 +248,18 @@
         super().requestDone(request)
         if self.paused and self._buffer:
             self.site.turns.receive(self)
+        self._pause_if_waiting()
         self._update_held()
 
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Go on after responses were sent, unless the connection waits for its turn."""
+        super().resumeProducing()
+        self._pause_if_waiting()
+
+    def _pause_if_waiting(self) -> None:
+        if self.site.turns.is_waiting(self):
+            self.pause_reading()
+
     # Closing
 
     def resetTimeout(self) -> None:  # noqa: N802
--- a/dogwoodlever/_parsing_turns.py
+++ b/dogwoodlever/_parsing_turns.py
@@ -76,6 +76,10 @@
         """Whether the work of this turn is used up."""
         return self._spent >= TURN_UNITS
 
+    def is_waiting(self, connection: ParsingConnection) -> bool:
+        """Return whether a connection waits for a turn."""
+        return connection in self._queued
+
     def spend(self, units: int) -> None:
         """Count work."""
         self._spent += units
