Refuse jobs for lack of memory only truthfully, and by what the leader holds

What callers saw: 503 for a repeated submission whose first copy was accepted, while the store did not respond, or was still on its way there: the job ran although 503 promises that it never does. A daemon that gets only submissions never learned the leader's memory, and forgot what it had accepted before the leader told again.

Cause: any answer of the store but 'stored' counted as 'not accepted', and a job that isn't stored yet may be soon; the leader's memory came with replies to reads only. Change: 504 with Retry-After; a daemon that accepts jobs asks the leader every 2 s; accepted jobs count until the leader has told its memory after them.

--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -98,8 +98,6 @@
     KEY_REFUSED = "key-refused"
     # A job of another workspace has the id.
     TAKEN = "taken"
-    # The leader has no memory for the job; the call had no effect and will have none.
-    NO_ROOM = "no-room"
 
 
 class CountSource(StrEnum):
@@ -241,12 +239,17 @@
         """
         if check.workspace:
             job = msgspec.structs.replace(job, workspace=check.workspace)
+        if self._room.is_to_ask():
+            # Its reply counts for the next submissions.
+            self._call_leader(PENDING_METHOD, job.queue, deadline_s, 0.0)
         if not self._room.take(job):
             # A repeated submission of an accepted job is not refused.
             existence = yield self._check_exists(job.job_id, deadline_s, UNCHECKED)
             if existence is not CallOutcome.DONE:
+                # An earlier copy of it may be on its way to the store.
                 log_event("job.no-room", job=job.job_id, queue=job.queue)
-                return CallResult(CallOutcome.NO_ROOM, retry_after_s=RETRY_AFTER_LONG_S)
+                self._room.count_refusal()
+                return CallResult(CallOutcome.UNKNOWN, retry_after_s=RETRY_AFTER_LONG_S)
         put = Put(job_key(job.job_id), encode(job))
         result = yield self._write(put, deadline_s, check)
         if result.outcome is CallOutcome.TAKEN:
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -61,6 +61,9 @@
         self.port_refusals = self._counter(
             "port_refusals", "Requests and connections refused", "port", "cause"
         )
+        self.jobs_without_room = self._counter(
+            "jobs_without_room", "Submissions refused for lack of the leader's memory"
+        )
         self.state_bytes = self._gauge(
             "job_state_bytes", "Memory of the leader's jobs, 0 on other daemons"
         )
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -164,7 +164,12 @@
             clock,
             lambda cause: self.metrics.key_refusals.labels(cause).inc(),
         )
-        self._room = LeaderRoom(clock, self._get_state_bytes, settings.memory_mb)
+        self._room = LeaderRoom(
+            clock,
+            self._get_state_bytes,
+            settings.memory_mb,
+            self.metrics.jobs_without_room.inc,
+        )
         self.metrics.state_bytes.set_function(lambda: self._get_state_bytes() or 0)
         self.frontend = FleetFrontend(
             store,
--- a/dogwoodlever/_leader_room.py
+++ b/dogwoodlever/_leader_room.py
@@ -14,7 +14,9 @@
 # Time within which a leader has read a submission that the store has acknowledged.
 SEEN_S = 1.0
 # A leader's reply tells nothing about its memory any more after this time.
-KNOWN_S = 5.0
+KNOWN_S = 10.0
+# Time after which it is asked, if the daemon accepts jobs.
+ASK_S = 2.0
 
 
 class LeaderRoom:
@@ -31,6 +33,8 @@
         Returns the memory of the jobs of this daemon while it leads, None otherwise.
     memory_mb : float
         Memory of this process in megabytes.
+    count_refusal : callable
+        Called for each refused job.
 
     Attributes
     ----------
@@ -39,9 +43,14 @@
     """
 
     def __init__(
-        self, clock, get_own_bytes: Callable[[], int | None], memory_mb: float
+        self,
+        clock,
+        get_own_bytes: Callable[[], int | None],
+        memory_mb: float,
+        count_refusal: Callable[[], None] = lambda: None,
     ) -> None:
         self._clock = clock
+        self.count_refusal = count_refusal
         self._get_own_bytes = get_own_bytes
         self.set_memory(memory_mb)
         # Memory in use and its limit at another leader, and when it told them.
@@ -61,16 +70,23 @@
         self._used_bytes, self._limit_bytes = used_bytes, limit_bytes
         self._told_s = self._clock.seconds()
 
+    def is_to_ask(self) -> bool:
+        """Return whether another leader should be asked for its memory."""
+        is_old = self._clock.seconds() - self._told_s > ASK_S
+        return is_old and self._get_own_bytes() is None
+
     def take(self, job: SubmittedJob) -> bool:
         """Return whether there is room for a job; if so, it counts as accepted."""
         now_s = self._clock.seconds()
-        while self._accepted and self._accepted[0][0] < now_s - SEEN_S:
-            self._accepted.popleft()
         used_bytes, limit_bytes = self._get_own_bytes(), self.own_bytes_max
+        known_s = now_s
         if used_bytes is None:
             is_known = now_s - self._told_s <= KNOWN_S
             used_bytes = self._used_bytes if is_known else 0
             limit_bytes = self._limit_bytes if is_known else float("inf")
+            known_s = self._told_s if is_known else now_s
+        while self._accepted and self._accepted[0][0] < known_s - SEEN_S:
+            self._accepted.popleft()
         used_bytes += sum(state_bytes for _, state_bytes in self._accepted)
         state_bytes = estimate_state_bytes(job)
         has_room = used_bytes + state_bytes <= limit_bytes
--- a/dogwoodlever/platform/_callers_resource.py
+++ b/dogwoodlever/platform/_callers_resource.py
@@ -37,7 +37,6 @@
     CallOutcome.ABSENT: 410,
     CallOutcome.KEY_REFUSED: 401,
     CallOutcome.TAKEN: 409,
-    CallOutcome.NO_ROOM: 503,
 }
 
 _REFUSALS = {
@@ -48,7 +47,6 @@
 _ERRORS = {
     CallOutcome.KEY_REFUSED: _REFUSALS[RefusalCause.UNKNOWN],
     CallOutcome.TAKEN: "a job of another workspace has this id",
-    CallOutcome.NO_ROOM: "no memory for further jobs",
 }
 
 
@@ -282,7 +280,7 @@
             return
         status = _STATUSES[result.outcome]
         self._on_call(request.method.decode("latin-1"), result.outcome)
-        if status == 503:
+        if status in (503, 504):
             request.setHeader("retry-after", str(result.retry_after_s))
         if status != 200 or not body:
             error = _ERRORS.get(result.outcome)
