Bound the calls that a daemon handles at once

What was seen: with a stopped store, 600 callers that come 10 at a time and leave early use 389 to 399 of 400 descriptors: their calls go on, each with a connection to the store.

Cause: connections of callers were bounded, calls without one were not. Change: an eighth of the sockets is for calls that are handled; more get 503, submissions 504.

--- a/dogwoodlever/_fleet_daemon.py
+++ b/dogwoodlever/_fleet_daemon.py
@@ -30,6 +30,7 @@
     SMALL_PORT,
     PortCapacity,
     size_callers_port,
+    size_open_calls,
     size_peers_port,
 )
 from dogwoodlever._refusal_log import RefusalLog
@@ -102,6 +103,7 @@
             time.time,
         )
         self.node.on_stopped = self._stopped
+        self.node.callers.open_requests_max = size_open_calls(settings.descriptors_max)
 
     def listen(self) -> None:
         """Open the ports of callers, readiness, metrics and peers."""
@@ -182,6 +184,9 @@
             descriptors_max=settings.descriptors_max,
         )
         self._callers.connections.capacity = _size_callers_port(self.settings)
+        self.node.callers.open_requests_max = size_open_calls(
+            self.settings.descriptors_max
+        )
         self.node.set_memory(self.settings.memory_mb)
 
     def _stopped(self) -> None:
--- a/dogwoodlever/_port_capacity.py
+++ b/dogwoodlever/_port_capacity.py
@@ -7,6 +7,8 @@
 # Part of the other descriptors for callers; the rest is for the store, workers, other
 # daemons, probes and metrics.
 CALLERS_DESCRIPTORS_FRACTION = 0.5
+# Part of them for calls that are handled, each with a connection to the store.
+CALLS_DESCRIPTORS_FRACTION = 0.125
 # Part of them for connections that other daemons have opened.
 PEERS_DESCRIPTORS_FRACTION = 0.1
 # Parts of the memory for callers' connections, and for what they have sent. The rest is
@@ -80,6 +82,12 @@
     )
 
 
+def size_open_calls(descriptors_max: int) -> int:
+    """Return the maximum number of callers' calls that a process handles at once."""
+    sockets = max(0, descriptors_max - FILES)
+    return max(CONNECTIONS_MIN, int(sockets * CALLS_DESCRIPTORS_FRACTION))
+
+
 def size_peers_port(descriptors_max: int) -> int:
     """Return the maximum number of connections that peers of a process may open."""
     sockets = max(0, descriptors_max - FILES)
--- a/dogwoodlever/platform/_callers_resource.py
+++ b/dogwoodlever/platform/_callers_resource.py
@@ -92,6 +92,8 @@
         self._keys = keys
         self._knowledge = knowledge
         self.open_requests = 0
+        # Each request may need a connection to the store.
+        self.open_requests_max = math.inf
         # When a request last arrived or was answered.
         self.last_request_s = float("-inf")
         # Set while the process stops, so that callers connect to another one.
@@ -125,6 +127,9 @@
         if configuration is None:
             self._respond(request, CallResult(CallOutcome.NOT_DONE))
             return
+        if self.open_requests > self.open_requests_max:
+            self._refuse_crowded(request)
+            return
         host = (request.getHeader(b"host") or b"").decode("latin-1").partition(":")[0]
         path = request.path.decode("latin-1")
         queue = configuration.find_queue(host, path)
@@ -155,6 +160,14 @@
             if timer.active():
                 timer.cancel()
 
+    def _refuse_crowded(self, request) -> None:
+        """Refuse a call since too many are handled, also of callers that have left."""
+        self._on_call(request.method.decode("latin-1"), "crowded")
+        request.setHeader("retry-after", b"1")
+        # An earlier copy of a submission may have been accepted.
+        status = 504 if request.method == b"POST" else 503
+        self._write_response(request, status, {"error": "too many calls at once"})
+
     def _end_late(self, request) -> None:
         """Answer a call whose time is up, although its outcome is not known."""
         log_event("request.late", method=request.method.decode("latin-1"))
