Emulator: ask all daemons while an invalid version stands

It now stands 1.5 to 2.5 s, and from 0.5 s after its write the callers ask every daemon for the queue of invalid versions and for a usual queue. The summary counts the invalid versions and the least number of daemons that answered while one stood.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -201,6 +201,9 @@
         elif name == "configured":
             for process in self.callers:
                 process.send("know_queues", **fields)
+        elif name == "invalid-configured":
+            for process in self.callers:
+                process.send("ask_all")
 
     def configure(self, form: str = "", **content) -> None:
         """Write the next version; the callers learn of it from the store."""
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -42,6 +42,10 @@
 LIMIT_DISTANCES_BYTES = {"max_body_bytes": 1, "max_header_bytes": 512}
 PADDING_LINE_BYTES = 1_000
 CHANGED_QUEUES_MAX = 4
+# After the write of an invalid version: time to the questions at all daemons, and from
+# one daemon to the next.
+ASK_ALL_AFTER_S = 0.5
+ASK_ALL_INTERVAL_S = 0.01
 STAY_S = (8.0, 40.0)
 ENDED = ("completed", "failed", "cancelled")
 
@@ -89,6 +93,18 @@
         self._dropped = _latest(self._dropped, dropped, added)
         self._queues = queues
 
+    def ask_all(self) -> None:
+        """Ask all daemons for the queue of invalid versions and for a usual queue.
+
+        An invalid version has just been written.
+        """
+        if time.monotonic() > self._until_s:
+            return
+        for daemon in range(len(self._urls)):
+            after_s = ASK_ALL_AFTER_S + daemon * ASK_ALL_INTERVAL_S
+            for place in (INVALID_QUEUE, "price"):
+                reactor.callLater(after_s, self._call, b"GET", place, daemon=daemon)
+
     def burst(self, kind: str, factor: float) -> None:
         """Multiply the rate of a kind of job."""
         self._factors[kind] = factor
--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -377,7 +377,7 @@
             if fields.get("form"):
                 check.add_form(time_s, f"valid: {fields['form']}")
         elif event == "invalid-configuration":
-            check.add_form(time_s, f"invalid: {fields['form']}")
+            check.add_invalid(time_s, fields["form"])
         elif event == "daemon-start":
             daemon = fields["daemon"]
             started_s[daemon].append(time_s)
--- a/emulator/configurations.py
+++ b/emulator/configurations.py
@@ -16,6 +16,8 @@
 GROWTH_QUEUES = (300, 600)
 STORM_VERSIONS = (8, 40)
 STORM_PAUSE_S = (0.02, 0.2)
+# For how long an invalid version stands; the callers ask all daemons meanwhile.
+INVALID_STANDS_S = (1.5, 2.5)
 # Weights of the kinds of changes.
 KINDS = {
     "alone": 6,
@@ -124,7 +126,7 @@
     def _write_between(self, form: str):
         """Write an invalid version between two valid ones."""
         self._site.write_invalid(form)
-        yield deferLater(reactor, self._random.uniform(0.0, 1.0))
+        yield deferLater(reactor, self._random.uniform(*INVALID_STANDS_S))
         self._alone()
 
     def _unusual(self) -> None:
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -121,6 +121,7 @@
             document = self._document | {"version": version}
             content = encode_version(INVALID_VERSIONS[form](document))
         self.records.write("op/config", content)
+        self._report("invalid-configured")
 
     def write(self, key: str, value: str) -> None:
         """Write a record as an operator does; an empty value removes it."""
--- a/standins/configuration_check.py
+++ b/standins/configuration_check.py
@@ -19,6 +19,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from standins.invalid_versions import INVALID_QUEUE
+
 # A version must be in force this long after its write, at daemons that were in contact
 # for the time below.
 APPLY_S = 2.0
@@ -104,6 +106,7 @@
         self._versions: list[WrittenVersion] = []
         self._answers: list[QueueAnswer] = []
         self._forms: list[tuple[float, str]] = []
+        self._invalid_s: list[float] = []
         # By daemon, or None for all: when each disturbance began and ended.
         self._disturbed: dict[str | None, list[list[float]]] = defaultdict(list)
         self._open: dict[tuple[str | None, str], list[float]] = {}
@@ -127,7 +130,37 @@
             for label in sorted(recorded)
         )
         share = self.judged / total if total else 0.0
-        return f"answers={counts} judged_share={share:.2f}"
+        asked = self.count_asked_of_invalid()
+        return (
+            f"answers={counts} judged_share={share:.2f} "
+            f"invalid_versions={len(asked)} "
+            f"least_daemons_asked={min(asked, default=0)}"
+        )
+
+    def count_asked_of_invalid(self) -> list[int]:
+        """Return by invalid version how many daemons answered while it stood.
+
+        They answered a question for the queue of invalid versions, in contact or not.
+        """
+        return [
+            len(
+                {
+                    answer.daemon
+                    for answer in self._answers
+                    if answer.queue == INVALID_QUEUE
+                    and answer.status != NOT_SENT
+                    and begun_s < answer.sent_s
+                    and answer.answered_s < self._next_version_s(begun_s)
+                }
+            )
+            for begun_s in self._invalid_s
+        ]
+
+    def _next_version_s(self, at_s: float) -> float:
+        """Return when the next valid version was written."""
+        index = bisect.bisect_right(self._versions, at_s, key=lambda v: v.written_s)
+        following = self._versions[index : index + 1]
+        return following[0].written_s if following else float("inf")
 
     def add_version(self, version: int, written_s: float, queues: Iterable[str]):
         """Add a version that the store has acknowledged, in the order of writes."""
@@ -137,6 +170,11 @@
         """Add the form of a version that is unusual or invalid, to name it."""
         self._forms.append((written_s, form))
 
+    def add_invalid(self, written_s: float, form: str) -> None:
+        """Add a version that must not be put into force."""
+        self._invalid_s.append(written_s)
+        self.add_form(written_s, f"invalid: {form}")
+
     def add_answer(self, answer: QueueAnswer) -> None:
         """Add an answer of a daemon."""
         self._answers.append(answer)
--- a/tests/soak_site.py
+++ b/tests/soak_site.py
@@ -128,7 +128,7 @@
     def write_invalid(self, form: str) -> None:
         """Write a version that must not be put into force."""
         self.version += 1
-        self.configurations.add_form(reactor.seconds(), f"invalid: {form}")
+        self.configurations.add_invalid(reactor.seconds(), form)
         document = self._document | {"version": self.version}
         content = (
             INVALID_BYTES[form]
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -124,6 +124,28 @@
         )  # fmt: skip
         self.check_table(cases)
 
+    # Guards against invalid versions that stand too briefly to be asked about.
+    def test_counts_of_daemons_asked_of_invalid_versions(self):
+        for name, answers, expected in (
+            ("asked while it stands", [answer(10.5, "invalid", False)], [1]),
+            ("asked before it", [answer(10.2, "invalid", False)], [0]),
+            ("answered after the next", [answer(10.995, "invalid", False)], [0]),
+            ("another queue", [answer(10.5, "kept", True)], [0]),
+            ("no connection", [failure(10.5, "invalid", -1, 0.01)], [0]),
+            ("one daemon twice, another", [
+                answer(10.5, "invalid", False), answer(10.6, "invalid", False),
+                answer(10.5, "invalid", False, daemon="vm1"),
+            ], [2]),
+        ):  # fmt: skip
+            with self.subTest(name):
+                check = ConfigurationCheck()
+                for version, written_s, queues in VERSIONS:
+                    check.add_version(version, written_s, ("kept", *queues))
+                check.add_invalid(10.3, "name is empty")
+                for each in answers:
+                    check.add_answer(each)
+                self.assertEqual(check.count_asked_of_invalid(), expected)
+
     def test_counts_by_status(self):
         check = ConfigurationCheck()
         check.add_version(1, 0.0, ("kept",))
@@ -134,7 +156,8 @@
         check.add_answer(failure(10.0, "kept", 500))
         check.add_answer(failure(10.0, "kept", -1))
         check.check()
-        expected = "answers=-1:0/1,200:2/3,503:2/3,other:1/1 judged_share=0.71"
+        expected = "answers=-1:0/1,200:2/3,503:2/3,other:1/1 judged_share=0.71 "
+        expected += "invalid_versions=0 least_daemons_asked=0"
         self.assertEqual(check.summary(), expected)
 
     def check_table(self, cases):
--- a/tests/test_emulator_checker.py
+++ b/tests/test_emulator_checker.py
@@ -231,6 +231,18 @@
         )  # fmt: skip
         self.check_rules(cases)
 
+    # Guards against an invalid version in force that only a question while it stands
+    # shows.
+    def test_findings_while_an_invalid_version_stands(self):
+        form = [10.0, "invalid-configuration", {"version": 9, "form": "name is empty"}]
+        for name, rule, row in (
+            ("its queue served", "CONFIG", answer(10.5, "invalid", 200)),
+            ("its queue refused", None, answer(10.5, "invalid", 404)),
+            ("a usual queue refused", "CONFIG", answer(10.5, "price", 404)),
+            ("a usual queue served", None, answer(10.5, "price", 200)),
+        ):
+            self.check_rules([(name, rule, (*ADDED[:2], form, row))])
+
     # Guards against limits of a version that are in force nowhere.
     def test_findings_of_limits(self):
         body, header, rule = "max_body_bytes", "max_header_bytes", "LIMITS"
