Emulator: judge the number of pending jobs (rule MIXED)

No judge read the value of `pending`: a count that always returned 0 passed. The callers now record it, and `standins.pending_check` compares it with the jobs that were accepted over 5 s before, not cancelled or ended, and of which no worker has begun a task. So that there are such jobs at all times, 0.4 jobs a second need a label that no worker has and are cancelled after 10 to 20 s (`--waiting-per-s`). Usual queues are asked for more.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -18,6 +18,7 @@
 from twisted.internet.protocol import ProcessProtocol
 from twisted.internet.task import LoopingCall, deferLater
 
+from emulator.callers import WAITING_PER_S
 from emulator.checker import check_logs
 from emulator.configurations import ConfigurationChanges
 from emulator.faults import FAULT_INTERVAL_S, LINK_FAULTS, SiteFaults
@@ -190,6 +191,7 @@
                 "callers", number, number=number, duration_s=duration_s,
                 load=self._options["load"] / count,
                 questions_per_s=self._options["questions_per_s"] / count,
+                waiting_per_s=self._options["waiting_per_s"] / count,
                 urls=[daemon.url for daemon in self.daemons],
             )  # fmt: skip
             self.callers.append(process)
@@ -356,6 +358,7 @@
     warm_up_s: float = 4.0,
     version_interval_s: float = 1.5,
     questions_per_s: float = 100.0,
+    waiting_per_s: float = WAITING_PER_S,
     link_mbps: float = 0.0,
     fault_interval_s: float = FAULT_INTERVAL_S,
 ) -> int:
@@ -395,6 +398,8 @@
         Mean time from one change of the configuration to the next; 0 for none.
     questions_per_s : float
         Counts of queues that callers ask for, at one daemon after the other.
+    waiting_per_s : float
+        Jobs a second that no worker can run; cancelled after a while.
     link_mbps : float
         Bandwidth of each daemon's link from the store; 0 for no limit.
     fault_interval_s : float
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -35,7 +35,7 @@
 # those that were added or dropped last are asked for most.
 ASKED_KINDS = (
     "added", "dropped", "absent", "added", "dropped", "current", "added", "dropped",
-    "invalid", "usual", "limit",
+    "invalid", "usual", "limit", "usual",
 )  # fmt: skip
 # How far from a limit the size of a request is, for bodies and for headers, whose
 # bytes may be counted with the first line and the ends of lines or without.
@@ -47,6 +47,11 @@
 ASK_ALL_AFTER_S = 0.5
 ASK_ALL_INTERVAL_S = 0.01
 STAY_S = (8.0, 40.0)
+# Jobs a second that no worker can run for want of a label, which are cancelled after a
+# while, so that there are always pending jobs.
+WAITING_PER_S = 0.4
+ABSENT_LABEL = "on-no-worker"
+WAIT_S = (10.0, 20.0)
 ENDED = ("completed", "failed", "cancelled")
 
 
@@ -76,6 +81,9 @@
         self._asked = 0
         for kind in KINDS:
             self._submit_next(kind)
+        self._waiting_per_s = options["waiting_per_s"]
+        if self._waiting_per_s:
+            self._submit_waiting()
         self._questions_per_s = options["questions_per_s"]
         if self._questions_per_s:
             self._ask_next()
@@ -141,7 +149,7 @@
             "absent": [ABSENT_QUEUE],
             "invalid": [INVALID_QUEUE],
         }.get(kind)
-        place = rng.choice(places) if places else "price"
+        place = rng.choice(places or list(KINDS))
         if place.startswith("extra") and rng.random() < SUBMIT_SHARE:
             self._run_job(place, daemon)
         else:
@@ -173,6 +181,15 @@
         rate = KINDS[kind][0] * self._load * self._factors[kind]
         reactor.callLater(self._random.expovariate(rate), self._submit_next, kind)
 
+    def _submit_waiting(self) -> None:
+        """Submit a job that no worker can run, to a usual or another queue."""
+        if time.monotonic() > self._until_s:
+            return
+        rng = self._random
+        place = rng.choice(("price", rng.choice([*KINDS, *self._queues])))
+        self._run_job(place, label=ABSENT_LABEL)
+        reactor.callLater(rng.expovariate(self._waiting_per_s), self._submit_waiting)
+
     def _draw_steps(self, kind: str) -> list[dict]:
         _, steps, count, run_ms, cores, _, copies, saves = KINDS.get(kind, QUEUE_JOB)
         rng = self._random
@@ -198,9 +215,11 @@
         return drawn
 
     @inlineCallbacks
-    def _run_job(self, kind: str, daemon: int | None = None):
+    def _run_job(self, kind: str, daemon: int | None = None, label: str = ""):
         job = f"{self._random.getrandbits(64):016x}"
         steps = self._draw_steps(kind)
+        if label:
+            steps = [step | {"required_label": label} for step in steps]
         run_ms = KINDS.get(kind, QUEUE_JOB)[3]
         is_hopeless = kind == "month" and self._random.random() < 0.01
         fails = 1.0 if is_hopeless else KINDS.get(kind, QUEUE_JOB)[5]
@@ -222,6 +241,10 @@
         if status != 200:
             return
         self._open[job] = kind
+        if label:
+            yield deferLater(reactor, self._random.uniform(*WAIT_S))
+            yield self._cancel(kind, job)
+            return
         if kind == "watch" or gives_up:
             longest_s = (2.0,) if gives_up else STAY_S
             yield deferLater(reactor, self._random.uniform(0.1, longest_s[-1]))
@@ -296,10 +319,16 @@
             self._log.write(
                 "answer", daemon=daemon, queue=place, sent_s=sent_s, status=response[0],
                 submits=method == b"POST", limit=limit, size=size,
+                pending=_read_pending(*response),
             )  # fmt: skip
         return response
 
 
+def _read_pending(status: int, content: bytes) -> int:
+    """Return the number of pending jobs in an answer; -1 if it has none."""
+    return json.loads(content).get("pending", -1) if status == 200 and content else -1
+
+
 def _pad_headers(size: int) -> tuple[tuple[bytes, bytes], ...]:
     """Return headers that have about this size with the others of a count."""
     names = [b"x-padding-%d" % number for number in range(size // PADDING_LINE_BYTES)]
--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -14,6 +14,7 @@
 from standins.configuration_check import ConfigurationCheck, QueueAnswer
 from standins.faulty_proxy import LinkFault
 from standins.limits_check import LimitAnswer, LimitsCheck
+from standins.pending_check import PendingCheck
 
 # Lags and faults within this time before a second start are part of its finding.
 NEAR_S = 15.0
@@ -120,10 +121,12 @@
         findings.extend(self._check_completed())
         findings.extend(self._check_cuts())
         findings.extend(self._check_failed())
-        configurations, limits = read_configurations(self.rows)
+        configurations, limits, pending = read_configurations(self.rows)
         findings.extend(configurations.check())
         findings.extend(limits.check())
         self.counts["limits_judged"] = limits.judged
+        findings.extend(pending.check())
+        self.counts["pending_judged"] = pending.judged
         findings.extend(self._check_services(configurations))
         self.counts["configurations_judged"] = configurations.judged
         counts = " ".join(f"{name}={self.counts[name]}" for name in sorted(self.counts))
@@ -363,10 +366,13 @@
         return sum(late_s for _, late_s in lags[first:last])
 
 
-def read_configurations(rows) -> tuple[ConfigurationCheck, LimitsCheck]:
+def read_configurations(
+    rows,
+) -> tuple[ConfigurationCheck, LimitsCheck, PendingCheck]:
     """Return the checks of the versions that were written and of the answers."""
     check = ConfigurationCheck()
     limits = LimitsCheck(check)
+    pending = PendingCheck(check)
     # Times at which each daemon's process was started.
     started_s: dict[int, list[float]] = defaultdict(list)
     lags = Lags(rows)
@@ -400,6 +406,16 @@
                 limits.add_answer(LimitAnswer(fields["limit"], fields["size"], answer))
             else:
                 check.add_answer(answer)
+                if fields.get("pending", -1) >= 0:
+                    pending.add_answer(answer, fields["pending"])
+        elif event == "submit":
+            pending.add_job(fields["job"], fields.get("kind", ""))
+        elif event == "submitted" and fields["status"] == 200:
+            pending.accept(fields["job"], time_s)
+        elif event == "start":
+            pending.leave(fields["task"].partition(".")[0], time_s)
+        elif event in ("cancel", "state"):
+            pending.leave(fields["job"], time_s)
         elif event == "silenced":
             check.add_silence(time_s)
         elif event == "fault":
@@ -412,7 +428,7 @@
             # The store answers late itself.
             check.begin_disturbance("lag", time_s - fields["late_s"])
             check.end_disturbance("lag", time_s)
-    return check, limits
+    return check, limits, pending
 
 
 def _read_disturbance(check: ConfigurationCheck, time_s: float, fields: dict) -> None:
--- a/tests/test_emulator_checker.py
+++ b/tests/test_emulator_checker.py
@@ -243,6 +243,73 @@
         ):
             self.check_rules([(name, rule, (*ADDED[:2], form, row))])
 
+    # Guards against numbers of pending jobs that nobody reads: one that is always 0.
+    def test_findings_of_pending_jobs(self):
+        def accepted(*times_s, queue="price"):
+            return [
+                row
+                for number, at_s in enumerate(times_s)
+                for row in (
+                    [at_s - 0.1, "submit", {
+                        "job": f"{number:016x}", "kind": queue, "counts": [1],
+                        "copies": [],
+                    }],
+                    [at_s, "submitted", {"job": f"{number:016x}", "status": 200}],
+                )
+            ]  # fmt: skip
+
+        def counted(time_s, pending, queue="price"):
+            row = answer(time_s, queue, 200)
+            row[2]["pending"] = pending
+            return row
+
+        three = accepted(11.0, 11.2, 11.4)
+        begun = {"run": 1, "token": 5_000_001, "late": False, "worker": "w001-1"}
+        begun |= {"task": f"{0:016x}.0.0.0", "born": 1}
+        moved_rows = accepted(11.0, queue="extra.2")
+        for name, rule, rows in (
+            ("under half", "MIXED", (*three, counted(17.0, 1))),
+            ("over half", None, (*three, counted(17.0, 2))),
+            ("half", None, (*accepted(11.0, 11.2), counted(17.0, 1))),
+            ("none of one", "MIXED", (*accepted(11.0), counted(16.02, 0))),
+            ("none of one within 5 s", None, (*accepted(11.0), counted(16.0, 0))),
+            ("none of one at another place", "MIXED", (
+                *moved_rows, counted(17.0, 0, "extra"),
+            )),
+            ("of another queue", None, (*three, counted(17.0, 0, "extra"))),
+            ("not accepted", None, (
+                three[0], [11.0, "submitted", {"job": f"{0:016x}", "status": 503}],
+                counted(17.0, 0),
+            )),
+            ("begun", None, (
+                *accepted(11.0), [16.9, "start", begun], counted(17.0, 0),
+            )),
+            ("begun afterwards", "MIXED", (
+                *accepted(11.0), counted(17.0, 0), [17.1, "start", begun],
+            )),
+            ("cancelled", None, (
+                *accepted(11.0), [16.9, "cancel", {"job": f"{0:016x}"}],
+                counted(17.0, 0),
+            )),
+            ("cancelled afterwards", "MIXED", (
+                *accepted(11.0), counted(17.0, 0),
+                [17.1, "cancel", {"job": f"{0:016x}"}],
+            )),
+            ("ended", None, (
+                *accepted(11.0),
+                [16.9, "state", {"job": f"{0:016x}", "state": "cancelled"}],
+                counted(17.0, 0),
+            )),
+            ("cut off", None, (
+                *three, fault(13.9, "cut-store", how="silent"), counted(17.0, 0),
+            )),
+            ("another is cut off", "MIXED", (
+                *three, [13.9, "fault", {"fault": "cut-store", "daemons": [4]}],
+                counted(17.0, 0),
+            )),
+        ):  # fmt: skip
+            self.check_rules([(name, rule, (*ADDED, *rows))])
+
     # Guards against limits of a version that are in force nowhere.
     def test_findings_of_limits(self):
         body, header, rule = "max_body_bytes", "max_header_bytes", "LIMITS"
