Emulator: questions with deadlines are judged too

Callers never named a deadline and always waited 3 s. A third of the counts now carries `Deadline-Ms` of 1000 to 2500 ms, for which the caller waits. SERVED judges them by the same rule if the deadline is at least 1500 ms; CONFIG judges them all.

--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -29,6 +29,9 @@
 QUEUE_JOB = (0.0, 2.6, 4, 500, 1_500, 0.0, 0.0, 0.0)
 # Share of the questions about a queue that submit a job to it.
 SUBMIT_SHARE = 0.02
+# Share of the questions with a deadline, and that deadline.
+DEADLINE_SHARE = 1 / 3
+DEADLINE_MS = (1_000, 2_500)
 # A queue that no version has.
 ABSENT_QUEUE = "never"
 # Kinds of queues in the order in which they are asked for, each at all daemons in turn;
@@ -111,7 +114,7 @@
         for daemon in range(len(self._urls)):
             after_s = ASK_ALL_AFTER_S + daemon * ASK_ALL_INTERVAL_S
             for place in (INVALID_QUEUE, "price"):
-                reactor.callLater(after_s, self._call, b"GET", place, daemon=daemon)
+                reactor.callLater(after_s, self._ask, place, daemon)
 
     def burst(self, kind: str, factor: float) -> None:
         """Multiply the rate of a kind of job."""
@@ -153,7 +156,14 @@
         if place.startswith("extra") and rng.random() < SUBMIT_SHARE:
             self._run_job(place, daemon)
         else:
-            self._call(b"GET", place, daemon=daemon)
+            self._ask(place, daemon)
+
+    def _ask(self, place: str, daemon: int) -> None:
+        """Ask a daemon for a count, some with a deadline until which to wait."""
+        rng = self._random
+        has_deadline = rng.random() < DEADLINE_SHARE
+        deadline_ms = rng.randint(*DEADLINE_MS) if has_deadline else 0
+        self._call(b"GET", place, daemon=daemon, deadline_ms=deadline_ms)
 
     def _test_limit(self, daemon: int) -> None:
         """Send a request whose size is just above or just below a limit."""
@@ -291,6 +301,7 @@
         limit: str = "",
         size: int = 0,
         headers: tuple[tuple[bytes, bytes], ...] = (),
+        deadline_ms: int = 0,
     ):
         """Call a daemon, a random one by default; its size may be near a limit.
 
@@ -301,11 +312,12 @@
         host, path = parse_place(place)
         url = f"{self._urls[daemon]}{path}{job}"
         headers = ((b"host", host.encode()), *headers)
+        if deadline_ms:
+            headers = (*headers, (b"deadline-ms", b"%d" % deadline_ms))
+        timeout_s = deadline_ms / 1000 or CALL_TIMEOUT_S
         sent_s = time.monotonic()
         try:
-            response = yield self._client.fetch(
-                method, url, body, CALL_TIMEOUT_S, headers
-            )
+            response = yield self._client.fetch(method, url, body, timeout_s, headers)
         except NOT_SENT_ERRORS:
             response = NOT_SENT, b""
         except ConnectionLost:
@@ -319,7 +331,7 @@
             self._log.write(
                 "answer", daemon=daemon, queue=place, sent_s=sent_s, status=response[0],
                 submits=method == b"POST", limit=limit, size=size,
-                pending=_read_pending(*response),
+                pending=_read_pending(*response), deadline_ms=deadline_ms,
             )  # fmt: skip
         return response
 
--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -401,6 +401,7 @@
                 fields["status"],
                 lags.sum_s(process, sent_s, time_s),
                 fields.get("submits", False),
+                fields.get("deadline_ms", 0),
             )
             if fields.get("limit"):
                 limits.add_answer(LimitAnswer(fields["limit"], fields["size"], answer))
--- a/standins/configuration_check.py
+++ b/standins/configuration_check.py
@@ -38,6 +38,8 @@
 # connection, and a caller that is late itself may have missed the response.
 CUT_SLACK_S = 0.2
 CALLER_LATE_MAX_S = 0.1
+# A caller that waits for less may get no answer, or 503.
+DEADLINE_MIN_MS = 1_500
 LISTED_STATUSES = (200, 404, 503, 504, NO_RESPONSE, NOT_SENT)
 
 
@@ -66,6 +68,8 @@
         For how long the caller was late itself meanwhile.
     is_submission : bool
         Whether a job was submitted, which needs the store; otherwise it is a count.
+    deadline_ms : int
+        Deadline that the request named, for which the caller waited; 0 without one.
     """
 
     daemon: str
@@ -76,6 +80,7 @@
     status: int
     late_s: float = 0.0
     is_submission: bool = False
+    deadline_ms: int = 0
 
     @property
     def has_queue(self) -> bool:
@@ -271,6 +276,9 @@
             is_soon = answer.answered_s - answer.sent_s < CUT_SLACK_S
             if is_soon or answer.late_s > CALLER_LATE_MAX_S:
                 return False
+        is_served = answer.status in (200, 404)
+        if 0 < answer.deadline_ms < DEADLINE_MIN_MS and not is_served:
+            return False
         is_lost = answer.status != 200 and self._has_silence(answer)
         return not (answer.is_submission and is_lost)
 
--- a/tests/test_emulator_checker.py
+++ b/tests/test_emulator_checker.py
@@ -63,6 +63,12 @@
     return [time_s, "answer", fields]
 
 
+def by_deadline(time_s, queue, status, deadline_ms):
+    """Return the row of an answer to a request that named a deadline."""
+    time_s, event, fields = answer(time_s, queue, status)
+    return [time_s, event, fields | {"deadline_ms": deadline_ms}]
+
+
 def limited(time_s, limit, size, status):
     """Return the row of an answer to a request whose size is near a limit."""
     fields = {"daemon": 3, "queue": "price", "status": status, "limit": limit}
@@ -227,6 +233,15 @@
             ("no response to a late caller", None, (
                 *ADDED, no_response(16.0, "extra"), [16.05, "lag", {"late_s": 0.2}],
             )),
+            ("503 by a deadline of 1.5 s", served, (
+                *ADDED, by_deadline(12.5, "extra", 503, 1_500),
+            )),
+            ("503 by an earlier deadline", None, (
+                *ADDED, by_deadline(12.5, "extra", 503, 1_499),
+            )),
+            ("404 by an earlier deadline", "CONFIG", (
+                *ADDED, by_deadline(12.5, "extra", 404, 1_000),
+            )),
             ("not sent", None, (*ADDED, answer(12.5, "extra", -1))),
         )  # fmt: skip
         self.check_rules(cases)
