Judge 503 for ever for queues of no version, and refused connections

A 503 for a queue that is in no version was always allowed, and refused connections were never judged: a daemon in contact that took itself for outdated for ever, or that had ceased to listen, passed. SERVED is now broken as well by 503 for every such question over 5 s on end, and by connections refused for over 3 s on end, by a daemon that is in contact all the while (its process has run for over 3 s then).

--- a/standins/configuration_check.py
+++ b/standins/configuration_check.py
@@ -4,7 +4,9 @@
 callers' record; nothing is read from the daemons.
 
 A queue that is in every version that may be in force must also be served, whatever the
-leader does (rule SERVED), and one that is in none of them must be refused.
+leader does (rule SERVED), and one that is in none of them must be refused. A daemon in
+contact must not answer 503 for each such queue for long, as if it were outdated for
+ever, nor refuse connections for long.
 
 Of the fields of a version, what shows outside is judged: which queues there are and at
 which host and prefix (here), their services (`emulator.service_check`), and
@@ -29,6 +31,10 @@
 ROLLBACK_SLACK_S = 0.25
 # The factor by which that slack is larger while a daemon is disturbed.
 DISTURBED_FACTOR = 8
+# A daemon in contact must not answer each question about queues that are in no version
+# with 503, or refuse connections, for longer than this on end.
+OUTDATED_MAX_S = 5.0
+REFUSING_MAX_S = 3.0
 # A version of unusual or invalid form is named in findings for this long.
 FORM_NEAR_S = 5.0
 # Statuses of a caller that got no response, and whose request was not sent.
@@ -216,8 +222,42 @@
         shown: dict[tuple[str, int], list[tuple[float, int]]] = defaultdict(list)
         for answer in sorted(self._answers, key=lambda answer: answer.answered_s):
             findings.extend(self._check_answer(answer, shown))
+        findings.extend(self._check_outdated())
+        findings.extend(self._check_refusing())
         return findings
 
+    def _check_outdated(self) -> list[str]:
+        """Find daemons that answer 503 for queues of no version for long."""
+        spans = _Spans(self, OUTDATED_MAX_S)
+        for answer in self._answers:
+            in_force = self.find_in_force(answer.sent_s, answer.answered_s)
+            is_absent = in_force and not any(
+                answer.queue in version.queues for version in in_force
+            )
+            if is_absent and answer.status == 503:
+                spans.extend(answer)
+            elif answer.status == 404 or (is_absent and answer.status != NOT_SENT):
+                spans.end(answer)
+        what = "not in force, only 503 and no 404"
+        return [self._describe_span(*span, what) for span in spans.find_long()]
+
+    def _check_refusing(self) -> list[str]:
+        """Find daemons whose connections are refused for long."""
+        spans = _Spans(self, REFUSING_MAX_S)
+        for answer in self._answers:
+            if answer.status != NOT_SENT:
+                spans.end(answer)
+            elif answer.late_s <= CALLER_LATE_MAX_S:
+                spans.extend(answer)
+        return [
+            self._describe_span(*span, "connections refused")
+            for span in spans.find_long()
+        ]
+
+    def _describe_span(self, first: QueueAnswer, last: QueueAnswer, what: str) -> str:
+        span_s = last.answered_s - first.sent_s
+        return self._describe(first, f"{what} for {span_s:.3f} s", "SERVED")
+
     def _check_answer(self, answer: QueueAnswer, shown) -> list[str]:
         self.recorded_by_status[answer.label] += 1
         if answer.status not in (200, 404):
@@ -325,9 +365,8 @@
         )
 
     def _describe(self, answer: QueueAnswer, what: str, rule: str = "CONFIG") -> str:
-        got = {200: "served", NO_RESPONSE: "no response"}.get(
-            answer.status, str(answer.status)
-        )
+        names = {200: "served", NO_RESPONSE: "no response", NOT_SENT: "not sent"}
+        got = names.get(answer.status, str(answer.status))
         forms = ", ".join(
             form
             for written_s, form in self._forms
@@ -338,3 +377,47 @@
             f"{answer.sent_s:.3f}: queue {answer.queue} {got}, {what}"
             f"{forms and f'; after {forms}'}"
         )
+
+
+class _Spans:
+    """Spans of alike answers, one after the other, of daemons in contact.
+
+    Answers are added in any order.
+    """
+
+    def __init__(self, check: ConfigurationCheck, longest_s: float) -> None:
+        self._check = check
+        self._longest_s = longest_s
+        # By incarnation: the answers, and whether each extends a span.
+        self._answers: dict[tuple, list[tuple[QueueAnswer, bool]]] = defaultdict(list)
+
+    def extend(self, answer: QueueAnswer) -> None:
+        """Add an answer that is part of a span."""
+        self._answers[answer.daemon, answer.incarnation].append((answer, True))
+
+    def end(self, answer: QueueAnswer) -> None:
+        """Add an answer that ends a span."""
+        self._answers[answer.daemon, answer.incarnation].append((answer, False))
+
+    def find_long(self) -> list[tuple[QueueAnswer, QueueAnswer]]:
+        """Return the first and the last answer of each span that is too long."""
+        return [
+            (span[0], span[-1])
+            for rows in self._answers.values()
+            for span in self._divide(sorted(rows, key=lambda row: row[0].sent_s))
+            if span[-1].answered_s - span[0].sent_s > self._longest_s
+        ]
+
+    def _divide(self, rows) -> Iterable[list[QueueAnswer]]:
+        span: list[QueueAnswer] = []
+        for answer, is_part in rows:
+            if span and not (is_part and self._has_contact(span[0], answer)):
+                yield span
+                span = []
+            if is_part and (span or self._has_contact(answer, answer)):
+                span.append(answer)
+        if span:
+            yield span
+
+    def _has_contact(self, first: QueueAnswer, last: QueueAnswer) -> bool:
+        return self._check.is_in_contact(first.daemon, first.sent_s, last.answered_s)
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -136,6 +136,82 @@
         )  # fmt: skip
         self.check_table(cases)
 
+    # Guards against a daemon that takes itself for outdated, or refuses connections,
+    # for ever.
+    def test_findings_of_spans(self):
+        outdated, refusing = "only 503 and no 404", "connections refused"
+
+        def span(begun_s, ended_s, queue, status):
+            """Return answers each half second, the last one at the end."""
+            count = int((ended_s - begun_s) // 0.5)
+            times_s = [begun_s + 0.5 * number for number in range(count)]
+            return [
+                failure(at_s, queue, status, 0.01)
+                for at_s in (*times_s, ended_s - 0.01)
+            ]
+
+        def served(sent_s, queue):
+            return answer(sent_s, queue, True)
+
+        def refused(sent_s, queue):
+            return answer(sent_s, queue, False)
+
+        cases = (
+            ("503 for over 5 s", span(20.0, 25.1, "never", 503), (), [outdated]),
+            ("503 for under 5 s", span(20.0, 24.9, "never", 503), (), []),
+            ("503 twice, 5.1 s apart", span(20.0, 20.1, "never", 503)[:1]
+             + span(25.0, 25.1, "invalid", 503)[:1]
+             + [failure(25.1, "a", 503, 0.01)], (), [outdated]),
+            ("503 and one 404", [
+                *span(20.0, 25.1, "never", 503), refused(22.2, "never"),
+            ], (), []),
+            ("503 but 404 for another queue", [
+                *span(20.0, 25.1, "never", 503), refused(22.2, "a"),
+            ], (), []),
+            ("503 but for queues in force", [
+                *span(20.0, 25.1, "never", 503), served(22.2, "kept"),
+            ], (), [outdated]),
+            ("503 after a 404", [
+                *span(20.0, 26.1, "never", 503), refused(20.2, "never"),
+            ], (), [outdated]),
+            ("503 by two daemons in turn", [
+                *span(20.0, 22.0, "never", 503),
+                QueueAnswer("vm1", 1, "never", 25.1, 25.2, 503),
+            ], (), []),
+            ("503 by two incarnations", [
+                *span(20.0, 22.0, "never", 503),
+                QueueAnswer("vm0", 2, "never", 25.1, 25.2, 503),
+            ], (), []),
+            ("503 while it is cut off", span(20.0, 25.1, "never", 503),
+             ((22.0, 22.1, "vm0"),), []),
+            ("503 from 3 s after it was cut off", span(20.0, 28.1, "never", 503),
+             ((19.0, 19.9, "vm0"),), [outdated]),
+            ("503 until 5 s after that", span(20.0, 27.9, "never", 503),
+             ((19.0, 19.9, "vm0"),), []),
+            ("503 as queues are dropped", span(10.5, 16.0, "a", 503), (), []),
+            ("refused for over 3 s", span(20.0, 23.1, "kept", -1), (), [refusing]),
+            ("refused for under 3 s", span(20.0, 22.9, "kept", -1), (), []),
+            ("refused but once", [
+                *span(20.0, 23.1, "kept", -1), served(21.7, "kept"),
+            ], (), []),
+            ("refused, with one 503", [
+                *span(20.0, 23.1, "never", -1), failure(21.7, "never", 503, 0.01),
+            ], (), []),
+            ("refused soon after a start", span(20.0, 25.9, "kept", -1),
+             ((19.9, 19.9, "vm0"),), []),
+            ("refused long after a start", span(20.0, 26.1, "kept", -1),
+             ((19.9, 19.9, "vm0"),), [refusing]),
+            ("refused while it is frozen", span(20.0, 25.9, "kept", -1),
+             ((22.0, 23.0, "vm0"),), []),
+            ("refused while another is frozen", span(20.0, 23.1, "kept", -1),
+             ((22.0, 23.0, "vm1"),), [refusing]),
+            ("refused, as far as a late caller knows", [
+                failure(each.sent_s, "kept", -1, 0.01, late_s=0.2)
+                for each in span(20.0, 23.1, "kept", -1)
+            ], (), []),
+        )  # fmt: skip
+        self.check_table(cases)
+
     # Guards against invalid versions that stand too briefly to be asked about.
     def test_counts_of_daemons_asked_of_invalid_versions(self):
         for name, answers, expected in (
--- a/tests/test_emulator_checker.py
+++ b/tests/test_emulator_checker.py
@@ -233,6 +233,22 @@
             ("no response to a late caller", None, (
                 *ADDED, no_response(16.0, "extra"), [16.05, "lag", {"late_s": 0.2}],
             )),
+            ("503 for a queue of no version for over 5 s", served, (
+                *ADDED, answer(12.5, "never", 503), answer(17.52, "never", 503),
+            )),
+            ("503 for a queue of no version for under 5 s", None, (
+                *ADDED, answer(12.5, "never", 503), answer(17.48, "never", 503),
+            )),
+            ("connections refused for over 3 s", served, (
+                *ADDED, answer(12.5, "price", -1), answer(15.52, "price", -1),
+            )),
+            ("connections refused for under 3 s", None, (
+                *ADDED, answer(12.5, "price", -1), answer(15.48, "price", -1),
+            )),
+            ("connections refused until 6 s after a start", None, (
+                *ADDED, [12.4, "daemon-start", {"daemon": 3}],
+                *(answer(13.0 + n, "price", -1) for n in range(6)),
+            )),
             ("503 by a deadline of 1.5 s", served, (
                 *ADDED, by_deadline(12.5, "extra", 503, 1_500),
             )),
