--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -29,20 +29,32 @@
 QUEUE_JOB = (0.0, 2.6, 4, 500, 1_500, 0.0, 0.0, 0.0)
 # Share of the questions about a queue that submit a job to it.
 SUBMIT_SHARE = 0.02
+# Share of the questions with a deadline, and that deadline.
+DEADLINE_SHARE = 1 / 3
+DEADLINE_MS = (1_000, 2_500)
 # A queue that no version has.
 ABSENT_QUEUE = "never"
 # Kinds of queues in the order in which they are asked for, each at all daemons in turn;
 # those that were added or dropped last are asked for most.
 ASKED_KINDS = (
     "added", "dropped", "absent", "added", "dropped", "current", "added", "dropped",
-    "invalid", "usual", "limit",
+    "invalid", "usual", "limit", "usual",
 )  # fmt: skip
 # How far from a limit the size of a request is, for bodies and for headers, whose
 # bytes may be counted with the first line and the ends of lines or without.
 LIMIT_DISTANCES_BYTES = {"max_body_bytes": 1, "max_header_bytes": 512}
 PADDING_LINE_BYTES = 1_000
 CHANGED_QUEUES_MAX = 4
+# After the write of an invalid version: time to the questions at all daemons, and from
+# one daemon to the next.
+ASK_ALL_AFTER_S = 0.5
+ASK_ALL_INTERVAL_S = 0.01
 STAY_S = (8.0, 40.0)
+# Jobs a second that no worker can run for want of a label, which are cancelled after a
+# while, so that there are always pending jobs.
+WAITING_PER_S = 0.4
+ABSENT_LABEL = "on-no-worker"
+WAIT_S = (10.0, 20.0)
 ENDED = ("completed", "failed", "cancelled")
 
 
@@ -72,6 +84,9 @@
         self._asked = 0
         for kind in KINDS:
             self._submit_next(kind)
+        self._waiting_per_s = options["waiting_per_s"]
+        if self._waiting_per_s:
+            self._submit_waiting()
         self._questions_per_s = options["questions_per_s"]
         if self._questions_per_s:
             self._ask_next()
@@ -89,6 +104,18 @@
         self._dropped = _latest(self._dropped, dropped, added)
         self._queues = queues
 
+    def ask_all(self) -> None:
+        """Ask all daemons for the queue of invalid versions and for a usual queue.
+
+        An invalid version has just been written.
+        """
+        if time.monotonic() > self._until_s:
+            return
+        for daemon in range(len(self._urls)):
+            after_s = ASK_ALL_AFTER_S + daemon * ASK_ALL_INTERVAL_S
+            for place in (INVALID_QUEUE, "price"):
+                reactor.callLater(after_s, self._ask, place, daemon)
+
     def burst(self, kind: str, factor: float) -> None:
         """Multiply the rate of a kind of job."""
         self._factors[kind] = factor
@@ -125,11 +152,18 @@
             "absent": [ABSENT_QUEUE],
             "invalid": [INVALID_QUEUE],
         }.get(kind)
-        place = rng.choice(places) if places else "price"
+        place = rng.choice(places or list(KINDS))
         if place.startswith("extra") and rng.random() < SUBMIT_SHARE:
             self._run_job(place, daemon)
         else:
-            self._call(b"GET", place, daemon=daemon)
+            self._ask(place, daemon)
+
+    def _ask(self, place: str, daemon: int) -> None:
+        """Ask a daemon for a count, some with a deadline until which to wait."""
+        rng = self._random
+        has_deadline = rng.random() < DEADLINE_SHARE
+        deadline_ms = rng.randint(*DEADLINE_MS) if has_deadline else 0
+        self._call(b"GET", place, daemon=daemon, deadline_ms=deadline_ms)
 
     def _test_limit(self, daemon: int) -> None:
         """Send a request whose size is just above or just below a limit."""
@@ -157,6 +191,15 @@
         rate = KINDS[kind][0] * self._load * self._factors[kind]
         reactor.callLater(self._random.expovariate(rate), self._submit_next, kind)
 
+    def _submit_waiting(self) -> None:
+        """Submit a job that no worker can run, to a usual or another queue."""
+        if time.monotonic() > self._until_s:
+            return
+        rng = self._random
+        place = rng.choice(("price", rng.choice([*KINDS, *self._queues])))
+        self._run_job(place, label=ABSENT_LABEL)
+        reactor.callLater(rng.expovariate(self._waiting_per_s), self._submit_waiting)
+
     def _draw_steps(self, kind: str) -> list[dict]:
         _, steps, count, run_ms, cores, _, copies, saves = KINDS.get(kind, QUEUE_JOB)
         rng = self._random
@@ -182,9 +225,11 @@
         return drawn
 
     @inlineCallbacks
-    def _run_job(self, kind: str, daemon: int | None = None):
+    def _run_job(self, kind: str, daemon: int | None = None, label: str = ""):
         job = f"{self._random.getrandbits(64):016x}"
         steps = self._draw_steps(kind)
+        if label:
+            steps = [step | {"required_label": label} for step in steps]
         run_ms = KINDS.get(kind, QUEUE_JOB)[3]
         is_hopeless = kind == "month" and self._random.random() < 0.01
         fails = 1.0 if is_hopeless else KINDS.get(kind, QUEUE_JOB)[5]
@@ -206,6 +251,10 @@
         if status != 200:
             return
         self._open[job] = kind
+        if label:
+            yield deferLater(reactor, self._random.uniform(*WAIT_S))
+            yield self._cancel(kind, job)
+            return
         if kind == "watch" or gives_up:
             longest_s = (2.0,) if gives_up else STAY_S
             yield deferLater(reactor, self._random.uniform(0.1, longest_s[-1]))
@@ -252,6 +301,7 @@
         limit: str = "",
         size: int = 0,
         headers: tuple[tuple[bytes, bytes], ...] = (),
+        deadline_ms: int = 0,
     ):
         """Call a daemon, a random one by default; its size may be near a limit.
 
@@ -262,11 +312,12 @@
         host, path = parse_place(place)
         url = f"{self._urls[daemon]}{path}{job}"
         headers = ((b"host", host.encode()), *headers)
+        if deadline_ms:
+            headers = (*headers, (b"deadline-ms", b"%d" % deadline_ms))
+        timeout_s = deadline_ms / 1000 or CALL_TIMEOUT_S
         sent_s = time.monotonic()
         try:
-            response = yield self._client.fetch(
-                method, url, body, CALL_TIMEOUT_S, headers
-            )
+            response = yield self._client.fetch(method, url, body, timeout_s, headers)
         except NOT_SENT_ERRORS:
             response = NOT_SENT, b""
         except ConnectionLost:
@@ -280,10 +331,16 @@
             self._log.write(
                 "answer", daemon=daemon, queue=place, sent_s=sent_s, status=response[0],
                 submits=method == b"POST", limit=limit, size=size,
+                pending=_read_pending(*response), deadline_ms=deadline_ms,
             )  # fmt: skip
         return response
 
 
+def _read_pending(status: int, content: bytes) -> int:
+    """Return the number of pending jobs in an answer; -1 if it has none."""
+    return json.loads(content).get("pending", -1) if status == 200 and content else -1
+
+
 def _pad_headers(size: int) -> tuple[tuple[bytes, bytes], ...]:
     """Return headers that have about this size with the others of a count."""
     names = [b"x-padding-%d" % number for number in range(size // PADDING_LINE_BYTES)]
--- a/standins/configuration_check.py
+++ b/standins/configuration_check.py
@@ -4,7 +4,9 @@
 callers' record; nothing is read from the daemons.
 
 A queue that is in every version that may be in force must also be served, whatever the
-leader does (rule SERVED), and one that is in none of them must be refused.
+leader does (rule SERVED), and one that is in none of them must be refused. A daemon in
+contact must not answer 503 for each such queue for long, as if it were outdated for
+ever, nor refuse connections for long.
 
 Of the fields of a version, what shows outside is judged: which queues there are and at
 which host and prefix (here), their services (`emulator.service_check`), and
@@ -19,6 +21,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from standins.invalid_versions import INVALID_QUEUE
+
 # A version must be in force this long after its write, at daemons that were in contact
 # for the time below.
 APPLY_S = 2.0
@@ -27,6 +31,10 @@
 ROLLBACK_SLACK_S = 0.25
 # The factor by which that slack is larger while a daemon is disturbed.
 DISTURBED_FACTOR = 8
+# A daemon in contact must not answer each question about queues that are in no version
+# with 503, or refuse connections, for longer than this on end.
+OUTDATED_MAX_S = 5.0
+REFUSING_MAX_S = 3.0
 # A version of unusual or invalid form is named in findings for this long.
 FORM_NEAR_S = 5.0
 # Statuses of a caller that got no response, and whose request was not sent.
@@ -36,6 +44,8 @@
 # connection, and a caller that is late itself may have missed the response.
 CUT_SLACK_S = 0.2
 CALLER_LATE_MAX_S = 0.1
+# A caller that waits for less may get no answer, or 503.
+DEADLINE_MIN_MS = 1_500
 LISTED_STATUSES = (200, 404, 503, 504, NO_RESPONSE, NOT_SENT)
 
 
@@ -64,6 +74,8 @@
         For how long the caller was late itself meanwhile.
     is_submission : bool
         Whether a job was submitted, which needs the store; otherwise it is a count.
+    deadline_ms : int
+        Deadline that the request named, for which the caller waited; 0 without one.
     """
 
     daemon: str
@@ -74,6 +86,7 @@
     status: int
     late_s: float = 0.0
     is_submission: bool = False
+    deadline_ms: int = 0
 
     @property
     def has_queue(self) -> bool:
@@ -104,6 +117,7 @@
         self._versions: list[WrittenVersion] = []
         self._answers: list[QueueAnswer] = []
         self._forms: list[tuple[float, str]] = []
+        self._invalid_s: list[float] = []
         # By daemon, or None for all: when each disturbance began and ended.
         self._disturbed: dict[str | None, list[list[float]]] = defaultdict(list)
         self._open: dict[tuple[str | None, str], list[float]] = {}
@@ -127,7 +141,37 @@
             for label in sorted(recorded)
         )
         share = self.judged / total if total else 0.0
-        return f"answers={counts} judged_share={share:.2f}"
+        asked = self.count_asked_of_invalid()
+        return (
+            f"answers={counts} judged_share={share:.2f} "
+            f"invalid_versions={len(asked)} "
+            f"least_daemons_asked={min(asked, default=0)}"
+        )
+
+    def count_asked_of_invalid(self) -> list[int]:
+        """Return by invalid version how many daemons answered while it stood.
+
+        They answered a question for the queue of invalid versions, in contact or not.
+        """
+        return [
+            len(
+                {
+                    answer.daemon
+                    for answer in self._answers
+                    if answer.queue == INVALID_QUEUE
+                    and answer.status != NOT_SENT
+                    and begun_s < answer.sent_s
+                    and answer.answered_s < self._next_version_s(begun_s)
+                }
+            )
+            for begun_s in self._invalid_s
+        ]
+
+    def _next_version_s(self, at_s: float) -> float:
+        """Return when the next valid version was written."""
+        index = bisect.bisect_right(self._versions, at_s, key=lambda v: v.written_s)
+        following = self._versions[index : index + 1]
+        return following[0].written_s if following else float("inf")
 
     def add_version(self, version: int, written_s: float, queues: Iterable[str]):
         """Add a version that the store has acknowledged, in the order of writes."""
@@ -137,6 +181,11 @@
         """Add the form of a version that is unusual or invalid, to name it."""
         self._forms.append((written_s, form))
 
+    def add_invalid(self, written_s: float, form: str) -> None:
+        """Add a version that must not be put into force."""
+        self._invalid_s.append(written_s)
+        self.add_form(written_s, f"invalid: {form}")
+
     def add_answer(self, answer: QueueAnswer) -> None:
         """Add an answer of a daemon."""
         self._answers.append(answer)
@@ -173,8 +222,42 @@
         shown: dict[tuple[str, int], list[tuple[float, int]]] = defaultdict(list)
         for answer in sorted(self._answers, key=lambda answer: answer.answered_s):
             findings.extend(self._check_answer(answer, shown))
+        findings.extend(self._check_outdated())
+        findings.extend(self._check_refusing())
         return findings
 
+    def _check_outdated(self) -> list[str]:
+        """Find daemons that answer 503 for queues of no version for long."""
+        spans = _Spans(self, OUTDATED_MAX_S)
+        for answer in self._answers:
+            in_force = self.find_in_force(answer.sent_s, answer.answered_s)
+            is_absent = in_force and not any(
+                answer.queue in version.queues for version in in_force
+            )
+            if is_absent and answer.status == 503:
+                spans.extend(answer)
+            elif answer.status == 404 or (is_absent and answer.status != NOT_SENT):
+                spans.end(answer)
+        what = "not in force, only 503 and no 404"
+        return [self._describe_span(*span, what) for span in spans.find_long()]
+
+    def _check_refusing(self) -> list[str]:
+        """Find daemons whose connections are refused for long."""
+        spans = _Spans(self, REFUSING_MAX_S)
+        for answer in self._answers:
+            if answer.status != NOT_SENT:
+                spans.end(answer)
+            elif answer.late_s <= CALLER_LATE_MAX_S:
+                spans.extend(answer)
+        return [
+            self._describe_span(*span, "connections refused")
+            for span in spans.find_long()
+        ]
+
+    def _describe_span(self, first: QueueAnswer, last: QueueAnswer, what: str) -> str:
+        span_s = last.answered_s - first.sent_s
+        return self._describe(first, f"{what} for {span_s:.3f} s", "SERVED")
+
     def _check_answer(self, answer: QueueAnswer, shown) -> list[str]:
         self.recorded_by_status[answer.label] += 1
         if answer.status not in (200, 404):
@@ -233,6 +316,9 @@
             is_soon = answer.answered_s - answer.sent_s < CUT_SLACK_S
             if is_soon or answer.late_s > CALLER_LATE_MAX_S:
                 return False
+        is_served = answer.status in (200, 404)
+        if 0 < answer.deadline_ms < DEADLINE_MIN_MS and not is_served:
+            return False
         is_lost = answer.status != 200 and self._has_silence(answer)
         return not (answer.is_submission and is_lost)
 
@@ -279,9 +365,8 @@
         )
 
     def _describe(self, answer: QueueAnswer, what: str, rule: str = "CONFIG") -> str:
-        got = {200: "served", NO_RESPONSE: "no response"}.get(
-            answer.status, str(answer.status)
-        )
+        names = {200: "served", NO_RESPONSE: "no response", NOT_SENT: "not sent"}
+        got = names.get(answer.status, str(answer.status))
         forms = ", ".join(
             form
             for written_s, form in self._forms
@@ -292,3 +377,47 @@
             f"{answer.sent_s:.3f}: queue {answer.queue} {got}, {what}"
             f"{forms and f'; after {forms}'}"
         )
+
+
+class _Spans:
+    """Spans of alike answers, one after the other, of daemons in contact.
+
+    Answers are added in any order.
+    """
+
+    def __init__(self, check: ConfigurationCheck, longest_s: float) -> None:
+        self._check = check
+        self._longest_s = longest_s
+        # By incarnation: the answers, and whether each extends a span.
+        self._answers: dict[tuple, list[tuple[QueueAnswer, bool]]] = defaultdict(list)
+
+    def extend(self, answer: QueueAnswer) -> None:
+        """Add an answer that is part of a span."""
+        self._answers[answer.daemon, answer.incarnation].append((answer, True))
+
+    def end(self, answer: QueueAnswer) -> None:
+        """Add an answer that ends a span."""
+        self._answers[answer.daemon, answer.incarnation].append((answer, False))
+
+    def find_long(self) -> list[tuple[QueueAnswer, QueueAnswer]]:
+        """Return the first and the last answer of each span that is too long."""
+        return [
+            (span[0], span[-1])
+            for rows in self._answers.values()
+            for span in self._divide(sorted(rows, key=lambda row: row[0].sent_s))
+            if span[-1].answered_s - span[0].sent_s > self._longest_s
+        ]
+
+    def _divide(self, rows) -> Iterable[list[QueueAnswer]]:
+        span: list[QueueAnswer] = []
+        for answer, is_part in rows:
+            if span and not (is_part and self._has_contact(span[0], answer)):
+                yield span
+                span = []
+            if is_part and (span or self._has_contact(answer, answer)):
+                span.append(answer)
+        if span:
+            yield span
+
+    def _has_contact(self, first: QueueAnswer, last: QueueAnswer) -> bool:
+        return self._check.is_in_contact(first.daemon, first.sent_s, last.answered_s)
--- a/tests/test_emulator_checker.py
+++ b/tests/test_emulator_checker.py
@@ -63,6 +63,12 @@
     return [time_s, "answer", fields]
 
 
+def by_deadline(time_s, queue, status, deadline_ms):
+    """Return the row of an answer to a request that named a deadline."""
+    time_s, event, fields = answer(time_s, queue, status)
+    return [time_s, event, fields | {"deadline_ms": deadline_ms}]
+
+
 def limited(time_s, limit, size, status):
     """Return the row of an answer to a request whose size is near a limit."""
     fields = {"daemon": 3, "queue": "price", "status": status, "limit": limit}
@@ -227,10 +233,114 @@
             ("no response to a late caller", None, (
                 *ADDED, no_response(16.0, "extra"), [16.05, "lag", {"late_s": 0.2}],
             )),
+            ("503 for a queue of no version for over 5 s", served, (
+                *ADDED, answer(12.5, "never", 503), answer(17.52, "never", 503),
+            )),
+            ("503 for a queue of no version for under 5 s", None, (
+                *ADDED, answer(12.5, "never", 503), answer(17.48, "never", 503),
+            )),
+            ("connections refused for over 3 s", served, (
+                *ADDED, answer(12.5, "price", -1), answer(15.52, "price", -1),
+            )),
+            ("connections refused for under 3 s", None, (
+                *ADDED, answer(12.5, "price", -1), answer(15.48, "price", -1),
+            )),
+            ("connections refused until 6 s after a start", None, (
+                *ADDED, [12.4, "daemon-start", {"daemon": 3}],
+                *(answer(13.0 + n, "price", -1) for n in range(6)),
+            )),
+            ("503 by a deadline of 1.5 s", served, (
+                *ADDED, by_deadline(12.5, "extra", 503, 1_500),
+            )),
+            ("503 by an earlier deadline", None, (
+                *ADDED, by_deadline(12.5, "extra", 503, 1_499),
+            )),
+            ("404 by an earlier deadline", "CONFIG", (
+                *ADDED, by_deadline(12.5, "extra", 404, 1_000),
+            )),
             ("not sent", None, (*ADDED, answer(12.5, "extra", -1))),
         )  # fmt: skip
         self.check_rules(cases)
 
+    # Guards against an invalid version in force that only a question while it stands
+    # shows.
+    def test_findings_while_an_invalid_version_stands(self):
+        form = [10.0, "invalid-configuration", {"version": 9, "form": "name is empty"}]
+        for name, rule, row in (
+            ("its queue served", "CONFIG", answer(10.5, "invalid", 200)),
+            ("its queue refused", None, answer(10.5, "invalid", 404)),
+            ("a usual queue refused", "CONFIG", answer(10.5, "price", 404)),
+            ("a usual queue served", None, answer(10.5, "price", 200)),
+        ):
+            self.check_rules([(name, rule, (*ADDED[:2], form, row))])
+
+    # Guards against numbers of pending jobs that nobody reads: one that is always 0.
+    def test_findings_of_pending_jobs(self):
+        def accepted(*times_s, queue="price"):
+            return [
+                row
+                for number, at_s in enumerate(times_s)
+                for row in (
+                    [at_s - 0.1, "submit", {
+                        "job": f"{number:016x}", "kind": queue, "counts": [1],
+                        "copies": [],
+                    }],
+                    [at_s, "submitted", {"job": f"{number:016x}", "status": 200}],
+                )
+            ]  # fmt: skip
+
+        def counted(time_s, pending, queue="price"):
+            row = answer(time_s, queue, 200)
+            row[2]["pending"] = pending
+            return row
+
+        three = accepted(11.0, 11.2, 11.4)
+        begun = {"run": 1, "token": 5_000_001, "late": False, "worker": "w001-1"}
+        begun |= {"task": f"{0:016x}.0.0.0", "born": 1}
+        moved_rows = accepted(11.0, queue="extra.2")
+        for name, rule, rows in (
+            ("under half", "MIXED", (*three, counted(17.0, 1))),
+            ("over half", None, (*three, counted(17.0, 2))),
+            ("half", None, (*accepted(11.0, 11.2), counted(17.0, 1))),
+            ("none of one", "MIXED", (*accepted(11.0), counted(16.02, 0))),
+            ("none of one within 5 s", None, (*accepted(11.0), counted(16.0, 0))),
+            ("none of one at another place", "MIXED", (
+                *moved_rows, counted(17.0, 0, "extra"),
+            )),
+            ("of another queue", None, (*three, counted(17.0, 0, "extra"))),
+            ("not accepted", None, (
+                three[0], [11.0, "submitted", {"job": f"{0:016x}", "status": 503}],
+                counted(17.0, 0),
+            )),
+            ("begun", None, (
+                *accepted(11.0), [16.9, "start", begun], counted(17.0, 0),
+            )),
+            ("begun afterwards", "MIXED", (
+                *accepted(11.0), counted(17.0, 0), [17.1, "start", begun],
+            )),
+            ("cancelled", None, (
+                *accepted(11.0), [16.9, "cancel", {"job": f"{0:016x}"}],
+                counted(17.0, 0),
+            )),
+            ("cancelled afterwards", "MIXED", (
+                *accepted(11.0), counted(17.0, 0),
+                [17.1, "cancel", {"job": f"{0:016x}"}],
+            )),
+            ("ended", None, (
+                *accepted(11.0),
+                [16.9, "state", {"job": f"{0:016x}", "state": "cancelled"}],
+                counted(17.0, 0),
+            )),
+            ("cut off", None, (
+                *three, fault(13.9, "cut-store", how="silent"), counted(17.0, 0),
+            )),
+            ("another is cut off", "MIXED", (
+                *three, [13.9, "fault", {"fault": "cut-store", "daemons": [4]}],
+                counted(17.0, 0),
+            )),
+        ):  # fmt: skip
+            self.check_rules([(name, rule, (*ADDED, *rows))])
+
     # Guards against limits of a version that are in force nowhere.
     def test_findings_of_limits(self):
         body, header, rule = "max_body_bytes", "max_header_bytes", "LIMITS"
