Put a valid version into force that an invalid one has replaced in a listing

Cause: after a lost watch, or after fast changes, the records are listed, which shows the newest version of each only. If that one is refused, the valid version before it was skipped until the next one came.

Change: when a listed record is refused, the changes since the last known revision are read once, and the newest version among them that can be used is put into force.

--- a/dogwoodlever/_fleet_desired_state.py
+++ b/dogwoodlever/_fleet_desired_state.py
@@ -37,41 +37,62 @@
         self.data_centres_out: set[str] = set()
         # Store revision of the newest change of the configuration's record.
         self._revision = 0
+        # That of the version in force.
+        self._used_revision = 0
 
-    def apply_record(self, record: Record) -> None:
-        """Apply a record that operators wrote or removed."""
+    def apply_record(self, record: Record) -> bool:
+        """Apply a record that operators wrote or removed; return False if refused."""
         if record.key == CONFIGURATION_KEY:
-            self._apply_configuration(record)
-        elif record.key.startswith(EVACUATION_PREFIX):
+            return self._apply_configuration(record)
+        if record.key.startswith(EVACUATION_PREFIX):
             self._apply_evacuation(record.key[len(EVACUATION_PREFIX) :], record)
+        return True
 
-    def _apply_configuration(self, record: Record) -> None:
-        if record.revision <= self._revision:
+    def _apply_configuration(self, record: Record) -> bool:
+        if record.revision < self._revision:
+            return self._apply_former(record)
+        if record.revision == self._revision:
             # A conditional write may have shown the record before the watch does.
-            return
+            return True
         self._revision = record.revision
         if record.value is None:
-            self._refuse("removed", 0, removed_at=record.revision)
-            return
+            return self._refuse("removed", 0, removed_at=record.revision)
         try:
             decoded = decode_configuration(record.value, record.revision)
         except PlatformError as error:
-            self._refuse("unreadable", record.revision, why=str(error)[:300])
-            return
+            return self._refuse("unreadable", record.revision, why=str(error)[:300])
         if self.configuration and decoded.version < self.configuration.version:
             # A delayed listing must not restore an older version.
-            self._refuse("older", record.revision, version=decoded.version)
-            return
+            return self._refuse("older", record.revision, version=decoded.version)
+        self._put_into_force(decoded, record.revision)
+        return True
+
+    def _apply_former(self, record: Record) -> bool:
+        """Apply a version before one that was refused, if it was not known."""
+        if self.configuration is None or record.revision <= self._used_revision:
+            return True
+        if record.value is None:
+            return True
+        try:
+            decoded = decode_configuration(record.value, self.configuration.revision)
+        except PlatformError:
+            return True
+        if decoded.version > self.configuration.version:
+            self._put_into_force(decoded, record.revision)
+        return True
+
+    def _put_into_force(self, decoded: FleetConfiguration, revision: int) -> None:
+        self._used_revision = revision
         self.configuration = decoded
         log_event(
             "configuration.loaded",
             version=decoded.version,
-            revision=record.revision,
+            revision=revision,
             queues=len(decoded.queues),
         )
         self._on_change()
 
-    def _refuse(self, cause: str, revision: int, **fields) -> None:
+    def _refuse(self, cause: str, revision: int, **fields) -> bool:
         """Keep the version in force although its record has changed.
 
         Writes are conditional on the record's revision, 0 for a removed one, and
@@ -83,6 +104,7 @@
             self.configuration = replace(self.configuration, revision=revision)
         log_event(f"configuration.{cause}", in_force=kept_version, **fields)
         self._on_refused(cause)
+        return False
 
     def _apply_evacuation(self, data_centre: str, record: Record) -> None:
         if record.value is None:
--- a/dogwoodlever/_fleet_watcher.py
+++ b/dogwoodlever/_fleet_watcher.py
@@ -40,7 +40,9 @@
     prefix : str
         Prefix of the keys.
     on_change : callable
-        Called with each changed `Record`, without a value if it was removed.
+        Called with each changed `Record`, without a value if it was removed. If it
+        returns False, the record is refused, and the versions before it that a listing
+        has left out are reported after it.
     on_listed : callable
         Called after each complete listing has been applied.
     pause_s : float
@@ -162,11 +164,27 @@
         listed_keys = {record.key for record in listing.records}
         for key in set(self._revisions) - listed_keys:
             self._apply(Record(key, None, listing.revision))
-        for record in listing.records:
-            self._apply(record)
-        self._revision = listing.revision
+        former_revision, self._revision = self._revision, listing.revision
+        refused = [record for record in listing.records if not self._apply(record)]
+        if refused and former_revision:
+            yield self._read_history(former_revision, {r.key for r in refused})
         self._on_listed()
 
+    @inlineCallbacks
+    def _read_history(self, revision: int, keys: set[str]):
+        """Report the versions that a listing has left out of records that are refused.
+
+        An earlier one may be the newest that can be used.
+        """
+        try:
+            listing = yield self._store.watch(self.prefix, revision, 0)
+        except PlatformError as error:
+            log_event("history.unread", prefix=self.prefix, why=str(error)[:160])
+            return
+        for record in listing.records:
+            if record.key in keys and not self._is_closed:
+                self._report(record)
+
     @inlineCallbacks
     def _watch(self):
         # After an outage the first watch must not wait for a change.
@@ -193,20 +211,25 @@
         size_bytes = sum(len(record.value or b"") for record in changed)
         return size_bytes >= LARGE_ANSWER_BYTES
 
-    def _apply(self, record: Record) -> None:
+    def _apply(self, record: Record) -> bool:
+        """Report a record if it is new; return whether it was not refused."""
         known_revision = self._revisions.get(record.key, 0)
         if record.revision <= known_revision:
-            return
+            return True
         if record.value is None:
             if self._revisions.pop(record.key, None) is None:
-                return
+                return True
         else:
             self._revisions[record.key] = record.revision
+        return self._report(record)
+
+    def _report(self, record: Record) -> bool:
         try:
-            self._on_change(record)
+            return self._on_change(record) is not False
         except Exception as error:
             # One unreadable record must not end the watch of the others.
             log_event("record.failed", key=record.key, why=repr(error)[:200])
+            return True
 
 
 def _find_wait_max_ms(apply_limit_s: float) -> int:
--- a/tests/test_invalid_versions.py
+++ b/tests/test_invalid_versions.py
@@ -181,6 +181,26 @@
                 queue = self.node.desired_state.configuration.queues[QUEUE]
                 self.assertEqual(queue.attempts_max, 1)
 
+    # Guards against a valid version that is never in force, since an invalid one
+    # replaced it before the records were listed.
+    def test_valid_version_before_an_invalid_one_that_is_listed(self):
+        for outage_s in (0.0, 0.8, 2.0):
+            with self.subTest(outage_s=outage_s):
+                fleet = self.start_fleet(encode_version(make_document(4)))
+                fleet.stores[0].is_down = outage_s > 0
+                fleet.run_for(outage_s / 2)
+                invalid = INVALID_VERSIONS["name is empty"](make_document(9))
+                value = encode_version(make_document(6, "added"))
+                fleet.records.write("op/config", value)
+                fleet.records.write("op/config", encode_version(invalid))
+                fleet.run_for(outage_s / 2)
+                fleet.stores[0].is_down = False
+                fleet.run_for(2.0)
+                self.assertEqual(self.node.desired_state.configuration.version, 6)
+                self.assertEqual(self.get_status(fleet, "/added/"), 200)
+                self.assertEqual(self.get_status(fleet, f"/{INVALID_QUEUE}/"), 404)
+                self.assert_next_version_comes_into_force(fleet, 10)
+
 
 if __name__ == "__main__":
     unittest.main()
