--- a/dogwoodlever/_parsing_turns.py
+++ b/dogwoodlever/_parsing_turns.py
@@ -3,7 +3,7 @@
 import heapq
 from abc import ABC, abstractmethod
 
-# Work of one turn, in units of a parsed chunk: some 5 ms of a standard core.
+# Work of one turn, in units of a parsed chunk: some milliseconds of a standard core.
 TURN_UNITS = 1_000
 # A request that is answered at once, with its response.
 REQUEST_UNITS = 40
--- a/dogwoodlever/_port_capacity.py
+++ b/dogwoodlever/_port_capacity.py
@@ -17,7 +17,7 @@
 HELD_MEMORY_FRACTION = 0.125
 # Receive buffer of a connection. Bytes that were received and not read count as memory.
 RECEIVE_BUFFER_BYTES = 16_384
-# Memory of an open connection with an empty request, measured (docs/CAPACITY.md).
+# Memory of an open connection with an incomplete request.
 CONNECTION_BYTES = 12_288
 CONNECTIONS_MIN = 16
 # A body that is passed on as it is, and one that is decoded to a job and stored.
