--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -572,7 +572,11 @@
         link = self._links.pop(worker_id)
         link.close()
         log_event(
-            "worker.life-over", worker=worker_id, why=why, runs=len(capacity.runs)
+            "worker.life-over",
+            worker=worker_id,
+            why=why,
+            runs=len(capacity.runs),
+            incarnation=capacity.entry.started_at_ms,
         )
         now_s = self._clock.seconds()
         carried = link.evidence.carry_over(now_s, may_return)
@@ -695,7 +699,13 @@
         if not capacity.is_synced:
             capacity.is_synced = True
             self._membership.set_address(worker_id, link.entry.address)
-            log_event("worker.read", worker=worker_id, running=len(result.running))
+            log_event(
+                "worker.read",
+                worker=worker_id,
+                running=len(result.running),
+                incarnation=result.started_at_ms,
+                clock_ms=result.clock_ms,
+            )
         self.unpolled_workers.discard(worker_id)
         if result.ended:
             self._on_ended()
@@ -775,7 +785,13 @@
         worker_id = link.entry.worker_id
         capacity = self.capacities[worker_id]
         self._metrics.worker_events.labels("lapsed").inc()
-        log_event("worker.lapsed", worker=worker_id, runs=len(capacity.runs))
+        log_event(
+            "worker.lapsed",
+            worker=worker_id,
+            runs=len(capacity.runs),
+            expired_s=self._clock.seconds() - link.evidence.lease_expiry_s,
+            awaited=link.evidence.awaited_lease,
+        )
         self._hold_usage(capacity, link.evidence)
         if link.evidence.is_refused and capacity.is_synced:
             self._await_proof_of_crash(capacity, link)
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -279,6 +279,19 @@
         self._granted_ms = max(self._granted_ms, until_ms)
         return self._granted_ms
 
+    @property
+    def awaited_lease(self) -> str:
+        """Which lease decides when the worker's leases have expired, for the log.
+
+        ``former`` of a former leader, ``granted`` by this one, or ``longest``, which
+        calls for a former incarnation may have granted.
+        """
+        if self._misdirected_expiry_s > NEVER_S and (
+            self.lease_expiry_s >= self._misdirected_expiry_s
+        ):
+            return "longest"
+        return "granted" if self._granted_ms else "former"
+
     def limit_former_leases(self, expire_s: float) -> None:
         """Lower the expiry of leases from a former leader."""
         if not self._granted_ms:
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -302,6 +302,8 @@
             )
             if verdict is OrderVerdict.CARRIED_OUT:
                 run.seen_clock_ms = clock_ms
+            else:
+                self._log_misdirected(run, clock_ms)
         if verdict is not OrderVerdict.RETRY:
             self._log_late_answer(run, verdict, sent_s)
         match verdict:
@@ -313,6 +315,16 @@
                 yield self.stop(run)
         return verdict is not OrderVerdict.RETRY
 
+    def _log_misdirected(self, run: Run, clock_ms: int) -> None:
+        """Log a start that the worker's next incarnation has carried out."""
+        log_event(
+            "start.misdirected",
+            run=format_run_id(run.run_id),
+            worker=run.worker_id,
+            incarnation=self.entry.started_at_ms,
+            clock_ms=clock_ms,
+        )
+
     def _log_late_answer(self, run: Run, verdict: OrderVerdict, sent_s: float) -> None:
         """Log a start whose last copy, sent at `sent_s`, was answered late."""
         now_s = self._clock.seconds()
