--- a/tests/test_longest_leases.py
+++ b/tests/test_longest_leases.py
@@ -10,18 +10,26 @@
 import unittest
 from dataclasses import replace
 
+from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
+from dogwoodlever._fleet_records import (
+    WORKER_MEMBERSHIP_KEY,
+    decode_worker_membership,
+)
 from dogwoodlever._run_evidence import lease_bound_s
+from dogwoodlever._worker_link import RUN_LEASE_TARGET_S
 from dogwoodlever.platform_errors import StoreUnavailableError
 from standins.fleet import LEASE_MAX_MS, server_record
-from tests.fleet_simulation import STOP_S, StandingWorkTest, worker_entry
+from tests.fleet_simulation import JOB, STOP_S, StandingWorkTest, job, worker_entry
 
 # Far ahead on the clock of an incarnation that has just started.
 FORMER_CLOCK_MS = 10**9
 TASKS = 4
 # Longest time from a call for the former incarnation to the end of the runs.
 LONGEST_S = lease_bound_s(LEASE_MAX_MS / 1000, STOP_S)
-# From the loss of a leader to the removal of its record. The store may remove it early;
-# longer elections hide runs that start too early.
+# The same for a lease that a leader grants.
+GRANTED_S = lease_bound_s(RUN_LEASE_TARGET_S, STOP_S)
+# From the loss of a leader to the removal of its record, which the store may remove
+# before it expires. A short election leaves most of a longest lease to the successor.
 RECORD_REMOVED_S = 0.5
 ELECTION_MAX_S = 2.0
 FROZEN_S = 1.5
@@ -112,11 +120,11 @@
     def count_elsewhere(self, fleet, worker):
         return self.count_running(fleet) - len(worker.running)
 
-    def check_work(self, fleet, worker, limit_s):
+    def check_work(self, fleet, worker, limit_s, tasks=TASKS):
         """Check that all work runs elsewhere within a time, and never twice."""
         fleet.run_for(limit_s)
         self.assertEqual(fleet.workers.duplicate_starts, [])
-        self.assertEqual(self.count_elsewhere(fleet, worker), TASKS)
+        self.assertEqual(self.count_elsewhere(fleet, worker), tasks)
 
 
 class SeenReturnTest(ReturnedWorkersTest):
@@ -152,6 +160,170 @@
         wait_s = LONGEST_S + START_MAX_S + FROZEN_S * (how == "frozen")
         self.check_work(fleet, worker, wait_s)
 
+    # The same if the next leader is lost as well, which has not reached the worker.
+    def test_two_leaders_are_lost_after_the_return(self):
+        for first, second, cut, (lost_s, leads_s) in (
+            ("killed", "stopped", "silent", (0.3, 0.1)),
+            ("killed", "stopped", "refuses", (1.0, 0.5)),
+            ("killed", "cut off", "refuses", (1.0, 0.5)),
+            ("killed", "killed", "silent", (0.3, 0.5)),
+            ("stopped", "stopped", "silent", (1.0, 0.5)),
+            ("stopped", "stopped", "refuses", (1.0, 1.0)),
+            ("stopped", "frozen", "refuses", (0.3, 0.1)),
+            ("stopped", "killed", "refuses", (0.3, 0.1)),
+            ("cut off", "stopped", "silent", (0.3, 0.5)),
+        ):
+            with self.subTest(
+                first=first, second=second, cut=cut, lost_s=lost_s, leads_s=leads_s
+            ):
+                self.check_two_losses(first, second, cut, lost_s, leads_s)
+
+    def check_two_losses(self, first, second, cut, lost_s, leads_s):
+        """Lose two leaders, the second one after it has led for a time."""
+        fleet, worker = self.start_work_of_returned_worker()
+        fleet.add_worker(worker_entry(8), 0.0)
+        fleet.run_for(lost_s - 0.2)
+        former = {self.lose_leader(fleet, first)}
+        WORKER_CUTS[cut](worker)
+        self.await_successor(fleet, former)
+        fleet.run_for(leads_s)
+        former.add(self.lose_leader(fleet, second))
+        self.await_successor(fleet, former)
+        wait_s = LONGEST_S + START_MAX_S
+        if second == "frozen":
+            wait_s += FROZEN_S
+        elif second == "killed":
+            # Its next process does not know whether the first leader has stopped.
+            wait_s += WORKER_LEASES_MAX_S - RUN_LEASE_TARGET_S
+        self.check_work(fleet, worker, wait_s)
+
+    def start_work_of_returned_worker(self):
+        """Return a fleet and a worker that runs tasks 0.2 s after its return."""
+        fleet, lost = self.start_work()
+        fleet.workers.crash(lost)
+        fleet.run_for(0.3)
+        worker = self.return_worker(fleet, lost)
+        fleet.run_for(0.2)
+        self.assertEqual(len(worker.running), 2)
+        return fleet, worker
+
+
+class UnseenReturnTest(ReturnedWorkersTest):
+    """A successor is the first leader that starts runs on the next incarnation."""
+
+    # Guards against runs that a leader starts elsewhere during the longest lease of a
+    # worker that returned before, or as, its predecessor was lost (issue 56, TWICE).
+    def test_leader_is_lost_before_the_return(self):
+        for how, cut, (absent_s, worker_lost_s) in itertools.product(
+            LEADER_LOSSES, WORKER_CUTS, ((0.3, 1.0), (0.5, 2.0))
+        ):
+            with self.subTest(
+                how=how, cut=cut, absent_s=absent_s, worker_lost_s=worker_lost_s
+            ):
+                fleet, lost = self.start_work()
+                fleet.workers.crash(lost)
+                fleet.run_for(0.05)
+                former = self.lose_leader(fleet, how)
+                fleet.run_for(absent_s)
+                worker = self.return_worker(fleet, lost)
+                self.check_successor(fleet, former, worker, cut, worker_lost_s)
+
+    # The same as the leader reads the first answer of the next incarnation.
+    def test_leader_is_lost_at_the_first_answer(self):
+        for how, cut, worker_lost_s in itertools.product(
+            LEADER_LOSSES, WORKER_CUTS, (1.0, 2.0)
+        ):
+            with self.subTest(how=how, cut=cut, worker_lost_s=worker_lost_s):
+                fleet, lost = self.start_work()
+                fleet.workers.crash(lost)
+                fleet.run_for(0.3)
+                worker = self.return_worker(fleet, lost)
+                self.await_first_answer(fleet, lost)
+                former = self.lose_leader(fleet, how)
+                self.check_successor(fleet, former, worker, cut, worker_lost_s)
+
+    def await_first_answer(self, fleet, worker_id):
+        """Run until the leader has read the next incarnation, before it writes."""
+        workers = fleet.nodes[fleet.leader()].leader.workers
+        until_s = fleet.clock.seconds() + 1.0
+        capacity = None
+        while not (capacity and capacity.entry.started_at_ms == 2):
+            self.assertLess(fleet.clock.seconds(), until_s)
+            fleet.clock.advance(0.001)
+            capacity = workers.capacities.get(worker_id)
+            if capacity is not None and not capacity.is_synced:
+                capacity = None
+
+    def check_successor(self, fleet, former, worker, cut, worker_lost_s):
+        """Cut the worker off some time after its return."""
+        lost_s = worker.started_s + worker_lost_s
+        self.await_successor(fleet, {former})
+        fleet.run_for(lost_s - fleet.clock.seconds() - 0.01)
+        self.assertEqual(len(worker.running), 2)
+        fleet.add_worker(worker_entry(8), 0.0)
+        fleet.run_for(0.01)
+        WORKER_CUTS[cut](worker)
+        self.check_work(fleet, worker, LONGEST_S + START_MAX_S)
+
+    # The same for a worker that is no member any more as the successor is elected.
+    def test_worker_that_was_given_up_returns_under_the_successor(self):
+        for leave, (absent_s, worker_lost_s) in itertools.product(
+            ("lapses", "replaced"), ((0.5, 1.0), (3.0, 3.0))
+        ):
+            with self.subTest(
+                leave=leave, absent_s=absent_s, worker_lost_s=worker_lost_s
+            ):
+                fleet, lost = self.start_work()
+                fleet.workers.crash(lost)
+                fleet.records.remove(f"servers/{lost}")
+                if leave == "replaced":
+                    fleet.workers.replaced.add(lost)
+                fleet.run_for(1.0 if leave == "replaced" else GRANTED_S + 0.5)
+                self.assertNotIn(lost, self.read_members(fleet))
+                former = self.lose_leader(fleet, "stopped")
+                self.await_successor(fleet, {former})
+                fleet.run_for(absent_s)
+                fleet.workers.replaced.clear()
+                # A call that was sent before the crash is carried out late.
+                worker = self.return_worker(fleet, lost)
+                self.check_successor(fleet, former, worker, "silent", worker_lost_s)
+
+    def read_members(self, fleet):
+        record = fleet.records.read(WORKER_MEMBERSHIP_KEY)
+        return decode_worker_membership(record.value).workers
+
+    # The same if a start of the former leader has granted the lease, whose run goes on
+    # at the next incarnation.
+    def test_start_of_the_former_leader_reaches_the_next_incarnation(self):
+        for how, cut, is_seen in itertools.product(
+            ("killed", "stopped"), WORKER_CUTS, (False, True)
+        ):
+            with self.subTest(how=how, cut=cut, is_seen=is_seen):
+                self.check_late_start(how, cut, is_seen)
+
+    def check_late_start(self, how, cut, is_seen):
+        """Lose the leader before or after its first poll of the next incarnation."""
+        fleet = self.start_fleet(workers=2)
+        fleet.run_for(15.0)
+        fleet.workers.delays_start_to_next_incarnation = True
+        fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=0.05)
+        (affected,) = fleet.workers._for_next_incarnation
+        fleet.workers.crash(affected)
+        fleet.run_for(0.05)
+        if not is_seen:
+            former = self.lose_leader(fleet, how)
+        fleet.run_for(0.3)
+        entry = replace(fleet.workers.workers[affected].entry, started_at_ms=2)
+        worker = fleet.workers.add(entry, 0.0)
+        fleet.records.write(f"servers/{affected}", server_record(entry))
+        fleet.run_for(1.0)
+        self.assertEqual(len(worker.running), 1)
+        if is_seen:
+            former = self.lose_leader(fleet, how)
+        WORKER_CUTS[cut](worker)
+        self.await_successor(fleet, {former})
+        self.check_work(fleet, worker, LONGEST_S + START_MAX_S, tasks=1)
+
 
 if __name__ == "__main__":
     unittest.main()
