Bound the wait for workers that hold no longest lease

A successor that counts the longest lease for each worker makes the work of lost workers wait 5 s longer. The new tests allow the granted lease only, for workers that run on, are new, or returned 30 s ago.

--- a/tests/test_longest_leases.py
+++ b/tests/test_longest_leases.py
@@ -325,5 +325,64 @@
         self.check_work(fleet, worker, LONGEST_S + START_MAX_S, tasks=1)
 
 
+class GrantedLeaseTest(ReturnedWorkersTest):
+    """Workers that can hold no longer lease than a leader has granted."""
+
+    # Guards against work of a lost worker that waits for a longest lease, although the
+    # worker has not returned, or did so long before (LOST).
+    def test_work_of_other_workers_does_not_wait_longer(self):
+        for (how, cut), kind in itertools.product(
+            (
+                ("killed", "silent"),
+                ("killed", "refuses"),
+                ("stopped", "refuses"),
+                ("cut off", "silent"),
+                ("frozen", "silent"),
+            ),
+            ("settled", "new", "returned long before"),
+        ):
+            with self.subTest(how=how, cut=cut, kind=kind):
+                fleet, worker = self.start_work_of(kind)
+                former = self.lose_leader(fleet, how)
+                WORKER_CUTS[cut](worker)
+                self.await_successor(fleet, {former})
+                wait_s = GRANTED_S + START_MAX_S + FROZEN_S * (how == "frozen")
+                self.check_work(fleet, worker, wait_s)
+
+    # The same for a worker that the successor has reached.
+    def test_work_of_other_workers_that_have_answered_does_not_wait_longer(self):
+        for how, kind in itertools.product(
+            ("killed", "stopped"), ("settled", "new", "returned long before")
+        ):
+            with self.subTest(how=how, kind=kind):
+                fleet, worker = self.start_work_of(kind)
+                former = self.lose_leader(fleet, how)
+                self.await_successor(fleet, {former})
+                fleet.run_for(1.0)
+                silence(worker)
+                self.check_work(fleet, worker, GRANTED_S + START_MAX_S)
+
+    def start_work_of(self, kind):
+        """Return a fleet and the worker that is to be lost."""
+        if kind == "new":
+            fleet = self.start_fleet(workers=1)
+            fleet.run_for(15.0)
+            fleet.submit(0, job(JOB, tasks=TASKS, standing=True, worker_tasks_max=2))
+            fleet.run_for(1.0)
+            worker = fleet.add_worker(worker_entry(7), 0.0)
+        else:
+            fleet, worker_id = self.start_work()
+            worker = fleet.workers.workers[worker_id]
+            if kind == "returned long before":
+                fleet.workers.crash(worker_id)
+                fleet.run_for(0.3)
+                worker = self.return_worker(fleet, worker_id)
+            fleet.run_for(30.0)
+        fleet.run_for(2.0)
+        self.assertEqual(len(worker.running), 2)
+        fleet.add_worker(worker_entry(8), 0.0)
+        return fleet, worker
+
+
 if __name__ == "__main__":
     unittest.main()
