Show that a late poll acknowledges an end that nobody has read

The numbers of ends begin at 1 in each incarnation. A start in flight is carried out by the next one, its run ends done before the first poll, and a poll of the former link acknowledges 8 ends there.

--- a/tests/test_longest_leases.py
+++ b/tests/test_longest_leases.py
@@ -18,7 +18,7 @@
 from dogwoodlever._run_evidence import lease_bound_s
 from dogwoodlever._worker_link import RUN_LEASE_TARGET_S
 from dogwoodlever.platform_errors import StoreUnavailableError
-from standins.fleet import LEASE_MAX_MS, server_record
+from standins.fleet import LEASE_MAX_MS, FakePoll, server_record
 from tests.fleet_simulation import JOB, STOP_S, StandingWorkTest, job, worker_entry
 
 # Far ahead on the clock of an incarnation that has just started.
@@ -384,5 +384,62 @@
         return fleet, worker
 
 
+class ForgottenEndTest(ReturnedWorkersTest):
+    """Late polls acknowledge ends of the next incarnation, whose numbers begin at 1."""
+
+    # Guards against a task that runs again after its end at the next incarnation, where
+    # a poll of the former one has made the worker forget that end (issue 56, TWICE).
+    def test_late_poll_acknowledges_the_end_of_a_late_start(self):
+        for how in ("stays", "killed", "stopped"):
+            with self.subTest(how=how):
+                self.check_end(how, is_poll_late=True)
+
+    # Guards against a task that runs again although its worker lists that end, which it
+    # does unless a late poll comes.
+    def test_end_of_a_late_start_is_read(self):
+        for how in ("stays", "killed", "stopped"):
+            with self.subTest(how=how):
+                self.check_end(how, is_poll_late=False)
+
+    def check_end(self, how, is_poll_late):
+        fleet = self.start_fleet(workers=1, run_s=1.0)
+        polls = self.record_polls(fleet, fleet.leader())
+        fleet.submit(0, job("b" * 16, tasks=8))
+        fleet.run_for(5.0)
+        self.assertEqual(polls[-1].acknowledged, 8)
+        fleet.workers.delays_start_to_next_incarnation = True
+        fleet.submit(0, job(JOB, tasks=1), wait_s=0.05)
+        fleet.workers.crash("w0")
+        late_poll = polls[-1]
+        former = {self.lose_leader(fleet, how)} if how != "stays" else set()
+        fleet.run_for(0.03)
+        entry = replace(fleet.workers.workers["w0"].entry, started_at_ms=2)
+        worker = fleet.workers.add(entry, 0.02)
+        (run,) = worker.running.values()
+        # The run has ended before a daemon polls the worker.
+        fleet.workers.end(worker, run, "done")
+        if is_poll_late:
+            fleet.workers.unanswered_polls["w0"] = [late_poll]
+            fleet.workers.carry_out_late_polls(worker)
+            self.assertEqual(worker.acknowledged_number, 8)
+        fleet.records.write("servers/w0", server_record(entry))
+        self.await_successor(fleet, former)
+        fleet.run_for(LONGEST_S + 12.5 + START_MAX_S)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
+    def record_polls(self, fleet, number):
+        """Return a list to which each poll that a daemon sends is added."""
+        client = fleet.worker_clients[number]
+        poll = client.poll
+        polls = []
+
+        def record_poll(entry, fencing_token, acknowledged, until_ms, wait_ms):
+            polls.append(FakePoll(fencing_token, acknowledged, until_ms))
+            return poll(entry, fencing_token, acknowledged, until_ms, wait_ms)
+
+        client.poll = record_poll
+        return polls
+
+
 if __name__ == "__main__":
     unittest.main()
