--- a/tests/test_longest_leases.py
+++ b/tests/test_longest_leases.py
@@ -12,7 +12,9 @@
 
 from dogwoodlever._fleet_election import WORKER_LEASES_MAX_S
 from dogwoodlever._fleet_records import (
+    UNREACHABLE_WORKERS_KEY,
     WORKER_MEMBERSHIP_KEY,
+    decode_unreachable_workers,
     decode_worker_membership,
 )
 from dogwoodlever._run_evidence import lease_bound_s
@@ -197,6 +199,31 @@
             wait_s += WORKER_LEASES_MAX_S - RUN_LEASE_TARGET_S
         self.check_work(fleet, worker, wait_s)
 
+    # The same if the leader has stored for how long the worker may hold its lease.
+    def test_leader_has_stored_the_longer_lease(self):
+        for how, cut in (
+            ("killed", "refuses"),
+            ("stopped", "refuses"),
+            ("stopped", "silent"),
+            ("cut off", "refuses"),
+            ("frozen", "refuses"),
+        ):
+            with self.subTest(how=how, cut=cut):
+                fleet, worker = self.start_work_of_returned_worker()
+                fleet.add_worker(worker_entry(8), 0.0)
+                WORKER_CUTS[cut](worker)
+                while fleet.records.read(UNREACHABLE_WORKERS_KEY) is None:
+                    self.assertLess(fleet.clock.seconds() - worker.started_s, 5.0)
+                    fleet.run_for(0.01)
+                record = fleet.records.read(UNREACHABLE_WORKERS_KEY)
+                waits_ms = decode_unreachable_workers(record.value).waits_ms
+                # The leader knows of the longest lease.
+                left_s = LONGEST_S - (fleet.clock.seconds() - worker.started_s)
+                self.assertGreater(waits_ms[worker.entry.worker_id], 1000 * left_s)
+                former = self.lose_leader(fleet, how)
+                self.await_successor(fleet, {former})
+                self.check_work(fleet, worker, LONGEST_S + START_MAX_S)
+
     def start_work_of_returned_worker(self):
         """Return a fleet and a worker that runs tasks 0.2 s after its return."""
         fleet, lost = self.start_work()
