Count a job that runs as started before its worker is polled

A successor answered counts by its registry between its load and its first polls, and counted a job whose only task lasts as waiting: 6 in place of 5, while counts from the stored records were right. JobState.restore went by stored ends only; it now goes by the stored phase, as the counts without a leader do.

--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -605,7 +605,8 @@
             return
         self.phase = JobPhase(progress.phase)
         self.finished = progress.finished
-        self.has_started = self.finished > 0
+        # A run of a running job may not have been listed to this leader yet.
+        self.has_started = self.phase is not JobPhase.QUEUED or self.finished > 0
         for number, steps in progress.occurrences.items():
             due_ms = self.job.submitted_ms
             if self.job.occurrences:
@@ -616,7 +617,6 @@
                 continue
             for step, stored in zip(occurrence.steps, steps, strict=True):
                 _restore_step(step, stored)
-                self.has_started |= int(stored.done, 16) > 0 or bool(stored.failures)
             occurrence.open_steps()
 
 
--- a/tests/test_counts_without_leader.py
+++ b/tests/test_counts_without_leader.py
@@ -322,6 +322,22 @@
 
 
 class LeaderTest(CountsTest):
+    # Guards against a job whose task lasts that a successor counts as waiting until it
+    # has polled the task's worker.
+    def test_running_job_is_not_pending_before_its_worker_is_polled(self):
+        fleet = self.start_fleet()
+        self.assert_done(fleet, 0, make_job(1, Step(1, 500, 50, 0, 500, standing=True)))
+        self.assert_done(fleet, 0, waiting_job(2))
+        fleet.run_for(SETTLED_S)
+        leader = fleet.leader()
+        for worker in fleet.workers.workers.values():
+            worker.is_reachable = False
+        fleet.kill(leader)
+        fleet.run_for(4.0)
+        self.assertNotIn(fleet.leader(), (None, leader))
+        others = [number for number in range(3) if number != leader]
+        self.assert_answers(fleet, [(number, QUEUE, 1) for number in others])
+
     # Guards against a stored count in place of the leader's, which is newer.
     def test_answer_of_the_leader(self):
         fleet = self.start_fleet()
