Wait for all ends of a worker before its tasks start again

Tasks ran twice after a change of leader if a worker listed more than 500 ends, the most that fit in one answer: the successor ended its wait for the worker with the first answer, started the tasks whose ends came later, and read their ends afterwards. The ends of runs that a poll does not list were judged by that limit before, inherited work was not.

Test: test_successor_waits_for_all_ends_of_a_worker, 50 tasks started again before.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -725,7 +725,9 @@
             )
         if self._is_withheld(worker_id):
             self._withheld.add(worker_id)
-        self.unpolled_workers.discard(worker_id)
+        if len(result.ended) < ENDS_LISTED_MAX:
+            # The other ends follow once these are acknowledged.
+            self.unpolled_workers.discard(worker_id)
         if result.ended:
             self._on_ended()
         # What a poll reports of loads alone is planned with at the next tick.
--- a/tests/test_worker_recovery.py
+++ b/tests/test_worker_recovery.py
@@ -6,7 +6,7 @@
 from dogwoodlever._fleet_job import JobPhase, RunPhase
 from dogwoodlever._fleet_records import WORKER_MEMBERSHIP_KEY, decode_worker_membership
 from dogwoodlever._fleet_types import PollResult, RunningRun
-from standins.fleet import server_record
+from standins.fleet import ENDS_LISTED_MAX, server_record
 from tests.fleet_simulation import (
     JOB,
     FleetSimulation,
@@ -274,6 +274,26 @@
                 phase = fleet.read_phase(fleet.leader(), JOB)
                 self.assertEqual(phase, JobPhase.COMPLETED)
 
+    # Guards against tasks that run again after their ends, as a worker lists more ends
+    # than fit in its first answer to a successor.
+    def test_successor_waits_for_all_ends_of_a_worker(self):
+        tasks = ENDS_LISTED_MAX + 50
+        fleet = FleetSimulation(daemons=2, workers=0)
+        fleet.add_worker(worker_entry(0, cores=1000), run_s=2.0)
+        fleet.run_for(1.0)
+        fleet.submit(0, job(JOB, tasks=tasks))
+        fleet.run_for(1.5)
+        self.assertEqual(len(fleet.workers.starts), tasks)
+        leader = fleet.leader()
+        # No end is stored, so none is acknowledged.
+        fleet.stores[leader].is_down = True
+        fleet.run_for(1.5)
+        self.assertEqual(len(fleet.workers.workers["w0"].ended), tasks)
+        fleet.kill(leader)
+        fleet.run_for(6.0)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(fleet.read_phase(fleet.leader(), JOB), JobPhase.COMPLETED)
+
     # Guards against runs that a leader stops for lack of progress when it resumes after
     # a pause, by a report that was made before the pause.
     def test_report_from_before_a_pause_shows_no_stalled_run(self):
