Count the longest lease of an incarnation that has no entry

A successor asks members without an entry whether they have ended. If the next incarnation answered and ran a task by a start for the former one, the answer was not used, and the task started elsewhere when granted leases had expired, beside the longest one.

The successor now counts the longest lease from the first such answer, by the rule of the membership.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -215,9 +215,11 @@
         )
         # The same for leases that they granted before the election, at workers that
         # hold the longest one.
-        self._longest_leases_expire_s = clock.seconds() + lease_bound_s(
-            run_lease_max_s, stop_timeout_s
-        )
+        self._longest_lease_bound_s = lease_bound_s(run_lease_max_s, stop_timeout_s)
+        self._longest_leases_expire_s = clock.seconds() + self._longest_lease_bound_s
+        # By id of a worker without an entry: the start of the incarnation that has
+        # answered, and when the longest lease that it may hold has expired.
+        self._probed: dict[str, tuple[int, float]] = {}
 
     def close(self) -> None:
         """Stop all links."""
@@ -270,8 +272,23 @@
         expire_s = self._former_leases_expire_s
         if self._membership.is_unsettled(worker_id):
             expire_s = max(expire_s, self._longest_leases_expire_s)
+        if worker_id in self._probed:
+            return max(min(expire_s, stored_s), self._probed[worker_id][1])
         return min(expire_s, stored_s)
 
+    def _record_probed(self, worker_id: str, started_at_ms: int) -> None:
+        """Record that a worker without an entry has answered and runs tasks.
+
+        An incarnation that is not settled may hold the longest lease, from its first
+        answer under the fencing token of this leader.
+        """
+        known_ms, _ = self._probed.get(worker_id, (-1, NEVER_S))
+        if known_ms != started_at_ms and not self._membership.is_settled(
+            worker_id, started_at_ms
+        ):
+            expire_s = self._clock.seconds() + self._longest_lease_bound_s
+            self._probed[worker_id] = started_at_ms, expire_s
+
     def expire_unpolled_workers(self) -> None:
         """Stop waiting for workers whose leases from a former leader have expired.
 
@@ -387,6 +404,7 @@
                 if not result.running and len(result.ended) < ENDS_LISTED_MAX:
                     self._on_probed_ended(worker_id, result)
                     return
+                self._record_probed(worker_id, result.started_at_ms)
             except WrongIncarnationError:
                 self._on_probed_ended(worker_id)
                 return
--- a/tests/test_longest_leases.py
+++ b/tests/test_longest_leases.py
@@ -362,6 +362,27 @@
         self.await_successor(fleet, {former})
         self.check_work(fleet, worker, LONGEST_S + START_MAX_S, tasks=1)
 
+    # The same if that incarnation has no entry, so that the successor only asks it
+    # whether it has ended.
+    def test_start_reaches_an_incarnation_without_an_entry(self):
+        for how, cut in itertools.product(("killed", "stopped"), WORKER_CUTS):
+            with self.subTest(how=how, cut=cut):
+                fleet = self.start_fleet(workers=2)
+                fleet.run_for(15.0)
+                fleet.workers.delays_start_to_next_incarnation = True
+                fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=0.05)
+                (affected,) = fleet.workers._for_next_incarnation
+                fleet.workers.crash(affected)
+                fleet.records.remove(f"servers/{affected}")
+                former = self.lose_leader(fleet, how)
+                self.await_successor(fleet, {former})
+                entry = replace(fleet.workers.workers[affected].entry, started_at_ms=2)
+                worker = fleet.workers.add(entry, 0.0)
+                fleet.run_for(1.0)
+                self.assertEqual(len(worker.running), 1)
+                WORKER_CUTS[cut](worker)
+                self.check_work(fleet, worker, LONGEST_S + START_MAX_S, tasks=1)
+
 
 class GrantedLeaseTest(ReturnedWorkersTest):
     """Workers that can hold no longer lease than a leader has granted."""
