Send calls only where their incarnation has answered

A call for a worker's former incarnation that goes out on a new connection reaches whichever process listens, also the next incarnation under the same id. Its until_ms is far ahead on a clock that has started anew, so that one grants its longest lease, starts the run or forgets ends that nobody has read.

Starts, stops, paces, leases and acknowledgements go out only on a connection on which the incarnation that they name has answered a poll; it breaks with its process. On other connections a bare poll precedes them, within the same timeout. If another incarnation answers it, orders fail as not sent and a poll returns its answer. Connections of other incarnations are closed when one answers.

--- a/dogwoodlever/_fleet_interfaces.py
+++ b/dogwoodlever/_fleet_interfaces.py
@@ -163,8 +163,14 @@
     """Client of the workers.
 
     Each Deferred fails with `WorkerUnreachableError` without a response (the
-    order may still be carried out), with `OrderRefusedError` if the worker did
-    nothing and with `WrongIncarnationError` if another incarnation responded.
+    order may still be carried out), with its subclass `CallNotSentError` if nothing was
+    sent, with `OrderRefusedError` if the worker did nothing and with
+    `WrongIncarnationError` if another worker responded.
+
+    A call that changes something is sent only where the incarnation that the entry
+    names has answered a poll, unless its start is not known. If another one under the
+    same id answers instead, orders fail with `OtherIncarnationError`, and a poll
+    returns the answer, without having changed anything.
     """
 
     @abstractmethod
--- a/dogwoodlever/_http_client.py
+++ b/dogwoodlever/_http_client.py
@@ -1,9 +1,10 @@
 """Small HTTP client over persistent connections, with a timeout on each call."""
 
+from collections.abc import Callable
 from functools import partial
 
 from twisted.internet import error as internet_errors
-from twisted.internet.defer import Deferred, TimeoutError, inlineCallbacks
+from twisted.internet.defer import Deferred, TimeoutError, fail, inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.web.client import RequestNotSent
 from twisted.web.iweb import IAgentEndpointFactory
@@ -23,6 +24,10 @@
 )
 
 
+class NoLabelledConnectionError(Exception):
+    """No idle connection has the label, so the request was not sent."""
+
+
 @implementer(IAgentEndpointFactory)
 class IpEndpointFactory:
     """Endpoint factory for servers addressed by IP address.
@@ -78,27 +83,97 @@
         timeout_s: float = 0.0,
         headers: tuple[tuple[bytes, bytes], ...] = (),
         stall_timeout_s: float = 0.0,
+        label: object | None = None,
+        read_label: Callable[[int, bytes], object | None] | None = None,
     ) -> Deferred:
         """Return a Deferred that fires with the status and the body.
 
-        `timeout_s` bounds the whole call. With `stall_timeout_s` it bounds the time to
-        the response instead, and a transfer may take as long as its next part arrives
-        within that time, whatever the bandwidth of the link. Fails with Twisted's
-        network errors, `twisted.internet.defer.TimeoutError` and
-        `InvalidResponseError`.
+        A request is sent at most once. Fails with Twisted's network errors,
+        `twisted.internet.defer.TimeoutError` and `InvalidResponseError`.
+
+        Parameters
+        ----------
+        method : bytes
+            Method of the request.
+        url : str
+            Address and path.
+        body : bytes
+            JSON document.
+        timeout_s : float
+            Bounds the whole call; 0 for the timeout of the client.
+        headers : tuple of (bytes, bytes)
+            Further headers.
+        stall_timeout_s : float
+            If set, `timeout_s` bounds the time to the response only, and a transfer may
+            take as long as its next part arrives within this time, whatever the
+            bandwidth of the link.
+        label : object or None
+            If set, the request is sent on an idle connection with this label or fails
+            with `NoLabelledConnectionError`.
+        read_label : callable or None
+            Returns what the status and the body of the response say of the process
+            that sent it, None for nothing. This labels the connection, and closes the
+            idle ones to the address that have another label.
         """
         address, _, path = url.removeprefix("http://").partition("/")
         request = _format_request(method, address, path, body, headers)
         deadline_s = self._reactor.seconds() + (timeout_s or self.timeout_s)
-        idle = self._idle.get(address)
-        if idle:
-            connection = idle.pop()
-            return self._send(address, connection, request, deadline_s, stall_timeout_s)
-        return self._connect_and_send(address, request, deadline_s, stall_timeout_s)
+        connection = self._take_idle(address, label)
+        if connection is not None:
+            call = self._send(address, connection, request, deadline_s, stall_timeout_s)
+            return self._label_at_end(call, address, connection, read_label)
+        if label is not None:
+            return fail(NoLabelledConnectionError(f"{address}: {label}"))
+        return self._connect_and_send(
+            address, request, deadline_s, stall_timeout_s, read_label
+        )
+
+    def seconds(self) -> float:
+        """Return the time by which timeouts are measured, in seconds."""
+        return self._reactor.seconds()
+
+    def _take_idle(self, address: str, label: object | None) -> HttpConnection | None:
+        """Return the idle connection that was used last, of those with the label."""
+        idle = self._idle.get(address, [])
+        for index in reversed(range(len(idle))):
+            if label is None or idle[index].label == label:
+                return idle.pop(index)
+        return None
+
+    def _label_at_end(
+        self,
+        call: Deferred,
+        address: str,
+        connection: HttpConnection,
+        read_label: Callable[[int, bytes], object | None] | None,
+    ) -> Deferred:
+        if read_label is None:
+            return call
+
+        def label_connection(response):
+            label = read_label(*response)
+            if label is not None:
+                connection.label = label
+                self._drop_others(address, label)
+            return response
+
+        return call.addCallback(label_connection)
+
+    def _drop_others(self, address: str, label: object) -> None:
+        """Close the idle connections that have another label."""
+        for idle in list(self._idle.get(address, ())):
+            if idle.label not in (None, label):
+                self._forget(address, idle)
+                idle.transport.loseConnection()
 
     @inlineCallbacks
     def _connect_and_send(
-        self, address: str, request: bytes, deadline_s: float, stall_timeout_s: float
+        self,
+        address: str,
+        request: bytes,
+        deadline_s: float,
+        stall_timeout_s: float,
+        read_label: Callable[[int, bytes], object | None] | None,
     ):
         host, _, port = address.partition(":")
         endpoint = TCP4ClientEndpoint(
@@ -115,9 +190,8 @@
             # After a pause of the process, sockets are handled before timers.
             self._keep(address, connection)
             raise internet_errors.TimeoutError(f"connected to {address} too late")
-        result = yield self._send(
-            address, connection, request, deadline_s, stall_timeout_s
-        )
+        call = self._send(address, connection, request, deadline_s, stall_timeout_s)
+        result = yield self._label_at_end(call, address, connection, read_label)
         return result
 
     def _send(
@@ -154,12 +228,15 @@
             idle.abort(error)
 
     def _keep(self, address: str, connection: HttpConnection) -> None:
-        """Keep an idle connection for the next call."""
+        """Keep an idle connection for the next call.
+
+        The one that is unused longest gives way, since the answer to a call may allow
+        the next call on its connection only.
+        """
         idle = self._idle.setdefault(address, [])
-        if len(idle) < self._idle_max:
-            idle.append(connection)
-        else:
-            connection.transport.loseConnection()
+        idle.append(connection)
+        if len(idle) > self._idle_max:
+            idle.pop(0).transport.loseConnection()
 
     def _forget(self, address: str, connection: HttpConnection) -> None:
         """Drop a closed connection."""
--- a/dogwoodlever/_http_connection.py
+++ b/dogwoodlever/_http_connection.py
@@ -32,6 +32,9 @@
     ----------
     on_progress : callable
         Called when a part of the open request was sent, or of its response received.
+    label : object or None
+        What the answers on the connection say of the process at its other end, None if
+        not known.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         # What is left to send of the open request.
         self._unsent = memoryview(b"")
         self.on_progress: Callable[[], None] = lambda: None
+        self.label: object | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send small requests without delay."""
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -8,6 +8,7 @@
 from dogwoodlever._fleet_interfaces import RefusalReason
 from dogwoodlever._fleet_types import PollResult, RunId
 from dogwoodlever.platform_errors import (
+    CallNotSentError,
     ConnectionRefusedByWorkerError,
     OrderRefusedError,
     PlatformError,
@@ -100,7 +101,7 @@
 def _may_be_in_flight(error: PlatformError) -> bool:
     """Return whether a call that failed may have been, or be, carried out."""
     is_unanswered = isinstance(error, WorkerUnreachableError)
-    return is_unanswered and not isinstance(error, ConnectionRefusedByWorkerError)
+    return is_unanswered and not isinstance(error, CallNotSentError)
 
 
 class WorkerEvidence:
--- a/dogwoodlever/platform/_http_workers.py
+++ b/dogwoodlever/platform/_http_workers.py
@@ -1,5 +1,6 @@
 """HTTP client of the workers."""
 
+from functools import partial
 from typing import Annotated
 
 import msgspec
@@ -16,11 +17,17 @@
     TaskId,
     WorkerEntry,
 )
-from dogwoodlever._http_client import HttpClient
+from dogwoodlever._http_client import HttpClient, NoLabelledConnectionError
+from dogwoodlever._proven_connections import (
+    connection_label,
+    has_poll_effect,
+    send_proven,
+)
 from dogwoodlever.platform._wire_json import INT64_MAX, Amount, decode_json
 from dogwoodlever.platform_errors import (
     ConnectionRefusedByWorkerError,
     OrderRefusedError,
+    OtherIncarnationError,
     PlatformError,
     WorkerUnreachableError,
     WrongIncarnationError,
@@ -74,6 +81,10 @@
     checkpoint: str
 
 
+class _StartOfIncarnation(msgspec.Struct):
+    born: Amount = 0
+
+
 class _PollResponse(msgspec.Struct):
     clock_ms: Amount
     running: list[_RunningRow] = []
@@ -105,13 +116,30 @@
         self._client = client
 
     @inlineCallbacks
-    def _call(self, worker: WorkerEntry, path: str, document, timeout_s: float):
+    def _call(
+        self,
+        worker: WorkerEntry,
+        path: str,
+        document,
+        timeout_s: float,
+        label: object | None = None,
+        read_label=None,
+    ):
         url = f"http://{worker.host}:{worker.port}{path}"
         headers = ((b"Target-Instance", worker.worker_id.encode()),)
+        body = msgspec.json.encode(document)
         try:
             status, content = yield self._client.fetch(
-                b"POST", url, msgspec.json.encode(document), timeout_s, headers
+                b"POST",
+                url,
+                body,
+                timeout_s,
+                headers,
+                label=label,
+                read_label=read_label,
             )
+        except NoLabelledConnectionError:
+            raise
         except ConnectionRefusedError as error:
             raise ConnectionRefusedByWorkerError(
                 f"worker {worker.worker_id}: {error!r}"
@@ -135,7 +163,13 @@
         raise OrderRefusedError(_decode_reason(status, content))
 
     def _send_order(self, worker: WorkerEntry, path: str, document):
-        return self._call(worker, path, document, ORDER_TIMEOUT_S)
+        return send_proven(
+            worker,
+            partial(self._call, worker, path, document),
+            partial(self._send_poll, worker, _poll_document(document["fencing_token"])),
+            ORDER_TIMEOUT_S,
+            self._client,
+        )
 
     @inlineCallbacks
     def start(
@@ -186,19 +220,58 @@
         wait_ms: int,
     ):
         """Read the running and ended runs, and renew the lease."""
-        document = {"fencing_token": fencing_token, "last_seen": acknowledged}
+        document = _poll_document(fencing_token, acknowledged)
         if until_ms:
             document["until_ms"] = until_ms
         if wait_ms:
             document["wait_ms"] = wait_ms
+        send = partial(self._send_poll, worker, document)
         limit_s = wait_ms / 1000 + POLL_MARGIN_S
-        content = yield self._call(worker, "/-/hold", document, limit_s)
+        if not has_poll_effect(acknowledged, until_ms):
+            return (yield send(limit_s))
+        bare_poll = partial(self._send_poll, worker, _poll_document(fencing_token))
+        try:
+            return (yield send_proven(worker, send, bare_poll, limit_s, self._client))
+        except OtherIncarnationError as error:
+            return error.result
+
+    @inlineCallbacks
+    def _send_poll(
+        self,
+        worker: WorkerEntry,
+        document: dict,
+        timeout_s: float,
+        label: object | None = None,
+    ):
+        content = yield self._call(
+            worker,
+            "/-/hold",
+            document,
+            timeout_s,
+            label,
+            partial(_read_label, worker.worker_id),
+        )
         try:
             return _decode_poll(content)
         except ValueError as error:
             raise PlatformError(f"worker {worker.worker_id}: {error}") from error
 
 
+def _read_label(worker_id: str, status: int, content: bytes) -> object | None:
+    """Return the label of a connection on which a poll was answered."""
+    if status != 200:
+        return None
+    try:
+        started_at_ms = decode_json(content, _StartOfIncarnation).born
+    except ValueError:
+        return None
+    return connection_label(worker_id, started_at_ms)
+
+
+def _poll_document(fencing_token: int, acknowledged: int = 0) -> dict:
+    return {"fencing_token": fencing_token, "last_seen": acknowledged}
+
+
 def _run_document(run: RunId, fencing_token: int) -> dict:
     return {
         "task": encode_task(run.task),
--- a/dogwoodlever/platform_errors.py
+++ b/dogwoodlever/platform_errors.py
@@ -15,7 +15,25 @@
     """The worker did not respond; an order may still be carried out."""
 
 
-class ConnectionRefusedByWorkerError(WorkerUnreachableError):
+class CallNotSentError(WorkerUnreachableError):
+    """No byte of the call was sent, so no incarnation can carry it out."""
+
+
+class OtherIncarnationError(CallNotSentError):
+    """Another incarnation answered the poll that precedes a call, which was not sent.
+
+    Attributes
+    ----------
+    result : PollResult
+        Its answer.
+    """
+
+    def __init__(self, message: str, result) -> None:
+        self.result = result
+        super().__init__(message)
+
+
+class ConnectionRefusedByWorkerError(CallNotSentError):
     """The connection was refused, so no order was sent; the worker may run on."""
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -190,8 +190,9 @@
         self.urls = []
 
     def fetch(
-        self, method, url, body=b"", timeout_s=0.0, headers=(), stall_timeout_s=0.0
-    ):
+        self, method, url, body=b"", timeout_s=0.0, headers=(), stall_timeout_s=0.0,
+        label=None, read_label=None,
+    ):  # fmt: skip
         self.urls.append(url)
         return succeed(self.responses[min(len(self.urls), len(self.responses)) - 1])
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -85,8 +85,9 @@
         self.calls = []
 
     def fetch(
-        self, method, url, body=b"", timeout_s=0.0, headers=(), stall_timeout_s=0.0
-    ):
+        self, method, url, body=b"", timeout_s=0.0, headers=(), stall_timeout_s=0.0,
+        label=None, read_label=None,
+    ):  # fmt: skip
         self.calls.append((method, url, body and msgspec.json.decode(body)))
         response = self.responses.pop(0)
         if isinstance(response, Exception):
