Log calls that are not sent, as another incarnation answers

Nothing told why a worker that closes each connection after an answer gets no order, nor how often another incarnation answers before a call.

--- a/dogwoodlever/_proven_connections.py
+++ b/dogwoodlever/_proven_connections.py
@@ -7,6 +7,7 @@
 from dogwoodlever._fleet_interfaces import RefusalReason
 from dogwoodlever._fleet_types import PollResult, WorkerEntry
 from dogwoodlever._http_client import HttpClient, NoLabelledConnectionError
+from dogwoodlever._logs import log_event
 from dogwoodlever.platform_errors import (
     CallNotSentError,
     OrderRefusedError,
@@ -84,6 +85,12 @@
     deadline_s = client.seconds() + timeout_s
     result: PollResult = yield _poll_first(worker, poll, timeout_s)
     if result.started_at_ms not in (0, worker.started_at_ms):
+        log_event(
+            "call.not-sent",
+            worker=worker.worker_id,
+            incarnation=worker.started_at_ms,
+            answers=result.started_at_ms,
+        )
         raise OtherIncarnationError(
             f"worker {worker.worker_id}: incarnation {result.started_at_ms} answers, "
             f"not {worker.started_at_ms}",
@@ -95,6 +102,7 @@
     try:
         return (yield send(left_s, label if result.started_at_ms else None))
     except NoLabelledConnectionError as error:
+        log_event("call.not-sent", worker=worker.worker_id, why="connection closed")
         raise CallNotSentError(
             f"worker {worker.worker_id}: closed the connection after a poll"
         ) from error
