Count late calls for a former incarnation until the next one has answered

Work of a worker that had returned and was lost again waited up to 22 s under the same leader: calls without an answer were taken to grant the longest lease until 12.5 s after their failure. By the protocol a worker does nothing for a lower token than it has seen, so none does once the incarnation has answered under the token of its own link. The wait is now 10.85 s from that answer at most, by the same rule as a successor's, and an incarnation counts as settled after that.

New: test_work_waits_for_no_more_than_the_longest_lease, both cases failed before.

--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -39,6 +39,7 @@
 ENDS_LISTED_MAX = 500
 
 NEVER_S = float("-inf")
+FOREVER_S = float("inf")
 
 
 def lease_bound_s(lease_s: float, stop_timeout_s: float) -> float:
@@ -158,9 +159,9 @@
         "_clock_ms",
         "_copies_expire_s",
         "_failed_polls",
+        "_fenced_s",
         "_former_late_grants_end_s",
         "_granted_ms",
-        "_is_confirmed",
         "_is_grant_under_way",
         "_late_grants_end_s",
         "_late_lease_s",
@@ -197,7 +198,8 @@
         # Until when calls for this incarnation without an answer may grant leases.
         self._late_grants_end_s = NEVER_S
         self._is_grant_under_way = False
-        self._is_confirmed = False
+        # When the incarnation first answered under this link's fencing token.
+        self._fenced_s = FOREVER_S
         self.started_at_ms = 0
         # The worker's clock at the last answer, 0 before the first one.
         self._clock_ms = 0
@@ -242,6 +244,9 @@
     def confirm_incarnation(self, is_settled: bool, now_s: float) -> None:
         """Record the first answer of the incarnation, under this link's fencing token.
 
+        Calls for earlier incarnations have lower tokens, and grant no lease from now
+        on.
+
         Parameters
         ----------
         is_settled : bool
@@ -250,9 +255,9 @@
         now_s : float
             Current time.
         """
-        if self._is_confirmed:
+        if self._fenced_s < FOREVER_S:
             return
-        self._is_confirmed = True
+        self._fenced_s = now_s
         if not is_settled:
             expiry_s = now_s + self._late_lease_s
             self._misdirected_expiry_s = max(self._misdirected_expiry_s, expiry_s)
@@ -260,7 +265,8 @@
 
     def have_longest_leases_expired(self, now_s: float) -> bool:
         """Return whether all leases by calls for earlier incarnations have expired."""
-        return self._is_confirmed and now_s >= self._longest_leases_expire_s
+        is_fenced = self._fenced_s < FOREVER_S
+        return is_fenced and now_s >= self._longest_leases_expire_s
 
     def carry_over(self, now_s: float, may_return: bool = True) -> "WorkerEvidence":
         """Return what is known of the worker's next incarnation as this one ends.
@@ -346,8 +352,8 @@
     @property
     def _longest_leases_expire_s(self) -> float:
         """When all leases by calls for former incarnations have expired."""
-        late_grants_expire_s = self._former_late_grants_end_s + self._late_lease_s
-        return max(self._misdirected_expiry_s, late_grants_expire_s)
+        granted_until_s = min(self._former_late_grants_end_s, self._fenced_s)
+        return max(self._misdirected_expiry_s, granted_until_s + self._late_lease_s)
 
     @property
     def lease_overrun_ms(self) -> int:
@@ -405,7 +411,9 @@
                 self._misdirected_expiry_s,
             )
             # A late call extends only a lease that has not expired.
-            granted_late_s = min(self._former_late_grants_end_s, expiry_s)
+            granted_late_s = min(
+                self._former_late_grants_end_s, self._fenced_s, expiry_s
+            )
             self.lease_expiry_s = max(expiry_s, granted_late_s + self._late_lease_s)
 
     # Polls
--- a/tests/test_longest_leases.py
+++ b/tests/test_longest_leases.py
@@ -235,6 +235,24 @@
                 self.await_successor(fleet, {former})
                 self.check_work(fleet, worker, LONGEST_S + START_MAX_S)
 
+    # Guards against work that waits for late calls which the worker refuses, as it has
+    # seen a higher fencing token.
+    def test_work_waits_for_no_more_than_the_longest_lease(self):
+        for cut in WORKER_CUTS:
+            with self.subTest(cut=cut):
+                fleet, lost = self.start_work()
+                fleet.workers.workers[lost].is_reachable = False
+                # Polls and orders get no answer.
+                fleet.run_for(1.0)
+                worker = self.return_worker(fleet, lost)
+                fleet.run_for(1.0)
+                self.assertEqual(len(worker.running), 2)
+                fleet.add_worker(worker_entry(8), 0.0)
+                WORKER_CUTS[cut](worker)
+                fleet.run_for(2.0)
+                fleet.workers.carry_out_late_polls(worker)
+                self.check_work(fleet, worker, LONGEST_S + START_MAX_S - 2.0)
+
     def start_work_of_returned_worker(self):
         """Return a fleet and a worker that runs tasks 0.2 s after its return."""
         fleet, lost = self.start_work()
