Acknowledge ends to a worker only until a poll that does so is answered

A task ran twice if a poll of a worker's former incarnation was carried out late by the next one: numbers of ends begin at 1 there, so it forgot an end that nobody had read. Each poll repeated the highest number, so any poll without an answer did that.

A poll now carries the number only until one that did is answered; what is left needs a poll without an answer that acknowledges for the first time (listed, as a start has to be late too).

--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -156,6 +156,7 @@
 
     __slots__ = (
         "_acknowledged_number",
+        "_acknowledging_number",
         "_clock_ms",
         "_copies_expire_s",
         "_failed_polls",
@@ -170,6 +171,7 @@
         "_listed_from_s",
         "_misdirected_expiry_s",
         "_next_started_after_s",
+        "_noted_number",
         "_poll_sent_s",
         "_stop_timeout_s",
         "_unanswered_starts",
@@ -224,6 +226,9 @@
         self.broken_s = NEVER_S
         # The worker may drop ends up to this number, as they are stored.
         self._acknowledged_number = 0
+        # What the open poll acknowledges, and what an answered one has.
+        self._acknowledging_number = 0
+        self._noted_number = 0
         self.last_end_number = 0
 
     # Incarnations
@@ -441,21 +446,25 @@
         """Return what a poll that is sent now may say.
 
         After a failure, another incarnation may answer, for which neither value is
-        valid.
+        valid. A number that the worker has noted is not repeated: the poll may be
+        carried out late, and the next incarnation would drop ends that nobody has read.
 
         Returns
         -------
         acknowledged_number : int
-            Up to which number the worker may drop ends.
+            Up to which number the worker may drop ends, 0 for nothing new.
         until_ms : int
             Expiry of the lease that the poll grants, 0 for none.
         """
         self._poll_sent_s = now_s
+        self._acknowledging_number = 0
         if self._failed_polls:
             return 0, 0
         until_ms = self.lease_until_ms(now_s, leases_end_s)
         self._is_grant_under_way = until_ms > 0
-        return self._acknowledged_number, until_ms
+        if self._acknowledged_number > self._noted_number:
+            self._acknowledging_number = self._acknowledged_number
+        return self._acknowledging_number, until_ms
 
     def judge_poll(
         self, result: PollResult, entry_started_at_ms: int, now_s: float
@@ -480,6 +489,7 @@
         if is_other and self._clock_ms:
             return PollVerdict.REPLACED
         self._failed_polls = 0
+        self._noted_number = max(self._noted_number, self._acknowledging_number)
         self.is_refused = False
         self.broken_s = NEVER_S
         self._clock_ms = result.clock_ms
