--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -95,8 +95,16 @@
     """A daemon of any checkout, with the settings of the emulated site."""
 
     def __init__(
-        self, number, host, store_port, folder, checkout: Path, site_log: EventLog
+        self,
+        number,
+        host,
+        store_port,
+        folder,
+        checkout: Path,
+        site_log: EventLog,
+        hold_max_ms: int,
     ) -> None:
+        self._hold_max_ms = hold_max_ms
         self._number = number
         self._site_log = site_log
         self._clock_file = folder / f"vm{number}.clock"
@@ -130,7 +138,7 @@
 cpu_share = {cpu_share}
 cores = {cores}
 [bounds]
-hold_max_ms = 6000
+hold_max_ms = {self._hold_max_ms}
 stop_timeout_ms = 400
 gang_timeout_ms = 4000
 cancel_ms = 4000
@@ -191,6 +199,7 @@
                 numbers=list(range(number, self.worker_count, count)),
                 first_other=options["workers"],
                 lapse_s=[options[f"lapse_{end}_ms"] / 1000 for end in ("min", "max")],
+                hold_max_ms=options["hold_max_ms"],
             )  # fmt: skip
             self.workers.append(process)
         for process in self.workers:
@@ -211,7 +220,7 @@
         host = f"127.{1 + pid % 200}.{pid // 200 % 250}.{host_number}"
         return EmulatedDaemon(
             number, host, self._store_ports[number], self._folder,
-            self._options["checkout"], self.log,
+            self._options["checkout"], self.log, self._options["hold_max_ms"],
         )  # fmt: skip
 
     def replace_daemon(self, number: int) -> None:
@@ -398,6 +407,7 @@
     worker_cuts: tuple[LinkFault, ...] = LINK_FAULTS,
     lapse_min_ms: int = 0,
     lapse_max_ms: int = 0,
+    hold_max_ms: int = 6_000,
     warm_up_s: float = 4.0,
     version_interval_s: float = 1.5,
     questions_per_s: float = 100.0,
@@ -438,6 +448,8 @@
         Faults of the links of workers that are cut off and run on.
     lapse_min_ms, lapse_max_ms : int
         Least and longest time from the expiry of a lease to the end of a run.
+    hold_max_ms : int
+        Longest lease that a worker grants.
     warm_up_s : float
         Time from the first election to the first job.
     version_interval_s : float
--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -15,7 +15,6 @@
 from standins.faulty_proxy import LinkFault
 
 BEAT_S = 1.5
-LEASE_MAX_MS = 6_000
 STOP_MAX_S = 0.4
 CHECKPOINT_MS = 2_000
 ENDS_LISTED_MAX = 500
@@ -318,7 +317,7 @@
     # Leases
 
     def _renew(self, worker: EmulatedWorker, until_ms: int) -> None:
-        limit_ms = worker.clock_ms() + LEASE_MAX_MS
+        limit_ms = worker.clock_ms() + self._process.hold_max_ms
         worker.until_ms = max(worker.until_ms, min(until_ms, limit_ms))
         # A time that has passed grants nothing, so that no second lapse follows.
         if not worker.has_lapse_call and worker.until_ms > worker.clock_ms():
@@ -360,6 +359,7 @@
         self.log = log
         self.seed = options["seed"]
         self.lapse_s = options["lapse_s"]
+        self.hold_max_ms = options["hold_max_ms"]
         # Workers from this number on are of the other service.
         self.first_other = options["first_other"]
         # Faults of the calls of leaders that are cut off, by fencing token.
