Emulator: faults in series, dark workers and long tasks

A worker that goes down dark leaves connection attempts open: its port has a listener with a full queue, so that the kernel drops SYN packets, which are sent again each second.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -240,6 +240,7 @@
             process = self._spawn(
                 "callers", number, number=number, duration_s=duration_s,
                 load=self._options["load"] / count,
+                long_share=self._options["long_share"],
                 questions_per_s=self._options["questions_per_s"] / count,
                 waiting_per_s=self._options["waiting_per_s"] / count,
                 urls=[daemon.url for daemon in self.daemons],
@@ -397,6 +398,7 @@
     workers: int = 176,
     other_workers: int = 4,
     load: float = 1.0,
+    long_share: float = 0.0,
     worker_processes: int = 4,
     caller_processes: int = 1,
     checkout: Path = ROOT,
@@ -432,6 +434,8 @@
         Number of workers of a second service, to which queues are moved.
     load : float
         Jobs a second, as a share of the full load.
+    long_share : float
+        Share of the short jobs whose tasks last 6 to 18 s instead.
     worker_processes, caller_processes : int
         Number of processes that serve the workers and that submit jobs.
     checkout : Path
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -26,6 +26,9 @@
     "month": (5.46, 2.0, 20, 2_300, 3_500, 0.005, 0.0, 0.85),
     "watch": (0.286, 1.0, 14, 0, 6_400, 0.03, 0.0, 0.0),
 }
+# Milliseconds of the tasks of long jobs, which are a share of these kinds.
+LONG_MS = 12_000
+LONG_KINDS = ("price", "month")
 # Jobs of the queues that are added and dropped, in the same form without a rate.
 QUEUE_JOB = (0.0, 2.6, 4, 500, 1_500, 0.0, 0.0, 0.0)
 # Shares of the jobs all of whose runs fail, until no attempt is left.
@@ -74,6 +77,7 @@
         self._report = report
         self._random = random.Random(f"callers/{options['seed']}/{options['number']}")
         self._load = options["load"]
+        self._long_share = options["long_share"]
         self._urls = options["urls"]
         self._client = HttpClient(reactor, CALL_TIMEOUT_S, 2)
         self._until_s = time.monotonic() + options["duration_s"]
@@ -245,6 +249,8 @@
         if label:
             steps = [step | {"required_label": label} for step in steps]
         run_ms = KINDS.get(kind, QUEUE_JOB)[3]
+        if self._long_share and kind in LONG_KINDS:
+            run_ms = LONG_MS if self._random.random() < self._long_share else run_ms
         hopeless_share = HOPELESS_SHARES.get(kind, QUEUE_HOPELESS_SHARE)
         is_hopeless = self._random.random() < hopeless_share
         fails = 1.0 if is_hopeless else KINDS.get(kind, QUEUE_JOB)[5]
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -3,6 +3,7 @@
 import random
 import signal
 from collections.abc import Callable
+from typing import NamedTuple
 
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
@@ -24,6 +25,58 @@
 DEAF_S = 1.0
 STALE_S = 3.0
 
+# Ways in which a series loses the leader, and what happens to the workers; a cut is the
+# most likely.
+LEADER_LOSSES = ("kill", "freeze", "terminate", "cut")
+WORKER_HITS = ("cut", "cut", "cut", "stop", "drain", "pause")
+# Time for which a series cuts off, and for which orders are late before it.
+SERIES_CUT_S = (8.0, 10.0)
+SERIES_LATE_S = 1.0
+
+
+class Series(NamedTuple):
+    """Workers return under their ids, and the leader is lost and they are cut off soon.
+
+    Parameters
+    ----------
+    is_dark : bool
+        Whether connections get no answer while they are down; else they are refused.
+    down_s : float
+        For how long they are down.
+    loss : str
+        How the leader is lost.
+    loss_after_s, hit_after_s : float
+        Time from the return to the loss of the leader, and to what happens to them.
+    hit : str
+        What happens to the workers.
+    late_share : float
+        Share of their calls that are carried out late.
+    """
+
+    is_dark: bool
+    down_s: float
+    loss: str
+    loss_after_s: float
+    hit: str
+    hit_after_s: float
+    late_share: float
+
+
+def draw_series(rng: random.Random) -> list[Series]:
+    """Return a series, or two to be played in a row, with the same workers."""
+    return [
+        Series(
+            is_dark=rng.random() < 0.6,
+            down_s=rng.uniform(0.2, 1.0),
+            loss=rng.choice(LEADER_LOSSES),
+            loss_after_s=rng.uniform(0.2, 3.0),
+            hit=rng.choice(WORKER_HITS),
+            hit_after_s=rng.uniform(0.2, 3.0),
+            late_share=rng.choice((0.0, 0.0, 0.3)),
+        )
+        for _ in range(rng.choice((1, 1, 2)))
+    ]
+
 
 class SiteFaults:
     """Injects random faults; each heals by itself and several may be active at once.
@@ -160,20 +213,21 @@
         return self._freeze(self._draw_daemons(self._random.uniform(0.0, 0.16)))
 
     @inlineCallbacks
-    def _freeze(self, numbers):
+    def _freeze(self, numbers, least_s: float = 0.1, longest=(0.8, 3.0, 9.0)):
         self._note("freeze", daemons=numbers)
         for number in numbers:
             self._site.daemons[number].signal(signal.SIGSTOP)
-        longest_s = self._random.choice((0.8, 3.0, 9.0))
-        yield self._pause(0.1, longest_s)
+        yield self._pause(least_s, self._random.choice(longest))
         self._note("thaw", daemons=numbers)
         for number in numbers:
             self._site.daemons[number].signal(signal.SIGCONT)
         self._release("process", numbers)
 
-    @inlineCallbacks
     def _roll(self):
-        numbers = self._draw_daemons(self._random.uniform(0.0, 0.3))
+        return self._terminate(self._draw_daemons(self._random.uniform(0.0, 0.3)))
+
+    @inlineCallbacks
+    def _terminate(self, numbers):
         for number in numbers:
             self._note("terminate", daemons=[number])
             daemon = self._site.daemons[number]
@@ -234,14 +288,16 @@
     # The store
 
     @inlineCallbacks
-    def _cut_from_store(self, numbers, longest_s: float, faults=STORE_FAULTS):
+    def _cut_from_store(
+        self, numbers, longest_s: float, faults=STORE_FAULTS, least_s: float = 0.3
+    ):
         kind = "store"
         numbers = [n for n in numbers if (kind, n) not in self._reserved]
         self._reserved.update((kind, n) for n in numbers)
         fault = self._random.choice(faults)
         self._note("cut-store", daemons=numbers, how=fault)
         self._site.store.send("cut", daemons=numbers, fault=fault)
-        yield self._pause(0.3, longest_s)
+        yield self._pause(least_s, longest_s)
         self._site.store.send("cut", daemons=numbers, fault=LinkFault.NONE)
         self._note("cut-store-over", daemons=numbers)
         self._release(kind, numbers)
@@ -335,16 +391,79 @@
             process.send("shun", token=revision, fault=LinkFault.NONE)
         self._note("shun-over", revision=revision)
 
+    @inlineCallbacks
+    def _return_series(self):
+        """Play series with the workers of a data centre, or with a share of all."""
+        if self._random.random() < 0.5:
+            zone = self._random.randrange(3)
+            names = range(zone, self._site.worker_count, 3)
+            numbers = self._draw("life", names, 1.0)
+        else:
+            numbers = self._targets("life", self._random.uniform(0.1, 0.4))
+        for series in draw_series(self._random):
+            yield self._play_series(numbers, series)
+        self._release("life", numbers)
+
+    @inlineCallbacks
+    def _play_series(self, numbers: list[int], series: Series):
+        self._note("series", workers=numbers, **series._asdict())
+        if series.late_share:
+            self._site.send_workers("disturb", numbers, late_share=series.late_share)
+            yield deferLater(reactor, SERIES_LATE_S)
+        self._site.send_workers("stop", numbers, is_dark=series.is_dark)
+        yield deferLater(reactor, series.down_s)
+        self._note("series-return", workers=numbers)
+        self._site.send_workers("start", numbers, keeps_id=True)
+        losing = deferLater(
+            reactor, series.loss_after_s, self._lose_leader, series.loss
+        )
+        yield deferLater(
+            reactor, series.hit_after_s, self._hit_workers, numbers, series.hit
+        )
+        yield losing
+        self._site.send_workers("disturb", numbers, late_share=0.0)
+
+    def _lose_leader(self, loss: str):
+        leader = self._site.leader_number()
+        if loss == "cut":
+            numbers = [] if leader is None else [leader]
+            least_s, longest_s = SERIES_CUT_S
+            return self._cut_from_store(numbers, longest_s, LINK_FAULTS, least_s)
+        numbers = self._leader()
+        if loss == "kill":
+            return self._kill(numbers, 0.2)
+        if loss == "freeze":
+            return self._freeze(numbers, 2.0, (9.0,))
+        return self._terminate(numbers)
+
+    @inlineCallbacks
+    def _hit_workers(self, numbers: list[int], hit: str):
+        if hit == "cut":
+            yield self._cut_off(numbers, *SERIES_CUT_S)
+        elif hit == "stop":
+            self._note("stop-workers", workers=numbers)
+            self._site.send_workers("stop", numbers)
+            yield self._pause(0.2, 8.0)
+            self._site.send_workers("start", numbers, keeps_id=True)
+        elif hit == "drain":
+            yield self._drain_workers(numbers)
+        else:
+            yield self._pause_workers()
+
     @inlineCallbacks
     def _cut_workers(self):
         numbers = self._targets("cut", self._random.uniform(0.0, 0.17))
+        yield self._cut_off(numbers, 0.5, 10.0)
+        self._release("cut", numbers)
+
+    @inlineCallbacks
+    def _cut_off(self, numbers: list[int], least_s: float, longest_s: float):
         fault = self._random.choice(self._worker_cuts)
         self._note("cut-workers", workers=numbers, how=fault)
         self._site.send_workers("cut", numbers, fault=fault)
-        yield self._pause(0.5, 10.0)
+        yield self._pause(least_s, longest_s)
         self._site.send_workers("cut", numbers, fault=LinkFault.NONE)
         self._note("cut-workers-over", workers=numbers)
-        self._release("cut", numbers)
 
     @inlineCallbacks
     def _flap(self):
@@ -363,13 +482,17 @@
     @inlineCallbacks
     def _drain(self):
         numbers = self._targets("life", self._random.uniform(0.0, 0.065))
+        yield self._drain_workers(numbers)
+        self._release("life", numbers)
+
+    @inlineCallbacks
+    def _drain_workers(self, numbers: list[int]):
         self._note("drain", workers=numbers)
         self._site.send_workers("drain", numbers)
         yield self._pause(3.0, 5.0)
         self._site.send_workers("remove", numbers)
         yield self._pause(0.5, 4.0)
         self._site.send_workers("start", numbers, keeps_id=False)
-        self._release("life", numbers)
 
     @inlineCallbacks
     def _disturb(self, name: str, most: float, share: float):
@@ -447,6 +570,7 @@
     "remove_leader": 2,
     "cut_leader_from_workers": 2,
     "cut_leader_off": 2,
+    "return_series": 2,
     "cut_workers": 4,
     "flap": 4,
     "drain": 1,
--- a/emulator/process.py
+++ b/emulator/process.py
@@ -137,6 +137,8 @@
         self._reservation.bind(("127.0.0.1", port))
         self.port = self._reservation.getsockname()[1]
         self._listening = None
+        # While the port is dark: a listener whose queue is full, and what fills it.
+        self._dark: list[socket.socket] = []
         self.listen()
 
     def buildProtocol(self, _address):  # noqa: N802
@@ -145,6 +147,7 @@
 
     def listen(self) -> None:
         """Accept connections."""
+        self._end_darkness()
         if self._listening is None:
             self._listening = reactor.listenTCP(
                 self.port, self, backlog=512, interface="127.0.0.1"
@@ -152,11 +155,37 @@
 
     def refuse(self) -> None:
         """Reset all connections and refuse new ones."""
+        self._end_darkness()
+        self._stop_listening()
+        self.reset()
+
+    def darken(self) -> None:
+        """Answer nothing, as a machine without power, until the port is used again.
+
+        Open connections carry nothing any more and are reset then. Attempts to connect
+        stay open: their packets are dropped and sent again about once a second.
+        """
+        self._stop_listening()
+        self.silence_connections()
+        if self._dark:
+            return
+        listener, filler = self._dark = [socket.socket(), socket.socket()]
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self.port))
+        listener.listen(0)
+        filler.connect(("127.0.0.1", self.port))
+
+    def _end_darkness(self) -> None:
+        if self._dark:
+            self.reset()
+        while self._dark:
+            self._dark.pop().close()
+
+    def _stop_listening(self) -> None:
         if self._listening is not None:
             # Closes the socket at once, unlike stopListening.
             self._listening.connectionLost(None)
             self._listening = None
-        self.reset()
 
     def send(self, connection: "_Connection", data: bytes) -> None:
         """Send a response as the bandwidth allows."""
--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -102,8 +102,8 @@
         )
         self.port.inject(self.port.fault)
 
-    def stop(self) -> None:
-        """End the process at once; connections are refused."""
+    def stop(self, is_dark: bool = False) -> None:
+        """End the process at once; connections are refused, or get no answer."""
         worker = self.worker
         if worker is None or not worker.is_up:
             return
@@ -111,8 +111,11 @@
         for runs in worker.runs.values():
             for run in runs.values():
                 _cancel(run.end_call)
-        self._log.write("down", worker=worker.worker_id, born=worker.born)
-        self.port.refuse()
+        self._log.write("down", worker=worker.worker_id, born=worker.born, dark=is_dark)
+        if is_dark:
+            self.port.darken()
+        else:
+            self.port.refuse()
 
     def entry(self) -> dict:
         """Return the worker's entry in the store."""
@@ -394,10 +397,10 @@
             self._slots[number].start(keeps_id)
         self._beat([self._slots[number] for number in numbers])
 
-    def stop(self, numbers: list[int]) -> None:
+    def stop(self, numbers: list[int], is_dark: bool = False) -> None:
         """End the processes of workers."""
         for number in numbers:
-            self._slots[number].stop()
+            self._slots[number].stop(is_dark)
 
     def drain(self, numbers: list[int]) -> None:
         """Announce that workers leave."""
