Tests of the emulator's series and of its dark workers

A seed repeats its series and draws each way to lose the leader with each way to lose the workers. A connection to the former incarnation never reaches the next one, and one that waits while the worker is dark does.

--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -1,7 +1,10 @@
 """Tests of what the emulator does as the platform's pages tell."""
 
 import os
+import random
+import select
 import signal
+import socket
 import struct
 import subprocess
 import sys
@@ -11,14 +14,20 @@
 from pathlib import Path
 from unittest import mock
 
+from twisted.internet import reactor
 from twisted.internet.task import Clock
 
 from emulator import cpu_quota
 from emulator.__main__ import CLOCK_FOLDER
 from emulator.cpu_quota import CpuQuota, read_cpu_s
+from emulator.faults import LEADER_LOSSES, WORKER_HITS, draw_series
+from emulator.process import HttpPort
 from emulator.store import EmulatedRecords
 from standins.rate_limit import RateLimit
 
+# Bounds a wait for the kernel; a test that needs it fails.
+WAIT_S = 30.0
+
 
 class RateLimitTest(unittest.TestCase):
     # Guards against an emulated store that accepts any number of calls a second.
@@ -82,6 +91,86 @@
         self.assertAlmostEqual(steady_s, time.monotonic(), delta=60.0)
 
 
+class SeriesTest(unittest.TestCase):
+    # Guards against series that their seed does not repeat, and against ways to lose
+    # the leader or the workers that are never drawn, in either order.
+    def test_series_of_seeds(self):
+        drawn = [draw_series(random.Random(seed)) for seed in range(200)]
+        again = [draw_series(random.Random(seed)) for seed in range(200)]
+        self.assertEqual(drawn, again)
+        self.assertEqual({len(rows) for rows in drawn}, {1, 2})
+        rows = [series for rows in drawn for series in rows]
+        self.assertEqual(
+            {(series.loss, series.hit) for series in rows},
+            {(loss, hit) for loss in LEADER_LOSSES for hit in WORKER_HITS},
+        )
+        orders = {series.loss_after_s < series.hit_after_s for series in rows}
+        self.assertEqual(orders, {False, True})
+        self.assertEqual({series.is_dark for series in rows}, {False, True})
+        self.assertEqual({series.late_share for series in rows}, {0.0, 0.3})
+        for series in rows:
+            self.assertTrue(0.2 <= series.down_s <= 1.0, series)
+            for after_s in (series.loss_after_s, series.hit_after_s):
+                self.assertTrue(0.2 <= after_s <= 3.0, series)
+
+
+class WorkerPortTest(unittest.TestCase):
+    # Guards against a next incarnation that gets what was sent on a connection to the
+    # former one, or that does not get what waits for a connection meanwhile.
+    def test_who_gets_a_request(self):
+        request = b"GET /-/hold HTTP/1.1\r\n\r\n"
+        for is_dark in (False, True):
+            with (
+                self.subTest(is_dark=is_dark),
+                socket.socket() as former,
+                socket.socket() as waiting,
+            ):
+                incarnation, served = ["former"], []
+                port = HttpPort(
+                    lambda _, now=incarnation, log=served: log.append(now[-1])
+                )
+                self.addCleanup(self._close, port)
+                former.connect(("127.0.0.1", port.port))
+                former.sendall(request)
+                self._react_until(lambda log=served: log)
+                if is_dark:
+                    port.darken()
+                else:
+                    port.refuse()
+                incarnation.append("next")
+                if is_dark:
+                    former.sendall(request)
+                    waiting.setblocking(False)
+                    waiting.connect_ex(("127.0.0.1", port.port))
+                    self.assertFalse(select.select([], [waiting], [], 0)[1])
+                else:
+                    with self.assertRaises(ConnectionRefusedError):
+                        waiting.connect(("127.0.0.1", port.port))
+                reactor.iterate(0.01)
+                self.assertEqual(served, ["former"])
+                port.listen()
+                self._react_until(lambda s=former: select.select([s], [], [], 0)[0])
+                self.assertRaises(ConnectionError, former.recv, 1)
+                if is_dark:
+                    self._react_until(lambda port=port: port.connections)
+                    waiting.sendall(request)
+                    self._react_until(lambda log=served: len(log) > 1)
+                    self.assertEqual(served, ["former", "next"])
+
+    def _close(self, port: HttpPort) -> None:
+        port.refuse()
+        self._react_until(lambda: not port.connections)
+        port._reservation.close()
+
+    def _react_until(self, condition) -> None:
+        until_s = time.monotonic() + WAIT_S
+        while True:
+            reactor.iterate(0.01)
+            if condition():
+                return
+            self.assertLess(time.monotonic(), until_s)
+
+
 class CpuQuotaTest(unittest.TestCase):
     # Guards against a quota that never acts, one that lets nobody run again, and one
     # that wakes a daemon which a fault has frozen.
