--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -478,6 +478,7 @@
     if folder is None:
         LOG_FOLDER.mkdir(parents=True, exist_ok=True)
         folder = Path(tempfile.mkdtemp(prefix=f"seed-{seed}-", dir=LOG_FOLDER))
+    folder = folder.resolve()
     folder.mkdir(parents=True, exist_ok=True)
     soak = Emulation(folder, options)
     running = soak.run()
