--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -43,6 +43,8 @@
         Whether connections get no answer while they are down; else they are refused.
     down_s : float
         For how long they are down.
+    beats_at_once : bool
+        Whether their entries tell of their return at once, or up to a beat later.
     loss : str
         How the leader is lost.
     loss_after_s, hit_after_s : float
@@ -55,6 +57,7 @@
 
     is_dark: bool
     down_s: float
+    beats_at_once: bool
     loss: str
     loss_after_s: float
     hit: str
@@ -68,6 +71,7 @@
         Series(
             is_dark=rng.random() < 0.6,
             down_s=rng.uniform(0.2, 1.0),
+            beats_at_once=rng.random() < 0.3,
             loss=rng.choice(LEADER_LOSSES),
             loss_after_s=rng.uniform(0.2, 3.0),
             hit=rng.choice(WORKER_HITS),
@@ -413,7 +417,9 @@
         self._site.send_workers("stop", numbers, is_dark=series.is_dark)
         yield deferLater(reactor, series.down_s)
         self._note("series-return", workers=numbers)
-        self._site.send_workers("start", numbers, keeps_id=True)
+        self._site.send_workers(
+            "start", numbers, keeps_id=True, beats_at_once=series.beats_at_once
+        )
         losing = deferLater(
             reactor, series.loss_after_s, self._lose_leader, series.loss
         )
--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -391,11 +391,14 @@
 
     # Commands
 
-    def start(self, numbers: list[int], keeps_id: bool) -> None:
-        """Start the next incarnations of workers."""
+    def start(
+        self, numbers: list[int], keeps_id: bool, beats_at_once: bool = True
+    ) -> None:
+        """Start the next incarnations of workers; their entries tell, now or later."""
         for number in numbers:
             self._slots[number].start(keeps_id)
-        self._beat([self._slots[number] for number in numbers])
+        if beats_at_once:
+            self._beat([self._slots[number] for number in numbers])
 
     def stop(self, numbers: list[int], is_dark: bool = False) -> None:
         """End the processes of workers."""
--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -107,6 +107,7 @@
         orders = {series.loss_after_s < series.hit_after_s for series in rows}
         self.assertEqual(orders, {False, True})
         self.assertEqual({series.is_dark for series in rows}, {False, True})
+        self.assertEqual({series.beats_at_once for series in rows}, {False, True})
         self.assertEqual({series.late_share for series in rows}, {0.0, 0.3})
         for series in rows:
             self.assertTrue(0.2 <= series.down_s <= 1.0, series)
