--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -15,7 +15,6 @@
 from standins.faulty_proxy import LinkFault
 
 BEAT_S = 1.5
-LEASE_MAX_MS = 6_000
 STOP_MAX_S = 0.4
 CHECKPOINT_MS = 2_000
 ENDS_LISTED_MAX = 500
@@ -103,8 +102,8 @@
         )
         self.port.inject(self.port.fault)
 
-    def stop(self) -> None:
-        """End the process at once; connections are refused."""
+    def stop(self, is_dark: bool = False) -> None:
+        """End the process at once; connections are refused, or get no answer."""
         worker = self.worker
         if worker is None or not worker.is_up:
             return
@@ -112,8 +111,11 @@
         for runs in worker.runs.values():
             for run in runs.values():
                 _cancel(run.end_call)
-        self._log.write("down", worker=worker.worker_id, born=worker.born)
-        self.port.refuse()
+        self._log.write("down", worker=worker.worker_id, born=worker.born, dark=is_dark)
+        if is_dark:
+            self.port.darken()
+        else:
+            self.port.refuse()
 
     def entry(self) -> dict:
         """Return the worker's entry in the store."""
@@ -318,7 +320,7 @@
     # Leases
 
     def _renew(self, worker: EmulatedWorker, until_ms: int) -> None:
-        limit_ms = worker.clock_ms() + LEASE_MAX_MS
+        limit_ms = worker.clock_ms() + self._process.hold_max_ms
         worker.until_ms = max(worker.until_ms, min(until_ms, limit_ms))
         # A time that has passed grants nothing, so that no second lapse follows.
         if not worker.has_lapse_call and worker.until_ms > worker.clock_ms():
@@ -360,6 +362,7 @@
         self.log = log
         self.seed = options["seed"]
         self.lapse_s = options["lapse_s"]
+        self.hold_max_ms = options["hold_max_ms"]
         # Workers from this number on are of the other service.
         self.first_other = options["first_other"]
         # Faults of the calls of leaders that are cut off, by fencing token.
@@ -388,16 +391,19 @@
 
     # Commands
 
-    def start(self, numbers: list[int], keeps_id: bool) -> None:
-        """Start the next incarnations of workers."""
+    def start(
+        self, numbers: list[int], keeps_id: bool, beats_at_once: bool = True
+    ) -> None:
+        """Start the next incarnations of workers; their entries tell, now or later."""
         for number in numbers:
             self._slots[number].start(keeps_id)
-        self._beat([self._slots[number] for number in numbers])
+        if beats_at_once:
+            self._beat([self._slots[number] for number in numbers])
 
-    def stop(self, numbers: list[int]) -> None:
+    def stop(self, numbers: list[int], is_dark: bool = False) -> None:
         """End the processes of workers."""
         for number in numbers:
-            self._slots[number].stop()
+            self._slots[number].stop(is_dark)
 
     def drain(self, numbers: list[int]) -> None:
         """Announce that workers leave."""
