Emulator: series mostly end the leader by SIGTERM

All three series that showed the longest lease unknown to a successor had lost the leader so: its successor is elected within 0.6 s, and waits for granted leases while the longest ones last.

--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -27,7 +27,7 @@
 
 # Weights of the ways in which a series loses the leader, and of what happens to the
 # workers.
-LEADER_LOSSES = {"kill": 3, "freeze": 1, "terminate": 1, "cut": 1}
+LEADER_LOSSES = {"kill": 2, "freeze": 1, "terminate": 3, "cut": 1}
 WORKER_HITS = {"cut": 6, "stop": 1, "drain": 1, "pause": 1}
 # Time for which a series cuts off, and for which orders are late before it.
 SERIES_CUT_S = (8.0, 10.0)
