Show orders that a slow worker carries out and that are never answered

A bare poll and the order share the 0.6 s of the order, and its timeout closes the connections on which the worker has answered.

--- a/tests/test_longest_leases_review.py
+++ b/tests/test_longest_leases_review.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.defer import fail
 from twisted.internet.task import Clock
+from twisted.python.failure import Failure
 
 from dogwoodlever._fleet_records import (
     PROGRESS_PREFIX,
@@ -18,7 +19,9 @@
 )
 from dogwoodlever._fleet_types import PollResult
 from dogwoodlever._run_evidence import WorkerEvidence, late_calls_kept_s
+from dogwoodlever._worker_link import ORDER_RETRY_S
 from dogwoodlever._worker_membership import WorkerMembership
+from dogwoodlever.platform._http_workers import ORDER_TIMEOUT_S
 from dogwoodlever.platform_errors import StoreUnavailableError, WorkerUnreachableError
 from standins.fleet import (
     ENDS_LISTED_MAX,
@@ -28,6 +31,7 @@
     FleetRecords,
     server_record,
 )
+from tests import test_proven_connections
 from tests.fleet_simulation import JOB, STOP_S, FleetSimulation, job, worker_entry
 from tests.test_longest_leases import (
     GRANTED_S,
@@ -350,5 +354,31 @@
                 self.assertEqual(len(fleet.workers.starts), tasks)
 
 
+class SlowWorkerTest(unittest.TestCase):
+    # Guards against orders that a worker carries out and that never count as answered,
+    # as it takes over half of their time to answer and a bare poll precedes each.
+    def test_order_is_answered_by_a_slow_worker(self):
+        for (name, call, path), share in itertools.product(
+            test_proven_connections.ORDERS, (0.4, 0.6, 0.9)
+        ):
+            with self.subTest(name, share=share):
+                harness = test_proven_connections.ProvenConnectionsTest()
+                harness.setUp()
+                self.addCleanup(harness.doCleanups)
+                pause_s = share * ORDER_TIMEOUT_S
+                answer = partial(harness.pause_and_reply, pause_s)
+                harness.process.script = [answer] * 12
+                waiting = []
+                for _ in range(6):
+                    waiting.append(harness.send(call))
+                    harness.run_events()
+                    harness.now_s += ORDER_RETRY_S
+                    harness.run_events()
+                self.assertIn(path, harness.process.paths)
+                results = list(itertools.chain(*waiting))
+                errors = [result for result in results if isinstance(result, Failure)]
+                self.assertLess(len(errors), len(results), errors[:1])
+
+
 if __name__ == "__main__":
     unittest.main()
