Count the longest lease of an incarnation that gets none from this leader

Found in review: an incarnation that was not settled answered a leader once and was cut off before it got a lease, as while the store rejected the membership. The leader gave it up when granted leases had expired, since the longest one counted from the next grant on only.

Tests, all listed rows failed before: test_longest_lease_counts_before_any_is_granted, test_worker_is_lost_before_its_incarnation_is_stored.

--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -266,6 +266,8 @@
         if not is_settled:
             expiry_s = now_s + self._late_lease_s
             self._misdirected_expiry_s = max(self._misdirected_expiry_s, expiry_s)
+            # Holds before this leader has granted any lease, too.
+            self.lease_expiry_s = max(self.lease_expiry_s, self._misdirected_expiry_s)
             self._update_lease_expiry()
 
     def have_longest_leases_expired(self, now_s: float) -> bool:
