Forget that a worker is stored as soon as its removal is written

Found in review, a fault of: a worker that was removed from the membership and came back before the removal was answered counted as stored, while the record lacked it. Runs started there, and a successor did not wait for it.

--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -90,6 +90,7 @@
         self._is_incomplete = False
         # Whether leaders may have called workers that are named nowhere.
         self._may_lack_incarnations = False
+        # Members as a successor would find them, whichever open write is carried out.
         self._stored: dict[str, Member] = {}
         self._revision = 0
         self._is_storing = False
@@ -173,11 +174,13 @@
         member = Member(address, incarnation)
         if self._members.get(worker_id) != member:
             self._members[worker_id] = member
+            self._stored.pop(worker_id, None)
             self._write()
 
     def discard(self, worker_id: str) -> None:
         """Remove a worker, which counts as not stored from now on."""
         member = self._members.pop(worker_id, None)
+        self._stored.pop(worker_id, None)
         is_changed = member is not None
         if is_changed:
             kept_until_s = self._clock.seconds() + self._former_kept_s
@@ -290,7 +293,11 @@
                 yield deferLater(self._clock, CONFLICT_RETRY_S)
                 continue
             self._revision = result.revision
-            self._stored = written
+            self._stored = {
+                worker_id: member
+                for worker_id, member in written.items()
+                if worker_id in self._members
+            }
             self._on_stored()
             if record == self._make_record():
                 break
