Settle no worker that a membership may not name

Found in review: after a membership that could not be read, or one of an earlier build, a worker that is named nowhere counted as settled, though leaders may have called it: its next incarnation held the longest lease by such a call, and its tasks started elsewhere beside it.

--- a/dogwoodlever/_fleet_records.py
+++ b/dogwoodlever/_fleet_records.py
@@ -99,12 +99,16 @@
         Whether there may be others, since an earlier record could not be read.
     incarnations : dict of str to KnownIncarnation
         By worker id, also of workers that have left and for which calls may still be
-        carried out. Leaders of earlier builds name none.
+        carried out.
+    names_all : bool
+        Whether calls for a worker that is named nowhere cannot be carried out any more.
+        Leaders of earlier builds name no incarnations.
     """
 
     workers: dict[str, str] = {}
     is_incomplete: bool = False
     incarnations: dict[str, KnownIncarnation] = {}
+    names_all: bool = False
 
 
 class UnreachableWorkersRecord(msgspec.Struct, frozen=True):
--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -36,6 +36,7 @@
 RETRY_S = 0.2
 CONFLICT_RETRY_S = 0.05
 NO_INCARNATION = KnownIncarnation()
+NEVER_S = float("-inf")
 
 
 @dataclass(slots=True, frozen=True)
@@ -88,8 +89,8 @@
         self._members: dict[str, Member] = {}
         self._former: dict[str, FormerMember] = {}
         self._is_incomplete = False
-        # Whether leaders may have called workers that are named nowhere.
-        self._may_lack_incarnations = False
+        # Until when calls for workers that are named nowhere may be carried out.
+        self._unnamed_until_s = NEVER_S
         # Members as a successor would find them, whichever open write is carried out.
         self._stored: dict[str, Member] = {}
         self._revision = 0
@@ -114,7 +115,8 @@
             stored = decode_worker_membership(record.value)
         except StoredRecordError as error:
             log_event("roster.unreadable", why=str(error)[:160])
-            self._is_incomplete = self._may_lack_incarnations = True
+            self._is_incomplete = True
+            self._unnamed_until_s = self._clock.seconds() + self._former_kept_s
             return {UNKNOWN_WORKERS}
         workers = stored.workers
         incarnations = stored.incarnations
@@ -134,7 +136,8 @@
         if unusable:
             log_event("roster.unusable", workers=",".join(unusable)[:160])
         self._is_incomplete = bool(unusable) or stored.is_incomplete
-        self._may_lack_incarnations = self._is_incomplete
+        if self._is_incomplete or not stored.names_all:
+            self._unnamed_until_s = kept_until_s
         if self._is_incomplete:
             return {UNKNOWN_WORKERS, *self._members}
         return set(self._members)
@@ -205,7 +208,7 @@
         """
         known = self._known_incarnation(worker_id)
         if known is None:
-            return not self._may_lack_incarnations
+            return not self._may_be_unnamed()
         return (
             known.is_settled
             and known.started_at_ms == started_at_ms
@@ -213,9 +216,9 @@
         )
 
     def is_unsettled(self, worker_id: str) -> bool:
-        """Return whether a member may hold a lease by a call for an earlier one."""
-        member = self._members.get(worker_id)
-        return member is not None and not member.incarnation.is_settled
+        """Return whether a worker may hold a lease by a call for an earlier one."""
+        known = self._known_incarnation(worker_id)
+        return self._may_be_unnamed() if known is None else not known.is_settled
 
     def unsettled_workers(self) -> list[str]:
         """Return the members that may hold such leases."""
@@ -254,9 +257,15 @@
         ]
         for worker_id in forgotten:
             del self._former[worker_id]
-        if forgotten:
+        is_all_named = self._unnamed_until_s > NEVER_S and not self._may_be_unnamed()
+        if is_all_named:
+            self._unnamed_until_s = NEVER_S
+        if forgotten or is_all_named:
             self._write()
 
+    def _may_be_unnamed(self) -> bool:
+        return self._clock.seconds() < self._unnamed_until_s
+
     def _known_incarnation(self, worker_id: str) -> KnownIncarnation | None:
         member = self._members.get(worker_id) or self._former.get(worker_id)
         return None if member is None else member.incarnation
@@ -271,7 +280,12 @@
         addresses = {
             worker_id: member.address for worker_id, member in self._members.items()
         }
-        return WorkerMembershipRecord(addresses, self._is_incomplete, incarnations)
+        return WorkerMembershipRecord(
+            addresses,
+            self._is_incomplete,
+            incarnations,
+            names_all=self._unnamed_until_s == NEVER_S,
+        )
 
     @inlineCallbacks
     def _write(self):
