Keep a worker that has left the membership while it is called

Found in review: a draining worker leaves the membership as soon as nothing runs there, and was forgotten 23 s later, while its link went on to grant leases. If it crashed and returned then, its next incarnation counted as settled under a successor.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -788,7 +788,7 @@
                 and link.evidence.have_longest_leases_expired(now_s)
             ]
         )
-        self._membership.forget_former()
+        self._membership.forget_former(self._links)
 
     def _report_overrun(self, link: WorkerLink, result: PollResult) -> None:
         """Log, once, that a worker lists runs as running beyond its lease."""
--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -11,7 +11,7 @@
 that the record does not name runs nothing that a leader has ordered from it.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass
 
 from twisted.internet.defer import inlineCallbacks
@@ -247,9 +247,19 @@
         if worker_ids:
             self._write()
 
-    def forget_former(self) -> None:
-        """Forget workers that have left and for which no call has any effect."""
+    def forget_former(self, called: Container[str]) -> None:
+        """Forget workers that have left and for which no call has any effect.
+
+        Parameters
+        ----------
+        called : container of str
+            Workers that are called yet.
+        """
         now_s = self._clock.seconds()
+        for worker_id, former in self._former.items():
+            if worker_id in called:
+                kept_until_s = now_s + self._former_kept_s
+                self._former[worker_id] = FormerMember(former.incarnation, kept_until_s)
         forgotten = [
             worker_id
             for worker_id, former in self._former.items()
