Give up no worker that answers before all its ends are read

Found in review: a worker listed more than 500 ends to a successor whose writes of progress were rejected for 12 s. The wait for all its ends ended with the leases of the former leader although the worker answered, and tasks whose ends were not listed yet ran again.

Test: test_first_ends_are_stored_late, 1 of 2 rows failed before.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -303,6 +303,7 @@
             for worker_id in sorted(self.unpolled_workers)
             if contact_s >= self._former_expiry_s(worker_id)
             and not self._is_untried(worker_id)
+            and not self._is_answering(worker_id)
         ]
         if not expired:
             return
@@ -324,6 +325,11 @@
             return worker_id in self._first_probes
         return link.evidence.is_untried
 
+    def _is_answering(self, worker_id: str) -> bool:
+        """Return whether a worker with an entry answers, and may list further ends."""
+        link = self._links.get(worker_id)
+        return link is not None and link.evidence.is_answering
+
     def name_unreachable_workers(self) -> None:
         """Tell successors how long workers that do not answer may run tasks yet."""
         now_s = self._clock.seconds()
