Give a call and the bare poll before it the timeout each

Found in review, a fault of: a worker that answers in 0.36 s or 0.54 s got no order through. The order and the bare poll before it shared 0.6 s, and its timeout closed the connections on which the worker had answered, so each order was carried out and failed.

--- a/dogwoodlever/_http_client.py
+++ b/dogwoodlever/_http_client.py
@@ -128,10 +128,6 @@
             address, request, deadline_s, stall_timeout_s, read_label
         )
 
-    def seconds(self) -> float:
-        """Return the time by which timeouts are measured, in seconds."""
-        return self._reactor.seconds()
-
     def _take_idle(self, address: str, label: object | None) -> HttpConnection | None:
         """Return the idle connection that was used last, of those with the label."""
         idle = self._idle.get(address, [])
--- a/dogwoodlever/_proven_connections.py
+++ b/dogwoodlever/_proven_connections.py
@@ -6,7 +6,7 @@
 
 from dogwoodlever._fleet_interfaces import RefusalReason
 from dogwoodlever._fleet_types import PollResult, WorkerEntry
-from dogwoodlever._http_client import HttpClient, NoLabelledConnectionError
+from dogwoodlever._http_client import NoLabelledConnectionError
 from dogwoodlever._logs import log_event
 from dogwoodlever.platform_errors import (
     CallNotSentError,
@@ -45,7 +45,6 @@
     send: Callable[[float, object], Deferred],
     poll: Callable[[float], Deferred],
     timeout_s: float,
-    client: HttpClient,
 ):
     """Send a call that changes something to the incarnation that an entry names.
 
@@ -66,9 +65,8 @@
         Sends a bare poll with a timeout in seconds, and returns a Deferred that fires
         with the `PollResult`.
     timeout_s : float
-        Timeout of the poll and the call together.
-    client : HttpClient
-        Client that sends both.
+        Timeout of the poll, and of the call: a worker that answers slowly, but in time,
+        would otherwise get no call through.
 
     Returns
     -------
@@ -82,7 +80,6 @@
     except NoLabelledConnectionError:
         # Nothing was sent.
         pass
-    deadline_s = client.seconds() + timeout_s
     result: PollResult = yield _poll_first(worker, poll, timeout_s)
     if result.started_at_ms not in (0, worker.started_at_ms):
         log_event(
@@ -96,11 +93,8 @@
             f"not {worker.started_at_ms}",
             result,
         )
-    left_s = deadline_s - client.seconds()
-    if left_s <= 0:
-        raise CallNotSentError(f"worker {worker.worker_id}: answered a poll too late")
     try:
-        return (yield send(left_s, label if result.started_at_ms else None))
+        return (yield send(timeout_s, label if result.started_at_ms else None))
     except NoLabelledConnectionError as error:
         log_event("call.not-sent", worker=worker.worker_id, why="connection closed")
         raise CallNotSentError(
--- a/dogwoodlever/platform/_http_workers.py
+++ b/dogwoodlever/platform/_http_workers.py
@@ -168,7 +168,6 @@
             partial(self._call, worker, path, document),
             partial(self._send_poll, worker, _poll_document(document["fencing_token"])),
             ORDER_TIMEOUT_S,
-            self._client,
         )
 
     @inlineCallbacks
@@ -231,7 +230,7 @@
             return (yield send(limit_s))
         bare_poll = partial(self._send_poll, worker, _poll_document(fencing_token))
         try:
-            return (yield send_proven(worker, send, bare_poll, limit_s, self._client))
+            return (yield send_proven(worker, send, bare_poll, limit_s))
         except OtherIncarnationError as error:
             return error.result
 
