Store an incarnation before its first report is applied

Found in review: if the first report of a next incarnation could not be applied, its polls went on and granted leases, while the membership still named the former one as settled.

Test: test_incarnation_is_stored_before_its_report_is_applied, failed before.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -731,6 +731,9 @@
         worker_id = link.entry.worker_id
         self._unreachable.withdraw(worker_id)
         capacity = self.capacities[worker_id]
+        if not capacity.is_synced:
+            # First, as the incarnation gets leases even if its report is not applied.
+            self._confirm_incarnation_answered(link)
         self._report_overrun(link, result)
         self.runs.apply_poll(capacity, link, result, sent_s)
         if worker_id in self.unpolled_workers:
@@ -739,7 +742,6 @@
         is_usable_now = not capacity.is_synced or worker_id in self.unpolled_workers
         if not capacity.is_synced:
             capacity.is_synced = True
-            self._confirm_incarnation_answered(link)
             log_event(
                 "worker.read",
                 worker=worker_id,
--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -8,7 +8,7 @@
 fencing token, unless the record names that incarnation as settled.
 
 A worker gets no lease and no start before its incarnation is stored, so an incarnation
-that the record does not name runs nothing that a leader has ordered from it.
+that the record does not name runs at most what calls for an earlier one have started.
 """
 
 from collections.abc import Callable, Container
--- a/tests/test_longest_leases_review.py
+++ b/tests/test_longest_leases_review.py
@@ -1,9 +1,10 @@
-"""Longest leases that a leader or its successor still takes for granted ones."""
+"""Further ways in which a longest lease may be taken for a granted one."""
 
 import itertools
 import unittest
 from dataclasses import replace
 from functools import partial
+from unittest.mock import patch
 
 from twisted.internet.defer import fail
 from twisted.internet.task import Clock
@@ -17,6 +18,7 @@
     decode_worker_membership,
     encode,
 )
+from dogwoodlever._fleet_runs import FleetRuns
 from dogwoodlever._fleet_types import PollResult
 from dogwoodlever._run_evidence import WorkerEvidence, late_calls_kept_s
 from dogwoodlever._worker_link import ORDER_RETRY_S
@@ -329,6 +331,24 @@
         }
 
 
+class FailingReportTest(ReturnedWorkersTest):
+    # Guards against leases of an incarnation that is stored nowhere, as its report
+    # cannot be applied.
+    def test_incarnation_is_stored_before_its_report_is_applied(self):
+        fleet, lost = self.start_work()
+        fleet.workers.crash(lost)
+        fleet.run_for(0.3)
+        entry = replace(fleet.workers.workers[lost].entry, started_at_ms=2)
+        worker = fleet.workers.add(entry, 0.0)
+        with patch.object(FleetRuns, "apply_poll", side_effect=ValueError("report")):
+            fleet.records.write(f"servers/{lost}", server_record(entry))
+            fleet.run_for(1.0)
+        record = fleet.records.read(WORKER_MEMBERSHIP_KEY)
+        known = decode_worker_membership(record.value).incarnations[lost]
+        self.assertGreater(worker.until_ms, 0)
+        self.assertEqual(known.started_at_ms, 2)
+
+
 class ManyEndsTest(ReturnedWorkersTest):
     # Guards against tasks that run again after their ends, as the successor gives a
     # worker up that answers, before it has been able to store its first ends (TWICE).
