--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -355,7 +355,7 @@
             if capacity.is_listed and not capacity.entry.is_draining:
                 continue
             is_empty = capacity.is_synced and not capacity.runs
-            if is_empty and self._links[worker_id].evidence.is_settled:
+            if is_empty and self._links[worker_id].evidence.is_quiescent:
                 self._membership.discard(worker_id)
 
     def on_record_stored(self) -> None:
@@ -662,7 +662,7 @@
         """Remove a worker without an entry on which nothing runs or may start."""
         worker_id = capacity.entry.worker_id
         link = self._links[worker_id]
-        if not capacity.is_synced or capacity.runs or not link.evidence.is_settled:
+        if not capacity.is_synced or capacity.runs or not link.evidence.is_quiescent:
             return
         self._drop_unlisted(capacity)
 
@@ -733,7 +733,7 @@
         capacity = self.capacities[worker_id]
         if not capacity.is_synced:
             # First, as the incarnation gets leases even if its report is not applied.
-            self._confirm_incarnation_answered(link)
+            self._record_first_answer(link)
         self._report_overrun(link, result)
         self.runs.apply_poll(capacity, link, result, sent_s)
         if worker_id in self.unpolled_workers:
@@ -760,7 +760,7 @@
         if result.ended or is_usable_now:
             self._on_change()
 
-    def _confirm_incarnation_answered(self, link: WorkerLink) -> None:
+    def _record_first_answer(self, link: WorkerLink) -> None:
         """Record the first answer of an incarnation, and store which one it is."""
         worker_id = link.entry.worker_id
         evidence = link.evidence
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -542,7 +542,7 @@
         return self.last_end_number > self._acknowledged_number
 
     @property
-    def is_settled(self) -> bool:
+    def is_quiescent(self) -> bool:
         """Whether no start is unanswered and every listed end is acknowledged."""
         return not self._unanswered_starts and not self.has_unstored_ends
 
--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -28,6 +28,7 @@
 )
 from dogwoodlever._fleet_types import WorkerEntry
 from dogwoodlever._logs import log_event
+from dogwoodlever._run_evidence import NEVER_S
 from dogwoodlever.platform import is_callable_worker
 from dogwoodlever.platform_errors import PlatformError, StoredRecordError
 
@@ -36,7 +37,6 @@
 RETRY_S = 0.2
 CONFLICT_RETRY_S = 0.05
 NO_INCARNATION = KnownIncarnation()
-NEVER_S = float("-inf")
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_exploration.py
+++ b/tests/test_exploration.py
@@ -198,7 +198,7 @@
     # that it reaches, and one that it does not.
     (
         "longest lease, reached",
-        (FleetWorkers, "_confirm_incarnation_answered", _trust_incarnation),
+        (FleetWorkers, "_record_first_answer", _trust_incarnation),
         (
             ("poll w0 2", ("crash, back 0.0 s",)),
             ("w0", ("leader stopped",)),
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -362,10 +362,10 @@
                 evidence = polled_worker()
                 self.assertTrue(evidence.read_end(2))
                 self.assertFalse(evidence.read_end(2))
-                self.assertFalse(evidence.is_settled)
+                self.assertFalse(evidence.is_quiescent)
                 self.assertEqual(evidence.begin_poll(1.5, FOREVER_S)[0], 0)
                 evidence.acknowledge(2)
-                self.assertTrue(evidence.is_settled)
+                self.assertTrue(evidence.is_quiescent)
                 for second, outcome in enumerate(outcomes):
                     poll(evidence, 2.0 + second, outcome)
                 self.assertEqual(evidence.begin_poll(9.0, FOREVER_S)[0], number)
