--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -3,7 +3,7 @@
 import random
 import signal
 from collections.abc import Callable
-from typing import NamedTuple
+from dataclasses import asdict, dataclass
 
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
@@ -34,10 +34,11 @@
 SERIES_LATE_S = 1.0
 
 
-class Series(NamedTuple):
+@dataclass(slots=True, frozen=True)
+class Series:
     """Workers return under their ids, and the leader is lost and they are cut off soon.
 
-    Parameters
+    Attributes
     ----------
     is_dark : bool
         Whether connections get no answer while they are down; else they are refused.
@@ -414,7 +415,7 @@
 
     @inlineCallbacks
     def _play_series(self, numbers: list[int], series: Series):
-        self._note("series", workers=numbers, **series._asdict())
+        self._note("series", workers=numbers, **asdict(series))
         if series.late_share:
             self._site.send_workers("disturb", numbers, late_share=series.late_share)
             yield deferLater(reactor, SERIES_LATE_S)
