--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -261,6 +261,7 @@
         calls.append(self._faults.change_configuration(self._duration_s))
         yield self._faults.run(self._duration_s)
         yield gatherResults(calls)
+        self._faults.restore_routes()
         yield self._await_settled()
         counting.stop()
         watching.stop()
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -36,6 +36,7 @@
 INVALID_SHARE = 0.3
 UNUSUAL_SHARE = 0.2
 LEFT_OUT_FORM = "no routes"
+FORM_WITHOUT_ROUTES = "no routes and no services"
 LINK_FAULTS = (
     LinkFault.SILENT,
     LinkFault.ANSWERS_LOST,
@@ -75,6 +76,7 @@
         self._version_random = random.Random(f"versions/{seed}")
         self.queues = ChangingQueues(self._version_random)
         self._form_random = random.Random(f"forms/{seed}")
+        self._last_form = ""
         self._until_s = 0.0
         self._active_count = 0
         self._reserved: set[str] = set()
@@ -355,8 +357,18 @@
         form = ""
         if rng.random() < UNUSUAL_SHARE:
             form = rng.choice([f for f in UNUSUAL_VALID_VERSIONS if f != LEFT_OUT_FORM])
+        self._last_form = form
         self._site.configure(tuple(self.queues.current), self.queues.fields, form)
 
+    def restore_routes(self) -> None:
+        """Write a version with routes, if the last one has none.
+
+        Otherwise the states of the jobs could not be read.
+        """
+        if self._last_form == FORM_WITHOUT_ROUTES:
+            self._last_form = ""
+            self._site.configure(tuple(self.queues.current), self.queues.fields, "")
+
     def _change_configuration(self):
         self._record("configuration")
         # Keeps the faults of a seed as they were.
