--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -312,11 +312,16 @@
 
 
 class JobProgress(msgspec.Struct, omit_defaults=True):
-    """Stored progress of a job, with its occurrences by number."""
+    """Stored progress of a job, with its occurrences by number.
+
+    `has_started` tells whether a run of it is known to have begun; a job whose starts
+    got no answer is in the phase `running` too.
+    """
 
     phase: str = JobPhase.QUEUED
     finished: int = 0
     occurrences: dict[int, list[StepProgress]] = {}
+    has_started: bool = False
 
     def leave_out_checkpoints(self, excess_bytes: int) -> int:
         """Remove the longest checkpoints to save space; return how many."""
@@ -361,7 +366,12 @@
     unfinished = {
         number: steps for number, steps in occurrences.items() if number >= finished
     }
-    return JobProgress(max(first.phase, other.phase), finished, unfinished)
+    return JobProgress(
+        max(first.phase, other.phase),
+        finished,
+        unfinished,
+        first.has_started or other.has_started,
+    )
 
 
 def _merge_step(first: StepProgress, other: StepProgress) -> StepProgress:
@@ -582,7 +592,9 @@
         }
         if self.has_ended:
             occurrences = {}
-        return JobProgress(self.phase.value, self.finished, occurrences)
+        return JobProgress(
+            self.phase.value, self.finished, occurrences, self.has_started
+        )
 
     def submission_to_keep(self) -> SubmittedJob:
         """Return the submission of this ended job without what nobody reads again.
@@ -605,8 +617,8 @@
             return
         self.phase = JobPhase(progress.phase)
         self.finished = progress.finished
-        # A run of a running job may not have been listed to this leader yet.
-        self.has_started = self.phase is not JobPhase.QUEUED or self.finished > 0
+        # A run of a job that has started may not have been listed to this leader yet.
+        self.has_started = progress.has_started or self.finished > 0
         for number, steps in progress.occurrences.items():
             due_ms = self.job.submitted_ms
             if self.job.occurrences:
@@ -617,6 +629,7 @@
                 continue
             for step, stored in zip(occurrence.steps, steps, strict=True):
                 _restore_step(step, stored)
+                self.has_started |= int(stored.done, 16) > 0 or bool(stored.failures)
             occurrence.open_steps()
 
 
--- a/tests/test_counts_without_leader.py
+++ b/tests/test_counts_without_leader.py
@@ -338,6 +338,24 @@
         others = [number for number in range(3) if number != leader]
         self.assert_answers(fleet, [(number, QUEUE, 1) for number in others])
 
+    # Guards against a job that a successor counts as started although each of its
+    # starts went to workers that had ended (issue 56, MIXED).
+    def test_job_whose_starts_had_no_effect_is_pending(self):
+        fleet = self.start_fleet()
+        leader = fleet.leader()
+        for worker_id in fleet.workers.workers:
+            fleet.workers.crash(worker_id)
+        self.assert_done(fleet, leader, make_job(1, Step(2, 500, 50, 0, 500)))
+        (state,) = fleet.nodes[leader].leader.registry.jobs.values()
+        self.assertEqual((state.phase, state.has_started), ("running", False))
+        fleet.nodes[leader].leader.registry.dirty.add(state.job.job_id)
+        fleet.run_for(1.0)
+        fleet.kill(leader)
+        fleet.run_for(4.0)
+        successor = fleet.leader()
+        self.assertNotIn(successor, (None, leader))
+        self.assert_answers(fleet, [(successor, QUEUE, 1)])
+
     # Guards against a stored count in place of the leader's, which is newer.
     def test_answer_of_the_leader(self):
         fleet = self.start_fleet()
