Show that a worker leaves the membership as its next incarnation answers

Guards against TWICE (G8 of docs/design/former-incarnations.md, which stood open by reading): a start of the first leader gets no answer, the leader is lost; the second one polls the worker and waits for another one. The worker returns under its id, a copy of the start is carried out there late, and the incarnation answers the second leader on the link of the former one. `on_replaced` takes the worker out of the membership and out of the workers that inherited work waits for. So the second leader starts the task elsewhere itself as soon as the other worker answers, and if it is lost before the entry of the incarnation is written, the third one does.

As long as the entry of the former incarnation stands, a third leader reaches the next one at its address and adopts the run, so the test removes it.

No other test was run with it.

--- /dev/null
+++ b/tests/test_former_incarnation_gaps.py
@@ -0,0 +1,72 @@
+"""Openings of docs/design/former-incarnations.md that were known by reading only."""
+
+import itertools
+import unittest
+from dataclasses import replace
+
+from standins.fleet import server_record
+from tests.fleet_simulation import JOB, job
+from tests.test_longest_leases import (
+    LONGEST_S,
+    ReturnedWorkersTest,
+)
+
+
+class LateCopyTest(ReturnedWorkersTest):
+    """A copy of a start without an answer runs at the worker's next incarnation."""
+
+    def order_start(self, **sizes):
+        """Return a fleet and a worker, to which a start without an answer was sent."""
+        fleet = self.start_fleet(**sizes)
+        fleet.run_for(15.0)
+        fleet.workers.delays_start_to_next_incarnation = True
+        fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=0.05)
+        (affected,) = fleet.workers._for_next_incarnation
+        return fleet, affected
+
+    def return_without_entry(self, fleet, worker_id):
+        entry = replace(fleet.workers.workers[worker_id].entry, started_at_ms=2)
+        return fleet.workers.add(entry, 0.0)
+
+    # Guards against a run that is started elsewhere as its worker leaves the membership
+    # once the next incarnation, which runs a late copy, has answered: the leader is
+    # lost before the entry of that incarnation is written (G8, TWICE).
+    def test_leader_is_lost_as_the_next_incarnation_answers(self):
+        for first, second in itertools.product(("killed", "stopped"), repeat=2):
+            with self.subTest(first=first, second=second):
+                self.check_replaced(first, second)
+
+    # The same if that leader starts the run elsewhere itself, as inherited work waits
+    # for the incarnation no more (G8, TWICE).
+    def test_leader_stays_as_the_next_incarnation_answers(self):
+        for first in ("killed", "stopped"):
+            with self.subTest(first=first):
+                self.check_replaced(first, None)
+
+    def check_replaced(self, first, second):
+        """Let a copy run before the second leader's first poll of its incarnation."""
+        fleet, affected = self.order_start(workers=3)
+        other = next(w for w in fleet.workers.workers if w != affected)
+        # Inherited work waits for it.
+        fleet.workers.workers[other].is_reachable = False
+        former = {self.lose_leader(fleet, first)}
+        self.await_successor(fleet, former)
+        fleet.run_for(1.0)
+        fleet.workers.crash(affected)
+        fleet.run_for(0.3)
+        worker = self.return_without_entry(fleet, affected)
+        self.assertEqual(len(worker.running), 1)
+        fleet.run_for(0.3)
+        fleet.records.remove(f"servers/{affected}")
+        if second is not None:
+            self.lose_leader(fleet, second)
+        fleet.workers.workers[other].is_reachable = True
+        fleet.run_for(1.0)
+        fleet.records.write(f"servers/{affected}", server_record(worker.entry))
+        fleet.run_for(2 * LONGEST_S)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+        self.assertEqual(self.count_running(fleet), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
