Show that a carried start is dropped before its copies have expired

Guards against TWICE (G5 of docs/design/former-incarnations.md, which stood open by reading): a start gets no answer, the worker returns under its id and answers the link of its former incarnation once, so the run is carried over; it is cut off before its own link is answered, and carries the copy out 2, 5 or 10 s later, under the longest lease. The leases of the new link expire 10.85 s after that first answer, and `_drop_expired` drops the run although a copy may be carried out for 12.5 s and run for 10.85 s after that.

--- a/tests/test_former_incarnation_gaps.py
+++ b/tests/test_former_incarnation_gaps.py
@@ -4,13 +4,20 @@
 import unittest
 from dataclasses import replace
 
-from standins.fleet import server_record
-from tests.fleet_simulation import JOB, job
+from dogwoodlever._run_evidence import late_calls_kept_s
+from standins.fleet import LEASE_MAX_MS, server_record
+from tests.fleet_simulation import JOB, STOP_S, job
 from tests.test_longest_leases import (
+    FORMER_CLOCK_MS,
     LONGEST_S,
+    START_MAX_S,
+    WORKER_CUTS,
     ReturnedWorkersTest,
 )
 
+# For how long a call without an answer, and a lease that it grants, have an effect.
+CALLS_KEPT_S = late_calls_kept_s(LEASE_MAX_MS / 1000, STOP_S)
+
 
 class LateCopyTest(ReturnedWorkersTest):
     """A copy of a start without an answer runs at the worker's next incarnation."""
@@ -67,6 +74,27 @@
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 1)
 
+    # Guards against a run that is started elsewhere as the leases of the next
+    # incarnation, which has not answered its link, expire, although a copy of its start
+    # may have been carried out there later (G5, TWICE).
+    def test_copy_is_carried_out_by_an_incarnation_that_is_cut_off(self):
+        for cut, carried_out_s in itertools.product(WORKER_CUTS, (2.0, 5.0, 10.0)):
+            with self.subTest(cut=cut, carried_out_s=carried_out_s):
+                fleet, affected = self.order_start(workers=2)
+                order = fleet.workers._for_next_incarnation.pop(affected)
+                fleet.workers.crash(affected)
+                fleet.run_for(0.3)
+                worker = self.return_without_entry(fleet, affected)
+                fleet.run_for(0.3)
+                WORKER_CUTS[cut](worker)
+                fleet.records.write(f"servers/{affected}", server_record(worker.entry))
+                fleet.run_for(carried_out_s)
+                fleet.workers.renew(worker, FORMER_CLOCK_MS)
+                fleet.workers.start(worker, order)
+                fleet.run_for(CALLS_KEPT_S + START_MAX_S)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+                self.assertEqual(self.count_running(fleet), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
