Show that an entry without the start of its worker is used

Guards against TWICE (G9 of docs/design/former-incarnations.md, which stood open by reading). Needs no order that is carried out late: PROTOCOL.md says that an entry with a field missing may come from another writer and names no runner to use. `decode_worker` takes a missing `born` for 0, and a leader that is elected while such an entry stands uses the worker as one whose incarnation is not known:

- its own entry follows within a heartbeat; `_confirm_incarnation` reads another start than 0, so the runs are dropped as replaced, their tasks are suspected of a crash and start elsewhere, unless the first poll of the new link is answered before that.
- it returns under its id before that: no answer counts as replaced, and the ends of the next incarnation have numbers that were read of the former one, so tasks that ended done are dropped as not listed and run again until its entry is written.

--- a/tests/test_former_incarnation_gaps.py
+++ b/tests/test_former_incarnation_gaps.py
@@ -3,14 +3,18 @@
 import itertools
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
+
+import msgspec
 
 from dogwoodlever._run_evidence import late_calls_kept_s
 from standins.fleet import LEASE_MAX_MS, server_record
-from tests.fleet_simulation import JOB, STOP_S, job
+from tests.fleet_simulation import JOB, STOP_S, job, worker_entry
 from tests.test_longest_leases import (
     FORMER_CLOCK_MS,
     LONGEST_S,
     START_MAX_S,
+    TASKS,
     WORKER_CUTS,
     ReturnedWorkersTest,
 )
@@ -96,5 +100,61 @@
                 self.assertEqual(self.count_running(fleet), 1)
 
 
+class EntryWithoutStartTest(ReturnedWorkersTest):
+    """An entry that does not tell when its worker started names no worker to use."""
+
+    # Guards against runs that are taken for ended and started elsewhere as the entry of
+    # their worker follows one that lacks its start (G9, TWICE).
+    def test_entry_follows_one_without_the_start(self):
+        for how, worker_delay_s in itertools.product(
+            ("killed", "stopped"), (0.002, 0.01, 0.02)
+        ):
+            with (
+                self.subTest(how=how, worker_delay_s=worker_delay_s),
+                patch("standins.fleet.WORKER_DELAY_S", worker_delay_s),
+            ):
+                fleet, assigned = self.start_work()
+                entry = fleet.workers.workers[assigned].entry
+                self.write_without_start(fleet, entry)
+                former = self.lose_leader(fleet, how)
+                self.await_successor(fleet, {former})
+                fleet.run_for(0.5)
+                fleet.add_worker(worker_entry(8), 0.0)
+                fleet.run_for(0.5)
+                fleet.records.write(f"servers/{assigned}", server_record(entry))
+                fleet.run_for(LONGEST_S)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+                self.assertEqual(self.count_running(fleet), TASKS)
+
+    # Guards against tasks that run again after their ends, which the next incarnation
+    # of such a worker lists with numbers that the former one had used (G9, TWICE).
+    def test_worker_returns_whose_entry_lacks_the_start(self):
+        for how in ("killed", "stopped"):
+            with self.subTest(how=how):
+                fleet = self.start_fleet(workers=1, run_s=1.0)
+                fleet.submit(0, job("b" * 16, tasks=8), wait_s=0.3)
+                entry = fleet.workers.workers["w0"].entry
+                self.write_without_start(fleet, entry)
+                former = self.lose_leader(fleet, how)
+                successor = self.await_successor(fleet, {former})
+                fleet.run_for(2.0)
+                self.assertEqual(len(fleet.workers.done), 8)
+                fleet.workers.crash("w0")
+                fleet.run_for(0.3)
+                entry = replace(entry, started_at_ms=2)
+                fleet.workers.add(entry, 0.2)
+                fleet.submit(successor, job(JOB, tasks=4), wait_s=1.0)
+                fleet.records.write("servers/w0", server_record(entry))
+                fleet.run_for(LONGEST_S)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+                self.assertEqual(len(fleet.workers.done), 12)
+
+    def write_without_start(self, fleet, entry):
+        record = msgspec.json.decode(server_record(entry))
+        del record["born"]
+        record = msgspec.json.encode(record)
+        fleet.records.write(f"servers/{entry.worker_id}", record)
+
+
 if __name__ == "__main__":
     unittest.main()
