Show that a run is adopted by a worker that returned as another kind

Guards against runs that go on where they may not (G7 of docs/design/former-incarnations.md, which stood open by reading): a start gets no answer, the worker returns under its id with another label, as one of another service, or with too few cores, and carries the copy out late. `_adopt` checks neither, and `_add_worker` takes a carried run over unchecked, so the run stays there as long as it lasts. The late start itself breaks ROUTE or LIMIT; the run that stays takes room that other tasks have, and none of its callers gets what was asked for.

--- a/tests/test_former_incarnation_gaps.py
+++ b/tests/test_former_incarnation_gaps.py
@@ -26,18 +26,18 @@
 class LateCopyTest(ReturnedWorkersTest):
     """A copy of a start without an answer runs at the worker's next incarnation."""
 
-    def order_start(self, **sizes):
+    def order_start(self, workers, **fields):
         """Return a fleet and a worker, to which a start without an answer was sent."""
-        fleet = self.start_fleet(**sizes)
+        fleet = self.start_fleet(workers=workers)
         fleet.run_for(15.0)
         fleet.workers.delays_start_to_next_incarnation = True
-        fleet.submit(0, job(JOB, tasks=1, standing=True), wait_s=0.05)
+        fleet.submit(0, job(JOB, tasks=1, standing=True, **fields), wait_s=0.05)
         (affected,) = fleet.workers._for_next_incarnation
         return fleet, affected
 
-    def return_without_entry(self, fleet, worker_id):
-        entry = replace(fleet.workers.workers[worker_id].entry, started_at_ms=2)
-        return fleet.workers.add(entry, 0.0)
+    def return_without_entry(self, fleet, worker_id, **changes):
+        former = fleet.workers.workers[worker_id].entry
+        return fleet.workers.add(replace(former, started_at_ms=2, **changes), 0.0)
 
     # Guards against a run that is started elsewhere as its worker leaves the membership
     # once the next incarnation, which runs a late copy, has answered: the leader is
@@ -56,7 +56,7 @@
 
     def check_replaced(self, first, second):
         """Let a copy run before the second leader's first poll of its incarnation."""
-        fleet, affected = self.order_start(workers=3)
+        fleet, affected = self.order_start(3)
         other = next(w for w in fleet.workers.workers if w != affected)
         # Inherited work waits for it.
         fleet.workers.workers[other].is_reachable = False
@@ -84,7 +84,7 @@
     def test_copy_is_carried_out_by_an_incarnation_that_is_cut_off(self):
         for cut, carried_out_s in itertools.product(WORKER_CUTS, (2.0, 5.0, 10.0)):
             with self.subTest(cut=cut, carried_out_s=carried_out_s):
-                fleet, affected = self.order_start(workers=2)
+                fleet, affected = self.order_start(2)
                 order = fleet.workers._for_next_incarnation.pop(affected)
                 fleet.workers.crash(affected)
                 fleet.run_for(0.3)
@@ -99,6 +99,27 @@
                 self.assertEqual(fleet.workers.duplicate_starts, [])
                 self.assertEqual(self.count_running(fleet), 1)
 
+    # Guards against a run that goes on where it may not run, as its worker returned as
+    # one of another kind, which carried a late copy out (G7, ROUTE, LIMIT).
+    def test_worker_returns_as_another_kind(self):
+        for changes, has_leader in itertools.product(
+            ({"labels": ("b", "r1")}, {"service": "floor"}, {"cores_milli": 500}),
+            (True, False),
+        ):
+            with self.subTest(changes=changes, has_leader=has_leader):
+                fleet, affected = self.order_start(2, label="a")
+                fleet.workers.crash(affected)
+                if not has_leader:
+                    self.lose_leader(fleet, "killed")
+                fleet.run_for(0.3)
+                worker = self.return_without_entry(fleet, affected, **changes)
+                self.assertEqual(len(worker.running), 1)
+                fleet.records.write(f"servers/{affected}", server_record(worker.entry))
+                fleet.run_for(LONGEST_S)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+                self.assertEqual(len(worker.running), 0)
+                self.assertEqual(self.count_running(fleet), 1)
+
 
 class EntryWithoutStartTest(ReturnedWorkersTest):
     """An entry that does not tell when its worker started names no worker to use."""
