Show that a carried run keeps the figures of the former incarnation

Guards against HARM, and against jobs that end late (G10 of docs/design/former-incarnations.md, which stood open by reading): `_add_worker` carries a run over with its speed limit and the clock at which it has last progressed.

- A task that fills was paused beside one that serves.
One copy of each start had no answer, another was answered; the worker returns under its id and carries out both late copies, at full speed.
Its first listing shows the serving task above its target already, the limit of 0 % that is wanted is the one that is remembered, and no order is sent.
Both copies have to be late: beside no serving task that works, all limits are ordered anew.
By reading, a task with checkpoints moves after 0.35 s.
- A run hangs at the next incarnation at the percentage that the former one had listed.
`stalled_runs` compares the clocks of both, so it is not found before the new clock has passed the old one.

--- a/tests/test_former_incarnation_gaps.py
+++ b/tests/test_former_incarnation_gaps.py
@@ -22,6 +22,9 @@
 # For how long a call without an answer, and a lease that it grants, have an effect.
 CALLS_KEPT_S = late_calls_kept_s(LEASE_MAX_MS / 1000, STOP_S)
 
+OTHER_JOB = "b" * 16
+TARGET_MS = 100
+
 
 class LateCopyTest(ReturnedWorkersTest):
     """A copy of a start without an answer runs at the worker's next incarnation."""
@@ -120,6 +123,96 @@
                 self.assertEqual(len(worker.running), 0)
                 self.assertEqual(self.count_running(fleet), 1)
 
+    # Guards against tasks that serve above their latency target, as a task that fills
+    # beside them is taken for paused: it was so at the former incarnation, and late
+    # copies of both starts run at the next one at full speed (G10, HARM).
+    def test_paused_run_goes_on_at_full_speed_at_the_next_incarnation(self):
+        fleet = self.start_fleet(workers=1)
+        fleet.run_for(15.0)
+        limits = self.record_speed_limits(fleet)
+        serving = {"standing": True, "image": "s", "latency_target_ms": TARGET_MS}
+        orders = [
+            self.lose_first_copy(fleet, job_id, **fields)
+            for job_id, fields in (
+                (OTHER_JOB, {"uses_leftover": True, "image": "f"}),
+                (JOB, serving),
+            )
+        ]
+        fleet.run_for(5.0)
+        self.assertEqual(limits[-1], (1, orders[0].run, 0))
+        fleet.workers.crash("w0")
+        fleet.run_for(0.1)
+        worker = self.return_without_entry(fleet, "w0")
+        fleet.workers.renew(worker, FORMER_CLOCK_MS)
+        for order in orders:
+            fleet.workers.start(worker, order)
+        fleet.run_for(0.5)
+        fleet.records.write("servers/w0", server_record(worker.entry))
+        fleet.run_for(5.0)
+        self.assertEqual(len(worker.running), 2)
+        self.assertEqual(limits[-1], (2, orders[0].run, 0))
+
+    def lose_first_copy(self, fleet, job_id, **fields):
+        """Submit a job of one task; return its order, one copy of which is lost."""
+        fleet.workers.delays_start_to_next_incarnation = True
+        fleet.submit(0, job(job_id, tasks=1, **fields), wait_s=0.05)
+        (order,) = fleet.workers._for_next_incarnation.values()
+        fleet.workers._for_next_incarnation.clear()
+        return order
+
+    def record_speed_limits(self, fleet):
+        """Return a list of speed limits, of (start of the incarnation, run, percent).
+
+        Tasks of `JOB` report twice their latency target.
+        """
+        client = fleet.worker_clients[fleet.leader()]
+        limits = []
+
+        def report_load(result):
+            running = tuple(
+                replace(listed, load=2 * TARGET_MS * (listed.run.task.job_id == JOB))
+                for listed in result.running
+            )
+            return replace(result, running=running)
+
+        def throttle(entry, run, percent, fencing_token):
+            started_at_ms = fleet.workers.workers[entry.worker_id].entry.started_at_ms
+            limits.append((started_at_ms, run, percent))
+            return type(client).throttle(client, entry, run, percent, fencing_token)
+
+        client.throttle = throttle
+        client.poll = lambda *arguments: (
+            type(client).poll(client, *arguments).addCallback(report_load)
+        )
+        return limits
+
+    # Guards against a run that hangs at the next incarnation and is not moved, as its
+    # progress is compared with the clock of the former one (G10, LOST).
+    def test_run_hangs_at_the_next_incarnation(self):
+        for age_s in (1.0, 60.0):
+            with self.subTest(age_s=age_s):
+                fleet = self.start_fleet(workers=2, run_s=1000.0)
+                fleet.run_for(age_s)
+                order = self.lose_first_copy(fleet, JOB)
+                # The former incarnation has listed the run, which does not count as
+                # hanging yet.
+                fleet.run_for(2.8)
+                for other in fleet.workers.workers.values():
+                    other.run_s = 0.0
+                ((_, affected),) = fleet.workers.starts
+                fleet.workers.crash(affected)
+                fleet.run_for(0.1)
+                worker = self.return_without_entry(fleet, affected)
+                worker.run_s = 1000.0
+                fleet.workers.renew(worker, FORMER_CLOCK_MS)
+                fleet.workers.start(worker, order)
+                fleet.run_for(0.5)
+                fleet.records.write(f"servers/{affected}", server_record(worker.entry))
+                fleet.run_for(8.0)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+                self.assertEqual(len(worker.running), 0)
+                self.assertEqual(self.count_running(fleet), 1)
+
 
 class EntryWithoutStartTest(ReturnedWorkersTest):
     """An entry that does not tell when its worker started names no worker to use."""
