Show that the age of a run is taken on the clock of a former incarnation

Guards against wrong conclusions on tasks that crash their workers (G13 of docs/design/former-incarnations.md, which stood open by reading; no rule is broken by itself). A late copy of a suspect's start runs at the next incarnation:

- under the same leader, the carried run keeps `seen_clock_ms` of the former clock, its age is below 0, and the task stays a suspect until the new clock has passed the old one.
One more crash that meets it may then give it up.
- under a successor, `_restore_age` compares number and worker of the stored start and not the incarnation; if the new clock is ahead of the stored one, the suspect is cleared at the first listing, before its probation.

--- a/tests/test_former_incarnation_gaps.py
+++ b/tests/test_former_incarnation_gaps.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from dogwoodlever._fleet_types import TaskId
 from dogwoodlever._run_evidence import late_calls_kept_s
 from standins.fleet import LEASE_MAX_MS, server_record
 from tests.fleet_simulation import JOB, STOP_S, job, worker_entry
@@ -17,12 +18,14 @@
     TASKS,
     WORKER_CUTS,
     ReturnedWorkersTest,
+    silence,
 )
 
 # For how long a call without an answer, and a lease that it grants, have an effect.
 CALLS_KEPT_S = late_calls_kept_s(LEASE_MAX_MS / 1000, STOP_S)
 
 OTHER_JOB = "b" * 16
+TASK_ID = TaskId(JOB, 0, 0, 0)
 TARGET_MS = 100
 
 
@@ -213,6 +216,75 @@
                 self.assertEqual(len(worker.running), 0)
                 self.assertEqual(self.count_running(fleet), 1)
 
+    # Guards against a task that stays a suspect of crashes although its run has
+    # outlived its probation at the next incarnation, as its age is counted from a time
+    # on the clock of the former one (G13).
+    def test_suspect_is_cleared_at_the_next_incarnation(self):
+        for age_s in (0.0, 60.0):
+            with self.subTest(age_s=age_s):
+                fleet, affected, order = self.order_suspect(age_s)
+                task = self.find_task(fleet, fleet.leader())
+                fleet.run_for(0.2)
+                fleet.workers.crash(affected)
+                fleet.run_for(0.1)
+                worker = self.return_without_entry(fleet, affected)
+                fleet.workers.renew(worker, FORMER_CLOCK_MS)
+                fleet.workers.start(worker, order)
+                fleet.run_for(0.5)
+                fleet.records.write(f"servers/{affected}", server_record(worker.entry))
+                fleet.run_for(5.0)
+                self.assertEqual(len(worker.running), 1)
+                self.assertEqual(task.crashes, {})
+
+    # Guards against a suspect that a successor clears at its first listing, as the
+    # stored time of its start is on the clock of the former incarnation (G13).
+    def test_successor_does_not_clear_a_suspect_by_the_former_clock(self):
+        for waits_s in (0.2, 4.0):
+            with self.subTest(waits_s=waits_s):
+                fleet, affected, order = self.order_suspect(0.0)
+                task = self.find_task(fleet, fleet.leader())
+                while task.start_record.seen_clock_ms < 0:
+                    fleet.run_for(0.01)
+                # It stores all records as it stops.
+                former = self.lose_leader(fleet, "stopped")
+                fleet.workers.crash(affected)
+                fleet.run_for(0.1)
+                worker = self.return_without_entry(fleet, affected)
+                silence(worker)
+                fleet.run_for(waits_s)
+                fleet.workers.renew(worker, FORMER_CLOCK_MS)
+                fleet.workers.start(worker, order)
+                worker.is_reachable = True
+                successor = self.await_successor(fleet, {former})
+                task = self.find_task(fleet, successor)
+                while not task.runs:
+                    self.assertEqual(len(worker.running), 1)
+                    fleet.run_for(0.01)
+                self.assertIn(1, task.crashes)
+
+    def order_suspect(self, age_s):
+        """Return a fleet, a worker that runs a suspect, and a copy of its start."""
+        fleet = self.start_fleet(workers=2)
+        fleet.run_for(age_s)
+        fleet.workers.crashing_tasks.add(TASK_ID)
+        fleet.submit(0, job(JOB, tasks=1, standing=True))
+        fleet.workers.crashing_tasks.clear()
+        ((_, crashed),) = fleet.workers.starts
+        worker = self.return_without_entry(fleet, crashed)
+        fleet.records.write(f"servers/{crashed}", server_record(worker.entry))
+        fleet.workers.delays_start_to_next_incarnation = True
+        while not fleet.workers._for_next_incarnation:
+            fleet.run_for(0.01)
+        ((affected, order),) = fleet.workers._for_next_incarnation.items()
+        fleet.workers._for_next_incarnation.clear()
+        while len(fleet.workers.starts) < 2:
+            fleet.run_for(0.01)
+        self.assertEqual(len(self.find_task(fleet, fleet.leader()).crashes), 1)
+        return fleet, affected, order
+
+    def find_task(self, fleet, number):
+        return fleet.nodes[number].leader.registry.find(TASK_ID)
+
 
 class EntryWithoutStartTest(ReturnedWorkersTest):
     """An entry that does not tell when its worker started names no worker to use."""
