Count starts without an answer until their copies can do nothing

Callers saw a task run twice (TWICE) if a start without an answer was carried out late by the next incarnation of a worker: its run had been dropped as the leases expired, as a later copy was refused and the stop answered, or as its own first end was listed, and the task had started elsewhere.

Cause: what a copy may still do was decided at each of these places anew, and a copy kept the token of its link, which the next incarnation accepts until its entry is read. One rule now, in WorkerEvidence: a start whose copy had no answer counts until the copy has expired, whether the worker is silent, has stopped the run or lists its end. An end other than done is not read until then, and none is acknowledged.

The waits are bounded: 12.5 s from the failure of the copy; 4.5 s for a task that lasts, which has to run again within 9 s; 20 s for an incarnation that was seen once. Ends are held back up to 250 a worker, and not while it drains.

The known trace of the exploration needs a change of leader now.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -688,7 +688,7 @@
             # A write without an answer withholds leases until the store answers again.
             self.workers.name_unreachable_workers()
         self.workers.release_empty_workers()
-        self.workers.expire_ended_incarnations()
+        self.workers.expire_late_starts()
         self.workers.settle_incarnations()
         self.workers.runs.give_up_crashing(self._clock.seconds())
         if self.registry.dirty:
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -118,7 +118,7 @@
         order = StartOrder(
             run.run_id, job.job.payload, task.checkpoint, placement.ticket
         )
-        self._links[worker_id].start(run, order)
+        self._links[worker_id].start(run, order, task.step.spec.standing)
 
     def _log_restarted(self, run: Run, former: DroppedRun) -> None:
         log_event(
@@ -206,6 +206,12 @@
         sent_s: float,
     ) -> None:
         """Apply the result of a poll that was sent at `sent_s`."""
+        now_s = self._clock.seconds()
+        if capacity.entry.is_draining:
+            link.evidence.release_ends()
+        else:
+            for run_id in link.evidence.hold_ends(result.ended, now_s):
+                self._record_held(capacity, run_id, result.clock_ms)
         for end in result.ended:
             if link.evidence.read_end(end.number):
                 self._log_end_after_drop(capacity, result.started_at_ms, end)
@@ -220,6 +226,20 @@
             link.throttle(order.run, order.percent)
         self._stop_stalled(capacity, result.clock_ms)
 
+    def _record_held(
+        self, capacity: WorkerCapacity, run_id: RunId, clock_ms: int
+    ) -> None:
+        """Record that a run has ended whose end does not count yet."""
+        pair = capacity.runs.get(run_id)
+        if pair is None:
+            return
+        run, _ = pair
+        if run.phase is not RunPhase.STOPPING:
+            self._registry.confirm_start(run)
+        # Otherwise it would be taken for stalled.
+        run.progressed_s = self._clock.seconds()
+        run.progressed_clock_ms = clock_ms
+
     def _drop_unlisted(
         self,
         capacity: WorkerCapacity,
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -23,6 +23,7 @@
     RunId,
     WorkerEntry,
 )
+from dogwoodlever._link_fencing import LinkFencing
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_evidence import (
     ENDS_LISTED_MAX,
@@ -50,9 +51,9 @@
     WrongIncarnationError,
 )
 
-# Fencing tokens of one term. Each link has one of its own, so that a worker that has
-# answered it refuses late calls of earlier links.
-LINKS_PER_TERM_MAX = 1_000_000
+# Fencing tokens for one worker in one term. Each link has its own ones, so that a
+# worker that has answered it refuses late calls of earlier links.
+TOKENS_PER_TERM_MAX = 1_000_000
 # How long after its loss, and how often, a worker is asked whether its process has
 # ended.
 CRASH_PROOF_WAIT_S = 30.0
@@ -176,7 +177,8 @@
         self._lease_bound_s = lease_bound_s(self._lease_s, stop_timeout_s)
         self.capacities: dict[str, WorkerCapacity] = {}
         self._links: dict[str, WorkerLink] = {}
-        self._link_count = 0
+        # Numbers of the newest fencing tokens in this term, by worker id.
+        self._token_numbers: dict[str, int] = {}
         self._get_contact_s = get_contact_s
         # Runs of starts without an answer, and what else calls for ended incarnations
         # may still do at the next ones, by worker id.
@@ -228,16 +230,19 @@
             link.close()
         self.runs.close()
 
-    def _fencing_token(self, link_number: int) -> int:
-        """Return the fencing token of a link, lower than those of later terms."""
-        return self._get_fencing_token() * LINKS_PER_TERM_MAX + link_number
+    def _next_token_number(self, worker_id: str) -> int:
+        """Return a number of a fencing token above the former ones of a worker."""
+        number = self._token_numbers.get(worker_id, 0) + 1
+        self._token_numbers[worker_id] = min(number, TOKENS_PER_TERM_MAX - 1)
+        return self._token_numbers[worker_id]
+
+    def _fencing_token(self, number: int) -> int:
+        """Return a fencing token of this term, lower than those of later ones."""
+        return self._get_fencing_token() * TOKENS_PER_TERM_MAX + number
 
     def _probe_token(self, worker_id: str) -> int:
         """Return a fencing token that does not shut out the link of a worker."""
-        link = self._links.get(worker_id)
-        if link is not None:
-            return link.get_fencing_token()
-        return self._fencing_token(self._link_count)
+        return self._fencing_token(self._token_numbers.get(worker_id, 0))
 
     @property
     def former_leases_expire_s(self) -> float:
@@ -454,7 +459,9 @@
 
     def last_end_numbers(self) -> dict[WorkerLink, int]:
         """Return the highest end number that was applied, by link."""
-        return {link: link.evidence.last_end_number for link in self._links.values()}
+        return {
+            link: link.evidence.storable_end_number for link in self._links.values()
+        }
 
     def acknowledge_ends(self, last_end_numbers: dict[WorkerLink, int]) -> None:
         """Let workers drop the ends that are stored."""
@@ -576,12 +583,13 @@
             for run, step in ended.runs.values():
                 capacity.add(run, step)
         evidence.begin_incarnation(self._former_expiry_s(worker_id))
-        self._link_count += 1
         link = WorkerLink(
             entry,
             self._worker_client,
             self._clock,
-            partial(self._fencing_token, self._link_count),
+            LinkFencing(
+                partial(self._next_token_number, worker_id), self._fencing_token
+            ),
             self,
             evidence,
             partial(self._leases_end_s, worker_id),
@@ -675,29 +683,43 @@
         self._keep_evidence(capacity, link.evidence.carry_over(self._clock.seconds()))
         self._remove_worker(worker_id)
 
-    def expire_ended_incarnations(self) -> None:
-        """Drop the runs that calls to ended incarnations can have started no more.
+    def expire_late_starts(self) -> None:
+        """Drop the runs that calls to lost workers can have started no more.
 
-        If another daemon may have led by then, it may have adopted them.
+        These are ended incarnations, and workers whose leases have expired.
         """
-        now_s = self._clock.seconds()
-        contact_s = self._get_contact_s()
-        if self._usage.expire_holds(now_s):
+        if self._usage.expire_holds(self._clock.seconds()):
             self._on_change()
+        for worker_id, link in list(self._links.items()):
+            if link.evidence.has_lease_expired:
+                self._drop_expired_starts(self.capacities[worker_id], link.evidence)
+        contact_s = self._get_contact_s()
         for worker_id, ended in list(self._ended_incarnations.items()):
             capacity, evidence = ended
-            expired = evidence.expired_starts(capacity.runs, contact_s)
-            if len(expired) < len(evidence.expired_starts(capacity.runs, now_s)):
-                self._confirm_soon()
-            for run_id, cause in expired.items():
-                self.runs.drop_lost(capacity, capacity.runs[run_id][0], cause)
-            if expired:
-                self._on_change()
-                if not capacity.runs:
-                    self._remove_worker(worker_id)
+            if self._drop_expired_starts(capacity, evidence) and not capacity.runs:
+                self._remove_worker(worker_id)
             if evidence.is_spent(contact_s) and not capacity.runs:
                 del self._ended_incarnations[worker_id]
 
+    def _drop_expired_starts(
+        self, capacity: WorkerCapacity, evidence: WorkerEvidence
+    ) -> bool:
+        """Drop the runs of starts that have expired; return whether there were any.
+
+        If another daemon may have led by then, it may have adopted them.
+        """
+        if not capacity.runs:
+            return False
+        expired = evidence.expired_starts(capacity.runs, self._get_contact_s())
+        now_s = self._clock.seconds()
+        if len(expired) < len(evidence.expired_starts(capacity.runs, now_s)):
+            self._confirm_soon()
+        for run_id, cause in expired.items():
+            self.runs.drop_lost(capacity, capacity.runs[run_id][0], cause)
+        if expired:
+            self._on_change()
+        return bool(expired)
+
     def _is_withheld(self, worker_id: str) -> bool:
         """Return whether a worker gets no lease, as a successor would not count it."""
         return self._unreachable.may_be_named(
@@ -880,7 +902,8 @@
         self._hold_usage(capacity, link.evidence)
         if link.evidence.is_refused and capacity.is_synced:
             self._await_proof_of_crash(capacity, link)
-        self.runs.drop_lost_runs(capacity, cause)
+        kept = link.evidence.keep_starts(capacity.runs.keys(), self._clock.seconds())
+        self.runs.drop_lost_runs(capacity, cause, kept)
         if worker_id in self.unpolled_workers:
             self.runs.record_former_end(worker_id, has_crashed=False)
         self.unpolled_workers.discard(worker_id)
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -1,12 +1,12 @@
 """What the leader knows of one incarnation of a worker, and what that proves."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence, Set
 from dataclasses import dataclass
 from enum import Enum, auto
 
 from dogwoodlever._drop_evidence import DropCause, DropEvidence
 from dogwoodlever._fleet_interfaces import RefusalReason
-from dogwoodlever._fleet_types import PollResult, RunId
+from dogwoodlever._fleet_types import EndedRun, PollResult, RunId
 from dogwoodlever.platform_errors import (
     CallNotSentError,
     ConnectionRefusedByWorkerError,
@@ -25,6 +25,14 @@
 # How long after its sending an order without an answer may still be carried out. A copy
 # that reaches the next incarnation of a worker is not recognised as a repetition there.
 LATE_ORDER_MAX_S = 12.5
+# The same for a task that lasts, which has to run again within 9 s of its last run.
+LASTING_LATE_ORDER_MAX_S = 4.5
+# Longest wait for a run of such an order at an incarnation that has been seen once, so
+# that its task runs again within 21 s.
+LATE_START_WAIT_MAX_S = 20.0
+# With more ends than this in one response of a worker, none is held back, so that all
+# are listed.
+ENDS_HELD_MAX = 250
 # A single failure may be a lost response or a pause of this process.
 POLL_FAILURES_UNREACHABLE = 2
 # Silence of a worker from which its successor is told. Far below a lease, which then
@@ -93,6 +101,8 @@
 
     Attributes
     ----------
+    is_lasting : bool
+        Whether the task lasts until its job is cancelled.
     may_be_carried_out : bool
         Whether a copy got no answer.
     expired_count : int
@@ -102,12 +112,13 @@
     """
 
     run_id: RunId
+    is_lasting: bool = False
     may_be_carried_out: bool = False
     expired_count: int = 0
     clock_min_ms: int = 0
 
 
-def _may_be_in_flight(error: PlatformError) -> bool:
+def may_be_in_flight(error: PlatformError) -> bool:
     """Return whether a call that failed may have been, or be, carried out."""
     is_unanswered = isinstance(error, WorkerUnreachableError)
     return is_unanswered and not isinstance(error, CallNotSentError)
@@ -148,7 +159,7 @@
         Runs that may still start. No lease is granted before that is prevented: a
         worker carries out a late order with an expired lease if it holds a newer one.
     last_end_number : int
-        Highest number of an end that was read.
+        Highest number of an end that was listed.
     started_at_ms : int
         Unix time of the start of the incarnation, as its last answer tells it; 0 if it
         is not known.
@@ -158,12 +169,15 @@
         "_acknowledged_number",
         "_acknowledging_number",
         "_clock_ms",
+        "_copies_count_until_s",
         "_copies_expire_s",
         "_failed_polls",
         "_fenced_s",
         "_former_late_grants_end_s",
         "_granted_ms",
+        "_held_ends",
         "_is_grant_under_way",
+        "_kept_until_s",
         "_late_grants_end_s",
         "_late_lease_s",
         "_lease_max_s",
@@ -174,7 +188,9 @@
         "_noted_number",
         "_poll_sent_s",
         "_stop_timeout_s",
+        "_unacknowledged_ends",
         "_unanswered_starts",
+        "_unread_ends",
         "broken_s",
         "has_lease_expired",
         "is_reachable",
@@ -216,6 +232,11 @@
         # Until when a copy of a start that got no answer may be carried out, by this or
         # a later incarnation, whether or not another copy was answered.
         self._copies_expire_s: dict[RunId, float] = {}
+        # Until when the run of such a start counts although it has ended or is not
+        # known to run, as the next incarnation may carry out the copy.
+        self._copies_count_until_s: dict[RunId, float] = {}
+        # Until when runs count although the worker's leases have expired.
+        self._kept_until_s: dict[RunId, float] = {}
         # From when on a run that still counts has to be listed.
         self._listed_from_s: dict[RunId, float] = {}
         self.lease_blockers: set[RunId] = set()
@@ -230,6 +251,12 @@
         self._acknowledging_number = 0
         self._noted_number = 0
         self.last_end_number = 0
+        # Runs whose listed ends do not count yet, by number, and the numbers of those
+        # that did not when they were listed.
+        self._held_ends: dict[int, RunId] = {}
+        self._unread_ends: set[int] = set()
+        # Numbers of the listed ends that may not be acknowledged yet.
+        self._unacknowledged_ends: set[int] = set()
 
     # Incarnations
 
@@ -291,6 +318,12 @@
         carried = WorkerEvidence(self._lease_s, self._lease_max_s, self._stop_timeout_s)
         if may_return:
             carried._copies_expire_s = self.starts_in_flight(now_s)
+            carried._copies_count_until_s = {
+                run_id: self._copies_count_until_s.get(run_id, expires_s)
+                for run_id, expires_s in carried._copies_expire_s.items()
+                if run_id in self._copies_count_until_s or self.is_unanswered(run_id)
+            }
+            carried._kept_until_s = dict(self._kept_until_s)
         carried._misdirected_expiry_s = now_s + self._late_lease_s
         carried._former_late_grants_end_s = self._find_late_grants_end_s(now_s)
         return carried
@@ -444,13 +477,27 @@
         """Whether no poll has been answered or has failed yet."""
         return not self._clock_ms and not self._failed_polls
 
-    def begin_poll(self, now_s: float, leases_end_s: float) -> tuple[int, int]:
+    def begin_poll(
+        self,
+        now_s: float,
+        leases_end_s: float,
+        is_bare: bool = False,
+    ) -> tuple[int, int]:
         """Return what a poll that is sent now may say.
 
         After a failure, another incarnation may answer, for which neither value is
         valid. A number that the worker has noted is not repeated: the poll may be
         carried out late, and the next incarnation would drop ends that nobody has read.
 
+        Parameters
+        ----------
+        now_s : float
+            Current time.
+        leases_end_s : float
+            Time beyond which no lease may be granted.
+        is_bare : bool
+            Whether the poll may change nothing.
+
         Returns
         -------
         acknowledged_number : int
@@ -460,12 +507,12 @@
         """
         self._poll_sent_s = now_s
         self._acknowledging_number = 0
-        if self._failed_polls:
+        if self._failed_polls or is_bare:
             return 0, 0
         until_ms = self.lease_until_ms(now_s, leases_end_s)
         self._is_grant_under_way = until_ms > 0
-        if self._acknowledged_number > self._noted_number:
-            self._acknowledging_number = self._acknowledged_number
+        if self._acknowledgeable_number > self._noted_number:
+            self._acknowledging_number = self._acknowledgeable_number
         return self._acknowledging_number, until_ms
 
     def judge_poll(
@@ -507,7 +554,7 @@
         self, error: PlatformError, sent_s: float, wait_s: float, now_s: float
     ) -> PollVerdict:
         """Judge the failure of a poll that the worker might delay by `wait_s`."""
-        if self._is_grant_under_way and _may_be_in_flight(error):
+        if self._is_grant_under_way and may_be_in_flight(error):
             self._late_grants_end_s = now_s + LATE_ORDER_MAX_S
         self._is_grant_under_way = False
         if not self._failed_polls:
@@ -522,12 +569,54 @@
 
     # Ends
 
+    def hold_ends(self, ends: Sequence[EndedRun], now_s: float) -> list[RunId]:
+        """Return the runs whose listed ends do not count yet.
+
+        While a copy of a start may still be carried out, the next incarnation may run
+        the task again. An end of such a run is not acknowledged, so that nobody has
+        taken note of it if the incarnation is lost before. Unless the task is done, it
+        does not count either, as the task would start elsewhere.
+        """
+        self._held_ends = {}
+        self._unacknowledged_ends = set()
+        if len(ends) < ENDS_HELD_MAX:
+            for end in ends:
+                if now_s >= self._copies_count_until_s.get(end.run, NEVER_S):
+                    continue
+                self._unacknowledged_ends.add(end.number)
+                if end.outcome != "done":
+                    self._held_ends[end.number] = end.run
+        return list(self._held_ends.values())
+
+    def release_ends(self) -> None:
+        """Let all listed ends count, as the worker leaves."""
+        self.hold_ends((), NEVER_S)
+
     def read_end(self, number: int) -> bool:
-        """Record a listed end; return whether it is listed for the first time."""
-        if number <= self.last_end_number:
-            return False
-        self.last_end_number = number
-        return True
+        """Record a listed end; return whether it counts for the first time."""
+        if number in self._held_ends:
+            self._unread_ends.add(number)
+        elif number in self._unread_ends:
+            self._unread_ends.discard(number)
+            return True
+        elif number > self.last_end_number:
+            self.last_end_number = number
+            return True
+        self.last_end_number = max(self.last_end_number, number)
+        return False
+
+    @property
+    def storable_end_number(self) -> int:
+        """Up to which number all ends are read."""
+        return min(self._unread_ends, default=self.last_end_number + 1) - 1
+
+    @property
+    def _acknowledgeable_number(self) -> int:
+        """Up to which number the worker may drop ends."""
+        held_from = min(
+            self._unacknowledged_ends, default=self._acknowledged_number + 1
+        )
+        return min(self._acknowledged_number, held_from - 1)
 
     def acknowledge(self, number: int) -> bool:
         """Record that the ends up to `number` are stored; return whether any is new."""
@@ -539,7 +628,7 @@
     @property
     def has_unstored_ends(self) -> bool:
         """Whether a listed end may not be acknowledged yet."""
-        return self.last_end_number > self._acknowledged_number
+        return self.last_end_number > self._acknowledgeable_number
 
     @property
     def is_quiescent(self) -> bool:
@@ -548,10 +637,10 @@
 
     # Starts
 
-    def begin_start(self, run_id: RunId) -> StartAttempts:
+    def begin_start(self, run_id: RunId, is_lasting: bool = False) -> StartAttempts:
         """Record that a start is about to be sent."""
         self._unanswered_starts[run_id] = None
-        return StartAttempts(run_id)
+        return StartAttempts(run_id, is_lasting)
 
     def begin_attempt(
         self, attempts: StartAttempts, now_s: float, leases_end_s: float
@@ -574,7 +663,8 @@
             return OrderVerdict.INCARNATION_ENDED
         if clock_ms <= (now_s - self._next_started_after_s) * 1000 + CLOCK_MARGIN_MS:
             # The next incarnation may have answered, as the worker has just started.
-            self._record_unanswered_copy(attempts.run_id, now_s)
+            self._copies_expire_s[attempts.run_id] = now_s + LATE_ORDER_MAX_S
+            self._late_grants_end_s = now_s + LATE_ORDER_MAX_S
         self._confirm_start(attempts.run_id, now_s)
         return OrderVerdict.CARRIED_OUT
 
@@ -583,9 +673,9 @@
     ) -> OrderVerdict:
         """Judge the failure or refusal of a copy of a start."""
         if isinstance(error, WorkerUnreachableError):
-            if _may_be_in_flight(error):
+            if may_be_in_flight(error):
                 attempts.may_be_carried_out = True
-                self._record_unanswered_copy(attempts.run_id, now_s)
+                self._record_unanswered_copy(attempts, now_s)
             return OrderVerdict.RETRY
         if isinstance(error, WrongIncarnationError):
             if not attempts.may_be_carried_out:
@@ -632,11 +722,15 @@
         if not self.has_lease_expired:
             self.expect_listed(run_id, now_s)
 
-    def _record_unanswered_copy(self, run_id: RunId, now_s: float) -> None:
+    def _record_unanswered_copy(self, attempts: StartAttempts, now_s: float) -> None:
         for other, expires_s in list(self._copies_expire_s.items()):
             if now_s >= expires_s:
                 del self._copies_expire_s[other]
+                self._copies_count_until_s.pop(other, None)
+        run_id = attempts.run_id
         self._copies_expire_s[run_id] = now_s + LATE_ORDER_MAX_S
+        counts_s = LASTING_LATE_ORDER_MAX_S if attempts.is_lasting else LATE_ORDER_MAX_S
+        self._copies_count_until_s[run_id] = now_s + counts_s
         self._late_grants_end_s = now_s + LATE_ORDER_MAX_S
 
     def is_unanswered(self, run_id: RunId) -> bool:
@@ -658,6 +752,34 @@
             starts.setdefault(run_id, now_s + LATE_ORDER_MAX_S)
         return starts
 
+    def keep_starts(self, run_ids: Set[RunId], now_s: float) -> set[RunId]:
+        """Return the runs that count on although the worker's leases have expired.
+
+        The worker may return, and carry out a copy of their starts. An incarnation that
+        is known and has not answered this link may do so, and run it for the longest
+        lease.
+
+        Parameters
+        ----------
+        run_ids : set of RunId
+            Runs that count.
+        now_s : float
+            Current time.
+        """
+        seen_s = self._misdirected_expiry_s - self._late_lease_s
+        may_be_running = self._fenced_s == FOREVER_S and seen_s > NEVER_S
+        kept = set()
+        for run_id in self._copies_count_until_s.keys() & run_ids:
+            until_s = self._copies_count_until_s[run_id]
+            if may_be_running:
+                until_s = self._copies_expire_s[run_id] + self._late_lease_s
+                until_s = min(until_s, seen_s + LATE_START_WAIT_MAX_S)
+            if now_s < until_s:
+                self._kept_until_s[run_id] = until_s
+                self.expect_listed(run_id, until_s)
+                kept.add(run_id)
+        return kept
+
     def expired_starts(
         self, run_ids: Iterable[RunId], contact_s: float
     ) -> dict[RunId, DropCause]:
@@ -677,10 +799,15 @@
         return {
             run_id: DropCause(DropEvidence.ORDER_EXPIRED, expiry_s)
             for run_id in run_ids
-            if contact_s
-            >= (expiry_s := self._copies_expire_s[run_id] + self._late_lease_s)
+            if contact_s >= (expiry_s := self._find_start_expiry_s(run_id))
         }
 
+    def _find_start_expiry_s(self, run_id: RunId) -> float:
+        """Return until when a run counts that a lost worker may start."""
+        if run_id in self._kept_until_s:
+            return self._kept_until_s[run_id]
+        return self._copies_expire_s.get(run_id, FOREVER_S) + self._late_lease_s
+
     def late_runs(self, now_s: float) -> dict[RunId, float]:
         """Return until when runs may exist that starts in flight may still start."""
         return {
@@ -689,14 +816,9 @@
         }
 
     def unblock_leases(self, run_id: RunId, now_s: float) -> None:
-        """Record a confirmed stop of a run that may start.
-
-        The stop holds for this incarnation only, so the run counts until no copy of its
-        start is in flight.
-        """
+        """Record a confirmed stop of a run that may start."""
         self.lease_blockers.discard(run_id)
-        copy_expires_s = self._copies_expire_s.get(run_id, NEVER_S)
-        self.expect_listed(run_id, max(now_s, copy_expires_s))
+        self.expect_stopped(run_id, now_s)
 
     # Listings
 
@@ -714,9 +836,24 @@
         previous_s = self._listed_from_s.get(run_id, NEVER_S)
         self._listed_from_s[run_id] = max(previous_s, from_s)
 
+    def expect_stopped(self, run_id: RunId, now_s: float) -> None:
+        """Record a confirmed stop of a run.
+
+        The stop holds for this incarnation only, so the run counts while a copy of its
+        start may reach the next one.
+        """
+        counts_until_s = self._copies_count_until_s.get(run_id, NEVER_S)
+        self.expect_listed(run_id, max(now_s, counts_until_s))
+
+    def limit_poll_wait_ms(self, wait_ms: int, now_s: float) -> int:
+        """Return how long a poll may wait, so that the next one can drop a run."""
+        due_s = min((s for s in self._listed_from_s.values() if s > now_s), default=0.0)
+        return min(wait_ms, int((due_s - now_s) * 1000) + 1) if due_s else wait_ms
+
     def forget_run(self, run_id: RunId) -> None:
         """Forget a run that no longer counts."""
         self._listed_from_s.pop(run_id, None)
+        self._kept_until_s.pop(run_id, None)
 
     def unlisted_runs(
         self, run_ids: Iterable[RunId], result: PollResult, sent_s: float
@@ -736,6 +873,7 @@
         if len(result.ended) >= ENDS_LISTED_MAX:
             return {}
         listed = {listed_run.run for listed_run in result.running}
+        listed.update(self._held_ends.values())
         cause = DropCause(DropEvidence.NOT_LISTED, self.responded_s)
         return {
             run_id: cause
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -9,12 +9,14 @@
 from dogwoodlever._fleet_interfaces import FleetWorkerClient, RefusalReason
 from dogwoodlever._fleet_job import Run, RunPhase
 from dogwoodlever._fleet_types import PollResult, RunId, StartOrder, WorkerEntry
+from dogwoodlever._link_fencing import LinkFencing
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_evidence import (
     OrderVerdict,
     PollVerdict,
     StartAttempts,
     WorkerEvidence,
+    may_be_in_flight,
 )
 from dogwoodlever._run_log import format_run_id
 from dogwoodlever.platform_errors import (
@@ -94,8 +96,8 @@
         Client of the workers' API.
     clock : IReactorTime
         Reactor clock.
-    get_fencing_token : callable
-        Returns the fencing token of this link.
+    fencing : LinkFencing
+        Fencing token of this link.
     listener : LinkListener
         Receives the events.
     evidence : WorkerEvidence
@@ -116,7 +118,7 @@
         entry: WorkerEntry,
         worker_client: FleetWorkerClient,
         clock,
-        get_fencing_token,
+        fencing: LinkFencing,
         listener: LinkListener,
         evidence: WorkerEvidence,
         get_leases_end_s: Callable[[], float],
@@ -125,7 +127,7 @@
         self.entry = entry
         self._worker_client = worker_client
         self._clock = clock
-        self.get_fencing_token = get_fencing_token
+        self.fencing = fencing
         self._listener = listener
         self.evidence = evidence
         self._get_leases_end_s = get_leases_end_s
@@ -180,11 +182,14 @@
         if self.is_closed:
             return
         sent_s = self._clock.seconds()
-        fencing_token = self.get_fencing_token()
+        fencing_token = self.fencing.token
+        is_bare = not self.fencing.is_proven
         may_wait = self.evidence.is_answering and not self._is_lease_withheld()
-        wait_ms = self._poll_wait_ms if may_wait else 0
+        wait_ms = 0
+        if may_wait and not is_bare:
+            wait_ms = self.evidence.limit_poll_wait_ms(self._poll_wait_ms, sent_s)
         acknowledged_number, until_ms = self.evidence.begin_poll(
-            sent_s, self._get_leases_end_s()
+            sent_s, self._get_leases_end_s(), is_bare
         )
         try:
             result = yield self._worker_client.poll(
@@ -193,6 +198,7 @@
         except PlatformError as error:
             if not self.is_closed:
                 self._report_if_fenced(error, fencing_token)
+                self._record_silence(error, fencing_token)
                 self._poll_failed(error, sent_s, wait_ms)
             return
         if self.is_closed:
@@ -206,6 +212,7 @@
             return
         if verdict is PollVerdict.MISNAMED:
             self._listener.on_identified(self, result.started_at_ms)
+        self.fencing.record_answer(fencing_token)
         self._confirm_listed(result)
         if self.evidence.lease_blockers:
             self._stop_unanswered()
@@ -253,16 +260,16 @@
         return deferLater(self._clock, delay_s)
 
     @inlineCallbacks
-    def start(self, run: Run, order: StartOrder):
+    def start(self, run: Run, order: StartOrder, is_lasting: bool):
         """Order a start and retry it until it is answered.
 
         An order without a response may be carried out later, so the run counts
-        until the worker responds or its lease has expired.
+        until the worker responds, or its lease and the order have expired.
         """
-        attempts = self.evidence.begin_start(run.run_id)
+        attempts = self.evidence.begin_start(run.run_id, is_lasting)
         is_retry = False
         while self._may_retry() and run.phase is not RunPhase.STOPPING:
-            if not self._may_start() or self._is_lease_withheld():
+            if not self._may_send_start():
                 yield self._pause(ORDER_RETRY_S)
                 continue
             if is_retry and not self._listener.may_retry_start(run):
@@ -274,10 +281,18 @@
             yield self._pause(ORDER_RETRY_S)
         self.evidence.abandon_start(attempts, self._clock.seconds())
 
+    def _may_send_start(self) -> bool:
+        """Return whether a copy of a start may be sent now."""
+        return (
+            self._may_start()
+            and not self._is_lease_withheld()
+            and self.fencing.is_proven
+        )
+
     @inlineCallbacks
     def _attempt_start(self, run: Run, order: StartOrder, attempts: StartAttempts):
         """Send one copy of a start; the result is False if it has to be sent again."""
-        fencing_token = self.get_fencing_token()
+        fencing_token = self.fencing.token
         sent_s = self._clock.seconds()
         until_ms = self.evidence.begin_attempt(
             attempts, sent_s, self._get_leases_end_s()
@@ -292,6 +307,8 @@
                 attempts, error, self._clock.seconds()
             )
             self._report_if_fenced(error, fencing_token)
+            if self._record_silence(error, fencing_token):
+                self._prove_token()
             if isinstance(error, WorkerUnreachableError):
                 run.may_have_started = attempts.may_be_carried_out
             elif isinstance(error, OrderRefusedError):
@@ -315,6 +332,24 @@
                 yield self.stop(run)
         return verdict is not OrderVerdict.RETRY
 
+    def _record_silence(self, error: PlatformError, fencing_token: int) -> bool:
+        """Return whether the token is raised, as a call may still be carried out."""
+        if self.is_closed or not may_be_in_flight(error):
+            return False
+        return self.fencing.record_silence(fencing_token)
+
+    @inlineCallbacks
+    def _prove_token(self):
+        """Poll under the raised token now, as the open poll may wait for an end."""
+        fencing_token = self.fencing.token
+        try:
+            result = yield self._worker_client.poll(self.entry, fencing_token, 0, 0, 0)
+        except PlatformError:
+            # The next poll of the link follows.
+            return
+        if result.started_at_ms in (0, self.entry.started_at_ms):
+            self.fencing.record_answer(fencing_token)
+
     def _log_misdirected(self, run: Run, clock_ms: int) -> None:
         """Log a start that the worker's next incarnation has carried out."""
         log_event(
@@ -348,7 +383,7 @@
             isinstance(error, OrderRefusedError)
             and error.reason is RefusalReason.FENCED
         )
-        is_current = fencing_token == self.get_fencing_token() and not self.is_closed
+        is_current = fencing_token == self.fencing.token and not self.is_closed
         if is_fenced and is_current:
             self._listener.on_fenced(self)
 
@@ -389,13 +424,13 @@
         """Order a stop and retry it until it is answered."""
         run.phase = RunPhase.STOPPING
         if (yield self._stop_until_answered(run.run_id)):
-            self.evidence.expect_listed(run.run_id, self._clock.seconds())
+            self.evidence.expect_stopped(run.run_id, self._clock.seconds())
 
     @inlineCallbacks
     def _stop_until_answered(self, run_id: RunId):
         """Retry a stop; the result is True once no earlier order can start the run."""
         while self._may_retry():
-            fencing_token = self.get_fencing_token()
+            fencing_token = self.fencing.token
             try:
                 yield self._worker_client.stop(self.entry, run_id, fencing_token)
             except ORDER_ERRORS as error:
@@ -423,7 +458,7 @@
         run.throttled_s = self._clock.seconds()
         try:
             yield self._worker_client.throttle(
-                self.entry, run.run_id, percent, self.get_fencing_token()
+                self.entry, run.run_id, percent, self.fencing.token
             )
         except PlatformError as error:
             # The limit in force is unknown; -1 makes the next decision send one.
--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -28,7 +28,7 @@
 LAG_MIN_S = 0.1
 # An order that a worker carries out within this time of a lag of its own may be late.
 LATE_NEAR_S = 1.0
-LINKS_PER_TERM_MAX = 1_000_000
+TOKENS_PER_TERM_MAX = 1_000_000
 # Longest time from SIGTERM to the end of a daemon.
 GRACE_S = 6.0
 # A request that is cut within this time of being sent may have crossed the end of its
@@ -394,7 +394,7 @@
     def find(self, token: int) -> tuple[float, str]:
         """Return when a token's leader was elected, and the name of its daemon."""
         for elected_s, revision, member in self._rows:
-            if member and revision in (token, token // LINKS_PER_TERM_MAX):
+            if member and revision in (token, token // TOKENS_PER_TERM_MAX):
                 return elected_s, member.partition("@")[0]
         return 0.0, "unknown"
 
--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -22,7 +22,7 @@
 CLOCK_RATES = (1.0, 0.98)
 CORES_MILLI = 32_000
 # Fencing tokens of one term of a leader; earlier landings use the term's own.
-LINKS_PER_TERM_MAX = 1_000_000
+TOKENS_PER_TERM_MAX = 1_000_000
 
 
 @dataclass(slots=True, eq=False)
@@ -134,7 +134,7 @@
     def _serve(self, exchange: Exchange) -> None:
         token = exchange.body.get("fencing_token", 0)
         shunned = self._process.shunned
-        fault = shunned.get(token) or shunned.get(token // LINKS_PER_TERM_MAX)
+        fault = shunned.get(token) or shunned.get(token // TOKENS_PER_TERM_MAX)
         draw = self._random.random()
         if fault == LinkFault.SILENT:
             exchange.drop()
--- a/tests/test_exploration.py
+++ b/tests/test_exploration.py
@@ -36,6 +36,7 @@
 KNOWN_TRACE = (
     "start w0 1: reaches the next incarnation",
     "poll w0 3: crash, back 6.0 s",
+    "poll w0 4: leader stopped",
 )
 
 
