Send starts under a higher token than open acknowledgements

Callers saw a task run again after it had ended done (TWICE): a late start ran at the next incarnation of its worker and ended there as end 1, and a late poll of the former link, which acknowledged ends for the first time, made that incarnation forget it before anyone had read it.

Cause: both calls had the token of the link, so an incarnation that had carried out the start still accepted the poll. A start that is sent while a poll with an acknowledgement is open now has a higher token: whoever carries it out refuses the poll. No poll acknowledges while a start is open. No call is added.

--- a/dogwoodlever/_link_fencing.py
+++ b/dogwoodlever/_link_fencing.py
@@ -39,6 +39,16 @@
         """Whether the worker has answered a call with this token."""
         return self._proven_token == self.token
 
+    def advance(self) -> None:
+        """Raise the token, so that no call sent before has any effect after the next.
+
+        The worker may carry them out first.
+        """
+        is_proven = self.is_proven
+        self._number = self._next_number()
+        if is_proven:
+            self._proven_token = self.token
+
     def record_answer(self, token: int) -> None:
         """Record that the worker has answered a call with a token."""
         self._proven_token = max(self._proven_token, token)
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -482,6 +482,7 @@
         now_s: float,
         leases_end_s: float,
         is_bare: bool = False,
+        may_acknowledge: bool = True,
     ) -> tuple[int, int]:
         """Return what a poll that is sent now may say.
 
@@ -497,6 +498,8 @@
             Time beyond which no lease may be granted.
         is_bare : bool
             Whether the poll may change nothing.
+        may_acknowledge : bool
+            Whether it may let the worker drop ends.
 
         Returns
         -------
@@ -511,7 +514,7 @@
             return 0, 0
         until_ms = self.lease_until_ms(now_s, leases_end_s)
         self._is_grant_under_way = until_ms > 0
-        if self._acknowledgeable_number > self._noted_number:
+        if may_acknowledge and self._acknowledgeable_number > self._noted_number:
             self._acknowledging_number = self._acknowledgeable_number
         return self._acknowledging_number, until_ms
 
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -134,6 +134,9 @@
         self._may_start = may_start
         self._poll_wait_ms = POLL_WAIT_MS
         self._is_stopping_unanswered = False
+        # Whether the open poll acknowledges ends, and how many starts are open.
+        self._is_acknowledging = False
+        self._open_starts = 0
         self.is_closed = False
         self.is_overrun_reported = False
         self._poll_call = None
@@ -188,9 +191,12 @@
         wait_ms = 0
         if may_wait and not is_bare:
             wait_ms = self.evidence.limit_poll_wait_ms(self._poll_wait_ms, sent_s)
+        # Both may be carried out late. An end of that start would be acknowledged.
+        may_acknowledge = not self._open_starts
         acknowledged_number, until_ms = self.evidence.begin_poll(
-            sent_s, self._get_leases_end_s(), is_bare
+            sent_s, self._get_leases_end_s(), is_bare, may_acknowledge
         )
+        self._is_acknowledging = acknowledged_number > 0
         try:
             result = yield self._worker_client.poll(
                 self.entry, fencing_token, acknowledged_number, until_ms, wait_ms
@@ -199,8 +205,10 @@
             if not self.is_closed:
                 self._report_if_fenced(error, fencing_token)
                 self._record_silence(error, fencing_token)
+                self._is_acknowledging = False
                 self._poll_failed(error, sent_s, wait_ms)
             return
+        self._is_acknowledging = False
         if self.is_closed:
             return
         was_reachable = self.evidence.is_reachable
@@ -228,8 +236,10 @@
         if self._is_lease_withheld():
             self._schedule_poll(POLL_RETRY_S)
             return
-        has_unstored_ends = self.evidence.has_unstored_ends
-        self._schedule_poll(ACKNOWLEDGE_WAIT_S if has_unstored_ends else 0.0)
+        if self.evidence.has_unstored_ends:
+            self._schedule_poll(ACKNOWLEDGE_WAIT_S)
+        else:
+            self._schedule_poll(0.0 if may_acknowledge else ORDER_RETRY_S)
 
     def _poll_failed(self, error: PlatformError, sent_s: float, wait_ms: int) -> None:
         now_s = self._clock.seconds()
@@ -292,12 +302,17 @@
     @inlineCallbacks
     def _attempt_start(self, run: Run, order: StartOrder, attempts: StartAttempts):
         """Send one copy of a start; the result is False if it has to be sent again."""
+        if self._is_acknowledging:
+            # A late poll would acknowledge the end of a late copy.
+            self.fencing.advance()
+            self._is_acknowledging = False
         fencing_token = self.fencing.token
         sent_s = self._clock.seconds()
         until_ms = self.evidence.begin_attempt(
             attempts, sent_s, self._get_leases_end_s()
         )
         reason = None
+        self._open_starts += 1
         try:
             clock_ms = yield self._worker_client.start(
                 self.entry, order, until_ms, fencing_token
@@ -321,6 +336,8 @@
                 run.seen_clock_ms = clock_ms
             else:
                 self._log_misdirected(run, clock_ms)
+        finally:
+            self._open_starts -= 1
         if verdict is not OrderVerdict.RETRY:
             self._log_late_answer(run, verdict, sent_s)
         match verdict:
