--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -33,6 +33,11 @@
         self.dropped_runs = self._counter(
             "dropped_runs", "Runs dropped without a listed end", "evidence"
         )
+        self.counted_starts = self._counter(
+            "counted_starts",
+            "Runs that count on since their start may be carried out late",
+            "after",
+        )
         self.run_ends = self._counter("run_ends", "Runs that ended", "how")
         self.worker_events = self._counter(
             "worker_events", "Events of workers", "event"
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -206,12 +206,10 @@
         sent_s: float,
     ) -> None:
         """Apply the result of a poll that was sent at `sent_s`."""
-        now_s = self._clock.seconds()
         if capacity.entry.is_draining:
             link.evidence.release_ends()
         else:
-            for run_id in link.evidence.hold_ends(result.ended, now_s):
-                self._record_held(capacity, run_id, result.clock_ms)
+            self._hold_ends(capacity, link, result)
         for end in result.ended:
             if link.evidence.read_end(end.number):
                 self._log_end_after_drop(capacity, result.started_at_ms, end)
@@ -226,14 +224,25 @@
             link.throttle(order.run, order.percent)
         self._stop_stalled(capacity, result.clock_ms)
 
-    def _record_held(
-        self, capacity: WorkerCapacity, run_id: RunId, clock_ms: int
+    def _hold_ends(
+        self, capacity: WorkerCapacity, link: WorkerLink, result: PollResult
     ) -> None:
+        """Let runs count whose starts may be carried out again, though they ended."""
+        for end in link.evidence.hold_ends(result.ended, self._clock.seconds()):
+            if link.evidence.is_newly_held(end):
+                self._metrics.counted_starts.labels("end").inc()
+                log_event(
+                    "run.end-held",
+                    run=format_run_id(end.run),
+                    worker=capacity.entry.worker_id,
+                    how=end.outcome,
+                )
+            pair = capacity.runs.get(end.run)
+            if pair is not None:
+                self._record_held(pair[0], result.clock_ms)
+
+    def _record_held(self, run: Run, clock_ms: int) -> None:
         """Record that a run has ended whose end does not count yet."""
-        pair = capacity.runs.get(run_id)
-        if pair is None:
-            return
-        run, _ = pair
         if run.phase is not RunPhase.STOPPING:
             self._registry.confirm_start(run)
         # Otherwise it would be taken for stalled.
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -892,17 +892,19 @@
         worker_id = link.entry.worker_id
         capacity = self.capacities[worker_id]
         self._metrics.worker_events.labels("lapsed").inc()
+        kept = link.evidence.keep_starts(capacity.runs.keys(), self._clock.seconds())
+        self._metrics.counted_starts.labels("leases").inc(len(kept))
         log_event(
             "worker.lapsed",
             worker=worker_id,
             runs=len(capacity.runs),
+            kept=len(kept),
             expired_s=self._clock.seconds() - link.evidence.lease_expiry_s,
             awaited=link.evidence.awaited_lease,
         )
         self._hold_usage(capacity, link.evidence)
         if link.evidence.is_refused and capacity.is_synced:
             self._await_proof_of_crash(capacity, link)
-        kept = link.evidence.keep_starts(capacity.runs.keys(), self._clock.seconds())
         self.runs.drop_lost_runs(capacity, cause, kept)
         if worker_id in self.unpolled_workers:
             self.runs.record_former_end(worker_id, has_crashed=False)
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -251,9 +251,9 @@
         self._acknowledging_number = 0
         self._noted_number = 0
         self.last_end_number = 0
-        # Runs whose listed ends do not count yet, by number, and the numbers of those
-        # that did not when they were listed.
-        self._held_ends: dict[int, RunId] = {}
+        # Listed ends that do not count yet, by number, and the numbers of those that
+        # did not when they were last listed.
+        self._held_ends: dict[int, EndedRun] = {}
         self._unread_ends: set[int] = set()
         # Numbers of the listed ends that may not be acknowledged yet.
         self._unacknowledged_ends: set[int] = set()
@@ -572,8 +572,8 @@
 
     # Ends
 
-    def hold_ends(self, ends: Sequence[EndedRun], now_s: float) -> list[RunId]:
-        """Return the runs whose listed ends do not count yet.
+    def hold_ends(self, ends: Sequence[EndedRun], now_s: float) -> list[EndedRun]:
+        """Return the listed ends that do not count yet.
 
         While a copy of a start may still be carried out, the next incarnation may run
         the task again. An end of such a run is not acknowledged, so that nobody has
@@ -588,9 +588,13 @@
                     continue
                 self._unacknowledged_ends.add(end.number)
                 if end.outcome != "done":
-                    self._held_ends[end.number] = end.run
+                    self._held_ends[end.number] = end
         return list(self._held_ends.values())
 
+    def is_newly_held(self, end: EndedRun) -> bool:
+        """Return whether a held end is listed for the first time."""
+        return end.number not in self._unread_ends
+
     def release_ends(self) -> None:
         """Let all listed ends count, as the worker leaves."""
         self.hold_ends((), NEVER_S)
@@ -876,7 +880,7 @@
         if len(result.ended) >= ENDS_LISTED_MAX:
             return {}
         listed = {listed_run.run for listed_run in result.running}
-        listed.update(self._held_ends.values())
+        listed.update(end.run for end in self._held_ends.values())
         cause = DropCause(DropEvidence.NOT_LISTED, self.responded_s)
         return {
             run_id: cause
