Use no entry of a worker that does not tell its start

What callers saw: tasks that must run once ran twice (TWICE). While a leader was elected, the entry of a worker lacked `born`, as another writer may leave it (PROTOCOL.md, Service discovery). (1) As the worker's own entry followed, its runs were dropped as replaced and started elsewhere. (2) The worker returned under its id: its ends begin at number 1 again, were taken for read, and tasks that had ended done ran once more. Neither needs a late order.

Cause: the field was optional and 0 by default, and 0 counts as "the same incarnation" in `judge_poll` and as another one in `_apply_announcement`.

Change: `born` is required and above 0, as the protocol says that the field is always there. An entry without it is handled like any other that cannot be read: a known worker goes on with its runs and gets no new ones until its own entry follows; it is asked at its stored address after an election. Entries are decoded here only. 0 remains for workers that are known by their address only (`WorkerMembership.entry_of`).

Of the tests, "no start time" of test_entry_of_another_incarnation_ends_no_run writes 0, as another writer's entry; it passes unchanged.

--- a/dogwoodlever/platform/_wire_records.py
+++ b/dogwoodlever/platform/_wire_records.py
@@ -123,10 +123,10 @@
     zone: str
     state: str
     capacity: _Capacity
+    # Unix milliseconds of the start of this incarnation.
+    born: PositiveAmount
     # The worker's kind, then its rack.
     labels: tuple[str, ...] = ()
-    # Unix milliseconds of the start of this incarnation.
-    born: Amount = 0
     cold_remaining_ms: Int64 = 0
     # Minimum time until the worker leaves, while it drains.
     remaining_ms: Int64 = 0
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -110,6 +110,9 @@
         ("no port", {"address": "10.128.0.9"}),
         ("no address", {"address": ""}),
         ("labels of another type", {"labels": "a"}),
+        ("start of another type", {"born": "17"}),
+        ("start with a point", {"born": 17.5}),
+        ("start of 0", {"born": 0}),
     ]
 
     def test_entry(self):
@@ -125,6 +128,13 @@
         with self.assertRaises(PlatformError):
             decode_worker("i-1", b"\xff\x00")
 
+    # Guards against an incarnation that is taken for another one, as its entry does not
+    # tell its start.
+    def test_entry_without_start_is_rejected(self):
+        document = {name: field for name, field in SERVER.items() if name != "born"}
+        with self.assertRaisesRegex(PlatformError, "born"):
+            decode_worker("i-1", msgspec.json.encode(document))
+
 
 class ConfigurationTest(unittest.TestCase):
     def test_longest_prefix_at_the_host_wins(self):
