Wait for the next incarnation of a worker as for the known one

A leader is lost with a start that got no answer. Its successor polls the worker and waits for another one; the worker returns under its id and carries the start out late. Its answer proved that the known incarnation had ended, so the worker left the membership and inherited work waited for it no more: the successor, or the leader after it, started the task elsewhere.

Cause: `on_replaced` took the id for gone, as nothing of this leader was in flight there. What former leaders sent counts as much, also at a worker that was polled: the poll's token is forgotten with the incarnation.

Change: as for an announced incarnation, the worker stays in the membership. While any inherited work waits, it is one of the unpolled workers again, asked at its address at once, and its longest lease counts from that answer (`_record_probed`); a worker that lists nothing is let go at once, as before. Without an entry it leaves the membership when no call for the former incarnation has an effect any more, and not before the starts in flight there are dropped: a probe that listed nothing would otherwise have removed it with them.

Why it works: nothing inherited starts before the next incarnation has listed its runs under this leader's token, or its longest lease has expired, and later leaders find it in the membership.

--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -550,18 +550,23 @@
             else:
                 log_event("worker.entry-outdated", worker=worker_id)
             return
-        is_unpolled = worker_id in self.unpolled_workers
+        self._drop_replaced(worker_id, "restarted", started_at_ms)
+        if started_at_ms in (0, entry.started_at_ms):
+            self._add_worker(entry)
+
+    def _drop_replaced(self, worker_id: str, why: str, started_at_ms: int = 0) -> None:
+        """Drop an incarnation that the next one, of a known start or 0, has replaced.
+
+        Late orders of a former leader may have reached the next one, also if the former
+        one was polled. Inherited work that waits for any worker waits for it.
+        """
+        has_inherited_work = bool(self.unpolled_workers)
         self._drop_incarnation(
-            worker_id,
-            DropEvidence.INCARNATION_REPLACED,
-            "restarted",
-            is_member=True,
+            worker_id, DropEvidence.INCARNATION_REPLACED, why, is_member=True
         )
-        if is_unpolled:
-            # Late orders of a former leader may have reached the next incarnation.
+        if has_inherited_work:
             self.unpolled_workers.add(worker_id)
-        if started_at_ms in (0, entry.started_at_ms):
-            self._add_worker(entry)
+            self._record_probed(worker_id, started_at_ms)
 
     def _add_worker(self, entry: WorkerEntry) -> None:
         worker_id = entry.worker_id
@@ -697,6 +702,8 @@
                     self._remove_worker(worker_id)
             if evidence.is_spent(contact_s) and not capacity.runs:
                 del self._ended_incarnations[worker_id]
+                if worker_id not in self.unpolled_workers:
+                    self._remove_worker(worker_id)
 
     def _is_withheld(self, worker_id: str) -> bool:
         """Return whether a worker gets no lease, as a successor would not count it."""
@@ -920,9 +927,14 @@
             return
 
     def _remove_worker(self, worker_id: str) -> None:
-        """Remove a worker that is gone for good from the membership."""
+        """Remove a worker that is gone from the membership.
+
+        It stays while a start that it may carry out late counts.
+        """
         self.unpolled_workers.discard(worker_id)
-        if worker_id not in self.capacities:
+        ended = self._ended_incarnations.get(worker_id)
+        has_late_starts = ended is not None and bool(ended[0].runs)
+        if worker_id not in self.capacities and not has_late_starts:
             self._membership.discard(worker_id)
 
     def on_fenced(self, link: WorkerLink) -> None:
@@ -965,9 +977,8 @@
     def on_replaced(self, link: WorkerLink) -> None:
         """Drop the incarnation; the new one is added with its entry."""
         worker_id = link.entry.worker_id
-        if self._links.get(worker_id) is link:
-            self._drop_incarnation(
-                worker_id,
-                DropEvidence.INCARNATION_REPLACED,
-                "another incarnation answers",
-            )
+        if self._links.get(worker_id) is not link:
+            return
+        self._drop_replaced(worker_id, "another incarnation answers")
+        if worker_id in self.unpolled_workers:
+            self._probe(link.entry)
--- a/tests/test_former_incarnation_gaps.py
+++ b/tests/test_former_incarnation_gaps.py
@@ -84,6 +84,39 @@
         self.assertEqual(fleet.workers.duplicate_starts, [])
         self.assertEqual(self.count_running(fleet), 1)
 
+    # Guards against a run that is started elsewhere by the next leader, as the next
+    # incarnation of its worker, which listed no runs, left the membership although it
+    # may carry out a copy of the start later.
+    def test_leader_is_lost_as_an_idle_incarnation_answers(self):
+        for how in ("killed", "stopped"):
+            with self.subTest(how=how):
+                fleet = self.start_fleet(workers=3)
+                fleet.run_for(15.0)
+                # Inherited work waits for it.
+                fleet.workers.workers["w2"].is_reachable = False
+                former = {self.lose_leader(fleet, "killed")}
+                successor = self.await_successor(fleet, former)
+                fleet.run_for(1.0)
+                fleet.workers.delays_start_to_next_incarnation = True
+                fleet.submit(successor, job(JOB, tasks=1, standing=True), wait_s=0.05)
+                ((affected, order),) = fleet.workers._for_next_incarnation.items()
+                fleet.workers._for_next_incarnation.clear()
+                fleet.workers.crash(affected)
+                fleet.run_for(0.3)
+                worker = self.return_without_entry(fleet, affected)
+                fleet.run_for(0.3)
+                fleet.records.remove(f"servers/{affected}")
+                self.lose_leader(fleet, how)
+                fleet.workers.workers["w2"].is_reachable = True
+                fleet.run_for(0.1)
+                fleet.workers.renew(worker, FORMER_CLOCK_MS)
+                fleet.workers.start(worker, order)
+                fleet.run_for(1.0)
+                fleet.records.write(f"servers/{affected}", server_record(worker.entry))
+                fleet.run_for(2 * LONGEST_S)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+                self.assertEqual(self.count_running(fleet), 1)
+
     # Guards against a run that is started elsewhere as the leases of the next
     # incarnation, which has not answered its link, expire, although a copy of its start
     # may have been carried out there later (G5, TWICE).
