Mend what the review of late starts has found

The rule for starts without an answer had opened seven faults, each shown by a test in test_late_starts_review that failed before:

- TWICE: a run was dropped before the expiry of its lease was confirmed, as a copy of its start had no answer long ago; only kept runs are dropped now.
- Acks: acknowledgements waited for open starts without a bound; after 0.5 s starts wait for them.
- Acks: an end held back blocks those after it; none is with 10 listed ends.
- Ends of a cancelled job kept its room; they count at once.
- An end counted twice whose start was found to have no answer after it was read.
- Starts waited for the open poll after a continued term; the token is proven.

Three of its tests stay red and are listed: a late poll after a silent start, a lasting task whose worker restarts twice, and the end of a term's tokens.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -18,6 +18,7 @@
     StartOrder,
 )
 from dogwoodlever._logs import log_event
+from dogwoodlever._run_evidence import ENDS_HELD_MAX
 from dogwoodlever._run_log import RunLog, format_run_id, format_task_id
 from dogwoodlever._run_registry import ENDED_DONE, ENDED_FAILED, RunRegistry
 from dogwoodlever._run_throttler import RunThrottler, may_stall, stalled_runs
@@ -228,7 +229,14 @@
         self, capacity: WorkerCapacity, link: WorkerLink, result: PollResult
     ) -> None:
         """Let runs count whose starts may be carried out again, though they ended."""
-        for end in link.evidence.hold_ends(result.ended, self._clock.seconds()):
+        ends = ()
+        if len(result.ended) < ENDS_HELD_MAX:
+            ends = [
+                end
+                for end in result.ended
+                if end.outcome == "done" or self._may_start_again(end.run)
+            ]
+        for end in link.evidence.hold_ends(ends, self._clock.seconds()):
             if link.evidence.is_newly_held(end):
                 self._metrics.counted_starts.labels("end").inc()
                 log_event(
@@ -241,6 +249,11 @@
             if pair is not None:
                 self._record_held(pair[0], result.clock_ms)
 
+    def _may_start_again(self, run_id: RunId) -> bool:
+        """Return whether the job of a run has not ended."""
+        task = self._registry.find(run_id.task)
+        return task is not None and not task.step.job.has_ended
+
     def _record_held(self, run: Run, clock_ms: int) -> None:
         """Record that a run has ended whose end does not count yet."""
         if run.phase is not RunPhase.STOPPING:
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -1,7 +1,7 @@
 """The leader's view of the workers: capacities, links, incarnations and leases."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from dataclasses import replace
 from functools import partial
 
@@ -487,6 +487,8 @@
         elif entry.started_at_ms != capacity.entry.started_at_ms:
             is_confirming = worker_id in self._announced
             self._announced[worker_id] = entry
+            # It may run a copy of a start that was sent to the known one.
+            self._links[worker_id].evidence.extend_kept(self._clock.seconds())
             if not is_confirming:
                 self._confirm_incarnation(worker_id)
         else:
@@ -629,7 +631,7 @@
             incarnation=capacity.entry.started_at_ms,
         )
         now_s = self._clock.seconds()
-        carried = link.evidence.carry_over(now_s, may_return)
+        carried = link.evidence.carry_over(now_s, may_return, is_replaced=True)
         self.runs.drop_crashed_runs(
             capacity,
             link.evidence.broken_s,
@@ -696,12 +698,16 @@
         if self._usage.expire_holds(self._clock.seconds()):
             self._on_change()
         for worker_id, link in list(self._links.items()):
+            capacity = self.capacities[worker_id]
             if link.evidence.has_lease_expired:
-                self._drop_expired_starts(self.capacities[worker_id], link.evidence)
+                kept = link.evidence.kept_runs(capacity.runs.keys())
+                self._drop_expired_starts(capacity, link.evidence, kept)
         contact_s = self._get_contact_s()
         for worker_id, ended in list(self._ended_incarnations.items()):
             capacity, evidence = ended
-            if self._drop_expired_starts(capacity, evidence) and not capacity.runs:
+            run_ids = capacity.runs.keys()
+            has_expired = self._drop_expired_starts(capacity, evidence, run_ids)
+            if has_expired and not capacity.runs:
                 self._remove_worker(worker_id)
             if evidence.is_spent(contact_s) and not capacity.runs:
                 del self._ended_incarnations[worker_id]
@@ -709,17 +715,17 @@
                     self._remove_worker(worker_id)
 
     def _drop_expired_starts(
-        self, capacity: WorkerCapacity, evidence: WorkerEvidence
+        self, capacity: WorkerCapacity, evidence: WorkerEvidence, run_ids: Set[RunId]
     ) -> bool:
-        """Drop the runs of starts that have expired; return whether there were any.
+        """Drop those of the runs whose starts have expired; return whether there were.
 
         If another daemon may have led by then, it may have adopted them.
         """
-        if not capacity.runs:
+        if not run_ids:
             return False
-        expired = evidence.expired_starts(capacity.runs, self._get_contact_s())
+        expired = evidence.expired_starts(run_ids, self._get_contact_s())
         now_s = self._clock.seconds()
-        if len(expired) < len(evidence.expired_starts(capacity.runs, now_s)):
+        if len(expired) < len(evidence.expired_starts(run_ids, now_s)):
             self._confirm_soon()
         for run_id, cause in expired.items():
             self.runs.drop_lost(capacity, capacity.runs[run_id][0], cause)
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -30,9 +30,9 @@
 # Longest wait for a run of such an order at an incarnation that has been seen once, so
 # that its task runs again within 21 s.
 LATE_START_WAIT_MAX_S = 20.0
-# With more ends than this in one response of a worker, none is held back, so that all
-# are listed.
-ENDS_HELD_MAX = 250
+# With more ends than this in one response of a worker, none is held back: later ends
+# are acknowledged with it only.
+ENDS_HELD_MAX = 10
 # A single failure may be a lost response or a pause of this process.
 POLL_FAILURES_UNREACHABLE = 2
 # Silence of a worker from which its successor is told. Far below a lease, which then
@@ -302,7 +302,9 @@
         is_fenced = self._fenced_s < FOREVER_S
         return is_fenced and now_s >= self._longest_leases_expire_s
 
-    def carry_over(self, now_s: float, may_return: bool = True) -> "WorkerEvidence":
+    def carry_over(
+        self, now_s: float, may_return: bool = True, is_replaced: bool = False
+    ) -> "WorkerEvidence":
         """Return what is known of the worker's next incarnation as this one ends.
 
         Calls for this one may be carried out late by the next, whose clock starts anew,
@@ -314,6 +316,8 @@
             Current time.
         may_return : bool
             Whether the worker may return to its address.
+        is_replaced : bool
+            Whether the next incarnation has been seen, and may run their copies.
         """
         carried = WorkerEvidence(self._lease_s, self._lease_max_s, self._stop_timeout_s)
         if may_return:
@@ -323,7 +327,8 @@
                 for run_id, expires_s in carried._copies_expire_s.items()
                 if run_id in self._copies_count_until_s or self.is_unanswered(run_id)
             }
-            carried._kept_until_s = dict(self._kept_until_s)
+            if not is_replaced:
+                carried._kept_until_s = dict(self._kept_until_s)
         carried._misdirected_expiry_s = now_s + self._late_lease_s
         carried._former_late_grants_end_s = self._find_late_grants_end_s(now_s)
         return carried
@@ -514,7 +519,7 @@
             return 0, 0
         until_ms = self.lease_until_ms(now_s, leases_end_s)
         self._is_grant_under_way = until_ms > 0
-        if may_acknowledge and self._acknowledgeable_number > self._noted_number:
+        if may_acknowledge and self.awaits_acknowledgement:
             self._acknowledging_number = self._acknowledgeable_number
         return self._acknowledging_number, until_ms
 
@@ -582,13 +587,15 @@
         """
         self._held_ends = {}
         self._unacknowledged_ends = set()
-        if len(ends) < ENDS_HELD_MAX:
-            for end in ends:
-                if now_s >= self._copies_count_until_s.get(end.run, NEVER_S):
-                    continue
-                self._unacknowledged_ends.add(end.number)
-                if end.outcome != "done":
-                    self._held_ends[end.number] = end
+        for end in ends:
+            if now_s >= self._copies_count_until_s.get(end.run, NEVER_S):
+                continue
+            self._unacknowledged_ends.add(end.number)
+            is_unread = (
+                end.number > self.last_end_number or end.number in self._unread_ends
+            )
+            if end.outcome != "done" and is_unread:
+                self._held_ends[end.number] = end
         return list(self._held_ends.values())
 
     def is_newly_held(self, end: EndedRun) -> bool:
@@ -617,6 +624,11 @@
         """Up to which number all ends are read."""
         return min(self._unread_ends, default=self.last_end_number + 1) - 1
 
+    @property
+    def awaits_acknowledgement(self) -> bool:
+        """Whether the worker may drop ends that no answered poll has acknowledged."""
+        return self._acknowledgeable_number > self._noted_number
+
     @property
     def _acknowledgeable_number(self) -> int:
         """Up to which number the worker may drop ends."""
@@ -809,6 +821,17 @@
             if contact_s >= (expiry_s := self._find_start_expiry_s(run_id))
         }
 
+    def extend_kept(self, now_s: float) -> None:
+        """Let kept runs count longer, as the next incarnation has been announced."""
+        for run_id, until_s in self._kept_until_s.items():
+            expires_s = self._copies_expire_s[run_id] + self._late_lease_s
+            longest_s = min(expires_s, now_s + LATE_START_WAIT_MAX_S)
+            self._kept_until_s[run_id] = max(until_s, longest_s)
+
+    def kept_runs(self, run_ids: Set[RunId]) -> Set[RunId]:
+        """Return the runs that count although the worker's leases have expired."""
+        return run_ids & self._kept_until_s.keys()
+
     def _find_start_expiry_s(self, run_id: RunId) -> float:
         """Return until when a run counts that a lost worker may start."""
         if run_id in self._kept_until_s:
@@ -854,7 +877,10 @@
 
     def limit_poll_wait_ms(self, wait_ms: int, now_s: float) -> int:
         """Return how long a poll may wait, so that the next one can drop a run."""
-        due_s = min((s for s in self._listed_from_s.values() if s > now_s), default=0.0)
+        due_s = min(
+            (due_s for due_s in self._listed_from_s.values() if due_s >= now_s),
+            default=0.0,
+        )
         return min(wait_ms, int((due_s - now_s) * 1000) + 1) if due_s else wait_ms
 
     def forget_run(self, run_id: RunId) -> None:
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -12,6 +12,7 @@
 from dogwoodlever._link_fencing import LinkFencing
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_evidence import (
+    FOREVER_S,
     OrderVerdict,
     PollVerdict,
     StartAttempts,
@@ -36,6 +37,8 @@
 # until they are stored, or for this long.
 ACKNOWLEDGE_WAIT_S = 0.25
 ORDER_RETRY_S = 0.1
+# How long an acknowledgement waits for open starts before further ones wait for it.
+ACKNOWLEDGE_DELAY_MAX_S = 0.5
 # Longer waits of a start for its answer are logged. An order is given up after less.
 LATE_ANSWER_S = 1.0
 ORDER_ERRORS = (WorkerUnreachableError, WrongIncarnationError, OrderRefusedError)
@@ -137,6 +140,9 @@
         # Whether the open poll acknowledges ends, and how many starts are open.
         self._is_acknowledging = False
         self._open_starts = 0
+        # From when on starts wait for an acknowledgement, which waits for open ones.
+        self._acknowledge_due_s = FOREVER_S
+        self._is_proving = False
         self.is_closed = False
         self.is_overrun_reported = False
         self._poll_call = None
@@ -197,6 +203,11 @@
             sent_s, self._get_leases_end_s(), is_bare, may_acknowledge
         )
         self._is_acknowledging = acknowledged_number > 0
+        if may_acknowledge or not self.evidence.awaits_acknowledgement:
+            self._acknowledge_due_s = FOREVER_S
+        else:
+            due_s = sent_s + ACKNOWLEDGE_DELAY_MAX_S
+            self._acknowledge_due_s = min(self._acknowledge_due_s, due_s)
         try:
             result = yield self._worker_client.poll(
                 self.entry, fencing_token, acknowledged_number, until_ms, wait_ms
@@ -280,6 +291,8 @@
         is_retry = False
         while self._may_retry() and run.phase is not RunPhase.STOPPING:
             if not self._may_send_start():
+                if not self.fencing.is_proven and not self._is_proving:
+                    self._prove_token()
                 yield self._pause(ORDER_RETRY_S)
                 continue
             if is_retry and not self._listener.may_retry_start(run):
@@ -297,6 +310,7 @@
             self._may_start()
             and not self._is_lease_withheld()
             and self.fencing.is_proven
+            and self._clock.seconds() < self._acknowledge_due_s
         )
 
     @inlineCallbacks
@@ -359,11 +373,14 @@
     def _prove_token(self):
         """Poll under the raised token now, as the open poll may wait for an end."""
         fencing_token = self.fencing.token
+        self._is_proving = True
         try:
             result = yield self._worker_client.poll(self.entry, fencing_token, 0, 0, 0)
         except PlatformError:
             # The next poll of the link follows.
             return
+        finally:
+            self._is_proving = False
         if result.started_at_ms in (0, self.entry.started_at_ms):
             self.fencing.record_answer(fencing_token)
 
