Forget what a former incarnation reported of a run

Cause: a start without an answer is carried over to the next incarnation together with the figures that the former one had reported, whose clock another one follows. `_restore_age` compared the number and the worker, not the incarnation.

Change: a carried run forgets its percentage, the times on the former clock and, if it uses leftover capacity, its speed limit, as an adopted one does. `_restore_age` uses a stored start for the stored incarnation only, which the record tells already.

Open: a carried run of a suspect reserves its worker no more, as `stop_watching_runs` releases it.

--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -137,6 +137,17 @@
         """Return the estimated run time left at the last report."""
         return step.run_estimate_ms / 1000 * (100 - max(self.percent, 0)) / 100
 
+    def forget_reports(self, step: Step) -> None:
+        """Forget what an incarnation of its worker reported, as the next one follows.
+
+        The clock of the next one starts anew, and so does a run that it carries out.
+        """
+        self.percent = -1
+        self.progressed_clock_ms = 0
+        self.seen_clock_ms = -1
+        if step.uses_leftover:
+            self.speed_limit_percent = -1
+
 
 @dataclass(slots=True)
 class Task:
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -382,6 +382,7 @@
             record is not None
             and record.number == run.run_id.number
             and record.worker_id == run.worker_id
+            and record.worker_started_at_ms == result.started_at_ms
             and 0 <= record.seen_clock_ms <= result.clock_ms
         ):
             run.seen_clock_ms = record.seen_clock_ms
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -579,6 +579,7 @@
         if worker_id in self._ended_incarnations:
             ended, evidence = self._ended_incarnations.pop(worker_id)
             for run, step in ended.runs.values():
+                run.forget_reports(step)
                 capacity.add(run, step)
         evidence.begin_incarnation(self._former_expiry_s(worker_id))
         self._link_count += 1
