Stop late runs at a worker that returned as another kind

The worker had returned under its id as another kind and carried out a start that was meant for its former incarnation; the run was adopted, or carried over, without a check. The start itself is the worker's and cannot be prevented.

Cause: only the planner compares steps with workers, and no leader had planned this start there.

Change: once an incarnation and its entry are read, a leader stops the listed runs that its label or service does not allow, and those that do not fit beside the others (`run.evicted` with the obstacle, `run_moves_total{why="misplaced"}`). Only while the incarnation is not settled, that is while calls for an earlier one may act: a worker that shrinks during one incarnation keeps its runs, as before, and so does one whose route gets another service.

Why it works: an incarnation gets no start before this leader has read it and stored that it is not settled, so what it lists then came by calls for an earlier one. An entry that turned out to be outdated is not compared; the check follows with the incarnation's own entry. If the leader is lost before, its successor finds the incarnation stored as not settled.

Not checked: `max_per_server`, tickets.

--- a/dogwoodlever/_fleet_job.py
+++ b/dogwoodlever/_fleet_job.py
@@ -133,6 +133,11 @@
     is_proven: bool = False
     is_watched: bool = True
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the incarnation of its worker lists it and it need not stop."""
+        return self.phase is RunPhase.RUNNING and self.percent >= 0
+
     def remaining_s(self, step: Step) -> float:
         """Return the estimated run time left at the last report."""
         return step.run_estimate_ms / 1000 * (100 - max(self.percent, 0)) / 100
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -16,6 +16,8 @@
     RunId,
     RunningRun,
     StartOrder,
+    Step,
+    WorkerEntry,
 )
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_log import RunLog, format_run_id, format_task_id
@@ -174,14 +176,34 @@
             if step.standing or (
                 step.checkpoints and run.remaining_s(step) > remaining_s
             ):
-                log_event(
-                    "run.evicted",
-                    run=_format_run(run),
-                    worker=run.worker_id,
-                    why="draining",
-                )
-                self._metrics.run_moves.labels("draining").inc()
-                self._links[run.worker_id].stop(run)
+                self._evict(run, "draining", "draining")
+
+    def stop_misplaced(self, capacity: WorkerCapacity) -> None:
+        """Stop the runs that no leader would have started on a worker.
+
+        Its incarnation carried orders for a former one out, which may have been of
+        another kind or size.
+        """
+        for run, step in list(capacity.runs.values()):
+            obstacle = self._find_obstacle(run, step, capacity.entry)
+            if obstacle and run.is_listed:
+                self._evict(run, obstacle, "misplaced")
+        for run in capacity.excess_runs():
+            self._evict(run, "room", "misplaced")
+
+    def _evict(self, run: Run, why: str, moved_as: str) -> None:
+        log_event("run.evicted", run=_format_run(run), worker=run.worker_id, why=why)
+        self._metrics.run_moves.labels(moved_as).inc()
+        self._links[run.worker_id].stop(run)
+
+    def _find_obstacle(self, run: Run, step: Step, entry: WorkerEntry) -> str:
+        """Return what keeps a run from a worker of any size; empty if nothing does."""
+        if step.label and step.label not in entry.labels:
+            return "label"
+        task = self._registry.find(run.run_id.task)
+        service = "" if task is None else task.step.job.service
+        # It is empty while the queue of the job is not known.
+        return "service" if service and service != entry.service else ""
 
     def stop_all(self, runs) -> None:
         """Order runs to stop, except those that are stopping already."""
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -492,12 +492,25 @@
             log_event("worker.draining", worker=entry.worker_id)
         capacity.update_entry(entry)
         self._links[entry.worker_id].entry = entry
-        capacity.is_listed = True
+        if not capacity.is_listed:
+            capacity.is_listed = True
+            self._stop_misplaced(capacity)
         if entry.is_draining:
             self.runs.evict_draining(capacity)
         elif capacity.is_synced:
             self._set_member(self._links[entry.worker_id])
 
+    def _stop_misplaced(self, capacity: WorkerCapacity) -> None:
+        """Stop what a new incarnation may not run, once it and its entry are read.
+
+        Only calls for an earlier one can have started runs of another kind or size.
+        """
+        entry = capacity.entry
+        if not capacity.is_synced or not capacity.is_listed:
+            return
+        if not self._membership.is_settled(entry.worker_id, entry.started_at_ms):
+            self.runs.stop_misplaced(capacity)
+
     @inlineCallbacks
     def _confirm_incarnation(self, worker_id: str):
         """Ask an announced incarnation whether it has replaced the known one.
@@ -757,6 +770,7 @@
                 incarnation=result.started_at_ms,
                 clock_ms=result.clock_ms,
             )
+            self._stop_misplaced(capacity)
         if self._is_withheld(worker_id):
             self._withheld.add(worker_id)
         if len(result.ended) < ENDS_LISTED_MAX:
--- a/dogwoodlever/_worker_capacity.py
+++ b/dogwoodlever/_worker_capacity.py
@@ -145,6 +145,19 @@
             and step.accelerators <= self.entry.accelerators - self.accelerators_used
         )
 
+    def excess_runs(self) -> list[Run]:
+        """Return the listed runs that do not fit beside those counted before them."""
+        room = WorkerCapacity(self.entry)
+        excess = []
+        for run, step in self.runs.values():
+            if not run.is_listed:
+                continue
+            if room.fits(step):
+                room.add(run, step)
+            else:
+                excess.append(run)
+        return excess
+
     def add(self, run: Run, step: Step) -> None:
         """Count a run, unless it is counted already."""
         if run.run_id not in self.runs:
--- a/tests/test_worker_resize.py
+++ b/tests/test_worker_resize.py
@@ -108,6 +108,31 @@
                 self.resize(fixture, cores, memory_mb, accelerators)
                 self.assertIs(fixture.capacities[0].is_overcommitted, expected)
 
+    def test_runs_that_do_not_fit_are_the_excess(self):
+        # name, cores, memory and accelerators of the worker, indices of the excess
+        table = (
+            ("as large as its runs", 4, 150, 1, set()),
+            ("one run without room", 3, 150, 1, {2}),
+            ("a run that is too large beside one that fits", 1, 150, 1, {0, 2}),
+            ("less memory", 4, 100, 1, {1, 2}),
+            ("fewer accelerators", 4, 150, 0, {0}),
+            ("nothing", 0, 0, 0, {0, 1, 2}),
+        )
+        steps = (Step(1, 2000, 100, 1), Step(1, 1000, 20), Step(1, 1000, 30))
+        for name, cores, memory_mb, accelerators, expected in table:
+            with self.subTest(name):
+                fixture = Fixture(workers=1)
+                runs = [
+                    fixture.run_on(fixture.capacities[0], step_on_it)
+                    for step_on_it in steps
+                ]
+                for run in runs:
+                    run.phase, run.percent = RunPhase.RUNNING, 0
+                self.resize(fixture, cores, memory_mb, accelerators)
+                excess = fixture.capacities[0].excess_runs()
+                indices = {i for i, run in enumerate(runs) if run in excess}
+                self.assertEqual(indices, expected)
+
     # A worker without cores ended each of its polls with a ZeroDivisionError.
     def test_reports_of_a_worker_without_cores_are_applied(self):
         # name, sizes in the order of the entries, reference cores of one core
