--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -501,12 +501,25 @@
             log_event("worker.draining", worker=entry.worker_id)
         capacity.update_entry(entry)
         self._links[entry.worker_id].entry = entry
-        capacity.is_listed = True
+        if not capacity.is_listed:
+            capacity.is_listed = True
+            self._stop_misplaced(capacity)
         if entry.is_draining:
             self.runs.evict_draining(capacity)
         elif capacity.is_synced:
             self._set_member(self._links[entry.worker_id])
 
+    def _stop_misplaced(self, capacity: WorkerCapacity) -> None:
+        """Stop what a new incarnation may not run, once it and its entry are read.
+
+        Only calls for an earlier one can have started runs of another kind or size.
+        """
+        entry = capacity.entry
+        if not capacity.is_synced or not capacity.is_listed:
+            return
+        if not self._membership.is_settled(entry.worker_id, entry.started_at_ms):
+            self.runs.stop_misplaced(capacity)
+
     @inlineCallbacks
     def _confirm_incarnation(self, worker_id: str):
         """Ask an announced incarnation whether it has replaced the known one.
@@ -588,6 +601,7 @@
         if worker_id in self._ended_incarnations:
             ended, evidence = self._ended_incarnations.pop(worker_id)
             for run, step in ended.runs.values():
+                run.forget_reports(step)
                 capacity.add(run, step)
         evidence.begin_incarnation(self._former_expiry_s(worker_id))
         link = WorkerLink(
@@ -784,6 +798,7 @@
                 incarnation=result.started_at_ms,
                 clock_ms=result.clock_ms,
             )
+            self._stop_misplaced(capacity)
         if self._is_withheld(worker_id):
             self._withheld.add(worker_id)
         if len(result.ended) < ENDS_LISTED_MAX:
