Emulator: a machine that lost power resets connections by packet only

A worker that went dark reset all open connections at the moment it returned, so a leader whose poll was waiting learned of the return within 0.3 s, and the next incarnation got few calls that were meant for the former one. A machine without power closes nothing ("a runner that crashes sends nothing"): the next process answers a packet on such a connection with a reset, and a peer that only waits sends none until its call times out. Each connection is now reset by the first request after the return, or as a request that was sent in the dark is sent again (0.2 s, doubling).

--- a/emulator/process.py
+++ b/emulator/process.py
@@ -25,6 +25,8 @@
 LAG_MIN_S = 0.03
 FLUSH_INTERVAL_S = 0.5
 LINE_BYTES_MAX = 1 << 22
+# Time after which TCP first sends bytes again, which doubles each time.
+RETRANSMISSION_S = 0.2
 
 
 class EventLog:
@@ -105,6 +107,16 @@
     reactor.run(installSignalHandlers=False)
 
 
+def next_retransmission_s(sent_s: float, now_s: float) -> float:
+    """Return when bytes that were sent at `sent_s` are next sent again."""
+    interval_s = RETRANSMISSION_S
+    next_s = sent_s + interval_s
+    while next_s < now_s:
+        interval_s *= 2
+        next_s += interval_s
+    return next_s
+
+
 class HttpPort(Factory):
     """A loopback port that is kept while no process listens on it.
 
@@ -114,6 +126,8 @@
         Called with each `Exchange`.
     port : int
         Port, 0 for a free one.
+    clock : object
+        Provides the time and delayed calls.
 
     Attributes
     ----------
@@ -123,8 +137,11 @@
 
     noisy = False
 
-    def __init__(self, serve: Callable[["Exchange"], None], port: int = 0) -> None:
+    def __init__(
+        self, serve: Callable[["Exchange"], None], port: int = 0, clock=reactor
+    ) -> None:
         self.serve = serve
+        self.clock = clock
         self.fault = LinkFault.NONE
         self.connections: set[_Connection] = set()
         self.bytes_per_s = 0.0
@@ -141,6 +158,11 @@
         self._dark: list[socket.socket] = []
         self.listen()
 
+    @property
+    def is_dark(self) -> bool:
+        """Whether nothing answers, not even the machine."""
+        return bool(self._dark)
+
     def buildProtocol(self, _address):  # noqa: N802
         """Return the protocol of a new connection."""
         return _Connection(self)
@@ -162,13 +184,15 @@
     def darken(self) -> None:
         """Answer nothing, as a machine without power, until the port is used again.
 
-        Open connections carry nothing any more and are reset then. Attempts to connect
+        Open connections carry nothing any more. The next process does not know them: it
+        resets each one at its first packet, and none before. Attempts to connect
         stay open: their packets are dropped and sent again about once a second.
         """
         self._stop_listening()
-        self.silence_connections()
         if self._dark:
             return
+        for connection in self.connections:
+            connection.forget()
         listener, filler = self._dark = [socket.socket(), socket.socket()]
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind(("127.0.0.1", self.port))
@@ -176,10 +200,12 @@
         filler.connect(("127.0.0.1", self.port))
 
     def _end_darkness(self) -> None:
-        if self._dark:
-            self.reset()
+        if not self._dark:
+            return
         while self._dark:
             self._dark.pop().close()
+        for connection in list(self.connections):
+            connection.end_darkness()
 
     def _stop_listening(self) -> None:
         if self._listening is not None:
@@ -242,8 +268,29 @@
     def __init__(self, port: HttpPort) -> None:
         self.port = port
         self.is_silent = False
+        # Whether the process that accepted it has ended without closing it.
+        self._is_forgotten = False
+        # When bytes were sent that the peer sends again until they are answered.
+        self._unacknowledged_s: float | None = None
         self._buffer = b""
 
+    @property
+    def has_lost_bytes(self) -> bool:
+        """Whether bytes were lost that the peer sends again."""
+        return self._unacknowledged_s is not None
+
+    def forget(self) -> None:
+        """Carry nothing any more, as the machine has lost power."""
+        self.is_silent = self._is_forgotten = True
+
+    def end_darkness(self) -> None:
+        """Reset the connection when the peer next sends bytes, or sends them again."""
+        if self.has_lost_bytes:
+            now_s = self.port.clock.seconds()
+            sent_s = self._unacknowledged_s
+            delay_s = next_retransmission_s(sent_s, now_s) - now_s
+            self.port.clock.callLater(delay_s, self.transport.abortConnection)
+
     def connectionMade(self) -> None:  # noqa: N802
         if self.port.fault is LinkFault.RESET:
             self.transport.abortConnection()
@@ -252,6 +299,9 @@
         self.port.connections.add(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self._is_forgotten:
+            self._receive_forgotten()
+            return
         if self.port.fault is LinkFault.SILENT:
             self.is_silent = True
         if self.is_silent:
@@ -269,6 +319,12 @@
         method, target, _ = first.decode().split(" ", 2)
         self.port.serve(Exchange(self, method, target, headers, rest[:size]))
 
+    def _receive_forgotten(self) -> None:
+        if not self.port.is_dark:
+            self.transport.abortConnection()
+        elif not self.has_lost_bytes:
+            self._unacknowledged_s = self.port.clock.seconds()
+
     def connectionLost(self, _reason=None) -> None:  # noqa: N802
         self.port.connections.discard(self)
         self.is_silent = True
--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -21,7 +21,7 @@
 from emulator.__main__ import CLOCK_FOLDER
 from emulator.cpu_quota import CpuQuota, read_cpu_s
 from emulator.faults import LEADER_LOSSES, WORKER_HITS, draw_series
-from emulator.process import HttpPort
+from emulator.process import HttpPort, next_retransmission_s
 from emulator.store import EmulatedRecords
 from standins.rate_limit import RateLimit
 
@@ -158,6 +158,50 @@
                     self._react_until(lambda log=served: len(log) > 1)
                     self.assertEqual(served, ["former", "next"])
 
+    # Guards against a return that clients learn of at once: a machine that lost power
+    # resets a connection of before only when it gets a packet on it.
+    def test_connections_to_a_machine_that_lost_power(self):
+        request = b"GET /-/hold HTTP/1.1\r\n\r\n"
+        for name, sends_before, sends_after, is_reset in (
+            ("idle", False, False, False),
+            ("a request after the return", False, True, True),
+            ("a request before it is sent again", True, False, True),
+            ("requests before and after it", True, True, True),
+        ):
+            with self.subTest(name), socket.socket() as client:
+                clock, served = Clock(), []
+                port = HttpPort(served.append, clock=clock)
+                self.addCleanup(self._close, port)
+                client.connect(("127.0.0.1", port.port))
+                self._react_until(lambda port=port: port.connections)
+                (connection,) = port.connections
+                port.darken()
+                if sends_before:
+                    client.sendall(request)
+                    self._react_until(lambda c=connection: c.has_lost_bytes)
+                clock.advance(0.3)
+                port.listen()
+                self.assertTrue(port.connections)
+                clock.advance(0.2)
+                self.assertTrue(port.connections)
+                if sends_after:
+                    client.sendall(request)
+                    self._react_until(lambda port=port: not port.connections)
+                clock.advance(0.2)
+                for _ in range(3):
+                    reactor.iterate(0.01)
+                self.assertEqual(not port.connections, is_reset)
+                self.assertEqual(served, [])
+
+    def test_times_of_retransmissions(self):
+        for sent_s, now_s, expected_s in (
+            (1.0, 1.0, 1.2), (1.0, 1.1, 1.2), (1.0, 1.3, 1.6), (1.0, 1.7, 2.4),
+            (1.0, 2.5, 4.0),
+        ):  # fmt: skip
+            with self.subTest(now_s=now_s):
+                next_s = next_retransmission_s(sent_s, now_s)
+                self.assertAlmostEqual(next_s, expected_s)
+
     def _close(self, port: HttpPort) -> None:
         port.refuse()
         self._react_until(lambda: not port.connections)
