Emulator: play workers that return and are cut off as a leader is killed

`return_cut` plays its kind and nothing else: a `Series` with fixed values, one at a time. All workers of a data centre go dark for 0.6 s and return under their ids, the leader is killed 1.4 s after the return, and the workers are cut off 0.6 s after that for 9 s.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 import os
 import random
 import signal
@@ -103,8 +104,10 @@
         checkout: Path,
         site_log: EventLog,
         hold_max_ms: int,
+        vm_cpu_share: float,
     ) -> None:
         self._hold_max_ms = hold_max_ms
+        self._vm_cpu_share = vm_cpu_share
         self._number = number
         self._site_log = site_log
         self._clock_file = folder / f"vm{number}.clock"
@@ -133,6 +136,8 @@
 
     def _settings(self, store_port: int) -> str:
         cpu_share, cores = CORES[self._number % len(CORES)]
+        if self._vm_cpu_share:
+            cpu_share, cores = self._vm_cpu_share, math.ceil(self._vm_cpu_share)
         return f"""{super()._settings(store_port)}
 [limits]
 cpu_share = {cpu_share}
@@ -221,6 +226,7 @@
         return EmulatedDaemon(
             number, host, self._store_ports[number], self._folder,
             self._options["checkout"], self.log, self._options["hold_max_ms"],
+            self._options["vm_cpu_share"],
         )  # fmt: skip
 
     def replace_daemon(self, number: int) -> None:
@@ -419,6 +425,7 @@
     reads_per_s: float = 2_000.0,
     writes_per_s: float = 400.0,
     cpu_share: float = 0.0,
+    vm_cpu_share: float = 0.0,
 ) -> int:
     """Run one soak; return the exit status.
 
@@ -470,6 +477,9 @@
         Calls of all daemons that the store accepts per second; 0 for no limit.
     cpu_share : float
         Quota of each daemon, as a share of a core; 0 for none.
+    vm_cpu_share : float
+        CPU share of each VM that the daemons are told, in cores, so that each may lead
+        as well as others; 0 for one strong VM in seven.
     """
     options = dict(locals())
     # Inherited by the daemons, which ignore it only once their interpreter has started.
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -18,12 +18,16 @@
 SHUN_FAULTS = (LinkFault.SILENT, LinkFault.ANSWERS_LOST, LinkFault.RESET)
 LINK_FAULTS = (*SHUN_FAULTS, LinkFault.OPEN_SILENT, LinkFault.REFUSED)
 STORE_FAULTS = (*LINK_FAULTS, "busy", "many")
+# Time from the kill of a daemon, or of all daemons, to its next process.
+DOWN_S = (0.1, 3.5)
+ALL_DOWN_S = (0.1, 1.4)
 # Time from a change of the configuration to the loss of all daemons.
 LOSS_AFTER_CHANGE_S = (0.005, 0.4)
 # For how long watches hear of no changes before the history is dropped, and how old
 # stale reads are meanwhile.
 DEAF_S = 1.0
 STALE_S = 3.0
+DATA_CENTRES = 3
 
 # Weights of the ways in which a series loses the leader, and of what happens to the
 # workers.
@@ -31,7 +35,11 @@
 WORKER_HITS = {"cut": 6, "stop": 1, "drain": 1, "pause": 1}
 # Time for which a series cuts off, and for which orders are late before it.
 SERIES_CUT_S = (8.0, 10.0)
+# Time from the kill of a series to the start of the daemon's next process.
+SERIES_RESTART_S = (0.1, 0.2)
 SERIES_LATE_S = 1.0
+# Pause before the series of `return_cut`, so that jobs run at its first one.
+RETURN_CUT_PAUSE_S = 3.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,6 +62,12 @@
         What happens to the workers.
     late_share : float
         Share of their calls that are carried out late.
+    cut_s : tuple of float
+        Least and longest time for which they are cut off.
+    cut_fault : LinkFault or None
+        Fault of their links while they are cut off; None to draw one.
+    restart_s : tuple of float
+        Least and longest time after which a killed leader's daemon is started again.
     """
 
     is_dark: bool
@@ -64,6 +78,27 @@
     hit: str
     hit_after_s: float
     late_share: float
+    cut_s: tuple[float, float] = SERIES_CUT_S
+    cut_fault: LinkFault | None = None
+    restart_s: tuple[float, float] = SERIES_RESTART_S
+
+
+# All workers of a data centre return, and are cut off just after the leader is killed.
+RETURN_CUT = Series(
+    is_dark=True,
+    down_s=0.6,
+    beats_at_once=False,
+    loss="kill",
+    loss_after_s=1.4,
+    hit="cut",
+    hit_after_s=2.0,
+    late_share=0.0,
+    cut_s=(9.0, 9.0),
+    cut_fault=LinkFault.SILENT,
+    # Its next process answers about when a successor is elected, as one that is started
+    # at once and has 0.43 of a core.
+    restart_s=(0.5, 0.7),
+)
 
 
 def draw_series(rng: random.Random) -> list[Series]:
@@ -189,26 +224,26 @@
     # Processes
 
     def _kill_leader(self):
-        return self._kill(self._leader(), 3.5)
+        return self._kill(self._leader(), DOWN_S)
 
     def _kill_some(self):
-        return self._kill(self._draw_daemons(self._random.uniform(0.0, 0.16)), 3.5)
+        return self._kill(self._draw_daemons(self._random.uniform(0.0, 0.16)), DOWN_S)
 
     def _kill_all(self):
-        return self._kill(self._draw_daemons(1.0), 1.4, 0.1)
+        return self._kill(self._draw_daemons(1.0), ALL_DOWN_S, 0.1)
 
     @inlineCallbacks
     def _kill_all_after_change(self):
         yield self._site.await_configured()
         yield self._pause(*LOSS_AFTER_CHANGE_S)
-        yield self._kill(self._draw_daemons(1.0), 1.4, 0.1)
+        yield self._kill(self._draw_daemons(1.0), ALL_DOWN_S, 0.1)
 
     @inlineCallbacks
-    def _kill(self, numbers, down_max_s: float, interval_s: float = 0.0):
+    def _kill(self, numbers, down_s: tuple[float, float], interval_s: float = 0.0):
         self._note("kill", daemons=numbers)
         for number in numbers:
             self._site.daemons[number].signal(signal.SIGKILL)
-        yield self._pause(0.1, down_max_s)
+        yield self._pause(*down_s)
         for number in numbers:
             self._site.daemons[number].start()
             if interval_s:
@@ -404,15 +439,30 @@
     def _return_series(self):
         """Play series with the workers of a data centre, or with a share of all."""
         if self._random.random() < 0.5:
-            zone = self._random.randrange(3)
-            names = range(zone, self._site.worker_count, 3)
-            numbers = self._draw("life", names, 1.0)
+            numbers = self._draw_data_centre()
         else:
             numbers = self._targets("life", self._random.uniform(0.1, 0.4))
         for series in draw_series(self._random):
             yield self._play_series(numbers, series)
         self._release("life", numbers)
 
+    @inlineCallbacks
+    def _return_cut(self):
+        """Play one series with all workers of a data centre, unless one is played."""
+        turn = self._draw("return-cut", (0,), 1.0)
+        numbers = self._draw_data_centre() if turn else []
+        if numbers:
+            yield deferLater(reactor, RETURN_CUT_PAUSE_S)
+            yield self._play_series(numbers, RETURN_CUT)
+        self._release("life", numbers)
+        self._release("return-cut", turn)
+
+    def _draw_data_centre(self) -> list[int]:
+        """Return the workers of a data centre that no fault has reserved."""
+        zone = self._random.randrange(DATA_CENTRES)
+        names = range(zone, self._site.worker_count, DATA_CENTRES)
+        return self._draw("life", names, 1.0)
+
     @inlineCallbacks
     def _play_series(self, numbers: list[int], series: Series):
         self._note("series", workers=numbers, **asdict(series))
@@ -425,38 +475,36 @@
         self._site.send_workers(
             "start", numbers, keeps_id=True, beats_at_once=series.beats_at_once
         )
-        losing = deferLater(
-            reactor, series.loss_after_s, self._lose_leader, series.loss
-        )
+        losing = deferLater(reactor, series.loss_after_s, self._lose_leader, series)
         yield deferLater(
-            reactor, series.hit_after_s, self._hit_workers, numbers, series.hit
+            reactor, series.hit_after_s, self._hit_workers, numbers, series
         )
         yield losing
         self._site.send_workers("disturb", numbers, late_share=0.0)
 
-    def _lose_leader(self, loss: str):
+    def _lose_leader(self, series: Series):
         leader = self._site.leader_number()
-        if loss == "cut":
+        if series.loss == "cut":
             numbers = [] if leader is None else [leader]
             least_s, longest_s = SERIES_CUT_S
             return self._cut_from_store(numbers, longest_s, LINK_FAULTS, least_s)
         numbers = self._leader()
-        if loss == "kill":
-            return self._kill(numbers, 0.2)
-        if loss == "freeze":
+        if series.loss == "kill":
+            return self._kill(numbers, series.restart_s)
+        if series.loss == "freeze":
             return self._freeze(numbers, 2.0, (9.0,))
         return self._terminate(numbers)
 
     @inlineCallbacks
-    def _hit_workers(self, numbers: list[int], hit: str):
-        if hit == "cut":
-            yield self._cut_off(numbers, *SERIES_CUT_S)
-        elif hit == "stop":
+    def _hit_workers(self, numbers: list[int], series: Series):
+        if series.hit == "cut":
+            yield self._cut_off(numbers, *series.cut_s, series.cut_fault)
+        elif series.hit == "stop":
             self._note("stop-workers", workers=numbers)
             self._site.send_workers("stop", numbers)
             yield self._pause(0.2, 8.0)
             self._site.send_workers("start", numbers, keeps_id=True)
-        elif hit == "drain":
+        elif series.hit == "drain":
             yield self._drain_workers(numbers)
         else:
             yield self._pause_workers()
@@ -468,8 +516,14 @@
         self._release("cut", numbers)
 
     @inlineCallbacks
-    def _cut_off(self, numbers: list[int], least_s: float, longest_s: float):
-        fault = self._random.choice(self._worker_cuts)
+    def _cut_off(
+        self,
+        numbers: list[int],
+        least_s: float,
+        longest_s: float,
+        fault: LinkFault | None = None,
+    ):
+        fault = fault or self._random.choice(self._worker_cuts)
         self._note("cut-workers", workers=numbers, how=fault)
         self._site.send_workers("cut", numbers, fault=fault)
         yield self._pause(least_s, longest_s)
@@ -582,6 +636,7 @@
     "cut_leader_from_workers": 2,
     "cut_leader_off": 2,
     "return_series": 2,
+    "return_cut": 1,
     "cut_workers": 4,
     "flap": 4,
     "drain": 1,
--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -20,7 +20,13 @@
 from emulator import cpu_quota
 from emulator.__main__ import CLOCK_FOLDER
 from emulator.cpu_quota import CpuQuota, read_cpu_s
-from emulator.faults import LEADER_LOSSES, WORKER_HITS, draw_series
+from emulator.faults import (
+    LEADER_LOSSES,
+    RETURN_CUT_PAUSE_S,
+    WORKER_HITS,
+    SiteFaults,
+    draw_series,
+)
 from emulator.process import HttpPort, next_retransmission_s
 from emulator.store import EmulatedRecords
 from standins.rate_limit import RateLimit
@@ -115,6 +121,55 @@
                 self.assertTrue(0.2 <= after_s <= 3.0, series)
 
 
+class ReturnCutTest(unittest.TestCase):
+    # Guards against a series of another kind than workers that return and are cut off
+    # just after the leader's loss, and against two of them at once.
+    def test_events_of_a_series(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                clock, site, events = Clock(), mock.Mock(), []
+
+                def record(name, *args, clock=clock, events=events, **fields):
+                    time_s = round(clock.seconds() - RETURN_CUT_PAUSE_S, 3)
+                    events.append((time_s, name, *map(str, args), *fields.values()))
+
+                site.worker_count, site.leader_number = 24, lambda: 2
+                site.send_workers = lambda name, numbers, r=record, **fields: r(
+                    name, sorted(numbers), **fields
+                )
+                leader = mock.Mock()
+                leader.signal = lambda number, r=record: r("signal", int(number))
+                leader.start = lambda r=record: r("start leader")
+                site.daemons = [None, None, leader]
+                faults = SiteFaults(site, seed, ("return_cut",), 1.0, interval_s=2.0)
+                with mock.patch("emulator.faults.reactor", clock):
+                    faults.run(8.0)
+                    while calls := clock.getDelayedCalls():
+                        next_s = min(call.getTime() for call in calls)
+                        clock.advance(next_s - clock.seconds())
+                self.assertGreater(faults.counts["return_cut"], 1)
+                restarts = [row for row in events if row[1] == "start leader"]
+                self.assertEqual(len(restarts), 1)
+                events.remove(restarts[0])
+                self.assertTrue(2.5 <= restarts[0][0] <= 2.7, restarts)
+                workers = events[0][2]
+                self.assertIn(
+                    workers, [str(list(range(zone, 24, 3))) for zone in range(3)]
+                )
+                kill = str(int(signal.SIGKILL))
+                self.assertEqual(
+                    events,
+                    [
+                        (0.0, "stop", workers, True),
+                        (0.6, "start", workers, True, False),
+                        (2.0, "signal", kill),
+                        (2.6, "cut", workers, "silent"),
+                        (11.6, "cut", workers, "none"),
+                        (11.6, "disturb", workers, 0.0),
+                    ],
+                )
+
+
 class WorkerPortTest(unittest.TestCase):
     # Guards against a next incarnation that gets what was sent on a connection to the
     # former one, or that does not get what waits for a connection meanwhile.
