--- a/tests/test_emulated_site.py
+++ b/tests/test_emulated_site.py
@@ -20,8 +20,14 @@
 from emulator import cpu_quota
 from emulator.__main__ import CLOCK_FOLDER
 from emulator.cpu_quota import CpuQuota, read_cpu_s
-from emulator.faults import LEADER_LOSSES, WORKER_HITS, draw_series
-from emulator.process import HttpPort
+from emulator.faults import (
+    LEADER_LOSSES,
+    RETURN_CUT_PAUSE_S,
+    WORKER_HITS,
+    SiteFaults,
+    draw_series,
+)
+from emulator.process import HttpPort, next_retransmission_s
 from emulator.store import EmulatedRecords
 from standins.rate_limit import RateLimit
 
@@ -115,6 +121,59 @@
                 self.assertTrue(0.2 <= after_s <= 3.0, series)
 
 
+class ReturnCutTest(unittest.TestCase):
+    # Guards against a series of another kind than workers that return and are cut off
+    # just after the leader's loss, two of them at once, and a leader whose daemon stays
+    # away as its process outlasts SIGKILL.
+    def test_events_of_a_series(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                clock, site, events = Clock(), mock.Mock(), []
+
+                def record(name, *args, clock=clock, events=events, **fields):
+                    time_s = round(clock.seconds() - RETURN_CUT_PAUSE_S, 3)
+                    events.append((time_s, name, *map(str, args), *fields.values()))
+
+                site.worker_count, site.leader_number = 24, lambda: 2
+                site.send_workers = lambda name, numbers, r=record, **fields: r(
+                    name, sorted(numbers), **fields
+                )
+                leader = mock.Mock()
+                # The former process outlasts the signal.
+                is_running = mock.PropertyMock(side_effect=[True, True, False])
+                type(leader).is_running = is_running
+                leader.signal = lambda number, r=record: r("signal", int(number))
+                leader.start = lambda r=record: r("start leader")
+                site.daemons = [None, None, leader]
+                faults = SiteFaults(site, seed, ("return_cut",), 1.0, interval_s=2.0)
+                with mock.patch("emulator.faults.reactor", clock):
+                    faults.run(8.0)
+                    while calls := clock.getDelayedCalls():
+                        next_s = min(call.getTime() for call in calls)
+                        clock.advance(next_s - clock.seconds())
+                self.assertGreater(faults.counts["return_cut"], 1)
+                restarts = [row for row in events if row[1] == "start leader"]
+                self.assertEqual(len(restarts), 1)
+                events.remove(restarts[0])
+                self.assertTrue(2.7 <= restarts[0][0] <= 2.9, restarts)
+                workers = events[0][2]
+                self.assertIn(
+                    workers, [str(list(range(zone, 24, 3))) for zone in range(3)]
+                )
+                kill = str(int(signal.SIGKILL))
+                self.assertEqual(
+                    events,
+                    [
+                        (0.0, "stop", workers, True),
+                        (0.6, "start", workers, True, False),
+                        (2.0, "signal", kill),
+                        (2.6, "cut", workers, "silent"),
+                        (11.6, "cut", workers, "none"),
+                        (11.6, "disturb", workers, 0.0),
+                    ],
+                )
+
+
 class WorkerPortTest(unittest.TestCase):
     # Guards against a next incarnation that gets what was sent on a connection to the
     # former one, or that does not get what waits for a connection meanwhile.
@@ -158,6 +217,50 @@
                     self._react_until(lambda log=served: len(log) > 1)
                     self.assertEqual(served, ["former", "next"])
 
+    # Guards against a return that clients learn of at once: a machine that lost power
+    # resets a connection of before only when it gets a packet on it.
+    def test_connections_to_a_machine_that_lost_power(self):
+        request = b"GET /-/hold HTTP/1.1\r\n\r\n"
+        for name, sends_before, sends_after, is_reset in (
+            ("idle", False, False, False),
+            ("a request after the return", False, True, True),
+            ("a request before it is sent again", True, False, True),
+            ("requests before and after it", True, True, True),
+        ):
+            with self.subTest(name), socket.socket() as client:
+                clock, served = Clock(), []
+                port = HttpPort(served.append, clock=clock)
+                self.addCleanup(self._close, port)
+                client.connect(("127.0.0.1", port.port))
+                self._react_until(lambda port=port: port.connections)
+                (connection,) = port.connections
+                port.darken()
+                if sends_before:
+                    client.sendall(request)
+                    self._react_until(lambda c=connection: c.has_lost_bytes)
+                clock.advance(0.3)
+                port.listen()
+                self.assertTrue(port.connections)
+                clock.advance(0.2)
+                self.assertTrue(port.connections)
+                if sends_after:
+                    client.sendall(request)
+                    self._react_until(lambda port=port: not port.connections)
+                clock.advance(0.2)
+                for _ in range(3):
+                    reactor.iterate(0.01)
+                self.assertEqual(not port.connections, is_reset)
+                self.assertEqual(served, [])
+
+    def test_times_of_retransmissions(self):
+        for sent_s, now_s, expected_s in (
+            (1.0, 1.0, 1.2), (1.0, 1.1, 1.2), (1.0, 1.3, 1.6), (1.0, 1.7, 2.4),
+            (1.0, 2.5, 4.0),
+        ):  # fmt: skip
+            with self.subTest(now_s=now_s):
+                next_s = next_retransmission_s(sent_s, now_s)
+                self.assertAlmostEqual(next_s, expected_s)
+
     def _close(self, port: HttpPort) -> None:
         port.refuse()
         self._react_until(lambda: not port.connections)
