Let ends count at the incarnation that carried a late start out

A late run that its worker's next incarnation may not run, or that hangs there, was stopped and its task did not start again within the wait of the copy: its end was held back, although it is the copy that had no answer and none is left.

--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -168,6 +168,7 @@
     __slots__ = (
         "_acknowledged_number",
         "_acknowledging_number",
+        "_carried_starts",
         "_clock_ms",
         "_copies_count_until_s",
         "_copies_expire_s",
@@ -235,6 +236,9 @@
         # Until when the run of such a start counts although it has ended or is not
         # known to run, as the next incarnation may carry out the copy.
         self._copies_count_until_s: dict[RunId, float] = {}
+        # Starts that were sent to a former incarnation; what this one lists of them is
+        # the copy that had no answer.
+        self._carried_starts: frozenset[RunId] = frozenset()
         # Until when runs count although the worker's leases have expired.
         self._kept_until_s: dict[RunId, float] = {}
         # From when on a run that still counts has to be listed.
@@ -327,6 +331,7 @@
                 for run_id, expires_s in carried._copies_expire_s.items()
                 if run_id in self._copies_count_until_s or self.is_unanswered(run_id)
             }
+            carried._carried_starts = frozenset(carried._copies_expire_s)
             if not is_replaced:
                 carried._kept_until_s = dict(self._kept_until_s)
         carried._misdirected_expiry_s = now_s + self._late_lease_s
@@ -588,6 +593,8 @@
         self._held_ends = {}
         self._unacknowledged_ends = set()
         for end in ends:
+            if end.run in self._carried_starts:
+                continue
             if now_s >= self._copies_count_until_s.get(end.run, NEVER_S):
                 continue
             self._unacknowledged_ends.add(end.number)
