Forget which runs were kept once their worker answers

A run that was kept over one silence of its worker counted as kept in the next one, with a time that had passed: it was dropped before the expiry of its lease was confirmed, although a successor may have renewed it (TWICE). Found by reading the change; test_run_is_not_kept_once_its_worker_has_answered failed before. A time of a copy that has been forgotten meanwhile is looked up safely.

--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -559,6 +559,7 @@
         self._next_started_after_s = self._poll_sent_s
         self.responded_s = now_s
         self.has_lease_expired = False
+        self._kept_until_s.clear()
         self._update_lease_expiry()
         self.is_reachable = self.is_reachable or not self.lease_blockers
         return PollVerdict.MISNAMED if is_other else PollVerdict.ALIVE
@@ -831,7 +832,8 @@
     def extend_kept(self, now_s: float) -> None:
         """Let kept runs count longer, as the next incarnation has been announced."""
         for run_id, until_s in self._kept_until_s.items():
-            expires_s = self._copies_expire_s[run_id] + self._late_lease_s
+            copy_expires_s = self._copies_expire_s.get(run_id, NEVER_S)
+            expires_s = copy_expires_s + self._late_lease_s
             longest_s = min(expires_s, now_s + LATE_START_WAIT_MAX_S)
             self._kept_until_s[run_id] = max(until_s, longest_s)
 
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -98,6 +98,7 @@
                 (run,) = former.running.values()
                 fleet.workers.end(former, run, outcome)
                 fleet.run_for(crashes_after_s)
+                self.assertEqual(self.count_counted_starts(fleet, "end"), 1)
                 fleet.workers.crash(worker_id)
                 fleet.run_for(0.1)
                 worker = self.add_incarnation(fleet, worker_id)
@@ -121,6 +122,29 @@
                 fleet.run_for(1.2)
                 self.assertGreater(worker.fencing_token, token)
 
+    # Guards against a run that is dropped as soon as its worker is silent once more: it
+    # was kept the first time, and a successor may have renewed its lease since (TWICE).
+    def test_run_is_not_kept_once_its_worker_has_answered(self):
+        fleet, worker_id, order, _ = self.start_task()
+        evidence = self.find_evidence(fleet, worker_id)
+        worker = fleet.workers.workers[worker_id]
+        worker.is_reachable = False
+        fleet.run_for(7.0)
+        self.assertEqual(evidence.kept_runs({order.run}), {order.run})
+        self.assertEqual(self.count_counted_starts(fleet, "leases"), 1)
+        worker.is_reachable = True
+        fleet.run_for(1.0)
+        self.assertEqual(evidence.kept_runs({order.run}), set())
+
+    def count_counted_starts(self, fleet, after):
+        registry = fleet.nodes[fleet.leader()].metrics.registry
+        name = "dogwoodlever_counted_starts_total"
+        return registry.get_sample_value(name, {"after": after})
+
+    def find_evidence(self, fleet, worker_id):
+        workers = fleet.nodes[fleet.leader()].leader.workers
+        return workers._links[worker_id].evidence
+
 
 if __name__ == "__main__":
     unittest.main()
