--- a/tests/test_late_starts_review.py
+++ b/tests/test_late_starts_review.py
@@ -8,7 +8,7 @@
 
 from dogwoodlever._fleet_workers import TOKENS_PER_TERM_MAX
 from dogwoodlever._run_evidence import LATE_ORDER_MAX_S
-from standins.fleet import FakePoll, server_record
+from standins.fleet import server_record
 from tests import test_late_starts, test_longest_leases
 from tests.fleet_simulation import JOB, job
 from tests.test_lease_expiry import cut_off_with_leader
@@ -111,7 +111,7 @@
                 fleet, worker_id, order, token = self.start_task()
                 former = fleet.workers.workers[worker_id]
                 fleet.submit(0, job(OTHER_JOB, tasks=12), wait_s=sent_s)
-                polls = self.record_polls(fleet)
+                polls = self.record_polls(fleet, fleet.leader())
                 other = next(r for r in former.running.values() if r.run != order.run)
                 fleet.workers.end(former, other, "done")
                 fleet.run_for(0.2)
@@ -130,19 +130,6 @@
                 tasks = [run.task for run in fleet.workers.duplicate_starts]
                 self.assertNotIn(order.run.task, tasks)
 
-    def record_polls(self, fleet):
-        """Return a list to which each poll that the leader sends is added."""
-        client = fleet.worker_clients[fleet.leader()]
-        poll = client.poll
-        polls = []
-
-        def record_poll(entry, fencing_token, acknowledged, until_ms, wait_ms):
-            polls.append(FakePoll(fencing_token, acknowledged, until_ms))
-            return poll(entry, fencing_token, acknowledged, until_ms, wait_ms)
-
-        client.poll = record_poll
-        return polls
-
 
 class KeptRunTest(ReviewTest):
     # Guards against a run that is dropped before the expiry of its lease is confirmed,
--- a/tests/test_longest_leases.py
+++ b/tests/test_longest_leases.py
@@ -119,6 +119,19 @@
                 return number
         return None
 
+    def record_polls(self, fleet, number):
+        """Return a list to which each poll that a daemon sends is added."""
+        client = fleet.worker_clients[number]
+        poll = client.poll
+        polls = []
+
+        def record_poll(entry, fencing_token, acknowledged, until_ms, wait_ms):
+            polls.append(FakePoll(fencing_token, acknowledged, until_ms))
+            return poll(entry, fencing_token, acknowledged, until_ms, wait_ms)
+
+        client.poll = record_poll
+        return polls
+
     def count_elsewhere(self, fleet, worker):
         return self.count_running(fleet) - len(worker.running)
 
@@ -519,19 +532,6 @@
         fleet.run_for(LONGEST_S + 12.5 + START_MAX_S)
         self.assertEqual(fleet.workers.duplicate_starts, [])
 
-    def record_polls(self, fleet, number):
-        """Return a list to which each poll that a daemon sends is added."""
-        client = fleet.worker_clients[number]
-        poll = client.poll
-        polls = []
-
-        def record_poll(entry, fencing_token, acknowledged, until_ms, wait_ms):
-            polls.append(FakePoll(fencing_token, acknowledged, until_ms))
-            return poll(entry, fencing_token, acknowledged, until_ms, wait_ms)
-
-        client.poll = record_poll
-        return polls
-
 
 if __name__ == "__main__":
     unittest.main()
