--- a/dogwoodlever/_link_fencing.py
+++ b/dogwoodlever/_link_fencing.py
@@ -8,8 +8,8 @@
 
     A call without an answer may be carried out seconds later, also by the next
     incarnation of the worker. An incarnation that has answered under a higher token
-    refuses it. Only bare polls go out under a token that is not proven, so nothing that
-    is on its way then has that token or a higher one.
+    refuses it. No start, lease or acknowledgement goes out under a token that is not
+    proven, so none that is on its way then has that token or a higher one.
 
     Parameters
     ----------
