Emulator judges acknowledgements of ends and cancels

The workers log ends and acknowledgements, but no check read them together. AcksReader passes them to AcksCheck with the cancels and the disturbances of the store, links, daemons and workers; stand-ins that are over 0.1 s late disturb what they serve. Rows that were missing are logged: the workers of a disturbance, also of one within a series, and its end; the processes from which a leader is cut off; the end of an outage of the store; a cancel's failed answers; and the end of the run.

Two logs in the tests of the checker left ends unacknowledged for over 4 s of calm, which breaks the rule. They get an acknowledgement, so that they still have exactly the findings for which they were written.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -318,6 +318,7 @@
 
     def close(self) -> None:
         """End all processes."""
+        self.log.write("close")
         for daemon in self.daemons:
             daemon.close()
         for process in (self.store, *self.workers, *self.callers):
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -292,8 +292,9 @@
             status, _ = yield self._call(b"DELETE", self._place(kind), job)
             if status in (200, 410):
                 break
+            self._log.write("cancel-failed", job=job, status=status)
             yield deferLater(reactor, 0.3)
-        self._log.write("cancelled", job=job)
+        self._log.write("cancelled", job=job, status=status)
         self._open.pop(job, None)
 
     @inlineCallbacks
--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from emulator.acks_reader import LAG_MIN_S, AcksReader
 from emulator.fields_check import FieldsCheck, FieldsVersion, TaskRun
 from emulator.service_check import LoggedStart, ServiceCheck
 from standins.changing_queues import SERVICE
@@ -24,8 +25,6 @@
 # Lags and faults within this time before a second start are part of its finding.
 NEAR_S = 15.0
 LAG_NEAR_S = 7.0
-# A stand-in that is late by less does not explain a finding.
-LAG_MIN_S = 0.1
 # An order that a worker carries out within this time of a lag of its own may be late.
 LATE_NEAR_S = 1.0
 TOKENS_PER_TERM_MAX = 1_000_000
@@ -150,9 +149,12 @@
         findings.extend(self._check_services(configurations))
         self.counts["configurations_judged"] = configurations.judged
         self.counts["starts_showing_versions"] = configurations.shown_starts
+        acks = AcksReader()
+        acks.read(self.rows)
+        findings.extend(acks.check.check(acks.until_s))
         counts = " ".join(f"{name}={self.counts[name]}" for name in sorted(self.counts))
         summary = (
-            f"{counts} {configurations.summary()} "
+            f"{counts} {acks.check.summary(acks.until_s)} {configurations.summary()} "
             f"configuration_lag={configurations.lag_max_s:.3f} "
             f"lapsed_gap={self._least_gap_s():.3f} {self._lags()}"
         )
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -365,6 +365,7 @@
         self._note("store-down", paused=is_paused)
         yield self._cut_from_store(range(len(self._site.daemons)), 5.1)
         self._site.store.send("pause_leases", paused=False)
+        self._note("store-down-over")
 
     @inlineCallbacks
     def _store_slow(self):
@@ -430,13 +431,14 @@
         processes = self._random.sample(
             self._site.workers, self._random.randint(1, len(self._site.workers))
         )
-        self._note("shun", revision=revision, how=fault, processes=len(processes))
+        numbers = sorted(self._site.workers.index(process) for process in processes)
+        self._note("shun", revision=revision, how=fault, processes=numbers)
         for process in processes:
             process.send("shun", token=revision, fault=fault)
         yield self._pause(0.3, longest_s)
         for process in processes:
             process.send("shun", token=revision, fault=LinkFault.NONE)
-        self._note("shun-over", revision=revision)
+        self._note("shun-over", revision=revision, processes=numbers)
 
     @inlineCallbacks
     def _return_series(self):
@@ -470,7 +472,9 @@
     def _play_series(self, numbers: list[int], series: Series):
         self._note("series", workers=numbers, **asdict(series))
         if series.late_share:
-            self._site.send_workers("disturb", numbers, late_share=series.late_share)
+            share = series.late_share
+            self._note("disturb", workers=numbers, how="late_share", share=share)
+            self._site.send_workers("disturb", numbers, late_share=share)
             yield deferLater(reactor, SERIES_LATE_S)
         self._site.send_workers("stop", numbers, is_dark=series.is_dark)
         yield deferLater(reactor, series.down_s)
@@ -484,6 +488,7 @@
         )
         yield losing
         self._site.send_workers("disturb", numbers, late_share=0.0)
+        self._note("disturb-over", workers=numbers, how="late_share")
 
     def _lose_leader(self, series: Series):
         leader = self._site.leader_number()
@@ -566,11 +571,11 @@
     def _disturb(self, name: str, most: float, share: float):
         numbers = self._targets(name, share)
         value = self._random.uniform(0.02, most)
-        self._note("disturb", workers=len(numbers), how=name, share=value)
+        self._note("disturb", workers=numbers, how=name, share=value)
         self._site.send_workers("disturb", numbers, **{name: value})
         yield self._pause(2.0, 6.5)
         self._site.send_workers("disturb", numbers, **{name: 0.0})
-        self._note("disturb-over", how=name)
+        self._note("disturb-over", workers=numbers, how=name)
         self._release(name, numbers)
 
     def _late(self):
--- a/tests/test_emulator_checker.py
+++ b/tests/test_emulator_checker.py
@@ -43,6 +43,11 @@
     return [time_s, "fault", {"fault": name, "daemons": [3], **fields}]
 
 
+def over(begun_s, ended_s, name, **fields):
+    """Return the rows of a fault that begins and ends."""
+    return fault(begun_s, name, **fields), fault(ended_s, f"{name}-over", **fields)
+
+
 def versions(*rows):
     """Return the rows of the store's writes: time, version and its queues."""
     return tuple(
@@ -115,6 +120,24 @@
     [0.0, "daemon-start", {"daemon": 3}], *versions((1.0, 1, ("price",))),
     *versions((10.0, 2, ("price", "extra"))),
 )  # fmt: skip
+# Three ends from 10.0 s to 10.2 s, which are not acknowledged.
+LISTED = (
+    event(1.0, "up", "w001-1", service="desk"),
+    *(
+        row for run in (1, 2, 3) for row in (
+            start(9.89 + run / 10, "w001-1", run),
+            end(9.9 + run / 10, "w001-1", run, "failed", run),
+        )
+    ),
+    [15.0, "close", {}], event(90.0, "lapse", "w001-1"),
+)  # fmt: skip
+# Three cancels of accepted jobs, which are not answered.
+CANCELLED = tuple(
+    row for job in "abc" for row in (
+        [9.0, "submit", {"job": job, "kind": "price", "counts": [1], "copies": []}],
+        [10.0, "cancel", {"job": job}],
+    )
+) + ([15.0, "close", {}],)  # fmt: skip
 LATE = answer(12.5, "extra", 404)
 FAILED = [9.0, "state", {"job": TASK[:16], "state": "failed"}]
 FIRST = start(1.0, "w001-1", 1)
@@ -128,9 +151,12 @@
 class EmulatedCheckerTest(unittest.TestCase):
     def check(self, rows):
         with tempfile.TemporaryDirectory() as folder:
-            lines = "\n".join(json.dumps(row) for row in rows)
-            # The last line of a process that was ended may be incomplete.
-            Path(folder, "workers-0.jsonl").write_text(lines + '\n[9.0, "sta')
+            # A row may be of another process than that of the workers.
+            for process in ("workers-0", "store-0", "callers-0"):
+                own = [row for row in rows if (*row, "workers-0")[3] == process]
+                lines = "\n".join(json.dumps(row[:3]) for row in own)
+                # The last line of a process that was ended may be incomplete.
+                Path(folder, f"{process}.jsonl").write_text(lines + '\n[9.0, "sta')
             return check_logs(Path(folder)).findings
 
     def test_findings(self):
@@ -188,7 +214,7 @@
                 *ADDED, answer(10.5, "extra", 200), answer(11.5, "extra", 404),
             )),
             ("failed with an attempt left", 1, (
-                submit(), FIRST, end(2.0, "w001-1", 1, "failed"), FAILED,
+                submit(), FIRST, end(2.0, "w001-1", 1, "failed"), ACKNOWLEDGED, FAILED,
             )),
             ("failed with no attempt left", 0, (
                 submit(), *(
@@ -196,7 +222,7 @@
                         start(run, "w001-1", run),
                         end(run + 0.5, "w001-1", run, "failed", run),
                     )
-                ), FAILED,
+                ), event(4.0, "ack", "w001-1", number=3), FAILED,
             )),
             ("a request cut by a stop", 1, (fault(1.0, "terminate"), cut(5.8, 5.5))),
             ("a request that crossed the end of its connection", 0, (
@@ -440,6 +466,95 @@
         )  # fmt: skip
         self.check_rules(cases)
 
+    # Guards against ends that stay unacknowledged in calm without a finding.
+    def test_findings_of_ends(self):
+        # Two findings: of the run and of a window.
+        cases = (
+            ("not acknowledged", 2, ()),
+            ("acknowledged in time", 0, (event(13.9, "ack", "w001-1", number=3),)),
+            ("one is late, too few for a window", 1, (
+                event(13.9, "ack", "w001-1", number=2),
+            )),
+            ("the worker has crashed", 0, (event(13.9, "down", "w001-1"),)),
+            ("the worker's lease has lapsed", 0, (event(13.9, "lapse", "w001-1"),)),
+            ("a fault of queues only", 2, (fault(11.0, "hup"),)),
+            *(
+                (name, 0, over(9.0, 9.0, name)) for name in (
+                    "store-slow", "store-lost", "store-deaf", "store-down",
+                )
+            ),
+            ("store-slow, long before", 2, over(6.0, 7.9, "store-slow")),
+            ("a link to the store", 0, over(9.0, 11.5, "cut-store", how="silent")),
+            ("a link to the store, long before", 2, (
+                over(9.0, 10.5, "cut-store", how="silent")
+            )),
+            ("open connections are silent", 0, (
+                fault(12.0, "cut-store", how="open-silent"),
+            )),
+            ("open connections are silent, long before", 2, (
+                fault(9.9, "cut-store", how="open-silent"),
+            )),
+            ("all open connections", 0, ([12.0, "silenced", {}],)),
+            ("a daemon is killed", 1, (
+                fault(9.0, "kill"), [11.0, "daemon-start", {"daemon": 3}],
+            )),
+            ("a daemon is frozen", 1, (fault(9.0, "freeze"), fault(11.0, "thaw"))),
+            ("a daemon's clock", 1, over(9.0, 11.0, "clock-step")),
+            ("the leader is removed", 1, ([11.0, "fault", {
+                "fault": "remove-leader-record",
+            }],)),
+            ("the worker is cut off", 0, (
+                over(9.0, 12.0, "cut-workers", how="silent", workers=[1])
+            )),
+            ("another worker is cut off", 2, (
+                over(9.0, 12.0, "cut-workers", how="silent", workers=[2])
+            )),
+            ("late orders", 0, (
+                over(9.0, 12.0, "disturb", how="late_share", workers=[1])
+            )),
+            ("late orders, two overlapping faults", 0, (
+                *over(9.0, 10.0, "disturb", how="hang_share", workers=[1]),
+                *over(9.0, 12.0, "disturb", how="late_share", workers=[1]),
+            )),
+            ("failing runs", 2, over(9.0, 12.0, "disturb", how="fails", workers=[1])),
+            ("a leader is cut off from the worker", 0, (
+                over(9.0, 12.0, "shun", revision=5, processes=[0])
+            )),
+            ("a leader is cut off from others", 2, (
+                over(9.0, 12.0, "shun", revision=5, processes=[1])
+            )),
+            ("the worker stands still", 0, (
+                fault(9.0, "pause-workers", processes=[0]),
+                fault(12.0, "resume-workers", processes=[0]),
+            )),
+            ("the worker is late", 0, ([12.0, "lag", {"late_s": 0.2}],)),
+            ("the worker is late by little", 2, ([12.0, "lag", {"late_s": 0.05}],)),
+            ("the store is late", 0, ([9.0, "lag", {"late_s": 0.2}, "store-0"],)),
+            ("a caller is late", 2, ([12.0, "lag", {"late_s": 0.2}, "callers-0"],)),
+        )  # fmt: skip
+        self.check_table(
+            [(name, count, (*LISTED, *rows)) for name, count, rows in cases]
+        )
+
+    # Guards against cancels that stay unanswered in calm without a finding.
+    def test_findings_of_cancels(self):
+        cases = (
+            ("not answered", 2, ()),
+            ("one is answered", 0, ([13.0, "cancelled", {"job": "a"}],)),
+            ("answered late", 2, ([14.5, "cancelled", {"job": "a"}],)),
+            ("the queue is in no version", 0, versions((1.0, 1, ("extra",)))),
+            ("the queue is dropped and added", 0, versions(
+                (1.0, 1, ("price",)), (2.0, 2, ()), (9.5, 3, ("price",)),
+            )),
+            ("another queue is dropped", 2, versions(
+                (1.0, 1, ("price", "extra")), (2.0, 2, ("price",)),
+            )),
+            ("a caller is late", 0, ([12.0, "lag", {"late_s": 0.2}, "callers-0"],)),
+            ("a worker is late", 2, ([12.0, "lag", {"late_s": 0.2}],)),
+        )  # fmt: skip
+        rows = [(name, count, (*CANCELLED, *rows)) for name, count, rows in cases]
+        self.check_table(rows)
+
     def check_rules(self, cases):
         """Check that rows break one rule, or none."""
         for name, rule, rows in cases:
