Soak judges acknowledgements of ends and cancels

The soak passes the ends that its workers list, the cancels of its callers and all disturbances to AcksCheck; a finding is a failure of the soak. The store counts as disturbed for as long as it has answers to lose, and a worker for as long as it has starts to leave without an answer.

--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -19,6 +19,7 @@
 from twisted.internet.task import LoopingCall, deferLater
 
 from dogwoodlever._http_client import NOT_SENT_ERRORS, HttpClient
+from standins.acks_check import Scope
 from standins.changing_queues import ChangingQueues
 from standins.configuration_check import NO_RESPONSE, NOT_SENT, QueueAnswer
 from standins.daemon_process import READINESS
@@ -157,12 +158,16 @@
     @inlineCallbacks
     def _cancel(self, job: SoakJob):
         job.is_cancel_requested = True
+        acks = self._site.checker.acks
+        acks.send_cancel(job.job_id, QUEUE, reactor.seconds())
         for _ in range(CALL_ATTEMPTS):
             status, _ = yield self._call(b"DELETE", job.job_id)
             if status in (200, 410):
                 job.cancelled_s = reactor.seconds()
+                acks.answer_cancel(job.job_id, job.cancelled_s)
                 return
             yield deferLater(reactor, 0.3)
+        acks.give_up_cancel(job.job_id, reactor.seconds())
 
     def count(self, queues: ChangingQueues) -> None:
         """Ask each daemon for the pending jobs of a usual queue and of another one.
@@ -241,6 +246,7 @@
         ]
         self._duration_s = duration_s
         self._advanced_s = reactor.seconds()
+        self._ended_s = 0.0
         self.failures: list[str] = []
 
     @inlineCallbacks
@@ -268,14 +274,19 @@
         advancing.stop()
         self.failures.extend(self.site.checker.violations)
         self.failures.extend(self.site.configurations.check())
+        self._ended_s = reactor.seconds()
+        self.failures.extend(self.site.checker.acks.check(self._ended_s))
 
     def _advance(self) -> None:
         """Advance the workers; a store that is late itself answers late."""
         self.site.checker.advance()
+        self.site.note_losses()
         now_s = reactor.seconds()
         if now_s - self._advanced_s > OWN_LAG_MIN_S:
             self.site.disturb("late")
             self.site.calm("late")
+            acks = self.site.checker.acks
+            acks.add_disturbance(Scope.STORE, self._advanced_s, now_s)
         self._advanced_s = now_s
 
     @inlineCallbacks
@@ -336,6 +347,7 @@
             f"starts={len(checker.starts)} accepted={outcomes['accepted']} "
             f"refused={outcomes['refused']} unknown={outcomes['unknown']} "
             f"no_room={checker.capacity_refusals} versions={self.site.version} "
+            f"{checker.acks.summary(self._ended_s)} "
             f"{self.site.configurations.summary()} "
             f"configuration_lag={self.site.configurations.lag_max_s:.3f}"
         )
--- a/tests/soak_checker.py
+++ b/tests/soak_checker.py
@@ -7,6 +7,7 @@
 
 from dogwoodlever._fleet_interfaces import RefusalReason
 from dogwoodlever._fleet_types import RunId, StartOrder, TaskId
+from standins.acks_check import AcksCheck
 from standins.fleet import FakeRun, FakeWorker, FakeWorkers
 
 ATTEMPTS_MAX = 3
@@ -143,6 +144,8 @@
         Violations found, each with the label of its rule.
     capacity_refusals : int
         Start orders that were refused for lack of capacity.
+    acks : AcksCheck
+        Judge of the acknowledgements, which gets the ends of all runs.
     advances : int
         Calls of `advance`, one each `ADVANCE_INTERVAL_S` unless the process is late.
     """
@@ -154,6 +157,9 @@
         self.violations: list[str] = []
         self.capacity_refusals = 0
         self.advances = 0
+        self.acks = AcksCheck()
+        # Workers whose lease has expired, with the start of their incarnation.
+        self._lapsed: set[tuple[str, int]] = set()
         # When each worker's lease was last seen to be expired.
         self._lease_expired_s: dict[str, float] = {}
         self._ended_s: dict[tuple[str, int, int], float] = {}
@@ -166,6 +172,8 @@
 
     def advance(self) -> None:
         """End the runs that are due and record expired leases."""
+        # Before runs end since their lease has expired: these ends are new.
+        self._note_lapses()
         super().advance()
         self.advances += 1
         now_s = self.clock.seconds()
@@ -173,6 +181,17 @@
             if worker.clock_ms(now_s) > worker.until_ms > 0:
                 self._lease_expired_s[worker_id] = now_s
 
+    def _note_lapses(self) -> None:
+        """Pass on each lapse of a lease once."""
+        now_s = self.clock.seconds()
+        for worker_id, worker in self.workers.items():
+            incarnation = worker_id, worker.entry.started_at_ms
+            if not worker.clock_ms(now_s) > worker.until_ms > 0:
+                self._lapsed.discard(incarnation)
+            elif incarnation not in self._lapsed:
+                self._lapsed.add(incarnation)
+                self.acks.lose(*incarnation, now_s)
+
     def find_refusal(
         self, worker: FakeWorker, order: StartOrder
     ) -> RefusalReason | None:
@@ -225,7 +244,9 @@
         if outcome == "done" and record.done_s is None:
             record.done_s = now_s
         record.failures += outcome == "failed"
-        self._ended_s[self._end_key(worker, worker.last_number)] = now_s
+        key = self._end_key(worker, worker.last_number)
+        self._ended_s[key] = now_s
+        self.acks.list_end(*key, now_s, worker.entry.service)
 
     @staticmethod
     def _end_key(worker: FakeWorker, number: int) -> tuple[str, int, int]:
@@ -234,6 +255,7 @@
     def acknowledge(self, worker: FakeWorker, number: int) -> None:
         """Check the acknowledged ends, then remove them."""
         worker_id = worker.entry.worker_id
+        self.acks.acknowledge(*self._end_key(worker, number), self.clock.seconds())
         for end in worker.ended:
             if end.number > number:
                 continue
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -8,8 +8,9 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
+from standins.acks_check import Scope
 from standins.changing_queues import ChangingQueues
-from standins.faulty_proxy import LinkFault
+from standins.faulty_proxy import FaultyProxy, LinkFault
 from standins.invalid_versions import (
     INVALID_BYTES,
     INVALID_VERSIONS,
@@ -212,14 +213,27 @@
     # Store and links
 
     @inlineCallbacks
-    def _inject_link_fault(self, links, target: str, least_s: float, most_s: float):
+    def _inject_link_fault(
+        self,
+        links: dict[str, FaultyProxy],
+        scope: Scope,
+        target: str,
+        least_s: float,
+        most_s: float,
+    ):
         fault = self._random.choice(self._link_faults)
         self._record(f"{fault} {target}")
-        for link in links:
+        acks, begun_s = self._site.checker.acks, reactor.seconds()
+        for name, link in links.items():
             link.inject(fault)
+            acks.begin_disturbance(scope, "cut", begun_s, name)
+            if fault is LinkFault.OPEN_SILENT:
+                # Later connections work.
+                acks.end_disturbance(scope, "cut", begun_s, name)
         yield self._pause(least_s, most_s)
-        for link in links:
+        for name, link in links.items():
             link.inject(LinkFault.NONE)
+            acks.end_disturbance(scope, "cut", reactor.seconds(), name)
 
     def _cut_from_store(self):
         name = self._site.leader()
@@ -235,8 +249,10 @@
     @inlineCallbacks
     def _cut_daemons(self, names: list[str], target: str, most_s: float):
         self._site.disturb("cut", *names)
-        links = [self._site.store_links[name] for name in names]
-        yield self._inject_link_fault(links, target, 0.5, most_s)
+        links = {name: self._site.store_links[name] for name in names}
+        # A store that no daemon reaches is down.
+        scope = Scope.STORE if len(links) == len(self._site.daemons) else Scope.LINK
+        yield self._inject_link_fault(links, scope, target, 0.5, most_s)
         self._site.calm("cut", *names)
 
     @inlineCallbacks
@@ -276,8 +292,8 @@
         name = self._choose_free(self._site.worker_links)
         if not name:
             return None
-        links = [self._site.worker_links[name]]
-        return self._inject_link_fault(links, name, 0.5, 9.0)
+        links = {name: self._site.worker_links[name]}
+        return self._inject_link_fault(links, Scope.WORKER, name, 0.5, 9.0)
 
     @inlineCallbacks
     def _slow_worker(self):
@@ -285,9 +301,12 @@
         if not name:
             return
         self._record(f"slow link {name}")
+        acks = self._site.checker.acks
+        acks.begin_disturbance(Scope.WORKER, "slow", reactor.seconds(), name)
         self._site.worker_links[name].delay_s = self._random.uniform(0.05, 0.5)
         yield self._pause(0.5, 4.0)
         self._site.worker_links[name].delay_s = 0.0
+        acks.end_disturbance(Scope.WORKER, "slow", reactor.seconds(), name)
 
     @inlineCallbacks
     def _crash_worker(self):
@@ -335,7 +354,9 @@
         rng = self._version_random
         while reactor.seconds() < until_s:
             if rng.random() < SILENT_SHARE:
-                self._site.configurations.add_silence(reactor.seconds())
+                now_s = reactor.seconds()
+                self._site.configurations.add_silence(now_s)
+                self._site.checker.acks.add_disturbance(Scope.LINK, now_s, now_s)
                 for link in self._site.store_links.values():
                     link.silence_connections()
             if self._form_random.random() < INVALID_SHARE:
--- a/tests/soak_site.py
+++ b/tests/soak_site.py
@@ -8,7 +8,8 @@
 
 from dogwoodlever._fleet_records import LEADER_KEY, decode_leader
 from dogwoodlever._fleet_types import WorkerEntry
-from standins.configuration_check import ConfigurationCheck
+from standins.acks_check import Scope
+from standins.configuration_check import APPLY_S, ConfigurationCheck
 from standins.daemon_process import DaemonProcess
 from standins.faulty_proxy import FaultyProxy
 from standins.fleet import FleetRecords, server_record
@@ -19,7 +20,7 @@
     UNUSUAL_VALID_VERSIONS,
     encode_version,
 )
-from standins.queue_places import USUAL_HOST, format_place
+from standins.queue_places import USUAL_HOST, format_place, queue_at
 from tests.soak_checker import ATTEMPTS_MAX, SoakChecker, SoakWorker
 
 QUEUE_HOST = USUAL_HOST
@@ -29,6 +30,14 @@
 ENTRY_EXPIRY_S = 1.5
 # Higher than any token of a leader, so that a worker with it refuses all orders.
 HIGHEST_FENCING_TOKEN = 1 << 60
+# What acknowledgements are judged by: disturbances of the store and of daemons. Those
+# of links, and answers that are lost, are passed on where they begin and end.
+SCOPES = {
+    "stopped": Scope.PROCESS,
+    "frozen": Scope.PROCESS,
+    "busy": Scope.STORE,
+    "slow": Scope.STORE,
+}
 
 
 class SoakSite:
@@ -116,7 +125,7 @@
             "routes": routes,
             "services": [{"name": "desk", "enforces_capacity": True}],
         }
-        now_s = reactor.seconds()
+        now_s, acks = reactor.seconds(), self.checker.acks
         self._document = document
         if form:
             document = UNUSUAL_VALID_VERSIONS[form](document)
@@ -124,6 +133,11 @@
         self.records.write("op/config", encode_version(document))
         places = [format_place(r["host"], r["prefix"]) for r in document["routes"]]
         self.configurations.add_version(self.version, now_s, places)
+        # Without its queue a job cannot be cancelled.
+        if QUEUE in map(queue_at, places):
+            acks.end_disturbance(Scope.QUEUE, "absent", now_s + APPLY_S, QUEUE)
+        else:
+            acks.begin_disturbance(Scope.QUEUE, "absent", now_s, QUEUE)
 
     def write_invalid(self, form: str) -> None:
         """Write a version that must not be put into force."""
@@ -155,6 +169,8 @@
         """Stop a worker at once; its entry is removed after `ENTRY_EXPIRY_S`."""
         worker = self.checker.workers[worker_id]
         worker.running.clear()
+        incarnation = worker_id, worker.entry.started_at_ms
+        self.checker.acks.lose(*incarnation, reactor.seconds())
         # Refuses orders that were delayed until after the stop.
         worker.fencing_token = HIGHEST_FENCING_TOKEN
         reactor.callLater(ENTRY_EXPIRY_S, self._remove_entry, worker)
@@ -170,13 +186,30 @@
 
     def disturb(self, cause: str, *names: str) -> None:
         """Note that some daemons, or all without a name, are out of contact."""
+        now_s, acks = reactor.seconds(), self.checker.acks
         for name in names or (None,):
-            self.configurations.begin_disturbance(cause, reactor.seconds(), name)
+            self.configurations.begin_disturbance(cause, now_s, name)
+            if cause in SCOPES:
+                acks.begin_disturbance(SCOPES[cause], cause, now_s, name or "")
 
     def calm(self, cause: str, *names: str) -> None:
         """Note the end of a disturbance."""
+        now_s, acks = reactor.seconds(), self.checker.acks
         for name in names or (None,):
-            self.configurations.end_disturbance(cause, reactor.seconds(), name)
+            self.configurations.end_disturbance(cause, now_s, name)
+            if cause in SCOPES:
+                acks.end_disturbance(SCOPES[cause], cause, now_s, name or "")
+
+    def note_losses(self) -> None:
+        """Note for which time the store loses answers, and workers those to starts."""
+        self._note_loss(Scope.STORE, "", bool(self.store.answers_to_lose))
+        for name, resource in self.worker_resources.items():
+            self._note_loss(Scope.WORKER, name, bool(resource.start_delays_s))
+
+    def _note_loss(self, scope: Scope, name: str, is_losing: bool) -> None:
+        acks = self.checker.acks
+        note = acks.begin_disturbance if is_losing else acks.end_disturbance
+        note(scope, "lost", reactor.seconds(), name)
 
     def start_daemon(self, name: str) -> None:
         """Start a daemon unless it runs."""
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -139,6 +139,37 @@
         refusal = self.checker.find_refusal(self.checker.workers["w0"], order)
         self.assertEqual(refusal, RefusalReason.NO_ROOM)
 
+    # Guards against ends that the judge of acknowledgements does not hear of.
+    def test_ends_without_acknowledgement(self):
+        for name, acknowledged, until_ms, advances_s, findings in (
+            ("in time", 1, 1_000_000, (3.9, 3.9), 0),
+            ("too late", 1, 1_000_000, (4.1, 0.1), 1),
+            ("another end", 0, 1_000_000, (3.9, 0.2), 1),
+            ("the lease lapsed in time", 0, 12_000, (3.0, 9.0), 0),
+            ("the lease lapsed later", 0, 15_000, (6.0, 9.0), 1),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                worker = self.checker.workers["w0"]
+                self.end("w0", self.start("w0"))
+                worker.until_ms = until_ms
+                self.clock.advance(advances_s[0])
+                self.checker.advance()
+                self.checker.acknowledge(worker, acknowledged)
+                self.clock.advance(advances_s[1])
+                self.checker.advance()
+                found = self.checker.acks.check(self.clock.seconds())
+                self.assertEqual(len(found), findings)
+
+    # Guards against an end by the expiry of a lease that is taken for an earlier one.
+    def test_end_as_a_lease_lapses(self):
+        self.start("w0")
+        self.checker.workers["w0"].until_ms = 1
+        for _ in range(3):
+            self.checker.advance()
+            self.clock.advance(2.1)
+        self.assertEqual(len(self.checker.acks.check(self.clock.seconds())), 1)
+
     def test_outstanding_work(self):
         self.job.accepted_s = 1.0
         for phase, count in (("running", 1), ("completed", 0), ("failed", 1)):
