--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -45,6 +45,7 @@
             "SERVED",
             "ROUTE",
             "LIMITS",
+            "ACKS",
             "Traceback",
         ):
             self.assertNotIn(rule, output)
