Soak loses many answers of the store to writes

The soak lost the answers to one to six writes at a time, among many other faults, and ended as soon as all work was done, so that hardly an end was judged in calm after it. `lose_many_answers` loses half of the answers to writes for 2 s to 5 s; `--faults` chooses it.

--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -227,6 +227,8 @@
         Faults of links that are cut.
     fault_interval_s : float
         Mean pause from one fault to the next.
+    faults : tuple of str
+        Names of the faults; the usual ones if empty.
     """
 
     def __init__(
@@ -238,9 +240,12 @@
         workers: int,
         link_faults: tuple[LinkFault, ...],
         fault_interval_s: float = FAULT_INTERVAL_S,
+        faults: tuple[str, ...] = (),
     ) -> None:
         self.site = SoakSite(folder, daemons, workers)
-        self._faults = SoakFaults(self.site, seed, link_faults, fault_interval_s)
+        self._faults = SoakFaults(
+            self.site, seed, link_faults, fault_interval_s, faults
+        )
         self._callers = [
             SoakCaller(self.site, f"{seed}/{number}") for number in range(CALLERS)
         ]
@@ -361,6 +366,7 @@
     folder: Path | None = None,
     refuses: bool = False,
     fault_interval_s: float = FAULT_INTERVAL_S,
+    faults: tuple[str, ...] = (),
 ) -> int:
     """Run one soak; return the exit status.
 
@@ -379,6 +385,8 @@
         Links that are cut refuse connections.
     fault_interval_s : float
         Mean pause from one fault to the next; answers are judged 3 s after a fault.
+    faults : tuple of str
+        Names of the faults, such as ``lose_many_answers``; the usual ones by default.
     """
     if folder is None:
         LOG_FOLDER.mkdir(parents=True, exist_ok=True)
@@ -386,8 +394,9 @@
     folder.mkdir(parents=True, exist_ok=True)
     link_faults = (LinkFault.REFUSED,) if refuses else LINK_FAULTS
     soak = FleetSoak(
-        folder, seed, duration_s, daemons, workers, link_faults, fault_interval_s
-    )
+        folder, seed, duration_s, daemons, workers, link_faults, fault_interval_s,
+        faults,
+    )  # fmt: skip
     running = soak.run()
     running.addErrback(lambda failure: soak.failures.append(str(failure)))
     running.addBoth(lambda _result: soak.site.close())
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -24,6 +24,11 @@
 START_DELAY_MAX_S = 9.0
 WRITE_DELAY_MAX_S = 5.0
 EXIT_POLL_S = 0.05
+# For how long, how often and with which probability the store loses one more answer to
+# a write, while it loses many.
+LOSING_S = (2.0, 5.0)
+LOSS_INTERVAL_S = 0.05
+LOSS_SHARE = 0.5
 # Share of the planned stops that stop all daemons.
 STOP_ALL_SHARE = 0.5
 # Share of the changes of the configuration at which all open connections to the store
@@ -59,6 +64,8 @@
         Faults of links that are cut; the last one is that of crashed workers.
     interval_s : float
         Mean pause from one fault to the next.
+    names : tuple of str
+        Faults to inject, such as ``lose_many_answers``; the usual ones if empty.
     """
 
     def __init__(
@@ -67,6 +74,7 @@
         seed: int,
         link_faults: tuple[LinkFault, ...],
         interval_s: float = FAULT_INTERVAL_S,
+        names: tuple[str, ...] = (),
     ) -> None:
         self._site = site
         self._pause_s = tuple(share * interval_s for share in PAUSE_SHARES)
@@ -108,6 +116,8 @@
             self._change_configuration,
             self._take_centre_out,
         )
+        if names:
+            self._injectors = tuple(getattr(self, f"_{name}") for name in names)
 
     @inlineCallbacks
     def run(self, duration_s: float):
@@ -282,6 +292,19 @@
         )
         self._site.store.answers_to_lose = self._random.randint(1, 6)
 
+    @inlineCallbacks
+    def _lose_many_answers(self):
+        """Lose a share of the answers to writes, which take effect, for seconds."""
+        self._record("answers of many writes lost")
+        self._site.disturb("losing")
+        rng, losing_s = self._random, self._random.uniform(*LOSING_S)
+        self._site.store.commit_delay_s = 0.0
+        for _ in range(round(losing_s / LOSS_INTERVAL_S)):
+            self._site.store.answers_to_lose = int(rng.random() < LOSS_SHARE)
+            yield deferLater(reactor, LOSS_INTERVAL_S)
+        self._site.store.answers_to_lose = 0
+        self._site.calm("losing")
+
     def _compact_history(self):
         self._record("history compacted")
         self._site.store.compact()
--- a/tests/soak_site.py
+++ b/tests/soak_site.py
@@ -37,6 +37,7 @@
     "frozen": Scope.PROCESS,
     "busy": Scope.STORE,
     "slow": Scope.STORE,
+    "losing": Scope.STORE,
 }
 
 
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -18,6 +18,8 @@
     (109, 6),
     # Faults so rare that most answers are judged.
     (5602, 24, "--fault-interval-s", "10"),
+    # A lost answer to the end of a job held back all acknowledgements in calm.
+    (6201, 20, "--fault-interval-s", "10", "--faults", "lose_many_answers"),
 )
 
 
