Count failed writes of progress by cause

Cause: a batch of progress that fails again and again held back all others, and no metric showed it. Change: the writer tells an AcknowledgementBacklog which batches are stored and which fail; it counts the failures by cause and shows how often in a row a write beginning with the same job has failed. Two subclasses of PlatformError tell a repeated conflict and another term apart. No change of behaviour.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.defer import FirstError, gatherResults, inlineCallbacks
 
+from dogwoodlever._acknowledgement_backlog import AcknowledgementBacklog
 from dogwoodlever._configuration_knowledge import ConfigurationKnowledge
 from dogwoodlever._crash_attribution import CrashAttribution
 from dogwoodlever._fault_attribution import FaultAttribution
@@ -246,6 +247,7 @@
             confirm_soon,
         )
         self.workers.runs.set_stalled_source(self._handover.stalled_ms)
+        self._backlog = AcknowledgementBacklog(metrics)
         self._progress_writer = ProgressWriter(
             store,
             clock,
@@ -255,6 +257,7 @@
             self.workers.acknowledge_ends,
             on_unstored,
             platform_limits.record_bytes_max,
+            self._backlog,
         )
         self._retention = Retention(
             store,
@@ -323,6 +326,7 @@
         self._tickets.close()
         self.workers.close()
         self._workspace_report.close()
+        self._backlog.close()
         for call in (self._plan_call, self._tick_call, self._load_check_call):
             if call is not None and call.active():
                 call.cancel()
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -38,6 +38,13 @@
             "Runs that count on since their start may be carried out late",
             "after",
         )
+        self.progress_write_failures = self._counter(
+            "progress_write_failures", "Failed writes of progress", "cause"
+        )
+        self.progress_batch_repeats = self._gauge(
+            "progress_batch_repeats",
+            "Failed writes of progress in a row that began with the same job",
+        )
         self.run_ends = self._counter("run_ends", "Runs that ended", "how")
         self.worker_events = self._counter(
             "worker_events", "Events of workers", "event"
--- a/dogwoodlever/_fleet_progress_writer.py
+++ b/dogwoodlever/_fleet_progress_writer.py
@@ -4,6 +4,7 @@
 
 from twisted.internet.defer import inlineCallbacks
 
+from dogwoodlever._acknowledgement_backlog import AcknowledgementBacklog
 from dogwoodlever._fleet_interfaces import Put, Record
 from dogwoodlever._fleet_observed_store import ObservedStore
 from dogwoodlever._fleet_records import (
@@ -15,7 +16,11 @@
 )
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_registry import RunRegistry
-from dogwoodlever.platform_errors import PlatformError
+from dogwoodlever.platform_errors import (
+    PlatformError,
+    RecordConflictError,
+    TermEndedError,
+)
 
 # Batches changes, to limit the number of writes under load.
 FLUSH_DELAY_S = 0.1
@@ -62,6 +67,8 @@
         Called with changed progress by job while it cannot be stored.
     record_bytes_max : int
         Largest value of a record in the store.
+    backlog : AcknowledgementBacklog
+        Told which batches are stored and which fail.
     """
 
     def __init__(
@@ -74,6 +81,7 @@
         on_stored: Callable[[dict], None],
         on_unstored: Callable[[dict[str, bytes]], None],
         record_bytes_max: int,
+        backlog: AcknowledgementBacklog,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -83,6 +91,7 @@
         self._on_stored = on_stored
         self._on_unstored = on_unstored
         self._record_bytes_max = record_bytes_max
+        self._backlog = backlog
         # Jobs that were logged since not all of their checkpoints are stored.
         self._reduced_jobs: set[str] = set()
         self._reported: dict[str, bytes] = {}
@@ -191,13 +200,16 @@
             batch, remaining = remaining[:size], remaining[size:]
             self._registry.dirty.difference_update(batch)
             self._in_flight = tuple(batch)
+            begun_s = self._clock.seconds()
             try:
                 yield self._write_batch(batch)
-            except PlatformError:
+            except PlatformError as error:
                 self._registry.dirty.update(batch)
+                self._backlog.record_failure(batch, error)
                 raise
             finally:
                 self._in_flight = ()
+            self._backlog.record_stored(batch, begun_s)
         self._reported.clear()
         if not self._is_closed:
             self._on_stored(last_end_numbers)
@@ -222,14 +234,14 @@
                     self._revisions[job_id] = 0 if has_ended else result.revision
                 return
             self._update_revisions(result.current)
-        raise PlatformError("progress records conflict repeatedly")
+        raise RecordConflictError("progress records conflict repeatedly")
 
     def _update_revisions(self, current: tuple[Record, ...]) -> None:
         """Read the revisions of own writes that got no response."""
         for record in current:
             if record.key == TERM_KEY:
                 if record.revision != self._get_term_revision():
-                    raise PlatformError("another term has begun")
+                    raise TermEndedError("another term has begun")
                 continue
             job_id = record.key[len(PROGRESS_PREFIX) :]
             self._revisions[job_id] = record.revision
--- a/dogwoodlever/platform_errors.py
+++ b/dogwoodlever/platform_errors.py
@@ -49,6 +49,14 @@
     """The store refused the call or was not reached, and did nothing."""
 
 
+class RecordConflictError(PlatformError):
+    """A write's conditions do not hold, although they were read from the store."""
+
+
+class TermEndedError(PlatformError):
+    """Another term has begun, so the leader of this one may write no more."""
+
+
 class StoredRecordError(PlatformError):
     """A record that a daemon has stored cannot be read."""
 
