Show how long ends wait for their acknowledgement, and for what

Cause: in the incident of unacknowledged ends no metric or log line of the leader said that ends waited, nor whether for the store, for copies of starts or for polls. Change: each worker's evidence keeps when its ends were first listed until an answered poll has acknowledged them; AcknowledgementBacklog sets the gauges once a second, and logs a wait beyond ack_ms (4 s unless the settings file says otherwise). The age of progress that isn't stored is shown likewise. No change of behaviour.

An end that waits 'unsent' for up to 1.5 s is usual: the poll that names it waits at a worker that has nothing left to list.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -247,7 +247,14 @@
             confirm_soon,
         )
         self.workers.runs.set_stalled_source(self._handover.stalled_ms)
-        self._backlog = AcknowledgementBacklog(metrics)
+        self._backlog = AcknowledgementBacklog(
+            metrics,
+            clock,
+            self.registry,
+            store.down_for_s,
+            self.workers.evidence_of_waits,
+            platform_limits.acknowledgement_s,
+        )
         self._progress_writer = ProgressWriter(
             store,
             clock,
@@ -619,6 +626,7 @@
         self._cancelled.difference_update(job_ids)
         for job_id in job_ids:
             self._progress_writer.drop_job(job_id)
+            self._backlog.drop_job(job_id)
             self._interference.drop_job(job_id)
             self._tickets.drop_job(job_id)
             self._usage.drop_job(job_id)
@@ -709,6 +717,7 @@
             self.workers.capacities.values(),
             self._clock.seconds(),
         )
+        self._backlog.update()
         self.plan_soon()
 
     def _plan(self) -> None:
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -17,6 +17,9 @@
 # From a late timer of a worker to a lease of another length.
 OVERRUN_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0)
 
+# Why an end is not acknowledged; `AcknowledgementBacklog` tells them apart.
+END_WAIT_CAUSES = ("unstored", "store-away", "held", "unsent")
+
 
 class FleetMetrics:
     """Metrics of one daemon process; those of the leader stay 0 on other daemons."""
@@ -38,6 +41,21 @@
             "Runs that count on since their start may be carried out late",
             "after",
         )
+        self.oldest_unacknowledged_end_s = self._gauge(
+            "oldest_unacknowledged_end_seconds",
+            "How long ago the oldest end that is not acknowledged was listed",
+            "cause",
+        )
+        self.unacknowledged_ends = self._gauge(
+            "unacknowledged_ends", "Listed ends that are not acknowledged", "cause"
+        )
+        for cause in END_WAIT_CAUSES:
+            self.oldest_unacknowledged_end_s.labels(cause)
+            self.unacknowledged_ends.labels(cause)
+        self.oldest_unstored_progress_s = self._gauge(
+            "oldest_unstored_progress_seconds",
+            "Age of the oldest change of a job that is not stored",
+        )
         self.progress_write_failures = self._counter(
             "progress_write_failures", "Failed writes of progress", "cause"
         )
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -382,6 +382,7 @@
                 self.settings.stop_timeout_s,
                 self.settings.workspace_rate_window_s,
                 self.settings.record_bytes_max,
+                self.settings.acknowledgement_s,
             ),
             self.election.confirm_soon,
             lambda: self.election.contact_s,
--- a/dogwoodlever/_fleet_progress_writer.py
+++ b/dogwoodlever/_fleet_progress_writer.py
@@ -200,7 +200,7 @@
             batch, remaining = remaining[:size], remaining[size:]
             self._registry.dirty.difference_update(batch)
             self._in_flight = tuple(batch)
-            begun_s = self._clock.seconds()
+            self._backlog.record_begun(batch)
             try:
                 yield self._write_batch(batch)
             except PlatformError as error:
@@ -209,7 +209,7 @@
                 raise
             finally:
                 self._in_flight = ()
-            self._backlog.record_stored(batch, begun_s)
+            self._backlog.record_stored(batch)
         self._reported.clear()
         if not self._is_closed:
             self._on_stored(last_end_numbers)
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -229,6 +229,7 @@
         sent_s: float,
     ) -> None:
         """Apply the result of a poll that was sent at `sent_s`."""
+        link.evidence.record_listed(result.ended, self._clock.seconds())
         if capacity.entry.is_draining:
             link.evidence.release_ends()
         else:
--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -200,6 +200,8 @@
         Time over which the jobs of a workspace count against its rate.
     record_bytes_max : int
         Largest value of a record in the store.
+    acknowledgement_s : float
+        Time in which an end that a worker lists has to be acknowledged.
     """
 
     run_lease_max_s: float
@@ -208,6 +210,7 @@
     stop_timeout_s: float
     workspace_rate_window_s: float = 5.0
     record_bytes_max: int = 1_048_576
+    acknowledgement_s: float = 4.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -1,7 +1,7 @@
 """The leader's view of the workers: capacities, links, incarnations and leases."""
 
 import math
-from collections.abc import Callable, Set
+from collections.abc import Callable, Iterator, Set
 from dataclasses import replace
 from functools import partial
 
@@ -469,6 +469,12 @@
         for link, number in last_end_numbers.items():
             link.acknowledge(number)
 
+    def evidence_of_waits(self) -> Iterator[tuple[str, WorkerEvidence]]:
+        """Yield the workers with ends that wait for their acknowledgement."""
+        for worker_id, link in self._links.items():
+            if link.evidence.has_waiting_ends:
+                yield worker_id, link.evidence
+
     def apply_entry(self, record: Record) -> None:
         """Apply a change of a worker's entry."""
         worker_id = record.key[len(WORKERS_PREFIX) :]
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -95,6 +95,36 @@
     INCARNATION_ENDED = auto()
 
 
+class EndWait(Enum):
+    """Why a listed end is not acknowledged."""
+
+    # The progress of its job is not stored.
+    UNSTORED = "unstored"
+    # A copy of its start, or of that of an earlier end, may still be carried out.
+    HELD = "held"
+    # No answered poll has said that the worker may drop it.
+    UNSENT = "unsent"
+
+
+@dataclass(slots=True, frozen=True)
+class WaitingEnd:
+    """A listed end that no answered poll has acknowledged.
+
+    Attributes
+    ----------
+    number : int
+        Its number at this incarnation of the worker.
+    run_id : RunId
+        The run that ended.
+    listed_s : float
+        When it was first listed.
+    """
+
+    number: int
+    run_id: RunId
+    listed_s: float
+
+
 @dataclass(slots=True)
 class StartAttempts:
     """The copies of a start that were sent to one incarnation.
@@ -192,6 +222,7 @@
         "_unacknowledged_ends",
         "_unanswered_starts",
         "_unread_ends",
+        "_waiting_ends",
         "broken_s",
         "has_lease_expired",
         "is_reachable",
@@ -261,6 +292,9 @@
         self._unread_ends: set[int] = set()
         # Numbers of the listed ends that may not be acknowledged yet.
         self._unacknowledged_ends: set[int] = set()
+        # Listed ends that no answered poll has acknowledged, by number, in the order
+        # in which they were first listed.
+        self._waiting_ends: dict[int, WaitingEnd] = {}
 
     # Incarnations
 
@@ -551,7 +585,10 @@
         if is_other and self._clock_ms:
             return PollVerdict.REPLACED
         self._failed_polls = 0
-        self._noted_number = max(self._noted_number, self._acknowledging_number)
+        if self._acknowledging_number > self._noted_number:
+            self._noted_number = self._acknowledging_number
+            for number in [n for n in self._waiting_ends if n <= self._noted_number]:
+                del self._waiting_ends[number]
         self.is_refused = False
         self.broken_s = NEVER_S
         self._clock_ms = result.clock_ms
@@ -627,6 +664,41 @@
         self.last_end_number = max(self.last_end_number, number)
         return False
 
+    def record_listed(self, ends: Sequence[EndedRun], now_s: float) -> None:
+        """Record when ends were first listed, until they are acknowledged."""
+        for end in ends:
+            if end.number > self._noted_number and end.number not in self._waiting_ends:
+                self._waiting_ends[end.number] = WaitingEnd(end.number, end.run, now_s)
+
+    @property
+    def has_waiting_ends(self) -> bool:
+        """Whether a listed end is not acknowledged by an answered poll."""
+        return bool(self._waiting_ends)
+
+    def find_waits(self) -> dict[EndWait, tuple[int, WaitingEnd]]:
+        """Return how many ends wait for what, and the one that was listed first."""
+        if not self._waiting_ends:
+            return {}
+        if not self._unacknowledged_ends and not self._unread_ends:
+            # The usual cases, told without a look at the ends, which may be many.
+            oldest = next(iter(self._waiting_ends.values()))
+            if self._acknowledged_number <= self._noted_number:
+                return {EndWait.UNSTORED: (len(self._waiting_ends), oldest)}
+            if self._acknowledged_number >= self.last_end_number:
+                return {EndWait.UNSENT: (len(self._waiting_ends), oldest)}
+        acknowledgeable = self._acknowledgeable_number
+        storable = self.storable_end_number
+        found: dict[EndWait, tuple[int, WaitingEnd]] = {}
+        for number, end in self._waiting_ends.items():
+            wait = EndWait.HELD
+            if number <= acknowledgeable:
+                wait = EndWait.UNSENT
+            elif self._acknowledged_number < number <= storable:
+                wait = EndWait.UNSTORED
+            count, oldest = found.get(wait, (0, end))
+            found[wait] = count + 1, oldest
+        return found
+
     @property
     def storable_end_number(self) -> int:
         """Up to which number all ends are read."""
--- a/dogwoodlever/platform/_node_file.py
+++ b/dogwoodlever/platform/_node_file.py
@@ -35,6 +35,8 @@
     quota_window_s: float = 5
     # Time in which a version of the configuration has to be in force.
     config_apply_ms: Annotated[int, msgspec.Meta(gt=0)] = 2_000
+    # Time in which a listed end has to be acknowledged.
+    ack_ms: Annotated[int, msgspec.Meta(gt=0)] = 4_000
     # Time after a failure in which work goes on.
     recovery_s: Annotated[float, msgspec.Meta(gt=0)] = 12
 
@@ -112,6 +114,8 @@
         Bandwidth of the VM's link, 0 if it is not known.
     configuration_apply_s : float
         Time in which a version of the configuration has to be in force.
+    acknowledgement_s : float
+        Time in which an end that a worker lists has to be acknowledged.
     memory_mb : float
         Memory of the process, in megabytes.
     descriptors_max : int
@@ -139,6 +143,7 @@
     recovery_s: float = 12.0
     link_mbps: float = 0.0
     configuration_apply_s: float = 2.0
+    acknowledgement_s: float = 4.0
     memory_mb: float = 512.0
     descriptors_max: int = 4_096
 
@@ -185,6 +190,7 @@
         recovery_s=bounds.recovery_s,
         link_mbps=document.limits.link_mbps,
         configuration_apply_s=bounds.config_apply_ms / 1000,
+        acknowledgement_s=bounds.ack_ms / 1000,
         memory_mb=document.limits.memory_mb,
         descriptors_max=document.limits.max_fds,
     )
