--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -70,6 +70,7 @@
 cores = 2
 [bounds]
 grace_s = 6
+ack_ms = 6000
 harm_ms = 4500
 stop_timeout_ms = 200
 [platform]
@@ -398,6 +399,7 @@
         self.assertEqual(settings.callers, ("10.1.0.13", 8161))
         self.assertEqual((settings.peer_port, settings.core_share), (7720, 1.0))
         self.assertEqual(settings.harm_s, 4.5)
+        self.assertEqual(settings.acknowledgement_s, 6.0)
         self.assertEqual(settings.stop_timeout_s, 0.2)
 
     def test_time_of_a_stop(self):
