Stand-ins of the store answer in the platform's form

Cause: the stand-ins listed each key of `expect` in a conflict, absent ones with revision 0, as `FleetRecords.commit` returns them. The platform lists the items of `expect`, and an absent key has none. They also took transactions of any size and writes of the operators' and workers' keys.

Change: `WireStore` is the one copy of the store's calls in the platform's form; `FleetStoreResource` and the emulator's transactions use it. Conflicts leave absent keys out; `ConflictForm` chooses the other two forms. Over 32 entries, a value over 1 MiB and a key over 200 bytes get 400, `op/` and `servers/` 403, an unknown lease 404. `WireStoreClient` is an HTTP client without sockets below an `HttpFleetStore`, with the faults of `FakeFleetStore`, and `FleetSimulation(has_wire_store=True)` runs daemons over it. Operators have a port of their own at `StoreProcess`. In process, `FakeFleetStore` still returns a record for each expected key.

--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -20,7 +20,9 @@
 from standins.faulty_proxy import FaultyProxy
 from standins.fleet import FakeWorkers, FleetRecords, server_record
 from standins.fleet_http import FleetStoreResource, FleetWorkerResource
+from standins.wire_store import WireStore
 
+PAGE_ITEMS = 200
 HOST = "127.77.0.2"
 QUEUE = Queue("quotes", "desk.example", "/quotes/", "desk")
 PAYLOAD_BYTES = 850
@@ -81,7 +83,9 @@
         self._listening = []
         for number in range(workers):
             self._add_worker(f"w{number}")
-        store_port = self._serve(FleetStoreResource(self.records, reactor))
+        store_port = self._serve(
+            FleetStoreResource(WireStore(self.records, PAGE_ITEMS), reactor)
+        )
         self._link = FaultyProxy(reactor, "127.0.0.1", store_port)
         self._link.bytes_per_s = link_mbps * 1e6 / 8
         self._daemon = DaemonProcess("vm0", HOST, self._link.port, folder)
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -4,12 +4,12 @@
 import json
 import random
 import time
-from base64 import b64decode, b64encode
+from base64 import b64encode
 
 from twisted.internet import reactor
 from twisted.internet.task import LoopingCall
 
-from dogwoodlever._fleet_interfaces import Listing, Put, Record
+from dogwoodlever._fleet_interfaces import Listing, Record
 from dogwoodlever._fleet_records import LEADER_KEY, decode_leader
 from dogwoodlever.platform_errors import LeaseEndedError
 from emulator.process import EventLog, Exchange, HttpPort, run_process
@@ -24,11 +24,11 @@
 )
 from standins.queue_places import USUAL_HOST, format_place
 from standins.rate_limit import RateLimit
+from standins.wire_store import PAGE_ITEMS, WireCall, WireStore, encode_item
 
 ANSWER_S = 0.004
 EXPIRY_INTERVAL_S = 0.05
 BEAT_LAPSE_S = 4.5
-PAGE_ITEMS = 500
 WRITE_CALLS = frozenset({"kv-txn", "kv-lease", "kv-lease-end"})
 # A renewal counts as this part of a read.
 RENEWAL_PRICE = 0.1
@@ -81,6 +81,7 @@
         self._report = report
         self._random = random.Random(f"store/{options['seed']}")
         self.records = EmulatedRecords(reactor)
+        self._transactions = WireStore(self.records)
         self._ports = [
             HttpPort(lambda exchange, n=number: self._serve(n, exchange))
             for number in range(options["daemons"])
@@ -342,7 +343,7 @@
             record = self.records.read_stale(key, self._stale_s)
         else:
             record = self.records.read(key)
-        exchange.respond(*((404, {}) if record is None else (200, _item(record))))
+        exchange.respond(*((404, {}) if record is None else (200, encode_item(record))))
 
     def _list(self, exchange: Exchange, _argument: str) -> None:
         listing = self.records.list(exchange.query["prefix"])
@@ -355,7 +356,7 @@
         remaining = [record for record in listing.records if record.key > after]
         page = {
             "current_rev": listing.revision,
-            "items": [_item(record) for record in remaining[:PAGE_ITEMS]],
+            "items": [encode_item(record) for record in remaining[:PAGE_ITEMS]],
             "has_more": len(remaining) > PAGE_ITEMS,
         }
         exchange.respond(200, page)
@@ -385,22 +386,13 @@
             exchange.respond(200, {"current_rev": after, "events": []})
             return
         listing = self.records.list_changes(prefix, after)
-        events = [_item(record) for record in listing.records]
+        events = [encode_item(record) for record in listing.records]
         document = {"current_rev": listing.revision, "events": events}
         exchange.respond(200, document)
 
     def _commit(self, exchange: Exchange, _argument: str) -> None:
-        document = exchange.body
-        expected = {row["key"]: row["revision"] for row in document["expect"]}
-        puts = tuple(
-            Put(row["key"], b64decode(row["value"]), row.get("lease", 0))
-            for row in document["puts"]
-        )
-        result = self.records.commit(expected, puts, document["deletes"])
-        if result.revision:
-            exchange.respond(200, {"revision": result.revision})
-        else:
-            exchange.respond(412, {"items": [_item(r) for r in result.current]})
+        call = WireCall("kv-txn", document=exchange.body)
+        exchange.respond(*self._transactions.answer(call))
 
     def _open_lease(self, exchange: Exchange, _argument: str) -> None:
         ttl_ms = exchange.body["ttl_ms"]
@@ -436,12 +428,5 @@
     return document | ({"limits": limits} if limits else {})
 
 
-def _item(record: Record) -> dict:
-    if record.value is None:
-        return {"key": record.key, "revision": record.revision, "tombstone": True}
-    value = b64encode(record.value).decode()
-    return {"key": record.key, "revision": record.revision, "value": value}
-
-
 if __name__ == "__main__":
     run_process(EmulatedStore)
--- a/standins/fleet_http.py
+++ b/standins/fleet_http.py
@@ -7,21 +7,20 @@
 
 import json
 from abc import ABC, abstractmethod
-from base64 import b64decode, b64encode
 from collections.abc import Callable
 
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from dogwoodlever._fleet_interfaces import Put, RefusalReason
+from dogwoodlever._fleet_interfaces import RefusalReason
 from dogwoodlever._fleet_types import RunId, StartOrder
 from dogwoodlever.platform._http_workers import decode_task, encode_task
-from dogwoodlever.platform_errors import LeaseEndedError, OrderRefusedError
-from standins.fleet import FakeRun, FakeWorker, FakeWorkers, FleetRecords
+from dogwoodlever.platform_errors import OrderRefusedError
+from standins.fleet import FakeRun, FakeWorker, FakeWorkers
+from standins.wire_store import WireCall, WireStore
 
 # Interval at which a waiting call checks for changes.
 POLL_S = 0.02
-PAGE_ITEMS = 200
 
 _REASONS = {
     RefusalReason.FENCED: "fence",
@@ -58,20 +57,16 @@
         request.finish()
 
 
-def _argument(request, name: str, default: str = "") -> str:
-    return request.args.get(name.encode(), [default.encode()])[0].decode()
-
-
-def _item(record) -> dict:
-    if record.value is None:
-        return {"key": record.key, "revision": record.revision, "tombstone": True}
-    value = b64encode(record.value).decode()
-    return {"key": record.key, "revision": record.revision, "value": value}
-
-
 class FleetStoreResource(JsonResource):
     """The platform's store over HTTP.
 
+    Parameters
+    ----------
+    store : WireStore
+        The store's calls.
+    clock : IReactorTime
+        Reactor clock.
+
     Attributes
     ----------
     is_busy : bool
@@ -84,120 +79,55 @@
         Delay before such a commit takes effect, if its condition still holds.
     """
 
-    def __init__(self, records: FleetRecords, clock) -> None:
+    def __init__(self, store: WireStore, clock) -> None:
         super().__init__()
-        self._records = records
+        self._store = store
         self._clock = clock
         self.is_busy = False
         self.delay_s = 0.0
         self.answers_to_lose = 0
         self.commit_delay_s = 0.0
-        self._compacted = 0
 
     def compact(self) -> None:
         """Drop the history; watches from an older revision get status 410."""
-        self._compacted = self._records.revision
-        self._records.history.clear()
+        self._store.compact()
 
     def serve(self, request, path: str, document: dict) -> None:
         """Handle one call after `delay_s`."""
+        name, _, argument = path.removeprefix("/-/").partition("/")
+        query = {key.decode(): rows[0].decode() for key, rows in request.args.items()}
+        call = WireCall(name, argument, query, document)
         if self.is_busy:
             self.respond(request, 503)
         elif self.delay_s:
-            self._clock.callLater(self.delay_s, self._route, request, path, document)
+            self._clock.callLater(self.delay_s, self._route, request, call)
         else:
-            self._route(request, path, document)
-
-    def _route(self, request, path: str, document: dict) -> None:
-        method, _, argument = path.removeprefix("/-/").partition("/")
-        serve = {
-            "kv-key": self._read,
-            "kv-range": self._list,
-            "kv-watch": self._watch,
-            "kv-txn": self._commit,
-            "kv-lease": self._open_lease,
-            "kv-keep": self._renew,
-            "kv-lease-end": self._end_lease,
-        }[method]
-        serve(request, argument, document)
+            self._route(request, call)
 
-    def _read(self, request, _argument_text, _document) -> None:
-        record = self._records.read(_argument(request, "key"))
-        if record is None:
-            self.respond(request, 404)
-            return
-        self.respond(request, 200, _item(record))
-
-    def _list(self, request, _argument_text, _document) -> None:
-        listing = self._records.list(_argument(request, "prefix"))
-        after = _argument(request, "after")
-        remaining = [record for record in listing.records if record.key > after]
-        page = {
-            "current_rev": listing.revision,
-            "items": [_item(record) for record in remaining[:PAGE_ITEMS]],
-            "has_more": len(remaining) > PAGE_ITEMS,
-        }
-        self.respond(request, 200, page)
+    def _route(self, request, call: WireCall) -> None:
+        if call.name == "kv-watch":
+            self._watch(request, call)
+        elif call.name == "kv-txn" and self.answers_to_lose:
+            self.answers_to_lose -= 1
+            self._clock.callLater(self.commit_delay_s, self._store.answer, call)
+        else:
+            self.respond(request, *self._store.answer(call))
 
-    def _watch(self, request, _argument_text, _document) -> None:
-        prefix = _argument(request, "prefix")
-        after = int(_argument(request, "after", "0"))
-        wait_s = int(_argument(request, "wait_ms", "0")) / 1000
+    def _watch(self, request, call: WireCall) -> None:
+        wait_s = int(call.query.get("wait_ms", "0")) / 1000
         until_s = self._clock.seconds() + wait_s
 
         def respond_when_changed() -> None:
-            if after < self._compacted:
-                self.respond(request, 410)
-                return
-            listing = self._records.list_changes(prefix, after)
-            if listing.records or self._clock.seconds() >= until_s:
-                events = [_item(record) for record in listing.records]
-                document = {"current_rev": listing.revision, "events": events}
-                self.respond(request, 200, document)
+            answer = self._store.answer(call)
+            if answer is None and self._clock.seconds() >= until_s:
+                answer = self._store.end_watch(call)
+            if answer is not None:
+                self.respond(request, *answer)
             elif not request._disconnected:
                 self._clock.callLater(POLL_S, respond_when_changed)
 
         respond_when_changed()
 
-    def _commit(self, request, _argument_text, document: dict) -> None:
-        if self.answers_to_lose:
-            self.answers_to_lose -= 1
-            self._clock.callLater(self.commit_delay_s, self._write, document)
-            return
-        status, response = self._write(document)
-        self.respond(request, status, response)
-
-    def _write(self, document: dict) -> tuple[int, dict]:
-        expected = {row["key"]: row["revision"] for row in document["expect"]}
-        puts = tuple(
-            Put(row["key"], b64decode(row["value"]), row.get("lease", 0))
-            for row in document["puts"]
-        )
-        try:
-            result = self._records.commit(expected, puts, document["deletes"])
-        except LeaseEndedError:
-            return 404, {}
-        if result.revision:
-            return 200, {"revision": result.revision}
-        return 412, {"items": [_item(record) for record in result.current]}
-
-    def _open_lease(self, request, _argument_text, document: dict) -> None:
-        ttl_ms = document["ttl_ms"]
-        lease_id = self._records.open_lease(ttl_ms)
-        self.respond(request, 200, {"lease": lease_id, "ttl_ms": ttl_ms})
-
-    def _renew(self, request, lease: str, _document) -> None:
-        try:
-            self._records.renew(int(lease))
-        except LeaseEndedError:
-            self.respond(request, 404)
-            return
-        self.respond(request, 200)
-
-    def _end_lease(self, request, lease: str, _document) -> None:
-        self._records.end_lease(int(lease))
-        self.respond(request, 200)
-
 
 class FleetWorkerResource(JsonResource):
     """One worker over HTTP, always in its latest incarnation.
--- a/standins/fleet_store_process.py
+++ b/standins/fleet_store_process.py
@@ -11,6 +11,7 @@
 
 from standins.fleet import FleetRecords
 from standins.fleet_http import FleetStoreResource
+from standins.wire_store import WireStore
 
 HOST = "127.0.0.1"
 QUEUE_HOST = "desk.example"
@@ -45,7 +46,7 @@
     """Serve until the process is ended, or its time is up."""
     records = FleetRecords(reactor)
     records.write("op/config", json.dumps(_CONFIGURATION).encode())
-    site = Site(FleetStoreResource(records, reactor))
+    site = Site(FleetStoreResource(WireStore(records), reactor))
     site.noisy = False
     site.log = lambda _request: None
     reactor.listenTCP(int(sys.argv[1]), site, interface=HOST)
--- a/standins/store_process.py
+++ b/standins/store_process.py
@@ -1,6 +1,7 @@
 """The platform's store as a process: ``python -m standins.store_process``.
 
-It prints its port and ends when its standard input is closed.
+It prints its port and the one of the operators, who may write all keys, and ends when
+its standard input is closed.
 """
 
 import os
@@ -16,6 +17,7 @@
 from standins.fleet import FleetRecords
 from standins.fleet_http import FleetStoreResource
 from standins.http_servers import QuietSite
+from standins.wire_store import WireStore
 
 ROOT = Path(__file__).parent.parent
 HOST = "127.0.0.1"
@@ -32,11 +34,12 @@
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
         )
-        self.port = int(self._process.stdout.readline())
+        ports = self._process.stdout.readline().split()
+        self.port, self._operators_port = map(int, ports)
 
     def write(self, key: str, value: bytes) -> None:
         """Write a record unconditionally."""
-        connection = HTTPConnection(HOST, self.port, timeout=WRITE_TIMEOUT_S)
+        connection = HTTPConnection(HOST, self._operators_port, timeout=WRITE_TIMEOUT_S)
         put = {"key": key, "value": b64encode(value).decode()}
         body = dumps({"expect": [], "puts": [put], "deletes": []})
         connection.request("POST", "/-/kv-txn", body)
@@ -61,9 +64,12 @@
 
 def main() -> None:
     """Serve the store until the standard input is closed."""
-    resource = FleetStoreResource(FleetRecords(reactor), reactor)
-    port = reactor.listenTCP(0, QuietSite(resource), interface=HOST)
-    print(port.getHost().port, flush=True)
+    records = FleetRecords(reactor)
+    ports = []
+    for store in (WireStore(records), WireStore(records, protected_prefixes=())):
+        site = QuietSite(FleetStoreResource(store, reactor))
+        ports.append(reactor.listenTCP(0, site, interface=HOST).getHost().port)
+    print(*ports, flush=True)
     stdio.StandardIO(_ExitWithParent())
     reactor.run(installSignalHandlers=False)
 
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -8,7 +8,7 @@
 
 from dogwoodlever._fleet_node import FleetNode
 from dogwoodlever._fleet_types import Step, SubmittedJob, WorkerEntry
-from dogwoodlever.platform import NodeFile
+from dogwoodlever.platform import HttpFleetStore, NodeFile
 from standins.fleet import (
     FakeAdvice,
     FakeFleetStore,
@@ -19,6 +19,7 @@
     server_record,
 )
 from standins.in_process import ProcessClock, SocketBuffers
+from standins.wire_store import WireStore, WireStoreClient
 
 STEP_S = 0.01
 # Longest time in which a worker ends a run.
@@ -75,6 +76,15 @@
         Fields of the daemons' `NodeFile` that differ from the usual ones.
     has_socket_buffers : bool
         Whether the calls of a frozen daemon are carried out and answered meanwhile.
+    has_wire_store : bool
+        Whether daemons reach the store in the platform's form on the wire, by
+        `HttpFleetStore`; their `stores` are the `WireStoreClient` below it, with the
+        faults of `FakeFleetStore`.
+
+    Attributes
+    ----------
+    wire_store : WireStore
+        The store in the platform's form, with the form of its conflicts.
     """
 
     def __init__(
@@ -85,12 +95,15 @@
         configuration=CONFIGURATION,
         settings=None,
         has_socket_buffers=False,
+        has_wire_store=False,
     ):
         self.settings = settings or {}
         self.has_socket_buffers = has_socket_buffers
+        self.has_wire_store = has_wire_store
         self.clock = Clock()
         self.clock.advance(100.0)
         self.records = FleetRecords(self.clock)
+        self.wire_store = WireStore(self.records)
         self.configure(configuration)
         self.workers = FakeWorkers(self.clock)
         self.advice = FakeAdvice(self.clock)
@@ -116,9 +129,13 @@
     def add_daemon(self, vm):
         clock = ProcessClock(self.clock)
         clients_clock = self.clock if self.has_socket_buffers else clock
-        store = FakeFleetStore(self.records, clients_clock)
+        if self.has_wire_store:
+            store = WireStoreClient(self.wire_store, clients_clock)
+            store_client = HttpFleetStore(store, "store")
+        else:
+            store = store_client = FakeFleetStore(self.records, clients_clock)
         worker_client = FakeFleetWorkerClient(self.workers, clients_clock)
-        clients = store, worker_client
+        clients = store_client, worker_client
         if self.has_socket_buffers:
             clients = [SocketBuffers(client, clock) for client in clients]
         node = FleetNode(
--- a/tests/soak_site.py
+++ b/tests/soak_site.py
@@ -20,8 +20,10 @@
     encode_version,
 )
 from standins.queue_places import USUAL_HOST, format_place
+from standins.wire_store import WireStore
 from tests.soak_checker import ATTEMPTS_MAX, SoakChecker, SoakWorker
 
+PAGE_ITEMS = 200
 QUEUE_HOST = USUAL_HOST
 QUEUE = "quotes"
 WORKER_CORES_MILLI = 4_000
@@ -44,7 +46,7 @@
 
     def __init__(self, folder: Path, daemons: int, workers: int) -> None:
         self.records = FleetRecords(reactor)
-        self.store = FleetStoreResource(self.records, reactor)
+        self.store = FleetStoreResource(WireStore(self.records, PAGE_ITEMS), reactor)
         self.checker = SoakChecker(reactor)
         self.version = 0
         self.configurations = ConfigurationCheck()
