Acknowledge ends per worker as far as their jobs are stored

Cause: ends were acknowledged once all changed jobs were stored, so one job that could not be stored held back the ends of all workers. Change: each worker's evidence keeps the job of every end that was read until that job was stored as of a later time; acknowledge_ends takes the jobs that are not stored and lowers only the numbers of workers with an end of theirs. Ends of jobs that the store refuses for good are given up when a worker's list is half full, as further ends would not be listed. The writer passes neither set yet, so nothing changes. Checked: tests.test_completed_jobs, test_run_evidence and test_fleet_node pass.

--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -236,6 +236,7 @@
             self._hold_ends(capacity, link, result)
         for end in result.ended:
             if link.evidence.read_end(end.number):
+                link.evidence.unstored_ends.add(end.number, end.run.task.job_id)
                 self._log_end_after_drop(capacity, result.started_at_ms, end)
                 self._apply_end(capacity, link, end)
         for listed_run in result.running:
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -463,11 +463,36 @@
             link: link.evidence.storable_end_number for link in self._links.values()
         }
 
-    def acknowledge_ends(self, last_end_numbers: dict[WorkerLink, int]) -> None:
-        """Let workers drop the ends that are stored."""
+    def acknowledge_ends(
+        self,
+        last_end_numbers: dict[WorkerLink, int],
+        unstored_jobs: Set[str] = frozenset(),
+        given_up_jobs: Set[str] = frozenset(),
+    ) -> None:
+        """Let workers drop the ends that are stored.
+
+        An end whose job is not stored holds back the later ends of its worker. A worker
+        lists a limited number, so the others would never be read: before that, ends of
+        jobs that the store refuses for good are acknowledged all the same.
+
+        Parameters
+        ----------
+        last_end_numbers : dict of WorkerLink to int
+            What `last_end_numbers` returned.
+        unstored_jobs : set of str
+            Jobs that are not stored as they were then.
+        given_up_jobs : set of str
+            Those of them that the store refuses for good, and whose progress as of then
+            was reported to the other daemons.
+        """
         # End numbers belong to one incarnation of a worker, and so does a link.
         for link, number in last_end_numbers.items():
-            link.acknowledge(number)
+            evidence = link.evidence
+            if given_up_jobs and evidence.is_list_filled:
+                count = evidence.unstored_ends.drop_jobs(number, given_up_jobs)
+                if count:
+                    log_event("ends.given-up", worker=link.entry.worker_id, count=count)
+            link.acknowledge(evidence.unstored_ends.drop_stored(number, unstored_jobs))
 
     def evidence_of_waits(self) -> Iterator[tuple[str, WorkerEvidence]]:
         """Yield the workers with ends that wait for their acknowledgement."""
--- a/dogwoodlever/_run_evidence.py
+++ b/dogwoodlever/_run_evidence.py
@@ -7,6 +7,7 @@
 from dogwoodlever._drop_evidence import DropCause, DropEvidence
 from dogwoodlever._fleet_interfaces import RefusalReason
 from dogwoodlever._fleet_types import EndedRun, PollResult, RunId
+from dogwoodlever._unstored_ends import UnstoredEnds
 from dogwoodlever.platform_errors import (
     CallNotSentError,
     ConnectionRefusedByWorkerError,
@@ -45,6 +46,8 @@
 STOP_RETRY_REASONS = frozenset({RefusalReason.FENCED, RefusalReason.UNHEALTHY})
 # Most ends in one response of a worker; the others follow once these are acknowledged.
 ENDS_LISTED_MAX = 500
+# With this many, ends that cannot be stored are acknowledged, so that none is left out.
+ENDS_LISTED_FILLED = ENDS_LISTED_MAX // 2
 
 NEVER_S = float("-inf")
 FOREVER_S = float("inf")
@@ -190,6 +193,8 @@
         worker carries out a late order with an expired lease if it holds a newer one.
     last_end_number : int
         Highest number of an end that was listed.
+    unstored_ends : UnstoredEnds
+        Ends that were read and are not known to be stored.
     started_at_ms : int
         Unix time of the start of the incarnation, as its last answer tells it; 0 if it
         is not known.
@@ -213,6 +218,7 @@
         "_late_lease_s",
         "_lease_max_s",
         "_lease_s",
+        "_listed_ends",
         "_listed_from_s",
         "_misdirected_expiry_s",
         "_next_started_after_s",
@@ -232,6 +238,7 @@
         "lease_expiry_s",
         "responded_s",
         "started_at_ms",
+        "unstored_ends",
     )
 
     def __init__(
@@ -286,6 +293,9 @@
         self._acknowledging_number = 0
         self._noted_number = 0
         self.last_end_number = 0
+        self.unstored_ends = UnstoredEnds()
+        # How many ends the last answer lists.
+        self._listed_ends = 0
         # Listed ends that do not count yet, by number, and the numbers of those that
         # did not when they were last listed.
         self._held_ends: dict[int, EndedRun] = {}
@@ -592,6 +602,7 @@
         self.is_refused = False
         self.broken_s = NEVER_S
         self._clock_ms = result.clock_ms
+        self._listed_ends = len(result.ended)
         self.started_at_ms = result.started_at_ms or entry_started_at_ms
         self._next_started_after_s = self._poll_sent_s
         self.responded_s = now_s
@@ -699,6 +710,11 @@
             found[wait] = count + 1, oldest
         return found
 
+    @property
+    def is_list_filled(self) -> bool:
+        """Whether the worker may soon have more ends than it lists."""
+        return self._listed_ends >= ENDS_LISTED_FILLED
+
     @property
     def storable_end_number(self) -> int:
         """Up to which number all ends are read."""
