--- a/dogwoodlever/_acknowledgement_backlog.py
+++ b/dogwoodlever/_acknowledgement_backlog.py
@@ -152,6 +152,11 @@
         """Forget a job whose records are removed."""
         self._unstored_since_s.pop(job_id, None)
 
+    def set_unstorable(self, jobs: int) -> None:
+        """Set the number of jobs whose writes fail alone, and which therefore wait."""
+        if not self._is_closed:
+            self._metrics.unstorable_jobs.set(jobs)
+
     def _set_repeats(self, job_id: str, repeats: int) -> None:
         self._failed_job = job_id
         self._repeats = repeats
@@ -175,6 +180,7 @@
         """Reset the gauges, as another daemon leads."""
         self._is_closed = True
         self._metrics.progress_batch_repeats.set(0)
+        self._metrics.unstorable_jobs.set(0)
         self._metrics.oldest_unstored_progress_s.set(0)
         for cause in END_WAIT_CAUSES:
             self._metrics.oldest_unacknowledged_end_s.labels(cause).set(0)
--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -63,6 +63,9 @@
             "progress_batch_repeats",
             "Failed writes of progress in a row that began with the same job",
         )
+        self.unstorable_jobs = self._gauge(
+            "unstorable_jobs", "Jobs whose progress cannot be stored by itself"
+        )
         self.run_ends = self._counter("run_ends", "Runs that ended", "how")
         self.worker_events = self._counter(
             "worker_events", "Events of workers", "event"
--- a/dogwoodlever/_fleet_observed_store.py
+++ b/dogwoodlever/_fleet_observed_store.py
@@ -41,6 +41,11 @@
             return None
         return self._clock.seconds() - self._down_since_s
 
+    @property
+    def responded_s(self) -> float:
+        """When a call was last answered."""
+        return self._responded_s
+
     def _track(self, call: Deferred) -> Deferred:
         return call.addCallbacks(self._on_response, self._on_failure)
 
