--- a/dogwoodlever/_fleet_progress_writer.py
+++ b/dogwoodlever/_fleet_progress_writer.py
@@ -197,7 +197,8 @@
         if self._untried or self._is_retry_overdue:
             return 0.0
         has_ended = any(
-            job_id not in self._registry.active and not self._retries.is_paused(job_id)
+            job_id not in self._registry.active
+            and not self._retries.has_failed_alone(job_id)
             for job_id in self._registry.dirty
         )
         return JOB_END_FLUSH_DELAY_S if has_ended else FLUSH_DELAY_S
@@ -309,8 +310,8 @@
             now_s = self._clock.seconds()
             if now_s - work.begun_s >= ROUND_MAX_S:
                 return
-            if not work.queue and not work.failed:
-                # Several failed earlier, and the first of them are stored now.
+            if not work.queue:
+                # Others that failed earlier may be stored by now.
                 work.queue.extend(self._due_batch(now_s))
 
     def _take_batch(self, work: _Round) -> ProgressTransaction:
--- a/dogwoodlever/_progress_retries.py
+++ b/dogwoodlever/_progress_retries.py
@@ -78,17 +78,29 @@
         failed = self._failed.get(job_id)
         return failed is not None and failed.due_s > NOT_PAUSED
 
+    def has_failed_alone(self, job_id: str) -> bool:
+        """Return whether the last write of a job alone has failed."""
+        failed = self._failed.get(job_id)
+        return failed is not None and failed.attempts > 0
+
     def due_batch(self, now_s: float) -> list[str]:
-        """Return the jobs to try again together now, those due first; may be empty."""
+        """Return the jobs to try again together now; may be empty.
+
+        Those that may just have been in a batch with others that fail come first.
+        """
         due = sorted(
-            (failed.due_s, failed.batch_jobs_max, job_id)
+            (failed.attempts > 0, failed.due_s, failed.batch_jobs_max, job_id)
             for job_id, failed in self._failed.items()
             if NOT_PAUSED < failed.due_s <= now_s
         )
         if not due:
             return []
-        jobs_max = due[0][1]
-        return [job_id for _, size, job_id in due if size == jobs_max][:jobs_max]
+        has_failed_alone, _, jobs_max, _ = due[0]
+        return [
+            job_id
+            for is_alone, _, size, job_id in due
+            if is_alone == has_failed_alone and size == jobs_max
+        ][:jobs_max]
 
     @property
     def unstorable_count(self) -> int:
