Retention keeps a job while its end is being written

Cause: retention kept jobs whose progress had changed, but not those of which a write was under way. A job whose end cannot be stored may outlast its retention and is tried every 2 s; if its records were removed meanwhile, the write left a record that no daemon removes in this term. Change: retention asks whether the job is stored, as callers' answers do.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -273,6 +273,7 @@
             platform_limits.job_state_kept_s,
             self._get_term_revision,
             self._drop_removed_jobs,
+            self._is_stored,
         )
         self._pending_writer = PendingJobsWriter(
             store,
--- a/dogwoodlever/_fleet_retention.py
+++ b/dogwoodlever/_fleet_retention.py
@@ -34,6 +34,9 @@
         Returns the revision of this leader's term record.
     on_removed : callable
         Called with the ids of jobs whose records were removed.
+    is_stored : callable
+        Returns whether the progress of a job, by id, is stored. Until then a write of
+        it may be under way, which would leave a record after the removal.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         retention_s: float,
         get_term_revision: Callable[[], int],
         on_removed: Callable[[list[str]], None],
+        is_stored: Callable[[str], bool],
     ) -> None:
         self._store = store
         self._clock = clock
@@ -51,6 +55,7 @@
         self._retention_s = retention_s + RETENTION_MARGIN_S
         self._get_term_revision = get_term_revision
         self._on_removed = on_removed
+        self._is_stored = is_stored
         self._ended_s: dict[str, float] = {}
         self._last_sweep_s = clock.seconds()
         self._is_removing = False
@@ -67,8 +72,7 @@
         due = [
             job_id
             for job_id, ended_s in self._ended_s.items()
-            if now_s - ended_s >= self._retention_s
-            and job_id not in self._registry.dirty
+            if now_s - ended_s >= self._retention_s and self._is_stored(job_id)
         ]
         if due:
             self._remove(due[:JOBS_PER_SWEEP])
--- a/tests/test_progress_writer.py
+++ b/tests/test_progress_writer.py
@@ -3,7 +3,8 @@
 import unittest
 from unittest.mock import patch
 
-from dogwoodlever._fleet_records import TERM_KEY, job_key, progress_key
+from dogwoodlever._fleet_records import TERM_KEY, cancel_key, job_key, progress_key
+from dogwoodlever._fleet_retention import RETENTION_MARGIN_S, Retention
 from dogwoodlever._progress_retries import REFUSALS_FOR_GOOD
 from dogwoodlever.platform_errors import (
     LeaseEndedError,
@@ -268,5 +269,39 @@
         self.assertEqual(fleet.acknowledged[0], [])
 
 
+class RetentionTest(unittest.TestCase):
+    # Guards against a record that nobody removes, as the end of a job is written while
+    # its records are removed.
+    def test_job_is_kept_while_its_end_is_written(self):
+        for is_answered in (False, True):
+            with self.subTest(is_answered=is_answered):
+                self.assertEqual(self.find_removed(is_answered), is_answered)
+
+    def find_removed(self, is_answered):
+        """Return whether a job is removed of whose end no write is answered."""
+        fleet = ProgressFleet()
+        job_id = fleet.add_job(0)
+        removed = []
+        retention = Retention(
+            fleet.observed,
+            fleet.clock,
+            fleet.registry,
+            1.0,
+            lambda: fleet.term_revision,
+            removed.extend,
+            fleet.writer.is_stored,
+        )
+        if not is_answered:
+            error = StoreUnavailableError("no response")
+            removal = cancel_key(job_id)
+            fleet.store.fault = lambda keys: None if removal in keys else error
+        for index in range(fleet.tasks):
+            fleet.end_task(job_id, index)
+        for _ in range(round((RETENTION_MARGIN_S + 10.0) / 0.1)):
+            fleet.run_for(0.1)
+            retention.sweep()
+        return bool(removed)
+
+
 if __name__ == "__main__":
     unittest.main()
