Pending jobs: a conflict is not a write

PendingJobsWriter did not look at the revision of the result, so a write whose condition on the term did not hold counted as done, and the record stayed as it was until something changed or for five seconds. Such conflicts occur when the leader has just renewed its term.

The write now counts only with a revision, and is repeated after a second.

--- a/dogwoodlever/_pending_jobs_writer.py
+++ b/dogwoodlever/_pending_jobs_writer.py
@@ -80,10 +80,13 @@
         begun_s = self._clock.seconds()
         put = Put(PENDING_JOBS_KEY, encode(record))
         try:
-            yield self._store.commit({TERM_KEY: self._get_term_revision()}, (put,))
+            expected = {TERM_KEY: self._get_term_revision()}
+            result = yield self._store.commit(expected, (put,))
         except PlatformError as error:
             log_event("pending.write-failed", why=str(error)[:160])
             return
         finally:
             self._is_writing = False
-        self._written, self._written_s = record.job_ids, begun_s
+        # A conflict shows a term that has begun meanwhile, perhaps this leader's own.
+        if result.revision:
+            self._written, self._written_s = record.job_ids, begun_s
--- a/tests/test_pending_jobs_record.py
+++ b/tests/test_pending_jobs_record.py
@@ -110,6 +110,16 @@
                 self.assertEqual(keys.count(PENDING_JOBS_KEY), writes)
                 self.assertNotIn(TERM_KEY, keys)
 
+    # Guards against a conflict that counts as a write, after which the record is left
+    # as it was for some seconds.
+    def test_write_that_conflicts_is_repeated_at_the_next_interval(self):
+        writer, clock, records, _, state = self.start_writer()
+        state["term"] = 77
+        self.run_for(writer, clock, 0.5)
+        state["term"] = 0
+        self.run_for(writer, clock, 1.0)
+        self.assertIsNotNone(records.read(PENDING_JOBS_KEY))
+
 
 class RecordedCountsTest(CountsTest):
     def lose_leader(self, fleet):
