Retention: a removal that the store rejects holds no other job

A batch that the store rejected was sent once a second for good, and no other job was removed any more. A job that changed while its records were being removed was forgotten nevertheless, and the write of the change then looks up a job that is gone (by reading).

A rejected batch is halved until the job is found, which then waits for a minute; the cause is logged once. Only jobs whose progress is stored are removed and forgotten.

--- a/dogwoodlever/_fleet_retention.py
+++ b/dogwoodlever/_fleet_retention.py
@@ -8,18 +8,23 @@
 from dogwoodlever._fleet_records import TERM_KEY, cancel_key, job_key, progress_key
 from dogwoodlever._logs import log_event
 from dogwoodlever._run_registry import RunRegistry
-from dogwoodlever.platform_errors import PlatformError
+from dogwoodlever.platform_errors import PlatformError, StoreUnavailableError
 
 SWEEP_INTERVAL_S = 1.0
 # Covers responses in flight and retries of a submission.
 RETENTION_MARGIN_S = 30.0
 # A transaction has at most 32 entries: one condition, and three keys per job.
 JOBS_PER_SWEEP = 10
+# Pause after a removal of one job that the store has rejected.
+REJECTED_RETRY_S = 60.0
 
 
 class Retention:
     """Removes the records of jobs whose retention time has passed, in batches.
 
+    A batch that the store rejects is split until the job is found that it cannot
+    remove, which then waits while the others are removed.
+
     Parameters
     ----------
     store : FleetStore
@@ -32,6 +37,8 @@
         How long the state of an ended job must be readable.
     get_term_revision : callable
         Returns the revision of this leader's term record.
+    is_stored : callable
+        Called with a job id; returns whether all progress of the job is stored.
     on_removed : callable
         Called with the ids of jobs whose records were removed.
     """
@@ -43,6 +50,7 @@
         registry: RunRegistry,
         retention_s: float,
         get_term_revision: Callable[[], int],
+        is_stored: Callable[[str], bool],
         on_removed: Callable[[list[str]], None],
     ) -> None:
         self._store = store
@@ -50,8 +58,14 @@
         self._registry = registry
         self._retention_s = retention_s + RETENTION_MARGIN_S
         self._get_term_revision = get_term_revision
+        self._is_stored = is_stored
         self._on_removed = on_removed
         self._ended_s: dict[str, float] = {}
+        # By id of a job whose removal was rejected: when to try again.
+        self._retry_s: dict[str, float] = {}
+        self._batch_size = JOBS_PER_SWEEP
+        # Why the last removal failed, which is logged once.
+        self._cause = ""
         self._last_sweep_s = clock.seconds()
         self._is_removing = False
 
@@ -68,10 +82,11 @@
             job_id
             for job_id, ended_s in self._ended_s.items()
             if now_s - ended_s >= self._retention_s
-            and job_id not in self._registry.dirty
+            and now_s >= self._retry_s.get(job_id, now_s)
+            and self._is_stored(job_id)
         ]
         if due:
-            self._remove(due[:JOBS_PER_SWEEP])
+            self._remove(due[: self._batch_size])
 
     @inlineCallbacks
     def _remove(self, job_ids: list[str]):
@@ -85,14 +100,34 @@
             expected = {TERM_KEY: self._get_term_revision()}
             result = yield self._store.commit(expected, (), tuple(keys))
         except PlatformError as error:
-            log_event("jobs.remove-failed", why=str(error)[:160])
+            self._on_failed(job_ids, error)
             return
         finally:
             self._is_removing = False
         if not result.revision:
+            # Another term has begun, or this leader has just renewed its own.
             return
-        for job_id in job_ids:
-            del self._ended_s[job_id]
+        self._cause = ""
+        self._batch_size = min(JOBS_PER_SWEEP, 2 * self._batch_size)
+        # What has changed during the call is stored, and then removed with the rest.
+        removed = [job_id for job_id in job_ids if self._is_stored(job_id)]
+        for job_id in removed:
+            self._ended_s.pop(job_id, None)
+            self._retry_s.pop(job_id, None)
             self._registry.remove_job(job_id)
-        log_event("jobs.removed", count=len(job_ids))
-        self._on_removed(job_ids)
+        log_event("jobs.removed", count=len(removed))
+        self._on_removed(removed)
+
+    def _on_failed(self, job_ids: list[str], error: PlatformError) -> None:
+        """Let others go first if the store rejects the removal of a job."""
+        if self._cause != str(error):
+            self._cause = str(error)
+            why = str(error)[:160]
+            log_event(
+                "jobs.remove-failed", first=job_ids[0], count=len(job_ids), why=why
+            )
+        if isinstance(error, StoreUnavailableError):
+            return
+        self._batch_size = max(1, len(job_ids) // 2)
+        if len(job_ids) == 1:
+            self._retry_s[job_ids[0]] = self._clock.seconds() + REJECTED_RETRY_S
--- a/dogwoodlever/platform_errors.py
+++ b/dogwoodlever/platform_errors.py
@@ -49,6 +49,13 @@
     """The store refused the call or was not reached, and did nothing."""
 
 
+class StoreRejectedError(PlatformError):
+    """The store does not accept the call as it is, and did nothing.
+
+    The same call would be rejected again.
+    """
+
+
 class StoredRecordError(PlatformError):
     """A record that a daemon has stored cannot be read."""
 
