Callers: answer a write that the store rejects at once

A status that means that the call itself is wrong (400, 403, 413) was raised as a plain PlatformError, as if the write might have been carried out. The daemon repeated it 20 times a second until the caller's deadline, and answered 504, so that the caller sent it again.

Such statuses raise StoreRejectedError. The daemon lets the leader try once and answers that the call had no effect, unless an earlier attempt got no answer.

--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -42,6 +42,7 @@
     PlatformError,
     StoredRecordError,
     StoreRefusedError,
+    StoreRejectedError,
     StoreUnavailableError,
 )
 
@@ -327,6 +328,7 @@
         write the record. If it cannot either, the call returns immediately.
         """
         is_certain = True
+        is_final = False
         if self._store.down_for_s() is not None:
             outcome = yield self._relay_to_leader(put, check)
             return self._build_result(outcome)
@@ -335,12 +337,16 @@
                 outcome = yield self._commit(put, check)
             except StoreRefusedError as error:
                 log_event("write.refused", key=put.key, why=str(error)[:160])
+            except StoreRejectedError as error:
+                # Another attempt would be rejected as well.
+                is_final = True
+                log_event("write.rejected", key=put.key, why=str(error)[:160])
             except PlatformError as error:
                 is_certain = False
                 log_event("write.unanswered", key=put.key, why=str(error)[:160])
             else:
                 return self._build_result(outcome)
-            if is_certain or self._must_stop_retrying(deadline_s):
+            if is_certain or is_final or self._must_stop_retrying(deadline_s):
                 outcome = yield self._relay_to_leader(put, check)
                 if outcome is CallOutcome.NOT_DONE and not is_certain:
                     outcome = CallOutcome.UNKNOWN
@@ -444,7 +450,7 @@
             return CallOutcome.NOT_DONE
         try:
             outcome = yield self._commit(Put(key, value), check or UNCHECKED)
-        except StoreRefusedError as error:
+        except (StoreRefusedError, StoreRejectedError) as error:
             log_event("write.refused", key=key, why=str(error)[:160])
             return CallOutcome.NOT_DONE
         except PlatformError as error:
--- a/dogwoodlever/platform/_http_store.py
+++ b/dogwoodlever/platform/_http_store.py
@@ -23,6 +23,7 @@
     LeaseEndedError,
     PlatformError,
     StoreRefusedError,
+    StoreRejectedError,
     StoreUnavailableError,
 )
 
@@ -246,12 +247,20 @@
     if status == 404:
         raise LeaseEndedError(f"lease {lease_id} has ended")
     if status >= 300:
-        raise PlatformError(f"lease {lease_id}: status {status}")
+        raise _error_class(status)(f"lease {lease_id}: status {status}")
+
+
+def _error_class(status: int) -> type[PlatformError]:
+    """Return the error of an unexpected status.
+
+    One of a client error means that the call is wrong, and did nothing.
+    """
+    return StoreRejectedError if 400 <= status < 500 else PlatformError
 
 
 def _decode(content: bytes, response_type, status: int):
     if status != 200:
-        raise PlatformError(f"store: status {status}: {content[:200]!r}")
+        raise _error_class(status)(f"store: status {status}: {content[:200]!r}")
     try:
         return decode_json(content, response_type)
     except ValueError as error:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -36,6 +36,7 @@
     OrderRefusedError,
     PlatformError,
     StoreRefusedError,
+    StoreRejectedError,
     StoreUnavailableError,
     WorkerUnreachableError,
     WrongIncarnationError,
@@ -261,6 +262,11 @@
         ("history", "watch", (410, {}), HistoryGoneError),
         ("lease", "commit", (404, {}), LeaseEndedError),
         ("error", "commit", (500, {}), PlatformError),
+        # Guards against calls that are repeated although they are rejected for good.
+        ("malformed", "commit", (400, {}), StoreRejectedError),
+        ("forbidden", "commit", (403, {}), StoreRejectedError),
+        ("too large", "commit", (413, {}), StoreRejectedError),
+        ("forbidden read", "read", (403, {}), StoreRejectedError),
     ]
 
     def call(self, store, kind):
--- a/tests/test_rejected_writes.py
+++ b/tests/test_rejected_writes.py
@@ -6,9 +6,11 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from dogwoodlever._fleet_records import TERM_KEY
+from dogwoodlever._fleet_frontend import CallOutcome
+from dogwoodlever._fleet_records import TERM_KEY, cancel_key
 from dogwoodlever._fleet_retention import RETENTION_MARGIN_S, Retention
 from standins.fleet import FakeFleetStore, FleetRecords
+from tests.fleet_simulation import JOB, FleetSimulation, job
 from tests.rejected_writes import reject_writes
 
 RETENTION_S = 120.0
@@ -65,5 +67,39 @@
         self.assertIn(job_id, self.removed)
 
 
+class FrontendTest(unittest.TestCase):
+    # Guards against a submission or cancellation that is repeated until its caller
+    # gives up, and then answered as if it might take effect.
+    def test_call_whose_write_is_rejected_is_answered_at_once(self):
+        for is_leader in (True, False):
+            for lost, outcome in ((0, CallOutcome.NOT_DONE), (1, CallOutcome.UNKNOWN)):
+                with self.subTest(is_leader=is_leader, lost=lost):
+                    self._check(is_leader, lost, outcome)
+
+    def _check(self, is_leader, lost, outcome):
+        fleet = FleetSimulation()
+        fleet.run_for(1.0)
+        number = (fleet.leader() + (not is_leader)) % 3
+        fleet.submit(number, job(JOB, standing=True))
+        rejects = []
+        calls = [
+            reject_writes(store, lambda key: key == cancel_key(JOB) and rejects)
+            for store in fleet.stores
+        ]
+        fleet.stores[number].answers_to_lose = lost
+        if lost:
+            # The first attempt gets no answer, and is not carried out either.
+            fleet.stores[number].commit_delay_s = 1e6
+            fleet.clock.callLater(0.5, rejects.append, True)
+        else:
+            rejects.append(True)
+        deadline_s = fleet.clock.seconds() + 3.0
+        call = fleet.nodes[number].frontend.cancel(JOB, deadline_s)
+        result = fleet.await_result(call, 1.5 if lost else 0.2)
+        self.assertEqual(result.outcome, outcome)
+        rejected = [call for client in calls for call in client if call[1]]
+        self.assertLessEqual(len(rejected), 2)
+
+
 if __name__ == "__main__":
     unittest.main()
