Shared records of workers: repeat their writes with growing pauses

The membership and the record of unreachable workers repeated a write that the store rejects five times a second, and one that conflicts twenty times, with a log line each. An error other than PlatformError, also one of the listener that is told of a write, left the flag of an open write set, so that no worker was stored for the rest of the term, and none got a lease or a start.

RepeatedWrite has the loop of both. Pauses grow to two seconds while the store answers, each cause is logged once until a write succeeds, and any error is followed by another attempt.

--- a/dogwoodlever/_unreachable_workers.py
+++ b/dogwoodlever/_unreachable_workers.py
@@ -15,7 +15,6 @@
 from collections.abc import Callable
 
 from twisted.internet.defer import inlineCallbacks
-from twisted.internet.task import deferLater
 
 from dogwoodlever._fleet_interfaces import CommitResult, FleetStore, Put, Record
 from dogwoodlever._fleet_records import (
@@ -26,10 +25,9 @@
     encode,
 )
 from dogwoodlever._logs import log_event
-from dogwoodlever.platform_errors import PlatformError, StoredRecordError
+from dogwoodlever._repeated_write import ConflictError, RepeatedWrite
+from dogwoodlever.platform_errors import StoredRecordError
 
-RETRY_S = 0.2
-CONFLICT_RETRY_S = 0.05
 # Least interval of two writes, which batches the workers that fail together.
 WRITE_INTERVAL_S = 0.1
 # Interval of the writes while a wait is left. A daemon that has started since the last
@@ -86,12 +84,11 @@
         self._is_unreadable = False
         self._written_s = clock.seconds()
         self._revision = 0
-        self._is_storing = False
-        self._is_closed = False
+        self._writing = RepeatedWrite("unreachable", clock, self._write_once)
 
     def close(self) -> None:
         """Stop writing."""
-        self._is_closed = True
+        self._writing.close()
 
     def load(self, record: Record | None, kept_since_term: int) -> None:
         """Load the record of the former leader.
@@ -173,49 +170,40 @@
         age_s = self._clock.seconds() - self._written_s
         return self._has_waits and age_s >= REFRESH_INTERVAL_S
 
-    @inlineCallbacks
-    def _write(self):
+    def _write(self) -> None:
         """Write until the stored record names the workers in memory."""
-        if self._is_storing:
-            return
-        self._is_storing = True
-        while not self._is_closed and self._is_due():
-            now_s = self._clock.seconds()
-            waits_ms = {
-                worker_id: max(0, math.ceil((expiry_s - now_s) * 1000))
-                for worker_id, expiry_s in self._expiries_s.items()
-            }
-            self._possibly_named |= waits_ms.keys()
-            try:
-                result = yield self._commit(
-                    UnreachableWorkersRecord(self._term, waits_ms)
-                )
-            except PlatformError as error:
-                log_event("unreachable.write-failed", why=str(error)[:160])
-                yield deferLater(self._clock, RETRY_S)
-                continue
-            if not result.revision:
-                self._apply_conflict(result)
-                yield deferLater(self._clock, CONFLICT_RETRY_S)
-                continue
-            # Earlier writes without an answer expect an older revision.
-            self._revision = result.revision
-            self._possibly_named = frozenset(waits_ms)
-            self._stored_expiries_s = {
-                worker_id: now_s + wait_ms / 1000
-                for worker_id, wait_ms in waits_ms.items()
-            }
-            self._is_unreadable = False
-            self._written_s = now_s
-            self._has_waits = any(waits_ms.values())
-            log_event(
-                "unreachable.stored",
-                count=len(waits_ms),
-                left_s=max(waits_ms.values(), default=0) / 1000,
-            )
-            self._on_stored()
-            yield deferLater(self._clock, WRITE_INTERVAL_S)
-        self._is_storing = False
+        self._writing.start()
+
+    @inlineCallbacks
+    def _write_once(self):
+        """Write the record if it is due; the result is None if it is not."""
+        if not self._is_due():
+            return None
+        now_s = self._clock.seconds()
+        waits_ms = {
+            worker_id: max(0, math.ceil((expiry_s - now_s) * 1000))
+            for worker_id, expiry_s in self._expiries_s.items()
+        }
+        self._possibly_named |= waits_ms.keys()
+        result = yield self._commit(UnreachableWorkersRecord(self._term, waits_ms))
+        if not result.revision:
+            self._apply_conflict(result)
+        # Earlier writes without an answer expect an older revision.
+        self._revision = result.revision
+        self._possibly_named = frozenset(waits_ms)
+        self._stored_expiries_s = {
+            worker_id: now_s + wait_ms / 1000 for worker_id, wait_ms in waits_ms.items()
+        }
+        self._is_unreadable = False
+        self._written_s = now_s
+        self._has_waits = any(waits_ms.values())
+        log_event(
+            "unreachable.stored",
+            count=len(waits_ms),
+            left_s=max(waits_ms.values(), default=0) / 1000,
+        )
+        self._on_stored()
+        return WRITE_INTERVAL_S
 
     def _commit(self, record: UnreachableWorkersRecord):
         expected = {
@@ -228,8 +216,10 @@
 
     def _apply_conflict(self, result: CommitResult) -> None:
         # An earlier write of this leader got no response, it has just renewed its
-        # term, or another has started one, which the election reports.
-        log_event("unreachable.conflict", revision=self._revision)
+        # term, another has started one, which the election reports, or the record was
+        # removed by another hand.
+        conflict = ConflictError(f"on revision {self._revision}")
         for record in result.current:
             if record.key == UNREACHABLE_WORKERS_KEY:
                 self._revision = record.revision
+        raise conflict
--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -15,7 +15,6 @@
 from dataclasses import dataclass
 
 from twisted.internet.defer import inlineCallbacks
-from twisted.internet.task import deferLater
 
 from dogwoodlever._fleet_interfaces import CommitResult, FleetStore, Put, Record
 from dogwoodlever._fleet_records import (
@@ -28,14 +27,13 @@
 )
 from dogwoodlever._fleet_types import WorkerEntry
 from dogwoodlever._logs import log_event
+from dogwoodlever._repeated_write import ConflictError, RepeatedWrite
 from dogwoodlever._run_evidence import NEVER_S
 from dogwoodlever.platform import is_callable_worker
-from dogwoodlever.platform_errors import PlatformError, StoredRecordError
+from dogwoodlever.platform_errors import StoredRecordError
 
 # Id that no worker has; stands for workers that are not known.
 UNKNOWN_WORKERS = ""
-RETRY_S = 0.2
-CONFLICT_RETRY_S = 0.05
 NO_INCARNATION = KnownIncarnation()
 
 
@@ -94,12 +92,11 @@
         # Members as a successor would find them, whichever open write is carried out.
         self._stored: dict[str, Member] = {}
         self._revision = 0
-        self._is_storing = False
-        self._is_closed = False
+        self._writing = RepeatedWrite("roster", clock, self._write_once)
 
     def close(self) -> None:
         """Stop writing."""
-        self._is_closed = True
+        self._writing.close()
 
     def load(self, record: Record | None) -> set[str]:
         """Load the stored membership and return its worker ids.
@@ -297,35 +294,26 @@
             names_all=self._unnamed_until_s == NEVER_S,
         )
 
-    @inlineCallbacks
-    def _write(self):
+    def _write(self) -> None:
         """Write until the stored membership equals the one in memory."""
-        if self._is_storing:
-            return
-        self._is_storing = True
-        while not self._is_closed:
-            written = dict(self._members)
-            record = self._make_record()
-            try:
-                result = yield self._commit(record)
-            except PlatformError as error:
-                log_event("roster.write-failed", why=str(error)[:160])
-                yield deferLater(self._clock, RETRY_S)
-                continue
-            if not result.revision:
-                self._apply_conflict(result)
-                yield deferLater(self._clock, CONFLICT_RETRY_S)
-                continue
-            self._revision = result.revision
-            self._stored = {
-                worker_id: member
-                for worker_id, member in written.items()
-                if worker_id in self._members
-            }
-            self._on_stored()
-            if record == self._make_record():
-                break
-        self._is_storing = False
+        self._writing.start()
+
+    @inlineCallbacks
+    def _write_once(self):
+        """Write the membership; the result is None if it is the one in memory."""
+        written = dict(self._members)
+        record = self._make_record()
+        result = yield self._commit(record)
+        if not result.revision:
+            self._apply_conflict(result)
+        self._revision = result.revision
+        self._stored = {
+            worker_id: member
+            for worker_id, member in written.items()
+            if worker_id in self._members
+        }
+        self._on_stored()
+        return None if record == self._make_record() else 0.0
 
     def _commit(self, record: WorkerMembershipRecord):
         expected = {
@@ -338,11 +326,13 @@
 
     def _apply_conflict(self, result: CommitResult) -> None:
         # An earlier write of this leader got no response, it has just renewed its
-        # term, or another has started one, which the election reports.
-        log_event("roster.conflict", revision=self._revision)
+        # term, another has started one, which the election reports, or the record was
+        # removed by another hand.
+        conflict = ConflictError(f"on revision {self._revision}")
         for record in result.current:
             if record.key == WORKER_MEMBERSHIP_KEY:
                 self._revision = record.revision
+        raise conflict
 
 
 def _covers(stored: KnownIncarnation, known: KnownIncarnation) -> bool:
--- a/tests/test_rejected_writes.py
+++ b/tests/test_rejected_writes.py
@@ -7,8 +7,15 @@
 from twisted.internet.task import Clock
 
 from dogwoodlever._fleet_frontend import CallOutcome
-from dogwoodlever._fleet_records import TERM_KEY, cancel_key
+from dogwoodlever._fleet_records import (
+    TERM_KEY,
+    UNREACHABLE_WORKERS_KEY,
+    WORKER_MEMBERSHIP_KEY,
+    cancel_key,
+)
 from dogwoodlever._fleet_retention import RETENTION_MARGIN_S, Retention
+from dogwoodlever._unreachable_workers import UnreachableWorkers
+from dogwoodlever._worker_membership import NO_INCARNATION, WorkerMembership
 from standins.fleet import FakeFleetStore, FleetRecords
 from tests.fleet_simulation import JOB, FleetSimulation, job
 from tests.rejected_writes import reject_writes
@@ -67,6 +74,97 @@
         self.assertIn(job_id, self.removed)
 
 
+class SharedRecordsTest(unittest.TestCase):
+    """Records that are written before any worker gets a lease."""
+
+    def setUp(self):
+        self.clock = Clock()
+        self.records = FleetRecords(self.clock)
+        self.records.write(TERM_KEY, b"")
+        self.term_revision = self.records.revision
+        self.store = FakeFleetStore(self.records, self.clock)
+        self.errors = []
+
+    def on_stored(self):
+        if self.errors:
+            raise self.errors.pop()
+
+    def make_membership(self):
+        made = WorkerMembership(
+            self.store, self.clock, lambda: self.term_revision, 10.0, self.on_stored
+        )
+        return WORKER_MEMBERSHIP_KEY, lambda number: made.set_member(
+            "w0", f"host:{number}", NO_INCARNATION
+        )
+
+    def make_unreachable(self):
+        made = UnreachableWorkers(
+            self.store, self.clock, 3, lambda: self.term_revision, lambda revision: 0.0,
+            self.on_stored,
+        )  # fmt: skip
+        return UNREACHABLE_WORKERS_KEY, lambda number: made.set_unreachable(
+            {f"w{number}": 0.0}
+        )
+
+    def run_for(self, duration_s):
+        for _ in range(round(duration_s / 0.01)):
+            self.clock.advance(0.01)
+
+    def check_each(self, check):
+        for make in (self.make_membership, self.make_unreachable):
+            with self.subTest(make.__name__):
+                self.setUp()
+                check(*make())
+
+    def assert_stored_by(self, key, change, number, duration_s=1.0):
+        before = self.records.revision
+        change(number)
+        self.run_for(duration_s)
+        self.assertGreater(self.records.read(key).revision, before)
+
+    # Guards against a write that is repeated several times a second without end.
+    def test_rejected_write_is_repeated_with_growing_pauses(self):
+        self.check_each(self._check_pauses)
+
+    def _check_pauses(self, key, change):
+        rejects = [True]
+        calls = reject_writes(self.store, lambda _: bool(rejects))
+        with mock.patch("dogwoodlever._repeated_write.log_event") as logged:
+            change(0)
+            self.run_for(30.0)
+            self.assertLess(len(calls), 20)
+            rejects.clear()
+            self.run_for(2.1)
+        self.assertIsNotNone(self.records.read(key))
+        events = [call.args[0].partition(".")[2] for call in logged.call_args_list]
+        self.assertEqual(events, ["write-failed", "write-regained"])
+
+    # Guards against an error after which no worker is stored any more.
+    def test_unexpected_error_ends_no_writes(self):
+        self.check_each(self._check_unexpected_errors)
+
+    def _check_unexpected_errors(self, key, change):
+        with mock.patch.object(self.store, "commit", side_effect=ValueError):
+            change(0)
+            self.run_for(0.1)
+        self.run_for(0.3)
+        self.assertIsNotNone(self.records.read(key))
+        self.errors.append(ValueError("of a listener"))
+        change(1)
+        self.run_for(1.0)
+        self.assertEqual(self.errors, [])
+        self.assert_stored_by(key, change, 2)
+
+    # Guards against a revision of a record that is gone, which no write can meet.
+    def test_removed_record_is_written_anew(self):
+        self.check_each(self._check_removed)
+
+    def _check_removed(self, key, change):
+        self.assert_stored_by(key, change, 0)
+        self.records.remove(key)
+        self.assert_stored_by(key, change, 1, 0.5)
+
+
 class FrontendTest(unittest.TestCase):
     # Guards against a submission or cancellation that is repeated until its caller
     # gives up, and then answered as if it might take effect.
