Unreachable workers: a write that was not done names nobody

A worker in a record that was to be written got no lease until a record without it was stored, also if the store had certainly not carried out the first write. With a store that rejects the record, a worker that had been silent once got no lease for the rest of the term.

After a conflict, a refusal or a rejection only the workers count as named that did so before the attempt. After a write without an answer all do, since it may be carried out late.

--- a/dogwoodlever/_unreachable_workers.py
+++ b/dogwoodlever/_unreachable_workers.py
@@ -26,7 +26,11 @@
 )
 from dogwoodlever._logs import log_event
 from dogwoodlever._repeated_write import ConflictError, RepeatedWrite
-from dogwoodlever.platform_errors import StoredRecordError
+from dogwoodlever.platform_errors import (
+    StoredRecordError,
+    StoreRefusedError,
+    StoreRejectedError,
+)
 
 # Least interval of two writes, which batches the workers that fail together.
 WRITE_INTERVAL_S = 0.1
@@ -35,6 +39,8 @@
 REFRESH_INTERVAL_S = 1.0
 # Covers the rounding of a stored wait.
 ROUNDING_S = 0.01
+# Of a write that was certainly not carried out, and will not be.
+NOT_DONE_ERRORS = (ConflictError, StoreRefusedError, StoreRejectedError)
 
 
 class UnreachableWorkers:
@@ -184,10 +190,16 @@
             worker_id: max(0, math.ceil((expiry_s - now_s) * 1000))
             for worker_id, expiry_s in self._expiries_s.items()
         }
+        named_before = self._possibly_named
         self._possibly_named |= waits_ms.keys()
-        result = yield self._commit(UnreachableWorkersRecord(self._term, waits_ms))
-        if not result.revision:
-            self._apply_conflict(result)
+        try:
+            result = yield self._commit(UnreachableWorkersRecord(self._term, waits_ms))
+            if not result.revision:
+                self._apply_conflict(result)
+        except NOT_DONE_ERRORS:
+            # Workers that answer are not withheld for a record that was not written.
+            self._possibly_named = named_before
+            raise
         # Earlier writes without an answer expect an older revision.
         self._revision = result.revision
         self._possibly_named = frozenset(waits_ms)
--- a/tests/test_rejected_writes.py
+++ b/tests/test_rejected_writes.py
@@ -16,6 +16,11 @@
 from dogwoodlever._fleet_retention import RETENTION_MARGIN_S, Retention
 from dogwoodlever._unreachable_workers import UnreachableWorkers
 from dogwoodlever._worker_membership import NO_INCARNATION, WorkerMembership
+from dogwoodlever.platform_errors import (
+    StoreRefusedError,
+    StoreRejectedError,
+    StoreUnavailableError,
+)
 from standins.fleet import FakeFleetStore, FleetRecords
 from tests.fleet_simulation import JOB, FleetSimulation, job
 from tests.rejected_writes import reject_writes
@@ -164,6 +169,23 @@
         self.records.remove(key)
         self.assert_stored_by(key, change, 1, 0.5)
 
+    # Guards against a worker that answers and gets no lease, since a record that should
+    # have named it was never written.
+    def test_worker_of_a_rejected_record_is_not_withheld(self):
+        for error in (StoreRejectedError, StoreRefusedError, StoreUnavailableError):
+            with self.subTest(error.__name__):
+                self.setUp()
+                reject_writes(self.store, lambda key: True, error)
+                made = UnreachableWorkers(
+                    self.store, self.clock, 3, lambda: self.term_revision,
+                    lambda revision: 0.0, lambda: None,
+                )  # fmt: skip
+                made.set_unreachable({"w0": 5.0})
+                self.run_for(5.0)
+                made.withdraw("w0")
+                may_be_written = error is StoreUnavailableError
+                self.assertEqual(made.may_be_named("w0"), may_be_written)
+
 
 class FrontendTest(unittest.TestCase):
     # Guards against a submission or cancellation that is repeated until its caller
