Election: a lost record of the term ends no leader's writes

Every write of a leader depends on the revision of the term's record. If another hand removed or replaced it, the leader renewed its lease and led on while no write succeeded: no end was acknowledged, no job ended for callers. Once that leader was gone, terms began with number 1 again and the new leader knew of no former one, or nobody could lead as the record could not be read.

ObservedStore reports each conflict to the election. A leader whose own record stands writes both records anew and goes on under the new fencing token. The leader's record names its term, from which a candidate that has seen it counts on; one that has seen none leaves a record alone that it cannot read, as before.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -20,7 +20,11 @@
 )
 from dogwoodlever._fleet_watcher import PrefixWatcher
 from dogwoodlever._logs import log_event
-from dogwoodlever.platform_errors import LeaseEndedError, PlatformError
+from dogwoodlever.platform_errors import (
+    LeaseEndedError,
+    PlatformError,
+    StoredRecordError,
+)
 
 # Allows two failed renewals, and bounds the time to detect a failed leader.
 LEASE_TTL_MS = 1_800
@@ -61,6 +65,10 @@
     answer to a renewal proves that there was no successor when it was sent, even if
     the store has removed the record alone.
 
+    The term's record is a condition of all writes of a leader. If it is lost while that
+    of the leader stands, the leader writes both anew. A candidate that finds it lost
+    counts on from the last leader that it has seen.
+
     Parameters
     ----------
     store : FleetStore
@@ -118,6 +126,8 @@
         self._random = random.Random(record.member)
         self._lease_id = 0
         self._leader_revision = 0
+        # Last leader that was seen, which tells the term if its record is lost.
+        self._seen_leader: LeaderRecord | None = None
         self._term_revision = 0
         self._own_term_revision = 0
         self._own_term: TermRecord | None = None
@@ -217,6 +227,7 @@
             self._removed_revision = record.revision
         self.leader = None if record.value is None else decode_leader(record.value)
         if self.leader is not None:
+            self._seen_leader = self.leader
             self._record_seen_s = self._clock.seconds()
             self._seen_revision = record.revision
         if self.leader is None or self.leader.member == self._record.member:
@@ -272,12 +283,8 @@
     @inlineCallbacks
     def _try_to_acquire(self):
         current = yield self._store.read(TERM_KEY)
-        previous = TermRecord(0, "", self._record.peer_key, STRONGEST_CORES_DEFAULT)
-        self._term_revision = 0
-        if current is not None and current.value is not None:
-            previous = decode_term(current.value)
-            self._term_revision = current.revision
-        self._record = LeaderRecord(self._record.member, previous.peer_key)
+        previous = self._find_previous(current)
+        self._term_revision = 0 if current is None else current.revision
         if not self.leads:
             yield deferLater(self._clock, self._candidate_delay_s(previous))
             if self.leader is not None:
@@ -287,6 +294,7 @@
         is_continued = self.leads and self._term_revision == self._own_term_revision
         lease_id = yield self._store.open_lease(self._ttl_ms)
         term = previous.term if is_continued else previous.term + 1
+        self._record = LeaderRecord(self._record.member, previous.peer_key, term)
         strongest_cores = self._core_share
         if previous.term:
             strongest_cores = max(strongest_cores, previous.core_share)
@@ -324,6 +332,84 @@
             self.former_elected_s = self._record_seen_s if is_seen else sent_s
         self._on_won(term, result.revision, lease_id, sent_s, is_continued)
 
+    def _find_previous(self, current: Record | None) -> TermRecord:
+        """Return the record of the last term, or what is known of it if it is lost.
+
+        Numbers of terms never recur: each term has its own revision of the store, which
+        is at least as high as its number.
+        """
+        seen, term = self._seen_leader, 0
+        if current is not None:
+            try:
+                return decode_term(current.value)
+            except StoredRecordError:
+                if seen is None:
+                    raise
+                term = current.revision
+        if seen is None:
+            return TermRecord(0, "", self._record.peer_key, STRONGEST_CORES_DEFAULT)
+        term = max(term, seen.term or self._watcher.revision)
+        log_event("leader.term-lost", term=term, member=seen.member)
+        return TermRecord(term, seen.member, seen.peer_key, STRONGEST_CORES_DEFAULT)
+
+    def check_term(self, current: tuple[Record, ...]) -> None:
+        """Check the term after a conflict that has shown another record of it.
+
+        Parameters
+        ----------
+        current : tuple of Record
+            Records that the conflict has shown.
+        """
+        is_own = self.leads and self.leader is not None
+        if not is_own or self._is_campaigning or self._is_closed:
+            return
+        if any(
+            record.key == TERM_KEY and record.revision != self._own_term_revision
+            for record in current
+        ):
+            self._check_term()
+
+    @inlineCallbacks
+    def _check_term(self):
+        self._is_campaigning = True
+        try:
+            yield self._restore_term()
+        except PlatformError as error:
+            # The next write of this leader conflicts again.
+            log_event("leader.term-unchecked", why=str(error)[:160])
+        finally:
+            self._is_campaigning = False
+            self._schedule_campaign()
+
+    @inlineCallbacks
+    def _restore_term(self):
+        """Write the term's record anew if it is lost and the leader's is not."""
+        fencing_token, lease_id = self.fencing_token, self._lease_id
+        leader = yield self._store.read(LEADER_KEY)
+        term = yield self._store.read(TERM_KEY)
+        if not self.leads or self.fencing_token != fencing_token or leader is None:
+            # The watch reports a record that was removed.
+            return
+        if decode_leader(leader.value).member != self._record.member:
+            self.apply_record(leader)
+            return
+        revision = 0 if term is None else term.revision
+        is_unchanged = leader.revision == fencing_token
+        if is_unchanged and revision == self._own_term_revision:
+            return
+        log_event("leader.term-restored", term=self._own_term.term, found=revision)
+        sent_s = self._clock.seconds()
+        result = yield self._store.commit(
+            {LEADER_KEY: leader.revision, TERM_KEY: revision},
+            (
+                Put(LEADER_KEY, encode(self._record), lease_id),
+                Put(TERM_KEY, encode(self._own_term)),
+            ),
+        )
+        is_current = self.leads and self._lease_id == lease_id
+        if is_current and self._leader_revision <= result.revision:
+            self._on_won(self._own_term.term, result.revision, lease_id, sent_s, True)
+
     @inlineCallbacks
     def _end_former_lease(self, lease_id: int):
         """End the lease of the last term; the result is False if its record exists."""
@@ -363,7 +449,7 @@
             self._timer = self._clock.callLater(RETRY_S, self._campaign)
 
     def _on_won(self, term, revision, lease_id, sent_s, is_continued) -> None:
-        self.leader = self._record
+        self.leader = self._seen_leader = self._record
         self._record_seen_s = self._clock.seconds()
         self._seen_revision = revision
         self._leader_revision = revision
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -140,6 +140,7 @@
             self._leader_watcher,
             self._on_unconfirmed,
         )
+        store.on_conflict = self.election.check_term
         self._operators_watcher = PrefixWatcher(
             store,
             clock,
--- a/dogwoodlever/_fleet_observed_store.py
+++ b/dogwoodlever/_fleet_observed_store.py
@@ -1,8 +1,10 @@
 """Store client that tracks whether the store is reachable."""
 
+from collections.abc import Callable
+
 from twisted.internet.defer import Deferred
 
-from dogwoodlever._fleet_interfaces import FleetStore, Put
+from dogwoodlever._fleet_interfaces import CommitResult, FleetStore, Put, Record
 from dogwoodlever._fleet_metrics import FleetMetrics
 from dogwoodlever._logs import log_event
 from dogwoodlever.platform_errors import StoreUnavailableError
@@ -25,6 +27,11 @@
         Reactor clock.
     metrics : FleetMetrics
         Counts the calls and records the durations of writes.
+
+    Attributes
+    ----------
+    on_conflict : callable
+        Called with the records that a write whose conditions did not hold has shown.
     """
 
     def __init__(self, store: FleetStore, clock, metrics: FleetMetrics) -> None:
@@ -34,6 +41,7 @@
         self._responded_s = clock.seconds()
         self._failures = 0
         self._down_since_s: float | None = None
+        self.on_conflict: Callable[[tuple[Record, ...]], None] = lambda current: None
 
     def down_for_s(self) -> float | None:
         """Return how long the store has been unreachable, None if it is reachable."""
@@ -91,12 +99,14 @@
         """Write atomically."""
         sent_s = self._clock.seconds()
 
-        def observe_duration(result):
+        def observe(result: CommitResult) -> CommitResult:
             self._metrics.store_write_s.observe(self._clock.seconds() - sent_s)
+            if not result.revision:
+                self.on_conflict(result.current)
             return result
 
         call = self._track(self._store.commit(expected, puts, deletes))
-        return call.addCallback(observe_duration)
+        return call.addCallback(observe)
 
     def open_lease(self, ttl_ms: int) -> Deferred:
         """Open a lease."""
--- a/dogwoodlever/_fleet_records.py
+++ b/dogwoodlever/_fleet_records.py
@@ -34,10 +34,13 @@
         Member id: VM, peer address and start of the process.
     peer_key : str
         Shared key of connections between daemons.
+    term : int
+        Number of its term, 0 if it is not known.
     """
 
     member: str
     peer_key: str
+    term: int = 0
 
 
 class TermRecord(msgspec.Struct, frozen=True):
