Membership: a successor that finds no record awaits unknown workers

A leader that found no membership took it that nothing ran anywhere. If another hand had removed the record, and the former leader was killed before it wrote it anew, work of a worker that the successor could not reach was started again while it ran on.

The leader of the first term writes an empty record at once. A leader of a later term that finds none acts as with one that it cannot read: work waits until all leases of unknown workers have expired. The same holds if the first leader was lost before it could write.

Test (new): one of four cases started work twice, none does now.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -386,7 +386,9 @@
             job_id = record.key[len(PROGRESS_PREFIX) :]
             self._progress[job_id] = record.value
             self._progress_writer.set_revision(job_id, record.revision)
-        self.workers.unpolled_workers = self._membership.load(membership)
+        self.workers.unpolled_workers = self._membership.load(
+            membership, self.term == 1
+        )
         self._unreachable.load(unreachable, self._unreachable_since_term)
         if interference is not None and interference.value is not None:
             self._restore_interference(interference.value)
--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -98,23 +98,26 @@
         """Stop writing."""
         self._writing.close()
 
-    def load(self, record: Record | None) -> set[str]:
+    def load(self, record: Record | None, is_first_term: bool) -> set[str]:
         """Load the stored membership and return its worker ids.
 
         `UNKNOWN_WORKERS` is among them if the membership, or a worker in it, cannot be
         used: a leader of another version may have started runs there. It stays stored
-        that there are such workers until `discard` is called for them.
+        that there are such workers until `discard` is called for them. The same holds
+        if the record is absent, since the leader of the first term writes an empty one.
         """
         if record is None or record.value is None:
-            return set()
+            if is_first_term:
+                self._write()
+                return set()
+            log_event("roster.missing")
+            return self._load_unknown()
         self._revision = record.revision
         try:
             stored = decode_worker_membership(record.value)
         except StoredRecordError as error:
             log_event("roster.unreadable", why=str(error)[:160])
-            self._is_incomplete = True
-            self._unnamed_until_s = self._clock.seconds() + self._former_kept_s
-            return {UNKNOWN_WORKERS}
+            return self._load_unknown()
         workers = stored.workers
         incarnations = stored.incarnations
         self._members = {
@@ -139,6 +142,12 @@
             return {UNKNOWN_WORKERS, *self._members}
         return set(self._members)
 
+    def _load_unknown(self) -> set[str]:
+        """Load that nothing is known of the workers on which runs may be."""
+        self._is_incomplete = True
+        self._unnamed_until_s = self._clock.seconds() + self._former_kept_s
+        return {UNKNOWN_WORKERS}
+
     # Workers
 
     def is_stored(self, worker_id: str) -> bool:
--- a/tests/test_vanished_records.py
+++ b/tests/test_vanished_records.py
@@ -132,6 +132,28 @@
                 self.assertIsNotNone(fleet.records.read(TERM_KEY))
                 self.assertEqual(fleet.workers.duplicate_starts, [])
 
+    # Guards against two runs of a task, the first on a worker that only the lost record
+    # named.
+    def test_successor_awaits_workers_that_are_named_no_more(self):
+        for key in (WORKER_MEMBERSHIP_KEY, UNREACHABLE_WORKERS_KEY):
+            for change in (remove, replace):
+                with self.subTest(change.__name__, key=key):
+                    fleet = FleetSimulation(run_s=0.0)
+                    fleet.run_for(1.0)
+                    fleet.submit(0, job(JOB, tasks=6, standing=True))
+                    fleet.run_for(1.0)
+                    worker = fleet.workers.workers["w0"]
+                    moved = len(worker.running)
+                    self.assertGreater(moved, 0)
+                    worker.is_reachable = False
+                    fleet.records.remove("servers/w0")
+                    fleet.run_for(0.2)
+                    change(fleet, key)
+                    fleet.kill(fleet.leader())
+                    fleet.run_for(20.0)
+                    self.assertEqual(fleet.workers.duplicate_starts, [])
+                    self.assertEqual(len(fleet.workers.starts), 6 + moved)
+
 
 if __name__ == "__main__":
     unittest.main()
