Election: a leader's record that cannot be read names another leader

The error of decoding came before the comparison with the own term, so a leader went on beside one of another build whose record it could not read, and its contacts with the store seemed to show that it had no successor.

Such a record now counts as that of an unknown leader: the former one steps down, nobody campaigns, and callers see no leader, until the record is removed with its lease.

Test (new): fails without the change (the former leader leads on), passes now.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -52,6 +52,8 @@
 # Work outlasts an outage of the store by this time, and a successor waits as long for
 # a worker that it cannot reach.
 WORKER_LEASES_MAX_S = 8.0
+# Stands for a leader of another build, whose record cannot be read.
+UNKNOWN_LEADER = LeaderRecord("", "")
 
 
 class Election:
@@ -225,9 +227,10 @@
         self._leader_revision = record.revision
         if record.value is None:
             self._removed_revision = record.revision
-        self.leader = None if record.value is None else decode_leader(record.value)
+        self.leader = None if record.value is None else _read_leader(record)
         if self.leader is not None:
-            self._seen_leader = self.leader
+            if self.leader is not UNKNOWN_LEADER:
+                self._seen_leader = self.leader
             self._record_seen_s = self._clock.seconds()
             self._seen_revision = record.revision
         if self.leader is None or self.leader.member == self._record.member:
@@ -390,7 +393,7 @@
         if not self.leads or self.fencing_token != fencing_token or leader is None:
             # The watch reports a record that was removed.
             return
-        if decode_leader(leader.value).member != self._record.member:
+        if _read_leader(leader).member != self._record.member:
             self.apply_record(leader)
             return
         revision = 0 if term is None else term.revision
@@ -542,6 +545,15 @@
             return
 
 
+def _read_leader(record: Record) -> LeaderRecord:
+    """Return the leader by its record, `UNKNOWN_LEADER` if it cannot be read."""
+    try:
+        return decode_leader(record.value)
+    except StoredRecordError as error:
+        log_event("leader.unreadable", revision=record.revision, why=str(error)[:160])
+        return UNKNOWN_LEADER
+
+
 def _share_of(own: float, strongest: float) -> float:
     """Return a daemon's part of what the strongest one has, at most 1."""
     own = max(0.0, own)
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -333,7 +333,7 @@
             return
         self.election.apply_record(record)
         leader = self.election.leader
-        if leader is not None and leader.member != self.member:
+        if leader is not None and leader.member not in ("", self.member):
             log_event("leader.known", member=leader.member, revision=record.revision)
             self.rpc.set_leader(leader.member, leader.peer_key)
 
--- a/tests/test_vanished_records.py
+++ b/tests/test_vanished_records.py
@@ -154,6 +154,23 @@
                     self.assertEqual(fleet.workers.duplicate_starts, [])
                     self.assertEqual(len(fleet.workers.starts), 6 + moved)
 
+    # Guards against a second leader beside one of another build, whose record this one
+    # cannot read.
+    def test_unreadable_leader_deposes_the_former_one(self):
+        fleet = self.start_fleet()
+        lease_id = fleet.records.open_lease(60_000)
+        fleet.records.write(LEADER_KEY, UNREADABLE, lease_id)
+        fleet.run_for(1.0)
+        self.assertFalse(any(node.election.leads for node in fleet.nodes))
+        starts = len(fleet.workers.starts)
+        fleet.run_for(5.0)
+        self.assertEqual(len(fleet.workers.starts), starts)
+        self.assertFalse(any(node.election.leads for node in fleet.nodes))
+        fleet.records.end_lease(lease_id)
+        fleet.run_for(2.0 + RUN_S + ACKNOWLEDGED_S)
+        self.assert_completed(fleet, JOB)
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
 
 if __name__ == "__main__":
     unittest.main()
