Loops: an unexpected error ends none of them for good

Errors other than PlatformError ended, for the rest of the term or the process: the polls of a worker, whose ends then were never acknowledged; the watch of a prefix; the campaigns of a daemon; the calls to the advice service, of which one is open at a time; the reads of a version that another daemon has named.

Each logs the error and goes on after its usual pause.

--- a/dogwoodlever/_configuration_knowledge.py
+++ b/dogwoodlever/_configuration_knowledge.py
@@ -9,7 +9,6 @@
 from dogwoodlever._fleet_types import FleetConfiguration
 from dogwoodlever._fleet_watcher import PrefixWatcher
 from dogwoodlever._logs import log_event
-from dogwoodlever.platform_errors import PlatformError
 
 # Time from one read beside the watch to the next one.
 READ_INTERVAL_S = 0.1
@@ -141,8 +140,9 @@
             try:
                 yield self._read_newest()
                 self._read_s = sent_s
-            except PlatformError as error:
-                log_event("configuration.unread", why=str(error)[:160])
+            except Exception as error:
+                # Whatever has failed, the version that was seen has to be read.
+                log_event("configuration.unread", why=repr(error)[:160])
             yield deferLater(self._clock, READ_INTERVAL_S)
         self._is_reading = False
 
--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -280,6 +280,10 @@
             self._cancel_timer()
             if not self._is_closed:
                 self._timer = self._clock.callLater(RETRY_S, self._campaign)
+        except Exception as error:
+            # Whatever has failed, some daemon has to lead.
+            log_event("leader.candidacy-failed", why=repr(error)[:160])
+            self._retry_later()
         finally:
             self._is_campaigning = False
 
--- a/dogwoodlever/_fleet_watcher.py
+++ b/dogwoodlever/_fleet_watcher.py
@@ -151,6 +151,11 @@
             spent_s = self._clock.seconds() - sent_s
             self._schedule(max(0.0, interval_s - spent_s))
             return
+        except Exception as error:
+            # Whatever has failed, later changes have to be seen.
+            log_event("watch.failed", prefix=self.prefix, why=repr(error)[:200])
+            self._schedule(RETRY_S)
+            return
         self.sent_s = sent_s
         self._on_connected()
         self._schedule(self._pause_s)
--- a/dogwoodlever/_ticket_cache.py
+++ b/dogwoodlever/_ticket_cache.py
@@ -21,7 +21,6 @@
 from dogwoodlever._logs import log_event
 from dogwoodlever._ticket_source import TicketSource
 from dogwoodlever._worker_capacity import WorkerCapacity
-from dogwoodlever.platform_errors import PlatformError
 
 # Delay after a call that failed, or whose tickets had expired when they arrived.
 RETRY_S = 0.3
@@ -163,8 +162,9 @@
             granted = yield self._service.advise(
                 step.step_id, [entry.worker_id for entry in entries]
             )
-        except PlatformError as error:
-            log_event("advice.failed", job=step.job.job.job_id, why=str(error)[:160])
+        except Exception as error:
+            # No call is sent while one is open, so it has to end whatever has failed.
+            log_event("advice.failed", job=step.job.job.job_id, why=repr(error)[:160])
             self._clock.callLater(RETRY_S, self._request_ended, step.step_id)
             return
         # The service cannot have issued a ticket before it has decided.
--- a/dogwoodlever/_worker_link.py
+++ b/dogwoodlever/_worker_link.py
@@ -190,6 +190,17 @@
     def _poll(self):
         if self.is_closed:
             return
+        try:
+            yield self._poll_once()
+        except Exception as error:
+            # One unexpected report must not end the polls that renew the lease.
+            log_event("poll.failed", worker=self.entry.worker_id, why=repr(error)[:200])
+            self._is_acknowledging = False
+            if self._poll_call is None or not self._poll_call.active():
+                self._schedule_poll(POLL_RETRY_S)
+
+    @inlineCallbacks
+    def _poll_once(self):
         sent_s = self._clock.seconds()
         fencing_token = self.fencing.token
         is_bare = not self.fencing.is_proven
@@ -237,13 +248,7 @@
             self._stop_unanswered()
         elif not was_reachable:
             log_event("worker.regained", worker=self.entry.worker_id)
-        try:
-            self._listener.on_polled(self, result, sent_s)
-        except Exception as error:
-            # One unexpected report must not end the polls that renew the lease.
-            log_event("poll.failed", worker=self.entry.worker_id, why=repr(error)[:200])
-            self._schedule_poll(POLL_RETRY_S)
-            return
+        self._listener.on_polled(self, result, sent_s)
         if self._is_lease_withheld():
             self._schedule_poll(POLL_RETRY_S)
             return
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -1,20 +1,23 @@
 """One malformed message or unexpected error affects nothing but itself."""
 
 import unittest
-from unittest.mock import patch
+from contextlib import ExitStack
+from types import SimpleNamespace
+from unittest.mock import Mock, patch
 
-from twisted.internet.defer import fail
+from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
 from twisted.logger import Logger
 
 from dogwoodlever import _logs
+from dogwoodlever._configuration_knowledge import ConfigurationKnowledge
 from dogwoodlever._fleet_job import JobPhase
-from dogwoodlever._fleet_records import JOBS_PREFIX
+from dogwoodlever._fleet_records import JOBS_PREFIX, LEADER_KEY
 from dogwoodlever._fleet_rpc import CREATE_METHOD, JOB_METHOD, UNSTORED_METHOD
 from dogwoodlever._messages import RpcReply, RpcRequest
 from dogwoodlever._peer_rpc import PeerRpc
 from dogwoodlever.peers import PeerTransport
-from tests.fleet_simulation import FleetSimulation, job
+from tests.fleet_simulation import CONFIGURATION, FleetSimulation, job
 
 JOB = "a" * 16
 
@@ -121,6 +124,60 @@
             fleet.run_for(2.0)
         self.assert_serves(fleet)
 
+    # Guards against a loop that any error but those of the platform ends for good:
+    # no more polls, watches, tickets or candidates.
+    def test_unexpected_error_of_a_client_ends_no_loop(self):
+        for client, method in (
+            ("worker_clients", "poll"),
+            ("worker_clients", "start"),
+            ("stores", "watch"),
+            ("stores", "commit"),
+            ("stores", "open_lease"),
+            ("stores", "renew_lease"),
+        ):
+            with self.subTest(client, method=method):
+                fleet = self.start_fleet()
+                error = KeyError("unexpected")
+                with ExitStack() as patches:
+                    for target in getattr(fleet, client):
+                        patches.enter_context(
+                            patch.object(target, method, side_effect=error)
+                        )
+                    fleet.run_for(0.2)
+                    fleet.records.remove(LEADER_KEY)
+                    fleet.submit(0, job("b" * 16))
+                    fleet.run_for(2.0)
+                fleet.run_for(4.0)
+                self.assert_serves(fleet)
+
+    def test_unexpected_error_of_the_advice_service_ends_no_calls(self):
+        advised = {"decision_ms": 50, "period_ms": 1, "valid_ms": 5_000}
+        route = CONFIGURATION["routes"][0] | {"advice": advised}
+        fleet = self.start_fleet(configuration=CONFIGURATION | {"routes": [route]})
+        fleet.advice.allowed = set(fleet.workers.workers)
+        with patch.object(fleet.advice, "advise", side_effect=KeyError("unexpected")):
+            fleet.submit(0, job("b" * 16))
+            fleet.run_for(1.0)
+        self.assert_serves(fleet)
+
+    # Guards against a version that another daemon has named and that is never read.
+    def test_unexpected_error_of_a_read_ends_no_reads(self):
+        clock, version, results = Clock(), [1], [KeyError("unexpected")]
+
+        def read_newest():
+            if results:
+                raise results.pop()
+            version[0] = 2
+            return succeed(None)
+
+        knowledge = ConfigurationKnowledge(
+            lambda: SimpleNamespace(version=version[0]), None, clock, clock.seconds,
+            Mock(), 2.0, read_newest,
+        )  # fmt: skip
+        knowledge.on_version_seen(2, "peer")
+        clock.pump([0.1] * 30)
+        self.assertEqual(version, [2])
+
 
 class UnhandledErrorTest(unittest.TestCase):
     def test_errors_that_twisted_reports_are_logged(self):
