Idempotency keys: fail the calls of a bucket that cannot be read

An error of decoding a bucket left the flag of an open write set. The callers of its batch got no answer, and all later ones of this bucket waited for good.

Any error fails the calls of the batch as an unavailable store does, so that their requests are not run, and the next batch is tried.

Test (new): fails without the change (no answer), passes with it.

--- a/dogwoodlever/_idempotency_store.py
+++ b/dogwoodlever/_idempotency_store.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from dogwoodlever._interfaces import Store
+from dogwoodlever._logs import log_event
 from dogwoodlever._record_keys import idempotency_bucket_key
 from dogwoodlever._records import encode_record
 from dogwoodlever.platform_errors import StoreUnavailableError
@@ -114,8 +115,12 @@
         batch, queue.waiting = queue.waiting, []
         try:
             holders = yield self._commit(number, queue, batch)
-        except StoreUnavailableError as error:
+        except Exception as error:
+            # Whatever has failed, these callers must not wait, nor later ones.
             queue.version, queue.bucket = 0, IdempotencyBucket()
+            if not isinstance(error, StoreUnavailableError):
+                log_event("idempotency.failed", bucket=number, why=repr(error)[:160])
+                error = StoreUnavailableError(f"bucket {number}: {error!r}")
             for pending in batch:
                 pending.holder.errback(error)
         else:
--- a/tests/test_idempotency_store.py
+++ b/tests/test_idempotency_store.py
@@ -2,7 +2,12 @@
 
 from twisted.internet.task import Clock
 
-from dogwoodlever._idempotency_store import KEY_TTL_S, IdempotencyStore
+from dogwoodlever._idempotency_store import (
+    BUCKET_COUNT,
+    KEY_TTL_S,
+    IdempotencyStore,
+)
+from dogwoodlever._record_keys import idempotency_bucket_key
 from dogwoodlever.platform_errors import StoreUnavailableError
 from standins.in_process import FakeStore, ProcessClock
 from standins.key_values import KeyValues
@@ -47,6 +52,17 @@
         self.assertEqual(self.reserve(1, "k", "r2", replaces="r1"), "r2")
         self.assertEqual(self.reserve(0, "k", "r3", replaces="r1"), "r2")
 
+    # Guards against callers that wait for good, as a bucket cannot be read.
+    def test_unreadable_bucket_fails_its_calls(self):
+        keys = [idempotency_bucket_key(number) for number in range(BUCKET_COUNT)]
+        for key in keys:
+            self.values.write(key, b"\xff", 0)
+        for _ in range(2):
+            self.assertIs(self.reserve(0, "k", "r1"), StoreUnavailableError)
+        for key in keys:
+            self.values.delete(key, self.values.entries[key].version)
+        self.assertEqual(self.reserve(0, "k", "r1"), "r1")
+
     def test_record_expires(self):
         self.reserve(0, "k", "r1")
         self.wall_s += KEY_TTL_S + 1
