Cells: one record that cannot be read or written holds back no others

An entry of the inbox that cannot be decoded raised in each round before anything was scheduled or committed, so that the whole cell stood still. The archive was written in the order of the jobs and stopped at the first failure, so that a job whose record the store rejects kept all later ones in the state. A write that the store rejects was repeated as fast as it answered reads.

An unreadable entry is logged once and left in the inbox; a job that could not be archived goes last; from the second failure on, attempts are half a second apart while reads are answered.

--- a/dogwoodlever/_cell_role.py
+++ b/dogwoodlever/_cell_role.py
@@ -83,6 +83,10 @@
         self._closing = False
         self._syncing: set[str] = set()
         self._deleting: set[str] = set()
+        # Versions by key of the entries of the inbox that cannot be read.
+        self._unreadable: dict[str, int] = {}
+        # Jobs whose last attempt to archive them failed.
+        self._unarchived: set[str] = set()
 
     def set_site(
         self,
@@ -308,6 +312,7 @@
         Retries through an outage of the store. The membership lease suffices to
         renew worker leases meanwhile, and no attempt is started.
         """
+        failures = 0
         while True:
             try:
                 result = yield self._follower.try_swap(key, value, self._version)
@@ -318,6 +323,8 @@
                     return entry
                 if entry is not None and entry.version != self._version:
                     return None
+                failures += 1
+                yield self._follower.pause_after(failures)
                 continue
             return result.entry if result.committed else None
 
@@ -330,14 +337,23 @@
         pending = [
             key
             for key in sorted(inbox, key=inbox.get)
-            if key.startswith(prefix) and key not in self._deleting
+            if key.startswith(prefix)
+            and key not in self._deleting
+            and self._unreadable.get(key) != inbox[key]
         ]
         processed = {}
         for key in pending[:INBOX_BATCH_MAX]:
             entry = yield self._follower.read(key)
-            if entry is not None:
+            if entry is None:
+                continue
+            try:
                 yield self._process_inbox_entry(key[len(prefix) :], entry)
-                processed[key] = entry.version
+            except (ValueError, RecursionError) as error:
+                # It stays stored for whoever can read it, and is not read again.
+                self._unreadable[key] = entry.version
+                log_event("inbox.unreadable", key=key, why=str(error)[:160])
+                continue
+            processed[key] = entry.version
         if not processed:
             return
         yield self._commit()
@@ -371,9 +387,13 @@
     def _archive_ended(self):
         """Move ended jobs from the cell state to the archive."""
         cell = self.cell
-        for job_id in cell.ended_jobs():
+        # The others go before a job that may not be archived at all.
+        ended = sorted(cell.ended_jobs(), key=self._unarchived.__contains__)
+        for job_id in ended:
             tasks = cell.cell_state.job_tasks(job_id)
             key = keys.archive_key(job_id)
+            self._unarchived.add(job_id)
             yield self._follower.try_swap(key, encode_record(tasks), 0)
+            self._unarchived.discard(job_id)
             cell.drop_job(job_id)
             log_event("job.archived", job=job_id, tasks=len(tasks))
--- a/dogwoodlever/_store_follower.py
+++ b/dogwoodlever/_store_follower.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from enum import StrEnum
 
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
 
 from dogwoodlever._interfaces import Entry, Store, WriteResult
@@ -12,6 +12,9 @@
 from dogwoodlever.platform_errors import StoreUnavailableError
 
 READ_BACK_INTERVAL_S = 0.5
+# Pause between the attempts of a write while reads are answered; a lost answer is
+# followed by the second attempt at once.
+WRITE_INTERVAL_S = 0.5
 
 
 class SwapOutcome(StrEnum):
@@ -126,23 +129,29 @@
         Deferred
             Fires with a `SwapOutcome`; waits while the store is unavailable.
         """
+        failures = 0
         while True:
             try:
                 result = yield self._store.write(key, value, expected_version)
             except StoreUnavailableError as error:
                 log_event("store.answer_lost", key=key, error=error)
                 found = yield self.read_back(key)
-                if found is None and expected_version == 0:
-                    continue
-                if found is not None and found.version == expected_version:
+                found_version = 0 if found is None else found.version
+                if found_version == expected_version:
                     # Not written so far. Repeating is safe: both attempts
                     # expect the same version, so at most one takes effect.
+                    failures += 1
+                    yield self.pause_after(failures)
                     continue
                 result = WriteResult(found is not None and found.value == value, found)
             if result.entry is not None and not key.startswith(INBOX_PREFIX):
                 self.offer(key, result.entry)
             return SwapOutcome.COMMITTED if result.committed else SwapOutcome.CONFLICT
 
+    def pause_after(self, failures: int) -> Deferred:
+        """Wait before a write is repeated, of which so many attempts have failed."""
+        return deferLater(self._clock, WRITE_INTERVAL_S if failures > 1 else 0.0)
+
     @inlineCallbacks
     def read_back(self, key: str):
         """Read a record, retrying until the store answers."""
