Cells: a change of a removed configuration is not repeated without end

A compare-and-swap that found no record kept the version that was held, so that the next one expected it again. set_data_centre repeated its write without a pause and without an answer to the operator, also if the stored record was a newer one that the daemon cannot use.

A swap that finds no record drops the held one, a removed configuration is written anew, and a record that cannot be used fails the change with a conflict.

Test (new): both cases get no answer without the change, and pass with it.

--- a/dogwoodlever/_configuration_role.py
+++ b/dogwoodlever/_configuration_role.py
@@ -78,7 +78,7 @@
                 f"change is based on revision {expected}; active is {record.revision}"
             )
         change = record.with_documents(documents, by, self._wall_time())
-        revision = yield self._write(change, self.active.version)
+        revision = yield self._write(change, self._expected_version())
         return revision
 
     @inlineCallbacks
@@ -107,12 +107,21 @@
             if (name in record.out) == out:
                 return record.revision
             change = record.with_data_centre(name, out, by, self._wall_time())
+            version = self._expected_version()
             try:
-                revision = yield self._write(change, self.active.version)
+                revision = yield self._write(change, version)
             except ConfigurationConflictError:
+                if version == self._expected_version():
+                    # The stored record cannot be used here, and is not replaced.
+                    raise
                 continue
             return revision
 
+    def _expected_version(self) -> int:
+        """Return the version that a write replaces, 0 if the record is gone."""
+        is_stored = keys.CONFIGURATION in self._store.entries
+        return self.active.version if is_stored else 0
+
     @inlineCallbacks
     def _write(self, change: ConfigurationRecord, version: int):
         checked = change.site()
--- a/dogwoodlever/_store_follower.py
+++ b/dogwoodlever/_store_follower.py
@@ -144,8 +144,7 @@
                     yield self.pause_after(failures)
                     continue
                 result = WriteResult(found is not None and found.value == value, found)
-            if result.entry is not None and not key.startswith(INBOX_PREFIX):
-                self.offer(key, result.entry)
+            self._apply_written(key, result)
             return SwapOutcome.COMMITTED if result.committed else SwapOutcome.CONFLICT
 
     def pause_after(self, failures: int) -> Deferred:
@@ -177,10 +176,18 @@
             If the outcome is unknown.
         """
         result = yield self._store.write(key, value, expected_version)
-        if result.entry is not None and key.startswith(LIVE_PREFIX):
-            self.offer(key, result.entry)
+        self._apply_written(key, result)
         return result
 
+    def _apply_written(self, key: str, result: WriteResult) -> None:
+        """Hold what a write has shown of a shared record, which may be gone."""
+        if not key.startswith(LIVE_PREFIX) or key.startswith(INBOX_PREFIX):
+            return
+        if result.entry is not None:
+            self.offer(key, result.entry)
+        elif key in self.entries:
+            self._drop(key)
+
     @inlineCallbacks
     def delete_from_inbox(self, key: str, version: int):
         """Delete a key of the inbox.
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -3,12 +3,16 @@
 import msgspec
 from returns.result import Failure
 
+from dogwoodlever._record_keys import CONFIGURATION
 from dogwoodlever.configuration import (
     ActiveConfiguration,
     ConfigurationRecord,
     encode_configuration,
 )
-from dogwoodlever.configuration_errors import ConfigurationError
+from dogwoodlever.configuration_errors import (
+    ConfigurationConflictError,
+    ConfigurationError,
+)
 from standins.fake_site import FakeSite
 from tests.sites import make_site
 
@@ -96,6 +100,24 @@
         self.fake.advance(3.0)
         self.assertEqual((self.results, self.revisions()), ([2], {2}))
 
+    # Guards against an operator's change that is repeated without end, as the record
+    # that it expects is gone or cannot be used.
+    def test_change_of_a_record_that_another_hand_has_changed(self):
+        for value, expected in ((None, 2), (b"\xff", ConfigurationConflictError)):
+            with self.subTest(value):
+                self.setUp()
+                values = self.fake.values
+                version = values.entries[CONFIGURATION].version
+                if value is None:
+                    values.delete(CONFIGURATION, version)
+                else:
+                    values.write(CONFIGURATION, value, version)
+                self.collect(self.role("d1").set_data_centre("foreshore", True, "me"))
+                values.calls.clear()
+                self.fake.advance(2.0)
+                self.assertEqual(self.results, [expected])
+                self.assertLess(values.calls["write"], 20)
+
     def test_active_on_all_daemons_within_two_seconds(self):
         self.fake.daemons["d3"].store.is_unreachable = True
         self.collect(self.role("d1").set_data_centre("foreshore", True, "me"))
