Show workers that are withheld since their record is not stored

Safety demands that a worker gets no lease before a successor would find it in the store. While the store did not carry out such a write, nothing but a log line told that workers got no work.

Test (new): two workers are counted while the write is rejected, none later.

--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -130,6 +130,10 @@
             "unsettled_workers",
             "Workers that may hold a lease by a call for an earlier incarnation",
         )
+        self.withheld_workers = self._gauge(
+            "withheld_workers",
+            "Workers that answer and get no lease before a record of them is stored",
+        )
         self.workspace_cores = self._gauge(
             "workspace_cores", "Cores requested by a workspace's runs", "workspace"
         )
--- a/dogwoodlever/_fleet_workers.py
+++ b/dogwoodlever/_fleet_workers.py
@@ -838,6 +838,11 @@
         now_s = self._clock.seconds()
         unsettled = self._membership.unsettled_workers()
         self._metrics.unsettled_workers.set(len(unsettled))
+        withheld = (
+            link.evidence.is_answering and self._is_withheld(worker_id)
+            for worker_id, link in self._links.items()
+        )
+        self._metrics.withheld_workers.set(sum(withheld))
         self._membership.settle(
             [
                 worker_id
--- a/tests/test_vanished_records.py
+++ b/tests/test_vanished_records.py
@@ -17,6 +17,7 @@
     progress_key,
 )
 from tests.fleet_simulation import JOB, FleetSimulation, job
+from tests.rejected_writes import reject_writes
 
 RUN_S = 1.0
 # Time in which the end of a run has to be acknowledged.
@@ -171,6 +172,19 @@
         self.assert_completed(fleet, JOB)
         self.assertEqual(fleet.workers.duplicate_starts, [])
 
+    # Guards against workers that are withheld without a sign.
+    def test_workers_whose_record_is_not_stored_are_counted(self):
+        fleet = FleetSimulation(workers=2)
+        rejects = [True]
+        for store in fleet.stores:
+            reject_writes(store, lambda key: key == WORKER_MEMBERSHIP_KEY and rejects)
+        fleet.run_for(2.0)
+        withheld = fleet.nodes[fleet.leader()].metrics.withheld_workers
+        self.assertEqual(withheld._value.get(), 2)
+        rejects.clear()
+        fleet.run_for(3.0)
+        self.assertEqual(withheld._value.get(), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
