A write that is answered with an ended lease was not done

A write is all or nothing, so one that is answered 404 was not carried out. Callers' writes, which name no lease, were repeated until the deadline after such an answer, and workers in a record of unreachable ones stayed withheld.

Both treat LeaseEndedError as a rejection.

Tests: the five new cases of it fail without the change and pass with it. A table of five shared records that the store rejects with each of five statuses passes before and after: jobs complete, ends are acknowledged within 4 s, and a successor leads.

--- a/dogwoodlever/_fleet_frontend.py
+++ b/dogwoodlever/_fleet_frontend.py
@@ -39,6 +39,7 @@
     RefusalCause,
 )
 from dogwoodlever.platform_errors import (
+    LeaseEndedError,
     PlatformError,
     StoredRecordError,
     StoreRefusedError,
@@ -337,7 +338,7 @@
                 outcome = yield self._commit(put, check)
             except StoreRefusedError as error:
                 log_event("write.refused", key=put.key, why=str(error)[:160])
-            except StoreRejectedError as error:
+            except (StoreRejectedError, LeaseEndedError) as error:
                 # Another attempt would be rejected as well.
                 is_final = True
                 log_event("write.rejected", key=put.key, why=str(error)[:160])
@@ -450,7 +451,7 @@
             return CallOutcome.NOT_DONE
         try:
             outcome = yield self._commit(Put(key, value), check or UNCHECKED)
-        except (StoreRefusedError, StoreRejectedError) as error:
+        except (StoreRefusedError, StoreRejectedError, LeaseEndedError) as error:
             log_event("write.refused", key=key, why=str(error)[:160])
             return CallOutcome.NOT_DONE
         except PlatformError as error:
--- a/dogwoodlever/_unreachable_workers.py
+++ b/dogwoodlever/_unreachable_workers.py
@@ -27,6 +27,7 @@
 from dogwoodlever._logs import log_event
 from dogwoodlever._repeated_write import ConflictError, RepeatedWrite
 from dogwoodlever.platform_errors import (
+    LeaseEndedError,
     StoredRecordError,
     StoreRefusedError,
     StoreRejectedError,
@@ -40,7 +41,12 @@
 # Covers the rounding of a stored wait.
 ROUNDING_S = 0.01
 # Of a write that was certainly not carried out, and will not be.
-NOT_DONE_ERRORS = (ConflictError, StoreRefusedError, StoreRejectedError)
+NOT_DONE_ERRORS = (
+    ConflictError,
+    LeaseEndedError,
+    StoreRefusedError,
+    StoreRejectedError,
+)
 
 
 class UnreachableWorkers:
--- a/tests/test_rejected_writes.py
+++ b/tests/test_rejected_writes.py
@@ -1,13 +1,18 @@
 """A write that the store rejects for good holds back only what it is about."""
 
 import unittest
+from itertools import product
 from unittest import mock
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from dogwoodlever._fleet_frontend import CallOutcome
+from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_records import (
+    HANDOVER_KEY,
+    INTERFERENCE_KEY,
+    PENDING_JOBS_KEY,
     TERM_KEY,
     UNREACHABLE_WORKERS_KEY,
     WORKER_MEMBERSHIP_KEY,
@@ -17,6 +22,7 @@
 from dogwoodlever._unreachable_workers import UnreachableWorkers
 from dogwoodlever._worker_membership import NO_INCARNATION, WorkerMembership
 from dogwoodlever.platform_errors import (
+    LeaseEndedError,
     StoreRefusedError,
     StoreRejectedError,
     StoreUnavailableError,
@@ -172,7 +178,10 @@
     # Guards against a worker that answers and gets no lease, since a record that should
     # have named it was never written.
     def test_worker_of_a_rejected_record_is_not_withheld(self):
-        for error in (StoreRejectedError, StoreRefusedError, StoreUnavailableError):
+        for error in (
+            StoreRejectedError, LeaseEndedError, StoreRefusedError,
+            StoreUnavailableError,
+        ):  # fmt: skip
             with self.subTest(error.__name__):
                 self.setUp()
                 reject_writes(self.store, lambda key: True, error)
@@ -191,19 +200,22 @@
     # Guards against a submission or cancellation that is repeated until its caller
     # gives up, and then answered as if it might take effect.
     def test_call_whose_write_is_rejected_is_answered_at_once(self):
-        for is_leader in (True, False):
-            for lost, outcome in ((0, CallOutcome.NOT_DONE), (1, CallOutcome.UNKNOWN)):
-                with self.subTest(is_leader=is_leader, lost=lost):
-                    self._check(is_leader, lost, outcome)
+        outcomes = ((0, CallOutcome.NOT_DONE), (1, CallOutcome.UNKNOWN))
+        errors = (StoreRejectedError, LeaseEndedError)
+        for is_leader, (lost, outcome), error in product(
+            (True, False), outcomes, errors
+        ):
+            with self.subTest(is_leader=is_leader, lost=lost, error=error.__name__):
+                self._check(is_leader, lost, outcome, error)
 
-    def _check(self, is_leader, lost, outcome):
+    def _check(self, is_leader, lost, outcome, error):
         fleet = FleetSimulation()
         fleet.run_for(1.0)
         number = (fleet.leader() + (not is_leader)) % 3
         fleet.submit(number, job(JOB, standing=True))
         rejects = []
         calls = [
-            reject_writes(store, lambda key: key == cancel_key(JOB) and rejects)
+            reject_writes(store, lambda key: key == cancel_key(JOB) and rejects, error)
             for store in fleet.stores
         ]
         fleet.stores[number].answers_to_lose = lost
@@ -221,5 +233,36 @@
         self.assertLessEqual(len(rejected), 2)
 
 
+class FleetTest(unittest.TestCase):
+    # Guards against a shared record that the store rejects, behind which jobs wait,
+    # ends are not acknowledged, or no successor leads.
+    def test_shared_record_that_is_rejected_holds_no_job(self):
+        keys = (
+            WORKER_MEMBERSHIP_KEY, UNREACHABLE_WORKERS_KEY, INTERFERENCE_KEY,
+            PENDING_JOBS_KEY, HANDOVER_KEY,
+        )  # fmt: skip
+        for key, status in product(keys, (400, 403, 404, 413, 500)):
+            with self.subTest(key, status=status):
+                self._check(key, status)
+
+    def _check(self, key, status):
+        fleet = FleetSimulation(has_wire_store=True)
+        fleet.run_for(2.0)
+        for store in fleet.stores:
+            store.statuses[key] = status
+        for is_changed in (False, True):
+            if is_changed:
+                fleet.nodes[fleet.leader()].stop()
+                fleet.run_for(4.0)
+            job_id = str(int(is_changed)) * 16
+            fleet.submit(fleet.leader(), job(job_id))
+            # The run, and the time in which its end has to be acknowledged.
+            fleet.run_for(1.0 + 4.0)
+            phase = fleet.read_phase(fleet.leader(), job_id)
+            self.assertEqual(phase, JobPhase.COMPLETED)
+            ended = [w.ended for w in fleet.workers.workers.values() if w.ended]
+            self.assertEqual(ended, [])
+
+
 if __name__ == "__main__":
     unittest.main()
