--- a/dogwoodlever/platform_errors.py
+++ b/dogwoodlever/platform_errors.py
@@ -57,6 +57,13 @@
     """Another term has begun, so the leader of this one may write no more."""
 
 
+class StoreRejectedError(PlatformError):
+    """The store does not accept the call as it is, and did nothing.
+
+    The same call would be rejected again.
+    """
+
+
 class StoredRecordError(PlatformError):
     """A record that a daemon has stored cannot be read."""
 
--- a/tests/test_progress_writer.py
+++ b/tests/test_progress_writer.py
@@ -288,8 +288,8 @@
             fleet.registry,
             1.0,
             lambda: fleet.term_revision,
-            removed.extend,
             fleet.writer.is_stored,
+            removed.extend,
         )
         if not is_answered:
             error = StoreUnavailableError("no response")
