--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.defer import FirstError, gatherResults, inlineCallbacks
 
+from dogwoodlever._acknowledgement_backlog import AcknowledgementBacklog
 from dogwoodlever._configuration_knowledge import ConfigurationKnowledge
 from dogwoodlever._crash_attribution import CrashAttribution
 from dogwoodlever._fault_attribution import FaultAttribution
@@ -246,6 +247,14 @@
             confirm_soon,
         )
         self.workers.runs.set_stalled_source(self._handover.stalled_ms)
+        self._backlog = AcknowledgementBacklog(
+            metrics,
+            clock,
+            self.registry,
+            store.down_for_s,
+            self.workers.evidence_of_waits,
+            platform_limits.acknowledgement_s,
+        )
         self._progress_writer = ProgressWriter(
             store,
             clock,
@@ -255,6 +264,7 @@
             self.workers.acknowledge_ends,
             on_unstored,
             platform_limits.record_bytes_max,
+            self._backlog,
         )
         self._retention = Retention(
             store,
@@ -262,6 +272,7 @@
             self.registry,
             platform_limits.job_state_kept_s,
             self._get_term_revision,
+            self._is_stored,
             self._drop_removed_jobs,
         )
         self._pending_writer = PendingJobsWriter(
@@ -323,6 +334,7 @@
         self._tickets.close()
         self.workers.close()
         self._workspace_report.close()
+        self._backlog.close()
         for call in (self._plan_call, self._tick_call, self._load_check_call):
             if call is not None and call.active():
                 call.cancel()
@@ -385,7 +397,9 @@
             job_id = record.key[len(PROGRESS_PREFIX) :]
             self._progress[job_id] = record.value
             self._progress_writer.set_revision(job_id, record.revision)
-        self.workers.unpolled_workers = self._membership.load(membership)
+        self.workers.unpolled_workers = self._membership.load(
+            membership, self.term == 1
+        )
         self._unreachable.load(unreachable, self._unreachable_since_term)
         if interference is not None and interference.value is not None:
             self._restore_interference(interference.value)
@@ -615,6 +629,7 @@
         self._cancelled.difference_update(job_ids)
         for job_id in job_ids:
             self._progress_writer.drop_job(job_id)
+            self._backlog.drop_job(job_id)
             self._interference.drop_job(job_id)
             self._tickets.drop_job(job_id)
             self._usage.drop_job(job_id)
@@ -705,6 +720,7 @@
             self.workers.capacities.values(),
             self._clock.seconds(),
         )
+        self._backlog.update()
         self.plan_soon()
 
     def _plan(self) -> None:
--- a/dogwoodlever/_fleet_node.py
+++ b/dogwoodlever/_fleet_node.py
@@ -140,6 +140,7 @@
             self._leader_watcher,
             self._on_unconfirmed,
         )
+        store.on_conflict = self.election.check_term
         self._operators_watcher = PrefixWatcher(
             store,
             clock,
@@ -332,7 +333,7 @@
             return
         self.election.apply_record(record)
         leader = self.election.leader
-        if leader is not None and leader.member != self.member:
+        if leader is not None and leader.member not in ("", self.member):
             log_event("leader.known", member=leader.member, revision=record.revision)
             self.rpc.set_leader(leader.member, leader.peer_key)
 
@@ -382,6 +383,7 @@
                 self.settings.stop_timeout_s,
                 self.settings.workspace_rate_window_s,
                 self.settings.record_bytes_max,
+                self.settings.acknowledgement_s,
             ),
             self.election.confirm_soon,
             lambda: self.election.contact_s,
--- a/dogwoodlever/_fleet_runs.py
+++ b/dogwoodlever/_fleet_runs.py
@@ -229,12 +229,14 @@
         sent_s: float,
     ) -> None:
         """Apply the result of a poll that was sent at `sent_s`."""
+        link.evidence.record_listed(result.ended, self._clock.seconds())
         if capacity.entry.is_draining:
             link.evidence.release_ends()
         else:
             self._hold_ends(capacity, link, result)
         for end in result.ended:
             if link.evidence.read_end(end.number):
+                link.evidence.unstored_ends.add(end.number, end.run.task.job_id)
                 self._log_end_after_drop(capacity, result.started_at_ms, end)
                 self._apply_end(capacity, link, end)
         for listed_run in result.running:
