Judge of acks: whole windows, and all ends besides those of each pool

Ends that wait as a stretch begins wait from the same time on. A window could begin with any of them, and left the ones before it out: 3 of 53 late ends became 3 of 14. A window begins with the first end of a time now.

Findings were by pool only, so that the rule in its words, a fifth of all ends, could not be told from a small pool that breaks it by itself. All ends are judged first now, then each pool if there are several.

--- a/standins/acks_check.py
+++ b/standins/acks_check.py
@@ -10,7 +10,10 @@
 disturbance that delays all ends for a while is outweighed by later ones. So the same
 shares also hold in each `WINDOW_S` of calm, by the time from which an end or a cancel
 waited in calm; those that wait as a stretch begins belong to its first window. These
-windows need `LATE_MIN` late ones, since a single one may be all that ended then.
+windows need `LATE_MIN` late ones, since a single one may be all that ended then. Each
+pool of workers is judged by itself as well, so that a large one doesn't outweigh it. A
+finding of all ends, or of the cancels, in the run is the rule in its words; the others
+are stricter.
 
 What the rule leaves open is taken as strictly as its words allow:
 
@@ -213,7 +216,7 @@
     def check(self, until_s: float) -> list[str]:
         """Return the findings of a run that lasted until a time."""
         findings = []
-        for kind in (*self._pools(), self._cancel_kind()):
+        for kind in (*self._end_kinds(), self._cancel_kind()):
             judged = self._judge(kind.waits, until_s, _RULE_SCOPES)
             if _is_excess(judged, kind, kind.late_min):
                 findings.append(_describe(judged, kind, "the run"))
@@ -247,9 +250,11 @@
             )
         return " ".join(counts)
 
-    def _pools(self) -> Iterator[Kind]:
-        """Return the ends by pool; if all break the rule, those of a pool do."""
-        for pool in sorted({wait.pool for wait in self._ends}):
+    def _end_kinds(self) -> Iterator[Kind]:
+        """Return all ends, and those of each pool if there are several."""
+        yield Kind("ends", self._ends, ENDS_LATE_SHARE, 1)
+        pools = sorted({wait.pool for wait in self._ends})
+        for pool in pools if len(pools) > 1 else ():
             waits = [wait for wait in self._ends if wait.pool == pool]
             yield Kind(f"ends of pool {pool}", waits, ENDS_LATE_SHARE, 1)
 
@@ -337,7 +342,10 @@
         while end < len(rows) and rows[end].calm_s <= row.calm_s + WINDOW_S:
             late += rows[end].is_late
             end += 1
-        if late > max(worst_late, LATE_MIN - 1, kind.late_share * (end - first)):
+        # Those that wait as a stretch begins are of one time, and of the same windows.
+        is_begin = not first or rows[first - 1].calm_s < row.calm_s
+        least = max(worst_late, LATE_MIN - 1, kind.late_share * (end - first))
+        if is_begin and late > least:
             worst, worst_late = rows[first:end], late
         late -= row.is_late
     return worst
--- a/tests/test_acks_check.py
+++ b/tests/test_acks_check.py
@@ -96,8 +96,10 @@
                 "ACKS: 10 s of calm from 10.000: 3 of 3 ends of pool floor",
             ],
         )
-        self.disturb(Scope.WORKER, 9.0, None, "w1")
+        self.add_ends(*[(10.0, 10.1)] * 10, worker="w2", pool="floor")
         self.assertEqual(len(self.check.check(END_S)), 2)
+        self.disturb(Scope.WORKER, 9.0, None, "w1")
+        self.assertEqual(len(self.check.check(END_S)), 4)
         self.disturb(Scope.WORKER, 9.0, None, "w2")
         self.assertEqual(self.check.check(END_S), [])
 
@@ -108,6 +110,13 @@
         (finding,) = self.check.check(END_S)
         self.assertIn("10 s of calm from 12.000: 30 of 30 ends", finding)
 
+    # Guards against a window that leaves out ends which wait from the same time on.
+    def test_windows_hold_all_ends_of_a_time(self):
+        self.add_ends(*[(10.0, 10.1)] * 15, *[(10.0, 15.0)] * 3)
+        self.assertEqual(self.check.check(END_S), [])
+        self.add_ends((10.0, 15.0))
+        self.assertEqual(len(self.check.check(END_S)), 2)
+
     def test_lost_ends(self):
         for name, lost_s, findings in (
             ("lost before they are late", 13.9, 0),
