Stand-in of the store takes other choices that its page leaves open

Cause: where the platform's page leaves something open, the stand-ins took one choice, and no test showed whether daemons depend on it.

Change: `WireStore` can list only the last change of a key in a watch, a limited number of revisions an answer, pages of any size (1 MB at most, as the page says), and answer the end of an ended lease with 404. `FleetRecords` gives all changes of a transaction one revision, and each its own if told so (before, the puts shared one and each removal had its own). Workers take a poll without `last_seen`. tests.test_wire_store runs daemons with each choice over a killed leader and a new configuration, in place of its run without any, and checks the answers themselves.

--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -280,7 +280,7 @@
         body = exchange.body
         if "until_ms" in body:
             self._renew(worker, body["until_ms"])
-        last_seen = body["last_seen"]
+        last_seen = body.get("last_seen", 0)
         if worker.ends and worker.ends[0][0] <= last_seen:
             worker.ends = [row for row in worker.ends if row[0] > last_seen]
             self._log.write(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -77,12 +77,16 @@
         All changes, ordered by revision.
     is_lease_expiry_paused : bool
         Leases do not expire, as in some outages of the store.
+    shares_revision : bool
+        All changes of a transaction have one revision; else each has its own, and the
+        transaction has the last one.
     """
 
     def __init__(self, clock) -> None:
         self.clock = clock
         self.revision = 1
         self.is_lease_expiry_paused = False
+        self.shares_revision = True
         self.records: dict[str, Record] = {}
         self.history: list[Record] = []
         self._lease_until_s: dict[int, float] = {}
@@ -120,15 +124,23 @@
         for key in [k for k, lease in self._lease_by_key.items() if lease == lease_id]:
             self.remove(key)
 
+    def has_lease(self, lease_id: int) -> bool:
+        """Return whether a lease has not ended."""
+        self.expire()
+        return lease_id in self._lease_until_s
+
     def lease_of(self, key: str) -> int:
         """Return the lease id of a record, 0 for none."""
         return self._lease_by_key.get(key, 0)
 
     def remove(self, key: str) -> None:
         """Remove a record."""
+        self._remove(key, self.revision + 1)
+
+    def _remove(self, key: str, revision: int) -> None:
         self._lease_by_key.pop(key, None)
         if self.records.pop(key, None) is not None:
-            self._append_change(Record(key, None, self.revision + 1))
+            self._append_change(Record(key, None, revision))
 
     def write(self, key: str, value: bytes, lease_id: int = 0) -> None:
         """Write one record unconditionally, as operators and workers do."""
@@ -143,8 +155,9 @@
         found = tuple(self.read(key) or Record(key, None, 0) for key in expected)
         if any(record.revision != expected[record.key] for record in found):
             return CommitResult(0, found)
-        revision = self.revision + 1
+        revision = first_revision = self.revision + 1
         for put in puts:
+            revision = self._next_revision(first_revision)
             record = Record(put.key, put.value, revision)
             self.records[put.key] = record
             self._lease_by_key.pop(put.key, None)
@@ -152,9 +165,14 @@
                 self._lease_by_key[put.key] = put.lease_id
             self._append_change(record)
         for key in deletes:
-            self.remove(key)
+            revision = self._next_revision(first_revision)
+            self._remove(key, revision)
         return CommitResult(revision)
 
+    def _next_revision(self, first_revision: int) -> int:
+        """Return the revision of the next change of a transaction."""
+        return first_revision if self.shares_revision else self.revision + 1
+
     def _append_change(self, record: Record) -> None:
         self.revision = max(self.revision, record.revision)
         self.history.append(record)
--- a/standins/fleet_http.py
+++ b/standins/fleet_http.py
@@ -238,7 +238,7 @@
     def _hold(self, request, worker: FakeWorker, document: dict) -> None:
         if "until_ms" in document:
             self._workers.renew(worker, document["until_ms"])
-        self._workers.acknowledge(worker, document["last_seen"])
+        self._workers.acknowledge(worker, document.get("last_seen", 0))
         until_s = self._clock.seconds() + document.get("wait_ms", 0) / 1000
 
         def respond_when_ended() -> None:
--- a/standins/wire_store.py
+++ b/standins/wire_store.py
@@ -23,6 +23,7 @@
 from standins.fleet import STORE_DELAY_S, FleetRecords
 
 PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 ENTRIES_MAX = 32
 KEY_BYTES_MAX = 200
 VALUE_BYTES_MAX = 1_048_576
@@ -102,6 +103,12 @@
     ----------
     conflict_form : ConflictForm
         How conflicts list keys that do not exist; may be changed at any time.
+    lists_every_change : bool
+        Watches list each change of a key, else only the last one.
+    revisions_max : int
+        Most revisions whose changes a watch lists in one answer; 0 for no limit.
+    ended_lease_status : int
+        Status of the answer if a lease is ended that has ended before.
     """
 
     def __init__(
@@ -113,6 +120,9 @@
         self.records = records
         self.page_items = page_items
         self.conflict_form = ConflictForm.LEFT_OUT
+        self.lists_every_change = True
+        self.revisions_max = 0
+        self.ended_lease_status = 200
         self._protected_prefixes = protected_prefixes
         self._compacted = 0
 
@@ -145,12 +155,24 @@
         listing = self.records.list(call.query["prefix"])
         after = call.query.get("after", "")
         remaining = [record for record in listing.records if record.key > after]
+        page = self._cut_page(remaining)
         return 200, {
             "current_rev": listing.revision,
-            "items": [encode_item(record) for record in remaining[: self.page_items]],
-            "has_more": len(remaining) > self.page_items,
+            "items": page,
+            "has_more": len(remaining) > len(page),
         }
 
+    def _cut_page(self, records: list[Record]) -> list[dict]:
+        """Return the items of the first records that fit a page."""
+        page, size_bytes = [], 0
+        for record in records[: self.page_items]:
+            item = encode_item(record)
+            size_bytes += len(item["value"])
+            if page and size_bytes > PAGE_BYTES:
+                break
+            page.append(item)
+        return page
+
     def _watch(self, call: WireCall) -> Answer | None:
         after = int(call.query.get("after", "0"))
         if after < self._compacted:
@@ -162,8 +184,16 @@
         """Answer a watch with what has changed, if anything has."""
         after = int(call.query.get("after", "0"))
         listing = self.records.list_changes(call.query["prefix"], after)
-        events = [encode_item(record) for record in listing.records]
-        return 200, {"current_rev": listing.revision, "events": events}
+        records, current_revision = listing.records, listing.revision
+        revisions = sorted({record.revision for record in records})
+        if 0 < self.revisions_max < len(revisions):
+            current_revision = revisions[self.revisions_max - 1]
+            records = [r for r in records if r.revision <= current_revision]
+        if not self.lists_every_change:
+            last = {record.key: record for record in records}
+            records = sorted(last.values(), key=lambda record: record.revision)
+        events = [encode_item(record) for record in records]
+        return 200, {"current_rev": current_revision, "events": events}
 
     def _commit(self, call: WireCall) -> Answer:
         document = call.document
@@ -220,8 +250,9 @@
         return 200, {}
 
     def _end_lease(self, call: WireCall) -> Answer:
+        has_ended = not self.records.has_lease(int(call.argument))
         self.records.end_lease(int(call.argument))
-        return 200, {}
+        return (self.ended_lease_status if has_ended else 200), {}
 
 
 class WireStoreClient:
--- a/tests/test_wire_store.py
+++ b/tests/test_wire_store.py
@@ -8,7 +8,7 @@
 
 from standins.fleet import FleetRecords
 from standins.wire_store import ConflictForm, WireCall, WireStore, WireStoreClient
-from tests.fleet_simulation import FleetSimulation, job
+from tests.fleet_simulation import CONFIGURATION, FleetSimulation, job
 
 
 def transaction(expect=(), puts=(), deletes=()):
@@ -71,6 +71,58 @@
                 self.assertEqual(self.commit(*parts)[0], expected)
                 self.assertEqual(self.records.revision > revision, expected == 200)
 
+    def watch(self, after):
+        query = {"prefix": "", "after": str(after)}
+        document = self.store.answer(WireCall("kv-watch", query=query))[1]
+        events = [(e["key"], e["revision"]) for e in document["events"]]
+        return events, document["current_rev"]
+
+    def test_watches_list_changes_as_chosen(self):
+        revision = self.records.revision
+        for key in ("a", "b", "a"):
+            self.records.write(key, b"v")
+        # choices, events and revision of the answer, both counted from the first one
+        for choices, expected, current in (
+            ({}, [("a", 1), ("b", 2), ("a", 3)], 3),
+            ({"lists_every_change": False}, [("b", 2), ("a", 3)], 3),
+            ({"revisions_max": 2}, [("a", 1), ("b", 2)], 2),
+        ):
+            with self.subTest(choices):
+                self.store = WireStore(self.records)
+                for field, value in choices.items():
+                    setattr(self.store, field, value)
+                events, current_revision = self.watch(revision)
+                self.assertEqual([(k, r - revision) for k, r in events], expected)
+                self.assertEqual(current_revision, revision + current)
+
+    def test_changes_of_a_transaction_have_one_revision_or_each_its_own(self):
+        for shares_revision, revisions in ((True, [1, 1, 1]), (False, [1, 2, 3])):
+            with self.subTest(shares_revision):
+                self.records.shares_revision = shares_revision
+                self.records.write("gone", b"v")
+                before = self.records.revision
+                puts = [("a", b"v", 0), ("b", b"v", 0)]
+                _, document = self.commit([], puts, ["gone"])
+                events, current_revision = self.watch(before)
+                self.assertEqual([r - before for _, r in events], revisions)
+                self.assertEqual(document["revision"], current_revision)
+
+    def test_pages_are_cut_by_items_and_bytes(self):
+        for number in range(5):
+            self.records.write(f"k{number}", bytes(300_000))
+        for page_items, sizes in ((500, [2, 2, 1]), (1, [1] * 5)):
+            with self.subTest(page_items=page_items):
+                self.store.page_items = page_items
+                after, found = "", []
+                while len(found) < len(sizes):
+                    query = {"prefix": "k", "after": after}
+                    page = self.store.answer(WireCall("kv-range", query=query))[1]
+                    found.append(len(page["items"]))
+                    after = page["items"][-1]["key"]
+                    is_last = len(found) == len(sizes)
+                    self.assertEqual(page["has_more"], not is_last)
+                self.assertEqual(found, sizes)
+
 
 class WireStoreClientTest(unittest.TestCase):
     # Faults of the client, status or error of the answer, revision of the record after.
@@ -107,12 +159,45 @@
                 record = records.read("k")
                 self.assertEqual(record.revision if record else 0, revision)
 
-    def test_daemons_run_jobs(self):
-        fleet = FleetSimulation(has_wire_store=True)
-        fleet.run_for(2.0)
-        fleet.submit(0, job("a" * 16))
-        fleet.run_for(4.0)
-        self.assertEqual(str(fleet.read_phase(1, "a" * 16)), "completed")
+
+class ChoicesTest(unittest.TestCase):
+    """Daemons work with each choice that the platform's description leaves open."""
+
+    CHOICES = [
+        ("as usual", {}, True),
+        ("conflicts with revision 0", {"conflict_form": ConflictForm.REVISION_0}, True),
+        ("tombstones", {"conflict_form": ConflictForm.TOMBSTONES}, True),
+        ("last change of a key", {"lists_every_change": False}, True),
+        ("changes one by one", {"revisions_max": 1}, True),
+        ("small pages", {"page_items": 2}, True),
+        ("ended lease unknown", {"ended_lease_status": 404}, True),
+        ("a revision for each change", {}, False),
+    ]
+
+    def test_jobs_go_on_with_another_leader(self):
+        for name, choices, shares_revision in self.CHOICES:
+            with self.subTest(name):
+                fleet = FleetSimulation(has_wire_store=True)
+                fleet.records.shares_revision = shares_revision
+                for field, value in choices.items():
+                    setattr(fleet.wire_store, field, value)
+                fleet.run_for(2.0)
+                former = fleet.leader()
+                jobs = [letter * 16 for letter in "abcde"]
+                for job_id in jobs[:4]:
+                    fleet.submit((former + 1) % 3, job(job_id, steps=2))
+                fleet.run_for(1.2)
+                fleet.kill(former)
+                fleet.configure({**CONFIGURATION, "version": 2})
+                fleet.run_for(6.0)
+                self.assertIsNotNone(fleet.leader())
+                fleet.submit((former + 1) % 3, job(jobs[4]))
+                fleet.run_for(6.0)
+                phases = [str(fleet.read_phase((former + 2) % 3, i)) for i in jobs]
+                self.assertEqual(phases, ["completed"] * 5)
+                listed = [w.ended for w in fleet.workers.workers.values()]
+                self.assertEqual(listed, [[], [], []])
+                self.assertEqual(fleet.workers.duplicate_starts, [])
 
 
 if __name__ == "__main__":
