Ends of a poll are read by number, in whatever order they are listed

Cause: the platform's page tells that ends are numbered and returned 500 at a time, but not in which order. `RunEvidence.read_end` takes an end for read whose number is below the highest one, so an end that was listed after one with a higher number never counted, and was acknowledged. All stand-ins listed ends by number.

Change: the adapter orders the ends of a poll by number, as `PollResult` now says. Half of the emulator's workers list runs and ends in reverse order.

Result: the new table fails in 2 of 3 cases without the sort.

--- a/dogwoodlever/_fleet_types.py
+++ b/dogwoodlever/_fleet_types.py
@@ -397,6 +397,9 @@
         The worker's monotonic clock when it responded.
     started_at_ms : int
         Start of the incarnation that responded; 0 if unknown.
+    ended : tuple of EndedRun
+        Ends that are not acknowledged, ordered by number; the first ones if there are
+        more than `ENDS_LISTED_MAX`.
     """
 
     clock_ms: int
--- a/dogwoodlever/platform/_http_workers.py
+++ b/dogwoodlever/platform/_http_workers.py
@@ -309,6 +309,6 @@
             row.outcome if row.outcome in _OUTCOMES else OUTCOME_UNKNOWN,
             row.checkpoint,
         )
-        for row in response.ended
+        for row in sorted(response.ended, key=lambda row: row.number)
     )
     return PollResult(response.clock_ms, response.born, running, ended)
--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -20,6 +20,8 @@
 ENDS_LISTED_MAX = 500
 # Every second worker's clock is slow, by as much as the platform tolerates.
 CLOCK_RATES = (1.0, 0.98)
+# Order in which workers list runs and ends, by pairs of workers.
+ROW_ORDERS = (1, -1)
 CORES_MILLI = 32_000
 # Fencing tokens of one term of a leader; earlier landings use the term's own.
 TOKENS_PER_TERM_MAX = 1_000_000
@@ -303,11 +305,13 @@
             for runs in worker.runs.values()
             for run in runs.values()
         ]
+        # The platform leaves the order open.
+        order = ROW_ORDERS[self.number // 2 % 2]
         return {
             "clock_ms": worker.clock_ms(),
             "born": worker.born,
-            "running": running,
-            "ended": worker.ends[:ENDS_LISTED_MAX],
+            "running": running[::order],
+            "ended": worker.ends[:ENDS_LISTED_MAX][::order],
         }
 
     @staticmethod
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -360,6 +360,17 @@
         self.assertEqual((poll.running[0].percent, poll.running[0].load), (41, 12))
         self.assertEqual((poll.ended[0].number, poll.ended[0].outcome), (58, "done"))
 
+    # Guards against ends that count as read, and are acknowledged, since one with a
+    # higher number was listed before them.
+    def test_ends_are_ordered_by_number(self):
+        for numbers in ((1, 2, 3), (3, 2, 1), (2, 3, 1)):
+            with self.subTest(numbers):
+                ended = [[n, f"{JOB}.0.1.{n}", 1, "done", ""] for n in numbers]
+                client = FakeHttpClient((200, {"clock_ms": 9, "ended": ended}))
+                worker_client = HttpFleetWorkerClient(client)
+                poll = result(worker_client.poll(worker_entry(0), 7, 0, 0, 0))
+                self.assertEqual([end.number for end in poll.ended], [1, 2, 3])
+
 
 class AdviceTest(unittest.TestCase):
     STEP = StepId(JOB, 0, 2)
