--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -262,8 +262,8 @@
             self.registry,
             platform_limits.job_state_kept_s,
             self._get_term_revision,
-            self._is_stored,
             self._drop_removed_jobs,
+            self._is_stored,
         )
         self._pending_writer = PendingJobsWriter(
             store,
--- a/dogwoodlever/_fleet_retention.py
+++ b/dogwoodlever/_fleet_retention.py
@@ -37,10 +37,11 @@
         How long the state of an ended job must be readable.
     get_term_revision : callable
         Returns the revision of this leader's term record.
-    is_stored : callable
-        Called with a job id; returns whether all progress of the job is stored.
     on_removed : callable
         Called with the ids of jobs whose records were removed.
+    is_stored : callable
+        Returns whether the progress of a job, by id, is stored. Until then a write of
+        it may be under way, which would leave a record after the removal.
     """
 
     def __init__(
@@ -50,16 +51,16 @@
         registry: RunRegistry,
         retention_s: float,
         get_term_revision: Callable[[], int],
-        is_stored: Callable[[str], bool],
         on_removed: Callable[[list[str]], None],
+        is_stored: Callable[[str], bool],
     ) -> None:
         self._store = store
         self._clock = clock
         self._registry = registry
         self._retention_s = retention_s + RETENTION_MARGIN_S
         self._get_term_revision = get_term_revision
-        self._is_stored = is_stored
         self._on_removed = on_removed
+        self._is_stored = is_stored
         self._ended_s: dict[str, float] = {}
         # By id of a job whose removal was rejected: when to try again.
         self._retry_s: dict[str, float] = {}
--- a/tests/test_rejected_writes.py
+++ b/tests/test_rejected_writes.py
@@ -47,7 +47,7 @@
         revision = records.revision
         self.retention = Retention(
             self.store, self.clock, registry, RETENTION_S, lambda: revision,
-            lambda job_id: job_id not in self.unstored, self.removed.extend,
+            self.removed.extend, lambda job_id: job_id not in self.unstored,
         )  # fmt: skip
 
     def run_for(self, duration_s):
