A conflict has a record for each expected key

Cause: the store answers 412 "with the `items` of `expect` in their current state", and a key that does not exist has no item. The adapter passed on what was listed.

Change: `CommitResult.current` has one record for each key of `expected`, in their order. The adapter takes items that are missing, tombstones and revision 0 for absent keys (no value, revision 0) and drops items of other keys. The other readers of `current` (election, job and cancel writes, membership, unreachable workers) already take a record without value for an absent key.

--- a/dogwoodlever/_fleet_interfaces.py
+++ b/dogwoodlever/_fleet_interfaces.py
@@ -73,7 +73,8 @@
     revision : int
         Revision of the write; 0 if a condition did not hold.
     current : tuple of Record
-        The records named in the conditions, if one of them did not hold.
+        If a condition did not hold, one record for each key of the conditions, in their
+        order; those that do not exist have no value and revision 0.
     """
 
     revision: int
@@ -130,7 +131,9 @@
     ) -> Deferred:
         """Write atomically; return a Deferred that fires with a `CommitResult`.
 
-        `expected` maps keys to revisions, 0 for a key that must not exist.
+        `expected` maps keys to revisions, 0 for a key that must not exist. If one of
+        them does not hold, nothing is written and `CommitResult.current` has a record
+        for each of these keys, which is what a repetition may expect.
         Fails with `LeaseEndedError` if a put names an ended lease.
         """
 
--- a/dogwoodlever/platform/_http_store.py
+++ b/dogwoodlever/platform/_http_store.py
@@ -87,6 +87,16 @@
     return tuple(records)
 
 
+def _to_current(expected: dict[str, int], items: list[_Item]) -> tuple[Record, ...]:
+    """Return a record of each expected key, absent if no item shows that it exists.
+
+    The platform lists "the `items` of `expect`" and leaves open what it lists of a key
+    that does not exist, and in which order.
+    """
+    existing = {item.key: item for item in items if not item.tombstone}
+    return tuple(_to_record(existing.get(key, _Item(key, 0))) for key in expected)
+
+
 class HttpFleetStore(FleetStore):
     """HTTP client of the platform's store.
 
@@ -212,8 +222,8 @@
         if status == 404:
             raise LeaseEndedError("a write names an ended lease")
         if status == 412:
-            current_items = _decode(content, _Conflict, 200).items
-            return CommitResult(0, tuple(_to_record(item) for item in current_items))
+            items = _decode(content, _Conflict, 200).items
+            return CommitResult(0, _to_current(expected, items))
         return CommitResult(_decode(content, _Committed, status).revision)
 
     @inlineCallbacks
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import fail, succeed
 from twisted.internet.error import ConnectionRefusedError
 
-from dogwoodlever._fleet_interfaces import Put, RefusalReason
+from dogwoodlever._fleet_interfaces import CommitResult, Put, Record, RefusalReason
 from dogwoodlever._fleet_types import (
     AdviceTiming,
     ResourceAmounts,
@@ -303,6 +303,32 @@
         self.assertIsNone(outcome.current[0].value)
         self.assertEqual(outcome.current[1].revision, 4)
 
+    # Guards against a repeated write that expects a key that is gone (issue 62).
+    def test_conflict_returns_each_expected_key_in_order(self):
+        kept = {"key": "l", "value": "dg==", "revision": 4}
+        removed = {"key": "k", "revision": 9, "tombstone": True}
+        for name, items in (
+            ("absent key left out", [kept]),
+            ("tombstone", [kept, removed]),
+            ("tombstone before the item", [{**removed, "key": "l"}, kept]),
+            ("revision 0", [{"key": "k", "revision": 0}, kept]),
+            ("value without revision", [{**kept, "key": "k", "revision": 0}, kept]),
+            ("keys that were not asked for", [{**kept, "key": "m"}, kept]),
+            ("unreadable, not asked for", [{**kept, "key": "m", "value": "?"}, kept]),
+        ):
+            with self.subTest(name):
+                client = FakeHttpClient((412, {"items": items}))
+                store = HttpFleetStore(client, "127.0.0.1:1")
+                outcome = result(store.commit({"k": 9, "l": 0}, ()))
+                expected = (Record("k", None, 0), Record("l", b"v", 4))
+                self.assertEqual(outcome, CommitResult(0, expected))
+
+    def test_conflict_without_items(self):
+        client = FakeHttpClient((412, {}))
+        store = HttpFleetStore(client, "127.0.0.1:1")
+        outcome = result(store.commit({"k": 9}, ()))
+        self.assertEqual(outcome.current, (Record("k", None, 0),))
+
 
 class FleetWorkerClientTest(unittest.TestCase):
     RUN = RunId(TaskId(JOB, 0, 1, 17), 2)
