Test vanished records in each form of a conflict

The table of removed records also runs over the stand-in in the platform's form, which leaves them out, lists them with revision 0 or as tombstones.

--- a/tests/test_vanished_records.py
+++ b/tests/test_vanished_records.py
@@ -1,5 +1,6 @@
 """Own records that another hand removes or replaces while a leader leads."""
 
+import itertools
 import unittest
 
 from dogwoodlever._fleet_frontend import CallOutcome
@@ -16,6 +17,7 @@
     job_key,
     progress_key,
 )
+from standins.wire_store import ConflictForm
 from tests.fleet_simulation import JOB, FleetSimulation, job
 from tests.rejected_writes import reject_writes
 
@@ -27,6 +29,8 @@
     INTERFERENCE_KEY, HANDOVER_KEY, PENDING_JOBS_KEY,
 )  # fmt: skip
 JOB_KEYS = tuple(key_of(JOB) for key_of in (job_key, cancel_key, progress_key))
+# In-process, and the forms in which the platform may tell of absent keys.
+FORMS = (None, *ConflictForm)
 UNREADABLE = b"\xc1"
 
 
@@ -39,9 +43,14 @@
 
 
 class VanishedRecordsTest(unittest.TestCase):
-    def start_fleet(self):
-        """Start a fleet with a job at work, half of whose tasks have ended."""
-        fleet = FleetSimulation(run_s=RUN_S)
+    def start_fleet(self, form=None):
+        """Start a fleet with a job at work, half of whose tasks have ended.
+
+        With a form, conflicts tell of absent keys in that way.
+        """
+        fleet = FleetSimulation(run_s=RUN_S, has_wire_store=form is not None)
+        if form is not None:
+            fleet.wire_store.conflict_form = form
         fleet.run_for(1.0)
         fleet.submit(0, job(JOB, tasks=4, steps=2))
         fleet.run_for(1.5 * RUN_S)
@@ -69,8 +78,8 @@
         ]
         self.assertNotIn(job_id, running)
 
-    def check_works(self, change, key):
-        fleet = self.start_fleet()
+    def check_works(self, change, key, form):
+        fleet = self.start_fleet(form)
         change(fleet, key)
         fleet.run_for(RUN_S + ACKNOWLEDGED_S)
         self.assert_completed(fleet, JOB)
@@ -93,13 +102,13 @@
     # Guards against a record that is missing or cannot be read, and with it all writes
     # of a leader.
     def test_leader_and_its_successor_work_on(self):
-        for change in (remove, replace):
-            for key in (*SHARED_KEYS, *JOB_KEYS):
-                if change is replace and key == cancel_key(JOB):
-                    # Any cancellation cancels.
-                    continue
-                with self.subTest(change.__name__, key=key):
-                    self.check_works(change, key)
+        keys = (*SHARED_KEYS, *JOB_KEYS)
+        # Any cancellation cancels, so none is replaced.
+        cases = [(replace, key, None) for key in keys if key != cancel_key(JOB)]
+        cases += [(remove, *case) for case in itertools.product(keys, FORMS)]
+        for change, key, form in cases:
+            with self.subTest(change.__name__, key=key, form=form):
+                self.check_works(change, key, form)
 
     # Guards against a term whose number, and those of its runs, were used before,
     # and against a former leader that is not told to stop.
