Test lost answers to writes of each shared record

For each shared record, the answer to one write of it by each daemon is lost in each of three terms; the write is carried out at once, before its repetition or after it. One worker cannot be reached in the second term. Jobs complete, ends are acknowledged within 4 s, and nothing starts twice.

--- a/tests/test_rejected_writes.py
+++ b/tests/test_rejected_writes.py
@@ -12,6 +12,7 @@
 from dogwoodlever._fleet_records import (
     HANDOVER_KEY,
     INTERFERENCE_KEY,
+    LEADER_KEY,
     PENDING_JOBS_KEY,
     TERM_KEY,
     UNREACHABLE_WORKERS_KEY,
@@ -28,6 +29,7 @@
     StoreUnavailableError,
 )
 from standins.fleet import FakeFleetStore, FleetRecords
+from standins.wire_store import ConflictForm
 from tests.fleet_simulation import JOB, FleetSimulation, job
 from tests.rejected_writes import reject_writes
 
@@ -263,6 +265,41 @@
             ended = [w.ended for w in fleet.workers.workers.values() if w.ended]
             self.assertEqual(ended, [])
 
+    # Guards against a shared record whose lost answer, or late write, makes all later
+    # writes conflict, over a change of the leader.
+    def test_lost_answer_to_a_shared_record_holds_no_job(self):
+        keys = (
+            TERM_KEY, LEADER_KEY, WORKER_MEMBERSHIP_KEY, UNREACHABLE_WORKERS_KEY,
+            INTERFERENCE_KEY, PENDING_JOBS_KEY, HANDOVER_KEY,
+        )  # fmt: skip
+        # Carried out at once, before the repetition, and after it.
+        for key, delay_s in product(keys, (0.0, 0.7, 2.0)):
+            with self.subTest(key, delay_s=delay_s):
+                self._check_lost(key, delay_s)
+
+    def _check_lost(self, key, delay_s):
+        fleet = FleetSimulation(has_wire_store=True)
+        fleet.wire_store.conflict_form = ConflictForm.LEFT_OUT
+        fleet.run_for(2.0)
+        for round_number in range(3):
+            if round_number:
+                fleet.kill(fleet.leader())
+                fleet.add_daemon(f"vm{len(fleet.nodes)}")
+            for store in fleet.stores:
+                store.lost_prefix = key
+                store.commit_delay_s = delay_s
+            fleet.workers.workers["w0"].is_reachable = round_number != 1
+            fleet.run_for(8.0)
+            self.assertIsNotNone(fleet.leader())
+            job_id = str(round_number) * 16
+            fleet.submit(fleet.leader(), job(job_id))
+            fleet.run_for(1.0 + 4.0)
+            phase = fleet.read_phase(fleet.leader(), job_id)
+            self.assertEqual(phase, JobPhase.COMPLETED)
+        ended = [w.ended for w in fleet.workers.workers.values() if w.ended]
+        self.assertEqual(ended, [])
+        self.assertEqual(fleet.workers.duplicate_starts, [])
+
 
 if __name__ == "__main__":
     unittest.main()
