Leader: write the submission of an active job anew if it vanishes

If another hand removed the record of an accepted job, the leader went on with it, but its successor did not know the job, and callers were told that no such job exists.

SubmissionRestorer writes the record anew, on the condition of the term and that no record has the key. One that the store rejects holds no others.

Test (new): three cases fail without the change, all pass with it; tests.test_fleet_node and tests.test_completed_jobs pass.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -51,6 +51,7 @@
 from dogwoodlever._run_registry import RunRegistry
 from dogwoodlever._run_throttler import RunThrottler
 from dogwoodlever._store_listing import StoreListing
+from dogwoodlever._submission_restorer import SubmissionRestorer
 from dogwoodlever._ticket_cache import TicketCache
 from dogwoodlever._unreachable_workers import UnreachableWorkers
 from dogwoodlever._worker_membership import WorkerMembership
@@ -282,6 +283,9 @@
             self._get_term_revision,
             self._get_inbox_revision,
         )
+        self._submissions = SubmissionRestorer(
+            store, clock, self.registry, self._get_term_revision
+        )
         self._watchers: list[PrefixWatcher] = []
         self._inbox_watcher: PrefixWatcher | None = None
         self._progress_listing = StoreListing(store, PROGRESS_PREFIX)
@@ -331,6 +335,7 @@
             watcher.close()
         self._membership.close()
         self._unreachable.close()
+        self._submissions.close()
         self._tickets.close()
         self.workers.close()
         self._workspace_report.close()
@@ -477,6 +482,8 @@
     def _apply_inbox_record(self, record: Record) -> None:
         self._is_inbox_read = True
         if record.value is None:
+            if record.key.startswith(JOBS_PREFIX):
+                self._submissions.restore(record.key[len(JOBS_PREFIX) :])
             return
         if record.key.startswith(JOBS_PREFIX):
             if record.key[len(JOBS_PREFIX) :] in self.registry.jobs:
--- a/tests/test_vanished_records.py
+++ b/tests/test_vanished_records.py
@@ -181,6 +181,32 @@
         self.assert_completed(fleet, JOB)
         self.assertEqual(fleet.workers.duplicate_starts, [])
 
+    # Guards against an accepted job that the next leader does not know, as another hand
+    # has removed its record.
+    def test_removed_submission_of_an_active_job_is_written_anew(self):
+        for lost, rejected in ((0, ()), (1, ()), (0, ("b",))):
+            with self.subTest(lost=lost, rejected=rejected):
+                fleet = FleetSimulation(run_s=0.0)
+                fleet.run_for(1.0)
+                job_ids = [letter * 16 for letter in "abc"]
+                for job_id in job_ids:
+                    fleet.submit(0, job(job_id, tasks=2, standing=True))
+                fleet.run_for(1.0)
+                leader = fleet.leader()
+                store = fleet.stores[leader]
+                reject_writes(store, lambda key, ids=rejected: key[-1] in ids)
+                store.answers_to_lose = lost
+                kept = [job_id for job_id in job_ids if job_id[0] not in rejected]
+                for job_id in job_ids:
+                    fleet.records.remove(job_key(job_id))
+                fleet.run_for(3.0)
+                fleet.kill(leader)
+                fleet.run_for(5.0)
+                for job_id in kept:
+                    phase = fleet.read_phase(fleet.leader(), job_id)
+                    self.assertEqual(phase, JobPhase.RUNNING)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+
     # Guards against workers that are withheld without a sign.
     def test_workers_whose_record_is_not_stored_are_counted(self):
         fleet = FleetSimulation(workers=2)
