Leader: a periodic check that fails holds back no others

The checks of each tenth of a second ran one after the other, so an unexpected error of one of them ended the round: what followed, such as the record of unreachable workers, retention and the counts of pending jobs, was not done as long as the error recurred.

Each is tried, and each cause of a failure is logged once. The record of pending jobs is encoded before its write counts as open.

Test (new): fails without the change, passes with it.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -104,6 +104,8 @@
 # stores them earlier for the first time, and when it stops, as it may not last as long.
 INTERFERENCE_STORE_INTERVAL_S = 4.0
 INTERFERENCE_FIRST_STORE_S = 1.0
+# Causes of failed checks that are logged.
+CAUSES_MAX = 100
 
 
 class FleetLeader:
@@ -305,6 +307,7 @@
         self._wait_reported_s = float("-inf")
         self._plan_delay_s = PLAN_DELAY_S
         self._plan_call = None
+        self._failed_checks: set[str] = set()
         self._tick_call = None
         self._started_s = clock.seconds()
         self._checked_s = clock.seconds()
@@ -702,33 +705,65 @@
             return
         self._tick_call = self._clock.callLater(TICK_INTERVAL_S, self._tick)
         self._check_for_pause()
-        self.accept_confirmed_jobs()
+        for check in (
+            self.accept_confirmed_jobs,
+            self._open_due_jobs,
+            self.workers.expire_unpolled_workers,
+            self._name_unreachable_workers,
+            self.workers.release_empty_workers,
+            self.workers.expire_late_starts,
+            self.workers.settle_incarnations,
+            self._give_up_crashing,
+            self._store_progress,
+            self._move_throttled,
+            self._store_interference_if_due,
+            self._retention.sweep,
+            self._pending_writer.update,
+            self._report_longest_wait,
+            self._start_speculative_copies,
+            self._update_reports,
+        ):
+            try:
+                check()
+            except Exception as error:
+                # What one of them finds must not hold back the others.
+                self._log_failed_check(check.__name__, error)
+        self.plan_soon()
+
+    def _log_failed_check(self, name: str, error: Exception) -> None:
+        """Log each cause of a failed check once."""
+        cause = f"{name}: {error!r}"[:200]
+        if cause not in self._failed_checks and len(self._failed_checks) < CAUSES_MAX:
+            self._failed_checks.add(cause)
+            log_event("leader.check-failed", why=cause)
+
+    def _open_due_jobs(self) -> None:
         self.registry.open_due(self._unix_s() * 1000)
         self.registry.release_jobs(self._knowledge.may_act_by)
-        self.workers.expire_unpolled_workers()
+
+    def _name_unreachable_workers(self) -> None:
+        # A write without an answer withholds leases until the store answers again.
         if self._store.down_for_s() is None:
-            # A write without an answer withholds leases until the store answers again.
             self.workers.name_unreachable_workers()
-        self.workers.release_empty_workers()
-        self.workers.expire_late_starts()
-        self.workers.settle_incarnations()
+
+    def _give_up_crashing(self) -> None:
         self.workers.runs.give_up_crashing(self._clock.seconds())
+
+    def _store_progress(self) -> None:
         if self.registry.dirty:
             self._progress_writer.schedule_flush()
-        self._move_throttled(self._clock.seconds())
+
+    def _store_interference_if_due(self) -> None:
         if self._clock.seconds() >= self._interference_due_s:
             self._store_interference()
-        self._retention.sweep()
-        self._pending_writer.update()
-        self._report_longest_wait(self._clock.seconds())
-        self._start_speculative_copies(self._clock.seconds())
+
+    def _update_reports(self) -> None:
         self._workspace_report.update(
             self._desired_state.configuration,
             self.workers.capacities.values(),
             self._clock.seconds(),
         )
         self._backlog.update()
-        self.plan_soon()
 
     def _plan(self) -> None:
         if self._desired_state.configuration is None:
@@ -756,8 +791,9 @@
         if placed >= STARTS_PER_ROUND:
             self.plan_soon()
 
-    def _report_longest_wait(self, now_s: float) -> None:
+    def _report_longest_wait(self) -> None:
         """Report the step that has waited longest for a start, and the reason."""
+        now_s = self._clock.seconds()
         if now_s - self._wait_reported_s < WAIT_REPORT_INTERVAL_S:
             return
         self._wait_reported_s = now_s
@@ -786,7 +822,8 @@
             ),
         )
 
-    def _start_speculative_copies(self, now_s: float) -> None:
+    def _start_speculative_copies(self) -> None:
+        now_s = self._clock.seconds()
         if self.workers.unpolled_workers:
             return
         self.workers.refresh_usage()
@@ -796,8 +833,9 @@
         ):
             self.workers.runs.start(placement, now_s)
 
-    def _move_throttled(self, now_s: float) -> None:
+    def _move_throttled(self) -> None:
         """Stop throttled runs that another worker can continue at once."""
+        now_s = self._clock.seconds()
         if now_s - self._moved_s < MOVE_INTERVAL_S:
             return
         self._moved_s = now_s
--- a/dogwoodlever/_pending_jobs_writer.py
+++ b/dogwoodlever/_pending_jobs_writer.py
@@ -76,9 +76,9 @@
 
     @inlineCallbacks
     def _write(self, record: PendingJobsRecord):
+        put = Put(PENDING_JOBS_KEY, encode(record))
         self._is_writing = True
         begun_s = self._clock.seconds()
-        put = Put(PENDING_JOBS_KEY, encode(record))
         try:
             expected = {TERM_KEY: self._get_term_revision()}
             result = yield self._store.commit(expected, (put,))
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -160,6 +160,24 @@
             fleet.run_for(1.0)
         self.assert_serves(fleet)
 
+    # Guards against one check of the leader that fails each time, and holds back all
+    # that follow it.
+    def test_check_that_fails_holds_back_no_others(self):
+        fleet = self.start_fleet()
+        leader = fleet.nodes[fleet.leader()].leader
+        check = Mock(side_effect=KeyError("unexpected"), __name__="check")
+        events = []
+        with (
+            patch.object(leader.workers, "expire_unpolled_workers", check),
+            patch.object(leader._retention, "sweep") as sweep,
+            patch(
+                "dogwoodlever._fleet_leader.log_event", lambda e, **_: events.append(e)
+            ),
+        ):
+            fleet.run_for(1.0)
+        self.assertGreater(sweep.call_count, 5)
+        self.assertEqual(events.count("leader.check-failed"), 1)
+
     # Guards against a version that another daemon has named and that is never read.
     def test_unexpected_error_of_a_read_ends_no_reads(self):
         clock, version, results = Clock(), [1], [KeyError("unexpected")]
