--- a/dogwoodlever/platform_errors.py
+++ b/dogwoodlever/platform_errors.py
@@ -49,6 +49,13 @@
     """The store refused the call or was not reached, and did nothing."""
 
 
+class StoreRejectedError(PlatformError):
+    """The store does not accept the call as it is, and did nothing.
+
+    The same call would be rejected again.
+    """
+
+
 class RecordConflictError(PlatformError):
     """A write's conditions do not hold, although they were read from the store."""
 
@@ -57,13 +64,6 @@
     """Another term has begun, so the leader of this one may write no more."""
 
 
-class StoreRejectedError(PlatformError):
-    """The store does not accept the call as it is, and did nothing.
-
-    The same call would be rejected again.
-    """
-
-
 class StoredRecordError(PlatformError):
     """A record that a daemon has stored cannot be read."""
 
--- a/tests/test_progress_writer.py
+++ b/tests/test_progress_writer.py
@@ -288,8 +288,8 @@
             fleet.registry,
             1.0,
             lambda: fleet.term_revision,
-            fleet.writer.is_stored,
             removed.extend,
+            fleet.writer.is_stored,
         )
         if not is_answered:
             error = StoreUnavailableError("no response")
--- a/tests/test_vanished_records.py
+++ b/tests/test_vanished_records.py
@@ -1,5 +1,6 @@
 """Own records that another hand removes or replaces while a leader leads."""
 
+import itertools
 import unittest
 
 from dogwoodlever._fleet_frontend import CallOutcome
@@ -16,6 +17,7 @@
     job_key,
     progress_key,
 )
+from standins.wire_store import ConflictForm
 from tests.fleet_simulation import JOB, FleetSimulation, job
 from tests.rejected_writes import reject_writes
 
@@ -27,6 +29,8 @@
     INTERFERENCE_KEY, HANDOVER_KEY, PENDING_JOBS_KEY,
 )  # fmt: skip
 JOB_KEYS = tuple(key_of(JOB) for key_of in (job_key, cancel_key, progress_key))
+# In-process, and the forms in which the platform may tell of absent keys.
+FORMS = (None, *ConflictForm)
 UNREADABLE = b"\xc1"
 
 
@@ -39,9 +43,14 @@
 
 
 class VanishedRecordsTest(unittest.TestCase):
-    def start_fleet(self):
-        """Start a fleet with a job at work, half of whose tasks have ended."""
-        fleet = FleetSimulation(run_s=RUN_S)
+    def start_fleet(self, form=None):
+        """Start a fleet with a job at work, half of whose tasks have ended.
+
+        With a form, conflicts tell of absent keys in that way.
+        """
+        fleet = FleetSimulation(run_s=RUN_S, has_wire_store=form is not None)
+        if form is not None:
+            fleet.wire_store.conflict_form = form
         fleet.run_for(1.0)
         fleet.submit(0, job(JOB, tasks=4, steps=2))
         fleet.run_for(1.5 * RUN_S)
@@ -69,8 +78,8 @@
         ]
         self.assertNotIn(job_id, running)
 
-    def check_works(self, change, key):
-        fleet = self.start_fleet()
+    def check_works(self, change, key, form):
+        fleet = self.start_fleet(form)
         change(fleet, key)
         fleet.run_for(RUN_S + ACKNOWLEDGED_S)
         self.assert_completed(fleet, JOB)
@@ -93,13 +102,13 @@
     # Guards against a record that is missing or cannot be read, and with it all writes
     # of a leader.
     def test_leader_and_its_successor_work_on(self):
-        for change in (remove, replace):
-            for key in (*SHARED_KEYS, *JOB_KEYS):
-                if change is replace and key == cancel_key(JOB):
-                    # Any cancellation cancels.
-                    continue
-                with self.subTest(change.__name__, key=key):
-                    self.check_works(change, key)
+        keys = (*SHARED_KEYS, *JOB_KEYS)
+        # Any cancellation cancels, so none is replaced.
+        cases = [(replace, key, None) for key in keys if key != cancel_key(JOB)]
+        cases += [(remove, *case) for case in itertools.product(keys, FORMS)]
+        for change, key, form in cases:
+            with self.subTest(change.__name__, key=key, form=form):
+                self.check_works(change, key, form)
 
     # Guards against a term whose number, and those of its runs, were used before,
     # and against a former leader that is not told to stop.
@@ -172,6 +181,32 @@
         self.assert_completed(fleet, JOB)
         self.assertEqual(fleet.workers.duplicate_starts, [])
 
+    # Guards against an accepted job that the next leader does not know, as another hand
+    # has removed its record.
+    def test_removed_submission_of_an_active_job_is_written_anew(self):
+        for lost, rejected in ((0, ()), (1, ()), (0, ("b",))):
+            with self.subTest(lost=lost, rejected=rejected):
+                fleet = FleetSimulation(run_s=0.0)
+                fleet.run_for(1.0)
+                job_ids = [letter * 16 for letter in "abc"]
+                for job_id in job_ids:
+                    fleet.submit(0, job(job_id, tasks=2, standing=True))
+                fleet.run_for(1.0)
+                leader = fleet.leader()
+                store = fleet.stores[leader]
+                reject_writes(store, lambda key, ids=rejected: key[-1] in ids)
+                store.answers_to_lose = lost
+                kept = [job_id for job_id in job_ids if job_id[0] not in rejected]
+                for job_id in job_ids:
+                    fleet.records.remove(job_key(job_id))
+                fleet.run_for(3.0)
+                fleet.kill(leader)
+                fleet.run_for(5.0)
+                for job_id in kept:
+                    phase = fleet.read_phase(fleet.leader(), job_id)
+                    self.assertEqual(phase, JobPhase.RUNNING)
+                self.assertEqual(fleet.workers.duplicate_starts, [])
+
     # Guards against workers that are withheld without a sign.
     def test_workers_whose_record_is_not_stored_are_counted(self):
         fleet = FleetSimulation(workers=2)
