--- a/dogwoodlever/_unstored_ends.py
+++ b/dogwoodlever/_unstored_ends.py
@@ -31,6 +31,8 @@
         unstored_jobs : set of str
             Jobs that are not stored as they were at that time.
         """
+        if not self._jobs:
+            return number
         for end_number, job_id in list(self._jobs.items()):
             if end_number <= number and job_id not in unstored_jobs:
                 del self._jobs[end_number]
