Limit the bytes of one write of progress

Cause: a batch of 15 large records takes longer than the time-out of a call on a slow link (0.8 s; 256 KiB are 350 KB in base64, 0.56 s at 5 Mbit/s), while each record alone does not. The batch was divided after two time-outs, but the next change of these jobs began with the same batch again. Change: a job is left to the next write if the values would exceed 256 KiB together. Result: test_large_records_are_written_in_parts passes; without the limit it fails (900 KB in one write).

--- a/dogwoodlever/_fleet_progress_writer.py
+++ b/dogwoodlever/_fleet_progress_writer.py
@@ -329,14 +329,18 @@
             is_full = len(transaction.job_ids) >= jobs_max
             if is_full or size != jobs_max or not transaction.has_room(state.has_ended):
                 break
-            work.queue.popleft()
             try:
-                self._add(transaction, job_id)
+                has_room = self._add(transaction, job_id)
             except Exception as error:
                 # One job that cannot be encoded must not hold back the others.
+                work.queue.popleft()
                 failure = PlatformError(f"not encoded: {error!r}")
                 self._backlog.record_failure([job_id], failure)
                 self._on_refused(work, [job_id], failure)
+                continue
+            if not has_room:
+                break
+            work.queue.popleft()
         self._registry.dirty.difference_update(transaction.job_ids)
         self._in_flight = frozenset(transaction.job_ids)
         return transaction
@@ -348,14 +352,19 @@
         self._backlog.drop_job(job_id)
         self.drop_job(job_id)
 
-    def _add(self, transaction: ProgressTransaction, job_id: str) -> None:
+    def _add(self, transaction: ProgressTransaction, job_id: str) -> bool:
+        """Add a job; return whether there was room for its value."""
         state = self._registry.jobs[job_id]
         revision = self._revisions.get(job_id, 0)
         if state.has_ended:
             value = encode(state.submission_to_keep())
-            transaction.add_end(job_id, revision, value)
         else:
-            transaction.add_progress(job_id, revision, self._encode(job_id))
+            value = self._encode(job_id)
+        if not transaction.has_room_for_value(value):
+            return False
+        add = transaction.add_end if state.has_ended else transaction.add_progress
+        add(job_id, revision, value)
+        return True
 
     @inlineCallbacks
     def _write(self, work: _Round, transaction: ProgressTransaction):
--- a/dogwoodlever/_progress_transaction.py
+++ b/dogwoodlever/_progress_transaction.py
@@ -8,6 +8,9 @@
 # A condition and a value, and for an ended job the removal of its progress.
 ENTRIES_PER_JOB = 2
 ENTRIES_PER_ENDED_JOB = 3
+# Bytes of values with which a further job is left to the next transaction, so that one
+# arrives within the time-out of a call on a link of 5 Mbit/s, a third longer in base64.
+VALUES_BYTES_MAX = 256 * 1024
 
 
 class ProgressTransaction:
@@ -44,6 +47,11 @@
         entries += ENTRIES_PER_ENDED_JOB if has_ended else ENTRIES_PER_JOB
         return entries <= ENTRIES_MAX
 
+    def has_room_for_value(self, value: bytes) -> bool:
+        """Return whether a value of a job fits; the first one always does."""
+        values_bytes = sum(len(put.value) for put in self.puts)
+        return not self.puts or values_bytes + len(value) <= VALUES_BYTES_MAX
+
     def add_progress(self, job_id: str, revision: int, value: bytes) -> None:
         """Add the progress of a job that has not ended.
 
--- a/tests/test_progress_writer.py
+++ b/tests/test_progress_writer.py
@@ -6,6 +6,7 @@
 from dogwoodlever._fleet_records import TERM_KEY, cancel_key, job_key, progress_key
 from dogwoodlever._fleet_retention import RETENTION_MARGIN_S, Retention
 from dogwoodlever._progress_retries import REFUSALS_FOR_GOOD
+from dogwoodlever._progress_transaction import VALUES_BYTES_MAX
 from dogwoodlever.platform_errors import (
     LeaseEndedError,
     PlatformError,
@@ -154,6 +155,28 @@
         self.assertEqual(fleet.links[1].ended, [])
         self.assertLessEqual(max(sizes), ENTRIES_MAX)
 
+    # Guards against a write that no link carries within the time-out of a call, though
+    # it does so for each of its records.
+    def test_large_records_are_written_in_parts(self):
+        fleet = ProgressFleet()
+        sizes = []
+        commit = fleet.store.commit
+
+        def record(expected, puts, deletes=()):
+            sizes.append(sum(len(put.value) for put in puts))
+            return commit(expected, puts, deletes)
+
+        fleet.store.commit = record
+        jobs = [fleet.add_job(number) for number in range(20)]
+        for job_id in jobs:
+            task = next(iter(fleet.registry.jobs[job_id].tasks()))
+            task.checkpoint = "x" * 60_000
+            fleet.end_task(job_id, 1)
+        fleet.run_for(0.5)
+        for job_id in jobs:
+            self.assertEqual(fleet.stored_tasks(job_id), {1})
+        self.assertLessEqual(max(sizes), VALUES_BYTES_MAX)
+
     # Guards against a leader that stops and stores nothing after a batch that fails.
     def test_last_write_leaves_out_only_what_fails(self):
         fleet = ProgressFleet()
