Count jobs that a successor has read and not accepted yet

Cause: the revision of the record of pending jobs went by the first job that waits for its confirmation. A listing gives jobs in the order of their ids, so an older one could stand behind it; it was neither in the record nor among the changes after it. A leader writes the record in the same tick in which it has loaded. If it was lost before the next write, a second later, daemons counted without the job. Change: the lowest revision of all these jobs.

--- a/dogwoodlever/_fleet_leader.py
+++ b/dogwoodlever/_fleet_leader.py
@@ -498,9 +498,9 @@
     def _get_inbox_revision(self) -> int:
         """Return the store's revision up to which the registry has the inbox, or 0."""
         revision = self._inbox_watcher.revision if self._inbox_watcher else 0
-        if self._unconfirmed_jobs:
-            revision = min(revision, self._unconfirmed_jobs[0][1].revision - 1)
-        return revision
+        # A listing has them in the order of their ids.
+        unconfirmed = [record.revision - 1 for _, record in self._unconfirmed_jobs]
+        return min([revision, *unconfirmed])
 
     def count_pending(self) -> Counter[str]:
         """Return the number of jobs by queue that have started no task yet.
--- a/tests/test_pending_jobs_record.py
+++ b/tests/test_pending_jobs_record.py
@@ -15,6 +15,7 @@
     JOBS_PREFIX,
     LEADER_KEY,
     PENDING_JOBS_KEY,
+    PROGRESS_PREFIX,
     TERM_KEY,
     PendingJobsRecord,
     cancel_key,
@@ -197,6 +198,28 @@
         fleet.run_for(0.2)
         self.assertEqual(question.answer, 3)
 
+    # Guards against a record that leaves out a job which the leader has read and not
+    # accepted yet, and that is older than another such job before it in the listing.
+    def test_leader_that_is_lost_just_after_it_has_loaded(self):
+        fleet = self.start_fleet()
+        for store in fleet.stores:
+            store.silent_prefixes.add(PROGRESS_PREFIX)
+        former = fleet.leader()
+        fleet.kill(former)
+        others = [number for number in range(3) if number != former]
+        while not any(fleet.nodes[number].leader for number in others):
+            fleet.run_for(0.01)
+        for number in (2, 1):
+            self.assert_done(fleet, others[0], waiting_job(number))
+        for store in fleet.stores:
+            store.silent_prefixes.clear()
+        while fleet.leader() is None:
+            fleet.run_for(0.01)
+        fleet.run_for(0.1)
+        (other,) = set(others) - {fleet.leader()}
+        self.lose_leader(fleet)
+        self.assert_answers(fleet, [(other, QUEUE, 2)])
+
     # Guards against 503 where neither a job can be accepted nor one be cancelled, so
     # that the leader's number is right whatever its age.
     def test_outage_of_the_store(self):
