Answer waiting counts once a leader has told the numbers

Cause: a count that found no leader waited for the daemon's own reading of the store to its deadline, also when the daemon heard the numbers from a leader meanwhile, or led itself. Change: numbers of a leader that are recent enough are the answer to all that wait. The test failed before (no answer within 0.1 s of the leader's).

--- a/dogwoodlever/_pending_counts.py
+++ b/dogwoodlever/_pending_counts.py
@@ -64,7 +64,7 @@
         self._counted_s = float("-inf")
         # Jobs that this daemon has accepted of late: queue and time by id.
         self._accepted: dict[str, tuple[str, float]] = {}
-        # Those that wait for the stored jobs to be read; None while nobody does.
+        # Those that wait for the stored jobs to be read; None while nobody reads them.
         self._waiting: list[Deferred] | None = None
 
     @property
@@ -87,6 +87,10 @@
             for job_id, accepted in self._accepted.items()
             if accepted[1] > counted_s - seen_s
         }
+        if self._waiting and self.is_recent:
+            # A reading that goes on may end too late for those that wait for it.
+            waiting, self._waiting = self._waiting, []
+            _answer(waiting, counts)
 
     def add_accepted(self, job_id: str, queue: str) -> None:
         """Note that this daemon has accepted a job; its first queue stays."""
@@ -144,8 +148,7 @@
 
     def _end_read(self, counts: Mapping[str, int] | None) -> None:
         waiting, self._waiting = self._waiting, None
-        for ended in waiting:
-            ended.callback(counts)
+        _answer(waiting, counts)
 
     @inlineCallbacks
     def _read_stored(self):
@@ -238,6 +241,11 @@
         return count_pending(*records)
 
 
+def _answer(waiting: Iterable[Deferred], counts: Mapping[str, int] | None) -> None:
+    for ended in waiting:
+        ended.callback(counts)
+
+
 def apply_changes(stored: PendingJobsRecord, changes: Iterable[Record]) -> Counter[str]:
     """Return the number of pending jobs by queue.
 
--- a/tests/test_counts_without_leader.py
+++ b/tests/test_counts_without_leader.py
@@ -6,10 +6,11 @@
 from unittest import mock
 
 import msgspec
+from twisted.internet.defer import Deferred
 from twisted.web.http_headers import Headers
 
 from dogwoodlever._fleet_interfaces import CommitResult
-from dogwoodlever._fleet_records import LEADER_KEY
+from dogwoodlever._fleet_records import LEADER_KEY, PENDING_JOBS_KEY
 from dogwoodlever._fleet_types import Step, SubmittedJob
 from dogwoodlever._run_registry import RunRegistry
 from tests.fleet_simulation import QUEUE, FleetSimulation
@@ -294,6 +295,35 @@
             fleet.run_for(1.5)
             self.assertEqual(question.answer, 5)
 
+    # Guards against a 503 by a daemon that reads the store, although a leader that has
+    # loaded since has told it the numbers.
+    def test_leader_that_loads_while_the_store_is_read(self):
+        fleet = self.start_fleet()
+        self.submit_before(fleet)
+        former = fleet.leader()
+        commit = fleet.records.commit
+        kill_leader_for_good(self, fleet, former)
+        fleet.run_for(4.0)
+        others = [number for number in range(3) if number != former]
+        for number in others:
+            self.delay_read(fleet, number)
+        waiting = [self.ask(fleet, number) for number in others]
+        fleet.run_for(1.8)
+        fleet.records.commit = commit
+        while fleet.leader() is None:
+            fleet.run_for(0.01)
+        self.assertEqual([question.answered_s for question in waiting], [None] * 2)
+        for number in others:
+            self.ask(fleet, number)
+        fleet.run_for(0.1)
+        self.assertEqual([question.answer for question in waiting], [5] * 2)
+
+    def delay_read(self, fleet, number):
+        """Let a daemon wait for the record of pending jobs for good."""
+        store = fleet.stores[number]
+        read = store.read
+        store.read = lambda key: Deferred() if key == PENDING_JOBS_KEY else read(key)
+
     # Guards against a 503 just after a call to the store failed, while the next works.
     def test_store_that_did_not_answer_for_a_moment(self):
         # From the question to the outage, and its length.
