Read each change once for counts without a leader

Cause: while no leader answers, each reading for counts began with the record that the last leader had written, and read all changes since again; a call that failed threw away what the calls before it had read. Change: a daemon keeps what it has read and goes on from there, unless a leader has written a newer record.

--- a/dogwoodlever/_pending_counts.py
+++ b/dogwoodlever/_pending_counts.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
 
-from dogwoodlever._fleet_interfaces import Record
+from dogwoodlever._fleet_interfaces import Listing, Record
 from dogwoodlever._fleet_job import JobPhase
 from dogwoodlever._fleet_observed_store import ObservedStore
 from dogwoodlever._fleet_records import (
@@ -40,6 +40,69 @@
 # Answers of the store in a row that hold changes; then they come faster than they are
 # read.
 CHANGES_MAX = 20
+# Prefixes under which changes make a job pending, or end that.
+CHANGED_PREFIXES = (INBOX_PREFIX, PROGRESS_PREFIX)
+
+
+class KnownPendingJobs:
+    """The jobs that a leader found pending, and the changes that were read since.
+
+    Parameters
+    ----------
+    stored : PendingJobsRecord
+        What the leader has written.
+
+    Attributes
+    ----------
+    revisions : dict of str to int
+        Revision of the store up to which the changes were read, by prefix: submissions
+        and cancellations, and progress.
+    """
+
+    __slots__ = ("_not_pending", "_queues", "revisions")
+
+    def __init__(self, stored: PendingJobsRecord) -> None:
+        self._queues = {
+            job_id: queue
+            for queue, job_ids in stored.job_ids.items()
+            for job_id in job_ids
+        }
+        self._not_pending: set[str] = set()
+        self.revisions = dict.fromkeys(CHANGED_PREFIXES, stored.revision)
+
+    @property
+    def revision(self) -> int:
+        """Revision up to which all changes were read."""
+        return min(self.revisions.values())
+
+    def apply(self, prefix: str, listing: Listing) -> None:
+        """Apply the changes of a prefix that follow on those that were read."""
+        for record in listing.records:
+            self._apply_record(record)
+        self.revisions[prefix] = listing.revision
+
+    def _apply_record(self, record: Record) -> None:
+        if record.value is None:
+            return
+        if record.key.startswith(CANCELS_PREFIX):
+            self._not_pending.add(record.key.removeprefix(CANCELS_PREFIX))
+        elif record.key.startswith(PROGRESS_PREFIX):
+            if _has_started(record):
+                self._not_pending.add(record.key.removeprefix(PROGRESS_PREFIX))
+        elif record.key.startswith(JOBS_PREFIX):
+            job = _decode_job(record)
+            if job is not None and job.ended_phase:
+                self._not_pending.add(job.job_id)
+            elif job is not None:
+                self._queues[job.job_id] = job.queue
+
+    def count(self) -> Counter[str]:
+        """Return the number of pending jobs by queue."""
+        return Counter(
+            queue
+            for job_id, queue in self._queues.items()
+            if job_id not in self._not_pending
+        )
 
 
 class PendingCounts:
@@ -62,6 +125,8 @@
         self._counts: Mapping[str, int] = {}
         # Time at which these numbers were the newest ones, or later.
         self._counted_s = float("-inf")
+        # What was last read of the record and the changes after it.
+        self._known: KnownPendingJobs | None = None
         # Jobs that this daemon has accepted of late: queue and time by id.
         self._accepted: dict[str, tuple[str, float]] = {}
         # Those that wait for the stored jobs to be read; None while nobody reads them.
@@ -193,6 +258,9 @@
     def _read_changes(self):
         """Read the jobs that a leader found pending, and what has changed since.
 
+        What was read before, also by a call that failed later, is not read again: while
+        there is no leader to write the record, the changes after it grow.
+
         Returns a Deferred that fires with the numbers, None if the store does not have
         both. Fails with `PlatformError`.
         """
@@ -204,29 +272,26 @@
         except StoredRecordError as error:
             log_event("pending.unreadable", why=str(error)[:160])
             return None
-        changes = []
+        known = self._known
+        if known is None or stored.revision > known.revision:
+            known = self._known = KnownPendingJobs(stored)
         try:
-            for prefix in (INBOX_PREFIX, PROGRESS_PREFIX):
-                found = yield self._read_history(prefix, stored.revision)
-                changes.extend(found)
+            for prefix in known.revisions:
+                yield self._read_history(prefix, known)
         except HistoryGoneError:
+            self._known = None
             return None
-        return apply_changes(stored, changes)
+        return known.count()
 
     @inlineCallbacks
-    def _read_history(self, prefix: str, revision: int):
-        """Return a Deferred that fires with the changes of a prefix since a revision.
-
-        Fails with `PlatformError`.
-        """
-        changes = []
+    def _read_history(self, prefix: str, known: KnownPendingJobs):
+        """Apply the changes of a prefix; the Deferred fails with `PlatformError`."""
         for _ in range(CHANGES_MAX):
+            revision = known.revisions[prefix]
             listing = yield self._store.watch(prefix, revision, 0)
-            changes.extend(listing.records)
+            known.apply(prefix, listing)
             if not listing.records:
                 break
-            revision = listing.revision
-        return changes
 
     @inlineCallbacks
     def _list_jobs(self):
@@ -246,39 +311,6 @@
         ended.callback(counts)
 
 
-def apply_changes(stored: PendingJobsRecord, changes: Iterable[Record]) -> Counter[str]:
-    """Return the number of pending jobs by queue.
-
-    Parameters
-    ----------
-    stored : PendingJobsRecord
-        The jobs that a leader found pending.
-    changes : iterable of Record
-        Submissions, cancellations and progress that were written since.
-    """
-    queues = {
-        job_id: queue for queue, job_ids in stored.job_ids.items() for job_id in job_ids
-    }
-    not_pending = set()
-    for record in changes:
-        if record.value is None:
-            continue
-        if record.key.startswith(CANCELS_PREFIX):
-            not_pending.add(record.key.removeprefix(CANCELS_PREFIX))
-        elif record.key.startswith(PROGRESS_PREFIX):
-            if _has_started(record):
-                not_pending.add(record.key.removeprefix(PROGRESS_PREFIX))
-        elif record.key.startswith(JOBS_PREFIX):
-            job = _decode_job(record)
-            if job is not None and job.ended_phase:
-                not_pending.add(job.job_id)
-            elif job is not None:
-                queues[job.job_id] = job.queue
-    return Counter(
-        queue for job_id, queue in queues.items() if job_id not in not_pending
-    )
-
-
 def count_pending(
     jobs: tuple[Record, ...], cancels: tuple[Record, ...], progress: tuple[Record, ...]
 ) -> Counter[str]:
--- a/tests/test_pending_jobs_record.py
+++ b/tests/test_pending_jobs_record.py
@@ -8,7 +8,7 @@
 from twisted.internet.task import Clock
 
 from dogwoodlever import _pending_jobs_writer
-from dogwoodlever._fleet_interfaces import Record
+from dogwoodlever._fleet_interfaces import Listing, Record
 from dogwoodlever._fleet_job import JobPhase, JobProgress
 from dogwoodlever._fleet_records import (
     INBOX_PREFIX,
@@ -25,9 +25,9 @@
     progress_key,
 )
 from dogwoodlever._fleet_types import Step
-from dogwoodlever._pending_counts import apply_changes
+from dogwoodlever._pending_counts import KnownPendingJobs
 from dogwoodlever._pending_jobs_writer import PendingJobsWriter
-from dogwoodlever.platform_errors import HistoryGoneError
+from dogwoodlever.platform_errors import HistoryGoneError, StoreUnavailableError
 from standins.fleet import FakeFleetStore, FleetRecords
 from tests.fleet_simulation import JOB, QUEUE
 from tests.test_counts_without_leader import (
@@ -73,7 +73,9 @@
         )  # fmt: skip
         for name, changes, expected in table:
             with self.subTest(name):
-                self.assertEqual(apply_changes(stored, changes), expected)
+                known = KnownPendingJobs(stored)
+                known.apply(INBOX_PREFIX, Listing(changes, 9))
+                self.assertEqual(known.count(), expected)
 
 
 class WriterTest(unittest.TestCase):
@@ -113,13 +115,13 @@
 
 
 class RecordedCountsTest(CountsTest):
-    def lose_leader(self, fleet):
+    def lose_leader(self, fleet, daemons=range(3)):
         """Kill the leader for good; return the other daemons."""
         leader = fleet.leader()
         self.block_elections(fleet)
         fleet.kill(leader)
         fleet.run_for(3.0)
-        return [number for number in range(3) if number != leader]
+        return [number for number in daemons if number != leader]
 
     # Guards against a count that reads all stored jobs, which takes longer than its
     # caller waits where they are many and the link is narrow.
@@ -161,6 +163,67 @@
 
         store.list_page, store.watch = list_and_note, watch_history
 
+    # Guards against counts whose readings grow with the time since a leader wrote its
+    # record, or with each call that fails, until they outlast the callers' wait.
+    def test_changes_are_read_once(self):
+        for fails in (False, True):
+            with self.subTest(fails=fails):
+                fleet = self.start_fleet()
+                self.assert_done(fleet, 0, waiting_job(1))
+                fleet.run_for(1.5)
+                others = self.lose_leader(fleet)
+                other = others[0]
+                failing = []
+                read = self.note_changes(fleet.stores[other], failing)
+                for number in (2, 3, 4):
+                    self.assert_done(fleet, others[1], waiting_job(number))
+                    fleet.run_for(2.5)
+                    failing.extend([PROGRESS_PREFIX] * fails)
+                    self.assert_answers(fleet, [(other, QUEUE, number)])
+                self.assertEqual(len(read), len(set(read)))
+                jobs = [key for key, _ in read if key.startswith(JOBS_PREFIX)]
+                self.assertEqual(jobs, [job_key(f"{n:016x}") for n in (2, 3, 4)])
+
+    # Guards against counts that go on from what was read before a later leader.
+    def test_record_of_a_later_leader(self):
+        fleet = self.start_fleet(daemons=4)
+        for number in (1, 2):
+            self.assert_done(fleet, 0, waiting_job(number))
+        fleet.run_for(1.5)
+        commit = fleet.records.commit
+        others = set(self.lose_leader(fleet, range(4)))
+        self.assert_answers(fleet, [(number, QUEUE, 2) for number in others])
+        fleet.records.commit = commit
+        while fleet.leader() is None:
+            fleet.run_for(0.01)
+        self.cancel(fleet, fleet.leader(), f"{1:016x}")
+        for number in (3, 4, 5):
+            self.assert_done(fleet, fleet.leader(), waiting_job(number))
+        fleet.run_for(6.0)
+        others &= set(self.lose_leader(fleet, range(4)))
+        self.assert_answers(fleet, [(number, QUEUE, 4) for number in others])
+
+    def note_changes(self, store, failing):
+        """Return a list to which the changes that counts read are added.
+
+        The next calls for changes of the prefixes in `failing` fail.
+        """
+        read, watch = [], store.watch
+
+        def watch_and_note(prefix, revision, wait_ms):
+            if not wait_ms and prefix in failing:
+                failing.remove(prefix)
+                return fail(StoreUnavailableError("no response"))
+            changes = watch(prefix, revision, wait_ms)
+            return changes if wait_ms else changes.addCallback(note)
+
+        def note(listing):
+            read.extend((record.key, record.revision) for record in listing.records)
+            return listing
+
+        store.watch = watch_and_note
+        return read
+
     # Guards against counts of a leader that has not heard of the jobs of the last
     # seconds, since its calls get no answers while its lease is renewed.
     def test_leader_that_does_not_hear_of_jobs(self):
