Let the soak reload only daemons that can survive it

The platform's protocol says of the signal only that the settings file has changed, not when it comes; a program has no instruction before its interpreter has started; and a process that ends within a second of its start isn't held against it. The product ignores the signal in its first statement, before it loads its libraries, so the soak was wrong. Change: it waits until the process ignores or handles the signal, checked each 2 ms, and draws the same faults as before.

--- a/standins/daemon_process.py
+++ b/standins/daemon_process.py
@@ -129,6 +129,18 @@
         if self.is_running:
             self.process.send_signal(number)
 
+    def survives(self, number: int) -> bool:
+        """Return whether the process ignores or handles a signal that is sent now.
+
+        No program can before its interpreter has started.
+        """
+        if not self.is_running:
+            return False
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        sets = dict(line.split(":", 1) for line in status.splitlines())
+        bit = 1 << (number - 1)
+        return any(int(sets[name], 16) & bit for name in ("SigIgn", "SigCgt"))
+
     def ended_by_itself(self) -> bool:
         """Return whether the process ended without a signal that ends it."""
         return not self.is_running and not self.is_ending
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -23,6 +23,9 @@
 START_DELAY_MAX_S = 9.0
 WRITE_DELAY_MAX_S = 5.0
 EXIT_POLL_S = 0.05
+# Short, so that the signal arrives while a daemon that has just started loads its
+# libraries.
+SIGNAL_POLL_S = 0.002
 # Share of the planned stops that stop all daemons.
 STOP_ALL_SHARE = 0.5
 # Share of the changes of the configuration at which all open connections to the store
@@ -203,11 +206,17 @@
                 daemons.remove(daemon)
                 self._site.start_daemon(daemon.name)
 
+    @inlineCallbacks
     def _reload(self):
         name = self._choose_free(self._site.daemons)
-        if name:
-            self._record(f"reload {name}")
-            self._site.daemons[name].signal(signal.SIGHUP)
+        if not name:
+            return
+        self._record(f"reload {name}")
+        daemon = self._site.daemons[name]
+        # Before its first instruction, no program survives the signal.
+        while daemon.is_running and not daemon.survives(signal.SIGHUP):
+            yield deferLater(reactor, SIGNAL_POLL_S)
+        daemon.signal(signal.SIGHUP)
 
     # Store and links
 
