Keep an ended job until callers could read its end

Cause: the time for which an ended job stays readable ran from its end, while callers read it as running until the end is stored. The test, which also asks for a version, counts and starts while progress can't be stored for minutes, failed before (nothing in place of completed); with the leader lost it passed.

--- a/dogwoodlever/_fleet_retention.py
+++ b/dogwoodlever/_fleet_retention.py
@@ -29,7 +29,7 @@
     registry : RunRegistry
         Jobs.
     retention_s : float
-        How long the state of an ended job must be readable.
+        How long the state of an ended job must be readable once it is stored.
     get_term_revision : callable
         Returns the revision of this leader's term record.
     on_removed : callable
@@ -56,19 +56,23 @@
         self._is_removing = False
 
     def sweep(self) -> None:
-        """Record new ended jobs, and remove a batch whose retention has passed."""
+        """Record new ended jobs, and remove a batch whose retention has passed.
+
+        It begins once the end is stored: before, callers read the job as running.
+        """
         now_s = self._clock.seconds()
         if self._is_removing or now_s - self._last_sweep_s < SWEEP_INTERVAL_S:
             return
         self._last_sweep_s = now_s
         for job_id, state in self._registry.jobs.items():
-            if state.has_ended:
+            if job_id in self._registry.dirty:
+                self._ended_s.pop(job_id, None)
+            elif state.has_ended:
                 self._ended_s.setdefault(job_id, now_s)
         due = [
             job_id
             for job_id, ended_s in self._ended_s.items()
             if now_s - ended_s >= self._retention_s
-            and job_id not in self._registry.dirty
         ]
         if due:
             self._remove(due[:JOBS_PER_SWEEP])
--- a/tests/test_completed_jobs.py
+++ b/tests/test_completed_jobs.py
@@ -2,15 +2,20 @@
 
 import unittest
 
+from twisted.internet.defer import fail
+
 from dogwoodlever._fleet_job import JobPhase
-from dogwoodlever.platform_errors import StoreRefusedError
-from tests.fleet_simulation import JOB, StandingWorkTest, job
+from dogwoodlever._fleet_records import PROGRESS_PREFIX
+from dogwoodlever.platform_errors import PlatformError, StoreRefusedError
+from tests.fleet_simulation import CONFIGURATION, JOB, QUEUE, StandingWorkTest, job
 
 # A start this long after the answer repeats a job that its caller takes for done.
 ANSWER_MAX_AGE_S = 1.0
 # Covers an election, the leases of unreachable workers and a run.
 RECOVERY_S = 18.0
 READ_WAIT_S = 0.05
+# Time in which a version has to be in force.
+VERSION_S = 2.0
 
 
 class CompletedJobsTest(StandingWorkTest):
@@ -73,6 +78,51 @@
                 if told_s is not None:
                     self.check_not_repeated(fleet, told_s)
 
+    # Guards against a job that is shown as running for ever, runs again or counts as
+    # pending, and a late version, as the leader cannot store progress for minutes.
+    def test_leader_that_cannot_store_progress_for_minutes(self):
+        for is_lost in (False, True):
+            with self.subTest(is_lost=is_lost):
+                fleet = self.start_fleet(run_s=1.0)
+                leader = fleet.leader()
+                commit = self.reject_progress(fleet.stores[leader])
+                fleet.submit(0, job(JOB, tasks=2))
+                fleet.run_for(150.0)
+                self.assertEqual(fleet.leader(), leader)
+                self.assert_shown(fleet, range(3), JobPhase.RUNNING)
+                fleet.configure(CONFIGURATION | {"version": 2})
+                fleet.run_for(VERSION_S)
+                for node in fleet.nodes:
+                    self.assertEqual(node.desired_state.configuration.version, 2)
+                if is_lost:
+                    fleet.kill(leader)
+                    fleet.run_for(RECOVERY_S)
+                fleet.stores[leader].commit = commit
+                fleet.run_for(2.0)
+                alive = [number for number in range(3) if number != leader]
+                self.assert_shown(fleet, alive, JobPhase.COMPLETED)
+                self.assertEqual(len(fleet.workers.starts), 2)
+
+    def reject_progress(self, store):
+        """Let each write of progress fail; return the method that is replaced."""
+        commit = store.commit
+
+        def commit_others(expected, puts, deletes=()):
+            if any(key.startswith(PROGRESS_PREFIX) for key in expected):
+                return fail(PlatformError("status 400"))
+            return commit(expected, puts, deletes)
+
+        store.commit = commit_others
+        return commit
+
+    def assert_shown(self, fleet, daemons, phase):
+        for number in daemons:
+            frontend = fleet.nodes[number].frontend
+            deadline_s = fleet.clock.seconds() + 3.0
+            counted = fleet.await_result(frontend.count_pending(QUEUE, deadline_s))
+            self.assertEqual(counted.pending, 0)
+            self.assertEqual(fleet.read_phase(number, JOB), phase)
+
     # Guards against ends that callers learn of a tenth of a second late.
     def test_end_of_a_job_is_stored_soon(self):
         fleet = self.start_fleet(workers=2, run_s=1.0)
