--- a/dogwoodlever/_fleet_retention.py
+++ b/dogwoodlever/_fleet_retention.py
@@ -80,15 +80,14 @@
             return
         self._last_sweep_s = now_s
         for job_id, state in self._registry.jobs.items():
-            if not self._is_stored(job_id):
-                self._ended_s.pop(job_id, None)
-            elif state.has_ended:
+            if state.has_ended and self._is_stored(job_id):
                 self._ended_s.setdefault(job_id, now_s)
         due = [
             job_id
             for job_id, ended_s in self._ended_s.items()
             if now_s - ended_s >= self._retention_s
             and now_s >= self._retry_s.get(job_id, now_s)
+            and self._is_stored(job_id)
         ]
         if due:
             self._remove(due[: self._batch_size])
