Metrics: counters of decisions stay at the start of a response

Cause: collectors may keep only the start of a response, and the metrics of acknowledgements and unstored jobs stood before the counters of ended runs and of workers. Change: they follow these.

--- a/dogwoodlever/_fleet_metrics.py
+++ b/dogwoodlever/_fleet_metrics.py
@@ -41,6 +41,10 @@
             "Runs that count on since their start may be carried out late",
             "after",
         )
+        self.run_ends = self._counter("run_ends", "Runs that ended", "how")
+        self.worker_events = self._counter(
+            "worker_events", "Events of workers", "event"
+        )
         self.oldest_unacknowledged_end_s = self._gauge(
             "oldest_unacknowledged_end_seconds",
             "How long ago the oldest end that is not acknowledged was listed",
@@ -66,10 +70,6 @@
         self.unstorable_jobs = self._gauge(
             "unstorable_jobs", "Jobs whose progress cannot be stored by itself"
         )
-        self.run_ends = self._counter("run_ends", "Runs that ended", "how")
-        self.worker_events = self._counter(
-            "worker_events", "Events of workers", "event"
-        )
         self.starts = self._counter("starts", "Orders to start, by answer", "answer")
         self.run_moves = self._counter("run_moves", "Runs stopped to go on", "why")
         self.throttle_orders = self._counter("paces", "Orders of a pace")
