--- a/tests/test_configuration_bound.py
+++ b/tests/test_configuration_bound.py
@@ -11,7 +11,7 @@
 from dogwoodlever._fleet_watcher import PrefixWatcher
 from dogwoodlever.platform._http_store import HttpFleetStore
 from standins.fleet import FleetRecords
-from standins.fleet_http import _item
+from standins.wire_store import encode_item
 
 APPLY_S = 2.0
 STEP_S = 0.01
@@ -80,7 +80,7 @@
                 arguments = call, parts, query, until_s
                 self._clock.callLater(delay_s, self._answer, *arguments)
                 return
-        items = [_item(record) for record in listing.records]
+        items = [encode_item(record) for record in listing.records]
         body = {"current_rev": listing.revision, field: items}
         content = msgspec.json.encode(body)
         # Parts of the response arrive all the time.
