Election: the first term begins with an empty membership

Cause: a membership that is absent counts as lost in any later term than the first, whose leader wrote an empty one after it had loaded. If that leader was lost before, or the answer to its election, the next one waited for workers that never existed, and with it all jobs accepted till then.

Change: the transaction of the first election writes the empty membership, if there is none. If the store rejects it, the term is written without it.

--- a/dogwoodlever/_fleet_election.py
+++ b/dogwoodlever/_fleet_election.py
@@ -12,8 +12,10 @@
 from dogwoodlever._fleet_records import (
     LEADER_KEY,
     TERM_KEY,
+    WORKER_MEMBERSHIP_KEY,
     LeaderRecord,
     TermRecord,
+    WorkerMembershipRecord,
     decode_leader,
     decode_term,
     encode,
@@ -24,6 +26,7 @@
     LeaseEndedError,
     PlatformError,
     StoredRecordError,
+    StoreRejectedError,
 )
 
 # Allows two failed renewals, and bounds the time to detect a failed leader.
@@ -314,14 +317,12 @@
             max(self._link_mbps, previous.link_mbps),
             unreachable_since_term=previous.unreachable_since_term or term,
         )
-        sent_s = self._clock.seconds()
-        result = yield self._store.commit(
-            {LEADER_KEY: 0, TERM_KEY: self._term_revision},
-            (
-                Put(LEADER_KEY, encode(self._record), lease_id),
-                Put(TERM_KEY, encode(record)),
-            ),
+        puts = (
+            Put(LEADER_KEY, encode(self._record), lease_id),
+            Put(TERM_KEY, encode(record)),
         )
+        sent_s = self._clock.seconds()
+        result = yield self._commit_term(puts, is_first=not previous.term)
         if not result.revision:
             self._on_lost(result.current)
             return
@@ -339,6 +340,27 @@
             self.former_elected_s = self._record_seen_s if is_seen else sent_s
         self._on_won(term, result.revision, lease_id, sent_s, is_continued)
 
+    @inlineCallbacks
+    def _commit_term(self, puts: tuple[Put, ...], is_first: bool):
+        """Write a term, the first one with an empty membership if there is none.
+
+        If that leader is lost before it writes another, no successor waits for workers.
+        """
+        expected = {LEADER_KEY: 0, TERM_KEY: self._term_revision}
+        if is_first and (yield self._store.read(WORKER_MEMBERSHIP_KEY)) is None:
+            membership = WorkerMembershipRecord(names_all=True)
+            put = Put(WORKER_MEMBERSHIP_KEY, encode(membership))
+            try:
+                result = yield self._store.commit(
+                    {**expected, put.key: 0}, (*puts, put)
+                )
+                return result
+            except StoreRejectedError as error:
+                # It holds back work, but not this leader.
+                log_event("leader.membership-rejected", why=str(error)[:160])
+        result = yield self._store.commit(expected, puts)
+        return result
+
     def _find_previous(self, current: Record | None) -> TermRecord:
         """Return the record of the last term, or what is known of it if it is lost.
 
--- a/dogwoodlever/_worker_membership.py
+++ b/dogwoodlever/_worker_membership.py
@@ -104,7 +104,7 @@
         `UNKNOWN_WORKERS` is among them if the membership, or a worker in it, cannot be
         used: a leader of another version may have started runs there. It stays stored
         that there are such workers until `discard` is called for them. The same holds
-        if the record is absent, since the leader of the first term writes an empty one.
+        if the record is absent, since the first election writes an empty one.
         """
         if record is None or record.value is None:
             if is_first_term:
