A submission that cannot be written anew holds back no other

Cause: the restorer repeated the write of the first removed submission until it succeeded, unless the store rejected it (4xx). After another error, such as a 5xx for this record alone, all later ones stayed removed, and a successor would not have known their jobs. A submission that was removed again while it was being written was forgotten.

Change: a job leaves the queue before its write, and goes last if that fails.

Result: the new test fails before for the error that is no rejection, and passes now.

--- a/dogwoodlever/_submission_restorer.py
+++ b/dogwoodlever/_submission_restorer.py
@@ -62,10 +62,16 @@
         job_id = next(iter(self._missing), None)
         if job_id is None:
             return None
+        # It may be removed again while it is written.
+        del self._missing[job_id]
         state = self._registry.active.get(job_id)
         if state is not None:
-            yield self._write(job_id, encode(state.job))
-        del self._missing[job_id]
+            try:
+                yield self._write(job_id, encode(state.job))
+            except Exception:
+                # The others go before it.
+                self._missing[job_id] = None
+                raise
         return 0.0
 
     @inlineCallbacks
--- a/tests/test_acknowledgements_review.py
+++ b/tests/test_acknowledgements_review.py
@@ -2,8 +2,10 @@
 
 import unittest
 
-from dogwoodlever._fleet_records import LEADER_KEY
+from dogwoodlever._fleet_records import LEADER_KEY, job_key
+from dogwoodlever.platform_errors import PlatformError, StoreRejectedError
 from tests.fleet_simulation import JOB, STEP_S, FleetSimulation, job
+from tests.rejected_writes import reject_writes
 
 # Time in which work starts after the loss of the first leader.
 START_S = 5.0
@@ -41,5 +43,24 @@
                 self.assertEqual(len(fleet.workers.starts), 2)
 
 
+class SubmissionRestorerTest(unittest.TestCase):
+    # Guards against a submission that cannot be written anew, behind which all others
+    # stay removed, so that the next leader does not know their jobs.
+    def test_one_that_fails_holds_no_other(self):
+        for error in (StoreRejectedError, PlatformError):
+            with self.subTest(error.__name__):
+                fleet = FleetSimulation(run_s=0.0)
+                fleet.run_for(1.0)
+                keys = [job_key(letter * 16) for letter in "abc"]
+                for key in keys:
+                    fleet.submit(0, job(key[-16:], tasks=1, standing=True))
+                store = fleet.stores[fleet.leader()]
+                reject_writes(store, keys[0].__eq__, error)
+                for key in keys:
+                    fleet.records.remove(key)
+                fleet.run_for(3.0)
+                self.assertTrue(all(map(fleet.records.read, keys[1:])))
+
+
 if __name__ == "__main__":
     unittest.main()
