--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,4 +6,4 @@
 cd "$(dirname "$0")/.."
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))' ||
     { echo "Python 3.11 or later is needed"; exit 1; }
-python3 -m compileall -q review/site_2.py review/6 review/7 review/8 review/9
+python3 -m compileall -q review/site_2.py review/6 review/7 review/8 review/9 review/10
--- a/review/site_2.py
+++ b/review/site_2.py
@@ -1127,6 +1127,79 @@
         return known
 
 
+# What the sheets say of the end of the traffic: jobs are asked for this long after it,
+# and none may have nothing running for this long, nor wait so long for an answer.
+FINISH_S = 14.0
+IDLE_S = 3.0
+ANSWER_S = 3.0
+TRAFFIC_S = 30
+
+
+def small_step(cpu: int = 1_000) -> dict:
+    """Return the step of a small job."""
+    return {
+        "count": 1,
+        "cpu": cpu,
+        "mem_mb": 2_000,
+        "est_runtime_ms": 800,
+        "work_ms": 800,
+    }
+
+
+async def judge_small_jobs(site: Site) -> int:
+    """Submit a small job a second, and judge whether all of them are carried out.
+
+    Returns the status of the case by the rule LOST: broken if, `FINISH_S` after the
+    end of the traffic, a job has nothing running for `IDLE_S` or gets no answer.
+    """
+    jobs: list[str] = []
+
+    async def submit() -> None:
+        try:
+            jobs.append(await site.submit([small_step()]))
+        except CaseError as error:
+            site.record.write(str(error))
+
+    submissions = []
+    for _ in range(TRAFFIC_S):
+        submissions.append(asyncio.create_task(submit()))
+        await asyncio.sleep(1.0)
+    site.record.write(f"end of the traffic, {len(jobs)} small jobs accepted")
+    await asyncio.sleep(FINISH_S)
+    accepted, before = list(jobs), len(site.starts)
+    done = {task.partition(".")[0] for _, _, task, _, how in site.ends if how == "done"}
+    idle = [
+        job_id
+        for job_id in accepted
+        if job_id not in done and not site.has_runs(job_id)
+    ]
+    site.record.write(f"{FINISH_S} s later, with nothing running: {len(idle)} jobs")
+    await asyncio.sleep(IDLE_S)
+    started = {task.partition(".")[0] for _, _, task, _, _ in site.starts[before:]}
+    idle = [job_id for job_id in idle if job_id not in started]
+    used = sum(
+        run.step["cpu"] for worker in site.workers.values() for run in worker._alive()
+    )
+    size = sum(worker.cpu for worker in site.workers.values())
+    site.record.write(
+        f"{IDLE_S} s later still {len(idle)}; cpu in use {used} of {size}"
+    )
+    states = await asyncio.gather(*map(site.state, accepted))
+    unanswered = [state for state in states if state.startswith("status")]
+    site.record.write(f"states: {sorted(states)}")
+    print(
+        f"{len(accepted)} small jobs accepted, {len(idle)} idle for {IDLE_S} s, "
+        f"{len(unanswered)} of their states not answered in {ANSWER_S} s; "
+        f"cpu in use {used} of {size}"
+    )
+    for submission in submissions:
+        submission.cancel()
+    if len(accepted) < TRAFFIC_S / 3:
+        raise CaseError("too few jobs were accepted")
+    has_room = used < size / 2
+    return BROKEN if idle and has_room or unanswered else HELD
+
+
 def run_case(folder: Path, case: Callable[["Site", bool], Awaitable[int]]) -> int:
     """Run a case and return its exit status.
 
@@ -1144,10 +1217,13 @@
 
     async def run() -> int:
         site = Site(folder)
+        loop, running = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, running.cancel)
         try:
             async with asyncio.timeout(RUN_LIMIT_S):
                 status = await case(site, has_trouble)
-        except (CaseError, TimeoutError) as error:
+        except (CaseError, TimeoutError, asyncio.CancelledError) as error:
             site.record.write(f"not run: {error!r}")
             print(f"not run: {error!r}")
             status = NOT_RUN
