--- a/review/site_2.py
+++ b/review/site_2.py
@@ -507,9 +507,6 @@
         self.server = HttpServer(self._handle)
         self.is_up = False
         self.born = 0
-        # Share of the starts that get no answer and are carried out after this delay.
-        self.late_share = 0.0
-        self.late_s = (2.0, 12.0)
         self._beat: asyncio.Task | None = None
         self._expiry: asyncio.TimerHandle | None = None
         self._forget()
@@ -619,6 +616,9 @@
             run.worked_from_s = now_s + restore_s
         progress_s = self._progress_s(run)
         if run.step.get("persistent"):
+            fails_s = self._site.failure_s(run)
+            if fails_s is not None and progress_s >= fails_s:
+                self._end(run, "failed")
             return
         if int(progress_s / CHECKPOINT_S) > int(_saved_s(run.saved) / CHECKPOINT_S):
             self._save(run, int(progress_s / CHECKPOINT_S) * CHECKPOINT_S)
@@ -644,10 +644,10 @@
         if request.headers.get("target-instance") != self.worker_id:
             return 421, {}
         name = request.path.removeprefix("/-/")
-        if name == "run-start" and random.random() < self.late_share:
-            asyncio.get_running_loop().call_later(
-                random.uniform(*self.late_s), self._start_late, document
-            )
+        late_s = self._site.late_s(self, name, document)
+        if late_s is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(late_s, self._start_late, document)
             return None
         self.tick()
         token = document.get("fencing_token", 0)
@@ -692,14 +692,26 @@
         self._renew(document["until_ms"])
         if number <= self._highest_ended.get(task, 0):
             return self._refuse("old")
-        cpu = sum(run.step["cpu"] for run in self._alive())
-        if cpu + step["cpu"] > self.cpu and self._site.enforces_capacity:
+        if self._site.enforces_capacity and not self.has_room(step):
             return self._refuse("room")
         run = Run(task, number, step, saved)
         self.running[task, number] = run
         self._site.note_started(self, run, document["spec"])
         return 200, {"clock_ms": self.clock_ms()}
 
+    def used(self) -> tuple[int, int]:
+        """Return the cpu and the memory in use; what fills takes no cpu of it."""
+        steps = [run.step for run in self._alive()]
+        cpu = sum(step["cpu"] for step in steps if not step.get("fills"))
+        return cpu, sum(step["mem_mb"] for step in steps)
+
+    def has_room(self, step: dict, times: int = 1) -> bool:
+        """Return whether a task of a step fits beside what runs, so many times."""
+        cpu, mem_mb = self.used()
+        wanted = 0 if step.get("fills") else step["cpu"]
+        has_cpu = cpu + times * wanted <= self.cpu
+        return has_cpu and mem_mb + times * step["mem_mb"] <= self.mem_mb
+
     def _stop_run(self, document: dict) -> None:
         task, number = document["task"], document["run"]
         run = self.running.get((task, number))
@@ -868,6 +880,9 @@
         self.daemons: list[Daemon] = []
         self._jobs: dict[str, dict] = {}
         self._gangs: dict[tuple[str, int], Gang] = {}
+        # Called with a worker, the name of a call and its document; returns after what
+        # time it is carried out without an answer, None if at once.
+        self.late_s: Callable[[Worker, str, dict], float | None] = lambda *_: None
         self._fails: dict[str, Callable[[Run], float | None]] = {}
         # Rows of (time, worker, task, run, outcome); "" for a run that is not ended.
         self.starts: list[tuple[float, str, str, int, str]] = []
@@ -1000,6 +1015,32 @@
             for task, _ in worker.running
         )
 
+    def find_overlaps(self, job_id: str) -> list[tuple]:
+        """Return the pairs of runs of one task that were up at one time, and how long.
+
+        Rows of task, worker and number of each run, and the time in seconds.
+        """
+        spans = []
+        for begun_s, worker, task, number, _ in self.starts:
+            if not task.startswith(job_id):
+                continue
+            ended_s = min(
+                (
+                    end[0]
+                    for end in self.ends
+                    if end[0] >= begun_s and end[1:4] == (worker, task, number)
+                ),
+                default=self.record.now_s(),
+            )
+            spans.append((task, worker, number, begun_s, ended_s))
+        found = []
+        for index, first in enumerate(spans):
+            for other in spans[index + 1 :]:
+                both_s = min(first[4], other[4]) - max(first[3], other[3])
+                if first[0] == other[0] and both_s > 0:
+                    found.append((first[0], first[1:3], other[1:3], round(both_s, 3)))
+        return found
+
     def gang(self, run: Run) -> Gang:
         """Return the run of a gang to which a run belongs."""
         key = run.task.rpartition(".")[0], run.number
