--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,8 +1,8 @@
-"""The members of one run of a gang are started from different checkpoints.
+"""A job whose tasks fill waits ten seconds before each of its steps, with room free.
 
-A gang of three saves its progress. The worker of one member crashes; the others end
-``broken`` and save what they have done. The next run of the gang has to be started
-with one value by all its members.
+Other tasks that fill run on all workers. A job of four short steps that fill comes
+last. Nothing of it runs for up to ten seconds before each step, though its tasks need
+little memory and their cpu is not counted.
 """
 
 import asyncio
@@ -12,15 +12,50 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from site_2 import BROKEN, HELD, CaseError, Site, run_case  # noqa: E402
+from site_2 import (  # noqa: E402
+    BROKEN,
+    FINISH_S,
+    HELD,
+    IDLE_S,
+    CaseError,
+    Site,
+    run_case,
+)
 
-# One of eight workers is the largest share that crashes by the sheets, 0.14, cut down.
-WORKERS = 8
-DOWN_S = 4.5
-MEMBERS = 3
-WORK_MS = 6_800
-# Before the crash, some time after a checkpoint.
-CRASH_AFTER_S = 3.3
+WORKERS = 3
+LOAD_JOBS = 6
+LOAD_TASKS = 8
+LOAD_MS = 60_000
+# From the last of them to the job that waits.
+LOAD_S = 2.0
+STEPS = 4
+STEP_MS = 1_000
+STEP_S = 0.05
+
+
+def filling_step(count: int, work_ms: int, **fields) -> dict:
+    """Return a step whose tasks fill."""
+    return {
+        "count": count,
+        "cpu": 3_000,
+        "mem_mb": 1_000,
+        "est_runtime_ms": work_ms,
+        "work_ms": work_ms,
+        "fills": True,
+        "image": "image-1",
+    } | fields
+
+
+def has_room_twice(site: Site, step: dict) -> bool:
+    """Return whether a task fits twice over, and under half of the room is in use."""
+    workers = list(site.workers.values())
+    used = [worker.used() for worker in workers]
+    cpu, mem_mb = sum(row[0] for row in used), sum(row[1] for row in used)
+    is_half_free = (
+        cpu < sum(worker.cpu for worker in workers) / 2
+        and mem_mb < sum(worker.mem_mb for worker in workers) / 2
+    )
+    return is_half_free and any(worker.has_room(step, times=2) for worker in workers)
 
 
 async def case(site: Site, has_trouble: bool) -> int:
@@ -30,39 +65,35 @@
         await site.add_worker(f"w-{number}", f"zone-{number % 3}", ("a", "r1"))
     await site.wait_until_ready()
     await asyncio.sleep(3.0)
-    step = {
-        "count": MEMBERS,
-        "cpu": 1_800,
-        "mem_mb": 3_200,
-        "est_runtime_ms": WORK_MS,
-        "work_ms": WORK_MS,
-        "gang": True,
-        "max_per_server": 1,
-        "saves_progress": True,
-    }
-    job_id = await site.submit([step])
-    await asyncio.sleep(CRASH_AFTER_S)
     if has_trouble:
-        worker = site.workers[site.starts[0][1]]
-        worker.crash()
-        asyncio.get_running_loop().call_later(
-            DOWN_S, lambda: asyncio.ensure_future(worker.start())
-        )
-    state = await site.follow(job_id, 60.0)
-    runs: dict[int, dict[str, str]] = {}
-    for _, _, task, number, saved in site.starts:
-        runs.setdefault(number, {})[task] = saved
-    mixed = {}
-    for number, saved in runs.items():
-        site.record.write(f"gang run {number}: last_checkpoint {saved}")
-        if len(set(saved.values())) > 1:
-            mixed[number] = saved
-    print(f"job {job_id}: {state}; runs {runs}")
-    if mixed:
-        return BROKEN
-    if state == "completed":
-        return HELD
-    raise CaseError(f"the job is {state}")
+        for _ in range(LOAD_JOBS):
+            await site.submit([filling_step(LOAD_TASKS, LOAD_MS)])
+        await asyncio.sleep(LOAD_S)
+    chain = [filling_step(1, STEP_MS)]
+    chain += [filling_step(1, STEP_MS, after=[number]) for number in range(STEPS - 1)]
+    job_id = await site.submit(chain)
+    await asyncio.sleep(FINISH_S)
+    idle_since_s = watched_s = site.record.now_s()
+    longest_s = 0.0
+    while site.record.now_s() - watched_s < 2 * FINISH_S:
+        done = [row for row in site.ends if row[2].startswith(job_id)]
+        is_idle = len(done) < STEPS and not site.has_runs(job_id)
+        if not (is_idle and has_room_twice(site, chain[0])):
+            idle_since_s = site.record.now_s()
+        longest_s = max(longest_s, site.record.now_s() - idle_since_s)
+        await asyncio.sleep(STEP_S)
+    state = await site.state(job_id)
+    starts = [f"{row[0]:.1f}" for row in site.starts if row[2].startswith(job_id)]
+    cpu = sum(worker.used()[0] for worker in site.workers.values())
+    text = (
+        f"job {job_id} {state}: nothing running for {longest_s:.1f} s at a time; its "
+        f"tasks started at {', '.join(starts)} s; cpu in use but for what fills {cpu}"
+    )
+    site.record.write(text)
+    print(text)
+    if not starts and not has_trouble:
+        raise CaseError("the job has not started")
+    return BROKEN if longest_s >= IDLE_S else HELD
 
 
 if __name__ == "__main__":
